--- /dev/null
+++ b/crates/admin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Health, readiness, metrics and operators HTTP for every daemon.
--- /dev/null
+++ b/crates/agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! The process beside each target: gate, buffers, orders.
--- /dev/null
+++ b/crates/cfg/src/lib.rs
@@ -0,0 +1,1 @@
+//! JSON settings, checked, with every finding reported at once.
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! A replica of the durable state.
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Callers HTTP, admission, choice of target, retries and streams.
--- /dev/null
+++ b/crates/expert/src/lib.rs
@@ -0,0 +1,1 @@
+//! Expert maps: load estimate, planner, switch protocol.
--- /dev/null
+++ b/crates/fake/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for engines, services and the weight store.
--- /dev/null
+++ b/crates/ledger/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once record of non-repeatable calls.
--- /dev/null
+++ b/crates/lovageramp/src/bin/lovageramp-agent.rs
@@ -0,0 +1,3 @@
+//! The `lovageramp-agent` daemon.
+
+fn main() {}
--- /dev/null
+++ b/crates/lovageramp/src/bin/lovageramp-control.rs
@@ -0,0 +1,3 @@
+//! The `lovageramp-control` daemon.
+
+fn main() {}
--- /dev/null
+++ b/crates/lovageramp/src/bin/lovageramp-entry.rs
@@ -0,0 +1,3 @@
+//! The `lovageramp-entry` daemon.
+
+fn main() {}
--- /dev/null
+++ b/crates/lovageramp/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load balancer for expert-parallel model groups: the daemons and the client.
--- /dev/null
+++ b/crates/lovageramp/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators client.
+
+fn main() {}
--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Announcements, liveness, draining and the address list.
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! What every entry and agent runs to follow control.
--- /dev/null
+++ b/crates/note/src/lib.rs
@@ -0,0 +1,1 @@
+//! Release notes and the catalogue they make.
--- /dev/null
+++ b/crates/quorum/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated log: election, replication, membership, leases, fencing.
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of target, limits, fairness, retries, quarantine.
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! Write-ahead log, snapshots and the identity of a disk.
