Allow quickcheck's arguments by value in the settings test

Cause: clippy -D warnings over all targets refused needless_pass_by_value, which quickcheck's signature needs, and from_secs(60). Change: the allow with its reason, from_mins.

--- a/crates/cfg/tests/reader.rs
+++ b/crates/cfg/tests/reader.rs
@@ -1,4 +1,8 @@
 //! Reading settings: findings, defaults, unknown keys, arbitrary bytes.
+#![allow(
+    clippy::needless_pass_by_value,
+    reason = "quickcheck gives its arguments by value"
+)]
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -12,7 +16,7 @@
     r.within(
         "beat_ms",
         Duration::from_millis(200),
-        Duration::from_millis(1)..=Duration::from_secs(60),
+        Duration::from_millis(1)..=Duration::from_mins(1),
     );
     r.section("engine").or("ranks", vec![0_u32]);
     for mut replica in r.sections("replicas") {
