Check, apply and number release notes

Cause: the catalogue is what every entry, agent and control acts on; a note must be checked whole, applied whole or not at all, and told apart from one that carries the same number. Ruled out: stopping at the first finding; digests over the bytes as sent, which would refuse a resend with other white space. Change: types, check with all findings and their places, Catalogue with lookups and canonical JSON, History that settles accepted, repeated, conflict, gap and invalid and keeps notes for nodes that catch up, bounded in number and bytes.

--- a/crates/cfg/src/reader.rs
+++ b/crates/cfg/src/reader.rs
@@ -214,6 +214,26 @@
         tree.findings.push(Finding::new(place, message));
     }
 
+    /// Takes every key of this object for known: once its kind isn't known,
+    /// naming each of its keys would bury the finding that matters.
+    ///
+    /// ```
+    /// let mut r = cfg::Reader::from_slice(br#"{"kind": "x", "ranks": 1}"#).unwrap();
+    /// r.finding("kind", "unknown kind");
+    /// r.accept_rest();
+    /// assert_eq!(r.finish().unwrap_err().to_string(), "unknown kind at kind");
+    /// ```
+    pub fn accept_rest(&mut self) {
+        let mut tree = self.tree.borrow_mut();
+        let object = &mut tree.objects[self.id];
+        for (key, value) in &object.given {
+            if !object.known.contains_key(key) {
+                let in_force = InForce::Value(value.clone());
+                object.known.insert(key.clone(), in_force);
+            }
+        }
+    }
+
     /// The JSON path of a key of this object.
     ///
     /// ```
--- /dev/null
+++ b/crates/note/src/item.rs
@@ -0,0 +1,89 @@
+//! One thing on offer, of whichever kind.
+
+use cfg::Reader;
+use serde_json::Value;
+
+use crate::{Account, Group, Kind, Model, Offer, Service, Target};
+
+/// One thing on offer.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Item {
+    /// A client account.
+    Account(Account),
+    /// A model group.
+    Group(Group),
+    /// A model.
+    Model(Model),
+    /// A plain service.
+    Service(Service),
+    /// A target.
+    Target(Target),
+}
+
+impl Item {
+    /// The item's kind.
+    ///
+    /// ```
+    /// let model = note::Model { name: "m".into(), versions: vec![], adapters: vec![] };
+    /// assert_eq!(note::Item::Model(model).kind(), note::Kind::Model);
+    /// ```
+    #[must_use]
+    pub fn kind(&self) -> Kind {
+        match self {
+            Item::Account(_) => Kind::Account,
+            Item::Group(_) => Kind::Group,
+            Item::Model(_) => Kind::Model,
+            Item::Service(_) => Kind::Service,
+            Item::Target(_) => Kind::Target,
+        }
+    }
+
+    /// The item's name, unique among its kind.
+    ///
+    /// ```
+    /// let model = note::Model { name: "m".into(), versions: vec![], adapters: vec![] };
+    /// assert_eq!(note::Item::Model(model).name(), "m");
+    /// ```
+    #[must_use]
+    pub fn name(&self) -> &str {
+        match self {
+            Item::Account(account) => &account.name,
+            Item::Group(group) => &group.name,
+            Item::Model(model) => &model.name,
+            Item::Service(service) => &service.name,
+            Item::Target(target) => &target.name,
+        }
+    }
+
+    /// The kind and name of what this item refers to.
+    pub(crate) fn reference(&self) -> Option<(Kind, &str)> {
+        match self {
+            Item::Group(group) => Some((Kind::Model, &group.model)),
+            Item::Target(target) => Some(match &target.offer {
+                Offer::Group(name) => (Kind::Group, name),
+                Offer::Service(name) => (Kind::Service, name),
+            }),
+            Item::Account(_) | Item::Model(_) | Item::Service(_) => None,
+        }
+    }
+
+    pub(crate) fn read(r: &mut Reader) -> Option<Self> {
+        match Kind::read(r)? {
+            Kind::Account => Account::read(r).map(Item::Account),
+            Kind::Group => Group::read(r).map(Item::Group),
+            Kind::Model => Model::read(r).map(Item::Model),
+            Kind::Service => Service::read(r).map(Item::Service),
+            Kind::Target => Target::read(r).map(Item::Target),
+        }
+    }
+
+    pub(crate) fn to_value(&self) -> Value {
+        match self {
+            Item::Account(account) => account.to_value(),
+            Item::Group(group) => group.to_value(),
+            Item::Model(model) => model.to_value(),
+            Item::Service(service) => service.to_value(),
+            Item::Target(target) => target.to_value(),
+        }
+    }
+}
--- a/crates/note/src/lib.rs
+++ b/crates/note/src/lib.rs
@@ -1,1 +1,66 @@
 //! Release notes and the catalogue they make.
+//!
+//! A release note lists what is added, changed and withdrawn. A note is first
+//! checked whole against the [`Catalogue`] in force, with all findings at
+//! once, and then applied whole or not at all. [`History`] numbers the notes
+//! and settles what a resent or competing note means; every replica that takes
+//! the same submissions in the same order holds the same history.
+//!
+//! ```
+//! let json = br#"{"number": 1, "added": [
+//!     {"kind": "model", "name": "burl-notes", "versions": ["2026-11"]},
+//!     {"kind": "group", "name": "blank-advisor", "model": "burl-notes",
+//!      "ranks": 16, "layers": 4, "experts": 128, "spare_slots": 1}
+//! ]}"#;
+//! let mut catalogue = note::Catalogue::default();
+//! let checked = catalogue.check(json).unwrap();
+//! catalogue.apply(&checked);
+//! assert_eq!(catalogue.number(), 1);
+//! assert_eq!(catalogue.groups_for("burl-notes").count(), 1);
+//!
+//! let faulty = br#"{"number": 2, "withdrawn": [{"kind": "model", "name": "burl-notes"}]}"#;
+//! let findings = catalogue.check(faulty).unwrap_err();
+//! assert_eq!(
+//!     findings[0].to_string(),
+//!     "model \"burl-notes\" is still referred to by group \"blank-advisor\" at withdrawn[0]"
+//! );
+//! ```
+
+mod accepted;
+mod account;
+mod catalogue;
+mod check;
+mod checked;
+mod digest;
+mod group;
+mod history;
+mod item;
+mod kind;
+mod model;
+mod name;
+mod note;
+mod offer;
+mod service;
+mod submission;
+mod target;
+mod weights;
+mod withdrawal;
+
+pub use accepted::Accepted;
+pub use account::Account;
+pub use catalogue::Catalogue;
+pub use cfg::{Finding, Findings};
+pub use checked::Checked;
+pub use digest::Digest;
+pub use group::Group;
+pub use history::History;
+pub use item::Item;
+pub use kind::Kind;
+pub use model::Model;
+pub use note::Note;
+pub use offer::Offer;
+pub use service::Service;
+pub use submission::Submission;
+pub use target::Target;
+pub use weights::Weights;
+pub use withdrawal::Withdrawal;
--- /dev/null
+++ b/crates/note/src/submission.rs
@@ -0,0 +1,21 @@
+//! What became of a submitted note.
+
+use cfg::Finding;
+
+use crate::Accepted;
+
+/// What became of a submitted note.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Submission {
+    /// It is accepted now.
+    Accepted(Accepted),
+    /// The same note was accepted before: the first answer again.
+    Repeated(Accepted),
+    /// Another note holds its number; `None` when that was too long ago to be
+    /// remembered.
+    Conflict(Option<Accepted>),
+    /// Its number isn't the next one, which is given here.
+    Gap(u64),
+    /// It doesn't fit; nothing of it is applied.
+    Invalid(Vec<Finding>),
+}
--- /dev/null
+++ b/crates/note/src/target.rs
@@ -0,0 +1,79 @@
+//! Targets.
+
+use cfg::Reader;
+use serde_json::{Value, json};
+
+use crate::{Offer, name};
+
+/// A target on offer. It takes work only while its agent announces it for the
+/// same group or service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Target {
+    /// The target's name, which its agent announces.
+    pub name: String,
+    /// What it is offered for.
+    pub offer: Offer,
+}
+
+impl Target {
+    /// The model group that it belongs to, if any.
+    ///
+    /// ```
+    /// let target = note::Target {
+    ///     name: "advisor-01".into(),
+    ///     offer: note::Offer::Group("blank-advisor".into()),
+    /// };
+    /// assert_eq!(target.group(), Some("blank-advisor"));
+    /// assert_eq!(target.service(), None);
+    /// ```
+    #[must_use]
+    pub fn group(&self) -> Option<&str> {
+        match &self.offer {
+            Offer::Group(name) => Some(name),
+            Offer::Service(_) => None,
+        }
+    }
+
+    /// The plain service that it serves, if any.
+    ///
+    /// ```
+    /// let target = note::Target {
+    ///     name: "desk-01".into(),
+    ///     offer: note::Offer::Service("order-desk".into()),
+    /// };
+    /// assert_eq!(target.service(), Some("order-desk"));
+    /// ```
+    #[must_use]
+    pub fn service(&self) -> Option<&str> {
+        match &self.offer {
+            Offer::Group(_) => None,
+            Offer::Service(name) => Some(name),
+        }
+    }
+
+    pub(crate) fn read(r: &mut Reader) -> Option<Self> {
+        let name = name::read(r, "name");
+        let offer = match (r.has("group"), r.has("service")) {
+            (true, false) => name::read(r, "group").map(Offer::Group),
+            (false, true) => name::read(r, "service").map(Offer::Service),
+            _ => {
+                r.finding("group", "exactly one of group and service must be set");
+                r.accept_rest();
+                None
+            }
+        };
+        Some(Target {
+            name: name?,
+            offer: offer?,
+        })
+    }
+
+    pub(crate) fn to_value(&self) -> Value {
+        match &self.offer {
+            Offer::Group(group) => json!({"kind": "target", "name": self.name, "group": group}),
+            Offer::Service(service) => {
+                json!({"kind": "target", "name": self.name, "service": service})
+            }
+        }
+    }
+}
