Add the at-most-once ledger

Cause: a non-repeatable call needs one record for each key that no order of claims, finishes, releases and expiry lets run twice.

--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -1,1 +1,57 @@
 //! At-most-once record of non-repeatable calls.
+//!
+//! A caller names a non-repeatable call by an idempotency key. Before
+//! anything is sent to a target, the key is claimed for one attempt; the
+//! result is recorded before the caller is answered. A key that is claimed
+//! is never free again but by [`Ledger::release`], which needs proof that
+//! the attempt was barred before it started, or by expiry of its record a
+//! stated time after it ended.
+//!
+//! The state machine is replicated: it reads no clock, and the same calls
+//! with the same times give the same state everywhere.
+//!
+//! ```
+//! use ledger::{Answer, Attempt, CallKey, Claim, Claimed, Digest, Ledger, Limits};
+//!
+//! let mut ledger = Ledger::new(Limits::default());
+//! let key = CallKey::new("saegewerk-huber", "lot-4711");
+//! let claim = |attempt| Claim {
+//!     key: key.clone(),
+//!     digest: Digest([7; 32]),
+//!     attempt: Attempt(attempt),
+//!     target: "desk-01".into(),
+//!     incarnation: 1,
+//! };
+//! assert_eq!(ledger.claim(claim(1), 0), Claimed::Claimed);
+//! assert!(matches!(ledger.claim(claim(2), 5), Claimed::Running(_)));
+//!
+//! let answer = Answer { status: 201, headers: Vec::new(), body: "reserved".into() };
+//! ledger.finish(&key, Attempt(1), answer.clone().into(), 9);
+//! assert_eq!(ledger.claim(claim(3), 12), Claimed::Finished(answer));
+//! ```
+
+mod answer;
+mod attempt;
+mod call_key;
+mod claim;
+mod claimed;
+mod digest;
+mod error;
+mod holder;
+mod ledger;
+mod limits;
+mod record;
+mod snapshot;
+mod verdict;
+
+pub use answer::Answer;
+pub use attempt::Attempt;
+pub use call_key::CallKey;
+pub use claim::Claim;
+pub use claimed::Claimed;
+pub use digest::Digest;
+pub use error::{Error, Result};
+pub use holder::Holder;
+pub use ledger::Ledger;
+pub use limits::Limits;
+pub use verdict::Verdict;
--- /dev/null
+++ b/crates/ledger/src/snapshot.rs
@@ -0,0 +1,181 @@
+//! Snapshots, encoded as Protocol Buffers.
+
+use bytes::Bytes;
+use prost::Message;
+
+use crate::error::Code;
+use crate::record::Record;
+use crate::{Answer, Attempt, CallKey, Digest, Holder, Ledger, Limits, Result, Verdict};
+
+#[derive(Clone, PartialEq, Message)]
+struct Snapshot {
+    #[prost(uint64, tag = "1")]
+    now_ms: u64,
+    #[prost(uint64, tag = "2")]
+    max_records: u64,
+    #[prost(uint64, tag = "3")]
+    max_bytes: u64,
+    #[prost(uint64, tag = "4")]
+    max_answer: u64,
+    #[prost(uint64, tag = "5")]
+    keep_ms: u64,
+    #[prost(uint64, tag = "6")]
+    running_ms: u64,
+    #[prost(message, repeated, tag = "7")]
+    records: Vec<Row>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct Row {
+    #[prost(string, tag = "1")]
+    account: String,
+    #[prost(bytes = "bytes", tag = "2")]
+    key: Bytes,
+    #[prost(bytes = "bytes", tag = "3")]
+    digest: Bytes,
+    #[prost(bytes = "bytes", tag = "4")]
+    attempt: Bytes,
+    #[prost(string, tag = "5")]
+    target: String,
+    #[prost(uint64, tag = "6")]
+    incarnation: u64,
+    #[prost(uint64, tag = "7")]
+    due_ms: u64,
+    #[prost(message, optional, tag = "8")]
+    answer: Option<AnswerRow>,
+    #[prost(string, optional, tag = "9")]
+    unknown: Option<String>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct AnswerRow {
+    #[prost(uint32, tag = "1")]
+    status: u32,
+    #[prost(string, repeated, tag = "2")]
+    names: Vec<String>,
+    #[prost(bytes = "bytes", repeated, tag = "3")]
+    values: Vec<Bytes>,
+    #[prost(bytes = "bytes", tag = "4")]
+    body: Bytes,
+}
+
+impl Ledger {
+    /// Writes the whole state; equal ledgers give equal bytes.
+    ///
+    /// ```
+    /// use ledger::{Ledger, Limits};
+    ///
+    /// let ledger = Ledger::new(Limits::default());
+    /// let copy = Ledger::from_slice(&ledger.to_bytes())?;
+    /// assert_eq!(copy, ledger);
+    /// # Ok::<(), ledger::Error>(())
+    /// ```
+    #[must_use]
+    pub fn to_bytes(&self) -> Vec<u8> {
+        let limits = self.limits();
+        let snapshot = Snapshot {
+            now_ms: self.now_ms(),
+            max_records: limits.max_records as u64,
+            max_bytes: limits.max_bytes as u64,
+            max_answer: limits.max_answer as u64,
+            keep_ms: limits.keep_ms,
+            running_ms: limits.running_ms,
+            records: self.records().iter().map(row).collect(),
+        };
+        snapshot.encode_to_vec()
+    }
+
+    /// Reads a state that [`Ledger::to_bytes`] wrote.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the bytes are no snapshot, naming the record at fault.
+    ///
+    /// ```
+    /// assert!(ledger::Ledger::from_slice(b"not a snapshot").is_err());
+    /// ```
+    pub fn from_slice(bytes: &[u8]) -> Result<Self> {
+        let snapshot = Snapshot::decode(bytes).map_err(Code::Decode)?;
+        let limits = Limits {
+            max_records: clamp(snapshot.max_records),
+            max_bytes: clamp(snapshot.max_bytes),
+            max_answer: clamp(snapshot.max_answer),
+            keep_ms: snapshot.keep_ms,
+            running_ms: snapshot.running_ms,
+        };
+        let mut ledger = Ledger::restore(limits, snapshot.now_ms);
+        for (place, row) in snapshot.records.into_iter().enumerate() {
+            let (key, record) = parse(row).ok_or(Code::Record(place))?;
+            if ledger.records().contains_key(&key) {
+                return Err(Code::Record(place).into());
+            }
+            ledger.insert(key, record);
+        }
+        Ok(ledger)
+    }
+}
+
+fn clamp(value: u64) -> usize {
+    // Far below the largest value, so that sums of sizes can't overflow.
+    const MOST: usize = usize::MAX >> 16;
+    usize::try_from(value).unwrap_or(MOST).min(MOST)
+}
+
+fn row((key, record): (&CallKey, &Record)) -> Row {
+    let (answer, unknown) = match &record.verdict {
+        None => (None, None),
+        Some(Verdict::Answer(answer)) => (Some(answer_row(answer)), None),
+        Some(Verdict::Unknown(reason)) => (None, Some(reason.clone())),
+    };
+    Row {
+        account: key.account.clone(),
+        key: key.key.clone(),
+        digest: Bytes::copy_from_slice(&record.digest.0),
+        attempt: Bytes::copy_from_slice(&record.holder.attempt.to_bytes()),
+        target: record.holder.target.clone(),
+        incarnation: record.holder.incarnation,
+        due_ms: record.due_ms,
+        answer,
+        unknown,
+    }
+}
+
+fn answer_row(answer: &Answer) -> AnswerRow {
+    AnswerRow {
+        status: u32::from(answer.status),
+        names: answer.headers.iter().map(|(n, _)| n.clone()).collect(),
+        values: answer.headers.iter().map(|(_, v)| v.clone()).collect(),
+        body: answer.body.clone(),
+    }
+}
+
+fn parse(row: Row) -> Option<(CallKey, Record)> {
+    let verdict = match (row.answer, row.unknown) {
+        (None, None) => None,
+        (Some(answer), None) => Some(Verdict::Answer(parse_answer(answer)?)),
+        (None, Some(reason)) => Some(Verdict::Unknown(reason)),
+        (Some(_), Some(_)) => return None,
+    };
+    let record = Record {
+        digest: Digest::from_slice(&row.digest)?,
+        holder: Holder {
+            attempt: Attempt::from_slice(&row.attempt)?,
+            target: row.target,
+            incarnation: row.incarnation,
+        },
+        due_ms: row.due_ms,
+        verdict,
+    };
+    Some((CallKey::new(row.account, row.key), record))
+}
+
+fn parse_answer(row: AnswerRow) -> Option<Answer> {
+    if row.names.len() != row.values.len() {
+        return None;
+    }
+    Some(Answer {
+        status: u16::try_from(row.status).ok()?,
+        headers: row.names.into_iter().zip(row.values).collect(),
+        body: row.body,
+    })
+}
