Add the durable record of expert-map decisions

Cause: control replicates the map decisions and needs the state machine first.

Change: expert::Decisions holds for each group the fencing number, the latest decision and the newest two committed ones. open_coordinator always gives a higher number; decide takes only the next version under the current number, and a decision that stands is accepted again. Commits need a map and a barrier beyond the last committed one. An abort does not displace the map in force, so the latest decision alone would not tell a restarted rank what to run on: CoordinatorOutcome gains `committed` (additive, newest two).

--- /dev/null
+++ b/crates/expert/src/error.rs
@@ -0,0 +1,47 @@
+//! When bytes can't be read.
+
+use std::fmt::{self, Debug, Display};
+
+/// A `Result` whose error is this crate's.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Bytes or values that this crate can't take.
+#[derive(Clone, Eq, PartialEq)]
+pub struct Error {
+    code: Code,
+}
+
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Code {
+    Decode(String),
+    Format(u32),
+}
+
+impl Error {
+    pub(crate) fn new(code: Code) -> Error {
+        Error { code }
+    }
+}
+
+impl From<prost::DecodeError> for Error {
+    fn from(error: prost::DecodeError) -> Error {
+        Error::new(Code::Decode(error.to_string()))
+    }
+}
+
+impl Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.code {
+            Code::Decode(reason) => f.write_str(reason),
+            Code::Format(format) => write!(f, "unknown format {format}"),
+        }
+    }
+}
+
+impl Debug for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Error({:?})", self.to_string())
+    }
+}
+
+impl std::error::Error for Error {}
--- a/crates/expert/src/lib.rs
+++ b/crates/expert/src/lib.rs
@@ -1,1 +1,44 @@
 //! Expert maps: load estimate, planner, switch protocol.
+//!
+//! A model group runs in lock-step on an expert map. This crate decides which
+//! map is worth switching to and how the ranks of a group switch together. It
+//! is pure: it reads no clock, opens no socket and has no randomness of its
+//! own; the present time and every message are arguments.
+//!
+//! [`Decisions`] is the part of the durable state that says which map is in
+//! force from which step:
+//!
+//! ```
+//! use expert::{Decision, Decisions, Verdict};
+//!
+//! let mut decisions = Decisions::new();
+//! let standing = decisions.open_coordinator("blank-advisor", "advisor-01", 7);
+//! let outcome = decisions.decide(
+//!     "blank-advisor",
+//!     Decision {
+//!         fencing: standing.fencing,
+//!         version: 1,
+//!         barrier_step: 400,
+//!         verdict: Verdict::Commit,
+//!         map: bytes::Bytes::from_static(b"map"),
+//!     },
+//! );
+//! assert!(outcome.is_accepted());
+//! ```
+
+mod decide_outcome;
+mod decision;
+mod decisions;
+mod error;
+mod record;
+mod refusal;
+mod standing;
+mod verdict;
+
+pub use crate::decide_outcome::DecideOutcome;
+pub use crate::decision::Decision;
+pub use crate::decisions::Decisions;
+pub use crate::error::{Error, Result};
+pub use crate::refusal::Refusal;
+pub use crate::standing::Standing;
+pub use crate::verdict::Verdict;
--- a/crates/wire/src/gen/lovageramp.rs
+++ b/crates/wire/src/gen/lovageramp.rs
@@ -763,12 +763,17 @@
     #[prost(bool, tag = "1")]
     pub known: bool,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct CoordinatorOutcome {
     #[prost(uint64, tag = "1")]
     pub fencing: u64,
+    /// The latest decision, commit or abort.
     #[prost(message, optional, tag = "2")]
     pub current: ::core::option::Option<MapDecision>,
+    /// The newest committed decisions, newest first, at most two: a rank that
+    /// restarts before the newest one's barrier step needs the one before it.
+    #[prost(message, repeated, tag = "3")]
+    pub committed: ::prost::alloc::vec::Vec<MapDecision>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct MapDecision {
