--- /dev/null
+++ b/crates/trace/src/logs.rs
@@ -0,0 +1,42 @@
+//! Log lines on standard error.
+
+use eyre::WrapErr;
+use flexi_logger::{Logger, LoggerHandle};
+use std::str::FromStr;
+
+/// How log lines look.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogFormat {
+    /// One JSON object a line.
+    Json,
+    /// One line of text each.
+    Text,
+}
+
+impl FromStr for LogFormat {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "json" => Ok(LogFormat::Json),
+            "text" => Ok(LogFormat::Text),
+            _ => Err(format!("unknown log format {text:?}, json or text")),
+        }
+    }
+}
+
+/// Begins to log to standard error. `spec` is a level, or levels by module, as in
+/// `info, wire=debug`. Keep the handle for as long as lines are to be written.
+///
+/// # Errors
+///
+/// Fails for a `spec` that can't be read, and when logging was begun before.
+pub fn start_logs(spec: &str, format: LogFormat) -> eyre::Result<LoggerHandle> {
+    let logger = Logger::try_with_str(spec).wrap_err("log level")?;
+    let format = match format {
+        LogFormat::Json => flexi_logger::json_format,
+        LogFormat::Text => flexi_logger::detailed_format,
+    };
+    let started = logger.log_to_stderr().format(format).start();
+    started.wrap_err("can't begin to log")
+}
--- /dev/null
+++ b/crates/trace/src/spans.rs
@@ -0,0 +1,46 @@
+//! Spans, exported as OpenTelemetry.
+
+use eyre::WrapErr;
+use opentelemetry::trace::TracerProvider;
+use opentelemetry_otlp::{SpanExporter, WithExportConfig};
+use opentelemetry_sdk::Resource;
+use opentelemetry_sdk::trace::SdkTracerProvider;
+use tracing_subscriber::layer::SubscriberExt;
+
+/// The running export of spans; dropping it sends what is left.
+#[derive(Debug)]
+pub struct Spans {
+    provider: SdkTracerProvider,
+}
+
+impl Drop for Spans {
+    fn drop(&mut self) {
+        // The collector may be gone; spans are not worth delaying an end for.
+        let _ = self.provider.shutdown();
+    }
+}
+
+/// Begins to export the spans of service `name` to the OTLP collector at `endpoint`,
+/// for example `http://127.0.0.1:4318/v1/traces`.
+///
+/// # Errors
+///
+/// Fails for an endpoint that can't be used, and when spans are recorded already.
+pub fn start_spans(name: &str, endpoint: &str) -> eyre::Result<Spans> {
+    let exporter = SpanExporter::builder()
+        .with_http()
+        .with_endpoint(endpoint)
+        .build()
+        .wrap_err_with(|| format!("span collector {endpoint}"))?;
+    let resource = Resource::builder()
+        .with_service_name(name.to_owned())
+        .build();
+    let provider = SdkTracerProvider::builder()
+        .with_batch_exporter(exporter)
+        .with_resource(resource)
+        .build();
+    let layer = tracing_opentelemetry::layer().with_tracer(provider.tracer("lovageramp"));
+    let subscriber = tracing_subscriber::registry().with(layer);
+    tracing::subscriber::set_global_default(subscriber).wrap_err("can't record spans")?;
+    Ok(Spans { provider })
+}
