Add the receiving side of answers to wire

Cause: after a silent link, frames of an old and a fresh link arrive side by side; a caller must see its own answer once, or a visible break.

Change: wire::Assembly takes head, chunk and end frames and gives out pieces in order.

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,3 +9,9 @@
 #[rustfmt::skip]
 #[path = "gen/lovageramp.rs"]
 pub mod proto;
+
+mod assembly;
+mod piece;
+
+pub use assembly::Assembly;
+pub use piece::{Broken, Piece};
--- /dev/null
+++ b/crates/wire/src/piece.rs
@@ -0,0 +1,28 @@
+//! What the frames of an answer amount to.
+
+use bytes::Bytes;
+
+use crate::proto::{AnswerEnd, AnswerHead};
+
+/// The next part of an answer, in order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Piece {
+    /// Status and headers; the first piece, once.
+    Head(AnswerHead),
+    /// The next bytes of the body.
+    Data(Bytes),
+    /// The answer is whole: length and checksum match. The last piece.
+    Whole(AnswerEnd),
+    /// The answer will never be whole. The last piece.
+    Broken(Broken),
+}
+
+/// Why an answer will never be whole.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Broken {
+    /// The agent ended it otherwise than as whole.
+    Ended(AnswerEnd),
+    /// The agent says that it is whole, but length, checksum or head say
+    /// that it isn't what the agent received.
+    Damaged(AnswerEnd),
+}
