--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -46,6 +46,7 @@
 //! # }
 //! ```
 
+mod assembly;
 mod codec;
 mod connect;
 mod error;
@@ -53,6 +54,7 @@
 mod identity;
 mod key;
 mod link;
+mod piece;
 mod redial;
 mod settings;
 
@@ -66,12 +68,14 @@
 #[path = "gen/lovageramp.rs"]
 pub mod proto;
 
+pub use crate::assembly::Assembly;
 pub use crate::codec::FrameCodec;
 pub use crate::connect::{accept, dial};
 pub use crate::error::{Error, Result};
 pub use crate::identity::Identity;
 pub use crate::key::ClusterKey;
 pub use crate::link::{Incoming, Link};
+pub use crate::piece::{Broken, Piece};
 pub use crate::proto::Role;
 pub use crate::redial::redial;
 pub use crate::settings::LinkSettings;
