--- /dev/null
+++ b/crates/route/src/fingerprint.rs
@@ -0,0 +1,61 @@
+//! What makes two requests the same request for the quarantine.
+
+use std::fmt;
+
+/// SHA-256 over client account, model or service, and body digest.
+///
+/// ```
+/// use route::Fingerprint;
+///
+/// let fingerprint = Fingerprint::new([0xab; 32]);
+/// let text = fingerprint.to_string();
+/// assert_eq!(Fingerprint::from_hex(&text), Some(fingerprint));
+/// assert_eq!(Fingerprint::from_hex("ab"), None);
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Fingerprint([u8; Fingerprint::LEN]);
+
+impl Fingerprint {
+    /// Length in bytes.
+    pub const LEN: usize = 32;
+
+    /// Wraps a digest.
+    #[must_use]
+    pub const fn new(digest: [u8; Fingerprint::LEN]) -> Self {
+        Fingerprint(digest)
+    }
+
+    /// Reads a digest of exactly [`Fingerprint::LEN`] bytes.
+    #[must_use]
+    pub fn from_slice(bytes: &[u8]) -> Option<Self> {
+        bytes.try_into().ok().map(Fingerprint)
+    }
+
+    /// Reads 64 hexadecimal digits.
+    #[must_use]
+    pub fn from_hex(text: &str) -> Option<Self> {
+        if text.len() != 2 * Fingerprint::LEN || !text.is_ascii() {
+            return None;
+        }
+        let mut digest = [0; Fingerprint::LEN];
+        for (i, byte) in digest.iter_mut().enumerate() {
+            *byte = u8::from_str_radix(text.get(2 * i..2 * i + 2)?, 16).ok()?;
+        }
+        Some(Fingerprint(digest))
+    }
+
+    /// The digest's bytes.
+    #[must_use]
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for byte in self.0 {
+            write!(f, "{byte:02x}")?;
+        }
+        Ok(())
+    }
+}
