Hold who has a lease, and make the view and the address list

Cause: control's leader must know who lives, on which note each node acts, and when a note is in force everywhere; a process that is gone must not come back by a late message. Ruled out: ordering incarnations by clock, since a clock that steps back would lock a restarted host out.

--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -1,1 +1,50 @@
 //! Announcements, liveness, draining and the address list.
+//!
+//! The leader of the control replicas holds one [`Registry`]: soft state, built
+//! anew by each leader from the renewals that reach it. Its [`View`] goes to all
+//! nodes; [`addresses`] makes the list for callers from it.
+//!
+//! ```
+//! use std::time::{Duration, Instant};
+//! use member::{Node, Registry, Renewal, Role};
+//!
+//! let lease = Duration::from_secs(3);
+//! let began = Instant::now();
+//! let mut registry = Registry::new(7, began, lease);
+//!
+//! let node = Node::new(Role::Entry, "entry-1", 42, "celje");
+//! assert_eq!(registry.renew(node, 1, began), Renewal::Granted { changed: true });
+//! assert_eq!(registry.view().nodes.len(), 1);
+//!
+//! // Nothing is told about "everywhere" before all that live were heard.
+//! assert!(!registry.in_force(1, began).everywhere);
+//! ```
+
+mod addresses;
+mod announcement;
+mod capability;
+mod in_force;
+mod member;
+mod node;
+mod node_key;
+mod refusal;
+mod registry;
+mod renewal;
+mod role;
+mod serves;
+mod slot;
+mod view;
+
+pub use addresses::addresses;
+pub use announcement::Announcement;
+pub use capability::Capability;
+pub use in_force::InForce;
+pub use member::Member;
+pub use node::Node;
+pub use node_key::NodeKey;
+pub use refusal::Refusal;
+pub use registry::Registry;
+pub use renewal::Renewal;
+pub use role::Role;
+pub use serves::Serves;
+pub use view::View;
--- /dev/null
+++ b/crates/member/src/registry.rs
@@ -0,0 +1,241 @@
+//! Who holds a lease.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::slot::Slot;
+use crate::{InForce, Member, Node, NodeKey, Refusal, Renewal, View};
+
+/// Most nodes, living or remembered. Ten times what the system is built for:
+/// enough for any real one, and a bound on memory when names are made up.
+const MOST_NODES: usize = 10_000;
+
+/// Who holds a lease from this leader, and on which note each of them acts.
+///
+/// The leader must not grant leases beyond its own; the registry doesn't know
+/// of that.
+#[derive(Debug)]
+pub struct Registry {
+    term: u64,
+    version: u64,
+    began: Instant,
+    lease: Duration,
+    settled: bool,
+    /// No lease ends before this moment.
+    none_ends_before: Instant,
+    slots: BTreeMap<NodeKey, Slot>,
+}
+
+impl Registry {
+    /// Begins empty, at the moment when this leader was elected.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    ///
+    /// let registry = member::Registry::new(7, Instant::now(), Duration::from_secs(3));
+    /// assert_eq!(registry.view().term, 7);
+    /// assert!(!registry.view().settled);
+    /// ```
+    #[must_use]
+    pub fn new(term: u64, began: Instant, lease: Duration) -> Self {
+        Registry {
+            term,
+            version: 1,
+            began,
+            lease,
+            settled: false,
+            none_ends_before: began,
+            slots: BTreeMap::new(),
+        }
+    }
+
+    /// How long a lease lasts.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    ///
+    /// let lease = Duration::from_secs(3);
+    /// assert_eq!(member::Registry::new(1, Instant::now(), lease).lease(), lease);
+    /// ```
+    #[must_use]
+    pub fn lease(&self) -> Duration {
+        self.lease
+    }
+
+    /// Takes in a node's renewal. `number` is that of the note in force there.
+    ///
+    /// Incarnations are random, so the later one is the one seen later. Once
+    /// it was seen, an earlier one of that name is refused for good: its late
+    /// message would otherwise bring a dead process back into the view, and
+    /// calls would be sent to it until its lease ran out.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use member::{Node, Refusal, Registry, Renewal, Role};
+    ///
+    /// let now = Instant::now();
+    /// let mut registry = Registry::new(1, now, Duration::from_secs(3));
+    /// let before = Node::new(Role::Agent, "desk-01", 1, "ptuj");
+    /// let after = Node::new(Role::Agent, "desk-01", 2, "ptuj");
+    /// registry.renew(before.clone(), 1, now);
+    /// registry.renew(after, 1, now);
+    /// let late = registry.renew(before, 1, now);
+    /// assert_eq!(late, Renewal::Refused(Refusal::Superseded));
+    /// ```
+    pub fn renew(&mut self, node: Node, number: u64, now: Instant) -> Renewal {
+        let mut changed = self.expire(now);
+        let expires = now + self.lease;
+        if let Some(slot) = self.slots.get_mut(&node.key) {
+            if slot.is_superseded(node.incarnation) {
+                return Renewal::Refused(Refusal::Superseded);
+            }
+            if slot.renew(node, number, expires) {
+                self.version += 1;
+                changed = true;
+            }
+            return Renewal::Granted { changed };
+        }
+        if self.slots.len() >= MOST_NODES && !self.forget_oldest() {
+            return Renewal::Refused(Refusal::Full);
+        }
+        let key = node.key.clone();
+        let node = Arc::new(node);
+        let member = Member {
+            node,
+            note: number,
+            expires,
+        };
+        self.slots.insert(key, Slot::new(member));
+        self.version += 1;
+        Renewal::Granted { changed: true }
+    }
+
+    /// Ends the leases that have run out and settles the view one lease after
+    /// the leader began; whether the view has another version than before.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use member::{Node, Registry, Role};
+    ///
+    /// let (now, lease) = (Instant::now(), Duration::from_secs(3));
+    /// let mut registry = Registry::new(1, now, lease);
+    /// registry.renew(Node::new(Role::Agent, "desk-01", 1, "ptuj"), 1, now);
+    /// assert!(registry.expire(now + lease));
+    /// assert!(registry.view().nodes.is_empty() && registry.view().settled);
+    /// ```
+    pub fn expire(&mut self, now: Instant) -> bool {
+        let mut changed = now >= self.none_ends_before && self.end_leases(now);
+        if !self.settled && now >= self.began + self.lease {
+            self.settled = true;
+            changed = true;
+        }
+        self.version += u64::from(changed);
+        changed
+    }
+
+    /// The nodes that live, as of the last renewal or expiry.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    ///
+    /// let registry = member::Registry::new(1, Instant::now(), Duration::from_secs(3));
+    /// assert_eq!(registry.view().version, registry.version());
+    /// ```
+    #[must_use]
+    pub fn view(&self) -> View {
+        View {
+            term: self.term,
+            version: self.version,
+            settled: self.settled,
+            nodes: self
+                .members()
+                .map(|member| Arc::clone(&member.node))
+                .collect(),
+        }
+    }
+
+    /// The version of the view, without making it.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    ///
+    /// let registry = member::Registry::new(1, Instant::now(), Duration::from_secs(3));
+    /// assert_eq!(registry.version(), 1);
+    /// ```
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The nodes that live, with their note and lease, in order of their keys.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    ///
+    /// let registry = member::Registry::new(1, Instant::now(), Duration::from_secs(3));
+    /// assert_eq!(registry.members().count(), 0);
+    /// ```
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.slots
+            .values()
+            .filter(|slot| slot.live)
+            .map(|slot| &slot.member)
+    }
+
+    /// Whether a note is in force everywhere: every node with a live lease
+    /// acts on it or a later one, and every lease that a former leader granted
+    /// has run out. A node without a lease takes no new work, so it doesn't
+    /// count.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use member::{Node, Registry, Role};
+    ///
+    /// let (began, lease) = (Instant::now(), Duration::from_secs(3));
+    /// let mut registry = Registry::new(1, began, lease);
+    /// let now = began + lease;
+    /// registry.renew(Node::new(Role::Entry, "entry-1", 1, "ptuj"), 4, now);
+    /// assert!(registry.in_force(4, now).everywhere);
+    /// assert_eq!(registry.in_force(5, now).lagging[0].name, "entry-1");
+    /// ```
+    #[must_use]
+    pub fn in_force(&self, number: u64, now: Instant) -> InForce {
+        let leased = self.members().filter(|member| now < member.expires);
+        let behind = leased.filter(|member| member.note < number);
+        let lagging: Vec<NodeKey> = behind.map(|member| member.node.key.clone()).collect();
+        let settled = now >= self.began + self.lease;
+        InForce {
+            everywhere: settled && lagging.is_empty(),
+            lagging,
+        }
+    }
+
+    /// Each scan moves the next one to the earliest end of a lease, so that
+    /// renewals don't each walk all nodes.
+    fn end_leases(&mut self, now: Instant) -> bool {
+        let mut changed = false;
+        let mut earliest = now + self.lease;
+        for slot in self.slots.values_mut().filter(|slot| slot.live) {
+            if now >= slot.member.expires {
+                slot.live = false;
+                changed = true;
+            } else {
+                earliest = earliest.min(slot.member.expires);
+            }
+        }
+        self.none_ends_before = earliest;
+        changed
+    }
+
+    /// Makes room by forgetting the node that has been gone for longest.
+    fn forget_oldest(&mut self) -> bool {
+        let gone = self.slots.iter().filter(|(_, slot)| !slot.live);
+        let oldest = gone.min_by_key(|(_, slot)| slot.member.expires);
+        let Some(key) = oldest.map(|(key, _)| key.clone()) else {
+            return false;
+        };
+        self.slots.remove(&key);
+        true
+    }
+}
--- /dev/null
+++ b/crates/member/src/role.rs
@@ -0,0 +1,10 @@
+//! Roles of nodes that hold a lease.
+
+/// Role of a node that holds a lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Role {
+    /// Takes callers' requests.
+    Entry,
+    /// Stands before one target.
+    Agent,
+}
