--- a/crates/member/tests/registry.rs
+++ b/crates/member/tests/registry.rs
@@ -35,8 +35,9 @@
 fn in_force_silent_node() {
     // A node is cut off and never acknowledges the note. It must hold the report
     // up for as long as its lease lets it take work, and no longer.
-    let now = Instant::now() + LEASE;
-    let mut registry = Registry::new(2, now - LEASE, LEASE);
+    let began = Instant::now();
+    let now = began + LEASE;
+    let mut registry = Registry::new(2, began, LEASE);
     registry.renew(agent("a", 1), 4, now);
     let soon = now + LEASE / 2;
     assert_eq!(registry.in_force(5, soon).lagging[0].name, "a");
