Follow control from every entry and agent

Cause: each node needs one place that knows who leads, renews its lease and never goes back to an older note, view or quarantine. Ruled out: trusting hints of replicas without a renewal, which a deposed leader may send late; counting the lease from the answer, which ends after the leader's own count. A grant counts only once the note it speaks of is in force at the node.

--- /dev/null
+++ b/crates/node/src/follower.rs
@@ -0,0 +1,201 @@
+//! The handle on all that a node knows from control.
+
+use crate::ask::{Unanswered, ask, pause};
+use crate::renewer::{Renewer, renew};
+use crate::settings::FollowerSettings;
+use crate::shared::Shared;
+use note::Catalogue;
+use ractor::ActorRuntime;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::{mpsc, watch};
+use tokio_util::sync::{CancellationToken, DropGuard};
+use wire::proto::frame::Body;
+use wire::proto::{
+    Announcement, Command, MemberView, NodeInfo, Outcome, Propose, Quarantine, Query, QueryReply,
+    Unavailable, command, outcome, query,
+};
+use wire::{Error, Identity, Incoming, Link, Result, redial};
+
+/// When to come back after control could not be asked.
+const RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// Follows control; clones share one state, and the last one to go ends the tasks.
+#[derive(Clone)]
+pub struct Follower {
+    shared: Arc<Shared>,
+    _running: Arc<DropGuard>,
+}
+
+impl Follower {
+    /// Begins to follow control on the runtime that this is called on.
+    ///
+    /// `info` is what the node tells of itself with each renewal.
+    #[must_use]
+    pub fn spawn(me: Identity, info: NodeInfo, cfg: FollowerSettings) -> Follower {
+        let shared = Arc::new(Shared::new(me, info, cfg));
+        let stop = CancellationToken::new();
+        for address in shared.cfg.controls.clone() {
+            let keep = keep_link(Arc::clone(&shared), address);
+            tokio::spawn(stop.clone().run_until_cancelled_owned(keep));
+        }
+        match ActorRuntime::spawn_instant(None, Renewer, Arc::clone(&shared)) {
+            Ok((renewer, _)) => {
+                let stopped = stop.clone();
+                tokio::spawn(async move {
+                    stopped.cancelled().await;
+                    renewer.stop(None);
+                });
+            }
+            Err(err) => log::error!("can't start renewing the lease: {err}"),
+        }
+        Follower {
+            shared,
+            _running: Arc::new(stop.drop_guard()),
+        }
+    }
+
+    /// All that is offered by the note in force at this node.
+    #[must_use]
+    pub fn catalogue(&self) -> Arc<Catalogue> {
+        self.shared.catalogue()
+    }
+
+    /// True while this node may take new work.
+    #[must_use]
+    pub fn leased(&self, now: Instant) -> bool {
+        self.shared.leased(now)
+    }
+
+    /// The nodes that live, as far as this node knows.
+    #[must_use]
+    pub fn view(&self) -> Arc<MemberView> {
+        self.shared.view()
+    }
+
+    /// The requests that crash targets.
+    #[must_use]
+    pub fn quarantine(&self) -> Arc<Quarantine> {
+        self.shared.quarantine()
+    }
+
+    /// Ticks at each change of what the follower holds.
+    #[must_use]
+    pub fn changed(&self) -> watch::Receiver<u64> {
+        self.shared.changed()
+    }
+
+    /// Tells control that this node takes no new work, or takes it again.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.shared.announce(|info| info.leaving = leaving);
+    }
+
+    /// Tells control what stands behind this agent.
+    pub fn set_announcement(&self, target: Announcement) {
+        self.shared.announce(|info| info.target = Some(target));
+    }
+
+    /// Asks for the newest note now, and returns when it was fetched or can't be.
+    pub async fn refresh(&self) {
+        renew(&self.shared).await;
+    }
+
+    /// Has a command committed to the durable state.
+    ///
+    /// Commands are idempotent, so it is sent again after a lost answer, until
+    /// `within` is over. An outcome `Unavailable` tells in `maybe` whether the command
+    /// may still be committed.
+    pub async fn propose(&self, command: command::Body, within: Duration) -> Outcome {
+        let command = Command {
+            now_ms: 0,
+            body: Some(command),
+        };
+        let request = Body::Propose(Propose {
+            command: Some(command),
+        });
+        let deadline = Instant::now() + within;
+        let mut may_be_committed = false;
+        loop {
+            let left = deadline.saturating_duration_since(Instant::now());
+            match ask(&self.shared, &request, left).await {
+                Ok(Body::Outcome(outcome)) => match outcome.body {
+                    Some(outcome::Body::Unavailable(answer)) => {
+                        may_be_committed |= answer.maybe;
+                        if left.is_zero() {
+                            return unavailable(answer.reason, may_be_committed);
+                        }
+                        pause().await;
+                    }
+                    _ => return outcome,
+                },
+                Ok(_) => {
+                    return unavailable("unexpected answer".to_owned(), true);
+                }
+                Err(Unanswered { maybe }) => {
+                    let reason = "no control replica answered in time".to_owned();
+                    return unavailable(reason, may_be_committed | maybe);
+                }
+            }
+        }
+    }
+
+    /// Reads the durable state, as of now or later.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no leader answers within `within`.
+    pub async fn query(&self, query: query::Body, within: Duration) -> Result<QueryReply> {
+        let request = Body::Query(Query { body: Some(query) });
+        match ask(&self.shared, &request, within).await {
+            Ok(Body::QueryReply(reply)) => Ok(reply),
+            Ok(_) => Err(Error::Protocol("unexpected answer".to_owned())),
+            Err(_) => Err(Error::TimedOut),
+        }
+    }
+}
+
+fn unavailable(reason: String, maybe: bool) -> Outcome {
+    let retry_after_ms = u32::try_from(RETRY_AFTER.as_millis()).unwrap_or(u32::MAX);
+    let body = outcome::Body::Unavailable(Unavailable {
+        reason,
+        maybe,
+        retry_after_ms,
+    });
+    Outcome {
+        index: 0,
+        body: Some(body),
+    }
+}
+
+async fn keep_link(shared: Arc<Shared>, address: SocketAddr) {
+    let me = shared.me.clone();
+    let key = shared.cfg.key.clone();
+    let link = shared.cfg.link.clone();
+    redial(address, me, key, link, move |link, rx| {
+        serve(Arc::clone(&shared), address, link, rx)
+    })
+    .await;
+}
+
+fn serve(
+    shared: Arc<Shared>,
+    address: SocketAddr,
+    link: Link,
+    mut rx: mpsc::Receiver<Incoming>,
+) -> impl Future<Output = ()> {
+    shared.controls.add(address, link);
+    async move {
+        while let Some(incoming) = rx.recv().await {
+            // Control hints at a new note, so that it is in force before the next
+            // renewal is due; nothing but the renewal itself is trusted.
+            if let Body::Notes(hint) = incoming.body
+                && hint.number > shared.catalogue().number()
+            {
+                shared.hurry.notify_one();
+            }
+        }
+        shared.controls.remove(address);
+    }
+}
--- /dev/null
+++ b/crates/node/src/shared.rs
@@ -0,0 +1,151 @@
+//! What a follower holds, shared by its handle and its tasks.
+
+use crate::controls::Controls;
+use crate::lease::Lease;
+use crate::settings::FollowerSettings;
+use crate::view::merge;
+use note::Catalogue;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::sync::{Notify, watch};
+use wire::Identity;
+use wire::proto::{MemberView, NodeInfo, Notes, Quarantine, Renewed};
+
+/// What a follower holds.
+pub(crate) struct Shared {
+    pub(crate) me: Identity,
+    pub(crate) cfg: FollowerSettings,
+    pub(crate) controls: Controls,
+    /// Asks for a renewal before its time.
+    pub(crate) hurry: Notify,
+    held: Mutex<Held>,
+    changed: watch::Sender<u64>,
+}
+
+struct Held {
+    info: NodeInfo,
+    catalogue: Arc<Catalogue>,
+    lease: Lease,
+    view: Arc<MemberView>,
+    quarantine: Arc<Quarantine>,
+}
+
+impl Shared {
+    pub(crate) fn new(me: Identity, info: NodeInfo, cfg: FollowerSettings) -> Self {
+        let held = Held {
+            info,
+            catalogue: Arc::new(Catalogue::default()),
+            lease: Lease::default(),
+            view: Arc::new(MemberView::default()),
+            quarantine: Arc::new(Quarantine::default()),
+        };
+        Shared {
+            me,
+            controls: Controls::default(),
+            cfg,
+            hurry: Notify::new(),
+            held: Mutex::new(held),
+            changed: watch::Sender::new(0),
+        }
+    }
+
+    pub(crate) fn info(&self) -> NodeInfo {
+        self.held().info.clone()
+    }
+
+    pub(crate) fn catalogue(&self) -> Arc<Catalogue> {
+        Arc::clone(&self.held().catalogue)
+    }
+
+    pub(crate) fn leased(&self, now: Instant) -> bool {
+        self.held().lease.holds(now)
+    }
+
+    pub(crate) fn view(&self) -> Arc<MemberView> {
+        Arc::clone(&self.held().view)
+    }
+
+    pub(crate) fn quarantine(&self) -> Arc<Quarantine> {
+        Arc::clone(&self.held().quarantine)
+    }
+
+    pub(crate) fn changed(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// Changes what the node tells of itself and renews at once.
+    pub(crate) fn announce(&self, change: impl FnOnce(&mut NodeInfo)) {
+        change(&mut self.held().info);
+        self.hurry.notify_one();
+    }
+
+    /// Takes in the view and quarantine that came with a renewal.
+    pub(crate) fn take_renewed(&self, renewed: &Renewed) {
+        let mut held = self.held();
+        let mut news = false;
+        if let Some(view) = renewed.view.clone() {
+            held.view = Arc::new(merge(&held.view, view));
+            news = true;
+        }
+        if let Some(quarantine) = renewed.quarantine.clone()
+            && quarantine.version > held.quarantine.version
+        {
+            held.quarantine = Arc::new(quarantine);
+            news = true;
+        }
+        drop(held);
+        if news {
+            self.tick();
+        }
+    }
+
+    /// Extends the lease, unless the node still lacks notes that the leader has: a
+    /// grant says "the note in force here is the newest", which would not be true.
+    pub(crate) fn extend_lease(&self, renewed: &Renewed, sent: Instant) {
+        let mut held = self.held();
+        if held.catalogue.number() < renewed.note {
+            return;
+        }
+        let length = Duration::from_millis(u64::from(renewed.lease_ms));
+        let before = held.lease.holds(Instant::now());
+        held.lease.extend(renewed.term, sent, length);
+        drop(held);
+        if !before {
+            self.tick();
+        }
+    }
+
+    /// Applies what was fetched. Only higher numbers change anything, so that nothing
+    /// that arrives late takes a node back.
+    pub(crate) fn take_notes(&self, notes: &Notes) -> Result<(), String> {
+        let mut catalogue = (*self.catalogue()).clone();
+        if !notes.snapshot.is_empty() && notes.number > catalogue.number() {
+            let snapshot = Catalogue::from_json(&notes.snapshot);
+            catalogue = snapshot.map_err(|err| err.to_string())?;
+        }
+        for json in &notes.notes {
+            let Ok(checked) = catalogue.check(json) else {
+                // Already applied, or a gap that the next fetch closes.
+                continue;
+            };
+            catalogue.apply(&checked);
+        }
+        let mut held = self.held();
+        if catalogue.number() > held.catalogue.number() {
+            log::info!("release note {} is in force here", catalogue.number());
+            held.catalogue = Arc::new(catalogue);
+            drop(held);
+            self.tick();
+        }
+        Ok(())
+    }
+
+    fn tick(&self) {
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    fn held(&self) -> MutexGuard<'_, Held> {
+        // No change under the lock can panic half-way; a poisoned state is whole.
+        self.held.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
