Serve health, metrics and the operators' routes by one crate

Cause: every daemon needs the same pages and a bounded server, and entry and control the same operators' routes.

--- /dev/null
+++ b/crates/admin/src/operators.rs
@@ -0,0 +1,248 @@
+//! The operators' routes.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::{HeaderMap, Method, Request, StatusCode};
+use serde_json::{Value, json};
+use wire::proto::{
+    Drain, NoteQuery, Outcome, Pardon, QuarantineQuery, QueryReply, StatusQuery, SubmitNote,
+    command, query, query_reply,
+};
+
+use crate::{Problem, Ran, Response, Token, hex, outcomes, read_body};
+
+/// All of these routes begin so.
+const PREFIX: &str = "/v1/operator/";
+
+/// A note may have 1 MiB; anything else is shorter.
+const MOST_BODY_BYTES: usize = 1 << 20;
+
+const BODY_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Number in a query that stands for the catalogue instead of one note.
+const WHOLE_CATALOGUE: u64 = 0;
+
+/// Who sent the command, when the request doesn't say so.
+const UNNAMED: &str = "operator";
+
+/// Header by which an operator gives a name, kept with each note.
+const OPERATOR_HEADER: &str = "x-operator";
+
+type Answer<T> = Pin<Box<dyn Future<Output = T> + Send>>;
+
+/// Has a command committed to the durable state.
+pub type Propose = Arc<dyn Fn(command::Body) -> Answer<Outcome> + Send + Sync>;
+
+/// Reads the durable state.
+pub type Query = Arc<dyn Fn(query::Body) -> Answer<eyre::Result<QueryReply>> + Send + Sync>;
+
+/// Answers the operators' routes; cheap to clone.
+#[derive(Clone)]
+pub struct Operators {
+    token: Token,
+    propose: Propose,
+    query: Query,
+}
+
+impl Operators {
+    /// Makes the handler over the two ways to the durable state.
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    ///
+    /// let operators = admin::Operators::new(
+    ///     admin::Token::from_bytes(b"0123456789abcdef").unwrap(),
+    ///     Arc::new(|_| Box::pin(async { Default::default() })),
+    ///     Arc::new(|_| Box::pin(async { Err(eyre::eyre!("no leader")) })),
+    /// );
+    /// # drop(operators);
+    /// ```
+    #[must_use]
+    pub fn new(token: Token, propose: Propose, query: Query) -> Self {
+        Operators {
+            token,
+            propose,
+            query,
+        }
+    }
+
+    /// Whether a path is for this handler.
+    ///
+    /// ```
+    /// assert!(admin::Operators::owns("/v1/operator/status"));
+    /// assert!(!admin::Operators::owns("/v1/addresses"));
+    /// ```
+    #[must_use]
+    pub fn owns(path: &str) -> bool {
+        path.starts_with(PREFIX)
+    }
+
+    /// Answers a request; `id` is the request's id.
+    pub async fn handle(&self, req: Request<Incoming>, id: &str) -> Response {
+        let method = req.method().clone();
+        let path = req.uri().path().to_owned();
+        let answer = self.route(req).await;
+        let status = answer
+            .as_ref()
+            .map_or_else(|problem| problem.status, Response::status);
+        log::info!("request={id} operator {method} {path} {status}");
+        answer.unwrap_or_else(|mut problem| {
+            problem.request = Some(id.to_owned());
+            problem.into_response()
+        })
+    }
+
+    async fn route(&self, req: Request<Incoming>) -> Result<Response, Problem> {
+        if !self.token.admits(req.headers()) {
+            return Err(Problem::unauthorized(
+                "the operators' token is missing or wrong",
+            ));
+        }
+        let (head, body) = req.into_parts();
+        let path = head.uri.path().strip_prefix(PREFIX).unwrap_or_default();
+        let segments: Vec<&str> = path.split('/').collect();
+        match (&head.method, segments.as_slice()) {
+            (&Method::POST, ["notes"]) => self.send_note(&head.headers, body).await,
+            (&Method::GET, ["notes", "status"]) => self.note_status().await,
+            (&Method::GET, ["notes", number]) => self.note(number).await,
+            (&Method::GET, ["catalogue"]) => self.document(note_query(WHOLE_CATALOGUE)).await,
+            (&Method::GET, ["status"]) => self.document(query::Body::Status(StatusQuery {})).await,
+            (&Method::POST, ["targets", name, "drain"]) => self.drain(name, body).await,
+            (&Method::GET, ["quarantine"]) => self.quarantine().await,
+            (&Method::DELETE, ["quarantine", fingerprint]) => self.pardon(fingerprint).await,
+            (method, known) if is_route(known) => {
+                let detail = format!("{method} isn't known here");
+                Err(Problem::new(StatusCode::METHOD_NOT_ALLOWED, detail))
+            }
+            _ => Err(Problem::new(StatusCode::NOT_FOUND, "no such page")),
+        }
+    }
+
+    async fn send_note(&self, headers: &HeaderMap, body: Incoming) -> Result<Response, Problem> {
+        let json = read_body(body, MOST_BODY_BYTES, BODY_TIMEOUT).await?;
+        let operator = headers.get(OPERATOR_HEADER);
+        let operator = operator.and_then(|name| name.to_str().ok());
+        let command = command::Body::SubmitNote(SubmitNote {
+            json,
+            operator: operator.unwrap_or(UNNAMED).to_owned(),
+        });
+        outcomes::note((self.propose)(command).await)
+    }
+
+    async fn drain(&self, target: &str, body: Incoming) -> Result<Response, Problem> {
+        let json = read_body(body, MOST_BODY_BYTES, BODY_TIMEOUT).await?;
+        let draining = read_draining(&json)?;
+        let command = command::Body::Drain(Drain {
+            target: target.to_owned(),
+            draining,
+        });
+        outcomes::drain((self.propose)(command).await, target)
+    }
+
+    async fn pardon(&self, fingerprint: &str) -> Result<Response, Problem> {
+        let Some(bytes) = hex::decode(fingerprint) else {
+            let detail = "a fingerprint is written in hexadecimal digits";
+            return Err(Problem::new(StatusCode::BAD_REQUEST, detail));
+        };
+        let command = command::Body::Pardon(Pardon {
+            fingerprint: bytes.into(),
+        });
+        outcomes::pardon((self.propose)(command).await, fingerprint)
+    }
+
+    async fn note(&self, number: &str) -> Result<Response, Problem> {
+        let number = number.parse().ok().filter(|number| *number > 0);
+        let Some(number) = number else {
+            let detail = "the number of a note is a whole number above 0";
+            return Err(Problem::new(StatusCode::BAD_REQUEST, detail));
+        };
+        self.document(note_query(number)).await
+    }
+
+    async fn quarantine(&self) -> Result<Response, Problem> {
+        let body = query::Body::Quarantine(QuarantineQuery {});
+        let Some(query_reply::Body::Quarantine(quarantine)) = self.ask(body).await? else {
+            return Err(unexpected());
+        };
+        let list = |prints: &[Bytes]| -> Vec<String> {
+            prints.iter().map(|print| hex::encode(print)).collect()
+        };
+        let answer = json!({
+            "version": quarantine.version,
+            "suspects": list(&quarantine.suspects),
+            "convicted": list(&quarantine.convicted),
+        });
+        Ok(crate::json(StatusCode::OK, answer.to_string()))
+    }
+
+    /// The member `note` of the status document.
+    async fn note_status(&self) -> Result<Response, Problem> {
+        let status = self.read(query::Body::Status(StatusQuery {})).await?;
+        let status: Value = serde_json::from_slice(&status).map_err(|_| unexpected())?;
+        let note = status.get("note").ok_or_else(unexpected)?;
+        Ok(crate::json(StatusCode::OK, note.to_string()))
+    }
+
+    async fn document(&self, body: query::Body) -> Result<Response, Problem> {
+        let json = self.read(body).await?;
+        Ok(crate::json(StatusCode::OK, json))
+    }
+
+    /// A JSON document; an empty one means that there is none.
+    async fn read(&self, body: query::Body) -> Result<Bytes, Problem> {
+        match self.ask(body).await? {
+            Some(query_reply::Body::Json(json)) if json.is_empty() => Err(Problem::new(
+                StatusCode::NOT_FOUND,
+                "that isn't known, or no longer kept",
+            )),
+            Some(query_reply::Body::Json(json)) => Ok(json),
+            _ => Err(unexpected()),
+        }
+    }
+
+    async fn ask(&self, body: query::Body) -> Result<Option<query_reply::Body>, Problem> {
+        match (self.query)(body).await {
+            Ok(reply) => Ok(reply.body),
+            Err(error) => {
+                let mut problem = Problem::new(
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    format!("control can't answer now: {error}"),
+                );
+                problem.retry_after = Some(outcomes::RETRY_AFTER);
+                Err(problem)
+            }
+        }
+    }
+}
+
+fn note_query(number: u64) -> query::Body {
+    query::Body::Note(NoteQuery { number })
+}
+
+fn is_route(segments: &[&str]) -> bool {
+    matches!(
+        segments,
+        ["notes" | "catalogue" | "status" | "quarantine"]
+            | ["notes" | "quarantine", _]
+            | ["targets", _, "drain"]
+    )
+}
+
+fn read_draining(json: &[u8]) -> Result<bool, Problem> {
+    let malformed = |detail: String| Problem::new(StatusCode::BAD_REQUEST, detail);
+    let body: Value = serde_json::from_slice(json)
+        .map_err(|error| malformed(format!("malformed JSON: {error}")))?;
+    let draining = body.get("draining").and_then(Value::as_bool);
+    draining.ok_or_else(|| malformed("expected true or false at draining".to_owned()))
+}
+
+fn unexpected() -> Problem {
+    let detail = "control gave an answer of another kind";
+    let mut problem = Problem::new(StatusCode::BAD_GATEWAY, detail);
+    problem.ran = Ran::Unknown;
+    problem
+}
--- /dev/null
+++ b/crates/admin/src/outcomes.rs
@@ -0,0 +1,127 @@
+//! What became of a command, as HTTP.
+
+use std::time::Duration;
+
+use hyper::StatusCode;
+use serde_json::{Value, json};
+use wire::proto::note_outcome::Kind;
+use wire::proto::{Finding, NoteOutcome, Outcome, Unavailable, outcome};
+
+use crate::{Problem, Ran, Response, hex};
+
+/// When to come back after control could not be asked.
+pub(crate) const RETRY_AFTER: Duration = Duration::from_secs(2);
+
+pub(crate) fn note(outcome: Outcome) -> Result<Response, Problem> {
+    match outcome.body {
+        Some(outcome::Body::Note(note)) => note_answer(&note),
+        other => Err(failed(other)),
+    }
+}
+
+pub(crate) fn drain(outcome: Outcome, target: &str) -> Result<Response, Problem> {
+    match outcome.body {
+        Some(outcome::Body::Drain(drain)) if drain.known => {
+            let answer = json!({"target": target, "draining": drain.draining});
+            Ok(crate::json(StatusCode::OK, answer.to_string()))
+        }
+        Some(outcome::Body::Drain(_)) => {
+            let detail = format!("unknown target {target:?}");
+            Err(Problem::new(StatusCode::NOT_FOUND, detail))
+        }
+        other => Err(failed(other)),
+    }
+}
+
+pub(crate) fn pardon(outcome: Outcome, fingerprint: &str) -> Result<Response, Problem> {
+    match outcome.body {
+        Some(outcome::Body::Pardon(pardon)) if pardon.known => {
+            let answer = json!({"pardoned": fingerprint});
+            Ok(crate::json(StatusCode::OK, answer.to_string()))
+        }
+        Some(outcome::Body::Pardon(_)) => {
+            let detail = format!("{fingerprint} isn't in quarantine");
+            Err(Problem::new(StatusCode::NOT_FOUND, detail))
+        }
+        other => Err(failed(other)),
+    }
+}
+
+fn note_answer(note: &NoteOutcome) -> Result<Response, Problem> {
+    let number = note.number;
+    let (status, detail) = match note.kind() {
+        Kind::Accepted => return Ok(note_response(StatusCode::CREATED, "accepted", note)),
+        Kind::Repeated => return Ok(note_response(StatusCode::OK, "repeated", note)),
+        Kind::Conflict => (
+            StatusCode::CONFLICT,
+            format!(
+                "another note holds number {number}, sent by {:?}",
+                note.operator
+            ),
+        ),
+        Kind::Gap => (StatusCode::CONFLICT, format!("the next number is {number}")),
+        Kind::Invalid => (
+            StatusCode::UNPROCESSABLE_ENTITY,
+            format!("{} findings", note.findings.len()),
+        ),
+        Kind::Unspecified => return Err(failed(None)),
+    };
+    let mut problem = Problem::new(status, detail);
+    let findings: Vec<Value> = note.findings.iter().map(finding).collect();
+    problem.members.insert("outcome".into(), word(note).into());
+    problem.members.insert("number".into(), number.into());
+    problem.members.insert("findings".into(), findings.into());
+    if note.kind() == Kind::Conflict {
+        let operator = note.operator.as_str();
+        problem.members.insert("operator".into(), operator.into());
+        let digest = hex::encode(&note.digest);
+        problem.members.insert("digest".into(), digest.into());
+    }
+    Err(problem)
+}
+
+fn note_response(status: StatusCode, outcome: &str, note: &NoteOutcome) -> Response {
+    let answer = json!({
+        "outcome": outcome,
+        "number": note.number,
+        "operator": note.operator,
+        "digest": hex::encode(&note.digest),
+    });
+    crate::json(status, answer.to_string())
+}
+
+fn word(note: &NoteOutcome) -> &'static str {
+    match note.kind() {
+        Kind::Accepted => "accepted",
+        Kind::Repeated => "repeated",
+        Kind::Conflict => "conflict",
+        Kind::Gap => "gap",
+        Kind::Invalid => "invalid",
+        Kind::Unspecified => "unknown",
+    }
+}
+
+fn finding(finding: &Finding) -> Value {
+    json!({"place": finding.place, "message": finding.message})
+}
+
+/// No answer of the command's own kind. Whether it was or will be committed is
+/// said only where it is known.
+fn failed(body: Option<outcome::Body>) -> Problem {
+    let unavailable = match body {
+        Some(outcome::Body::Unavailable(unavailable)) => unavailable,
+        _ => Unavailable {
+            reason: "control gave an answer of another kind".to_owned(),
+            maybe: true,
+            retry_after_ms: 0,
+        },
+    };
+    let mut problem = Problem::new(StatusCode::SERVICE_UNAVAILABLE, unavailable.reason);
+    if unavailable.maybe {
+        problem.ran = Ran::Unknown;
+    }
+    let after = Duration::from_millis(unavailable.retry_after_ms.into());
+    problem.retry_after = Some(after).filter(|after| !after.is_zero());
+    problem.retry_after.get_or_insert(RETRY_AFTER);
+    problem
+}
--- /dev/null
+++ b/crates/admin/src/server.rs
@@ -0,0 +1,157 @@
+//! A small HTTP/1 server.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::{Peer, Response, ServerSettings};
+
+/// Pause after a failed accept, mostly for want of file descriptors: without
+/// it the loop would spin until one is free.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Answer to a connection beyond the limit.
+const BUSY: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n\
+    connection: close\r\ncontent-length: 0\r\n\r\n";
+
+/// Serves connections until `stop`, then lets open requests finish, for at
+/// most [`ServerSettings::drain`]. Connections between two requests are closed
+/// at once.
+///
+/// ```
+/// # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
+/// use admin::{Response, ServerSettings, full, serve};
+/// use tokio_util::sync::CancellationToken;
+///
+/// let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+/// let stop = CancellationToken::new();
+/// let server = serve(listener, ServerSettings::default(), stop.clone(), |_req| async {
+///     Response::new(full("hello"))
+/// });
+/// stop.cancel();
+/// server.await;
+/// # });
+/// ```
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    cfg: ServerSettings,
+    stop: CancellationToken,
+    handler: H,
+) where
+    H: Fn(hyper::Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response> + Send + 'static,
+{
+    let tracker = TaskTracker::new();
+    let permits = Arc::new(Semaphore::new(cfg.connections));
+    while let Some(accepted) = stop.run_until_cancelled(listener.accept()).await {
+        let (stream, peer) = match accepted {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                log::warn!("can't accept a connection: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+            refuse(&stream, peer);
+            continue;
+        };
+        if let Err(error) = watch_for_silence(&stream, cfg.silence) {
+            log::debug!("can't set up the connection of {peer}: {error}");
+        }
+        let connection = connection(stream, peer, &cfg, stop.clone(), handler.clone());
+        tracker.spawn(async move {
+            connection.await;
+            drop(permit);
+        });
+    }
+    drop(listener);
+    tracker.close();
+    if tokio::time::timeout(cfg.drain, tracker.wait())
+        .await
+        .is_err()
+    {
+        let open = tracker.len();
+        log::warn!("{open} connections were still open when the time to drain was over");
+    }
+}
+
+/// Serves one connection; after `stop` it ends with the request in progress,
+/// and is cut off once the time to drain is over.
+fn connection<H, F>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    cfg: &ServerSettings,
+    stop: CancellationToken,
+    handler: H,
+) -> impl Future<Output = ()> + Send + use<H, F>
+where
+    H: Fn(hyper::Request<Incoming>) -> F + Send + 'static,
+    F: Future<Output = Response> + Send + 'static,
+{
+    let (head_timeout, drain) = (cfg.head_timeout, cfg.drain);
+    async move {
+        let service = service_fn(move |mut req| {
+            req.extensions_mut().insert(Peer(peer));
+            let response = handler(req);
+            async move { Ok::<Response, Infallible>(response.await) }
+        });
+        let mut builder = http1::Builder::new();
+        builder.timer(TokioTimer::new());
+        builder.header_read_timeout(head_timeout);
+        // Callers may shut down their sending side and still read the answer.
+        builder.half_close(true);
+        let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+        let ended = tokio::select! {
+            ended = connection.as_mut() => ended,
+            () = stop.cancelled() => {
+                connection.as_mut().graceful_shutdown();
+                match tokio::time::timeout(drain, connection).await {
+                    Ok(ended) => ended,
+                    Err(_) => return,
+                }
+            }
+        };
+        if let Err(error) = ended {
+            log::debug!("connection of {peer} ended: {error}");
+        }
+    }
+}
+
+/// Turns a connection away; one that doesn't take the few bytes at once is
+/// just closed.
+fn refuse(stream: &TcpStream, peer: SocketAddr) {
+    log::warn!("turned away {peer}: too many connections");
+    if let Err(error) = stream.try_write(BUSY) {
+        log::debug!("can't tell {peer} so: {error}");
+    }
+}
+
+/// A connection can go silent for good while new ones work. Without probes its
+/// task and permit would be held for ever, and after enough of them nobody
+/// gets in.
+fn watch_for_silence(stream: &TcpStream, silence: Duration) -> io::Result<()> {
+    const PROBES: u32 = 3;
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let interval = (silence / PROBES).max(Duration::from_secs(1));
+    let keepalive = TcpKeepalive::new()
+        .with_time(interval)
+        .with_interval(interval)
+        .with_retries(PROBES);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(silence))
+}
--- /dev/null
+++ b/crates/admin/src/server_settings.rs
@@ -0,0 +1,29 @@
+//! Limits of an HTTP server.
+
+use std::time::Duration;
+
+/// Limits of an HTTP server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServerSettings {
+    /// Most connections at once; those beyond get 503 at once.
+    pub connections: usize,
+    /// How long the head of a request may take to arrive, and how long a
+    /// connection may stay open without one.
+    pub head_timeout: Duration,
+    /// How long sent bytes may stay unacknowledged, and how often an idle
+    /// connection is probed: a peer that vanished without a word is noticed.
+    pub silence: Duration,
+    /// How long open requests may go on after the server was told to stop.
+    pub drain: Duration,
+}
+
+impl Default for ServerSettings {
+    fn default() -> Self {
+        ServerSettings {
+            connections: 4_096,
+            head_timeout: Duration::from_secs(30),
+            silence: Duration::from_secs(20),
+            drain: Duration::from_secs(30),
+        }
+    }
+}
--- /dev/null
+++ b/crates/admin/src/token.rs
@@ -0,0 +1,81 @@
+//! The operators' bearer token.
+
+use std::path::Path;
+
+use eyre::{WrapErr, ensure};
+use hyper::HeaderMap;
+use hyper::header::AUTHORIZATION;
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+/// Shorter tokens could be guessed.
+const LEAST_BYTES: usize = 16;
+
+/// The operators' bearer token; only its digest is held.
+#[derive(Clone)]
+pub struct Token([u8; 32]);
+
+impl Token {
+    /// Takes a token; white space around it is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it is shorter than 16 bytes.
+    ///
+    /// ```
+    /// assert!(admin::Token::from_bytes(b"short").is_err());
+    /// assert!(admin::Token::from_bytes(b"0123456789abcdef\n").is_ok());
+    /// ```
+    pub fn from_bytes(token: &[u8]) -> eyre::Result<Self> {
+        let token = token.trim_ascii();
+        ensure!(
+            token.len() >= LEAST_BYTES,
+            "the operators' token is shorter than {LEAST_BYTES} bytes"
+        );
+        Ok(Token(Sha256::digest(token).into()))
+    }
+
+    /// Reads the token from a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file can't be read or the token is too short.
+    ///
+    /// ```
+    /// assert!(admin::Token::from_file("no/such/file").is_err());
+    /// ```
+    pub fn from_file(path: impl AsRef<Path>) -> eyre::Result<Self> {
+        let path = path.as_ref();
+        let token = std::fs::read(path)
+            .wrap_err_with(|| format!("can't read the operators' token {}", path.display()))?;
+        Token::from_bytes(&token).wrap_err_with(|| format!("in {}", path.display()))
+    }
+
+    /// Whether a request carries the token, compared in constant time.
+    ///
+    /// ```
+    /// let token = admin::Token::from_bytes(b"0123456789abcdef").unwrap();
+    /// let mut headers = hyper::HeaderMap::new();
+    /// assert!(!token.admits(&headers));
+    /// headers.insert("authorization", "Bearer 0123456789abcdef".parse().unwrap());
+    /// assert!(token.admits(&headers));
+    /// ```
+    #[must_use]
+    pub fn admits(&self, headers: &HeaderMap) -> bool {
+        let Some(given) = bearer(headers) else {
+            return false;
+        };
+        let given: [u8; 32] = Sha256::digest(given).into();
+        given.ct_eq(&self.0).into()
+    }
+}
+
+/// The credentials of the Bearer scheme (RFC 6750, section 2.1).
+fn bearer(headers: &HeaderMap) -> Option<&[u8]> {
+    const SCHEME: &[u8] = b"bearer ";
+    let value = headers.get(AUTHORIZATION)?.as_bytes();
+    let (scheme, credentials) = value.split_at_checked(SCHEME.len())?;
+    scheme
+        .eq_ignore_ascii_case(SCHEME)
+        .then(|| credentials.trim_ascii())
+}
