Add the write-ahead log and the replicated log

Cause: nothing yet held what must survive a crash. store keeps records, term and vote in segments with one sync for all that waits; quorum decides elections, replication, leases and membership without clock or socket. Shown so far by their doc tests only; schedules and crash tests follow.

--- /dev/null
+++ b/crates/quorum/src/config.rs
@@ -0,0 +1,55 @@
+//! Timings and limits of a replica.
+
+use std::time::Duration;
+
+/// Timings and limits of a replica; the same on every replica.
+///
+/// ```
+/// let cfg = quorum::Config::default();
+/// assert!(cfg.lease() < cfg.election);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Time between two heartbeats of a leader.
+    pub heartbeat: Duration,
+    /// Shortest election timeout; each wait is drawn from one to two times it.
+    pub election: Duration,
+    /// Most entries in one append message.
+    pub max_append_entries: usize,
+    /// Most bytes of entries in one append message, if it has more than one.
+    pub max_append_bytes: usize,
+    /// Most append messages in flight to one replica.
+    pub max_inflight: usize,
+    /// Bytes of a snapshot in one message.
+    pub chunk_bytes: usize,
+    /// Entries kept in memory before the newest snapshot, so that a replica
+    /// that lags a little is served from the log.
+    pub trailing: u64,
+}
+
+/// Share of the election timeout, in percent, that a leader lease lasts. The
+/// rest covers clocks that run at different rates.
+const LEASE_PERCENT: u32 = 90;
+
+impl Config {
+    /// How long a leader lease lasts from the start of the heartbeat round
+    /// that a majority answered.
+    #[must_use]
+    pub fn lease(&self) -> Duration {
+        self.election * LEASE_PERCENT / 100
+    }
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Config {
+            heartbeat: Duration::from_millis(100),
+            election: Duration::from_secs(1),
+            max_append_entries: 512,
+            max_append_bytes: 512 * 1024,
+            max_inflight: 16,
+            chunk_bytes: 256 * 1024,
+            trailing: 512,
+        }
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/log.rs
@@ -0,0 +1,93 @@
+//! The part of the log that is held in memory.
+
+use crate::Entry;
+use std::collections::VecDeque;
+
+/// The entries after a base that a snapshot covers.
+#[derive(Debug, Default)]
+pub(crate) struct Log {
+    base_index: u64,
+    base_term: u64,
+    entries: VecDeque<Entry>,
+}
+
+impl Log {
+    pub(crate) fn new(base_index: u64, base_term: u64) -> Log {
+        Log {
+            base_index,
+            base_term,
+            entries: VecDeque::new(),
+        }
+    }
+
+    pub(crate) fn last_index(&self) -> u64 {
+        self.base_index + self.entries.len() as u64
+    }
+
+    pub(crate) fn last_term(&self) -> u64 {
+        self.entries.back().map_or(self.base_term, |e| e.term)
+    }
+
+    pub(crate) fn get(&self, index: u64) -> Option<&Entry> {
+        let place = index.checked_sub(self.base_index + 1)?;
+        self.entries.get(usize::try_from(place).ok()?)
+    }
+
+    /// Term of the entry, `None` if it is before the base or after the end.
+    pub(crate) fn term_at(&self, index: u64) -> Option<u64> {
+        if index == self.base_index {
+            return Some(self.base_term);
+        }
+        self.get(index).map(|e| e.term)
+    }
+
+    pub(crate) fn push(&mut self, entry: Entry) {
+        debug_assert_eq!(entry.index, self.last_index() + 1);
+        self.entries.push_back(entry);
+    }
+
+    /// Drops the entry and all after it.
+    pub(crate) fn truncate(&mut self, from: u64) {
+        let keep = from.saturating_sub(self.base_index + 1);
+        self.entries
+            .truncate(usize::try_from(keep).unwrap_or(usize::MAX));
+    }
+
+    /// Drops the entries up to `index`, which a snapshot covers.
+    pub(crate) fn compact(&mut self, index: u64) {
+        while self.base_index < index {
+            let Some(entry) = self.entries.pop_front() else {
+                return;
+            };
+            self.base_index = entry.index;
+            self.base_term = entry.term;
+        }
+    }
+
+    /// The entries from `from` to `to`, within the limits, at least one.
+    pub(crate) fn slice(&self, from: u64, to: u64, most: usize, bytes: usize) -> Vec<Entry> {
+        let mut taken = Vec::new();
+        let mut size = 0;
+        for index in from..=to {
+            let Some(entry) = self.get(index) else { break };
+            size += entry.size();
+            if !taken.is_empty() && (size > bytes || taken.len() == most) {
+                break;
+            }
+            taken.push(entry.clone());
+        }
+        taken
+    }
+
+    /// Last index before the run of entries of the same term as `index`'s.
+    pub(crate) fn before_term_of(&self, index: u64) -> u64 {
+        let Some(term) = self.term_at(index) else {
+            return self.last_index();
+        };
+        let mut at = index;
+        while at > self.base_index && self.term_at(at) == Some(term) {
+            at -= 1;
+        }
+        at
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/node.rs
@@ -0,0 +1,318 @@
+//! One replica.
+
+mod election;
+mod install;
+mod membership;
+mod output;
+mod replicate;
+mod serve;
+
+use crate::incoming::Incoming;
+use crate::leader::Leader;
+use crate::log::Log;
+use crate::{
+    Config, DiskId, Entry, EntryBody, HardState, Members, Message, MessageBody, ReplicaStatus,
+    Restored, Snapshot, Status,
+};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+/// What a replica is at the moment.
+#[derive(Debug)]
+enum Role {
+    Follower,
+    /// Asks whether it would be elected; its term is as before (section 9.6).
+    PreCandidate(BTreeMap<DiskId, bool>),
+    Candidate(BTreeMap<DiskId, bool>),
+    Leader(Box<Leader>),
+}
+
+/// A write that was handed out, and the end of the log at that time.
+#[derive(Clone, Copy, Debug)]
+struct Issued {
+    number: u64,
+    index: u64,
+    term: u64,
+}
+
+/// One replica.
+#[derive(Debug)]
+pub struct Node {
+    id: DiskId,
+    cfg: Config,
+    rng: StdRng,
+    hard: HardState,
+    role: Role,
+    log: Log,
+    /// Members by the index that set them; the last one holds.
+    members: Vec<(u64, Members)>,
+    snapshot: Snapshot,
+    commit: u64,
+    applied: u64,
+    /// Last entry that is synced here.
+    stable: u64,
+    /// Last entry that was handed out to be synced.
+    handed: u64,
+    leader: Option<DiskId>,
+    /// When a leader was last heard; the start counts as well, since what was
+    /// promised before a restart is not known any more.
+    heard: Instant,
+    election_at: Instant,
+    hard_changed: bool,
+    incoming: Option<Incoming>,
+    /// Received whole, not yet handed out to be synced.
+    received: Option<Snapshot>,
+    /// Handed out to be synced, by the number of its write.
+    restoring: Option<(u64, Snapshot)>,
+    restore: Option<Snapshot>,
+    writes: u64,
+    issued: VecDeque<Issued>,
+    /// Messages that wait until the write of that number is synced.
+    held: VecDeque<(u64, Message)>,
+    out: Vec<Message>,
+    reads: Vec<(u64, u64)>,
+    refused_reads: Vec<u64>,
+}
+
+impl Node {
+    /// A replica that starts with what its disk holds. `seed` makes the
+    /// election timeouts differ between replicas. The crate page shows it.
+    #[must_use]
+    pub fn new(id: DiskId, cfg: Config, seed: u64, restored: Restored, now: Instant) -> Node {
+        let blank = restored.snapshot.is_none();
+        let snapshot = restored.snapshot.unwrap_or_default();
+        let mut log = Log::new(snapshot.index, snapshot.term);
+        let mut members = vec![(snapshot.index, snapshot.members.clone())];
+        for entry in restored.entries {
+            if let EntryBody::Members(now) = &entry.body {
+                members.push((entry.index, now.clone()));
+            }
+            log.push(entry);
+        }
+        let last = log.last_index();
+        let restore = (!blank).then(|| snapshot.clone());
+        let mut node = Node {
+            id,
+            cfg,
+            rng: StdRng::seed_from_u64(seed),
+            hard: restored.hard_state,
+            role: Role::Follower,
+            log,
+            members,
+            commit: snapshot.index,
+            applied: snapshot.index,
+            snapshot,
+            stable: last,
+            handed: last,
+            leader: None,
+            heard: now,
+            election_at: now,
+            hard_changed: false,
+            incoming: None,
+            received: None,
+            restoring: None,
+            restore,
+            writes: 0,
+            issued: VecDeque::new(),
+            held: VecDeque::new(),
+            out: Vec::new(),
+            reads: Vec::new(),
+            refused_reads: Vec::new(),
+        };
+        node.put_off_election(now);
+        node
+    }
+
+    /// Moves the time on: heartbeats, elections, loss of a majority.
+    pub fn tick(&mut self, now: Instant) {
+        if self.is_leader() {
+            self.lead(now);
+        } else if now >= self.election_at && self.is_voter() {
+            self.ask_for_election(now);
+        }
+    }
+
+    /// Takes a message. Any message may come late, twice or never.
+    pub fn step(&mut self, message: Message, now: Instant) {
+        if message.to != self.id {
+            return;
+        }
+        if let MessageBody::Join { peer } = message.body {
+            return self.take_in(message.from, peer, now);
+        }
+        if !self.enter_term(&message, now) {
+            return;
+        }
+        let from = message.from;
+        match message.body {
+            MessageBody::VoteRequest {
+                pre,
+                last_index,
+                last_term,
+            } => self.answer_vote(from, message.term, pre, (last_term, last_index), now),
+            MessageBody::VoteReply { pre, granted } => self.count_vote(from, pre, granted, now),
+            MessageBody::Append {
+                previous_index,
+                previous_term,
+                commit,
+                round,
+                entries,
+            } => {
+                self.follow(from, now);
+                self.append((previous_index, previous_term), entries, commit, round);
+            }
+            MessageBody::AppendReply {
+                accepted,
+                index,
+                round,
+            } => self.appended(from, accepted, index, round, now),
+            MessageBody::InstallSnapshot { .. } => {
+                self.follow(from, now);
+                self.install(message.body);
+            }
+            MessageBody::SnapshotReply {
+                index,
+                offset,
+                done,
+                round,
+            } => self.installed(from, (index, offset), done, round, now),
+            MessageBody::Join { .. } => {}
+        }
+    }
+
+    /// Own disk.
+    #[must_use]
+    pub fn id(&self) -> DiskId {
+        self.id
+    }
+
+    /// Newest term heard of; of a leader, its fencing number.
+    #[must_use]
+    pub fn term(&self) -> u64 {
+        self.hard.term
+    }
+
+    /// Whether this replica leads, or still believes so; see
+    /// [`Node::leased`].
+    #[must_use]
+    pub fn is_leader(&self) -> bool {
+        matches!(self.role, Role::Leader(_))
+    }
+
+    /// Whether this replica leads and no other can: a majority has answered
+    /// so lately that it gives no vote yet (sections 6.2 and 6.4.1).
+    #[must_use]
+    pub fn leased(&self, now: Instant) -> bool {
+        match &self.role {
+            Role::Leader(leader) => leader.leased(now, self.cfg.lease()),
+            _ => false,
+        }
+    }
+
+    /// Whether this leader has committed an entry of its own term, and so
+    /// holds all that was ever acknowledged (section 6.4).
+    #[must_use]
+    pub fn has_committed_own(&self) -> bool {
+        match &self.role {
+            Role::Leader(leader) => self.commit >= leader.noop,
+            _ => false,
+        }
+    }
+
+    /// The leader, if known.
+    #[must_use]
+    pub fn leader(&self) -> Option<DiskId> {
+        self.leader
+    }
+
+    /// The members as of the end of the log.
+    #[must_use]
+    pub fn members(&self) -> &Members {
+        const NONE: &Members = &Members {
+            voters: BTreeMap::new(),
+            learners: BTreeMap::new(),
+        };
+        self.members.last().map_or(NONE, |(_, members)| members)
+    }
+
+    /// Whether nothing was ever told to this replica: it should ask to join.
+    #[must_use]
+    pub fn is_blank(&self) -> bool {
+        self.members().voters.is_empty() && self.log.last_index() == 0
+    }
+
+    /// Last entry handed out to be applied, and its term.
+    #[must_use]
+    pub fn applied(&self) -> (u64, u64) {
+        let term = self.log.term_at(self.applied);
+        (self.applied, term.unwrap_or(self.snapshot.term))
+    }
+
+    /// Members as of an entry that is still in the log.
+    #[must_use]
+    pub fn members_at(&self, index: u64) -> Members {
+        let mut before = self.members.iter().rev();
+        let found = before.find(|(set, _)| *set <= index);
+        found.map_or_else(Members::default, |(_, members)| members.clone())
+    }
+
+    /// What is known of this replica and the others.
+    #[must_use]
+    pub fn status(&self, now: Instant) -> Status {
+        Status {
+            id: self.id,
+            term: self.hard.term,
+            leader: self.leader,
+            commit: self.commit,
+            applied: self.applied,
+            last: self.log.last_index(),
+            settled: self.members_settled(),
+            replicas: self.replicas(now),
+        }
+    }
+
+    fn replicas(&self, now: Instant) -> Vec<ReplicaStatus> {
+        let members = self.members();
+        let mut rows = Vec::new();
+        for id in members.ids() {
+            let mut row = ReplicaStatus {
+                id,
+                peer: members.peer(id).cloned().unwrap_or_default(),
+                voter: members.voters.contains_key(&id),
+                matched: None,
+                active: id == self.id,
+            };
+            if let Role::Leader(leader) = &self.role {
+                let matched = leader.peers.get(&id).map(|p| p.matched);
+                row.matched = matched.or((id == self.id).then_some(self.stable));
+                row.active |= leader.active(id, now, self.cfg.election);
+            }
+            rows.push(row);
+        }
+        rows
+    }
+
+    fn is_voter(&self) -> bool {
+        self.members().voters.contains_key(&self.id)
+    }
+
+    fn put_off_election(&mut self, now: Instant) {
+        use rand::RngExt;
+        let span = u64::try_from(self.cfg.election.as_micros()).unwrap_or(u64::MAX);
+        let more = self.rng.random_range(0..=span);
+        self.election_at = now + self.cfg.election + Duration::from_micros(more);
+    }
+
+    /// Appends an entry of this leader's own.
+    fn order(&mut self, body: EntryBody) -> u64 {
+        let index = self.log.last_index() + 1;
+        if let EntryBody::Members(members) = &body {
+            self.members.push((index, members.clone()));
+        }
+        let term = self.hard.term;
+        self.log.push(Entry { index, term, body });
+        index
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/node/serve.rs
@@ -0,0 +1,79 @@
+//! Proposals and linearizable reads.
+
+use super::{Node, Role};
+use crate::leader::PendingRead;
+use crate::{EntryBody, Refused};
+use bytes::Bytes;
+use std::time::Instant;
+
+impl Node {
+    /// Orders a command; gives its index and term. It is committed once the
+    /// entry of that index *and* term is handed out; another term there means
+    /// that it never will be.
+    ///
+    /// # Errors
+    ///
+    /// The replica doesn't lead, or can't be sure that it still does.
+    pub fn propose(&mut self, data: Bytes, now: Instant) -> Result<(u64, u64), Refused> {
+        if !self.is_leader() {
+            return Err(Refused::NotLeader);
+        }
+        if !self.leased(now) {
+            return Err(Refused::NoLease);
+        }
+        let index = self.order(EntryBody::Command(data));
+        Ok((index, self.hard.term))
+    }
+
+    /// Asks for a linearizable read (read-index, section 6.4). The token comes
+    /// back in [`Ready::reads`](crate::Ready::reads), or refused. The next
+    /// [`Node::tick`] begins the round that confirms it.
+    ///
+    /// # Errors
+    ///
+    /// The replica doesn't lead.
+    pub fn read(&mut self, token: u64) -> Result<(), Refused> {
+        let Role::Leader(leader) = &mut self.role else {
+            return Err(Refused::NotLeader);
+        };
+        let begun = None;
+        leader.reads.push(PendingRead { token, begun });
+        Ok(())
+    }
+
+    /// Gives the reads that wait their index and the round to confirm.
+    ///
+    /// Only a leader that has committed an entry of its own term knows what
+    /// is committed; an earlier answer could miss an acknowledged entry.
+    pub(super) fn begin_reads(&mut self) {
+        let own = self.has_committed_own();
+        let commit = self.commit;
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        if !own {
+            return;
+        }
+        // The round must begin after the read was asked: a reply to an earlier
+        // one may have been sent before another leader was elected.
+        let round = leader.round + 1;
+        for read in leader.reads.iter_mut().filter(|r| r.begun.is_none()) {
+            read.begun = Some((commit, round));
+        }
+    }
+
+    pub(super) fn answer_reads(&mut self) {
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let confirmed = leader.confirmed_round();
+        let reads = &mut self.reads;
+        leader.reads.retain(|read| match read.begun {
+            Some((index, round)) if round <= confirmed => {
+                reads.push((read.token, index));
+                false
+            }
+            _ => true,
+        });
+    }
+}
--- /dev/null
+++ b/crates/store/src/error.rs
@@ -0,0 +1,112 @@
+//! What goes wrong with a disk.
+
+use std::fmt;
+use std::io;
+use std::path::{Path, PathBuf};
+
+/// Result with this crate's error.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// What goes wrong with a disk.
+#[derive(Debug)]
+pub struct Error {
+    code: Code,
+}
+
+#[derive(Debug)]
+enum Code {
+    Io(&'static str, PathBuf, io::Error),
+    Full(PathBuf),
+    Damaged(PathBuf, u64, &'static str),
+    Stopped,
+    Blank(PathBuf),
+    Formatted(PathBuf),
+    InUse(PathBuf),
+}
+
+impl Error {
+    pub(crate) fn io(doing: &'static str, path: &Path, e: io::Error) -> Error {
+        let path = path.to_owned();
+        let full = matches!(
+            e.kind(),
+            io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded
+        );
+        let code = if full {
+            Code::Full(path)
+        } else {
+            Code::Io(doing, path, e)
+        };
+        Error { code }
+    }
+
+    pub(crate) fn damaged(path: &Path, offset: u64, what: &'static str) -> Error {
+        let code = Code::Damaged(path.to_owned(), offset, what);
+        Error { code }
+    }
+
+    pub(crate) fn stopped() -> Error {
+        let code = Code::Stopped;
+        Error { code }
+    }
+
+    pub(crate) fn blank(path: &Path) -> Error {
+        let code = Code::Blank(path.to_owned());
+        Error { code }
+    }
+
+    pub(crate) fn formatted(path: &Path) -> Error {
+        let code = Code::Formatted(path.to_owned());
+        Error { code }
+    }
+
+    pub(crate) fn in_use(path: &Path) -> Error {
+        let code = Code::InUse(path.to_owned());
+        Error { code }
+    }
+
+    /// Whether the disk is full: nothing was written, and the same may be
+    /// tried again.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        matches!(self.code, Code::Full(_))
+    }
+
+    /// Whether what is on the disk can't be trusted.
+    #[must_use]
+    pub fn is_damage(&self) -> bool {
+        matches!(self.code, Code::Damaged(..))
+    }
+
+    /// Whether the folder was never formatted.
+    #[must_use]
+    pub fn is_blank(&self) -> bool {
+        matches!(self.code, Code::Blank(_))
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.code {
+            Code::Io(doing, path, e) => write!(f, "{doing} failed: {e} at {}", path.display()),
+            Code::Full(path) => write!(f, "disk is full at {}", path.display()),
+            Code::Damaged(path, offset, what) => {
+                write!(f, "{what} at {}, byte {offset}", path.display())
+            }
+            Code::Stopped => f.write_str("an earlier sync failed, what it covered is not known"),
+            Code::Blank(path) => write!(f, "data folder is blank at {}", path.display()),
+            Code::Formatted(path) => {
+                write!(f, "data folder is already in use at {}", path.display())
+            }
+            Code::InUse(path) => write!(f, "another process has the folder {}", path.display()),
+        }
+    }
+}
+
+impl std::error::Error for Error {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        match &self.code {
+            Code::Io(_, _, e) => Some(e),
+            _ => None,
+        }
+    }
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,1 +1,46 @@
 //! Write-ahead log, snapshots and the identity of a disk.
+//!
+//! A [`Disk`] is a folder with an identity made when it was formatted, a log
+//! in segments and the newest snapshot. What was written lasts once
+//! [`Disk::sync`] has returned, and one sync covers all that was written
+//! before it.
+//!
+//! ```
+//! use store::{Batch, Disk, HardState, Ops, Record};
+//!
+//! let folder = tempfile::tempdir().unwrap();
+//! store::format(folder.path(), "control-1", &Ops::default()).unwrap();
+//! let (mut disk, _) = Disk::open(folder.path(), Ops::default()).unwrap();
+//! let record = Record { index: 1, term: 1, kind: 0, data: "first".into() };
+//! let hard_state = HardState { term: 1, vote: None };
+//! disk.write(&Batch { snapshot: None, hard_state, records: vec![record.clone()] }).unwrap();
+//! disk.sync().unwrap();
+//! drop(disk);
+//!
+//! let (_, recovered) = Disk::open(folder.path(), Ops::default()).unwrap();
+//! assert_eq!(recovered.records, [record]);
+//! ```
+
+mod batch;
+mod disk;
+mod error;
+mod frame;
+mod hard_state;
+mod identity;
+mod ops;
+mod record;
+mod recovered;
+mod replay;
+mod scan;
+mod segment;
+mod snapshot;
+
+pub use batch::Batch;
+pub use disk::Disk;
+pub use error::{Error, Result};
+pub use hard_state::HardState;
+pub use identity::{Identity, format, identity};
+pub use ops::Ops;
+pub use record::Record;
+pub use recovered::Recovered;
+pub use snapshot::Snapshot;
--- /dev/null
+++ b/crates/store/src/segment.rs
@@ -0,0 +1,143 @@
+//! The segment that is being written.
+
+use crate::frame::{Frame, FrameKind, MAGIC};
+use crate::{Error, HardState, Ops, Result};
+use bytes::Bytes;
+use std::fs::{self, File, OpenOptions};
+use std::io::{Seek, SeekFrom};
+use std::path::{Path, PathBuf};
+
+const SUFFIX: &str = ".log";
+
+/// The segment that is being written.
+#[derive(Debug)]
+pub(crate) struct Segment {
+    pub(crate) number: u64,
+    path: PathBuf,
+    file: File,
+    /// Length that is written, and length that is synced.
+    written: u64,
+    synced: u64,
+}
+
+impl Segment {
+    /// Starts a segment, with the hard state, so that no earlier one is needed
+    /// for it, and perhaps with a reset. It lasts when this returns.
+    pub(crate) fn create(
+        folder: &Path,
+        number: u64,
+        hard_state: HardState,
+        reset: Option<(u64, u64)>,
+        ops: &Ops,
+    ) -> Result<Segment> {
+        let path = path(folder, number);
+        let file = (ops.create)(&path).map_err(|e| Error::io("creation", &path, e))?;
+        let mut segment = Segment {
+            number,
+            path,
+            file,
+            written: 0,
+            synced: 0,
+        };
+        let mut buf = MAGIC.to_vec();
+        segment.hard_state_frame(hard_state).encode(&mut buf);
+        if let Some((index, term)) = reset {
+            let kind = FrameKind::Reset;
+            segment
+                .frame(kind, index, term, Bytes::new())
+                .encode(&mut buf);
+        }
+        segment.write(&buf, ops)?;
+        segment.sync(ops)?;
+        (ops.sync_folder)(folder).map_err(|e| Error::io("sync", folder, e))?;
+        Ok(segment)
+    }
+
+    /// Opens the last segment after a start, cut to what is whole.
+    ///
+    /// What is there may have been written and never synced; it is synced
+    /// before anything rests on it.
+    pub(crate) fn open(folder: &Path, number: u64, whole: u64, ops: &Ops) -> Result<Segment> {
+        let path = path(folder, number);
+        let mut open = OpenOptions::new();
+        let opened = open.read(true).write(true).open(&path);
+        let mut file = opened.map_err(|e| Error::io("opening", &path, e))?;
+        let cut = (ops.truncate)(&path, &file, whole);
+        cut.map_err(|e| Error::io("truncation", &path, e))?;
+        let placed = file.seek(SeekFrom::Start(whole));
+        placed.map_err(|e| Error::io("seeking", &path, e))?;
+        let mut segment = Segment {
+            number,
+            path,
+            file,
+            written: whole,
+            synced: 0,
+        };
+        segment.sync(ops)?;
+        Ok(segment)
+    }
+
+    pub(crate) fn frame(&self, kind: FrameKind, index: u64, term: u64, data: Bytes) -> Frame {
+        Frame {
+            synced: self.synced,
+            kind,
+            index,
+            term,
+            data,
+        }
+    }
+
+    pub(crate) fn hard_state_frame(&self, hard_state: HardState) -> Frame {
+        let vote = hard_state.vote.unwrap_or(0);
+        self.frame(FrameKind::HardState, vote, hard_state.term, Bytes::new())
+    }
+
+    /// Writes the bytes; if that fails, the segment is as before.
+    pub(crate) fn write(&mut self, bytes: &[u8], ops: &Ops) -> Result<()> {
+        let Err(e) = (ops.write)(&self.path, &mut self.file, bytes) else {
+            self.written += bytes.len() as u64;
+            return Ok(());
+        };
+        let error = Error::io("writing", &self.path, e);
+        // A part may have been written; a later record behind it would be
+        // lost at the next start.
+        let cut = (ops.truncate)(&self.path, &self.file, self.written)
+            .and_then(|()| self.file.seek(SeekFrom::Start(self.written)));
+        match cut {
+            Ok(_) => Err(error),
+            Err(e) => Err(Error::io("truncation", &self.path, e)),
+        }
+    }
+
+    pub(crate) fn sync(&mut self, ops: &Ops) -> Result<()> {
+        (ops.sync)(&self.path, &self.file).map_err(|e| Error::io("sync", &self.path, e))?;
+        self.synced = self.written;
+        Ok(())
+    }
+
+    pub(crate) fn length(&self) -> u64 {
+        self.written
+    }
+
+    pub(crate) fn has_unsynced(&self) -> bool {
+        self.synced < self.written
+    }
+}
+
+pub(crate) fn path(folder: &Path, number: u64) -> PathBuf {
+    folder.join(format!("{number:016}{SUFFIX}"))
+}
+
+/// Numbers of the segments in a folder, in order.
+pub(crate) fn numbers(folder: &Path) -> Result<Vec<u64>> {
+    let entries = fs::read_dir(folder).map_err(|e| Error::io("listing", folder, e))?;
+    let mut numbers = Vec::new();
+    for entry in entries {
+        let entry = entry.map_err(|e| Error::io("listing", folder, e))?;
+        let name = entry.file_name();
+        let number = name.to_str().and_then(|n| n.strip_suffix(SUFFIX));
+        numbers.extend(number.and_then(|n| n.parse::<u64>().ok()));
+    }
+    numbers.sort_unstable();
+    Ok(numbers)
+}
--- /dev/null
+++ b/crates/store/src/snapshot.rs
@@ -0,0 +1,124 @@
+//! Snapshots: whole files that appear at once.
+
+use crate::{Error, Ops, Result};
+use bytes::{Buf, BufMut, Bytes};
+use std::fs;
+use std::path::{Path, PathBuf};
+
+const SUFFIX: &str = ".snapshot";
+const TEMPORARY: &str = "tmp";
+const MAGIC: &[u8; 8] = b"lovsnp01";
+const HEAD: usize = 8 + 4 + 8 + 8;
+
+/// A snapshot of the state up to an index.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Snapshot {
+    /// Last index that it covers.
+    pub index: u64,
+    /// Term of that index.
+    pub term: u64,
+    /// The bytes.
+    pub data: Bytes,
+}
+
+impl Snapshot {
+    fn encode(&self) -> Vec<u8> {
+        let mut buf = Vec::with_capacity(HEAD + self.data.len());
+        buf.put_slice(MAGIC);
+        buf.put_u32_le(0);
+        buf.put_u64_le(self.index);
+        buf.put_u64_le(self.term);
+        buf.put_slice(&self.data);
+        let crc = crc32c::crc32c(&buf[12..]);
+        buf[8..12].copy_from_slice(&crc.to_le_bytes());
+        buf
+    }
+
+    fn decode(bytes: &Bytes) -> Option<Snapshot> {
+        let mut head = bytes.get(..HEAD)?.strip_prefix(MAGIC)?;
+        let crc = head.get_u32_le();
+        if crc32c::crc32c(&bytes[12..]) != crc {
+            return None;
+        }
+        Some(Snapshot {
+            index: head.get_u64_le(),
+            term: head.get_u64_le(),
+            data: bytes.slice(HEAD..),
+        })
+    }
+}
+
+/// Writes a file so that it is there whole or not at all: a temporary one is
+/// written, synced and renamed, and then the folder is synced.
+pub(crate) fn write_whole(path: &Path, bytes: &[u8], ops: &Ops) -> Result<()> {
+    let temporary = path.with_extension(TEMPORARY);
+    let written = write_temporary(&temporary, bytes, ops);
+    if let Err(e) = written {
+        // On a full disk the piece that was written would take the place that
+        // the log needs. It may be gone already, and is harmless otherwise.
+        let _ = (ops.remove)(&temporary);
+        return Err(e);
+    }
+    (ops.rename)(&temporary, path).map_err(|e| Error::io("renaming", path, e))?;
+    let folder = path.parent().unwrap_or(Path::new("."));
+    (ops.sync_folder)(folder).map_err(|e| Error::io("sync", folder, e))
+}
+
+fn write_temporary(path: &Path, bytes: &[u8], ops: &Ops) -> Result<()> {
+    let mut file = (ops.create)(path).map_err(|e| Error::io("creation", path, e))?;
+    (ops.write)(path, &mut file, bytes).map_err(|e| Error::io("writing", path, e))?;
+    (ops.sync)(path, &file).map_err(|e| Error::io("sync", path, e))
+}
+
+pub(crate) fn save(folder: &Path, snapshot: &Snapshot, ops: &Ops) -> Result<()> {
+    write_whole(&path(folder, snapshot.index), &snapshot.encode(), ops)
+}
+
+/// The newest snapshot. One that is not whole is damage: the log before it
+/// may be gone already.
+pub(crate) fn newest(folder: &Path) -> Result<Option<Snapshot>> {
+    let Some(index) = indices(folder)?.pop() else {
+        return Ok(None);
+    };
+    let path = path(folder, index);
+    let bytes = fs::read(&path).map_err(|e| Error::io("reading", &path, e))?;
+    let snapshot = Snapshot::decode(&Bytes::from(bytes)).filter(|s| s.index == index);
+    let damaged = || Error::damaged(&path, 0, "damaged snapshot");
+    snapshot.map(Some).ok_or_else(damaged)
+}
+
+/// Removes the snapshots before the newest, and what was left half written.
+pub(crate) fn remove_old(folder: &Path, ops: &Ops) -> Result<()> {
+    let mut old = indices(folder)?;
+    old.pop();
+    for index in old {
+        let path = path(folder, index);
+        (ops.remove)(&path).map_err(|e| Error::io("removal", &path, e))?;
+    }
+    for index in indices_of(folder, &format!(".{TEMPORARY}"))? {
+        let path = path(folder, index).with_extension(TEMPORARY);
+        (ops.remove)(&path).map_err(|e| Error::io("removal", &path, e))?;
+    }
+    Ok(())
+}
+
+fn path(folder: &Path, index: u64) -> PathBuf {
+    folder.join(format!("{index:020}{SUFFIX}"))
+}
+
+fn indices(folder: &Path) -> Result<Vec<u64>> {
+    indices_of(folder, SUFFIX)
+}
+
+fn indices_of(folder: &Path, suffix: &str) -> Result<Vec<u64>> {
+    let entries = fs::read_dir(folder).map_err(|e| Error::io("listing", folder, e))?;
+    let mut indices = Vec::new();
+    for entry in entries {
+        let entry = entry.map_err(|e| Error::io("listing", folder, e))?;
+        let name = entry.file_name();
+        let index = name.to_str().and_then(|n| n.strip_suffix(suffix));
+        indices.extend(index.and_then(|i| i.parse::<u64>().ok()));
+    }
+    indices.sort_unstable();
+    Ok(indices)
+}
