Add stand-ins for engine, plain service and weight store

Cause: attempts, orders and map switches need something to run against whose faults can be switched on and which tells what reached it.

Change: crate fake. GET /experts counts tokens from the engine's start; readers take differences.

--- /dev/null
+++ b/crates/fake/src/engine_settings.rs
@@ -0,0 +1,67 @@
+//! Settings of the engine.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::Lockstep;
+
+/// How an engine behaves.
+#[derive(Clone, Debug)]
+pub struct EngineSettings {
+    /// Where it listens; port 0 lets the kernel choose.
+    pub address: SocketAddr,
+    /// Ranks that it runs.
+    pub ranks: Vec<u32>,
+    /// Models that it serves.
+    pub models: Vec<String>,
+    /// Adapters that it serves.
+    pub adapters: Vec<String>,
+    /// Versions that it serves.
+    pub versions: Vec<String>,
+    /// Time of one step; each running request gets one token a step. Zero
+    /// gives tokens as fast as they are read.
+    pub step: Duration,
+    /// Requests that run at once; more wait in its queue.
+    pub limit: u32,
+    /// Tokens of an answer whose request doesn't say `max_tokens`.
+    pub tokens: u64,
+    /// Whether orders with an old fencing number are refused.
+    pub fencing: FencingCheck,
+    /// Time that staging an expert map takes.
+    pub stage: Duration,
+    /// Layers with experts.
+    pub layers: usize,
+    /// Tokens that each step adds to each expert of a layer, by expert.
+    pub popularity: Vec<u32>,
+    /// Steps in common with the other engines of its group.
+    pub lockstep: Option<Lockstep>,
+}
+
+/// What an engine does with an old fencing number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FencingCheck {
+    /// Refuses the order.
+    Refuse,
+    /// Obeys it.
+    Ignore,
+}
+
+impl Default for EngineSettings {
+    fn default() -> Self {
+        EngineSettings {
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            ranks: vec![0],
+            models: vec!["burl-notes".into()],
+            adapters: vec!["spalted".into()],
+            versions: vec!["2026-11".into()],
+            step: Duration::from_millis(2),
+            limit: 64,
+            tokens: 16,
+            fencing: FencingCheck::Ignore,
+            stage: Duration::ZERO,
+            layers: 2,
+            popularity: vec![4, 3, 2, 1],
+            lockstep: None,
+        }
+    }
+}
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -1,1 +1,42 @@
-//! Small stand-ins for engines, services and the weight store.
+//! Small stand-ins for what lies outside lovageramp: model engines, plain
+//! services and the weight store.
+//!
+//! Each is an HTTP server on loopback. It remembers what reached it, so that
+//! a test can tell what ran, and its faults are switched on by call, from
+//! Rust ([`Engine::fault`]) or over HTTP (`POST /fault/{name}` with the value
+//! as body, `POST /fault/clear`).
+//!
+//! ```
+//! # tokio::runtime::Runtime::new().unwrap().block_on(async {
+//! let engine = fake::Engine::start(fake::EngineSettings::default()).await?;
+//! engine.fault(fake::Fault::EndEarly(3));
+//! assert!(engine.seen().is_empty());
+//! # std::io::Result::Ok(())
+//! # }).unwrap();
+//! ```
+
+mod batch;
+mod completion;
+mod engine;
+mod engine_settings;
+mod expert_state;
+mod fault;
+mod faults;
+mod http;
+mod life;
+mod lockstep;
+mod orders;
+mod seen;
+mod seen_log;
+mod service;
+mod service_settings;
+mod weight_store;
+
+pub use engine::Engine;
+pub use engine_settings::{EngineSettings, FencingCheck};
+pub use fault::Fault;
+pub use lockstep::Lockstep;
+pub use seen::Seen;
+pub use service::Service;
+pub use service_settings::ServiceSettings;
+pub use weight_store::{WeightSettings, WeightStore};
--- /dev/null
+++ b/crates/fake/src/orders.rs
@@ -0,0 +1,145 @@
+//! Orders to an engine, and what it tells of itself.
+
+use hyper::StatusCode;
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::engine::{Life, info};
+use crate::expert_state::{ExpertState, MapEnd};
+use crate::http::{self, Answer, Reply};
+use crate::{Fault, FencingCheck, Seen};
+
+#[derive(Deserialize)]
+struct Order {
+    fencing: u64,
+    version: u64,
+    #[serde(default)]
+    step: u64,
+    #[serde(default)]
+    commit: bool,
+    #[serde(default)]
+    map: Value,
+}
+
+#[derive(Deserialize)]
+struct Cancel {
+    request: String,
+}
+
+pub(crate) fn switch(life: &Life, name: &str, seen: &Seen) -> Answer {
+    if name == "clear" {
+        life.shared.faults.clear();
+        return http::ok(&json!({}));
+    }
+    let value = String::from_utf8_lossy(&seen.body);
+    let Some(fault) = Fault::parse(name, &value) else {
+        return http::problem(StatusCode::NOT_FOUND, "no such fault");
+    };
+    life.fault(fault);
+    http::ok(&json!({}))
+}
+
+pub(crate) async fn handle(life: &Life, seen: Seen) -> Reply {
+    let (path, query) = seen.path.split_once('?').unwrap_or((&seen.path, ""));
+    let answer = match (seen.method.as_str(), path) {
+        ("GET", "/load") => {
+            let ranks = &life.shared.cfg.ranks;
+            http::ok(&life.batch.load(ranks, life.step_time()))
+        }
+        ("GET", "/info") => http::ok(&info(life)),
+        ("GET", "/experts") => http::ok(&experts(life)),
+        ("GET", "/map") => http::ok(&life.experts.borrow().to_json()),
+        ("GET", "/seen") => http::ok(&counts(life)),
+        ("GET", "/cache") => {
+            let after = query.strip_prefix("after=").unwrap_or_default();
+            http::ok(&life.batch.cache_events(after.parse().unwrap_or_default()))
+        }
+        ("POST", "/cancel") => cancel(life, &seen),
+        ("POST", "/map/stage" | "/map/hold" | "/map/outcome") => return order(life, seen).await,
+        _ => http::problem(StatusCode::NOT_FOUND, "no such path"),
+    };
+    Ok(answer)
+}
+
+fn cancel(life: &Life, seen: &Seen) -> Answer {
+    let Ok(Cancel { request }) = serde_json::from_slice(&seen.body) else {
+        return http::problem(StatusCode::BAD_REQUEST, "no request named");
+    };
+    life.shared.log.push(seen.clone());
+    life.batch.cancelled.send_modify(|all| {
+        all.insert(request);
+    });
+    http::ok(&json!({}))
+}
+
+async fn order(life: &Life, seen: Seen) -> Reply {
+    let order: Order = match serde_json::from_slice(&seen.body) {
+        Ok(order) => order,
+        Err(e) => return Ok(http::problem(StatusCode::BAD_REQUEST, &e.to_string())),
+    };
+    let path = seen.path.clone();
+    life.shared.log.push(seen);
+    if path == "/map/stage" {
+        tokio::time::sleep(life.shared.faults.slowed(life.shared.cfg.stage)).await;
+    }
+    let checks = life.shared.cfg.fencing == FencingCheck::Refuse
+        && !life.shared.faults.has(&Fault::IgnoreFencing);
+    let mut answer = None;
+    life.experts.send_modify(|experts| {
+        if checks && order.fencing < experts.fencing {
+            return;
+        }
+        experts.fencing = experts.fencing.max(order.fencing);
+        answer = Some(obey(experts, &path, order));
+    });
+    if life.shared.faults.has(&Fault::LoseAnswer) {
+        return Err(http::lost());
+    }
+    let Some(answer) = answer else {
+        let fencing = life.experts.borrow().fencing;
+        let stands = json!({"fencing": fencing});
+        return Ok(http::json(StatusCode::CONFLICT, &stands));
+    };
+    Ok(http::ok(&answer))
+}
+
+fn obey(experts: &mut ExpertState, path: &str, order: Order) -> Value {
+    match path {
+        "/map/stage" => experts.stage(order.version, order.map),
+        "/map/hold" => experts.hold(order.version, order.step),
+        _ => {
+            let end = if order.commit {
+                MapEnd::Commit
+            } else {
+                MapEnd::Abort
+            };
+            experts.outcome(order.version, order.step, end)
+        }
+    }
+}
+
+/// Token counts grow from the engine's start; a reader takes differences.
+fn experts(life: &Life) -> Value {
+    let cfg = &life.shared.cfg;
+    let state = life.experts.borrow();
+    let step_us = u64::try_from(life.step_time().as_micros()).unwrap_or(u64::MAX);
+    let layer: Vec<u64> = cfg
+        .popularity
+        .iter()
+        .map(|tokens| u64::from(*tokens) * state.step)
+        .collect();
+    let layers = vec![layer; cfg.layers];
+    let ranks: Vec<Value> = cfg
+        .ranks
+        .iter()
+        .map(|rank| json!({"rank": rank, "step_us": step_us, "tokens": layers}))
+        .collect();
+    json!({"step": state.step, "map_version": state.version, "ranks": ranks})
+}
+
+fn counts(life: &Life) -> Value {
+    let counts = life.shared.log.counts().into_iter();
+    counts
+        .map(|(key, path, count)| json!({"key": key, "path": path, "count": count}))
+        .collect()
+}
