Add choice of target, admission and the retry budget

Cause: the entry needs to know where a request goes, who is let in, and how often a failed attempt may be repeated. Change: route::Pool (expected time to first token from lagged reports, rank, prefix affinity with bounded load, slow start, ejection up to a share, adaptive limits), route::Admission (rates, concurrency, start-time fair queueing in tokens with a reserve, shedding by priority, deadlines), route::RetryBudget. Failed first, each with its guard taken out: choose_counts_own_starts_since_ report (changes since the report ignored), end_failures_everywhere (no share of ejection), end_failures_eject, choose_overdue_target, choose_suspect_alone, choose_random_operations (standing ignored), restarted_slow_start, advance_fair_share (no reserve), advance_shares_in_tokens (requests counted in place of tokens), enter_queue_full_two_accounts (priority ignored), advance_past_deadline, enter_account_limits and admission_random_operations (concurrency ignored), withdraw_never_above_budget.

--- /dev/null
+++ b/crates/route/src/admission.rs
@@ -0,0 +1,283 @@
+//! Who is let in when there is not room for everyone.
+
+use std::time::Instant;
+
+use slotmap::SlotMap;
+
+use crate::account::Account;
+use crate::ticket::{Ticket, TicketState};
+use crate::{
+    AccountKey, AccountLimits, AdmissionSettings, Admitted, Advance, Reason, Refusal, TicketKey,
+};
+
+/// Limits and weighted fair shares of the client accounts of one pool.
+///
+/// Accounts take turns by start-time fair queueing over tokens (Goyal, Vin
+/// and Cheng, 1996): the next place goes to the account whose virtual time is
+/// the least, and a request moves its account's virtual time on by its tokens
+/// over the account's weight. So one account that floods the pool waits
+/// behind itself, whatever its priority: priorities order the requests of one
+/// account and say who is shed first when the queue is full. As the targets' places can be taken by long requests before
+/// the others come, an account that holds more than its fair share of places
+/// leaves a reserve free.
+///
+/// ```
+/// use route::{AccountLimits, Admission, AdmissionSettings, Admitted};
+/// use std::time::{Duration, Instant};
+///
+/// let now = Instant::now();
+/// let mut admission = Admission::new(AdmissionSettings::default());
+/// admission.set_places(1.0);
+/// let account = admission.insert(AccountLimits::default(), now);
+/// let deadline = now + Duration::from_secs(5);
+/// let Admitted::Now(first) = admission.enter(now, account, 100, 1, deadline) else {
+///     unreachable!("there is one place");
+/// };
+/// let Admitted::Queued(second) = admission.enter(now, account, 100, 1, deadline) else {
+///     unreachable!("the place is taken");
+/// };
+/// admission.release(first, 100);
+/// assert_eq!(admission.advance(now).admitted, [second]);
+/// ```
+#[derive(Debug)]
+pub struct Admission {
+    settings: AdmissionSettings,
+    accounts: SlotMap<AccountKey, Account>,
+    tickets: SlotMap<TicketKey, Ticket>,
+    places: f64,
+    running: u32,
+    waiting: usize,
+    virtual_time: f64,
+    shed: Vec<(TicketKey, Refusal)>,
+}
+
+impl Admission {
+    /// Without accounts and without places.
+    #[must_use]
+    pub fn new(settings: AdmissionSettings) -> Self {
+        Admission {
+            settings,
+            accounts: SlotMap::with_key(),
+            tickets: SlotMap::with_key(),
+            places: 0.0,
+            running: 0,
+            waiting: 0,
+            virtual_time: 0.0,
+            shed: Vec::new(),
+        }
+    }
+
+    /// Adds an account.
+    pub fn insert(&mut self, limits: AccountLimits, now: Instant) -> AccountKey {
+        self.accounts.insert(Account::new(limits, now))
+    }
+
+    /// Changes an account's limits.
+    pub fn set_limits(&mut self, key: AccountKey, limits: AccountLimits, now: Instant) {
+        if let Some(account) = self.accounts.get_mut(key) {
+            account.set_limits(limits, now);
+        }
+    }
+
+    /// Changes how many requests may run at once on all targets together.
+    pub fn set_places(&mut self, places: f64) {
+        self.places = places;
+    }
+
+    /// Requests that run.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Requests that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting
+    }
+
+    /// Requests of an account that run.
+    #[must_use]
+    pub fn running_of(&self, key: AccountKey) -> u32 {
+        self.accounts.get(key).map_or(0, |account| account.running)
+    }
+
+    /// Asks for a request to be let in. `priority` is better when higher.
+    pub fn enter(
+        &mut self,
+        now: Instant,
+        key: AccountKey,
+        tokens: u32,
+        priority: u32,
+        deadline: Instant,
+    ) -> Admitted {
+        let Some(account) = self.accounts.get_mut(key) else {
+            return Admitted::Refused(self.refusal(Reason::Shed));
+        };
+        if !may_wait(account) {
+            return Admitted::Refused(self.refusal(Reason::Concurrency));
+        }
+        if let Err(refusal) = account.take(now, tokens) {
+            return Admitted::Refused(refusal);
+        }
+        let ticket = self.tickets.insert(Ticket {
+            account: key,
+            tokens,
+            priority,
+            deadline,
+            state: TicketState::Waiting,
+        });
+        self.queue(ticket, key, priority);
+        self.place_one(ticket)
+    }
+
+    /// Ends a request in whatever state it is; `used` tokens are charged to
+    /// its account in place of the estimate.
+    pub fn release(&mut self, key: TicketKey, used: u32) {
+        let Some(ticket) = self.tickets.remove(key) else {
+            return;
+        };
+        let Some(account) = self.accounts.get_mut(ticket.account) else {
+            return;
+        };
+        match ticket.state {
+            TicketState::Running => {
+                account.running = account.running.saturating_sub(1);
+                self.running = self.running.saturating_sub(1);
+                account.settle(ticket.tokens, used);
+                let missed = f64::from(used) - f64::from(ticket.tokens);
+                account.finish += missed / account.weight();
+            }
+            TicketState::Waiting => {
+                account.waiting.retain(|waiting| *waiting != key);
+                account.refund(ticket.tokens);
+                self.waiting -= 1;
+            }
+        }
+    }
+
+    /// Lets in whoever's turn it is and refuses whose deadline has passed.
+    pub fn advance(&mut self, now: Instant) -> Advance {
+        let mut advance = Advance {
+            admitted: Vec::new(),
+            refused: std::mem::take(&mut self.shed),
+        };
+        self.expire(now, &mut advance.refused);
+        while let Some(ticket) = self.next() {
+            self.admit(ticket);
+            advance.admitted.push(ticket);
+        }
+        advance
+    }
+
+    fn place_one(&mut self, ticket: TicketKey) -> Admitted {
+        if self.waiting == 1 && self.next() == Some(ticket) {
+            self.admit(ticket);
+            return Admitted::Now(ticket);
+        }
+        if self.waiting > self.settings.queue
+            && let Some(worst) = self.worst()
+        {
+            let refusal = self.refusal(Reason::Shed);
+            self.release(worst, 0);
+            if worst == ticket {
+                return Admitted::Refused(refusal);
+            }
+            self.shed.push((worst, refusal));
+        }
+        Admitted::Queued(ticket)
+    }
+
+    fn queue(&mut self, ticket: TicketKey, key: AccountKey, priority: u32) {
+        let tickets = &self.tickets;
+        if let Some(account) = self.accounts.get_mut(key) {
+            let goes_first = |other: &TicketKey| tickets[*other].priority >= priority;
+            let at = account.waiting.partition_point(goes_first);
+            account.waiting.insert(at, ticket);
+            self.waiting += 1;
+        }
+    }
+
+    /// The waiting request whose turn it is, if there is a place for it.
+    fn next(&self) -> Option<TicketKey> {
+        let free = self.places.floor() - f64::from(self.running);
+        if free < 1.0 {
+            return None;
+        }
+        let reserve = (self.places * self.settings.reserve).floor();
+        let share = self.fair_places();
+        let candidates = self.accounts.values().filter_map(|account| {
+            let ticket = *account.waiting.front()?;
+            let within = f64::from(account.running) < account.weight() * share;
+            let fits = account.may_run() && (within || free > reserve);
+            fits.then_some((account.finish, ticket))
+        });
+        candidates
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, ticket)| ticket)
+    }
+
+    /// Places for each unit of weight of all accounts.
+    fn fair_places(&self) -> f64 {
+        let weights: f64 = self.accounts.values().map(Account::weight).sum();
+        self.places / weights.max(1e-6)
+    }
+
+    fn admit(&mut self, key: TicketKey) {
+        let Some(ticket) = self.tickets.get_mut(key) else {
+            return;
+        };
+        ticket.state = TicketState::Running;
+        self.waiting -= 1;
+        self.running += 1;
+        let Some(account) = self.accounts.get_mut(ticket.account) else {
+            return;
+        };
+        account.waiting.retain(|waiting| *waiting != key);
+        account.running += 1;
+        let start = account.finish.max(self.virtual_time);
+        account.finish = start + f64::from(ticket.tokens.max(1)) / account.weight();
+        self.virtual_time = start;
+    }
+
+    /// Whom to shed: the lowest priority, of those the account that has the
+    /// most waiting for its weight, of those the newest.
+    fn worst(&self) -> Option<TicketKey> {
+        let candidates = self.accounts.values().filter_map(|account| {
+            let ticket = *account.waiting.back()?;
+            let waiting = u32::try_from(account.waiting.len()).unwrap_or(u32::MAX);
+            let excess = f64::from(waiting) / account.weight();
+            Some((self.tickets[ticket].priority, excess, ticket))
+        });
+        candidates
+            .min_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)))
+            .map(|(_, _, ticket)| ticket)
+    }
+
+    fn expire(&mut self, now: Instant, refused: &mut Vec<(TicketKey, Refusal)>) {
+        let late: Vec<TicketKey> = self
+            .tickets
+            .iter()
+            .filter(|(_, t)| t.state == TicketState::Waiting && t.deadline <= now)
+            .map(|(key, _)| key)
+            .collect();
+        for key in late {
+            self.release(key, 0);
+            refused.push((key, self.refusal(Reason::Expired)));
+        }
+    }
+
+    fn refusal(&self, reason: Reason) -> Refusal {
+        Refusal {
+            reason,
+            retry_after: self.settings.retry_after,
+        }
+    }
+}
+
+/// Whether the account may have one more request, running or waiting. As
+/// many as may run may also wait, so that a burst is smoothed and not lost.
+fn may_wait(account: &Account) -> bool {
+    let limit = account.limits.concurrent as usize;
+    limit == 0 || account.present() < 2 * limit
+}
--- /dev/null
+++ b/crates/route/src/admission_settings.rs
@@ -0,0 +1,25 @@
+//! Settings of admission.
+
+use std::time::Duration;
+
+/// Settings of an [`Admission`](crate::Admission).
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AdmissionSettings {
+    /// Requests that may wait for a place.
+    pub queue: usize,
+    /// Part of the places that an account above its fair share leaves free
+    /// for the others.
+    pub reserve: f64,
+    /// When a shed request is told to come back.
+    pub retry_after: Duration,
+}
+
+impl Default for AdmissionSettings {
+    fn default() -> Self {
+        AdmissionSettings {
+            queue: 256,
+            reserve: 0.25,
+            retry_after: Duration::from_secs(1),
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/ending.rs
@@ -0,0 +1,14 @@
+//! How an attempt ended, as far as the choice of target cares.
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// The answer is whole.
+    Whole,
+    /// The target said that it has no room.
+    Full,
+    /// The target was lost or broke the answer off.
+    Failed,
+    /// The caller went away, or the attempt never started.
+    Dropped,
+}
--- /dev/null
+++ b/crates/route/src/limit.rs
@@ -0,0 +1,70 @@
+//! How many requests a target is trusted with at once.
+
+/// An adaptive limit of concurrency: additive increase while it is reached
+/// and answers come in the expected time, multiplicative decrease when they
+/// don't or the target says that it is full (as in TCP, RFC 5681).
+///
+/// ```
+/// use route::Limit;
+///
+/// let mut limit = Limit::new(10);
+/// assert!(limit.allows(9) && !limit.allows(10));
+/// limit.full();
+/// assert!(!limit.allows(9));
+/// ```
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limit {
+    current: f64,
+    ceiling: f64,
+}
+
+/// Fewest requests at once: below this a target could never prove itself.
+const FLOOR: f64 = 1.0;
+const DECREASE: f64 = 0.9;
+
+impl Limit {
+    /// Starts at `limit` requests at once.
+    #[must_use]
+    pub fn new(limit: u32) -> Self {
+        let limit = f64::from(limit).max(FLOOR);
+        Limit {
+            current: limit,
+            ceiling: limit,
+        }
+    }
+
+    /// Whether one more may run beside `running`.
+    #[must_use]
+    pub fn allows(&self, running: u32) -> bool {
+        f64::from(running) < self.current.floor()
+    }
+
+    /// The present limit.
+    #[must_use]
+    pub fn current(&self) -> f64 {
+        self.current
+    }
+
+    /// The target's own statement of what it can run at once.
+    pub fn set_ceiling(&mut self, ceiling: f64) {
+        let ceiling = ceiling.max(FLOOR);
+        // A limit that was never cut back follows the target's statement.
+        if self.current >= self.ceiling {
+            self.current = ceiling;
+        }
+        self.ceiling = ceiling;
+        self.current = self.current.min(ceiling);
+    }
+
+    /// An answer came in the expected time while `running` ran.
+    pub fn on_time(&mut self, running: u32) {
+        if f64::from(running) >= self.current / 2.0 {
+            self.current = (self.current + 1.0 / self.current).min(self.ceiling);
+        }
+    }
+
+    /// The target refused for want of room, or an answer came far too late.
+    pub fn full(&mut self) {
+        self.current = (self.current * DECREASE).max(FLOOR);
+    }
+}
--- /dev/null
+++ b/crates/route/src/pool.rs
@@ -0,0 +1,310 @@
+//! The targets of one model group or service, and the choice among them.
+
+use std::time::{Duration, Instant};
+
+use rand::{Rng, RngExt};
+use slotmap::SlotMap;
+
+use crate::affinity::Affinity;
+use crate::place::Place;
+use crate::target::{Estimate, Target};
+use crate::{AttemptKey, Choice, Demand, Ending, Report, Standing, Suspicion, TargetKey, Tuning};
+
+/// The targets that one kind of request may be sent to.
+///
+/// ```
+/// use rand::{SeedableRng, rngs::SmallRng};
+/// use route::{Demand, Pool, Standing, Tuning};
+/// use std::time::{Duration, Instant};
+///
+/// let now = Instant::now();
+/// let mut pool = Pool::new(Tuning::default());
+/// let key = pool.insert("advisor-01", Duration::from_millis(1), now);
+/// pool.set_standing(key, Standing::Ready);
+///
+/// let mut rng = SmallRng::seed_from_u64(1);
+/// let demand = Demand::of_tokens(300);
+/// let choice = pool.choose(now, &demand, &mut rng).expect("a target is ready");
+/// let attempt = pool.start(now, &choice, &demand);
+/// pool.answered(now + Duration::from_millis(50), attempt);
+/// pool.end(now + Duration::from_secs(1), attempt, route::Ending::Whole);
+/// assert_eq!(pool.running(key), 0);
+/// ```
+#[derive(Debug)]
+pub struct Pool {
+    tuning: Tuning,
+    targets: SlotMap<TargetKey, Target>,
+    ready: Vec<TargetKey>,
+    affinity: Affinity,
+    attempts: SlotMap<AttemptKey, Place>,
+}
+
+/// Fewest targets that must stay when others are ejected.
+const KEPT: usize = 1;
+
+impl Pool {
+    /// A pool without targets.
+    #[must_use]
+    pub fn new(tuning: Tuning) -> Self {
+        Pool {
+            tuning,
+            targets: SlotMap::with_key(),
+            ready: Vec::new(),
+            affinity: Affinity::default(),
+            attempts: SlotMap::with_key(),
+        }
+    }
+
+    /// Adds a target at a network distance; it is absent until its standing
+    /// is set.
+    pub fn insert(&mut self, name: &str, distance: Duration, now: Instant) -> TargetKey {
+        let target = Target::new(name, distance, now, &self.tuning);
+        self.targets.insert(target)
+    }
+
+    /// Takes a target out for good.
+    pub fn remove(&mut self, key: TargetKey) {
+        self.targets.remove(key);
+        self.attempts.retain(|_, place| place.target != key);
+        self.rebuild();
+    }
+
+    /// Changes whether the target may be given new work.
+    pub fn set_standing(&mut self, key: TargetKey, standing: Standing) {
+        let Some(target) = self.targets.get_mut(key) else {
+            return;
+        };
+        if target.standing != standing {
+            target.standing = standing;
+            self.rebuild();
+        }
+    }
+
+    /// The target came back as a new incarnation: what ran is gone, and it
+    /// is brought up to load slowly.
+    pub fn restarted(&mut self, now: Instant, key: TargetKey) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.restart(now, &self.tuning);
+            self.attempts.retain(|_, place| place.target != key);
+        }
+    }
+
+    /// Changes this entry's part of the traffic.
+    pub fn set_share(&mut self, share: f64) {
+        self.tuning.share = share.clamp(1e-3, 1.0);
+    }
+
+    /// Takes a load report. One older than the last is dropped.
+    pub fn report(&mut self, key: TargetKey, report: &Report) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.report(report, self.tuning.share);
+        }
+    }
+
+    /// Takes a target's cache events; a gap in the sequence forgets the rest.
+    pub fn cache_events(&mut self, key: TargetKey, sequence: u64, stored: &[u64], gone: &[u64]) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.cache.events(sequence, stored, gone);
+        }
+    }
+
+    /// Targets that may be given new work.
+    #[must_use]
+    pub fn ready(&self) -> &[TargetKey] {
+        &self.ready
+    }
+
+    /// The name of a target.
+    #[must_use]
+    pub fn name(&self, key: TargetKey) -> Option<&str> {
+        self.targets.get(key).map(|target| target.name.as_str())
+    }
+
+    /// Own attempts that run on a target.
+    #[must_use]
+    pub fn running(&self, key: TargetKey) -> u32 {
+        self.targets.get(key).map_or(0, |target| target.own_running)
+    }
+
+    /// Places for requests of this entry on all ready targets.
+    #[must_use]
+    pub fn places(&self, now: Instant) -> f64 {
+        let ready = self.ready.iter().filter_map(|key| self.targets.get(*key));
+        ready
+            .filter(|target| !target.ejection.is_active(now))
+            .map(|target| target.limit.current() * target.warmth(now, &self.tuning))
+            .sum()
+    }
+
+    /// Chooses target and rank by the least expected time to first token
+    /// among a few sampled targets and the one that the prefix belongs to.
+    ///
+    /// `None` when no ready target has room.
+    pub fn choose(&self, now: Instant, demand: &Demand<'_>, rng: &mut impl Rng) -> Option<Choice> {
+        let best = self.best_of_sample(now, demand, rng);
+        let best = best.or_else(|| self.best_of(now, demand, self.ready.iter().copied()));
+        best.map(|(key, estimate)| self.choice(key, estimate))
+    }
+
+    /// Registers an attempt at the chosen place.
+    pub fn start(&mut self, now: Instant, choice: &Choice, demand: &Demand<'_>) -> AttemptKey {
+        let Some(target) = self.targets.get_mut(choice.target) else {
+            return AttemptKey::default();
+        };
+        let rank = target.rank_index(choice.rank);
+        let incarnation = target.arrived();
+        let key = self.attempts.insert_with_key(|key| Place {
+            key,
+            target: choice.target,
+            incarnation,
+            rank,
+            tokens: demand.tokens,
+            suspicion: demand.suspicion,
+            started: now,
+            expected: choice.expected.as_secs_f64(),
+            first: None,
+        });
+        target.started(now, key, rank, demand);
+        key
+    }
+
+    /// The first token or byte of the attempt's answer has arrived.
+    pub fn answered(&mut self, now: Instant, attempt: AttemptKey) {
+        let Some(place) = self.attempts.get_mut(attempt) else {
+            return;
+        };
+        if place.first.is_some() {
+            return;
+        }
+        if let Some(target) = self.targets.get_mut(place.target) {
+            target.answered(now, place);
+        }
+        place.first = Some(now);
+    }
+
+    /// The attempt has ended.
+    pub fn end(&mut self, now: Instant, attempt: AttemptKey, ending: Ending) {
+        let Some(place) = self.attempts.remove(attempt) else {
+            return;
+        };
+        let Some(target) = self.targets.get_mut(place.target) else {
+            return;
+        };
+        if place.incarnation != target.arrived() {
+            return;
+        }
+        target.ended(now, &place);
+        match ending {
+            Ending::Whole => {
+                target.ejection.succeeded();
+                target.held(now.saturating_duration_since(place.started));
+            }
+            Ending::Full => target.limit.full(),
+            Ending::Failed => self.failed(now, place.target),
+            Ending::Dropped => {}
+        }
+    }
+
+    fn failed(&mut self, now: Instant, key: TargetKey) {
+        let Some(target) = self.targets.get_mut(key) else {
+            return;
+        };
+        let due = target.ejection.failed(&self.tuning);
+        if due && self.may_eject(now) {
+            let target = &mut self.targets[key];
+            target.ejection.eject(now, &self.tuning);
+        }
+    }
+
+    /// Whether one more target may be left out: a fault of the network near
+    /// the entry looks like a fault of each target, and ejecting them all
+    /// would turn a disturbance into an outage.
+    fn may_eject(&self, now: Instant) -> bool {
+        let ready = self.ready.iter().filter_map(|key| self.targets.get(*key));
+        let ejected = ready.filter(|target| target.ejection.is_active(now));
+        let ejected = ejected.count() + 1;
+        let total = self.ready.len();
+        let allowed = to_f64(total) * self.tuning.ejected_share;
+        to_f64(ejected) <= allowed.max(1.0) && ejected + KEPT <= total
+    }
+
+    fn best_of_sample(
+        &self,
+        now: Instant,
+        demand: &Demand<'_>,
+        rng: &mut impl Rng,
+    ) -> Option<(TargetKey, Estimate)> {
+        let count = self.ready.len();
+        let sampled = if count <= self.tuning.samples {
+            self.best_of(now, demand, self.ready.iter().copied())
+        } else {
+            let keys = (0..self.tuning.samples).map(|_| self.ready[rng.random_range(0..count)]);
+            self.best_of(now, demand, keys)
+        };
+        let preferred = self.preferred(now, demand).and_then(|key| {
+            let demand = demand.with_prefix_to_come();
+            self.best_of(now, &demand, std::iter::once(key))
+        });
+        let found = preferred.into_iter().chain(sampled);
+        found.min_by(|a, b| a.1.seconds.total_cmp(&b.1.seconds))
+    }
+
+    /// The target that the prefix belongs to, unless it is fuller than its
+    /// neighbours by more than the bound (Mirrokni and others, 2018).
+    fn preferred(&self, now: Instant, demand: &Demand<'_>) -> Option<TargetKey> {
+        let key = self.affinity.target(demand.prefix?.hash)?;
+        let target = self.targets.get(key)?;
+        let neighbours = self.ready.iter().take(self.tuning.samples);
+        let fills = neighbours.filter_map(|key| self.targets.get(*key));
+        let (sum, count) = fills.fold((0.0, 0.0), |(sum, count), t| (sum + t.fill(), count + 1.0));
+        let bound = self.tuning.affinity_bound * (sum / f64::max(count, 1.0));
+        let fits = target.fill() <= bound || target.own_running == 0;
+        (fits && target.has_room(now, &self.tuning)).then_some(key)
+    }
+
+    fn best_of(
+        &self,
+        now: Instant,
+        demand: &Demand<'_>,
+        keys: impl Iterator<Item = TargetKey>,
+    ) -> Option<(TargetKey, Estimate)> {
+        keys.filter_map(|key| {
+            let target = self.targets.get(key)?;
+            self.is_fit(now, key, target, demand).then_some(())?;
+            Some((key, target.estimate(now, demand, &self.tuning)))
+        })
+        .min_by(|a, b| a.1.seconds.total_cmp(&b.1.seconds))
+    }
+
+    fn is_fit(&self, now: Instant, key: TargetKey, target: &Target, demand: &Demand<'_>) -> bool {
+        let alone = demand.suspicion == Suspicion::Clear || target.own_suspects == 0;
+        target.standing == Standing::Ready
+            && !target.ejection.is_active(now)
+            && alone
+            && !demand.avoid.contains(&key)
+            && target.has_room(now, &self.tuning)
+    }
+
+    fn choice(&self, key: TargetKey, estimate: Estimate) -> Choice {
+        let rank = self.targets.get(key).map(|t| t.rank_number(estimate.rank));
+        Choice {
+            target: key,
+            rank: rank.unwrap_or(0),
+            expected: Duration::try_from_secs_f64(estimate.seconds).unwrap_or(Duration::MAX),
+        }
+    }
+
+    fn rebuild(&mut self) {
+        let ready = self
+            .targets
+            .iter()
+            .filter(|(_, t)| t.standing == Standing::Ready);
+        let named: Vec<(TargetKey, u64)> = ready.map(|(key, t)| (key, t.name_hash)).collect();
+        self.ready = named.iter().map(|(key, _)| *key).collect();
+        self.affinity = Affinity::new(&named);
+    }
+}
+
+fn to_f64(count: usize) -> f64 {
+    u32::try_from(count).map_or(f64::INFINITY, f64::from)
+}
--- /dev/null
+++ b/crates/route/src/target.rs
@@ -0,0 +1,263 @@
+//! One target of a pool, as this entry sees it.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use crate::affinity::hash_name;
+use crate::cache::Cache;
+use crate::ejection::Ejection;
+use crate::place::Place;
+use crate::rank::Rank;
+use crate::{AttemptKey, Demand, Limit, RankReport, Report, Standing, Suspicion, Tuning};
+
+/// Weight of a new observation in a moving average.
+const SMOOTHING: f64 = 0.1;
+/// Observed by expected time is kept within this factor either way.
+const FACTOR_MAX: f64 = 16.0;
+/// An answer this many times later than expected counts as overload.
+const LATE: f64 = 4.0;
+/// Expected times below this are too short to call an answer late by them.
+const LATE_FLOOR: f64 = 0.1;
+/// Part of the full load that a fresh target starts with.
+const SLOW_START_FLOOR: f64 = 0.1;
+
+#[derive(Debug)]
+pub(crate) struct Target {
+    pub(crate) name: String,
+    pub(crate) name_hash: u64,
+    pub(crate) standing: Standing,
+    pub(crate) ejection: Ejection,
+    pub(crate) cache: Cache,
+    pub(crate) limit: Limit,
+    pub(crate) own_running: u32,
+    pub(crate) own_suspects: u32,
+    distance: f64,
+    ranks: Vec<Rank>,
+    since: Instant,
+    reported: Option<Instant>,
+    /// Observed by expected time to first token, a moving average.
+    factor: f64,
+    /// Time that an attempt holds its place, a moving average in seconds.
+    hold: f64,
+    /// Own attempts without a first token, oldest first.
+    waiting: BTreeSet<(Instant, AttemptKey)>,
+}
+
+/// The rank that suits a request best, and the expected seconds there.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Estimate {
+    pub(crate) rank: usize,
+    pub(crate) seconds: f64,
+}
+
+impl Target {
+    pub(crate) fn new(name: &str, distance: Duration, now: Instant, tuning: &Tuning) -> Self {
+        Target {
+            name: name.to_owned(),
+            name_hash: hash_name(name),
+            standing: Standing::Absent,
+            ejection: Ejection::default(),
+            cache: Cache::default(),
+            limit: Limit::new(tuning.limit),
+            own_running: 0,
+            own_suspects: 0,
+            distance: distance.as_secs_f64(),
+            ranks: vec![Rank::default()],
+            since: now,
+            reported: None,
+            factor: 1.0,
+            hold: 1.0,
+            waiting: BTreeSet::new(),
+        }
+    }
+
+    /// Forgets what was learnt of the former incarnation.
+    pub(crate) fn restart(&mut self, now: Instant, tuning: &Tuning) {
+        self.ejection = Ejection::default();
+        self.cache = Cache::default();
+        self.limit = Limit::new(tuning.limit);
+        self.ranks = vec![Rank::default()];
+        self.own_running = 0;
+        self.own_suspects = 0;
+        self.waiting.clear();
+        self.since = now;
+        self.reported = None;
+        self.factor = 1.0;
+    }
+
+    pub(crate) fn report(&mut self, report: &Report, share: f64) {
+        if self.reported.is_some_and(|last| report.taken < last) {
+            return;
+        }
+        self.reported = Some(report.taken);
+        for row in &report.ranks {
+            self.rank_mut(*row).reported(*row, report.taken);
+        }
+        if report.limit > 0 {
+            // The entries share the target's limit. Each is allowed twice its
+            // part, for traffic is uneven; beyond that the target refuses.
+            let part = f64::from(report.limit) * (2.0 * share).min(1.0);
+            self.limit.set_ceiling(part);
+        }
+    }
+
+    fn rank_mut(&mut self, row: RankReport) -> &mut Rank {
+        let found = self.ranks.iter().position(|r| r.report.rank == row.rank);
+        let index = found.unwrap_or_else(|| {
+            self.ranks.push(Rank::new(row));
+            self.ranks.len() - 1
+        });
+        &mut self.ranks[index]
+    }
+
+    /// The best rank for the request and the time to first token there.
+    pub(crate) fn estimate(&self, now: Instant, demand: &Demand<'_>, tuning: &Tuning) -> Estimate {
+        let cached = self.cache.cached(demand.prefix);
+        let tokens = f64::from(demand.tokens.saturating_sub(cached).max(1));
+        let seconds = |rank: &Rank| self.prefill_seconds(rank, tokens, tuning);
+        let best = self
+            .ranks
+            .iter()
+            .enumerate()
+            .map(|(i, rank)| (i, seconds(rank)))
+            .min_by(|a, b| a.1.total_cmp(&b.1));
+        let (rank, prefill) = best.unwrap_or((0, 0.0));
+        let served =
+            (prefill + self.place_seconds(tuning)) * self.factor / self.warmth(now, tuning);
+        Estimate {
+            rank,
+            seconds: self.distance + served + self.overdue_seconds(now, served),
+        }
+    }
+
+    /// Steps until the first token, in seconds. KV in use and running
+    /// requests lengthen the rank's decode steps, and through the slowest
+    /// rank those of the whole group.
+    fn prefill_seconds(&self, rank: &Rank, tokens: f64, tuning: &Tuning) -> f64 {
+        let step = if rank.report.step.is_zero() {
+            tuning.step.as_secs_f64()
+        } else {
+            rank.report.step.as_secs_f64()
+        };
+        let queued = rank.queued(tuning.share);
+        let running = rank.running(tuning.share);
+        let kv = f64::from(rank.report.kv_used_permille) / 1000.0;
+        let load = running / self.limit.current().max(1.0);
+        step * (1.0 + (queued + tokens) * tuning.steps_per_token + load + kv)
+    }
+
+    /// Time until a place is free, when more wait than there are places.
+    fn place_seconds(&self, tuning: &Tuning) -> f64 {
+        let running: f64 = self.ranks.iter().map(|r| r.running(tuning.share)).sum();
+        let places = (self.limit.current() / (2.0 * tuning.share).min(1.0)).max(1.0);
+        let excess = running + 1.0 - places;
+        if excess > 0.0 {
+            excess * self.hold / places
+        } else {
+            0.0
+        }
+    }
+
+    /// How long past its expected first token the oldest waiting attempt is.
+    /// Reports of a target that stalled stay good until they stop coming; an
+    /// attempt without its first token tells sooner.
+    fn overdue_seconds(&self, now: Instant, expected: f64) -> f64 {
+        let oldest = self.waiting.first();
+        oldest.map_or(0.0, |(started, _)| {
+            let waited = now.saturating_duration_since(*started).as_secs_f64();
+            (waited - 2.0 * expected).max(0.0)
+        })
+    }
+
+    /// How much of its full load the target is given, in (0, 1].
+    pub(crate) fn warmth(&self, now: Instant, tuning: &Tuning) -> f64 {
+        let age = now.saturating_duration_since(self.since);
+        if age >= tuning.slow_start {
+            return 1.0;
+        }
+        (age.as_secs_f64() / tuning.slow_start.as_secs_f64()).max(SLOW_START_FLOOR)
+    }
+
+    pub(crate) fn has_room(&self, now: Instant, tuning: &Tuning) -> bool {
+        let allowed = self.limit.current() * self.warmth(now, tuning);
+        f64::from(self.own_running) < allowed.floor().max(1.0)
+    }
+
+    /// Requests of this entry for each place that it may use.
+    pub(crate) fn fill(&self) -> f64 {
+        f64::from(self.own_running) / self.limit.current().max(1.0)
+    }
+
+    pub(crate) fn rank_index(&self, number: u32) -> usize {
+        let found = self.ranks.iter().position(|r| r.report.rank == number);
+        found.unwrap_or(0)
+    }
+
+    pub(crate) fn rank_number(&self, index: usize) -> u32 {
+        self.ranks.get(index).map_or(0, |rank| rank.report.rank)
+    }
+
+    pub(crate) fn started(
+        &mut self,
+        now: Instant,
+        key: AttemptKey,
+        rank: usize,
+        demand: &Demand<'_>,
+    ) {
+        self.own_running += 1;
+        if demand.suspicion == Suspicion::Suspect {
+            self.own_suspects += 1;
+        }
+        self.waiting.insert((now, key));
+        self.cache.sent(demand.prefix);
+        if let Some(rank) = self.ranks.get_mut(rank) {
+            rank.started(now, demand.tokens);
+        }
+    }
+
+    /// Takes the time of a first token, against what was expected.
+    pub(crate) fn answered(&mut self, now: Instant, place: &Place) {
+        self.prefilled(now, place);
+        let waited = now.saturating_duration_since(place.started).as_secs_f64();
+        let served = (waited - self.distance).max(0.0);
+        let expected = (place.expected - self.distance).max(1e-4);
+        let observed = self.factor * served / expected;
+        let factor = self.factor + SMOOTHING * (observed - self.factor);
+        self.factor = factor.clamp(1.0 / FACTOR_MAX, FACTOR_MAX);
+        if served > LATE * expected.max(LATE_FLOOR) && self.fill() > 0.5 {
+            self.limit.full();
+        } else {
+            self.limit.on_time(self.own_running);
+        }
+    }
+
+    pub(crate) fn prefilled(&mut self, now: Instant, place: &Place) {
+        self.waiting.remove(&(place.started, place.key));
+        if let Some(rank) = self.ranks.get_mut(place.rank) {
+            rank.prefilled(now, place.tokens);
+        }
+    }
+
+    pub(crate) fn ended(&mut self, now: Instant, place: &Place) {
+        if place.first.is_none() {
+            self.prefilled(now, place);
+        }
+        self.own_running = self.own_running.saturating_sub(1);
+        if place.suspicion == Suspicion::Suspect {
+            self.own_suspects = self.own_suspects.saturating_sub(1);
+        }
+        if let Some(rank) = self.ranks.get_mut(place.rank) {
+            rank.ended(now);
+        }
+    }
+
+    /// The time of the present incarnation's arrival, which tells attempts of
+    /// a former one apart.
+    pub(crate) fn arrived(&self) -> Instant {
+        self.since
+    }
+
+    pub(crate) fn held(&mut self, time: Duration) {
+        self.hold += SMOOTHING * (time.as_secs_f64() - self.hold);
+    }
+}
--- /dev/null
+++ b/crates/route/src/ticket.rs
@@ -0,0 +1,28 @@
+//! A request on its way through admission.
+
+use std::time::Instant;
+
+use slotmap::new_key_type;
+
+new_key_type! {
+    /// A client account in an [`Admission`](crate::Admission).
+    pub struct AccountKey;
+    /// A request that waits or runs in an [`Admission`](crate::Admission).
+    pub struct TicketKey;
+}
+
+/// What admission knows of a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Ticket {
+    pub(crate) account: AccountKey,
+    pub(crate) tokens: u32,
+    pub(crate) priority: u32,
+    pub(crate) deadline: Instant,
+    pub(crate) state: TicketState,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum TicketState {
+    Waiting,
+    Running,
+}
