--- a/crates/admin/src/outcomes.rs
+++ b/crates/admin/src/outcomes.rs
@@ -50,7 +50,7 @@
 fn note_answer(note: &NoteOutcome) -> Result<Response, Problem> {
     let number = note.number;
     let (status, detail) = match note.kind() {
-        Kind::Accepted => return Ok(note_response(StatusCode::CREATED, "accepted", note)),
+        Kind::Accepted => return Ok(note_response(StatusCode::OK, "accepted", note)),
         Kind::Repeated => return Ok(note_response(StatusCode::OK, "repeated", note)),
         Kind::Conflict => (
             StatusCode::CONFLICT,
