Let an account's ration stand by itself

Cause: an account's rates and concurrency hold over all pools of an entry, while admission queues for each pool. Change: route::Ration, which admission's account now holds. Ruled out: one admission over all pools, as a service call would then wait for a place at a model.

--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -75,7 +75,7 @@
     /// Changes an account's limits.
     pub fn set_limits(&mut self, key: AccountKey, limits: AccountLimits, now: Instant) {
         if let Some(account) = self.accounts.get_mut(key) {
-            account.set_limits(limits, now);
+            account.ration.set_limits(limits, now);
         }
     }
 
@@ -114,10 +114,10 @@
         let Some(account) = self.accounts.get_mut(key) else {
             return Admitted::Refused(self.refusal(Reason::Shed));
         };
-        if !may_wait(account) {
+        if !account.may_wait() {
             return Admitted::Refused(self.refusal(Reason::Concurrency));
         }
-        if let Err(refusal) = account.take(now, tokens) {
+        if let Err(refusal) = account.ration.take_rates(now, tokens) {
             return Admitted::Refused(refusal);
         }
         let ticket = self.tickets.insert(Ticket {
@@ -144,13 +144,13 @@
             TicketState::Running => {
                 account.running = account.running.saturating_sub(1);
                 self.running = self.running.saturating_sub(1);
-                account.settle(ticket.tokens, used);
+                account.ration.settle(ticket.tokens, used);
                 let missed = f64::from(used) - f64::from(ticket.tokens);
                 account.finish += missed / account.weight();
             }
             TicketState::Waiting => {
                 account.waiting.retain(|waiting| *waiting != key);
-                account.refund(ticket.tokens);
+                account.ration.refund(ticket.tokens);
                 self.waiting -= 1;
             }
         }
@@ -274,10 +274,3 @@
         }
     }
 }
-
-/// Whether the account may have one more request, running or waiting. As
-/// many as may run may also wait, so that a burst is smoothed and not lost.
-fn may_wait(account: &Account) -> bool {
-    let limit = account.limits.concurrent as usize;
-    limit == 0 || account.present() < 2 * limit
-}
