Run a control replica over store and quorum

Cause: entries and agents have nobody to renew a lease at or to commit a claim with. control::Control owns the log, the state machine (notes, ledger, quarantine, map decisions, drains), a disk thread with group commit, links between replicas and the leases of nodes; control::init makes the first replica, the others join blank. Shown by cargo test -p lovageramp-control: a note through three replicas, and a wiped replica that is repaired before another host is lost.

--- /dev/null
+++ b/crates/control/src/control.rs
@@ -0,0 +1,202 @@
+//! One replica, running.
+
+use crate::links::{self, Acceptor};
+use crate::listeners::Listeners;
+use crate::peers;
+use crate::replica::{Msg, Replica, Start};
+use crate::settings::Settings;
+use eyre::{Result, WrapErr, eyre};
+use ractor::{Actor, ActorRef};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use store::{Disk, Ops};
+use tokio::sync::{Mutex, oneshot};
+use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio_util::sync::CancellationToken;
+use wire::{ClusterKey, LinkSettings};
+
+/// Ticks in a heartbeat time; a tick late by this much is of no matter.
+const TICKS_IN_HEARTBEAT: u32 = 4;
+/// Longest wait for the actor's answer.
+const STATUS_WITHIN: Duration = Duration::from_secs(2);
+/// Longest wait for another process to let go of the data folder.
+const LOCK_WITHIN: Duration = Duration::from_secs(5);
+
+/// One replica, running; cheap to clone.
+#[derive(Clone)]
+pub struct Control {
+    link_address: SocketAddr,
+    http_address: SocketAddr,
+    replica: ActorRef<Msg>,
+    ended: CancellationToken,
+    tasks: Arc<Mutex<JoinSet<()>>>,
+}
+
+impl Control {
+    /// Starts a replica on its data folder; a blank one is formatted and the
+    /// replica asks the others to take it in.
+    ///
+    /// # Errors
+    ///
+    /// The data folder is damaged, in use or can't be written, or a file of
+    /// the settings can't be read.
+    pub async fn start(settings: Settings, listeners: Listeners) -> Result<Control> {
+        Control::start_with(settings, listeners, Ops::default()).await
+    }
+
+    /// As [`Control::start`], with other file operations.
+    ///
+    /// # Errors
+    ///
+    /// As [`Control::start`].
+    pub async fn start_with(settings: Settings, listeners: Listeners, ops: Ops) -> Result<Control> {
+        let key = ClusterKey::from_file(&settings.cluster_key_file)?;
+        let link_address = listeners.links.local_addr()?;
+        let http_address = listeners.http.local_addr()?;
+        let mut settings = settings;
+        settings.advertise.get_or_insert(link_address);
+        let start = open(settings.clone(), ops).await?;
+        let disk = start.recovered.identity.disk;
+        let (_, me) = links::disk_identity(disk, &settings.name);
+        let (replica, actor) = Actor::spawn(None, Replica, start)
+            .await
+            .map_err(|e| eyre!("replica can't start: {e}"))?;
+        let cfg = LinkSettings {
+            beat: settings.timing.link_beat,
+            ..LinkSettings::default()
+        };
+        let stop = CancellationToken::new();
+        let mut tasks = JoinSet::new();
+        for other in settings.replicas.iter().filter(|r| r.name != settings.name) {
+            let (me, key) = (me.clone(), key.clone());
+            let keep = peers::keep(other.address, me, key, cfg.clone(), replica.clone());
+            tasks.spawn(until(stop.clone(), keep));
+        }
+        let acceptor = Acceptor {
+            me,
+            key,
+            cfg,
+            replica: replica.clone(),
+            stop: stop.clone(),
+        };
+        tasks.spawn(acceptor.run(listeners.links));
+        let beat = settings.timing.heartbeat / TICKS_IN_HEARTBEAT;
+        tasks.spawn(until(stop.clone(), keep_time(beat, replica.clone())));
+        let ended = CancellationToken::new();
+        tokio::spawn(watch(actor, stop.clone(), ended.clone()));
+        Ok(Control {
+            link_address,
+            http_address,
+            replica,
+            ended,
+            tasks: Arc::new(Mutex::new(tasks)),
+        })
+    }
+
+    /// Where links are accepted.
+    #[must_use]
+    pub fn link_address(&self) -> SocketAddr {
+        self.link_address
+    }
+
+    /// Where operators' HTTP is served.
+    #[must_use]
+    pub fn http_address(&self) -> SocketAddr {
+        self.http_address
+    }
+
+    /// What stands at this replica, which need not be the leader.
+    ///
+    /// # Errors
+    ///
+    /// The replica has stopped or doesn't answer in time.
+    pub async fn status(&self) -> Result<serde_json::Value> {
+        let (tx, rx) = oneshot::channel();
+        self.replica
+            .cast(Msg::Status(tx))
+            .map_err(|e| eyre!("replica has stopped: {e}"))?;
+        let answer = timeout(STATUS_WITHIN, rx).await;
+        answer
+            .wrap_err("replica doesn't answer")?
+            .wrap_err("replica has stopped")
+    }
+
+    /// Resolves once the replica has stopped, by [`Control::shutdown`] or
+    /// because its disk can't be relied on.
+    pub async fn stopped(&self) {
+        self.ended.cancelled().await;
+    }
+
+    /// Stops the replica. What it has acknowledged is synced already.
+    pub async fn shutdown(&self) {
+        self.replica.stop(None);
+        self.ended.cancelled().await;
+        let mut tasks = self.tasks.lock().await;
+        while tasks.join_next().await.is_some() {}
+    }
+}
+
+/// Opens the data folder. A predecessor on it may still be ending.
+async fn open(settings: Settings, ops: Ops) -> Result<Start> {
+    const PAUSE: Duration = Duration::from_millis(50);
+    let opened = async {
+        loop {
+            let (settings, ops) = (settings.clone(), ops.clone());
+            match tokio::task::spawn_blocking(move || open_blocking(settings, ops)).await? {
+                Err(e) if e.is_in_use() => tokio::time::sleep(PAUSE).await,
+                done => return Ok::<_, eyre::Report>(done?),
+            }
+        }
+    };
+    let folder = settings.data.display().to_string();
+    let in_time = timeout(LOCK_WITHIN, opened).await;
+    in_time.wrap_err_with(|| format!("another process has the folder {folder}"))?
+}
+
+fn open_blocking(settings: Settings, ops: Ops) -> store::Result<Start> {
+    match store::identity(&settings.data) {
+        Err(e) if e.is_blank() => {
+            let identity = store::format(&settings.data, &settings.name, &ops)?;
+            let name = &settings.name;
+            log::warn!("blank disk of {name} formatted as {:016x}", identity.disk);
+        }
+        found => drop(found?),
+    }
+    let (disk, recovered) = Disk::open(&settings.data, ops)?;
+    if recovered.cut > 0 {
+        log::warn!("{} bytes of a torn write were cut off", recovered.cut);
+    }
+    Ok(Start {
+        settings,
+        disk,
+        recovered,
+    })
+}
+
+async fn until(stop: CancellationToken, work: impl Future<Output = ()>) {
+    tokio::select! {
+        () = stop.cancelled() => {}
+        () = work => {}
+    }
+}
+
+async fn keep_time(beat: Duration, replica: ActorRef<Msg>) {
+    let mut ticks = interval(beat);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        if replica.cast(Msg::Tick).is_err() {
+            return;
+        }
+    }
+}
+
+async fn watch(actor: JoinHandle<()>, stop: CancellationToken, ended: CancellationToken) {
+    if let Err(e) = actor.await {
+        log::error!("replica ended: {e}");
+    }
+    stop.cancel();
+    ended.cancel();
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,1 +1,28 @@
 //! A replica of the durable state.
+//!
+//! [`init`] makes the data folder of the first replica of a new cluster;
+//! every other replica starts on a blank folder and is taken in by the
+//! leader. [`Control::start`] runs one replica: its actor owns the replicated
+//! log, the state machine and the leases of nodes, a thread of its own owns
+//! the disk, and a task for each other replica keeps a link to it.
+
+mod codec;
+mod control;
+mod disk;
+mod init;
+mod leases;
+mod links;
+mod listeners;
+mod machine;
+mod peers;
+mod replica;
+mod reply;
+mod settings;
+mod timing;
+
+pub use control::Control;
+pub use init::init;
+pub use listeners::Listeners;
+pub use machine::Machine;
+pub use settings::{ReplicaAddress, Settings};
+pub use timing::Timing;
--- /dev/null
+++ b/crates/control/src/machine.rs
@@ -0,0 +1,142 @@
+//! The replicated state machine.
+
+mod calls;
+mod crashes;
+mod maps;
+mod notes;
+mod snapshot;
+
+use expert::Decisions;
+use ledger::{Ledger, Limits};
+use note::History;
+use route::Quarantine;
+use std::collections::BTreeSet;
+use wire::proto::command::Body;
+use wire::proto::{Command, Drain, DrainOutcome, Unavailable, outcome};
+
+/// The durable state: release notes, the ledger of non-repeatable calls, the
+/// quarantine, expert-map decisions and drains.
+///
+/// Replicas that apply the same commands in the same order are equal.
+///
+/// ```
+/// use control::Machine;
+/// use wire::proto::{Command, SubmitNote, command, outcome};
+///
+/// let mut machine = Machine::default();
+/// let note = SubmitNote { json: r#"{"number": 1}"#.into(), operator: "anna".into() };
+/// let body = Some(command::Body::SubmitNote(note));
+/// let outcome = machine.apply(Command { now_ms: 1, body });
+/// assert!(matches!(outcome, outcome::Body::Note(_)));
+/// assert_eq!(machine.history().catalogue().number(), 1);
+/// ```
+#[derive(Clone, Debug, PartialEq)]
+pub struct Machine {
+    now_ms: u64,
+    history: History,
+    ledger: Ledger,
+    quarantine: Quarantine,
+    decisions: Decisions,
+    drained: BTreeSet<String>,
+}
+
+impl Default for Machine {
+    fn default() -> Self {
+        Machine {
+            now_ms: 0,
+            history: History::default(),
+            ledger: Ledger::new(Limits::default()),
+            quarantine: Quarantine::new(),
+            decisions: Decisions::new(),
+            drained: BTreeSet::new(),
+        }
+    }
+}
+
+impl Machine {
+    /// Applies a committed command. Its time is the leader's that ordered it;
+    /// one that lies before an earlier command's counts as that one's.
+    pub fn apply(&mut self, command: Command) -> outcome::Body {
+        self.now_ms = self.now_ms.max(command.now_ms);
+        match command.body {
+            Some(Body::SubmitNote(note)) => outcome::Body::Note(self.submit_note(&note)),
+            Some(Body::Claim(claim)) => self.claim(claim),
+            Some(Body::Finish(finish)) => self.finish(finish),
+            Some(Body::Release(release)) => self.release(&release),
+            Some(Body::Crashed(crashed)) => self.crashed(&crashed),
+            Some(Body::Pardon(pardon)) => self.pardon(&pardon),
+            Some(Body::OpenCoordinator(open)) => {
+                outcome::Body::Coordinator(self.open_coordinator(&open))
+            }
+            Some(Body::DecideMap(decide)) => outcome::Body::Map(self.decide_map(decide)),
+            Some(Body::Drain(drain)) => outcome::Body::Drain(self.drain(drain)),
+            Some(Body::Batch(batch)) => self.apply_all(batch.commands),
+            None => malformed("command without a body"),
+        }
+    }
+
+    /// The outcome is that of the last command.
+    fn apply_all(&mut self, commands: Vec<Command>) -> outcome::Body {
+        let outcomes = commands.into_iter().map(|command| self.apply(command));
+        let last = outcomes.last();
+        last.unwrap_or_else(|| malformed("batch without commands"))
+    }
+
+    fn drain(&mut self, drain: Drain) -> DrainOutcome {
+        let known = self.history.catalogue().target(&drain.target).is_some();
+        if drain.draining && known {
+            self.drained.insert(drain.target);
+        } else if !drain.draining {
+            self.drained.remove(&drain.target);
+        }
+        DrainOutcome {
+            known,
+            draining: drain.draining && known,
+        }
+    }
+
+    /// The accepted notes.
+    #[must_use]
+    pub fn history(&self) -> &History {
+        &self.history
+    }
+
+    /// The ledger of non-repeatable calls.
+    #[must_use]
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// Requests that crash targets.
+    #[must_use]
+    pub fn quarantine(&self) -> &Quarantine {
+        &self.quarantine
+    }
+
+    /// Expert-map decisions.
+    #[must_use]
+    pub fn decisions(&self) -> &Decisions {
+        &self.decisions
+    }
+
+    /// Targets that an operator drains.
+    #[must_use]
+    pub fn drained(&self) -> &BTreeSet<String> {
+        &self.drained
+    }
+
+    /// Latest time of a command, in milliseconds since the epoch.
+    #[must_use]
+    pub fn now_ms(&self) -> u64 {
+        self.now_ms
+    }
+}
+
+/// The outcome of a command that a faulty process sent: nothing changed.
+fn malformed(reason: &str) -> outcome::Body {
+    outcome::Body::Unavailable(Unavailable {
+        reason: reason.to_owned(),
+        maybe: false,
+        retry_after_ms: 0,
+    })
+}
--- /dev/null
+++ b/crates/control/src/replica.rs
@@ -0,0 +1,74 @@
+//! The actor that owns the replicated log and the state machine.
+
+mod actor;
+mod answer;
+mod output;
+mod pending;
+mod status;
+
+pub(crate) use actor::{Replica, Start};
+
+use crate::disk::{Fullness, Job, Report};
+use crate::leases::Leases;
+use crate::machine::Machine;
+use crate::peers::{PeerLink, Peers};
+use crate::reply::Reply;
+use crate::settings::Settings;
+use pending::{Commands, Reads};
+use quorum::{DiskId, Message, Node};
+use std::sync::mpsc::Sender;
+use tokio::sync::oneshot;
+use wire::Link;
+use wire::proto::{FetchNotes, Propose, Query, Renew};
+
+/// What the actor is told.
+pub(crate) enum Msg {
+    /// Time has passed.
+    Tick,
+    /// From another replica.
+    Peer(Box<Message>),
+    /// A link to another replica is up.
+    PeerUp(DiskId, PeerLink),
+    /// One is down.
+    PeerDown(DiskId),
+    /// From the disk.
+    Disk(Report),
+    /// A node's link is up; it is told of new notes.
+    NodeUp(Link),
+    /// From a node.
+    Ask(Box<Ask>),
+    /// From this process: what stands here, as JSON.
+    Status(oneshot::Sender<serde_json::Value>),
+}
+
+/// What a node asks for.
+pub(crate) enum Ask {
+    /// To renew its lease.
+    Renew(Renew, Reply),
+    /// For notes that it lacks.
+    Notes(FetchNotes, Reply),
+    /// To commit a command.
+    Propose(Propose, Reply),
+    /// To read.
+    Query(Query, Reply),
+}
+
+/// What the actor keeps.
+pub(crate) struct State {
+    settings: Settings,
+    node: Node,
+    machine: Machine,
+    /// Last entry that the machine has applied.
+    applied: u64,
+    jobs: Sender<Job>,
+    fullness: Fullness,
+    peers: Peers,
+    nodes: Vec<Link>,
+    leases: Option<Leases>,
+    commands: Commands,
+    reads: Reads,
+    /// A snapshot is being saved.
+    saving: Option<quorum::Snapshot>,
+    /// Why the replica can't go on.
+    failed: Option<String>,
+}
--- /dev/null
+++ b/crates/control/src/replica/actor.rs
@@ -0,0 +1,191 @@
+//! The actor's life and its mailbox.
+
+use super::{Ask, Commands, Msg, Reads, State};
+use crate::codec;
+use crate::disk::{self, Fullness, Report, SaveResult};
+use crate::machine::Machine;
+use crate::peers::Peers;
+use crate::reply::{Commit, unavailable};
+use crate::settings::Settings;
+use quorum::{Config, DiskId, Message, MessageBody, Node, Peer, Restored};
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use std::time::Instant;
+use store::{Disk, Recovered};
+
+/// Runs one replica.
+pub(crate) struct Replica;
+
+/// What the actor starts with.
+pub(crate) struct Start {
+    pub(crate) settings: Settings,
+    pub(crate) disk: Disk,
+    pub(crate) recovered: Recovered,
+}
+
+impl Actor for Replica {
+    type Msg = Msg;
+    type State = State;
+    type Arguments = Start;
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<Msg>,
+        start: Start,
+    ) -> Result<State, ActorProcessingErr> {
+        let now = Instant::now();
+        let mut state = State::new(start, &myself, now)?;
+        state.pump(now);
+        Ok(state)
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<Msg>,
+        msg: Msg,
+        state: &mut State,
+    ) -> Result<(), ActorProcessingErr> {
+        let now = Instant::now();
+        state.take(msg, now);
+        state.pump(now);
+        if let Some(reason) = &state.failed {
+            log::error!("replica stops: {reason}");
+            state.commands.give_up(reason);
+            myself.stop(Some(reason.clone()));
+        }
+        Ok(())
+    }
+
+    async fn post_stop(
+        &self,
+        _myself: ActorRef<Msg>,
+        state: &mut State,
+    ) -> Result<(), ActorProcessingErr> {
+        state.commands.give_up("this replica stops");
+        Ok(())
+    }
+}
+
+impl State {
+    fn new(start: Start, myself: &ActorRef<Msg>, now: Instant) -> eyre::Result<State> {
+        let Start {
+            settings,
+            disk,
+            recovered,
+        } = start;
+        let id = DiskId(recovered.identity.disk);
+        let stored = recovered.snapshot.map(codec::snapshot).transpose()?;
+        let records = recovered.records.into_iter();
+        let entries = records.map(codec::recorded_entry);
+        let restored = Restored {
+            hard_state: codec::hard_state(recovered.hard_state),
+            snapshot: stored,
+            entries: entries.collect::<eyre::Result<_>>()?,
+        };
+        let cfg = Config {
+            heartbeat: settings.timing.heartbeat,
+            election: settings.timing.election,
+            ..Config::default()
+        };
+        let node = Node::new(id, cfg, rand::random(), restored, now);
+        Ok(State {
+            jobs: disk::spawn(disk, myself.clone())?,
+            settings,
+            node,
+            machine: Machine::default(),
+            applied: 0,
+            fullness: Fullness::Room,
+            peers: Peers::default(),
+            nodes: Vec::new(),
+            leases: None,
+            commands: Commands::default(),
+            reads: Reads::default(),
+            saving: None,
+            failed: None,
+        })
+    }
+
+    fn take(&mut self, msg: Msg, now: Instant) {
+        match msg {
+            Msg::Tick => self.tick(now),
+            Msg::Peer(message) => self.node.step(*message, now),
+            Msg::PeerUp(id, link) => {
+                self.peers.up(id, link);
+                self.ask_to_join(id);
+            }
+            Msg::PeerDown(id) => self.peers.down(id),
+            Msg::Disk(report) => self.take_report(report, now),
+            Msg::NodeUp(link) => {
+                self.nodes.retain(|link| !link.is_closed());
+                self.nodes.push(link);
+            }
+            Msg::Ask(ask) => self.take_ask(*ask, now),
+            Msg::Status(tx) => {
+                // Who asked may have given up.
+                let _ = tx.send(self.status(now));
+            }
+        }
+    }
+
+    fn tick(&mut self, now: Instant) {
+        self.node.tick(now);
+        self.commands.expire(now, self.settings.timing.commit);
+        if let Some(leases) = &mut self.leases {
+            leases.expire(now);
+        }
+        if self.node.is_blank() {
+            let ids: Vec<DiskId> = self.peers.ids().collect();
+            for id in ids {
+                self.ask_to_join(id);
+            }
+        }
+    }
+
+    /// A replica on a blank disk asks whoever leads to take it in.
+    fn ask_to_join(&mut self, to: DiskId) {
+        if !self.node.is_blank() {
+            return;
+        }
+        let address = self.settings.advertised().to_string();
+        let peer = Peer::new(&self.settings.name, &address);
+        self.peers.send(Message {
+            from: self.node.id(),
+            to,
+            term: 0,
+            body: MessageBody::Join { peer },
+        });
+    }
+
+    fn take_report(&mut self, report: Report, now: Instant) {
+        match report {
+            Report::Persisted(number) => self.node.persisted(number, now),
+            Report::Saved(index, result) => {
+                let saved = self.saving.take().filter(|s| s.index == index);
+                if let Some(snapshot) = saved.filter(|_| result == SaveResult::Done) {
+                    self.node.compacted(snapshot);
+                }
+            }
+            Report::Full(fullness) => {
+                if fullness != self.fullness {
+                    log::warn!("disk at {}: {fullness:?}", self.settings.data.display());
+                }
+                self.fullness = fullness;
+                if fullness == Fullness::Full {
+                    self.commands.give_up("the disk of the leader is full");
+                }
+            }
+            Report::Failed(reason) => self.failed = Some(reason),
+        }
+    }
+
+    fn take_ask(&mut self, ask: Ask, now: Instant) {
+        match ask {
+            Ask::Renew(renew, reply) => self.renew(renew, reply, now),
+            Ask::Notes(fetch, reply) => self.fetch_notes(fetch, reply),
+            Ask::Propose(propose, reply) => match propose.command {
+                Some(command) => self.propose(command, reply, now),
+                None => reply.send(unavailable("no command", Commit::Never)),
+            },
+            Ask::Query(query, reply) => self.query(query, reply),
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/replica/answer.rs
@@ -0,0 +1,135 @@
+//! What nodes ask for.
+
+use super::State;
+use crate::disk::Fullness;
+use crate::reply::{Commit, Reply, unavailable};
+use prost::Message as _;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use wire::proto::frame::Body;
+use wire::proto::query::Body as Question;
+use wire::proto::query_reply::Body as Answer;
+use wire::proto::{Command, FetchNotes, NotLeader, Query, QueryReply, Renew, Renewed};
+
+/// Longest command, so that one doesn't hold up the log for all.
+const MOST_COMMAND_BYTES: usize = 4 << 20;
+
+impl State {
+    /// Where to ask instead.
+    pub(super) fn not_leader(&self) -> Body {
+        let own = self.node.id();
+        let leader = self.node.leader().filter(|id| *id != own);
+        let peer = leader.and_then(|id| self.node.members().peer(id));
+        let peer = peer.cloned().unwrap_or_default();
+        Body::NotLeader(NotLeader {
+            leader: peer.name,
+            address: peer.address,
+        })
+    }
+
+    /// Grants a lease, if this replica surely leads and has applied all that
+    /// any leader before it acknowledged: a lease says that the note it names
+    /// is the newest.
+    pub(super) fn renew(&mut self, renew: Renew, reply: Reply, now: Instant) {
+        let surely = self.node.leased(now) && self.node.has_applied_own();
+        let (Some(leases), Some(info), true) = (&mut self.leases, renew.node, surely) else {
+            return reply.send(self.not_leader());
+        };
+        leases.expire(now);
+        leases.renew(info, renew.note, now);
+        let same = renew.view_term == leases.term() && renew.view_version == leases.version();
+        let view = (!same).then(|| leases.view(self.machine.drained()));
+        let quarantine = self.machine.quarantine_message();
+        let known = renew.quarantine_version == quarantine.version;
+        let lease_ms = self.settings.timing.lease.as_millis();
+        reply.send(Body::Renewed(Renewed {
+            term: leases.term(),
+            note: self.machine.history().catalogue().number(),
+            lease_ms: u32::try_from(lease_ms).unwrap_or(u32::MAX),
+            view,
+            quarantine: (!known).then_some(quarantine),
+        }));
+    }
+
+    /// Any replica may answer: what it has applied is committed.
+    pub(super) fn fetch_notes(&self, fetch: FetchNotes, reply: Reply) {
+        let newest = self.machine.history().catalogue().number();
+        if newest <= fetch.after && !self.node.is_leader() {
+            return reply.send(self.not_leader());
+        }
+        reply.send(Body::Notes(self.machine.notes_after(fetch.after)));
+    }
+
+    pub(super) fn propose(&mut self, mut command: Command, reply: Reply, now: Instant) {
+        if !self.node.is_leader() {
+            return reply.send(self.not_leader());
+        }
+        if self.fullness == Fullness::Full {
+            let reason = "the disk of the leader is full";
+            return reply.send(unavailable(reason, Commit::Never));
+        }
+        if self.commands.is_full() {
+            let reason = "too many commands wait";
+            return reply.send(unavailable(reason, Commit::Never));
+        }
+        command.now_ms = self.wall_ms();
+        let data = command.encode_to_vec();
+        if data.len() > MOST_COMMAND_BYTES {
+            return reply.send(unavailable("the command is too long", Commit::Never));
+        }
+        match self.node.propose(data.into(), now) {
+            Ok(place) => self.commands.insert(place, reply, now),
+            Err(e) => reply.send(unavailable(&e.to_string(), Commit::Never)),
+        }
+    }
+
+    /// Wall time that never goes back behind a committed command.
+    fn wall_ms(&self) -> u64 {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        let ms = since.map_or(0, |since| since.as_millis());
+        u64::try_from(ms)
+            .unwrap_or(u64::MAX)
+            .max(self.machine.now_ms())
+    }
+
+    pub(super) fn query(&mut self, query: Query, reply: Reply) {
+        if !self.node.is_leader() || self.reads.is_full() {
+            return reply.send(self.not_leader());
+        }
+        let token = self.reads.insert(query, reply);
+        if self.node.read(token).is_err()
+            && let Some(reply) = self.reads.refused(token)
+        {
+            reply.send(self.not_leader());
+        }
+    }
+
+    /// Answers the reads that the state machine has caught up with.
+    pub(super) fn answer_reads(&mut self) {
+        while let Some((query, reply)) = self.reads.next(self.applied) {
+            let body = self.answer(query);
+            reply.send(Body::QueryReply(QueryReply { body }));
+        }
+    }
+
+    fn answer(&self, query: Query) -> Option<Answer> {
+        Some(match query.body? {
+            Question::Status(_) => {
+                let status = self.status(Instant::now());
+                Answer::Json(status.to_string().into())
+            }
+            Question::Quarantine(_) => Answer::Quarantine(self.machine.quarantine_message()),
+            Question::Record(q) => {
+                let record = self.machine.record(&q.account, &q.key);
+                Answer::Record(record.unwrap_or_default())
+            }
+            Question::Map(q) => Answer::Map(self.machine.map(&q.group)),
+            Question::Note(q) if q.number == 0 => {
+                Answer::Json(self.machine.history().catalogue().to_json().into())
+            }
+            Question::Note(q) => {
+                let content = self.machine.history().content(q.number);
+                Answer::Json(content.cloned().unwrap_or_default())
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/control/src/replica/output.rs
@@ -0,0 +1,159 @@
+//! Carries out what the replicated log wants done.
+
+use super::State;
+use crate::codec;
+use crate::disk::Job;
+use crate::leases::Leases;
+use crate::machine::Machine;
+use prost::Message as _;
+use quorum::{Entry, EntryBody, Ready, Snapshot, Write};
+use std::time::Instant;
+use store::Batch;
+use wire::proto::frame::Body;
+use wire::proto::note_outcome::Kind;
+use wire::proto::{Command, Notes, Outcome, outcome};
+
+impl State {
+    /// Does what is wanted until nothing more is.
+    pub(super) fn pump(&mut self, now: Instant) {
+        self.node.begin_reads_round(now);
+        loop {
+            let ready = self.node.ready();
+            if ready.is_empty() || self.failed.is_some() {
+                break;
+            }
+            self.carry_out(ready);
+        }
+        self.follow_leadership(now);
+        self.answer_reads();
+        self.begin_snapshot();
+    }
+
+    fn carry_out(&mut self, ready: Ready) {
+        if let Some(write) = ready.write {
+            self.write(&write);
+        }
+        for message in ready.messages {
+            self.peers.send(message);
+        }
+        if let Some(snapshot) = ready.restore {
+            self.restore(snapshot);
+        }
+        for entry in ready.committed {
+            self.apply(entry);
+        }
+        for (token, index) in ready.reads {
+            self.reads.confirm(token, index);
+        }
+        for token in ready.refused_reads {
+            if let Some(reply) = self.reads.refused(token) {
+                reply.send(self.not_leader());
+            }
+        }
+    }
+
+    fn write(&mut self, write: &Write) {
+        let batch = Batch {
+            snapshot: write.snapshot.as_ref().map(codec::stored_snapshot),
+            hard_state: codec::stored_hard_state(write.hard_state),
+            records: write.entries.iter().map(codec::record).collect(),
+        };
+        if self.jobs.send(Job::Write(write.number, batch)).is_err() {
+            let gone = "the disk thread has ended".to_owned();
+            self.failed.get_or_insert(gone);
+        }
+    }
+
+    fn restore(&mut self, snapshot: Snapshot) {
+        match Machine::from_bytes(snapshot.data) {
+            Ok(machine) => {
+                self.machine = machine;
+                self.applied = snapshot.index;
+            }
+            Err(e) => self.failed = Some(format!("snapshot {}: {e}", snapshot.index)),
+        }
+    }
+
+    fn apply(&mut self, entry: Entry) {
+        self.applied = entry.index;
+        let body = match entry.body {
+            EntryBody::Command(data) => Some(self.apply_command(data)),
+            EntryBody::Noop | EntryBody::Members(_) => None,
+        };
+        let reply = self.commands.applied(entry.index, entry.term);
+        if let (Some(reply), Some(body)) = (reply, body) {
+            let index = entry.index;
+            let body = Some(body);
+            reply.send(Body::Outcome(Outcome { index, body }));
+        }
+    }
+
+    fn apply_command(&mut self, data: bytes::Bytes) -> outcome::Body {
+        // What can't be decoded becomes an empty command on every replica.
+        let command = Command::decode(data).unwrap_or_default();
+        let body = self.machine.apply(command);
+        match &body {
+            outcome::Body::Note(note) if note.kind() == Kind::Accepted => self.tell_nodes(),
+            outcome::Body::Drain(_) => {
+                if let Some(leases) = &mut self.leases {
+                    leases.touch();
+                }
+            }
+            _ => {}
+        }
+        body
+    }
+
+    /// Hints at a new note, so that nodes fetch it before their next renewal.
+    fn tell_nodes(&mut self) {
+        let number = self.machine.history().catalogue().number();
+        self.nodes.retain(|link| !link.is_closed());
+        for link in &self.nodes {
+            let link = link.clone();
+            let hint = Notes {
+                number,
+                ..Notes::default()
+            };
+            tokio::spawn(async move {
+                // A node that misses the hint learns of it when it renews.
+                let _ = link.send(Body::Notes(hint)).await;
+            });
+        }
+    }
+
+    /// Begins and ends what only a leader does.
+    fn follow_leadership(&mut self, now: Instant) {
+        let term = self.node.term();
+        if !self.node.is_leader() {
+            if self.leases.take().is_some() {
+                log::info!("no longer the leader, term is {term}");
+                self.commands.give_up("the leader was replaced");
+            }
+            return;
+        }
+        if self.leases.as_ref().is_none_or(|l| l.term() != term) {
+            log::info!("leader of term {term}");
+            self.commands.give_up("the leader was replaced");
+            let length = self.settings.timing.lease;
+            self.leases = Some(Leases::new(term, length, now));
+        }
+    }
+
+    fn begin_snapshot(&mut self) {
+        let since = self.applied - self.node.snapshot().index.min(self.applied);
+        if since < self.settings.snapshot_entries || self.saving.is_some() {
+            return;
+        }
+        let (index, term) = self.node.applied();
+        let snapshot = Snapshot {
+            index,
+            term,
+            members: self.node.members_at(index),
+            data: self.machine.to_bytes(),
+        };
+        let job = Job::Save(codec::stored_snapshot(&snapshot));
+        if self.jobs.send(job).is_ok() {
+            self.saving = Some(snapshot);
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/tests/replicas/cluster.rs
@@ -0,0 +1,253 @@
+//! A few replicas in one process, with real sockets and data folders.
+
+use control::{Control, Listeners, Settings};
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+use store::Ops;
+use tempfile::TempDir;
+use tokio::net::TcpListener;
+use wire::proto::frame::Body;
+use wire::proto::{Command, Propose, Query, SubmitNote, command, outcome, query, query_reply};
+use wire::{ClusterKey, Identity, Link, LinkSettings, Role};
+
+/// Bound on any wait; a machine that is much slower still passes.
+pub const PATIENCE: Duration = Duration::from_mins(1);
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// A few replicas of one cluster.
+pub struct Cluster {
+    folder: TempDir,
+    addresses: BTreeMap<String, SocketAddr>,
+    running: BTreeMap<String, Control>,
+    pub snapshot_entries: u64,
+}
+
+impl Cluster {
+    /// Replicas `r1` to `rN`, of which the first is initialised.
+    pub async fn start(size: usize) -> Cluster {
+        let mut cluster = Cluster::prepared(size).await;
+        control::init(&cluster.settings("r1")).unwrap();
+        for name in cluster.names() {
+            cluster.up(&name).await;
+        }
+        cluster.repaired().await;
+        cluster
+    }
+
+    /// Addresses and key, and nothing that runs.
+    pub async fn prepared(size: usize) -> Cluster {
+        let folder = tempfile::tempdir().unwrap();
+        fs::write(folder.path().join("key"), "0123456789abcdef").unwrap();
+        fs::write(folder.path().join("token"), "operators-token").unwrap();
+        let mut addresses = BTreeMap::new();
+        for place in 1..=size {
+            let listener = listen("127.0.0.1:0".parse().unwrap()).await;
+            addresses.insert(format!("r{place}"), listener.local_addr().unwrap());
+        }
+        Cluster {
+            folder,
+            addresses,
+            running: BTreeMap::new(),
+            snapshot_entries: 10_000,
+        }
+    }
+
+    pub fn names(&self) -> Vec<String> {
+        self.addresses.keys().cloned().collect()
+    }
+
+    pub fn data(&self, name: &str) -> PathBuf {
+        self.folder.path().join(name)
+    }
+
+    pub fn settings(&self, name: &str) -> Settings {
+        let replica =
+            |(name, address): (&String, &SocketAddr)| json!({"name": name, "address": address});
+        let replicas: Vec<Value> = self.addresses.iter().map(replica).collect();
+        let settings = json!({
+            "name": name,
+            "zone": "celje",
+            "listen": self.addresses[name],
+            "http": "127.0.0.1:0",
+            "data": self.data(name),
+            "cluster_key_file": self.folder.path().join("key"),
+            "operator_token_file": self.folder.path().join("token"),
+            "replicas": replicas,
+            "snapshot_entries": self.snapshot_entries,
+            "timing": {"heartbeat_ms": 50, "election_ms": 500, "lease_ms": 1000},
+        });
+        Settings::from_slice(settings.to_string().as_bytes()).unwrap()
+    }
+
+    pub async fn up(&mut self, name: &str) {
+        self.up_with(name, Ops::default()).await;
+    }
+
+    pub async fn up_with(&mut self, name: &str, ops: Ops) {
+        let listeners = Listeners {
+            links: listen(self.addresses[name]).await,
+            http: listen("127.0.0.1:0".parse().unwrap()).await,
+        };
+        let settings = self.settings(name);
+        let control = Control::start_with(settings, listeners, ops).await.unwrap();
+        self.running.insert(name.to_owned(), control);
+    }
+
+    pub async fn down(&mut self, name: &str) {
+        if let Some(control) = self.running.remove(name) {
+            control.shutdown().await;
+        }
+    }
+
+    /// Loses the disk of a replica that is down.
+    pub fn wipe(&self, name: &str) {
+        fs::remove_dir_all(self.data(name)).unwrap();
+    }
+
+    pub fn control(&self, name: &str) -> &Control {
+        &self.running[name]
+    }
+
+    /// Status of the leader, once one leads for sure.
+    pub async fn leader_status(&self) -> Value {
+        let found = async |cluster: &Cluster| {
+            for control in cluster.running.values() {
+                match control.status().await {
+                    Ok(status) if status["leased"] == true => return Some(status),
+                    _ => {}
+                }
+            }
+            None
+        };
+        wait_for("a leader", async || found(self).await).await
+    }
+
+    pub async fn leader(&self) -> String {
+        let status = self.leader_status().await;
+        status["replica"].as_str().unwrap().to_owned()
+    }
+
+    /// Waits until the leader reports that all replicas are voters that hold
+    /// all that is committed.
+    pub async fn repaired(&self) {
+        let names = self.names();
+        wait_for("the repair", async || {
+            let status = self.leader_status().await;
+            let rows = status["replicas"].as_array().unwrap();
+            let whole = status["repair_complete"] == true && rows.len() == names.len();
+            whole.then_some(())
+        })
+        .await;
+    }
+
+    /// Waits until a replica has applied as much as the leader has committed.
+    pub async fn caught_up(&self, name: &str) {
+        wait_for("a replica to catch up", async || {
+            let commit = self.leader_status().await["commit"].as_u64();
+            let own = self.control(name).status().await.ok()?;
+            (own["applied"].as_u64() >= commit).then_some(())
+        })
+        .await;
+    }
+
+    pub async fn dial(&self, name: &str) -> Link {
+        let address = self.addresses[name];
+        wait_for("a link", async || dial(address).await).await
+    }
+
+    /// Has a command committed, whoever leads; sent again until answered.
+    pub async fn propose(&self, body: command::Body) -> outcome::Body {
+        wait_for("a commit", async || {
+            let leader = self.leader().await;
+            let link = self.dial(&leader).await;
+            let outcome = propose_to(&link, body.clone()).await;
+            link.close();
+            outcome.filter(|o| !matches!(o, outcome::Body::Unavailable(_)))
+        })
+        .await
+    }
+
+    pub async fn submit(&self, json: &Value, operator: &str) -> wire::proto::NoteOutcome {
+        let note = note_command(json, operator);
+        match self.propose(note).await {
+            outcome::Body::Note(note) => note,
+            other => panic!("unexpected outcome {other:?}"),
+        }
+    }
+
+    pub async fn query(&self, body: query::Body) -> query_reply::Body {
+        wait_for("an answer", async || {
+            let leader = self.leader().await;
+            let link = self.dial(&leader).await;
+            let query = Body::Query(Query {
+                body: Some(body.clone()),
+            });
+            let answer = link.call(query, PATIENCE).await;
+            link.close();
+            match answer {
+                Ok(Body::QueryReply(reply)) => reply.body,
+                _ => None,
+            }
+        })
+        .await
+    }
+}
+
+pub fn note_command(json: &Value, operator: &str) -> command::Body {
+    command::Body::SubmitNote(SubmitNote {
+        json: json.to_string().into(),
+        operator: operator.to_owned(),
+    })
+}
+
+/// One try at one replica; `None` unless it answers with an outcome.
+pub async fn propose_to(link: &Link, body: command::Body) -> Option<outcome::Body> {
+    let command = Some(Command {
+        now_ms: 0,
+        body: Some(body),
+    });
+    let propose = Body::Propose(Propose { command });
+    match link.call(propose, PATIENCE).await {
+        Ok(Body::Outcome(outcome)) => outcome.body,
+        _ => None,
+    }
+}
+
+pub async fn dial(address: SocketAddr) -> Option<Link> {
+    let me = Identity::new(Role::Entry, "test", 1);
+    let key = ClusterKey::from_bytes(b"0123456789abcdef").unwrap();
+    let dialled = wire::dial(address, &me, &key, &LinkSettings::default()).await;
+    let (link, mut rx) = dialled.ok()?;
+    // Hints of new notes are of no use here, but must not fill the queue.
+    tokio::spawn(async move { while rx.recv().await.is_some() {} });
+    Some(link)
+}
+
+async fn listen(address: SocketAddr) -> TcpListener {
+    wait_for("a port", async || TcpListener::bind(address).await.ok()).await
+}
+
+/// Polls until there is a value.
+pub async fn wait_for<T>(what: &str, mut poll: impl AsyncFnMut() -> Option<T>) -> T {
+    let until = Instant::now() + PATIENCE;
+    loop {
+        if let Some(value) = poll().await {
+            return value;
+        }
+        assert!(Instant::now() < until, "no sign of {what}");
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+#[allow(dead_code, reason = "not each test file copies folders")]
+pub fn copy_folder(from: &Path, to: &Path) {
+    fs::create_dir_all(to).unwrap();
+    for entry in fs::read_dir(from).unwrap() {
+        let entry = entry.unwrap();
+        fs::copy(entry.path(), to.join(entry.file_name())).unwrap();
+    }
+}
--- a/crates/quorum/src/node.rs
+++ b/crates/quorum/src/node.rs
@@ -221,6 +221,16 @@
         }
     }
 
+    /// Whether all that this leader has found committed was handed out to be
+    /// applied, so that the state machine lacks nothing acknowledged before it.
+    #[must_use]
+    pub fn has_applied_own(&self) -> bool {
+        match &self.role {
+            Role::Leader(leader) => self.applied >= leader.noop,
+            _ => false,
+        }
+    }
+
     /// The leader, if known.
     #[must_use]
     pub fn leader(&self) -> Option<DiskId> {
--- a/crates/quorum/src/node/replicate.rs
+++ b/crates/quorum/src/node/replicate.rs
@@ -22,23 +22,33 @@
         if now.saturating_duration_since(confirmed) >= election {
             return self.become_follower(self.hard.term, now);
         }
-        let due = now >= leader.next_beat;
-        let hurry = leader.wants_round() && self.commit >= leader.noop;
-        if !due && !hurry {
+        if now < leader.next_beat {
             return;
         }
-        if due {
-            leader.next_beat = now + heartbeat;
-            leader.commit_before = leader.commit_at_beat;
-            leader.commit_at_beat = self.commit;
-        }
+        leader.next_beat = now + heartbeat;
+        leader.commit_before = leader.commit_at_beat;
+        leader.commit_at_beat = self.commit;
         self.begin_reads();
         self.begin_round(now);
         self.confirm();
         self.beat();
-        if due {
-            self.advance_membership(now);
+        self.advance_membership(now);
+    }
+
+    /// Begins the round that confirms the reads asked so far, unless one is
+    /// under way. Without it they wait for the next heartbeat.
+    pub fn begin_reads_round(&mut self, now: Instant) {
+        let own = self.has_committed_own();
+        let Role::Leader(leader) = &self.role else {
+            return;
+        };
+        if !own || !leader.wants_round() {
+            return;
         }
+        self.begin_reads();
+        self.begin_round(now);
+        self.confirm();
+        self.beat();
     }
 
     fn begin_round(&mut self, now: Instant) {
--- a/crates/quorum/src/node/serve.rs
+++ b/crates/quorum/src/node/serve.rs
@@ -27,7 +27,7 @@
 
     /// Asks for a linearizable read (read-index, section 6.4). The token comes
     /// back in [`Ready::reads`](crate::Ready::reads), or refused. The next
-    /// [`Node::tick`] begins the round that confirms it.
+    /// heartbeat or [`Node::begin_reads_round`] begins the round for it.
     ///
     /// # Errors
     ///
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -77,6 +77,12 @@
         matches!(self.code, Code::Damaged(..))
     }
 
+    /// Whether another process has the folder open.
+    #[must_use]
+    pub fn is_in_use(&self) -> bool {
+        matches!(self.code, Code::InUse(_))
+    }
+
     /// Whether the folder was never formatted.
     #[must_use]
     pub fn is_blank(&self) -> bool {
--- a/crates/wire/src/gen/lovageramp.rs
+++ b/crates/wire/src/gen/lovageramp.rs
@@ -245,6 +245,50 @@
     #[prost(string, tag = "3")]
     pub address: ::prost::alloc::string::String,
 }
+/// A replica of the durable state.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Replica {
+    /// Identity of its disk.
+    #[prost(uint64, tag = "1")]
+    pub disk: u64,
+    #[prost(string, tag = "2")]
+    pub name: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub address: ::prost::alloc::string::String,
+}
+/// Who takes part in the replicated log.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ReplicaSet {
+    #[prost(message, repeated, tag = "1")]
+    pub voters: ::prost::alloc::vec::Vec<Replica>,
+    #[prost(message, repeated, tag = "2")]
+    pub learners: ::prost::alloc::vec::Vec<Replica>,
+}
+/// A snapshot as it lies on a control replica's disk.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct StoredSnapshot {
+    #[prost(message, optional, tag = "1")]
+    pub members: ::core::option::Option<ReplicaSet>,
+    #[prost(bytes = "bytes", tag = "2")]
+    pub state: ::prost::bytes::Bytes,
+}
+/// The whole durable state.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct DurableState {
+    #[prost(uint64, tag = "1")]
+    pub now_ms: u64,
+    /// Each in the own format of its crate.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub notes: ::prost::bytes::Bytes,
+    #[prost(bytes = "bytes", tag = "3")]
+    pub ledger: ::prost::bytes::Bytes,
+    #[prost(bytes = "bytes", tag = "4")]
+    pub quarantine: ::prost::bytes::Bytes,
+    #[prost(bytes = "bytes", tag = "5")]
+    pub maps: ::prost::bytes::Bytes,
+    #[prost(string, repeated, tag = "6")]
+    pub drained: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
 /// What a node tells of itself with each lease renewal.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct NodeInfo {
