Serve operators over HTTP at a control replica

Cause: an operator had no way to ask a control host. Roster joins the messages to member::Registry, so that the stand-in for it goes; a replaced incarnation's lease counts until it has run out. The status has the shape that the process tests read; a follower adds the leader's part to its own.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -1,10 +1,14 @@
 //! One replica, running.
 
+use crate::asker::{Asker, Directory};
+use crate::http;
 use crate::links::{self, Acceptor};
 use crate::listeners::Listeners;
+use crate::metrics::Metrics;
 use crate::peers;
 use crate::replica::{Msg, Replica, Start};
 use crate::settings::Settings;
+use admin::Token;
 use eyre::{Result, WrapErr, eyre};
 use ractor::{Actor, ActorRef};
 use std::net::SocketAddr;
@@ -57,7 +61,9 @@
         let http_address = listeners.http.local_addr()?;
         let mut settings = settings;
         settings.advertise.get_or_insert(link_address);
+        let token = Token::from_file(&settings.operator_token_file)?;
         let start = open(settings.clone(), ops).await?;
+        let metrics = start.metrics.clone();
         let disk = start.recovered.identity.disk;
         let (_, me) = links::disk_identity(disk, &settings.name);
         let (replica, actor) = Actor::spawn(None, Replica, start)
@@ -69,9 +75,13 @@
         };
         let stop = CancellationToken::new();
         let mut tasks = JoinSet::new();
+        let asker = Asker {
+            replica: replica.clone(),
+            directory: Directory::default(),
+        };
         for other in settings.replicas.iter().filter(|r| r.name != settings.name) {
             let (me, key) = (me.clone(), key.clone());
-            let keep = peers::keep(other.address, me, key, cfg.clone(), replica.clone());
+            let keep = peers::keep(other.address, me, key, cfg.clone(), asker.clone());
             tasks.spawn(until(stop.clone(), keep));
         }
         let acceptor = Acceptor {
@@ -82,6 +92,16 @@
             stop: stop.clone(),
         };
         tasks.spawn(acceptor.run(listeners.links));
+        let registry = metrics.registry();
+        let http = http::serve(
+            listeners.http,
+            token,
+            asker,
+            metrics,
+            registry,
+            stop.clone(),
+        );
+        tasks.spawn(http);
         let beat = settings.timing.heartbeat / TICKS_IN_HEARTBEAT;
         tasks.spawn(until(stop.clone(), keep_time(beat, replica.clone())));
         let ended = CancellationToken::new();
@@ -172,6 +192,7 @@
         settings,
         disk,
         recovered,
+        metrics: Metrics::default(),
     })
 }
 
--- /dev/null
+++ b/crates/control/src/http.rs
@@ -0,0 +1,59 @@
+//! Operators' HTTP of a replica.
+
+use crate::asker::Asker;
+use crate::metrics::Metrics;
+use admin::{Operators, Pages, Problem, Registry, Response, ServerSettings, Token};
+use std::sync::Arc;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+/// Serves until stopped.
+pub(crate) async fn serve(
+    listener: TcpListener,
+    token: Token,
+    asker: Asker,
+    metrics: Metrics,
+    registry: Registry,
+    stop: CancellationToken,
+) {
+    let propose = {
+        let asker = asker.clone();
+        move |body| {
+            let asker = asker.clone();
+            let answer = async move { asker.propose(body).await };
+            Box::pin(answer) as std::pin::Pin<Box<dyn Future<Output = _> + Send>>
+        }
+    };
+    let query = move |body| {
+        let asker = asker.clone();
+        let answer = async move { asker.query(body).await };
+        Box::pin(answer) as std::pin::Pin<Box<dyn Future<Output = _> + Send>>
+    };
+    let operators = Operators::new(token, Arc::new(propose), Arc::new(query));
+    let ready = move || match metrics.has_leader.get() {
+        1 => Ok(()),
+        _ => Err("no leader is known".to_owned()),
+    };
+    let pages = Pages::new(Arc::new(registry), ready);
+    let handler = move |req: hyper::Request<hyper::body::Incoming>| {
+        let (operators, pages) = (operators.clone(), pages.clone());
+        async move { answer(req, &operators, &pages).await }
+    };
+    admin::serve(listener, ServerSettings::default(), stop, handler).await;
+}
+
+async fn answer(
+    req: hyper::Request<hyper::body::Incoming>,
+    operators: &Operators,
+    pages: &Pages,
+) -> Response {
+    let path = req.uri().path();
+    if let Some(page) = pages.answer(req.method(), path) {
+        return page;
+    }
+    if Operators::owns(path) {
+        let id = format!("{:016x}", rand::random::<u64>());
+        return operators.handle(req, &id).await;
+    }
+    Problem::new(hyper::StatusCode::NOT_FOUND, "no such page").into_response()
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -6,17 +6,20 @@
 //! log, the state machine and the leases of nodes, a thread of its own owns
 //! the disk, and a task for each other replica keeps a link to it.
 
+mod asker;
 mod codec;
 mod control;
 mod disk;
+mod http;
 mod init;
-mod leases;
 mod links;
 mod listeners;
 mod machine;
+mod metrics;
 mod peers;
 mod replica;
 mod reply;
+mod roster;
 mod settings;
 mod timing;
 
--- a/crates/control/src/links.rs
+++ b/crates/control/src/links.rs
@@ -98,14 +98,15 @@
     if let Body::Quorum(message) = body {
         return replica_message(message, &link);
     }
-    let reply = Reply { link, call };
+    let from = link.peer().name.clone();
+    let reply = Reply::Remote(link, call);
     Some(Msg::Ask(Box::new(match body {
         Body::Renew(renew) => Ask::Renew(renew, reply),
         Body::FetchNotes(fetch) => Ask::Notes(fetch, reply),
         Body::Propose(propose) => Ask::Propose(propose, reply),
         Body::Query(query) => Ask::Query(query, reply),
         _ => {
-            log::warn!("unexpected message from {}", reply.link.peer().name);
+            log::warn!("unexpected message from {from}");
             return None;
         }
     })))
--- /dev/null
+++ b/crates/control/src/metrics.rs
@@ -0,0 +1,68 @@
+//! What a replica counts.
+
+use admin::Registry;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
+
+/// What a replica counts; cheap to clone.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Metrics {
+    pub(crate) has_leader: Gauge,
+    pub(crate) leads: Gauge,
+    pub(crate) term: Gauge,
+    pub(crate) applied: Gauge,
+    pub(crate) committed: Gauge,
+    pub(crate) note: Gauge,
+    pub(crate) disk_full: Gauge,
+    pub(crate) ledger_records: Gauge,
+    pub(crate) ledger_bytes: Gauge,
+    pub(crate) nodes: Gauge,
+    pub(crate) commands: Counter,
+    pub(crate) refused_commands: Counter,
+}
+
+impl Metrics {
+    /// Enters them into a registry.
+    pub(crate) fn registry(&self) -> Registry {
+        let mut registry = Registry::with_prefix("lovageramp_control");
+        let gauges = [
+            ("has_leader", "1 while a leader is known", &self.has_leader),
+            ("leads", "1 while this replica leads", &self.leads),
+            ("term", "Newest term", &self.term),
+            ("applied", "Last entry applied", &self.applied),
+            ("committed", "Last entry committed", &self.committed),
+            ("note", "Newest release note applied here", &self.note),
+            (
+                "disk_full",
+                "1 while a write waits for room",
+                &self.disk_full,
+            ),
+            (
+                "ledger_records",
+                "Records of non-repeatable calls",
+                &self.ledger_records,
+            ),
+            ("ledger_bytes", "Bytes of those records", &self.ledger_bytes),
+            (
+                "nodes",
+                "Nodes that hold a lease from this leader",
+                &self.nodes,
+            ),
+        ];
+        for (name, help, gauge) in gauges {
+            registry.register(name, help, gauge.clone());
+        }
+        let counters = [
+            ("commands", "Commands applied", &self.commands),
+            (
+                "refused_commands",
+                "Commands not taken",
+                &self.refused_commands,
+            ),
+        ];
+        for (name, help, counter) in counters {
+            registry.register(name, help, counter.clone());
+        }
+        registry
+    }
+}
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -1,9 +1,9 @@
 //! Links to the other replicas.
 
+use crate::asker::Asker;
 use crate::codec;
 use crate::replica::Msg;
 use quorum::{DiskId, Message};
-use ractor::ActorRef;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use tokio::sync::mpsc;
@@ -56,15 +56,16 @@
     me: Identity,
     key: ClusterKey,
     cfg: LinkSettings,
-    replica: ActorRef<Msg>,
+    asker: Asker,
 ) {
     wire::redial(address, me, key, cfg, move |link, rx| {
-        serve(link, rx, replica.clone())
+        serve(link, rx, asker.clone())
     })
     .await;
 }
 
-async fn serve(link: Link, mut rx: mpsc::Receiver<Incoming>, replica: ActorRef<Msg>) {
+async fn serve(link: Link, mut rx: mpsc::Receiver<Incoming>, asker: Asker) {
+    let Asker { replica, directory } = asker;
     let peer = link.peer();
     if peer.role != Role::Control {
         log::error!("{} is no control replica, see settings", peer.name);
@@ -75,6 +76,7 @@
     if replica.cast(Msg::PeerUp(id, PeerLink { tx })).is_err() {
         return;
     }
+    directory.up(link.clone());
     loop {
         let message = tokio::select! {
             message = outgoing.recv() => message,
@@ -90,6 +92,8 @@
         }
     }
     drop(outgoing);
+    link.close();
+    directory.down(&link.peer().name);
     // The replica may be gone already.
     let _ = replica.cast(Msg::PeerDown(id));
 }
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -7,12 +7,14 @@
 mod status;
 
 pub(crate) use actor::{Replica, Start};
+pub(crate) use status::add_leaders_part;
 
 use crate::disk::{Fullness, Job, Report};
-use crate::leases::Leases;
 use crate::machine::Machine;
+use crate::metrics::Metrics;
 use crate::peers::{PeerLink, Peers};
 use crate::reply::Reply;
+use crate::roster::Roster;
 use crate::settings::Settings;
 use pending::{Commands, Reads};
 use quorum::{DiskId, Message, Node};
@@ -64,11 +66,12 @@
     fullness: Fullness,
     peers: Peers,
     nodes: Vec<Link>,
-    leases: Option<Leases>,
+    roster: Option<Roster>,
     commands: Commands,
     reads: Reads,
     /// A snapshot is being saved.
     saving: Option<quorum::Snapshot>,
+    metrics: Metrics,
     /// Why the replica can't go on.
     failed: Option<String>,
 }
--- a/crates/control/src/replica/actor.rs
+++ b/crates/control/src/replica/actor.rs
@@ -4,6 +4,7 @@
 use crate::codec;
 use crate::disk::{self, Fullness, Report, SaveResult};
 use crate::machine::Machine;
+use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::reply::{Commit, unavailable};
 use crate::settings::Settings;
@@ -20,6 +21,7 @@
     pub(crate) settings: Settings,
     pub(crate) disk: Disk,
     pub(crate) recovered: Recovered,
+    pub(crate) metrics: Metrics,
 }
 
 impl Actor for Replica {
@@ -71,6 +73,7 @@
             settings,
             disk,
             recovered,
+            metrics,
         } = start;
         let id = DiskId(recovered.identity.disk);
         let stored = recovered.snapshot.map(codec::snapshot).transpose()?;
@@ -96,7 +99,8 @@
             fullness: Fullness::Room,
             peers: Peers::default(),
             nodes: Vec::new(),
-            leases: None,
+            roster: None,
+            metrics,
             commands: Commands::default(),
             reads: Reads::default(),
             saving: None,
@@ -129,9 +133,10 @@
     fn tick(&mut self, now: Instant) {
         self.node.tick(now);
         self.commands.expire(now, self.settings.timing.commit);
-        if let Some(leases) = &mut self.leases {
-            leases.expire(now);
+        if let Some(roster) = &mut self.roster {
+            roster.expire(now);
         }
+        self.measure(now);
         if self.node.is_blank() {
             let ids: Vec<DiskId> = self.peers.ids().collect();
             for id in ids {
--- a/crates/control/src/replica/answer.rs
+++ b/crates/control/src/replica/answer.rs
@@ -4,7 +4,7 @@
 use crate::disk::Fullness;
 use crate::reply::{Commit, Reply, unavailable};
 use prost::Message as _;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use wire::proto::frame::Body;
 use wire::proto::query::Body as Question;
 use wire::proto::query_reply::Body as Answer;
@@ -31,20 +31,24 @@
     /// is the newest.
     pub(super) fn renew(&mut self, renew: Renew, reply: Reply, now: Instant) {
         let surely = self.node.leased(now) && self.node.has_applied_own();
-        let (Some(leases), Some(info), true) = (&mut self.leases, renew.node, surely) else {
+        let (Some(roster), Some(info), true) = (&mut self.roster, renew.node, surely) else {
             return reply.send(self.not_leader());
         };
-        leases.expire(now);
-        leases.renew(info, renew.note, now);
-        let same = renew.view_term == leases.term() && renew.view_version == leases.version();
-        let view = (!same).then(|| leases.view(self.machine.drained()));
+        roster.expire(now);
+        let name = info.name.clone();
+        let mut lease = self.settings.timing.lease;
+        if let Err(reason) = roster.renew(info, renew.note, now) {
+            log::warn!("no lease for {name}: {reason}");
+            lease = Duration::ZERO;
+        }
+        let same = renew.view_term == roster.term() && renew.view_version == roster.version();
+        let view = (!same).then(|| roster.view(self.machine.drained()));
         let quarantine = self.machine.quarantine_message();
         let known = renew.quarantine_version == quarantine.version;
-        let lease_ms = self.settings.timing.lease.as_millis();
         reply.send(Body::Renewed(Renewed {
-            term: leases.term(),
+            term: roster.term(),
             note: self.machine.history().catalogue().number(),
-            lease_ms: u32::try_from(lease_ms).unwrap_or(u32::MAX),
+            lease_ms: u32::try_from(lease.as_millis()).unwrap_or(u32::MAX),
             view,
             quarantine: (!known).then_some(quarantine),
         }));
@@ -59,27 +63,33 @@
         reply.send(Body::Notes(self.machine.notes_after(fetch.after)));
     }
 
-    pub(super) fn propose(&mut self, mut command: Command, reply: Reply, now: Instant) {
+    pub(super) fn propose(&mut self, command: Command, reply: Reply, now: Instant) {
         if !self.node.is_leader() {
             return reply.send(self.not_leader());
         }
+        match self.order(command, now) {
+            Ok(place) => self.commands.insert(place, reply, now),
+            Err(reason) => {
+                self.metrics.refused_commands.inc();
+                reply.send(unavailable(&reason, Commit::Never));
+            }
+        }
+    }
+
+    fn order(&mut self, mut command: Command, now: Instant) -> Result<(u64, u64), String> {
         if self.fullness == Fullness::Full {
-            let reason = "the disk of the leader is full";
-            return reply.send(unavailable(reason, Commit::Never));
+            return Err("the disk of the leader is full".to_owned());
         }
         if self.commands.is_full() {
-            let reason = "too many commands wait";
-            return reply.send(unavailable(reason, Commit::Never));
+            return Err("too many commands wait".to_owned());
         }
         command.now_ms = self.wall_ms();
         let data = command.encode_to_vec();
         if data.len() > MOST_COMMAND_BYTES {
-            return reply.send(unavailable("the command is too long", Commit::Never));
-        }
-        match self.node.propose(data.into(), now) {
-            Ok(place) => self.commands.insert(place, reply, now),
-            Err(e) => reply.send(unavailable(&e.to_string(), Commit::Never)),
+            return Err("the command is too long".to_owned());
         }
+        let ordered = self.node.propose(data.into(), now);
+        ordered.map_err(|e| e.to_string())
     }
 
     /// Wall time that never goes back behind a committed command.
--- a/crates/control/src/replica/output.rs
+++ b/crates/control/src/replica/output.rs
@@ -2,9 +2,10 @@
 
 use super::State;
 use crate::codec;
-use crate::disk::Job;
-use crate::leases::Leases;
+use crate::disk::{Fullness, Job};
 use crate::machine::Machine;
+use crate::roster::Roster;
+use prometheus_client::metrics::gauge::Gauge;
 use prost::Message as _;
 use quorum::{Entry, EntryBody, Ready, Snapshot, Write};
 use std::time::Instant;
@@ -92,11 +93,12 @@
         // What can't be decoded becomes an empty command on every replica.
         let command = Command::decode(data).unwrap_or_default();
         let body = self.machine.apply(command);
+        self.metrics.commands.inc();
         match &body {
             outcome::Body::Note(note) if note.kind() == Kind::Accepted => self.tell_nodes(),
             outcome::Body::Drain(_) => {
-                if let Some(leases) = &mut self.leases {
-                    leases.touch();
+                if let Some(roster) = &mut self.roster {
+                    roster.drained();
                 }
             }
             _ => {}
@@ -125,20 +127,40 @@
     fn follow_leadership(&mut self, now: Instant) {
         let term = self.node.term();
         if !self.node.is_leader() {
-            if self.leases.take().is_some() {
+            if self.roster.take().is_some() {
                 log::info!("no longer the leader, term is {term}");
                 self.commands.give_up("the leader was replaced");
             }
             return;
         }
-        if self.leases.as_ref().is_none_or(|l| l.term() != term) {
+        if self.roster.as_ref().is_none_or(|r| r.term() != term) {
             log::info!("leader of term {term}");
             self.commands.give_up("the leader was replaced");
             let length = self.settings.timing.lease;
-            self.leases = Some(Leases::new(term, length, now));
+            self.roster = Some(Roster::new(term, length, now));
         }
     }
 
+    /// Brings the gauges up to date.
+    pub(super) fn measure(&self, now: Instant) {
+        let status = self.node.status(now);
+        let nodes = self.roster.as_ref().map_or(0, |r| r.members().count());
+        let metrics = &self.metrics;
+        set(&metrics.has_leader, u64::from(status.leader.is_some()));
+        set(&metrics.leads, u64::from(self.node.leased(now)));
+        set(&metrics.term, status.term);
+        set(&metrics.applied, self.applied);
+        set(&metrics.committed, status.commit);
+        set(&metrics.note, self.machine.history().catalogue().number());
+        set(
+            &metrics.disk_full,
+            u64::from(self.fullness == Fullness::Full),
+        );
+        set(&metrics.ledger_records, self.machine.ledger().len() as u64);
+        set(&metrics.ledger_bytes, self.machine.ledger().bytes() as u64);
+        set(&metrics.nodes, nodes as u64);
+    }
+
     fn begin_snapshot(&mut self) {
         let since = self.applied - self.node.snapshot().index.min(self.applied);
         if since < self.settings.snapshot_entries || self.saving.is_some() {
@@ -157,3 +179,7 @@
         }
     }
 }
+
+fn set(gauge: &Gauge, value: u64) {
+    gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+}
--- a/crates/control/src/replica/status.rs
+++ b/crates/control/src/replica/status.rs
@@ -2,28 +2,35 @@
 
 use super::State;
 use crate::disk::Fullness;
-use quorum::ReplicaStatus;
+use crate::roster::Roster;
+use member::{Capability, Member, Serves};
+use quorum::{ReplicaStatus, Status};
 use serde_json::{Value, json};
 use std::time::Instant;
-use wire::Role;
-use wire::proto::NodeInfo;
+
+/// Parts of the status that only a leader knows.
+const LEADERS_PARTS: [&str; 4] = ["replicas", "repair", "nodes", "targets"];
+/// The same within the part on notes.
+const LEADERS_NOTES: [&str; 2] = ["in_force_everywhere", "lagging"];
+
+/// Adds what only the leader knows to the status of another replica.
+pub(crate) fn add_leaders_part(own: &mut Value, leaders: &[u8]) {
+    let Ok(mut leaders) = serde_json::from_slice::<Value>(leaders) else {
+        return;
+    };
+    for part in LEADERS_PARTS {
+        own[part] = leaders[part].take();
+    }
+    for part in LEADERS_NOTES {
+        own["notes"][part] = leaders["notes"][part].take();
+    }
+}
 
 impl State {
     /// What stands here, as a JSON document for operators.
     pub(super) fn status(&self, now: Instant) -> Value {
         let status = self.node.status(now);
-        let members = self.node.members();
-        let leader = status.leader.and_then(|id| members.peer(id));
-        let replicas: Vec<Value> = status
-            .replicas
-            .iter()
-            .map(|row| replica(row, status.commit))
-            .collect();
-        let repaired = status.settled
-            && status
-                .replicas
-                .iter()
-                .all(|row| row.voter && row.active && row.matched >= Some(status.commit));
+        let leader = status.leader.and_then(|id| self.node.members().peer(id));
         json!({
             "replica": self.settings.name,
             "zone": self.settings.zone,
@@ -37,16 +44,13 @@
             "applied": self.applied,
             "last": status.last,
             "snapshot": self.node.snapshot().index,
-            "replicas": replicas,
-            "repair_complete": self.node.is_leader().then_some(repaired),
-            "notes": self.notes(),
-            "nodes": self.node_rows(),
-            "targets": self.target_rows(),
-            "maps": self.map_rows(),
-            "quarantine": {
-                "suspects": self.machine.quarantine().suspects().map(ToString::to_string).collect::<Vec<_>>(),
-                "convicted": self.machine.quarantine().convicted().map(ToString::to_string).collect::<Vec<_>>(),
-            },
+            "replicas": replicas(&status),
+            "repair": self.repair(&status),
+            "notes": self.notes(now),
+            "nodes": self.nodes(),
+            "targets": self.targets(),
+            "groups": self.groups(),
+            "quarantine": self.quarantine(),
             "drained": self.machine.drained(),
             "ledger": {
                 "records": self.machine.ledger().len(),
@@ -55,56 +59,82 @@
         })
     }
 
-    fn notes(&self) -> Value {
+    /// What is left of a repair; only the leader knows.
+    fn repair(&self, status: &Status) -> Value {
+        if !self.node.has_committed_own() {
+            return json!("unknown");
+        }
+        if !status.settled {
+            return json!("a change of the members is under way");
+        }
+        let waiting = status.replicas.iter().find(|row| !is_whole(row, status));
+        match waiting {
+            None => json!("complete"),
+            Some(row) => json!(format!("{}: {}", row.peer.name, repair_of(row, status))),
+        }
+    }
+
+    fn notes(&self, now: Instant) -> Value {
         let accepted = self.machine.history().catalogue().number();
-        let leases = self.leases.as_ref();
-        let in_force = leases.and_then(|leases| leases.in_force(accepted));
-        json!({ "accepted": accepted, "in_force_everywhere": in_force })
+        let progress = self.roster.as_ref().map(|r| r.progress(accepted, now));
+        let progress = progress.unwrap_or_default();
+        json!({
+            "accepted": accepted,
+            "in_force_everywhere": progress.everywhere,
+            "lagging": progress.lagging,
+        })
     }
 
-    fn node_rows(&self) -> Vec<Value> {
-        let Some(leases) = &self.leases else {
-            return Vec::new();
-        };
-        let row = |(info, note): (&NodeInfo, u64)| {
+    fn nodes(&self) -> Vec<Value> {
+        let members = self.roster.iter().flat_map(Roster::members);
+        let row = |member: &Member| {
+            let node = &member.node;
             json!({
-                "name": info.name,
-                "role": role_name(info.role()),
-                "zone": info.zone,
-                "incarnation": format!("{:016x}", info.incarnation),
-                "note": note,
-                "leaving": info.leaving,
-                "link_address": info.link_address,
-                "caller_address": info.caller_address,
+                "name": node.key.name,
+                "role": match node.key.role {
+                    member::Role::Entry => "entry",
+                    member::Role::Agent => "agent",
+                },
+                "zone": node.zone,
+                "incarnation": format!("{:016x}", node.incarnation),
+                "note": member.note,
+                "leaving": node.leaving,
+                "link_address": node.link_address,
+                "caller_address": node.caller_address,
             })
         };
-        leases.nodes().map(row).collect()
+        members.map(row).collect()
     }
 
-    fn target_rows(&self) -> Vec<Value> {
-        let Some(leases) = &self.leases else {
-            return Vec::new();
-        };
-        let view = leases.view(self.machine.drained());
+    fn targets(&self) -> Vec<Value> {
         let catalogue = self.machine.history().catalogue();
+        let drained = self.machine.drained();
         let mut rows = Vec::new();
-        for info in &view.nodes {
-            let Some(target) = &info.target else { continue };
+        for member in self.roster.iter().flat_map(Roster::members) {
+            let Some(target) = &member.node.announcement else {
+                continue;
+            };
+            let (group, service) = match &target.serves {
+                Serves::Group(name) => (Some(name), None),
+                Serves::Service(name) => (None, Some(name)),
+            };
+            let name = &target.target;
             rows.push(json!({
-                "target": target.target,
-                "group": target.group,
-                "service": target.service,
-                "zone": info.zone,
+                "target": name,
+                "group": group,
+                "service": service,
+                "zone": member.node.zone,
                 "healthy": target.healthy,
-                "leaving": info.leaving,
-                "offered": catalogue.target(&target.target).is_some(),
-                "checks_fencing": target.checks_fencing,
+                "leaving": member.node.leaving,
+                "draining": drained.contains(name),
+                "offered": catalogue.target(name).is_some(),
+                "checks_fencing": target.capabilities.contains(&Capability::ChecksFencing),
             }));
         }
         rows
     }
 
-    fn map_rows(&self) -> Vec<Value> {
+    fn groups(&self) -> Vec<Value> {
         let mut rows = Vec::new();
         for (group, standing) in self.machine.decisions().groups() {
             let current = standing.current.as_ref();
@@ -114,37 +144,48 @@
                 "coordinator": standing.agent,
                 "version": current.map(|d| d.version),
                 "barrier_step": current.map(|d| d.barrier_step),
+                "committed": current.map(|d| d.verdict == expert::Verdict::Commit),
             }));
         }
         rows
     }
+
+    fn quarantine(&self) -> Value {
+        let quarantine = self.machine.quarantine();
+        let suspects: Vec<String> = quarantine.suspects().map(ToString::to_string).collect();
+        let convicted: Vec<String> = quarantine.convicted().map(ToString::to_string).collect();
+        json!({ "suspects": suspects, "convicted": convicted })
+    }
 }
 
-fn replica(row: &ReplicaStatus, commit: u64) -> Value {
-    let caught_up = row.matched.map(|matched| matched >= commit);
-    let repair = match (row.voter, caught_up) {
-        (_, None) => "unknown",
-        (false, Some(false)) => "catching up",
-        (false, Some(true)) => "to be made a voter",
-        (true, Some(false)) => "behind",
-        (true, Some(true)) => "complete",
+fn replicas(status: &Status) -> Vec<Value> {
+    let row = |row: &ReplicaStatus| {
+        json!({
+            "name": row.peer.name,
+            "address": row.peer.address,
+            "disk": row.id.to_string(),
+            "state": if row.voter { "voter" } else { "learner" },
+            "match": row.matched,
+            "active": row.active,
+            "repair": repair_of(row, status),
+        })
     };
-    json!({
-        "name": row.peer.name,
-        "address": row.peer.address,
-        "disk": row.id.to_string(),
-        "voter": row.voter,
-        "matched": row.matched,
-        "active": row.active,
-        "repair": repair,
-    })
+    status.replicas.iter().map(row).collect()
 }
 
-fn role_name(role: Role) -> &'static str {
-    match role {
-        Role::Entry => "entry",
-        Role::Control => "control",
-        Role::Agent => "agent",
-        Role::Unspecified => "unspecified",
+fn is_whole(row: &ReplicaStatus, status: &Status) -> bool {
+    row.voter && row.active && row.matched >= Some(status.commit)
+}
+
+fn repair_of(row: &ReplicaStatus, status: &Status) -> &'static str {
+    let Some(matched) = row.matched else {
+        return "unknown";
+    };
+    match (row.active, row.voter, matched >= status.commit) {
+        (false, ..) => "silent",
+        (true, false, false) => "catching up",
+        (true, false, true) => "to be made a voter",
+        (true, true, false) => "behind",
+        (true, true, true) => "complete",
     }
 }
--- a/crates/control/src/reply.rs
+++ b/crates/control/src/reply.rs
@@ -1,27 +1,33 @@
 //! The way back to who asked.
 
+use tokio::sync::oneshot;
 use wire::Link;
 use wire::proto::frame::Body;
 use wire::proto::{Outcome, Unavailable, outcome};
 
 /// The way back to who asked.
 #[derive(Debug)]
-pub(crate) struct Reply {
-    pub(crate) link: Link,
-    pub(crate) call: u64,
+pub(crate) enum Reply {
+    /// Over a link, to the call of that number.
+    Remote(Link, u64),
+    /// Within this process.
+    Local(oneshot::Sender<Body>),
 }
 
 impl Reply {
     /// Sends the answer; who asked may be gone.
     pub(crate) fn send(self, body: Body) {
-        if self.call == 0 {
-            return;
-        }
-        tokio::spawn(async move {
-            if let Err(e) = self.link.reply(self.call, body).await {
-                log::debug!("answer to {} is lost: {e}", self.link.peer().name);
+        match self {
+            Reply::Remote(_, 0) => {}
+            Reply::Remote(link, call) => {
+                tokio::spawn(async move {
+                    if let Err(e) = link.reply(call, body).await {
+                        log::debug!("answer to {} is lost: {e}", link.peer().name);
+                    }
+                });
             }
-        });
+            Reply::Local(tx) => drop(tx.send(body)),
+        }
     }
 }
 
--- /dev/null
+++ b/crates/control/src/roster.rs
@@ -0,0 +1,218 @@
+//! The nodes that hold a lease, between the messages and `member`.
+
+use member::{Announcement, Capability, Member, Node, NodeKey, Registry, Renewal, Role, Serves};
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+use wire::proto::{self, MemberView, NodeInfo};
+
+/// The nodes that hold a lease from this leader.
+#[derive(Debug)]
+pub(crate) struct Roster {
+    term: u64,
+    registry: Registry,
+    /// Changes of the drained targets, which the view shows as leaving.
+    drains: u64,
+    /// Leases of incarnations that were replaced, with their notes.
+    former: Vec<(NodeKey, u64, Instant)>,
+}
+
+/// How far the accepted notes have come.
+#[derive(Debug, Default)]
+pub(crate) struct Progress {
+    /// Newest number that every node which may take work acts on, once the
+    /// leases of earlier leaders have run out.
+    pub(crate) everywhere: Option<u64>,
+    /// Nodes that act on an earlier note than the newest.
+    pub(crate) lagging: Vec<String>,
+}
+
+impl Roster {
+    /// The roster of a leader that begins now.
+    pub(crate) fn new(term: u64, lease: Duration, now: Instant) -> Roster {
+        Roster {
+            term,
+            registry: Registry::new(term, now, lease),
+            drains: 0,
+            former: Vec::new(),
+        }
+    }
+
+    pub(crate) fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// Version of the view.
+    pub(crate) fn version(&self) -> u64 {
+        self.registry.version() + self.drains
+    }
+
+    /// Grants a lease to a node at that note, or tells why not.
+    pub(crate) fn renew(
+        &mut self,
+        info: NodeInfo,
+        number: u64,
+        now: Instant,
+    ) -> Result<(), &'static str> {
+        let node = parse(info)?;
+        let before = self.registry.members().find(|m| m.node.key == node.key);
+        let former = before.filter(|m| m.node.incarnation != node.incarnation);
+        let former = former.map(|m| (m.node.key.clone(), m.note, m.expires));
+        match self.registry.renew(node, number, now) {
+            Renewal::Granted { .. } => {
+                // A process that was replaced may still run and take work
+                // until its lease is over.
+                self.former.extend(former);
+                Ok(())
+            }
+            Renewal::Refused(member::Refusal::Superseded) => {
+                Err("a later incarnation of this name was seen")
+            }
+            Renewal::Refused(member::Refusal::Full) => Err("too many nodes"),
+        }
+    }
+
+    pub(crate) fn expire(&mut self, now: Instant) {
+        self.registry.expire(now);
+        self.former.retain(|(_, _, until)| now < *until);
+    }
+
+    /// Tells that the drained targets have changed.
+    pub(crate) fn drained(&mut self) {
+        self.drains += 1;
+    }
+
+    pub(crate) fn progress(&self, newest: u64, now: Instant) -> Progress {
+        let mut everywhere = newest;
+        let mut lagging = Vec::new();
+        let live = self.registry.members().filter(|m| now < m.expires);
+        let live = live.map(|m| (&m.node.key, m.note));
+        let former = self.former.iter().filter(|(_, _, until)| now < *until);
+        let former = former.map(|(key, note, _)| (key, *note));
+        for (key, note) in live.chain(former) {
+            everywhere = everywhere.min(note);
+            if note < newest {
+                lagging.push(key.to_string());
+            }
+        }
+        let settled = self.registry.in_force(0, now).everywhere;
+        Progress {
+            everywhere: settled.then_some(everywhere),
+            lagging,
+        }
+    }
+
+    pub(crate) fn members(&self) -> impl Iterator<Item = &Member> {
+        self.registry.members()
+    }
+
+    /// The nodes that live. A drained target shows as leaving.
+    pub(crate) fn view(&self, drained: &BTreeSet<String>) -> MemberView {
+        let view = self.registry.view();
+        let nodes = view.nodes.iter().map(|node| {
+            let mut info = encode(node);
+            let target = info.target.as_ref().map(|t| t.target.as_str());
+            info.leaving |= target.is_some_and(|target| drained.contains(target));
+            info
+        });
+        MemberView {
+            term: view.term,
+            version: self.version(),
+            settled: view.settled,
+            nodes: nodes.collect(),
+        }
+    }
+}
+
+fn parse(info: NodeInfo) -> Result<Node, &'static str> {
+    let role = match info.role() {
+        proto::Role::Entry => Role::Entry,
+        proto::Role::Agent => Role::Agent,
+        _ => return Err("only entries and agents hold a lease"),
+    };
+    if info.name.is_empty() {
+        return Err("a node without a name");
+    }
+    let mut node = Node::new(role, info.name, info.incarnation, info.zone);
+    node.link_address = parse_address(&info.link_address)?;
+    node.caller_address = parse_address(&info.caller_address)?;
+    node.leaving = info.leaving;
+    node.announcement = info.target.map(parse_target).transpose()?;
+    Ok(node)
+}
+
+fn parse_address(text: &str) -> Result<Option<std::net::SocketAddr>, &'static str> {
+    if text.is_empty() {
+        return Ok(None);
+    }
+    let parsed = text.parse().map(Some);
+    parsed.map_err(|_| "an address that is not ip:port")
+}
+
+fn parse_target(target: proto::Announcement) -> Result<Announcement, &'static str> {
+    let serves = match (target.group.is_empty(), target.service.is_empty()) {
+        (false, true) => Serves::Group(target.group),
+        (true, false) => Serves::Service(target.service),
+        _ => return Err("a target of neither or both a group and a service"),
+    };
+    let said = [
+        (target.can_resume, Capability::Resume),
+        (target.can_cancel, Capability::Cancel),
+        (target.has_priority, Capability::Priority),
+        (target.checks_fencing, Capability::ChecksFencing),
+        (target.exports_kv, Capability::ExportsKv),
+    ];
+    let able = said.into_iter().filter(|(can, _)| *can);
+    Ok(Announcement {
+        target: target.target,
+        serves,
+        ranks: target.ranks,
+        models: target.models,
+        adapters: target.adapters,
+        versions: target.versions,
+        capabilities: able.map(|(_, capability)| capability).collect(),
+        healthy: target.healthy,
+    })
+}
+
+fn encode(node: &Node) -> NodeInfo {
+    let role = match node.key.role {
+        Role::Entry => proto::Role::Entry,
+        Role::Agent => proto::Role::Agent,
+    };
+    let text = |address: Option<std::net::SocketAddr>| {
+        address.map_or_else(String::new, |address| address.to_string())
+    };
+    NodeInfo {
+        role: role.into(),
+        name: node.key.name.clone(),
+        incarnation: node.incarnation,
+        zone: node.zone.clone(),
+        link_address: text(node.link_address),
+        caller_address: text(node.caller_address),
+        leaving: node.leaving,
+        target: node.announcement.as_ref().map(encode_target),
+    }
+}
+
+fn encode_target(target: &Announcement) -> proto::Announcement {
+    let (group, service) = match &target.serves {
+        Serves::Group(name) => (name.clone(), String::new()),
+        Serves::Service(name) => (String::new(), name.clone()),
+    };
+    let can = |capability| target.capabilities.contains(&capability);
+    proto::Announcement {
+        target: target.target.clone(),
+        group,
+        service,
+        ranks: target.ranks.clone(),
+        models: target.models.clone(),
+        adapters: target.adapters.clone(),
+        versions: target.versions.clone(),
+        can_resume: can(Capability::Resume),
+        can_cancel: can(Capability::Cancel),
+        has_priority: can(Capability::Priority),
+        checks_fencing: can(Capability::ChecksFencing),
+        exports_kv: can(Capability::ExportsKv),
+        healthy: target.healthy,
+    }
+}
--- a/crates/control/tests/replicas/cluster.rs
+++ b/crates/control/tests/replicas/cluster.rs
@@ -42,7 +42,7 @@
     pub async fn prepared(size: usize) -> Cluster {
         let folder = tempfile::tempdir().unwrap();
         fs::write(folder.path().join("key"), "0123456789abcdef").unwrap();
-        fs::write(folder.path().join("token"), "operators-token").unwrap();
+        fs::write(folder.path().join("token"), "operators-token-of-tests").unwrap();
         let mut addresses = BTreeMap::new();
         for place in 1..=size {
             let listener = listen("127.0.0.1:0".parse().unwrap()).await;
@@ -138,7 +138,7 @@
         wait_for("the repair", async || {
             let status = self.leader_status().await;
             let rows = status["replicas"].as_array().unwrap();
-            let whole = status["repair_complete"] == true && rows.len() == names.len();
+            let whole = status["repair"] == "complete" && rows.len() == names.len();
             whole.then_some(())
         })
         .await;
