Add expert maps, load estimate, planner and their bench

Cause: nothing decides yet which map a group should run on.

Change: Map with its checks and compact encoding; Estimate (damped double exponential smoothing over shares, starting afresh after a surprise); Speeds from step times; Planner, which repairs lost experts first and then takes chains of moves, cut at the corners of their convex hull, by gain for each load while they pay; Map::balanced, the full greedy replan, as start and comparison.

--- /dev/null
+++ b/crates/expert/benches/maps/run.rs
@@ -0,0 +1,170 @@
+//! One policy through one day.
+
+use crate::policy::Policy;
+use crate::scenario::Scenario;
+use crate::score::Score;
+use crate::trace::{Trace, WINDOWS};
+use expert::{Estimate, EstimateSettings, Load, Map, MoveCost, Planner, Shape, Speeds};
+use std::time::Instant;
+
+/// Experts of each layer.
+const EXPERTS: u16 = 128;
+
+/// Seconds that the experts' work takes of a usual window of 300.
+const BUSY_SECONDS: f64 = 150.0;
+
+/// Seed of every trace.
+const SEED: u64 = 20_261_203;
+
+/// Loading an expert of 44 MB through 1 GB/s.
+const COST: MoveCost = MoveCost {
+    expert_bytes: 44_000_000,
+    store_bytes_per_s: 1e9,
+    slowdown: 0.1,
+    store_price: 1.0,
+    plan_bytes: 300_000_000_000,
+};
+
+/// Windows over which a move is expected to pay: one hour.
+const HORIZON: f64 = 12.0;
+
+/// One policy through one day.
+pub struct Run {
+    policy: Policy,
+    scenario: Scenario,
+    planner: Planner,
+    estimate: Estimate,
+    speeds: Speeds,
+    map: Map,
+    first_map: Map,
+    seconds_per_token: f64,
+}
+
+impl Run {
+    /// Plays the whole day.
+    pub fn play(policy: Policy, scenario: Scenario, ranks: u16, layers: u16) -> Score {
+        let mut trace = Trace::new(scenario, layers.into(), EXPERTS.into(), SEED);
+        let first = trace.next(0);
+        let mut run = Run::new(policy, scenario, ranks, layers, &first);
+        let mut score = Score::new(COST);
+        run.measure(0, &first, &mut score);
+        for t in 1..WINDOWS {
+            let start = Instant::now();
+            let next = run.plan(t);
+            score.planned(start.elapsed());
+            run.switch(next, &mut score);
+            let load = trace.next(t);
+            run.measure(t, &load, &mut score);
+        }
+        score
+    }
+
+    fn new(policy: Policy, scenario: Scenario, ranks: u16, layers: u16, first: &Load) -> Run {
+        let shape = Shape::with_spare(layers, EXPERTS, ranks, 1, 8);
+        let tokens: f64 = (0..first.layers())
+            .flat_map(|layer| first.layer(layer))
+            .sum();
+        let seconds_per_token = BUSY_SECONDS * f64::from(ranks) / tokens;
+        let speeds = Speeds::new(ranks.into(), seconds_per_token);
+        let map = Map::balanced(shape, first, &speeds);
+        Run {
+            policy,
+            scenario,
+            planner: Planner {
+                weights: policy.weights(),
+                cost: COST,
+                horizon: HORIZON,
+            },
+            estimate: Estimate::new(layers.into(), EXPERTS.into(), EstimateSettings::default()),
+            speeds,
+            first_map: map.clone(),
+            map,
+            seconds_per_token,
+        }
+    }
+
+    /// The map for window `t`, from what was counted before it. A rank that
+    /// is lost or comes back with `t` is known at once, as its link tells.
+    fn plan(&mut self, t: usize) -> Map {
+        let mut back = false;
+        for rank in 0..self.map.shape().ranks() {
+            let was = self.scenario.speed(rank, t - 1).is_some();
+            let is = self.scenario.speed(rank, t).is_some();
+            if was && !is {
+                self.speeds.set_lost(rank);
+                self.map.clear_rank(expert::Rank(rank as u16));
+            }
+            if is && !was {
+                self.speeds.set_live(rank);
+                back = true;
+            }
+        }
+        if self.policy == Policy::Static && back {
+            return self.first_map.clone();
+        }
+        let forecast = self.estimate.forecast();
+        if self.policy == Policy::Full {
+            return Map::balanced(self.map.shape().clone(), &forecast, &self.speeds);
+        }
+        self.planner.plan(&self.map, &forecast, &self.speeds).map
+    }
+
+    fn switch(&mut self, next: Map, score: &mut Score) {
+        let faults = next.check(self.speeds.live());
+        assert!(faults.is_empty(), "{}: {:?}", self.policy.name(), faults[0]);
+        score.loaded(next.loads_after(&self.map));
+        self.map = next;
+    }
+
+    /// Runs window `t` and takes in what it shows.
+    fn measure(&mut self, t: usize, load: &Load, score: &mut Score) {
+        let ranks = self.map.shape().ranks();
+        let speeds: Vec<Option<f64>> = (0..ranks).map(|r| self.scenario.speed(r, t)).collect();
+        let live = speeds.iter().flatten().count() as f64;
+        let speed: f64 = speeds.iter().flatten().sum();
+        let (mut slowest, mut mean, mut even) = (0.0, 0.0, 0.0);
+        let (mut tokens, mut seconds) = (vec![0.0; ranks], vec![0.0; ranks]);
+        for layer in 0..load.layers() {
+            let by_rank = self.tokens_by_rank(layer, load);
+            let time = |rank: usize| {
+                speeds[rank].map_or(0.0, |speed| by_rank[rank] * self.seconds_per_token / speed)
+            };
+            slowest += (0..ranks).map(time).fold(0.0, f64::max);
+            mean += (0..ranks).map(time).sum::<f64>() / live;
+            even += by_rank.iter().sum::<f64>() * self.seconds_per_token / speed;
+            for rank in 0..ranks {
+                tokens[rank] += by_rank[rank];
+                seconds[rank] += time(rank);
+            }
+        }
+        score.window(slowest, mean, even);
+        self.speeds.observe(&tokens, &seconds);
+        if self.policy == Policy::Full {
+            // Made from the newest window alone.
+            let settings = EstimateSettings {
+                level: 1.0,
+                trend: 0.0,
+                ..EstimateSettings::default()
+            };
+            self.estimate = Estimate::new(load.layers(), load.experts(), settings);
+        }
+        self.estimate.observe(load);
+    }
+
+    fn tokens_by_rank(&self, layer: usize, load: &Load) -> Vec<f64> {
+        let slots = self.map.layer(layer);
+        let mut copies = vec![0.0; load.experts()];
+        for expert in slots.iter().flatten() {
+            copies[usize::from(expert.0)] += 1.0;
+        }
+        let mut tokens = vec![0.0; self.map.shape().ranks()];
+        for (slot, expert) in slots.iter().enumerate() {
+            if let Some(expert) = expert {
+                let expert = usize::from(expert.0);
+                tokens[slot / self.map.shape().slots()] +=
+                    load.layer(layer)[expert] / copies[expert];
+            }
+        }
+        tokens
+    }
+}
--- a/crates/expert/src/error.rs
+++ b/crates/expert/src/error.rs
@@ -15,6 +15,8 @@
 pub(crate) enum Code {
     Decode(String),
     Format(u32),
+    Range(u32),
+    Slots(usize, usize),
 }
 
 impl Error {
@@ -34,6 +36,10 @@
         match &self.code {
             Code::Decode(reason) => f.write_str(reason),
             Code::Format(format) => write!(f, "unknown format {format}"),
+            Code::Range(value) => write!(f, "value {value} is out of range"),
+            Code::Slots(found, expected) => {
+                write!(f, "{found} slots where the shape has {expected}")
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/expert/src/estimate_settings.rs
@@ -0,0 +1,29 @@
+//! How fast the load estimate follows what is counted.
+
+/// How fast the load estimate follows what is counted.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EstimateSettings {
+    /// Weight of the newest window in the level, 0 to 1.
+    pub level: f64,
+    /// Weight of the newest change in the trend, 0 to 1.
+    pub trend: f64,
+    /// Share of the trend that is left one window later, 0 to 1.
+    pub damping: f64,
+    /// How many times its usual error the forecast has to be off before the
+    /// estimate starts afresh from the newest window.
+    pub surprise: f64,
+    /// Windows ahead over which the forecast is averaged.
+    pub ahead: u32,
+}
+
+impl Default for EstimateSettings {
+    fn default() -> EstimateSettings {
+        EstimateSettings {
+            level: 0.4,
+            trend: 0.2,
+            damping: 0.8,
+            surprise: 3.0,
+            ahead: 2,
+        }
+    }
+}
--- a/crates/expert/src/lib.rs
+++ b/crates/expert/src/lib.rs
@@ -26,19 +26,47 @@
 //! assert!(outcome.is_accepted());
 //! ```
 
+mod balance;
 mod decide_outcome;
 mod decision;
 mod decisions;
 mod error;
+mod estimate;
+mod estimate_settings;
+mod expert_id;
+mod load;
+mod map;
+mod map_fault;
+mod move_cost;
+mod plan;
+mod planner;
+mod rank;
 mod record;
 mod refusal;
+mod search;
+mod shape;
+mod speeds;
 mod standing;
 mod verdict;
+mod weights;
 
 pub use crate::decide_outcome::DecideOutcome;
 pub use crate::decision::Decision;
 pub use crate::decisions::Decisions;
 pub use crate::error::{Error, Result};
+pub use crate::estimate::Estimate;
+pub use crate::estimate_settings::EstimateSettings;
+pub use crate::expert_id::ExpertId;
+pub use crate::load::Load;
+pub use crate::map::Map;
+pub use crate::map_fault::MapFault;
+pub use crate::move_cost::MoveCost;
+pub use crate::plan::Plan;
+pub use crate::planner::Planner;
+pub use crate::rank::Rank;
 pub use crate::refusal::Refusal;
+pub use crate::shape::Shape;
+pub use crate::speeds::Speeds;
 pub use crate::standing::Standing;
 pub use crate::verdict::Verdict;
+pub use crate::weights::Weights;
--- /dev/null
+++ b/crates/expert/src/map.rs
@@ -0,0 +1,238 @@
+//! Which expert each slot of a group holds.
+
+use crate::error::Code;
+use crate::record::MapRecord;
+use crate::{Error, ExpertId, MapFault, Rank, Result, Shape};
+use bytes::Bytes;
+use prost::Message;
+use std::collections::BTreeSet;
+
+/// Format of the encoding that this version writes and reads.
+const FORMAT: u32 = 1;
+
+/// Which expert each slot of a group holds.
+///
+/// The tokens of an expert are split evenly over its copies in a layer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Map {
+    shape: Shape,
+    /// By layer, then rank, then slot.
+    slots: Vec<Option<ExpertId>>,
+}
+
+impl Map {
+    /// A map whose slots are all empty.
+    ///
+    /// ```
+    /// use expert::{Map, Shape};
+    ///
+    /// let map = Map::empty(Shape::with_spare(1, 4, 2, 1, 1));
+    /// assert_eq!(map.check(&[true, true]).len(), 4);
+    /// ```
+    #[must_use]
+    pub fn empty(shape: Shape) -> Map {
+        let slots = vec![None; shape.layers() * shape.layer_slots()];
+        Map { shape, slots }
+    }
+
+    /// The map that groups start on before any load is known: experts in
+    /// order, spare slots with copies from the far end of the ranks.
+    ///
+    /// ```
+    /// use expert::{Map, Shape};
+    ///
+    /// let map = Map::uniform(Shape::with_spare(2, 128, 16, 1, 8));
+    /// assert!(map.check(&[true; 16]).is_empty());
+    /// ```
+    #[must_use]
+    pub fn uniform(shape: Shape) -> Map {
+        let mut map = Map::empty(shape);
+        let (ranks, experts) = (map.shape.ranks(), map.shape.experts());
+        for layer in 0..map.shape.layers() {
+            for place in 0..map.shape.layer_slots() {
+                let (round, turn) = (place / ranks, place % ranks);
+                // Each round begins half a group further on, so that the
+                // copies of an expert land on different hosts.
+                let rank = (turn + round * (ranks / 2)) % ranks;
+                let expert = ExpertId::from_index(place % experts.max(1));
+                if experts > 0 && !map.rank_slots(layer, rank).contains(&Some(expert)) {
+                    map.rank_slots_mut(layer, rank)[round] = Some(expert);
+                }
+            }
+        }
+        map
+    }
+
+    /// Dimensions of the map.
+    #[must_use]
+    pub fn shape(&self) -> &Shape {
+        &self.shape
+    }
+
+    /// Slots of one layer, by rank.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the shape has no such layer.
+    #[must_use]
+    pub fn layer(&self, layer: usize) -> &[Option<ExpertId>] {
+        let width = self.shape.layer_slots();
+        &self.slots[layer * width..(layer + 1) * width]
+    }
+
+    /// Slots of one rank in one layer.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the shape has no such layer or rank.
+    #[must_use]
+    pub fn rank_slots(&self, layer: usize, rank: usize) -> &[Option<ExpertId>] {
+        let width = self.shape.slots();
+        &self.layer(layer)[rank * width..(rank + 1) * width]
+    }
+
+    pub(crate) fn layer_mut(&mut self, layer: usize) -> &mut [Option<ExpertId>] {
+        let width = self.shape.layer_slots();
+        &mut self.slots[layer * width..(layer + 1) * width]
+    }
+
+    fn rank_slots_mut(&mut self, layer: usize, rank: usize) -> &mut [Option<ExpertId>] {
+        let width = self.shape.slots();
+        &mut self.layer_mut(layer)[rank * width..(rank + 1) * width]
+    }
+
+    /// Empties the slots of a lost rank.
+    ///
+    /// ```
+    /// use expert::{Map, Rank, Shape};
+    ///
+    /// let mut map = Map::uniform(Shape::with_spare(1, 4, 2, 1, 1));
+    /// map.clear_rank(Rank(1));
+    /// assert!(!map.check(&[true, false]).is_empty());
+    /// ```
+    pub fn clear_rank(&mut self, rank: Rank) {
+        if rank.index() < self.shape.ranks() {
+            for layer in 0..self.shape.layers() {
+                self.rank_slots_mut(layer, rank.index()).fill(None);
+            }
+        }
+    }
+
+    /// Everything that is wrong with the map while the ranks marked in
+    /// `live` run; empty for a map that can be used.
+    ///
+    /// ```
+    /// use expert::{Map, Shape};
+    ///
+    /// let map = Map::uniform(Shape::with_spare(1, 4, 2, 1, 1));
+    /// assert!(map.check(&[true, true]).is_empty());
+    /// ```
+    #[must_use]
+    pub fn check(&self, live: &[bool]) -> Vec<MapFault> {
+        let expected = self.shape.layers() * self.shape.layer_slots();
+        if self.slots.len() != expected {
+            let found = self.slots.len();
+            return vec![MapFault::Size { expected, found }];
+        }
+        let mut faults = Vec::new();
+        for layer in 0..self.shape.layers() {
+            self.check_layer(layer, live, &mut faults);
+        }
+        faults
+    }
+
+    fn check_layer(&self, layer: usize, live: &[bool], faults: &mut Vec<MapFault>) {
+        let mut held = vec![false; self.shape.experts()];
+        for rank in 0..self.shape.ranks() {
+            let mut seen = BTreeSet::new();
+            for expert in self.rank_slots(layer, rank).iter().flatten().copied() {
+                let id = Rank::from_index(rank);
+                if expert.index() >= held.len() {
+                    faults.push(MapFault::UnknownExpert {
+                        layer,
+                        rank: id,
+                        expert,
+                    });
+                    continue;
+                }
+                if !seen.insert(expert) {
+                    faults.push(MapFault::Doubled {
+                        layer,
+                        rank: id,
+                        expert,
+                    });
+                }
+                held[expert.index()] |= live.get(rank).copied().unwrap_or(false);
+            }
+        }
+        let missing = (0..held.len()).filter(|&expert| !held[expert]);
+        faults.extend(missing.map(|expert| MapFault::Missing {
+            layer,
+            expert: ExpertId::from_index(expert),
+        }));
+    }
+
+    /// How many experts the ranks have to load that `former` did not give
+    /// them.
+    ///
+    /// ```
+    /// use expert::{Map, Shape};
+    ///
+    /// let map = Map::uniform(Shape::with_spare(1, 4, 2, 1, 1));
+    /// assert_eq!(map.loads_after(&map), 0);
+    /// ```
+    #[must_use]
+    pub fn loads_after(&self, former: &Map) -> usize {
+        if self.shape != former.shape {
+            return self.slots.iter().flatten().count();
+        }
+        let width = self.shape.slots().max(1);
+        let ranks = self.slots.chunks(width).zip(former.slots.chunks(width));
+        ranks
+            .map(|(new, old)| new.iter().flatten().filter(|e| !old.contains(&Some(**e))))
+            .map(Iterator::count)
+            .sum()
+    }
+
+    /// The compact encoding, about a byte for each slot.
+    ///
+    /// ```
+    /// use expert::{Map, Shape};
+    ///
+    /// let map = Map::uniform(Shape::with_spare(2, 8, 4, 1, 2));
+    /// assert_eq!(Map::from_bytes(map.to_bytes()).unwrap(), map);
+    /// ```
+    #[must_use]
+    pub fn to_bytes(&self) -> Bytes {
+        MapRecord::new(FORMAT, &self.shape, &self.slots)
+            .encode_to_vec()
+            .into()
+    }
+
+    /// Reads the compact encoding. The map's content still has to be
+    /// [checked](Map::check).
+    ///
+    /// # Errors
+    ///
+    /// Fails on bytes that aren't a map of this format, or whose number of
+    /// slots isn't that of their shape.
+    ///
+    /// ```
+    /// assert!(expert::Map::from_bytes(&b"\xff"[..]).is_err());
+    /// ```
+    pub fn from_bytes(buf: impl Into<Bytes>) -> Result<Map> {
+        let record = MapRecord::decode(buf.into())?;
+        if record.format != FORMAT {
+            return Err(Error::new(Code::Format(record.format)));
+        }
+        let (shape, slots) = record.into_parts()?;
+        let map = Map { shape, slots };
+        let expected = map.shape.layers() * map.shape.layer_slots();
+        let room = map.shape.layer_slots() >= map.shape.experts();
+        if map.slots.len() == expected && room {
+            Ok(map)
+        } else {
+            Err(Error::new(Code::Slots(map.slots.len(), expected)))
+        }
+    }
+}
--- /dev/null
+++ b/crates/expert/src/map_fault.rs
@@ -0,0 +1,72 @@
+//! What is wrong with a map.
+
+use crate::{ExpertId, Rank};
+use std::fmt::{self, Display};
+
+/// What is wrong with a map.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum MapFault {
+    /// The number of slots is not that of the shape.
+    Size {
+        /// Slots that the shape has.
+        expected: usize,
+        /// Slots that the map has.
+        found: usize,
+    },
+    /// A slot names an expert that the shape doesn't have.
+    UnknownExpert {
+        /// Layer of the slot.
+        layer: usize,
+        /// Rank of the slot.
+        rank: Rank,
+        /// What the slot names.
+        expert: ExpertId,
+    },
+    /// A rank holds the same expert twice, which wastes a slot.
+    Doubled {
+        /// Layer of the slots.
+        layer: usize,
+        /// Rank of the slots.
+        rank: Rank,
+        /// What both slots name.
+        expert: ExpertId,
+    },
+    /// No live rank holds the expert: its tokens could not be computed.
+    Missing {
+        /// Layer without the expert.
+        layer: usize,
+        /// The expert.
+        expert: ExpertId,
+    },
+}
+
+impl Display for MapFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            MapFault::Size { expected, found } => {
+                write!(f, "{found} slots where the group has {expected}")
+            }
+            MapFault::UnknownExpert {
+                layer,
+                rank,
+                expert,
+            } => write!(
+                f,
+                "unknown expert {} at layer {layer} rank {}",
+                expert.0, rank.0
+            ),
+            MapFault::Doubled {
+                layer,
+                rank,
+                expert,
+            } => write!(
+                f,
+                "expert {} twice at layer {layer} rank {}",
+                expert.0, rank.0
+            ),
+            MapFault::Missing { layer, expert } => {
+                write!(f, "no copy of expert {} at layer {layer}", expert.0)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/expert/src/search/chain.rs
@@ -0,0 +1,89 @@
+//! A sequence of moves for one layer, and which part of it to carry out.
+
+use crate::search::{Candidate, LayerState, delta::Delta, moves};
+
+/// Longest chain, so that planning ends whatever the load.
+const LONGEST: usize = 512;
+
+/// A sequence of moves for one layer, each made for the state that the
+/// former leave.
+#[derive(Debug)]
+pub(crate) struct Chain {
+    pub(crate) moves: Vec<Candidate>,
+    /// Time of the layer after each number of moves, from none on.
+    times: Vec<f64>,
+    /// Loads needed for each number of moves.
+    loads: Vec<u32>,
+}
+
+/// Moves of one chain that are carried out together or not at all: a single
+/// one may show no gain until the next rank is relieved too.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Segment {
+    /// Number of moves of the chain, counted from its start.
+    pub(crate) end: usize,
+    /// Step time saved in a window, in seconds.
+    pub(crate) saved: f64,
+    pub(crate) loads: u32,
+}
+
+impl Segment {
+    /// Gain for each load.
+    pub(crate) fn ratio(&self) -> f64 {
+        self.saved / f64::from(self.loads.max(1))
+    }
+}
+
+impl Chain {
+    /// Moves until nothing helps, or until even a perfect split could not
+    /// save `least_saved` seconds more.
+    pub(crate) fn search(mut state: LayerState<'_>, least_saved: f64, delta: &mut Delta) -> Chain {
+        let even = state.even_time();
+        let mut chain = Chain {
+            moves: Vec::new(),
+            times: vec![state.slowest().1],
+            loads: vec![0],
+        };
+        let (mut time, mut loads) = (state.slowest().1, 0);
+        while chain.moves.len() < LONGEST && time - even > least_saved {
+            let Some(candidate) = moves::best(&state, delta) else {
+                break;
+            };
+            state.apply(candidate, delta);
+            time = state.slowest().1;
+            loads += candidate.loads();
+            chain.moves.push(candidate);
+            chain.times.push(time);
+            chain.loads.push(loads);
+        }
+        chain
+    }
+
+    /// The chain cut at the corners of its lower convex hull of time over
+    /// loads: the gain for each load falls from one segment to the next.
+    pub(crate) fn segments(&self) -> Vec<Segment> {
+        let mut segments = Vec::new();
+        let mut from = 0;
+        while let Some(segment) = self.steepest(from) {
+            from = segment.end;
+            segments.push(segment);
+        }
+        segments
+    }
+
+    fn steepest(&self, from: usize) -> Option<Segment> {
+        let mut best: Option<Segment> = None;
+        for end in from + 1..self.times.len() {
+            let segment = Segment {
+                end,
+                saved: self.times[from] - self.times[end],
+                loads: self.loads[end] - self.loads[from],
+            };
+            let least = best.map_or(0.0, |best| best.ratio());
+            if segment.ratio() > least {
+                best = Some(segment);
+            }
+        }
+        best
+    }
+}
--- /dev/null
+++ b/crates/expert/src/search/moves.rs
@@ -0,0 +1,141 @@
+//! The candidate that relieves the slowest rank best.
+
+use crate::search::{Candidate, LayerState, NO_EXPERT, delta::Delta};
+
+/// Ranks, least busy first, that are tried as takers of load.
+const TAKERS: usize = 16;
+
+/// Relief below this share of the slowest rank's time is taken for none.
+const LEAST_RELIEF: f64 = 1e-6;
+
+/// A candidate with its score.
+type Best = Option<(f64, Candidate)>;
+
+/// The candidate that relieves the slowest rank best for each load.
+///
+/// The slowest rank alone sets the time of the layer, but two may be equally
+/// slow, and then relieving one changes nothing yet. Candidates are therefore
+/// compared by the drop of the sum of the eighth powers of the rank times,
+/// which is ruled by the slowest ranks and still falls with each of them.
+pub(crate) fn best(state: &LayerState<'_>, delta: &mut Delta) -> Option<Candidate> {
+    let (slowest, limit) = state.slowest();
+    if limit <= 0.0 {
+        return None;
+    }
+    let mut best = None;
+    let takers = takers(state, slowest);
+    let start = slowest * state.width;
+    for slot in start..start + state.width {
+        if state.slots[slot] != NO_EXPERT {
+            for &taker in &takers {
+                try_taker(state, slot, taker, limit, delta, &mut best);
+            }
+        }
+        if state.is_spare(slot) {
+            try_replacing(state, slot, limit, delta, &mut best);
+        }
+    }
+    best.map(|(_, candidate)| candidate)
+}
+
+/// The least busy live ranks.
+fn takers(state: &LayerState<'_>, slowest: usize) -> Vec<usize> {
+    let mut ranks: Vec<usize> = (0..state.time.len())
+        .filter(|&rank| rank != slowest && state.is_live(rank))
+        .collect();
+    let by_time = |a: &usize, b: &usize| state.time[*a].total_cmp(&state.time[*b]).then(a.cmp(b));
+    if ranks.len() > TAKERS {
+        ranks.select_nth_unstable_by(TAKERS, by_time);
+        ranks.truncate(TAKERS);
+    }
+    ranks.sort_unstable_by(by_time);
+    ranks
+}
+
+/// Tries to give the load of `slot` to `taker`: as a further copy in place
+/// of something spare, or in exchange for one of its experts.
+fn try_taker(
+    state: &LayerState<'_>,
+    slot: usize,
+    taker: usize,
+    limit: f64,
+    delta: &mut Delta,
+    best: &mut Best,
+) {
+    let expert = state.slots[slot];
+    let rank = state.rank_of(slot);
+    if state.holds(state.rank_of(taker * state.width), expert) {
+        return;
+    }
+    for other in taker * state.width..(taker + 1) * state.width {
+        if state.is_spare(other) {
+            let put = Candidate::Put {
+                slot: other,
+                expert,
+            };
+            consider(state, put, limit, delta, best);
+        }
+        let returned = state.slots[other];
+        if returned != NO_EXPERT && !state.holds(rank, returned) {
+            let swap = Candidate::Swap { a: slot, b: other };
+            consider(state, swap, limit, delta, best);
+        }
+    }
+}
+
+/// Tries to put another expert into the spare `slot` of the slowest rank.
+fn try_replacing(
+    state: &LayerState<'_>,
+    slot: usize,
+    limit: f64,
+    delta: &mut Delta,
+    best: &mut Best,
+) {
+    let rank = state.rank_of(slot);
+    for expert in 0..state.load.len() {
+        let Ok(expert) = u16::try_from(expert) else {
+            return;
+        };
+        if !state.holds(rank, expert) {
+            consider(state, Candidate::Put { slot, expert }, limit, delta, best);
+        }
+    }
+}
+
+fn consider(
+    state: &LayerState<'_>,
+    candidate: Candidate,
+    limit: f64,
+    delta: &mut Delta,
+    best: &mut Best,
+) {
+    state.measure(candidate, delta);
+    let Some(relief) = relief(state, limit, delta) else {
+        return;
+    };
+    let score = relief / f64::from(candidate.loads());
+    if score > best.map_or(LEAST_RELIEF, |(score, _)| score) {
+        *best = Some((score, candidate));
+    }
+}
+
+/// Drop of the sum of powers, or `None` if a rank ends as slow as the
+/// slowest is now.
+fn relief(state: &LayerState<'_>, limit: f64, delta: &Delta) -> Option<f64> {
+    let mut relief = 0.0;
+    for (rank, change) in delta.iter() {
+        let before = state.time[rank] / limit;
+        let after = before + change / limit;
+        if after >= 1.0 && change > 0.0 {
+            return None;
+        }
+        relief += eighth_power(before) - eighth_power(after);
+    }
+    Some(relief)
+}
+
+fn eighth_power(value: f64) -> f64 {
+    let square = value * value;
+    let fourth = square * square;
+    fourth * fourth
+}
