--- /dev/null
+++ b/crates/quorum/tests/schedules/host.rs
@@ -0,0 +1,277 @@
+//! A host with its disk and perhaps a running replica.
+
+use bytes::Bytes;
+use quorum::{
+    Config, DiskId, Entry, EntryBody, HardState, Message, Node, Restored, Snapshot, Write,
+};
+use rand::RngExt;
+use rand::rngs::StdRng;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+pub const STEP: Duration = Duration::from_millis(10);
+const HEARTBEAT: Duration = Duration::from_millis(20);
+const ELECTION: Duration = Duration::from_millis(150);
+/// Applied entries between two snapshots.
+const SNAPSHOT_EVERY: u64 = 12;
+
+/// What is on the disk, synced.
+#[derive(Clone, Debug, Default)]
+pub struct Disk {
+    pub id: DiskId,
+    hard_state: HardState,
+    pub snapshot: Option<Snapshot>,
+    entries: BTreeMap<u64, Entry>,
+}
+
+/// What was asked of the disk and isn't synced yet.
+#[derive(Clone, Debug)]
+pub enum Job {
+    Write(Write),
+    Save(Snapshot),
+}
+
+impl Disk {
+    pub fn new(id: DiskId) -> Disk {
+        Disk {
+            id,
+            ..Disk::default()
+        }
+    }
+
+    fn apply(&mut self, job: Job) {
+        match job {
+            Job::Write(write) => {
+                if let Some(snapshot) = write.snapshot {
+                    self.snapshot = Some(snapshot);
+                    self.entries.clear();
+                }
+                self.hard_state = write.hard_state;
+                for entry in write.entries {
+                    self.entries.split_off(&entry.index);
+                    self.entries.insert(entry.index, entry);
+                }
+            }
+            Job::Save(snapshot) => {
+                self.entries = self.entries.split_off(&(snapshot.index + 1));
+                self.snapshot = Some(snapshot);
+            }
+        }
+    }
+
+    fn restored(&self) -> Restored {
+        Restored {
+            hard_state: self.hard_state,
+            snapshot: self.snapshot.clone(),
+            entries: self.entries.values().cloned().collect(),
+        }
+    }
+}
+
+/// A replica that runs.
+pub struct Running {
+    pub node: Node,
+    /// Values by index, the state machine.
+    pub state: BTreeMap<u64, u64>,
+    pub applied: u64,
+    /// Proposals that wait: index, term, value.
+    pub proposed: Vec<(u64, u64, u64)>,
+    /// Reads that wait: token, and the last index acknowledged when asked.
+    pub reads: BTreeMap<u64, u64>,
+    pub confirmed: Vec<(u64, u64)>,
+    jobs: VecDeque<(u64, Job)>,
+    saving: bool,
+}
+
+/// A host with its disk and perhaps a running replica.
+pub struct Host {
+    pub name: String,
+    pub disk: Disk,
+    pub running: Option<Running>,
+    /// Share of real time by which the clock runs, in percent.
+    rate: u32,
+    /// Steps forward of the clock.
+    pub stepped: Duration,
+}
+
+/// What came out of a host at one step.
+#[derive(Default)]
+pub struct Out {
+    pub messages: Vec<Message>,
+    pub applied: Vec<Entry>,
+    pub restored: Option<Snapshot>,
+}
+
+impl Host {
+    pub fn new(name: String, disk: Disk, rng: &mut StdRng) -> Host {
+        Host {
+            name,
+            disk,
+            running: None,
+            rate: rng.random_range(97..=103),
+            stepped: Duration::ZERO,
+        }
+    }
+
+    pub fn now(&self, start: Instant, step: u64) -> Instant {
+        let real = STEP * u32::try_from(step).unwrap();
+        start + real * self.rate / 100 + self.stepped
+    }
+
+    pub fn start(&mut self, now: Instant, rng: &mut StdRng) {
+        let cfg = Config {
+            heartbeat: HEARTBEAT,
+            election: ELECTION,
+            max_append_entries: 4,
+            max_inflight: 3,
+            chunk_bytes: 24,
+            trailing: 5,
+            ..Config::default()
+        };
+        let seed = rng.random();
+        let node = Node::new(self.disk.id, cfg, seed, self.disk.restored(), now);
+        self.running = Some(Running {
+            node,
+            state: BTreeMap::new(),
+            applied: 0,
+            proposed: Vec::new(),
+            reads: BTreeMap::new(),
+            confirmed: Vec::new(),
+            jobs: VecDeque::new(),
+            saving: false,
+        });
+    }
+
+    /// Kills the process. Of what wasn't synced, any beginning may have
+    /// reached the disk.
+    pub fn kill(&mut self, rng: &mut StdRng) {
+        let Some(running) = self.running.take() else {
+            return;
+        };
+        let lasts = rng.random_range(0..=running.jobs.len());
+        let mut jobs = running.jobs.into_iter().map(|(_, job)| job);
+        for job in jobs.by_ref().take(lasts) {
+            self.disk.apply(job);
+        }
+        if let Some(Job::Write(mut torn)) = jobs.next()
+            && torn.snapshot.is_none()
+        {
+            let whole = rng.random_range(0..=torn.entries.len());
+            torn.entries.truncate(whole);
+            self.disk.apply(Job::Write(torn));
+        }
+    }
+
+    /// Loses the disk; the next start is on a blank one.
+    pub fn lose_disk(&mut self, id: DiskId) {
+        self.running = None;
+        self.disk = Disk::new(id);
+    }
+
+    /// Lets time pass: syncs what is due, ticks, carries out what is ready.
+    pub fn advance(&mut self, now: Instant, step: u64, rng: &mut StdRng) -> Out {
+        let mut out = Out::default();
+        let Some(running) = &mut self.running else {
+            return out;
+        };
+        running.sync(&mut self.disk, now, step);
+        running.node.tick(now);
+        running.carry_out(&mut out, now, step, rng);
+        running.snapshot(step);
+        out
+    }
+}
+
+impl Running {
+    fn sync(&mut self, disk: &mut Disk, now: Instant, step: u64) {
+        while self.jobs.front().is_some_and(|(due, _)| *due <= step) {
+            let (_, job) = self.jobs.pop_front().unwrap();
+            disk.apply(job.clone());
+            match job {
+                Job::Write(write) => self.node.persisted(write.number, now),
+                Job::Save(snapshot) => {
+                    self.saving = false;
+                    self.node.compacted(snapshot);
+                }
+            }
+        }
+    }
+
+    fn carry_out(&mut self, out: &mut Out, now: Instant, step: u64, rng: &mut StdRng) {
+        self.node.begin_reads_round(now);
+        loop {
+            let ready = self.node.ready();
+            if ready.is_empty() {
+                return;
+            }
+            if let Some(write) = ready.write {
+                let due = self.jobs.back().map_or(step, |(due, _)| *due);
+                let due = due + rng.random_range(0..3);
+                self.jobs.push_back((due.max(step + 1), Job::Write(write)));
+            }
+            out.messages.extend(ready.messages);
+            if let Some(snapshot) = ready.restore {
+                self.restore(&snapshot);
+                out.restored = Some(snapshot);
+            }
+            for entry in ready.committed {
+                self.apply(&entry);
+                out.applied.push(entry);
+            }
+            self.confirmed.extend(ready.reads);
+            for token in ready.refused_reads {
+                self.reads.remove(&token);
+            }
+        }
+    }
+
+    fn restore(&mut self, snapshot: &Snapshot) {
+        self.state = decode(&snapshot.data);
+        self.applied = snapshot.index;
+    }
+
+    fn apply(&mut self, entry: &Entry) {
+        assert_eq!(entry.index, self.applied + 1, "gap in what is applied");
+        self.applied = entry.index;
+        if let EntryBody::Command(data) = &entry.body {
+            self.state.insert(entry.index, value(data));
+        }
+    }
+
+    fn snapshot(&mut self, step: u64) {
+        let before = self.node.snapshot().index;
+        if self.saving || self.applied < before + SNAPSHOT_EVERY {
+            return;
+        }
+        let (index, term) = self.node.applied();
+        let snapshot = Snapshot {
+            index,
+            term,
+            members: self.node.members_at(index),
+            data: encode(&self.state),
+        };
+        self.saving = true;
+        let due = self.jobs.back().map_or(step, |(due, _)| *due);
+        self.jobs
+            .push_back((due.max(step + 1), Job::Save(snapshot)));
+    }
+}
+
+pub fn value(data: &Bytes) -> u64 {
+    u64::from_le_bytes(data[..].try_into().unwrap())
+}
+
+fn encode(state: &BTreeMap<u64, u64>) -> Bytes {
+    let mut buf = Vec::new();
+    for (index, value) in state {
+        buf.extend(index.to_le_bytes());
+        buf.extend(value.to_le_bytes());
+    }
+    buf.into()
+}
+
+pub fn decode(data: &Bytes) -> BTreeMap<u64, u64> {
+    let number = |b: &[u8]| u64::from_le_bytes(b.try_into().unwrap());
+    let pairs = data.chunks(16);
+    pairs.map(|p| (number(&p[..8]), number(&p[8..]))).collect()
+}
--- /dev/null
+++ b/crates/quorum/tests/schedules/schedule.rs
@@ -0,0 +1,34 @@
+//! What a random schedule starts from.
+
+use quickcheck::{Arbitrary, Gen};
+
+/// What a random schedule starts from; all else is drawn from its seed.
+#[derive(Clone, Debug)]
+pub struct Schedule {
+    pub seed: u64,
+    pub hosts: usize,
+    pub steps: u64,
+}
+
+impl Arbitrary for Schedule {
+    fn arbitrary(g: &mut Gen) -> Schedule {
+        Schedule {
+            seed: u64::arbitrary(g),
+            hosts: *g.choose(&[3, 3, 5]).unwrap(),
+            steps: 400 + u64::arbitrary(g) % 400,
+        }
+    }
+
+    fn shrink(&self) -> Box<dyn Iterator<Item = Schedule>> {
+        let smaller = [self.steps / 2, self.steps * 3 / 4, self.steps - 1];
+        let schedule = self.clone();
+        let shorter = smaller
+            .into_iter()
+            .filter(move |steps| *steps < schedule.steps);
+        let schedule = self.clone();
+        Box::new(shorter.map(move |steps| Schedule {
+            steps,
+            ..schedule.clone()
+        }))
+    }
+}
