Take in a replica whose admission was lost with its leader

Ruled out: a leader that lacks a majority, and messages lost in the healing phase. Node::wants_in replaces is_blank: it asks while it is no voter and hears no leader.

--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -19,6 +19,7 @@
 use pending::{Commands, Reads};
 use quorum::{DiskId, Message, Node};
 use std::sync::mpsc::Sender;
+use std::time::Instant;
 use tokio::sync::oneshot;
 use wire::Link;
 use wire::proto::{FetchNotes, Propose, Query, Renew};
@@ -71,6 +72,8 @@
     reads: Reads,
     /// A snapshot is being saved.
     saving: Option<quorum::Snapshot>,
+    /// When to ask again to be taken in.
+    join_at: Instant,
     metrics: Metrics,
     /// Why the replica can't go on.
     failed: Option<String>,
--- a/crates/control/src/replica/actor.rs
+++ b/crates/control/src/replica/actor.rs
@@ -104,6 +104,7 @@
             commands: Commands::default(),
             reads: Reads::default(),
             saving: None,
+            join_at: now,
             failed: None,
         })
     }
@@ -114,7 +115,7 @@
             Msg::Peer(message) => self.node.step(*message, now),
             Msg::PeerUp(id, link) => {
                 self.peers.up(id, link);
-                self.ask_to_join(id);
+                self.join_at = now;
             }
             Msg::PeerDown(id) => self.peers.down(id),
             Msg::Disk(report) => self.take_report(report, now),
@@ -137,7 +138,8 @@
             roster.expire(now);
         }
         self.measure(now);
-        if self.node.is_blank() {
+        if now >= self.join_at && self.node.wants_in(now) {
+            self.join_at = now + self.settings.timing.election;
             let ids: Vec<DiskId> = self.peers.ids().collect();
             for id in ids {
                 self.ask_to_join(id);
@@ -145,11 +147,8 @@
         }
     }
 
-    /// A replica on a blank disk asks whoever leads to take it in.
+    /// Asks to be taken in; only who leads heeds it.
     fn ask_to_join(&mut self, to: DiskId) {
-        if !self.node.is_blank() {
-            return;
-        }
         let address = self.settings.advertised().to_string();
         let peer = Peer::new(&self.settings.name, &address);
         self.peers.send(Message {
--- a/crates/quorum/src/node.rs
+++ b/crates/quorum/src/node.rs
@@ -247,10 +247,16 @@
         self.members.last().map_or(NONE, |(_, members)| members)
     }
 
-    /// Whether nothing was ever told to this replica: it should ask to join.
+    /// Whether this replica should ask to be taken in: it is no voter and
+    /// hears no leader.
+    ///
+    /// A blank one is so. One that was being taken in may be so as well: the
+    /// change that made it a learner can be lost with the leader that ordered
+    /// it, and then nobody knows of this replica any more.
     #[must_use]
-    pub fn is_blank(&self) -> bool {
-        self.members().voters.is_empty() && self.log.last_index() == 0
+    pub fn wants_in(&self, now: Instant) -> bool {
+        let silent = now.saturating_duration_since(self.heard) >= self.cfg.election;
+        !self.is_voter() && (self.leader.is_none() || silent)
     }
 
     /// Last entry handed out to be applied, and its term.
--- a/crates/quorum/tests/schedules/main.rs
+++ b/crates/quorum/tests/schedules/main.rs
@@ -69,7 +69,7 @@
     check(|s| run(&s, &Faults::clock_steps()), 4);
 }
 
-/// All of these at once.
+/// All of these at once, but for the clocks.
 #[test]
 fn schedule_all_faults() {
     check(|s| run(&s, &Faults::all()), 5);
