--- a/crates/store/src/disk.rs
+++ b/crates/store/src/disk.rs
@@ -23,6 +23,7 @@
     ops: Ops,
     segment: Segment,
     hard_state: HardState,
+    segment_bytes: u64,
     /// Highest index in each segment.
     highest: BTreeMap<u64, u64>,
     stopped: bool,
@@ -46,6 +47,9 @@
             Some(snapshot) => replay.start_after(snapshot, folder)?,
             None => true,
         };
+        if snapshot.is_none() && replay.begins_late() {
+            return Err(Error::damaged(folder, 0, "log without its beginning"));
+        }
         let last = replay.highest.keys().next_back().copied();
         let torn_start = replay.whole == 0;
         let segment = match last {
@@ -65,6 +69,7 @@
             ops,
             segment,
             hard_state: replay.hard_state,
+            segment_bytes: SEGMENT_BYTES,
             highest: replay.highest,
             stopped: false,
             _lock: lock,
@@ -81,6 +86,18 @@
         Ok((disk, recovered))
     }
 
+    /// Sets the length after which a new segment is begun.
+    ///
+    /// ```
+    /// # let folder = tempfile::tempdir().unwrap();
+    /// # store::format(folder.path(), "control-1", &store::Ops::default()).unwrap();
+    /// let (mut disk, _) = store::Disk::open(folder.path(), store::Ops::default()).unwrap();
+    /// disk.set_segment_bytes(1 << 20);
+    /// ```
+    pub fn set_segment_bytes(&mut self, bytes: u64) {
+        self.segment_bytes = bytes;
+    }
+
     /// Writes a batch. It lasts after the next [`Disk::sync`]; one that
     /// brings a snapshot lasts at once.
     ///
@@ -117,7 +134,7 @@
     ///
     /// If the disk is full the log is as before. All else stops the disk.
     pub fn save(&mut self, snapshot: &Snapshot) -> Result<()> {
-        self.going()?;
+        self.sync()?;
         let done = snapshot::save(&self.folder, snapshot, &self.ops)
             .and_then(|()| self.drop_covered(snapshot.index));
         self.stop_on(done)
@@ -142,7 +159,7 @@
     fn write_batch(&mut self, batch: &Batch) -> Result<()> {
         if let Some(snapshot) = &batch.snapshot {
             self.install(snapshot, batch.hard_state)?;
-        } else if self.segment.length() > SEGMENT_BYTES {
+        } else if self.segment.length() > self.segment_bytes {
             self.roll(None)?;
         }
         let mut buf = Vec::new();
@@ -163,8 +180,10 @@
     }
 
     /// The snapshot lasts before the log is reset; a start in between finds
-    /// the snapshot newer than the log and resets it then.
+    /// the snapshot newer than the log and resets it then. What was written
+    /// before must not be lost when the snapshot lasts.
     fn install(&mut self, snapshot: &Snapshot, hard_state: HardState) -> Result<()> {
+        self.segment.sync(&self.ops)?;
         snapshot::save(&self.folder, snapshot, &self.ops)?;
         self.hard_state = hard_state;
         self.roll(Some((snapshot.index, snapshot.term)))?;
@@ -188,6 +207,10 @@
             }
             let path = segment::path(&self.folder, number);
             (self.ops.remove)(&path).map_err(|e| Error::io("removal", &path, e))?;
+            // Removals that aren't synced may last in any order. A segment
+            // that came back before a gap would be taken for damage.
+            let synced = (self.ops.sync_folder)(&self.folder);
+            synced.map_err(|e| Error::io("sync", &self.folder, e))?;
             self.highest.remove(&number);
         }
         snapshot::remove_old(&self.folder, &self.ops)
--- a/crates/store/src/replay.rs
+++ b/crates/store/src/replay.rs
@@ -61,26 +61,42 @@
                 self.base = Some(frame.index);
             }
             FrameKind::Entry(kind) => {
-                let base = *self.base.get_or_insert(frame.index.saturating_sub(1));
-                let place = frame.index.checked_sub(base + 1);
-                let place = place.and_then(|p| usize::try_from(p).ok());
-                let Some(place) = place.filter(|p| *p <= self.records.len()) else {
-                    return Err(Error::damaged(path, 0, "missing records before an index"));
-                };
-                self.records.truncate(place);
-                self.records.push(Record {
+                let highest = self.highest.entry(number).or_default();
+                *highest = frame.index.max(*highest);
+                let record = Record {
                     index: frame.index,
                     term: frame.term,
                     kind,
                     data: frame.data,
-                });
-                let highest = self.highest.entry(number).or_default();
-                *highest = frame.index.max(*highest);
+                };
+                return self.put(record, path);
             }
         }
         Ok(())
     }
 
+    /// Puts a record in the place of all of its index and after. It may lie
+    /// before all that is left of the log, if the segments before were dropped
+    /// and a later one replaces records of theirs.
+    fn put(&mut self, record: Record, path: &Path) -> Result<()> {
+        let before = record.index.saturating_sub(1);
+        let base = self.base.unwrap_or(before).min(before);
+        self.base = Some(base);
+        let place = usize::try_from(before - base).unwrap_or(usize::MAX);
+        let follows = self.records.first().is_none_or(|r| r.index == base + 1);
+        if place > 0 && (place > self.records.len() || !follows) {
+            return Err(Error::damaged(path, 0, "missing records before an index"));
+        }
+        self.records.truncate(place);
+        self.records.push(record);
+        Ok(())
+    }
+
+    /// Whether there are records, but not those from the first on.
+    pub(crate) fn begins_late(&self) -> bool {
+        self.base.is_some_and(|base| base > 0)
+    }
+
     /// Leaves only the records after the snapshot. Returns false if the log
     /// does not reach or contradicts the snapshot, which is the newer one: it
     /// came from a leader, and a crash came before the log was reset.
--- /dev/null
+++ b/crates/store/tests/disk/refusal.rs
@@ -0,0 +1,114 @@
+//! Disks that refuse.
+
+use std::io::{self, Write};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use store::{Batch, Disk, HardState, Ops, Record, Snapshot};
+
+fn batch(index: u64) -> Batch {
+    let (term, kind, data) = (1, 0, vec![7; 100].into());
+    Batch {
+        snapshot: None,
+        hard_state: HardState { term, vote: None },
+        records: vec![Record {
+            index,
+            term,
+            kind,
+            data,
+        }],
+    }
+}
+
+/// The disk is full, in the midst of a record. The operator frees some room;
+/// until then nothing is taken and all that was there can be read, and
+/// afterwards the log goes on without a trace of the broken record.
+#[test]
+fn write_disk_full() {
+    let folder = tempfile::tempdir().unwrap();
+    store::format(folder.path(), "one", &Ops::default()).unwrap();
+    let full = Arc::new(AtomicBool::new(false));
+    let asked = Arc::clone(&full);
+    let ops = Ops {
+        write: Arc::new(move |_, file, bytes| {
+            if asked.load(Ordering::Relaxed) {
+                file.write_all(&bytes[..bytes.len() / 2])?;
+                return Err(io::ErrorKind::StorageFull.into());
+            }
+            file.write_all(bytes)
+        }),
+        ..Ops::default()
+    };
+    let (mut disk, _) = Disk::open(folder.path(), ops).unwrap();
+    disk.write(&batch(1)).unwrap();
+    full.store(true, Ordering::Relaxed);
+    for _ in 0..3 {
+        assert!(disk.write(&batch(2)).unwrap_err().is_full());
+    }
+    let (index, term, data) = (1, 1, "state".into());
+    let snapshot = Snapshot { index, term, data };
+    assert!(disk.save(&snapshot).unwrap_err().is_full());
+    disk.sync().unwrap();
+    full.store(false, Ordering::Relaxed);
+    disk.write(&batch(2)).unwrap();
+    disk.sync().unwrap();
+    disk.save(&snapshot).unwrap();
+    drop(disk);
+    let (_, recovered) = Disk::open(folder.path(), Ops::default()).unwrap();
+    assert_eq!(recovered.cut, 0);
+    assert_eq!(recovered.snapshot, Some(snapshot));
+    assert_eq!(recovered.records, batch(2).records);
+}
+
+/// A sync fails. The system may have dropped the bytes, and the next sync
+/// reports success without them: the replica would acknowledge what is not
+/// there. So nothing is written any more.
+#[test]
+fn sync_error_is_final() {
+    let folder = tempfile::tempdir().unwrap();
+    store::format(folder.path(), "one", &Ops::default()).unwrap();
+    let failing = Arc::new(AtomicBool::new(false));
+    let asked = Arc::clone(&failing);
+    let ops = Ops {
+        sync: Arc::new(move |_, file| {
+            if asked.swap(false, Ordering::Relaxed) {
+                return Err(io::Error::other("input/output error"));
+            }
+            file.sync_data()
+        }),
+        ..Ops::default()
+    };
+    let (mut disk, _) = Disk::open(folder.path(), ops).unwrap();
+    disk.write(&batch(1)).unwrap();
+    failing.store(true, Ordering::Relaxed);
+    assert!(disk.sync().is_err());
+    assert!(disk.sync().is_err());
+    assert!(disk.write(&batch(2)).is_err());
+}
+
+/// A second process is started on the same folder by mistake. Both would
+/// write to one log.
+#[test]
+fn open_folder_in_use() {
+    let folder = tempfile::tempdir().unwrap();
+    store::format(folder.path(), "one", &Ops::default()).unwrap();
+    let (disk, _) = Disk::open(folder.path(), Ops::default()).unwrap();
+    assert!(
+        Disk::open(folder.path(), Ops::default())
+            .unwrap_err()
+            .is_in_use()
+    );
+    drop(disk);
+    assert!(Disk::open(folder.path(), Ops::default()).is_ok());
+}
+
+/// The identity of a disk in use is gone. A new one must not take over a log
+/// that holds the promises of the old.
+#[test]
+fn format_log_without_identity() {
+    let folder = tempfile::tempdir().unwrap();
+    store::format(folder.path(), "one", &Ops::default()).unwrap();
+    drop(Disk::open(folder.path(), Ops::default()).unwrap());
+    std::fs::remove_file(folder.path().join("identity.json")).unwrap();
+    let refused = store::format(folder.path(), "one", &Ops::default());
+    assert!(refused.unwrap_err().is_damage());
+}
