--- a/crates/store/src/disk.rs
+++ b/crates/store/src/disk.rs
@@ -41,6 +41,10 @@
     pub fn open(folder: &Path, ops: Ops) -> Result<(Disk, Recovered)> {
         let identity = crate::identity(folder)?;
         let lock = lock(folder)?;
+        // A predecessor may have been killed between a rename and its sync.
+        // What is read below must not be undone later by a power cut.
+        let synced = (ops.sync_folder)(folder);
+        synced.map_err(|e| Error::io("sync", folder, e))?;
         let snapshot = snapshot::newest(folder)?;
         let mut replay = Replay::run(folder)?;
         let goes_on = match &snapshot {
@@ -50,19 +54,9 @@
         if snapshot.is_none() && replay.begins_late() {
             return Err(Error::damaged(folder, 0, "log without its beginning"));
         }
-        let last = replay.highest.keys().next_back().copied();
-        let torn_start = replay.whole == 0;
-        let segment = match last {
-            Some(number) if goes_on && !torn_start => {
-                Segment::open(folder, number, replay.whole, &ops)?
-            }
-            _ => {
-                let number = last.map_or(1, |n| if torn_start { n } else { n + 1 });
-                let reset = snapshot.as_ref().filter(|_| !goes_on);
-                let reset = reset.map(|s| (s.index, s.term));
-                Segment::create(folder, number, replay.hard_state, reset, &ops)?
-            }
-        };
+        let contradicted = snapshot.as_ref().filter(|_| !goes_on);
+        let reset = contradicted.map(|s| (s.index, s.term));
+        let segment = last_segment(folder, &replay, reset, &ops)?;
         replay.highest.insert(segment.number, 0);
         let mut disk = Disk {
             folder: folder.to_owned(),
@@ -223,6 +217,28 @@
     }
 }
 
+/// Opens the segment to write to. What is torn is cut off also where a new
+/// segment follows: torn bytes before another segment are damage.
+fn last_segment(
+    folder: &Path,
+    replay: &Replay,
+    reset: Option<(u64, u64)>,
+    ops: &Ops,
+) -> Result<Segment> {
+    const FIRST: u64 = 1;
+    let last = replay.highest.keys().next_back().copied();
+    let begun = last.filter(|_| replay.whole > 0);
+    let opened = begun.map(|number| Segment::open(folder, number, replay.whole, ops));
+    match (opened.transpose()?, reset) {
+        (Some(segment), None) => Ok(segment),
+        (opened, reset) => {
+            let next = opened.map(|segment| segment.number + 1);
+            let number = next.or(last).unwrap_or(FIRST);
+            Segment::create(folder, number, replay.hard_state, reset, ops)
+        }
+    }
+}
+
 fn lock(folder: &Path) -> Result<File> {
     let path = folder.join(LOCK_FILE);
     let file = File::create(&path).map_err(|e| Error::io("opening", &path, e))?;
--- a/crates/store/tests/disk/crash.rs
+++ b/crates/store/tests/disk/crash.rs
@@ -31,9 +31,16 @@
     vec![contents]
 }
 
+fn found(folder: &Path, context: &str) -> Contents {
+    match Disk::open(folder, Ops::default()) {
+        Ok((_, recovered)) => Contents::of(&recovered),
+        Err(e) => panic!("{context}: {e}"),
+    }
+}
+
 /// The power fails at any write, sync, rename, truncation or removal. What
 /// was acknowledged must be there at the next start, and nothing that was
-/// never written: a note or a claim would be forgotten otherwise, or the
+/// never written, and the log must go on from there: a note or a claim would be forgotten otherwise, or the
 /// replica refuse to start on a good disk.
 #[test]
 fn write_crash_at_each_operation() {
@@ -46,13 +53,17 @@
             let mut rng = StdRng::seed_from_u64(seed);
             let allowed = run(folder.path(), &faulty, &mut rng);
             faulty.cut_power();
-            let (_, recovered) = Disk::open(folder.path(), Ops::default())
-                .unwrap_or_else(|e| panic!("seed {seed}, operation {operations}: {e}"));
-            let found = Contents::of(&recovered);
+            let found = found(
+                folder.path(),
+                &format!("seed {seed}, operation {operations}"),
+            );
             assert!(
                 allowed.contains(&found),
                 "seed {seed}, operation {operations}: {found:?} is none of {allowed:?}"
             );
+            let mut all = run(folder.path(), &Faulty::new(u64::MAX, seed), &mut rng);
+            let again = format!("seed {seed}, operation {operations}, again");
+            assert_eq!(all.pop(), Some(self::found(folder.path(), &again)));
             if !faulty.crashed() {
                 break;
             }
@@ -108,3 +119,23 @@
         }
     }
 }
+
+/// The process is killed between a write and its sync; its successor finds
+/// the bytes, since the system still has them, acts on them, and then the
+/// power fails. What the successor has found must last.
+#[test]
+fn open_after_kill_then_power_cut() {
+    for operations in 5..80 {
+        let folder = tempfile::tempdir().unwrap();
+        store::format(folder.path(), "one", &Ops::default()).unwrap();
+        let faulty = Faulty::new(operations, operations);
+        let mut rng = StdRng::seed_from_u64(3);
+        run(folder.path(), &faulty, &mut rng);
+        faulty.revive();
+        let (disk, recovered) = Disk::open(folder.path(), faulty.ops()).unwrap();
+        drop(disk);
+        faulty.cut_power();
+        let after = found(folder.path(), "after the power cut");
+        assert_eq!(after, Contents::of(&recovered), "operation {operations}");
+    }
+}
--- a/crates/store/tests/disk/damage.rs
+++ b/crates/store/tests/disk/damage.rs
@@ -77,9 +77,9 @@
     }
 }
 
-/// A segment between two others is missing, or the snapshot is damaged.
+/// The snapshot is damaged or missing, and the log before it is gone.
 #[test]
-fn open_missing_parts() {
+fn open_damaged_snapshot() {
     let folder = tempfile::tempdir().unwrap();
     store::format(folder.path(), "one", &Ops::default()).unwrap();
     let (mut disk, _) = Disk::open(folder.path(), Ops::default()).unwrap();
@@ -120,13 +120,29 @@
             .is_damage()
     );
     fs::write(&snapshot, &good).unwrap();
+}
 
+/// A segment is missing that replaced the end of the log: without it records
+/// of a former leader would stand before those of the next.
+#[test]
+fn open_missing_segment() {
+    let folder = tempfile::tempdir().unwrap();
+    store::format(folder.path(), "one", &Ops::default()).unwrap();
+    let (mut disk, _) = Disk::open(folder.path(), Ops::default()).unwrap();
+    disk.set_segment_bytes(1);
+    for index in [1, 2, 3, 2, 3] {
+        let records = vec![record(index)];
+        disk.write(&Batch {
+            records,
+            ..Batch::default()
+        })
+        .unwrap();
+        disk.sync().unwrap();
+    }
+    drop(disk);
     fs::remove_file(folder.path().join("0000000000000005.log")).unwrap();
-    assert!(
-        Disk::open(folder.path(), Ops::default())
-            .unwrap_err()
-            .is_damage()
-    );
+    let refused = Disk::open(folder.path(), Ops::default()).unwrap_err();
+    assert!(refused.to_string().contains("missing segment"), "{refused}");
 }
 
 /// Any bytes at all in the place of a segment and a snapshot: the replica
--- a/crates/store/tests/disk/faulty.rs
+++ b/crates/store/tests/disk/faulty.rs
@@ -139,6 +139,13 @@
         }
     }
 
+    /// Ends the crash, as for the next process; the system is the same.
+    pub fn revive(&self) {
+        let mut state = self.state();
+        state.crashed = false;
+        state.left = u64::MAX;
+    }
+
     /// Undoes by chance what wasn't synced: the ends of files are missing or
     /// hold zeros, and names are as before.
     pub fn cut_power(&self) {
--- a/crates/store/tests/disk/refusal.rs
+++ b/crates/store/tests/disk/refusal.rs
@@ -5,8 +5,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use store::{Batch, Disk, HardState, Ops, Record, Snapshot};
 
-fn batch(index: u64) -> Batch {
-    let (term, kind, data) = (1, 0, vec![7; 100].into());
+fn batch(index: u64, length: usize) -> Batch {
+    let (term, kind, data) = (1, 0, vec![7; length].into());
     Batch {
         snapshot: None,
         hard_state: HardState { term, vote: None },
@@ -39,24 +39,24 @@
         ..Ops::default()
     };
     let (mut disk, _) = Disk::open(folder.path(), ops).unwrap();
-    disk.write(&batch(1)).unwrap();
+    disk.write(&batch(1, 9)).unwrap();
     full.store(true, Ordering::Relaxed);
     for _ in 0..3 {
-        assert!(disk.write(&batch(2)).unwrap_err().is_full());
+        assert!(disk.write(&batch(2, 500)).unwrap_err().is_full());
     }
     let (index, term, data) = (1, 1, "state".into());
     let snapshot = Snapshot { index, term, data };
     assert!(disk.save(&snapshot).unwrap_err().is_full());
     disk.sync().unwrap();
     full.store(false, Ordering::Relaxed);
-    disk.write(&batch(2)).unwrap();
+    disk.write(&batch(2, 9)).unwrap();
     disk.sync().unwrap();
     disk.save(&snapshot).unwrap();
     drop(disk);
     let (_, recovered) = Disk::open(folder.path(), Ops::default()).unwrap();
     assert_eq!(recovered.cut, 0);
     assert_eq!(recovered.snapshot, Some(snapshot));
-    assert_eq!(recovered.records, batch(2).records);
+    assert_eq!(recovered.records, batch(2, 9).records);
 }
 
 /// A sync fails. The system may have dropped the bytes, and the next sync
@@ -78,11 +78,11 @@
         ..Ops::default()
     };
     let (mut disk, _) = Disk::open(folder.path(), ops).unwrap();
-    disk.write(&batch(1)).unwrap();
+    disk.write(&batch(1, 9)).unwrap();
     failing.store(true, Ordering::Relaxed);
     assert!(disk.sync().is_err());
     assert!(disk.sync().is_err());
-    assert!(disk.write(&batch(2)).is_err());
+    assert!(disk.write(&batch(2, 9)).is_err());
 }
 
 /// A second process is started on the same folder by mistake. Both would
