Add the entry: callers' HTTP, links to agents, attempts, calls once

Cause: nothing takes callers' requests yet. Change: Settings, Entry::start/shutdown; the Roster actor owns the links to agents and keeps the pools as view, note and links say; Placement holds pools, admission and rations; Attempt starts, attaches anew on a fresh link, bars what it can't be sure of; Course retries within budget, attempts and deadline; Pump streams complete events and resumes at their count; Once claims, follows, finishes and joins non-repeatable calls. Chat completions, plain services, addresses, operators and pages over the admin crate.

--- /dev/null
+++ b/crates/entry/src/http/addresses.rs
@@ -0,0 +1,46 @@
+//! `GET /v1/addresses`: the entries that a caller may use.
+
+use admin::{Response, json};
+use hyper::StatusCode;
+use serde_json::json;
+use wire::proto::{MemberView, NodeInfo, Role};
+
+use crate::Settings;
+
+/// Answers with the entries that serve, those of the caller's availability
+/// zone first. `query` may state `zone`; else it is the entry's own.
+pub(super) fn answer(settings: &Settings, view: &MemberView, query: Option<&str>) -> Response {
+    let zone = query.and_then(zone_of);
+    let zone = zone.unwrap_or(&settings.zone);
+    let is_entry = |node: &&NodeInfo| node.role() == Role::Entry && !node.leaving;
+    let entries = view.nodes.iter().filter(is_entry);
+    let entries = entries.filter(|node| !node.caller_address.is_empty());
+    let mut entries: Vec<&NodeInfo> = entries.collect();
+    let seed = rand::random::<u64>();
+    // Callers keep the list and begin at its head: in one order for all they
+    // would all meet at one entry.
+    entries.sort_by_cached_key(|node| (node.zone != zone, mix(seed, &node.name)));
+    let rows: Vec<_> = entries
+        .iter()
+        .map(|node| json!({"address": node.caller_address, "zone": node.zone}))
+        .collect();
+    let ttl = settings.timing.address_ttl.as_secs();
+    let document = json!({"addresses": rows, "zone": zone, "ttl_s": ttl});
+    json(StatusCode::OK, document.to_string())
+}
+
+fn zone_of(query: &str) -> Option<&str> {
+    let mut pairs = query.split('&');
+    let zone = pairs.find_map(|pair| pair.strip_prefix("zone="))?;
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
+    (!zone.is_empty() && zone.bytes().all(plain)).then_some(zone)
+}
+
+/// FNV-1a over seed and name.
+fn mix(seed: u64, name: &str) -> u64 {
+    let bytes = seed.to_le_bytes();
+    let bytes = bytes.iter().copied().chain(name.bytes());
+    bytes.fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    })
+}
--- /dev/null
+++ b/crates/entry/src/http/mod.rs
@@ -0,0 +1,11 @@
+//! Callers' HTTP. Nothing beyond this module knows a URL or a header.
+
+mod addresses;
+mod auth;
+mod chat;
+mod front;
+mod headers;
+mod reply;
+mod service;
+
+pub(crate) use front::Front;
--- /dev/null
+++ b/crates/entry/src/links/agent.rs
@@ -0,0 +1,96 @@
+//! One incarnation of an agent, and the connection to it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::sync::{mpsc, watch};
+use tokio_util::sync::CancellationToken;
+use wire::Link;
+use wire::proto::frame::Body;
+
+/// One incarnation of an agent.
+///
+/// The connection comes and goes beneath it; attempts watch [`Agent::link`]
+/// and attach anew. Once the incarnation is known to be over, `gone` ends
+/// whatever ran there.
+#[derive(Debug)]
+pub(crate) struct Agent {
+    pub(crate) name: String,
+    pub(crate) incarnation: u64,
+    pub(crate) address: SocketAddr,
+    pub(crate) gone: CancellationToken,
+    link: watch::Sender<Option<Link>>,
+    attempts: Mutex<BTreeMap<Bytes, mpsc::UnboundedSender<Body>>>,
+}
+
+impl Agent {
+    pub(crate) fn new(name: &str, incarnation: u64, address: SocketAddr) -> Self {
+        Agent {
+            name: name.to_owned(),
+            incarnation,
+            address,
+            gone: CancellationToken::new(),
+            link: watch::Sender::new(None),
+            attempts: Mutex::new(BTreeMap::new()),
+        }
+    }
+
+    /// The connection, as it comes and goes.
+    pub(crate) fn link(&self) -> watch::Receiver<Option<Link>> {
+        self.link.subscribe()
+    }
+
+    pub(crate) fn is_up(&self) -> bool {
+        let link = self.link.borrow();
+        link.as_ref().is_some_and(|link| !link.is_closed())
+    }
+
+    pub(crate) fn set_link(&self, link: Option<Link>) {
+        self.link.send_replace(link);
+    }
+
+    /// The connection as soon as there is one, within a bound.
+    pub(crate) async fn reach(&self, within: Duration) -> Option<Link> {
+        let mut link = self.link();
+        let up = link.wait_for(|link| link.as_ref().is_some_and(|link| !link.is_closed()));
+        tokio::select! {
+            () = self.gone.cancelled() => None,
+            up = tokio::time::timeout(within, up) => up.ok()?.ok()?.clone(),
+        }
+    }
+
+    /// Registers an attempt; its frames come out of the receiver.
+    ///
+    /// The channel has no bound of its own: an agent sends at most a window
+    /// of bytes beyond what the attempt has acknowledged.
+    pub(crate) fn enlist(&self, attempt: Bytes) -> mpsc::UnboundedReceiver<Body> {
+        let (tx, rx) = mpsc::unbounded_channel();
+        self.attempts().insert(attempt, tx);
+        rx
+    }
+
+    pub(crate) fn dismiss(&self, attempt: &Bytes) {
+        self.attempts().remove(attempt);
+    }
+
+    pub(crate) fn is_idle(&self) -> bool {
+        self.attempts().is_empty()
+    }
+
+    /// Hands a frame to its attempt. Frames of attempts that are over come
+    /// late, or doubled after a fresh connection, and are dropped.
+    pub(crate) fn route(&self, attempt: &Bytes, frame: Body) {
+        if let Some(tx) = self.attempts().get(attempt) {
+            // The receiver goes only together with the entry in the map.
+            let _ = tx.send(frame);
+        }
+    }
+
+    fn attempts(&self) -> MutexGuard<'_, BTreeMap<Bytes, mpsc::UnboundedSender<Body>>> {
+        // Nothing panics under the lock; a poisoned map is whole.
+        self.attempts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/links/announced.rs
@@ -0,0 +1,53 @@
+//! An agent's announcement, as the member view tells it.
+
+use std::net::SocketAddr;
+
+use note::Offer;
+use wire::proto::{MemberView, NodeInfo, Role};
+
+/// What a live agent announces.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Announced {
+    pub(crate) target: String,
+    pub(crate) incarnation: u64,
+    pub(crate) zone: String,
+    pub(crate) address: SocketAddr,
+    pub(crate) offer: Offer,
+    pub(crate) leaving: bool,
+    pub(crate) healthy: bool,
+    pub(crate) can_resume: bool,
+    pub(crate) adapters: Vec<String>,
+    pub(crate) versions: Vec<String>,
+}
+
+impl Announced {
+    /// Reads a node; `None` when it is no agent or announces nothing usable.
+    pub(crate) fn from_node(node: &NodeInfo) -> Option<Self> {
+        if node.role() != Role::Agent {
+            return None;
+        }
+        let target = node.target.as_ref()?;
+        let offer = if target.group.is_empty() {
+            Offer::Service(target.service.clone())
+        } else {
+            Offer::Group(target.group.clone())
+        };
+        Some(Announced {
+            target: target.target.clone(),
+            incarnation: node.incarnation,
+            zone: node.zone.clone(),
+            address: node.link_address.parse().ok()?,
+            offer,
+            leaving: node.leaving,
+            healthy: target.healthy,
+            can_resume: target.can_resume,
+            adapters: target.adapters.clone(),
+            versions: target.versions.clone(),
+        })
+    }
+
+    /// All agents of a view.
+    pub(crate) fn from_view(view: &MemberView) -> Vec<Self> {
+        view.nodes.iter().filter_map(Self::from_node).collect()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/links/follow.rs
@@ -0,0 +1,67 @@
+//! Keeps the connection to one agent up and passes on what comes.
+
+use std::sync::Arc;
+
+use ractor::ActorRef;
+use tokio::sync::mpsc;
+use wire::proto::frame::Body;
+use wire::{ClusterKey, Identity, Incoming, Link, LinkSettings};
+
+use super::Agent;
+use super::news::News;
+
+/// Dials the agent until its incarnation is over.
+pub(super) async fn follow(
+    agent: Arc<Agent>,
+    me: Identity,
+    key: ClusterKey,
+    cfg: LinkSettings,
+    roster: ActorRef<News>,
+) {
+    let gone = agent.gone.clone();
+    let address = agent.address;
+    let dialled = wire::redial(address, me, key, cfg, move |link, rx| {
+        serve(Arc::clone(&agent), link, rx, roster.clone())
+    });
+    gone.run_until_cancelled(dialled).await;
+}
+
+async fn serve(
+    agent: Arc<Agent>,
+    link: Link,
+    rx: mpsc::Receiver<Incoming>,
+    roster: ActorRef<News>,
+) {
+    let peer = link.peer();
+    if peer.name != agent.name || peer.incarnation != agent.incarnation {
+        // An incarnation never comes back: its attempts are lost, and to wait
+        // for them would keep their callers waiting for nothing.
+        tell(&roster, News::Gone(Arc::clone(&agent)));
+        agent.gone.cancelled().await;
+        return;
+    }
+    agent.set_link(Some(link));
+    tell(&roster, News::Look);
+    pass_on(&agent, rx, &roster).await;
+    agent.set_link(None);
+    tell(&roster, News::Look);
+}
+
+async fn pass_on(agent: &Arc<Agent>, mut rx: mpsc::Receiver<Incoming>, roster: &ActorRef<News>) {
+    while let Some(incoming) = rx.recv().await {
+        match incoming.body {
+            Body::AnswerHead(ref head) => agent.route(&head.attempt.clone(), incoming.body),
+            Body::AnswerChunk(ref chunk) => agent.route(&chunk.attempt.clone(), incoming.body),
+            Body::AnswerEnd(ref end) => agent.route(&end.attempt.clone(), incoming.body),
+            Body::LoadReport(report) => tell(roster, News::Load(Arc::clone(agent), report)),
+            Body::CacheEvents(events) => tell(roster, News::Cache(Arc::clone(agent), events)),
+            Body::Leaving(_) => tell(roster, News::Leaving(Arc::clone(agent))),
+            _ => log::debug!("unexpected message from agent {}", agent.name),
+        }
+    }
+}
+
+fn tell(roster: &ActorRef<News>, news: News) {
+    // Fails only while the entry shuts down.
+    let _ = roster.send_message(news);
+}
--- /dev/null
+++ b/crates/entry/src/links/mod.rs
@@ -0,0 +1,12 @@
+//! Links to agents: who they are, and the one connection to each.
+
+mod agent;
+mod announced;
+mod follow;
+mod news;
+mod roster;
+
+pub(crate) use agent::Agent;
+pub(crate) use announced::Announced;
+pub(crate) use news::News;
+pub(crate) use roster::{Roster, RosterCx};
--- /dev/null
+++ b/crates/entry/src/links/news.rs
@@ -0,0 +1,23 @@
+//! What the roster is told.
+
+use std::sync::Arc;
+
+use wire::proto::{CacheEvents, LoadReport};
+
+use super::Agent;
+
+/// What the roster is told.
+#[derive(Debug)]
+pub(crate) enum News {
+    /// Time to look again: something changed, or a while has passed.
+    Look,
+    /// Another process answers at the agent's address, or a later run of it:
+    /// this incarnation is over.
+    Gone(Arc<Agent>),
+    /// The agent takes no new work.
+    Leaving(Arc<Agent>),
+    /// The target's load.
+    Load(Arc<Agent>, LoadReport),
+    /// What the target's prefix cache holds.
+    Cache(Arc<Agent>, CacheEvents),
+}
--- /dev/null
+++ b/crates/entry/src/links/roster.rs
@@ -0,0 +1,228 @@
+//! The actor that owns the links to all agents.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use node::Follower;
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use route::{RankReport, Report, Standing};
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+use wire::proto::LoadReport;
+use wire::{ClusterKey, Identity, LinkSettings};
+
+use super::follow::follow;
+use super::news::News;
+use super::{Agent, Announced};
+use crate::placement::{Member, Placement};
+
+/// Time after which the roster looks again even if nothing changed.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// Owns the links to all agents and keeps the pools as the member view, the
+/// note in force and the links themselves say.
+pub(crate) struct Roster;
+
+/// What the actor is started with.
+pub(crate) struct RosterCx {
+    pub(crate) follower: Follower,
+    pub(crate) placement: Arc<Placement>,
+    pub(crate) me: Identity,
+    pub(crate) key: ClusterKey,
+    pub(crate) link: LinkSettings,
+}
+
+/// What the actor keeps.
+pub(crate) struct Links {
+    cx: RosterCx,
+    held: BTreeMap<String, Held>,
+    clock: JoinHandle<()>,
+}
+
+struct Held {
+    agent: Arc<Agent>,
+    task: JoinHandle<()>,
+    /// It said on its link that it leaves, which the member view tells later.
+    leaving: bool,
+}
+
+impl Actor for Roster {
+    type Msg = News;
+    type State = Links;
+    type Arguments = RosterCx;
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<News>,
+        cx: RosterCx,
+    ) -> Result<Links, ActorProcessingErr> {
+        let clock = tokio::spawn(keep_time(myself, cx.follower.clone()));
+        Ok(Links {
+            cx,
+            held: BTreeMap::new(),
+            clock,
+        })
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<News>,
+        news: News,
+        links: &mut Links,
+    ) -> Result<(), ActorProcessingErr> {
+        match news {
+            News::Look => links.look(&myself),
+            News::Gone(agent) => {
+                agent.gone.cancel();
+                links.look(&myself);
+            }
+            News::Leaving(agent) => links.leaving(&agent, &myself),
+            News::Load(agent, report) => links.load(&agent, &report),
+            News::Cache(agent, events) => links.cx.placement.cache_events(&agent, &events),
+        }
+        Ok(())
+    }
+
+    async fn post_stop(
+        &self,
+        _myself: ActorRef<News>,
+        links: &mut Links,
+    ) -> Result<(), ActorProcessingErr> {
+        links.clock.abort();
+        for held in links.held.values() {
+            held.agent.gone.cancel();
+            held.task.abort();
+        }
+        Ok(())
+    }
+}
+
+/// Has the roster look at each change of what the follower holds, and else
+/// from time to time.
+async fn keep_time(roster: ActorRef<News>, follower: Follower) {
+    let mut changed = follower.changed();
+    while roster.send_message(News::Look).is_ok() {
+        // Either outcome means that it is time to look.
+        let _ = timeout(LOOK, changed.changed()).await;
+    }
+}
+
+impl Links {
+    /// Brings links and pools in line with the member view and the note.
+    fn look(&mut self, myself: &ActorRef<News>) {
+        let now = Instant::now();
+        let view = self.cx.follower.view();
+        let announced = Announced::from_view(&view);
+        for row in &announced {
+            self.keep(row, myself);
+        }
+        self.drop_dead(&announced);
+        let members = announced.iter().filter_map(|row| self.member(row));
+        let members: Vec<Member> = members.collect();
+        let entries = view
+            .nodes
+            .iter()
+            .filter(|node| node.role() == wire::Role::Entry && !node.leaving);
+        let entries = u32::try_from(entries.count()).unwrap_or(u32::MAX);
+        let catalogue = self.cx.follower.catalogue();
+        let placement = &self.cx.placement;
+        placement.set_quarantine(&self.cx.follower.quarantine());
+        placement.update(now, &catalogue, &members, entries.max(1));
+    }
+
+    /// Sees to it that the announced incarnation is linked.
+    fn keep(&mut self, row: &Announced, myself: &ActorRef<News>) {
+        if let Some(held) = self.held.get(&row.target) {
+            let same = held.agent.incarnation == row.incarnation;
+            if same && held.agent.address == row.address {
+                return;
+            }
+            held.agent.gone.cancel();
+            held.task.abort();
+        }
+        let agent = Agent::new(&row.target, row.incarnation, row.address);
+        let agent = Arc::new(agent);
+        let task = tokio::spawn(follow(
+            Arc::clone(&agent),
+            self.cx.me.clone(),
+            self.cx.key.clone(),
+            self.cx.link.clone(),
+            myself.clone(),
+        ));
+        let held = Held {
+            agent,
+            task,
+            leaving: false,
+        };
+        self.held.insert(row.target.clone(), held);
+    }
+
+    /// Ends the links to agents that are no longer announced and have neither
+    /// a connection nor an attempt left. As long as the connection lives, the
+    /// agent is only cut off from control, and what runs there finishes.
+    fn drop_dead(&mut self, announced: &[Announced]) {
+        self.held.retain(|name, held| {
+            let known = announced.iter().any(|row| row.target == *name);
+            let alive = held.agent.is_up() || !held.agent.is_idle();
+            if known || alive {
+                return true;
+            }
+            held.agent.gone.cancel();
+            held.task.abort();
+            false
+        });
+    }
+
+    fn member(&self, row: &Announced) -> Option<Member> {
+        let held = self.held.get(&row.target)?;
+        let standing = if row.leaving || held.leaving {
+            Standing::Leaving
+        } else if row.healthy && held.agent.is_up() && !held.agent.gone.is_cancelled() {
+            Standing::Ready
+        } else {
+            Standing::Absent
+        };
+        Some(Member {
+            agent: Arc::clone(&held.agent),
+            announced: row.clone(),
+            standing,
+        })
+    }
+
+    fn leaving(&mut self, agent: &Arc<Agent>, myself: &ActorRef<News>) {
+        if let Some(held) = self.held.get_mut(&agent.name)
+            && Arc::ptr_eq(&held.agent, agent)
+        {
+            held.leaving = true;
+        }
+        self.look(myself);
+    }
+
+    fn load(&self, agent: &Arc<Agent>, report: &LoadReport) {
+        let age = Duration::from_millis(u64::from(report.age_ms));
+        let now = Instant::now();
+        let ranks = report.ranks.iter().map(|rank| RankReport {
+            rank: rank.rank,
+            running: rank.running,
+            queued_tokens: rank.queued_tokens,
+            kv_used_permille: rank.kv_used_permille,
+            step: Duration::from_micros(u64::from(rank.step_us)),
+        });
+        let mut ranks: Vec<RankReport> = ranks.collect();
+        if ranks.is_empty() {
+            // A plain service reports itself as a whole.
+            ranks.push(RankReport {
+                running: report.running,
+                queued_tokens: report.queued,
+                ..RankReport::default()
+            });
+        }
+        let report = Report {
+            taken: now.checked_sub(age).unwrap_or(now),
+            limit: report.limit,
+            ranks,
+        };
+        self.cx.placement.report(agent, &report);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,65 @@
+//! What an entry counts.
+
+use std::sync::Arc;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+/// What an entry counts; clones share the counts.
+#[derive(Clone, Debug)]
+pub(crate) struct Metrics {
+    pub(crate) requests: Family<Status, Counter>,
+    pub(crate) refused: Family<Reason, Counter>,
+    pub(crate) retries: Counter,
+    pub(crate) open_requests: Gauge,
+    pub(crate) open_streams: Gauge,
+    pub(crate) broken_streams: Counter,
+    /// Seconds from a request's arrival to the head of its answer.
+    pub(crate) answer_seconds: Histogram,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct Status {
+    pub(crate) status: u16,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct Reason {
+    pub(crate) reason: String,
+}
+
+impl Metrics {
+    /// Makes the counts and the registry that shows them.
+    pub(crate) fn new() -> (Self, Arc<Registry>) {
+        let metrics = Metrics {
+            requests: Family::default(),
+            refused: Family::default(),
+            retries: Counter::default(),
+            open_requests: Gauge::default(),
+            open_streams: Gauge::default(),
+            broken_streams: Counter::default(),
+            answer_seconds: Histogram::new(exponential_buckets(0.001, 2.0, 18)),
+        };
+        let mut registry = Registry::with_prefix("lovageramp_entry");
+        metrics.register(&mut registry);
+        (metrics, Arc::new(registry))
+    }
+
+    fn register(&self, registry: &mut Registry) {
+        registry.register("requests", "Requests answered", self.requests.clone());
+        registry.register("refused", "Requests not let in", self.refused.clone());
+        registry.register("retries", "Attempts after the first", self.retries.clone());
+        let open = self.open_requests.clone();
+        registry.register("open_requests", "Requests in progress", open);
+        let open = self.open_streams.clone();
+        registry.register("open_streams", "Streams in progress", open);
+        let broken = self.broken_streams.clone();
+        registry.register("broken_streams", "Streams broken off", broken);
+        let seconds = self.answer_seconds.clone();
+        registry.register("answer_seconds", "Time to the head of an answer", seconds);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/placement/inner.rs
@@ -0,0 +1,251 @@
+//! The state behind the lock.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use note::{Catalogue, Offer};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use route::{
+    AccountLimits, AdmissionSettings, Fingerprint, Ration, Reason, Refusal, RetryBudget, Suspicion,
+    TicketKey, Tuning,
+};
+use wire::proto::Quarantine;
+
+use super::placed::Found;
+use super::pool_state::{PoolState, Turn};
+use super::{Member, Record, Wanted};
+use crate::job::Job;
+use crate::links::Announced;
+use crate::pool_name::PoolName;
+use crate::{Limits, Timing};
+
+#[derive(Debug)]
+pub(super) struct Inner {
+    pub(super) pools: BTreeMap<PoolName, PoolState>,
+    pub(super) budget: RetryBudget,
+    rations: BTreeMap<String, Ration>,
+    convicted: BTreeSet<Fingerprint>,
+    suspects: BTreeSet<Fingerprint>,
+    quarantine_version: u64,
+    rng: SmallRng,
+    zone: String,
+    zone_distance: Duration,
+    account_part: f64,
+    queue: usize,
+}
+
+/// Network distance assumed within an availability zone.
+const NEAR: Duration = Duration::from_micros(300);
+
+impl Inner {
+    pub(super) fn new(
+        zone: &str,
+        limits: &Limits,
+        timing: &Timing,
+        seed: u64,
+        now: Instant,
+    ) -> Self {
+        Inner {
+            pools: BTreeMap::new(),
+            budget: RetryBudget::new(limits.retry_ratio, limits.retry_reserve, now),
+            rations: BTreeMap::new(),
+            convicted: BTreeSet::new(),
+            suspects: BTreeSet::new(),
+            quarantine_version: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            zone: zone.to_owned(),
+            zone_distance: timing.zone_distance,
+            account_part: limits.account_part,
+            queue: limits.queue,
+        }
+    }
+
+    pub(super) fn update(
+        &mut self,
+        now: Instant,
+        catalogue: &Catalogue,
+        members: &[Member],
+        entries: u32,
+    ) {
+        self.update_rations(now, catalogue, entries);
+        let mut offered: BTreeMap<PoolName, Vec<&Member>> = BTreeMap::new();
+        for model in catalogue.models() {
+            offered.insert(PoolName::Model(model.name.clone()), Vec::new());
+        }
+        for service in catalogue.services() {
+            offered.insert(PoolName::Service(service.name.clone()), Vec::new());
+        }
+        for member in members {
+            if let Some(name) = pool_of(catalogue, &member.announced) {
+                offered.entry(name).or_default().push(member);
+            }
+        }
+        for (name, members) in &offered {
+            let state = self.pools.entry(name.clone()).or_insert_with(|| {
+                let settings = AdmissionSettings {
+                    queue: self.queue,
+                    ..AdmissionSettings::default()
+                };
+                PoolState::new(Tuning::default(), settings)
+            });
+            let distance = |row: &Announced| distance(&self.zone, row, self.zone_distance);
+            state.update(now, members, distance);
+            state.pool.set_share(1.0 / f64::from(entries));
+            state.advance(now);
+        }
+        self.withdraw_pools(now, &offered);
+    }
+
+    /// Empties the pools of what is no longer offered, and drops them once
+    /// nothing runs there.
+    fn withdraw_pools(&mut self, now: Instant, offered: &BTreeMap<PoolName, Vec<&Member>>) {
+        self.pools.retain(|name, state| {
+            if offered.contains_key(name) {
+                return true;
+            }
+            state.update(now, &[], |_| Duration::ZERO);
+            state.advance(now);
+            !state.is_idle()
+        });
+    }
+
+    fn update_rations(&mut self, now: Instant, catalogue: &Catalogue, entries: u32) {
+        let part = if self.account_part > 0.0 {
+            self.account_part
+        } else {
+            1.0 / f64::from(entries)
+        };
+        for account in catalogue.accounts() {
+            let limits = limits_of(account, part);
+            match self.rations.get_mut(&account.name) {
+                Some(ration) if *ration.limits() == limits => {}
+                Some(ration) => ration.set_limits(limits, now),
+                None => {
+                    let ration = Ration::new(limits, now);
+                    self.rations.insert(account.name.clone(), ration);
+                }
+            }
+        }
+        self.rations
+            .retain(|name, ration| ration.present() > 0 || catalogue.account(name).is_some());
+    }
+
+    pub(super) fn set_quarantine(&mut self, quarantine: &Quarantine) {
+        if quarantine.version == self.quarantine_version {
+            return;
+        }
+        let read = |rows: &[bytes::Bytes]| {
+            let rows = rows.iter();
+            rows.filter_map(|row| Fingerprint::from_slice(row))
+                .collect()
+        };
+        self.quarantine_version = quarantine.version;
+        self.convicted = read(&quarantine.convicted);
+        self.suspects = read(&quarantine.suspects);
+    }
+
+    pub(super) fn record(&self, fingerprint: &Fingerprint) -> Record {
+        if self.convicted.contains(fingerprint) {
+            Record::Convicted
+        } else if self.suspects.contains(fingerprint) {
+            Record::Runs(Suspicion::Suspect)
+        } else {
+            Record::Runs(Suspicion::Clear)
+        }
+    }
+
+    pub(super) fn enter(
+        &mut self,
+        now: Instant,
+        job: &Job,
+        until: Instant,
+        turn: Turn,
+    ) -> Result<(TicketKey, bool), Refusal> {
+        let ration = self.rations.get_mut(&job.account).ok_or_else(Self::shed)?;
+        let state = self.pools.get_mut(&job.pool).ok_or_else(Self::shed)?;
+        ration.enter(now, job.tokens)?;
+        let entered = state.enter(now, job, until, turn);
+        if entered.is_err() {
+            ration.leave(job.tokens, 0);
+        } else {
+            self.budget.deposit();
+        }
+        entered
+    }
+
+    pub(super) fn leave(
+        &mut self,
+        account: &str,
+        pool: &PoolName,
+        ticket: TicketKey,
+        estimated: u32,
+        used: u32,
+    ) {
+        if let Some(ration) = self.rations.get_mut(account) {
+            ration.leave(estimated, used);
+        }
+        if let Some(state) = self.pools.get_mut(pool) {
+            state.release(Instant::now(), ticket, used);
+        }
+    }
+
+    pub(super) fn place(&mut self, now: Instant, job: &Job, wanted: &Wanted) -> Option<Found> {
+        let state = self.pools.get_mut(&job.pool)?;
+        state.place(now, job, wanted, &mut self.rng)
+    }
+
+    /// The refusal of a request for which there is no room.
+    pub(super) fn shed() -> Refusal {
+        Refusal {
+            reason: Reason::Shed,
+            retry_after: AdmissionSettings::default().retry_after,
+        }
+    }
+}
+
+/// The pool that an announced target belongs to, if the note offers it for
+/// just that group or service.
+fn pool_of(catalogue: &Catalogue, announced: &Announced) -> Option<PoolName> {
+    let target = catalogue.target(&announced.target)?;
+    if target.offer != announced.offer {
+        return None;
+    }
+    match &target.offer {
+        Offer::Group(name) => {
+            let group = catalogue.group(name)?;
+            Some(PoolName::Model(group.model.clone()))
+        }
+        Offer::Service(name) => Some(PoolName::Service(name.clone())),
+    }
+}
+
+fn distance(zone: &str, announced: &Announced, other_zone: Duration) -> Duration {
+    if announced.zone == zone {
+        NEAR
+    } else {
+        other_zone
+    }
+}
+
+/// This entry's part of an account's limits, rounded up so that it is never
+/// nothing.
+fn limits_of(account: &note::Account, part: f64) -> AccountLimits {
+    let concurrent = (f64::from(account.concurrent) * part).ceil();
+    AccountLimits {
+        share: f64::from(account.share),
+        tokens_per_s: f64::from(account.tokens_per_s) * part,
+        requests_per_s: f64::from(account.requests_per_s) * part,
+        concurrent: to_u32(concurrent),
+    }
+}
+
+/// A whole number that is known to be in range.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the value is clamped to the range of the type before"
+)]
+fn to_u32(value: f64) -> u32 {
+    value.clamp(0.0, f64::from(u32::MAX)) as u32
+}
--- /dev/null
+++ b/crates/entry/src/placement/placed.rs
@@ -0,0 +1,95 @@
+//! The place of one attempt at a target.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use route::{AttemptKey, Ending};
+
+use super::Placement;
+use crate::links::Agent;
+use crate::pool_name::PoolName;
+
+/// What an attempt asks of its target beside room.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Wanted {
+    /// Targets that the request has failed on.
+    pub(crate) avoid: Vec<String>,
+    /// How the stream is to go on.
+    pub(crate) start: StartAt,
+}
+
+/// Where the answer is to begin.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum StartAt {
+    /// At its beginning.
+    #[default]
+    Beginning,
+    /// After the events that the caller was given; the target must be able to
+    /// resume.
+    Event(u64),
+}
+
+/// What the choice found.
+#[derive(Debug)]
+pub(crate) struct Found {
+    pub(crate) agent: Arc<Agent>,
+    pub(crate) group: String,
+    pub(crate) rank: u32,
+    pub(crate) attempt: AttemptKey,
+}
+
+/// The place of one attempt; dropping it tells the pool that the attempt was
+/// given up.
+#[derive(Debug)]
+pub(crate) struct Placed {
+    placement: Arc<Placement>,
+    pool: PoolName,
+    found: Found,
+    ended: Option<Ending>,
+}
+
+impl Placed {
+    pub(super) fn new(placement: Arc<Placement>, pool: PoolName, found: Found) -> Self {
+        Placed {
+            placement,
+            pool,
+            found,
+            ended: None,
+        }
+    }
+
+    pub(crate) fn agent(&self) -> &Arc<Agent> {
+        &self.found.agent
+    }
+
+    pub(crate) fn group(&self) -> &str {
+        &self.found.group
+    }
+
+    pub(crate) fn rank(&self) -> u32 {
+        self.found.rank
+    }
+
+    /// The first byte of the answer has arrived.
+    pub(crate) fn answered(&self) {
+        let mut inner = self.placement.lock();
+        if let Some(state) = inner.pools.get_mut(&self.pool) {
+            state.pool.answered(Instant::now(), self.found.attempt);
+        }
+    }
+
+    /// Ends the attempt.
+    pub(crate) fn end(mut self, ending: Ending) {
+        self.ended = Some(ending);
+    }
+}
+
+impl Drop for Placed {
+    fn drop(&mut self) {
+        let ending = self.ended.unwrap_or(Ending::Dropped);
+        let mut inner = self.placement.lock();
+        if let Some(state) = inner.pools.get_mut(&self.pool) {
+            state.pool.end(Instant::now(), self.found.attempt, ending);
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/placement/pool_state.rs
@@ -0,0 +1,201 @@
+//! One pool with its targets' agents and its waiting requests.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Instant;
+
+use rand::rngs::SmallRng;
+use route::{
+    AccountKey, AccountLimits, Admission, AdmissionSettings, Demand, Pool, Refusal, Standing,
+    TargetKey, TicketKey, Tuning,
+};
+use tokio::sync::oneshot;
+
+use super::Member;
+use super::placed::{Found, StartAt, Wanted};
+use crate::job::Job;
+use crate::links::{Agent, Announced};
+
+/// Tells a queued request that its turn has come, or that it never will.
+pub(super) type Turn = oneshot::Sender<Result<(), Refusal>>;
+
+/// One pool with its targets' agents and its waiting requests.
+#[derive(Debug)]
+pub(super) struct PoolState {
+    pub(super) pool: Pool,
+    admission: Admission,
+    accounts: BTreeMap<String, AccountKey>,
+    slots: BTreeMap<String, Slot>,
+    waiters: BTreeMap<TicketKey, Turn>,
+}
+
+#[derive(Debug)]
+struct Slot {
+    key: TargetKey,
+    agent: Arc<Agent>,
+    announced: Announced,
+}
+
+impl PoolState {
+    pub(super) fn new(tuning: Tuning, settings: AdmissionSettings) -> Self {
+        PoolState {
+            pool: Pool::new(tuning),
+            admission: Admission::new(settings),
+            accounts: BTreeMap::new(),
+            slots: BTreeMap::new(),
+            waiters: BTreeMap::new(),
+        }
+    }
+
+    pub(super) fn key_of(&self, agent: &Arc<Agent>) -> Option<TargetKey> {
+        let slot = self.slots.get(&agent.name)?;
+        Arc::ptr_eq(&slot.agent, agent).then_some(slot.key)
+    }
+
+    pub(super) fn agent(&self, target: &str) -> Option<Arc<Agent>> {
+        self.slots.get(target).map(|slot| Arc::clone(&slot.agent))
+    }
+
+    pub(super) fn has_targets(&self) -> bool {
+        !self.slots.is_empty()
+    }
+
+    pub(super) fn is_idle(&self) -> bool {
+        self.slots.is_empty() && self.admission.running() == 0 && self.admission.waiting() == 0
+    }
+
+    /// Brings the targets in line with `members`.
+    pub(super) fn update(
+        &mut self,
+        now: Instant,
+        members: &[&Member],
+        distance: impl Fn(&Announced) -> std::time::Duration,
+    ) {
+        for member in members {
+            let name = &member.announced.target;
+            let key = match self.slots.get(name) {
+                Some(slot) => slot.key,
+                None => self.pool.insert(name, distance(&member.announced), now),
+            };
+            let slot = Slot {
+                key,
+                agent: Arc::clone(&member.agent),
+                announced: member.announced.clone(),
+            };
+            let former = self.slots.insert(name.clone(), slot);
+            if former.is_some_and(|former| !Arc::ptr_eq(&former.agent, &member.agent)) {
+                self.pool.restarted(now, key);
+            }
+            self.pool.set_standing(key, member.standing);
+        }
+        let pool = &mut self.pool;
+        self.slots.retain(|name, slot| {
+            if members
+                .iter()
+                .any(|member| member.announced.target == *name)
+            {
+                return true;
+            }
+            pool.set_standing(slot.key, Standing::Absent);
+            let busy = pool.running(slot.key) > 0 && !slot.agent.gone.is_cancelled();
+            if !busy {
+                pool.remove(slot.key);
+            }
+            busy
+        });
+    }
+
+    /// Asks for a request to be let in; `true` when it waits for `turn`.
+    pub(super) fn enter(
+        &mut self,
+        now: Instant,
+        job: &Job,
+        until: Instant,
+        turn: Turn,
+    ) -> Result<(TicketKey, bool), Refusal> {
+        let limits = AccountLimits {
+            share: job.share,
+            ..AccountLimits::default()
+        };
+        let account = match self.accounts.get(&job.account) {
+            Some(account) => *account,
+            None => self.admission.insert(limits, now),
+        };
+        self.accounts.insert(job.account.clone(), account);
+        self.admission.set_limits(account, limits, now);
+        self.admission.set_places(self.pool.places(now));
+        let admission = &mut self.admission;
+        match admission.enter(now, account, job.tokens, job.priority, until) {
+            route::Admitted::Now(ticket) => Ok((ticket, false)),
+            route::Admitted::Queued(ticket) => {
+                self.waiters.insert(ticket, turn);
+                // It may have shed another one.
+                self.advance(now);
+                Ok((ticket, true))
+            }
+            route::Admitted::Refused(refusal) => Err(refusal),
+        }
+    }
+
+    pub(super) fn release(&mut self, now: Instant, ticket: TicketKey, used: u32) {
+        self.waiters.remove(&ticket);
+        self.admission.release(ticket, used);
+        self.advance(now);
+    }
+
+    /// Lets in whoever's turn it is.
+    pub(super) fn advance(&mut self, now: Instant) {
+        self.admission.set_places(self.pool.places(now));
+        let advance = self.admission.advance(now);
+        for ticket in advance.admitted {
+            if let Some(turn) = self.waiters.remove(&ticket) {
+                // A receiver that is gone gives its place back by itself.
+                let _ = turn.send(Ok(()));
+            }
+        }
+        for (ticket, refusal) in advance.refused {
+            if let Some(turn) = self.waiters.remove(&ticket) {
+                let _ = turn.send(Err(refusal));
+            }
+        }
+    }
+
+    pub(super) fn place(
+        &mut self,
+        now: Instant,
+        job: &Job,
+        wanted: &Wanted,
+        rng: &mut SmallRng,
+    ) -> Option<Found> {
+        let unfit = self.slots.values().filter(|slot| !fits(slot, job, wanted));
+        let avoid: Vec<TargetKey> = unfit.map(|slot| slot.key).collect();
+        let demand = Demand {
+            tokens: job.prompt_tokens,
+            prefix: job.prefix,
+            suspicion: job.suspicion,
+            avoid: &avoid,
+        };
+        let choice = self.pool.choose(now, &demand, rng)?;
+        let slot = self.slots.values().find(|slot| slot.key == choice.target)?;
+        let group = match &slot.announced.offer {
+            note::Offer::Group(group) => group.clone(),
+            note::Offer::Service(_) => String::new(),
+        };
+        Some(Found {
+            agent: Arc::clone(&slot.agent),
+            group,
+            rank: choice.rank,
+            attempt: self.pool.start(now, &choice, &demand),
+        })
+    }
+}
+
+fn fits(slot: &Slot, job: &Job, wanted: &Wanted) -> bool {
+    let announced = &slot.announced;
+    let resumes = wanted.start == StartAt::Beginning || announced.can_resume;
+    let has = |list: &[String], name: &String| name.is_empty() || list.contains(name);
+    resumes
+        && !wanted.avoid.contains(&announced.target)
+        && has(&announced.adapters, &job.adapter)
+        && has(&announced.versions, &job.version)
+}
--- /dev/null
+++ b/crates/entry/src/pool_name.rs
@@ -0,0 +1,16 @@
+//! What a request is for.
+
+/// The model or service that a request is for; its targets form one pool.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum PoolName {
+    Model(String),
+    Service(String),
+}
+
+impl PoolName {
+    pub(crate) fn as_str(&self) -> &str {
+        match self {
+            PoolName::Model(name) | PoolName::Service(name) => name,
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/work/answer.rs
@@ -0,0 +1,56 @@
+//! What a caller is answered with.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame};
+use tokio::sync::mpsc;
+use wire::proto::Header;
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: u32,
+    pub(crate) headers: Vec<Header>,
+    pub(crate) body: Bytes,
+}
+
+/// The answer to a request that asked for a stream.
+#[derive(Debug)]
+pub(crate) enum Streamed {
+    /// The stream.
+    Events {
+        headers: Vec<Header>,
+        body: EventBody,
+    },
+    /// The target answered otherwise, mostly with an error.
+    Whole(Answer),
+}
+
+/// The body of a stream. An error in it closes the connection without the
+/// final chunk, so that the caller can't take a broken stream for a whole one.
+#[derive(Debug)]
+pub(crate) struct EventBody {
+    rx: mpsc::Receiver<io::Result<Bytes>>,
+}
+
+impl EventBody {
+    pub(crate) fn new(rx: mpsc::Receiver<io::Result<Bytes>>) -> Self {
+        EventBody { rx }
+    }
+}
+
+impl Body for EventBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        let next = self.rx.poll_recv(cx);
+        next.map(|next| next.map(|data| data.map(Frame::data)))
+    }
+}
--- /dev/null
+++ b/crates/entry/src/work/cx.rs
@@ -0,0 +1,22 @@
+//! What running a request needs.
+
+use std::sync::Arc;
+
+use node::Follower;
+use tokio_util::task::TaskTracker;
+
+use crate::metrics::Metrics;
+use crate::placement::Placement;
+use crate::{Limits, Timing};
+
+/// What running a request needs.
+#[derive(Clone)]
+pub(crate) struct Cx {
+    pub(crate) follower: Follower,
+    pub(crate) placement: Arc<Placement>,
+    pub(crate) timing: Arc<Timing>,
+    pub(crate) limits: Arc<Limits>,
+    pub(crate) metrics: Metrics,
+    /// Calls that must be followed to their end before the entry ends.
+    pub(crate) tracker: TaskTracker,
+}
--- /dev/null
+++ b/crates/entry/src/work/mod.rs
@@ -0,0 +1,20 @@
+//! Running requests: attempts, retries, streams and non-repeatable calls.
+
+mod answer;
+mod attempt;
+mod course;
+mod cx;
+mod events;
+mod failure;
+mod once;
+mod open;
+mod pump;
+mod records;
+mod whole;
+
+pub(crate) use answer::{Answer, Streamed};
+pub(crate) use course::Course;
+pub(crate) use cx::Cx;
+pub(crate) use once::{OnceJob, refuse_once, run_once};
+pub(crate) use pump::run_stream;
+pub(crate) use whole::run_whole;
--- /dev/null
+++ b/crates/entry/src/work/open.rs
@@ -0,0 +1,55 @@
+//! The message that starts an attempt.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+use wire::proto::Start;
+
+use super::cx::Cx;
+use crate::job::Job;
+use crate::placement::{Placed, StartAt};
+use crate::pool_name::PoolName;
+
+/// Puts the message together that starts an attempt at the chosen place.
+pub(crate) fn start_of(cx: &Cx, job: &Job, placed: &Placed, at: StartAt) -> Start {
+    let now = Instant::now();
+    let left = job.deadline.saturating_duration_since(now);
+    let (model, service) = match &job.pool {
+        PoolName::Model(model) => (model.clone(), String::new()),
+        PoolName::Service(service) => (String::new(), service.clone()),
+    };
+    let span = tracing::info_span!("attempt", request = %job.id, target = %placed.agent().name);
+    trace::adopt(&span, &job.traceparent);
+    Start {
+        attempt: new_attempt(),
+        request: Bytes::from(job.id.clone()),
+        incarnation: placed.agent().incarnation,
+        note: cx.follower.catalogue().number(),
+        account: job.account.clone(),
+        service,
+        group: placed.group().to_owned(),
+        model,
+        adapter: job.adapter.clone(),
+        version: job.version.clone(),
+        rank: placed.rank(),
+        priority: job.priority,
+        deadline_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
+        method: job.method.clone(),
+        path: job.path.clone(),
+        headers: job.headers.clone(),
+        body: job.body.clone(),
+        traceparent: trace::context(&span, &job.traceparent),
+        resume_events: match at {
+            StartAt::Beginning => 0,
+            StartAt::Event(count) => count,
+        },
+        keep: false,
+        fingerprint: Bytes::copy_from_slice(job.fingerprint.as_bytes()),
+        entry_leased: cx.follower.leased(now),
+    }
+}
+
+/// A fresh attempt id.
+fn new_attempt() -> Bytes {
+    Bytes::copy_from_slice(&rand::random::<[u8; 16]>())
+}
