--- /dev/null
+++ b/crates/agent/src/engine/mod.rs
@@ -0,0 +1,27 @@
+//! What the agent and its target say to each other.
+//!
+//! Nothing beyond this module knows a path, a header or a field name of an
+//! engine or a plain service: the rest of the agent sees [`Call`], [`Reply`],
+//! [`Load`], [`Profile`] and their kin.
+
+mod cache;
+mod call;
+mod client;
+mod failure;
+mod load;
+mod order;
+mod outlet;
+mod profile;
+mod reply;
+mod whole;
+
+pub use cache::CacheChange;
+pub use call::Call;
+pub use client::ClientSettings;
+pub use failure::Failure;
+pub use load::{Load, RankLoad};
+pub use order::{MapOrder, MapState, Obeyed, OrderFailure};
+pub use outlet::{Outlet, Stand};
+pub use profile::Profile;
+pub use reply::{Reply, Usage};
+pub use whole::Whole;
--- /dev/null
+++ b/crates/agent/src/engine/outlet.rs
@@ -0,0 +1,241 @@
+//! The agent's way to its target.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{CONTENT_TYPE, HOST, HeaderName, HeaderValue};
+use hyper::{Method, Request, StatusCode};
+use serde::de::DeserializeOwned;
+use serde_json::{Value, json};
+
+use super::client::{Connection, ask};
+use super::reply::HOP_HEADERS;
+use super::{
+    CacheChange, Call, ClientSettings, Failure, Load, MapOrder, MapState, Obeyed, OrderFailure,
+    Profile, Reply,
+};
+
+const JSON: HeaderValue = HeaderValue::from_static("application/json");
+
+/// What kind of target stands behind the agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stand {
+    /// A model engine.
+    Engine,
+    /// A plain service.
+    Service,
+}
+
+/// Calls and orders one target.
+#[derive(Clone, Debug)]
+pub struct Outlet {
+    address: SocketAddr,
+    stand: Stand,
+    cfg: ClientSettings,
+}
+
+impl Outlet {
+    /// The way to the target at an address.
+    #[must_use]
+    pub fn new(address: SocketAddr, stand: Stand, cfg: ClientSettings) -> Self {
+        Outlet {
+            address,
+            stand,
+            cfg,
+        }
+    }
+
+    /// What kind of target it is.
+    #[must_use]
+    pub fn stand(&self) -> Stand {
+        self.stand
+    }
+
+    /// Makes a call: connects, runs `before_write`, writes the request and
+    /// waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure::NotRun`] only if nothing was written.
+    pub async fn call(
+        &self,
+        call: &Call,
+        before_write: impl FnOnce(),
+    ) -> Result<Reply, Failure> {
+        let req = self.request(call)?;
+        let mut conn = Connection::open(self.address, &self.cfg).await?;
+        before_write();
+        let response = conn.send(req, self.cfg.head).await?;
+        let progress = self.cfg.progress;
+        Ok(Reply::new(response, conn, progress, &call.method))
+    }
+
+    /// Asks for the load.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the target doesn't answer or answers something else.
+    pub async fn load(&self) -> Result<Load, Failure> {
+        self.get("/load").await
+    }
+
+    /// Asks an engine what it is and can do.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the target doesn't answer or answers something else.
+    pub async fn profile(&self) -> Result<Profile, Failure> {
+        self.get("/info").await
+    }
+
+    /// Asks for the changes of the prefix cache after a sequence number.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the target doesn't answer or answers something else.
+    pub async fn cache(&self, after: u64) -> Result<CacheChange, Failure> {
+        self.get(&format!("/cache?after={after}")).await
+    }
+
+    /// Asks for steps and token counts of the experts, a JSON document.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the target doesn't answer or answers something else.
+    pub async fn experts(&self) -> Result<Value, Failure> {
+        self.get("/experts").await
+    }
+
+    /// Asks where the engine stands with its maps.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the target doesn't answer or answers something else.
+    pub async fn map(&self) -> Result<MapState, Failure> {
+        self.get("/map").await
+    }
+
+    /// Tells the engine to stop a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the target doesn't answer.
+    pub async fn cancel(&self, request: &str) -> Result<(), Failure> {
+        let body = json!({"request": request}).to_string();
+        self.post("/cancel", body).await.map(drop)
+    }
+
+    /// Gives an order under a fencing number.
+    ///
+    /// # Errors
+    ///
+    /// See [`OrderFailure`]; a call that failed otherwise than as not run may
+    /// have been obeyed.
+    pub async fn order(&self, fencing: u64, order: &MapOrder) -> Result<Obeyed, OrderFailure> {
+        let (path, body) = spell(fencing, order)?;
+        let answer = self.post(path, body).await;
+        let (status, body) = answer.map_err(OrderFailure::Failed)?;
+        if status == StatusCode::CONFLICT {
+            let stands: MapState = parse(&body).map_err(OrderFailure::Failed)?;
+            return Err(OrderFailure::Fenced {
+                highest: stands.fencing,
+            });
+        }
+        if !status.is_success() {
+            let reason = String::from_utf8_lossy(&body).into_owned();
+            return Err(OrderFailure::Refused(reason));
+        }
+        parse(&body).map_err(OrderFailure::Failed)
+    }
+
+    async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Failure> {
+        let req = self.plain(Method::GET, path, Bytes::new())?;
+        let (status, body) = ask(self.address, &self.cfg, req).await?;
+        if !status.is_success() {
+            return Err(Failure::Broken(format!("{path} answered {status}")));
+        }
+        parse(&body)
+    }
+
+    async fn post(&self, path: &str, body: String) -> Result<(StatusCode, Bytes), Failure> {
+        let req = self.plain(Method::POST, path, body.into())?;
+        ask(self.address, &self.cfg, req).await
+    }
+
+    fn plain(&self, method: Method, path: &str, body: Bytes) -> Result<Request<Full<Bytes>>, Failure> {
+        Request::builder()
+            .method(method)
+            .uri(path)
+            .header(HOST, self.address.to_string())
+            .header(CONTENT_TYPE, JSON)
+            .body(Full::new(body))
+            .map_err(|e| Failure::NotRun(e.to_string()))
+    }
+
+    fn request(&self, call: &Call) -> Result<Request<Full<Bytes>>, Failure> {
+        let mut req = match self.stand {
+            Stand::Engine => {
+                let path = "/v1/chat/completions";
+                let mut req = self.plain(Method::POST, path, call.body.clone())?;
+                let headers = req.headers_mut();
+                headers.insert("x-resume-events", call.resume_events.into());
+                headers.insert("x-rank", call.rank.into());
+                headers.insert("x-priority", call.priority.into());
+                req
+            }
+            Stand::Service => self.passed_on(call)?,
+        };
+        insert_text(&mut req, "x-request-id", &call.request);
+        insert_text(&mut req, "traceparent", &call.traceparent);
+        Ok(req)
+    }
+
+    fn passed_on(&self, call: &Call) -> Result<Request<Full<Bytes>>, Failure> {
+        let mut req = Request::builder().method(call.method.as_str());
+        req = req.uri(call.path.as_str());
+        for (name, value) in &call.headers {
+            let hop = HOP_HEADERS.iter().any(|hop| name.eq_ignore_ascii_case(hop));
+            if !hop && !name.eq_ignore_ascii_case("host") {
+                req = req.header(name.as_str(), value.as_ref());
+            }
+        }
+        req.header(HOST, self.address.to_string())
+            .body(Full::new(call.body.clone()))
+            .map_err(|e| Failure::NotRun(e.to_string()))
+    }
+}
+
+fn insert_text(req: &mut Request<Full<Bytes>>, name: &'static str, text: &str) {
+    if let Ok(value) = HeaderValue::from_str(text)
+        && !text.is_empty()
+    {
+        let name = HeaderName::from_static(name);
+        req.headers_mut().insert(name, value);
+    }
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Failure> {
+    serde_json::from_slice(body).map_err(|e| Failure::Broken(e.to_string()))
+}
+
+fn spell(fencing: u64, order: &MapOrder) -> Result<(&'static str, String), OrderFailure> {
+    let outcome = |version: &u64, step: &u64, commit: bool| {
+        let body = json!({"fencing": fencing, "version": version, "step": step, "commit": commit});
+        ("/map/outcome", body.to_string())
+    };
+    Ok(match order {
+        MapOrder::Stage { version, map } => {
+            let map: Value = serde_json::from_slice(map)
+                .map_err(|e| OrderFailure::Failed(Failure::NotRun(e.to_string())))?;
+            let body = json!({"fencing": fencing, "version": version, "map": map});
+            ("/map/stage", body.to_string())
+        }
+        MapOrder::Hold { version, step } => {
+            let body = json!({"fencing": fencing, "version": version, "step": step});
+            ("/map/hold", body.to_string())
+        }
+        MapOrder::Commit { version, step } => outcome(version, step, true),
+        MapOrder::Abort { version, step } => outcome(version, step, false),
+    })
+}
--- /dev/null
+++ b/crates/agent/src/engine/reply.rs
@@ -0,0 +1,157 @@
+//! The answer to a call, as it comes.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use hyper::{HeaderMap, Response, StatusCode};
+use serde::Deserialize;
+use tokio::time::timeout;
+
+use super::client::Connection;
+use super::{Failure, Whole};
+
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
+/// Headers that belong to one connection and aren't passed on (RFC 9110,
+/// section 7.6.1), and the length, which follows from the body.
+pub(crate) const HOP_HEADERS: [&str; 9] = [
+    "connection",
+    "content-length",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Tokens that an answer took.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(default)]
+pub struct Usage {
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Tokens of the prompt that were cached.
+    pub cached_tokens: u32,
+    /// Tokens generated.
+    pub completion_tokens: u32,
+}
+
+/// A target's answer: its head is here, its body comes.
+pub struct Reply {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Incoming,
+    whole: Whole,
+    progress: Duration,
+    /// Closes the connection when the reply is dropped.
+    _conn: Connection,
+}
+
+impl Reply {
+    pub(crate) fn new(
+        response: Response<Incoming>,
+        conn: Connection,
+        progress: Duration,
+        method: &str,
+    ) -> Self {
+        let (head, body) = response.into_parts();
+        Reply {
+            whole: form(head.status, &head.headers, method),
+            status: head.status,
+            headers: head.headers,
+            body,
+            progress,
+            _conn: conn,
+        }
+    }
+
+    /// HTTP status.
+    #[must_use]
+    pub fn status(&self) -> u16 {
+        self.status.as_u16()
+    }
+
+    /// Headers that are passed on.
+    #[must_use]
+    pub fn headers(&self) -> Vec<(String, Bytes)> {
+        let passed = self
+            .headers
+            .iter()
+            .filter(|(name, _)| !HOP_HEADERS.contains(&name.as_str()));
+        passed
+            .map(|(name, value)| {
+                let value = Bytes::copy_from_slice(value.as_bytes());
+                (name.as_str().to_owned(), value)
+            })
+            .collect()
+    }
+
+    /// The next bytes of the body, `None` once it ended as a whole.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection breaks, when nothing comes for too long and
+    /// when the body ends before it is whole.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, Failure> {
+        loop {
+            let Ok(frame) = timeout(self.progress, self.body.frame()).await else {
+                return Err(Failure::Silent("no byte came in time".into()));
+            };
+            let Some(frame) = frame else {
+                return self.end().map(|()| None);
+            };
+            let frame = frame.map_err(|e| Failure::Broken(e.to_string()))?;
+            if let Ok(data) = frame.into_data() {
+                self.whole.push(&data);
+                return Ok(Some(data));
+            }
+        }
+    }
+
+    /// Tokens that the answer took, as far as its end tells.
+    #[must_use]
+    pub fn usage(&self) -> Option<Usage> {
+        parse_usage(self.whole.tail())
+    }
+
+    fn end(&self) -> Result<(), Failure> {
+        if self.whole.is_whole() {
+            return Ok(());
+        }
+        Err(Failure::EndedEarly("the last event is missing".into()))
+    }
+}
+
+fn form(status: StatusCode, headers: &HeaderMap, method: &str) -> Whole {
+    let kind = headers.get(CONTENT_TYPE).map(|kind| kind.as_bytes());
+    let events = kind.is_some_and(|kind| kind.starts_with(EVENT_STREAM));
+    if events && status.is_success() {
+        return Whole::events();
+    }
+    let empty = method == "HEAD"
+        || status == StatusCode::NO_CONTENT
+        || status == StatusCode::NOT_MODIFIED;
+    let framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+    if empty || framed {
+        Whole::framed()
+    } else {
+        Whole::unframed()
+    }
+}
+
+/// The usage stands near the end, in the last events or at the end of the
+/// document; the tail may begin anywhere before it.
+fn parse_usage(tail: &[u8]) -> Option<Usage> {
+    const NAME: &[u8] = b"\"usage\":";
+    let at = tail
+        .windows(NAME.len())
+        .rposition(|window| window == NAME)?;
+    let after = &tail[at + NAME.len()..];
+    let mut values = serde_json::Deserializer::from_slice(after).into_iter::<Usage>();
+    values.next()?.ok()
+}
--- /dev/null
+++ b/crates/agent/src/limits.rs
@@ -0,0 +1,34 @@
+//! Bounds of an agent.
+
+use cfg::Reader;
+
+/// How much an agent takes on and holds.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Attempts that run at once.
+    pub concurrent: usize,
+    /// Bytes of an answer in flight beyond what has arrived.
+    pub window: usize,
+    /// Bytes held of one answer.
+    pub answer: usize,
+    /// Bytes held of all answers; no attempt is taken beyond.
+    pub buffers: usize,
+    /// Attempts remembered as barred or forgotten.
+    pub remembered: usize,
+    /// Links at once.
+    pub links: usize,
+}
+
+impl Limits {
+    pub(crate) fn read(r: &mut Reader) -> Self {
+        const MIB: usize = 1 << 20;
+        Limits {
+            concurrent: r.within("concurrent", 256, 1..=100_000),
+            window: r.within("window_bytes", 256 << 10, 1024..=64 * MIB),
+            answer: r.within("answer_bytes", 4 * MIB, 4096..=256 * MIB),
+            buffers: r.within("buffers_bytes", 64 * MIB, MIB..=16_384 * MIB),
+            remembered: r.within("remembered", 100_000, 100..=10_000_000),
+            links: r.within("links", 1024, 4..=100_000),
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/sender.rs
@@ -0,0 +1,40 @@
+//! Sends one answer on one link.
+
+use std::sync::Arc;
+
+use tokio_util::sync::CancellationToken;
+use wire::Link;
+
+use crate::answer::{Answer, Cursor, Next};
+
+/// Sends an answer from `cursor` on until it ended, the link is down or
+/// another link took over.
+pub(crate) async fn send_answer(
+    answer: Arc<Answer>,
+    link: Link,
+    mut cursor: Cursor,
+    replaced: CancellationToken,
+) {
+    loop {
+        if replaced.is_cancelled() {
+            return;
+        }
+        match answer.next(&mut cursor) {
+            Next::Frame(frame) => {
+                if link.send(frame).await.is_err() {
+                    return;
+                }
+            }
+            Next::Last(frame) => {
+                // A link that is down is told by `Answer::is_attached`.
+                let _ = link.send(frame).await;
+                return;
+            }
+            Next::Wait => tokio::select! {
+                () = replaced.cancelled() => return,
+                () = link.closed() => return,
+                () = answer.await_readable() => {}
+            },
+        }
+    }
+}
