--- a/crates/agent/src/answer.rs
+++ b/crates/agent/src/answer.rs
@@ -36,7 +36,6 @@
     ending: Option<Ending>,
     stage: Stage,
     sender: Option<(Link, CancellationToken)>,
-    delivered: bool,
 }
 
 /// How far an attempt has come.
@@ -79,7 +78,6 @@
                 ending: None,
                 stage: Stage::Unwritten,
                 sender: None,
-                delivered: false,
             }),
             readable: Notify::new(),
             room: Notify::new(),
@@ -120,10 +118,6 @@
         self.readable.notify_one();
     }
 
-    pub fn is_ended(&self) -> bool {
-        self.lock().ending.is_some()
-    }
-
     pub fn has_room(&self) -> bool {
         self.lock().buffer.has_room()
     }
@@ -153,11 +147,6 @@
         sender.is_some_and(|(link, _)| !link.is_closed())
     }
 
-    /// Whether all was handed to a link, end included.
-    pub fn is_delivered(&self) -> bool {
-        self.lock().delivered
-    }
-
     /// Gives the answer to a link, in place of the one that had it. The token
     /// ends when yet another link takes over.
     ///
@@ -168,7 +157,6 @@
             return None;
         }
         inner.buffer.attach(offset);
-        inner.delivered = false;
         let token = CancellationToken::new();
         let former = inner.sender.replace((link.clone(), token.clone()));
         if let Some((_, former)) = former {
@@ -179,7 +167,7 @@
 
     /// What a link that stands at `cursor` is sent next.
     pub fn next(&self, cursor: &mut Cursor) -> Next {
-        let mut inner = self.lock();
+        let inner = self.lock();
         if cursor.head == HeadSent::No
             && let Some((status, headers)) = &inner.head
         {
@@ -199,9 +187,7 @@
         let Some(ending) = inner.ending.clone().filter(|_| read) else {
             return Next::Wait;
         };
-        let end = end_frame(self.id(), &inner.buffer, ending);
-        inner.delivered = true;
-        Next::Last(end)
+        Next::Last(end_frame(self.id(), &inner.buffer, ending))
     }
 
     pub async fn await_readable(&self) {
--- /dev/null
+++ b/crates/agent/src/attempts.rs
@@ -0,0 +1,274 @@
+//! The attempts that an agent knows.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use ledger::Attempt;
+use wire::proto::{AttemptState, End};
+
+use crate::answer::{Answer, Stage};
+use crate::{Ending, Keep, Limits, Suspicion, Timing, Tombstone, Tombstones};
+
+/// How long a repeatable attempt is remembered once it is forgotten: longer
+/// than any start of it can be held up on a link.
+const REMEMBER_REPEATABLE: Duration = Duration::from_mins(5);
+
+/// One attempt that runs, or whose answer is held.
+pub(crate) struct Known {
+    pub answer: Arc<Answer>,
+    pub fingerprint: Bytes,
+    pub keep: Keep,
+    pub suspicion: Suspicion,
+    pub state: State,
+    started: Instant,
+    unattached: Option<Instant>,
+}
+
+/// How far an attempt has come.
+pub(crate) enum State {
+    Running,
+    /// Its connection broke, and whether the target crashed isn't known yet.
+    Broke(String),
+    Ended(Instant),
+}
+
+impl Known {
+    pub fn new(
+        answer: Arc<Answer>,
+        fingerprint: Bytes,
+        keep: Keep,
+        suspicion: Suspicion,
+        now: Instant,
+    ) -> Self {
+        Known {
+            answer,
+            fingerprint,
+            keep,
+            suspicion,
+            state: State::Running,
+            started: now,
+            unattached: None,
+        }
+    }
+
+    fn is_running(&self) -> bool {
+        !matches!(self.state, State::Ended(_))
+    }
+}
+
+/// All attempts that an agent knows, and those that must never start.
+pub(crate) struct Attempts {
+    known: BTreeMap<Attempt, Known>,
+    /// Barred attempts, and non-repeatable ones that are forgotten.
+    kept: Tombstones,
+    /// Repeatable attempts that are forgotten.
+    brief: Tombstones,
+}
+
+impl Attempts {
+    pub fn new(limits: &Limits, timing: &Timing) -> Self {
+        Attempts {
+            known: BTreeMap::new(),
+            kept: Tombstones::new(limits.remembered, timing.remember),
+            brief: Tombstones::new(limits.remembered, REMEMBER_REPEATABLE),
+        }
+    }
+
+    pub fn get(&self, attempt: Attempt) -> Option<&Known> {
+        self.known.get(&attempt)
+    }
+
+    pub fn tombstone(&self, attempt: Attempt) -> Option<Tombstone> {
+        self.kept.get(attempt).or_else(|| self.brief.get(attempt))
+    }
+
+    /// Whether there is room to remember another attempt once it is over.
+    pub fn has_room(&self) -> bool {
+        !self.kept.is_full() && !self.brief.is_full()
+    }
+
+    pub fn insert(&mut self, attempt: Attempt, known: Known) {
+        self.known.insert(attempt, known);
+    }
+
+    pub fn running(&self) -> usize {
+        self.known
+            .values()
+            .filter(|known| known.is_running())
+            .count()
+    }
+
+    pub fn suspects(&self) -> usize {
+        let running = self.known.values().filter(|known| known.is_running());
+        running
+            .filter(|known| known.suspicion == Suspicion::Suspect)
+            .count()
+    }
+
+    /// Bytes held of all answers.
+    pub fn held(&self) -> usize {
+        self.known.values().map(|known| known.answer.held()).sum()
+    }
+
+    pub fn remembered(&self) -> usize {
+        self.kept.len() + self.brief.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
+    pub fn state(&self, attempt: Attempt) -> AttemptState {
+        match (self.known.get(&attempt), self.tombstone(attempt)) {
+            (Some(known), _) if known.is_running() => AttemptState::Running,
+            (Some(_), _) => AttemptState::Ended,
+            (None, Some(Tombstone::Barred)) => AttemptState::Barred,
+            (None, Some(Tombstone::Forgotten)) => AttemptState::Forgotten,
+            (None, None) => AttemptState::Absent,
+        }
+    }
+
+    /// Bars an attempt that never started, and tells what stands. `Absent`
+    /// means that there was no room for the bar: then it proves nothing.
+    pub fn bar(&mut self, attempt: Attempt, now: Instant) -> AttemptState {
+        let state = self.state(attempt);
+        if state == AttemptState::Absent {
+            self.kept.insert(attempt, Tombstone::Barred, now);
+        }
+        self.state(attempt)
+    }
+
+    /// Cancels a repeatable attempt. A non-repeatable call goes on: it may
+    /// have run, and its answer is worth more than the time it takes.
+    pub fn cancel(&self, attempt: Attempt) {
+        if let Some(known) = self.known.get(&attempt)
+            && known.keep == Keep::UntilPassed
+        {
+            known.answer.cancel.cancel();
+        }
+    }
+
+    pub fn pass(&self, attempt: Attempt, offset: u64) {
+        if let Some(known) = self.known.get(&attempt) {
+            known.answer.pass(offset);
+        }
+    }
+
+    /// Ends an attempt; `false` if it has ended before or isn't known.
+    pub fn end(&mut self, attempt: Attempt, ending: Ending, now: Instant) -> bool {
+        let Some(known) = self.known.get_mut(&attempt) else {
+            return false;
+        };
+        if !known.is_running() {
+            return false;
+        }
+        known.state = State::Ended(now);
+        known.answer.end(ending);
+        true
+    }
+
+    /// Notes that an attempt's connection broke; `false` if it had ended.
+    pub fn broke(&mut self, attempt: Attempt, reason: String) -> bool {
+        let Some(known) = self.known.get_mut(&attempt) else {
+            return false;
+        };
+        if !known.is_running() {
+            return false;
+        }
+        known.state = State::Broke(reason);
+        true
+    }
+
+    /// Ends all attempts whose connection broke, and returns their endings.
+    pub fn end_broken(&mut self, now: Instant) -> Vec<Ending> {
+        let mut endings = Vec::new();
+        for known in self.known.values_mut() {
+            if let State::Broke(reason) = &known.state {
+                let ending = Ending::new(End::Lost, reason.clone());
+                endings.push(ending.clone());
+                known.answer.end(ending);
+                known.state = State::Ended(now);
+            }
+        }
+        endings
+    }
+
+    /// Ends all that a crashed target may have been running, and returns their
+    /// fingerprints. `since` is when the crash was noticed: what started later
+    /// runs on the target that came after.
+    ///
+    /// All of them end here, also those whose connection seems to stand: were
+    /// one of them to be reported on its own later, that would count as another
+    /// crash, and convict a bystander.
+    pub fn end_crashed(&mut self, since: Instant, now: Instant) -> Vec<Bytes> {
+        let mut fingerprints = BTreeSet::new();
+        let running = self.known.values_mut().filter(|known| known.is_running());
+        for known in running {
+            if known.started > since || known.answer.stage() == Stage::Unwritten {
+                continue;
+            }
+            known.state = State::Ended(now);
+            known
+                .answer
+                .end(Ending::new(End::Crashed, "the target crashed"));
+            known.answer.cancel.cancel();
+            fingerprints.insert(known.fingerprint.clone());
+        }
+        fingerprints.remove(&Bytes::new());
+        fingerprints.into_iter().collect()
+    }
+
+    /// Forgets an attempt whose answer is recorded. One that still runs stays.
+    pub fn forget(&mut self, attempt: Attempt, now: Instant) {
+        let ended = self.known.get(&attempt).filter(|known| !known.is_running());
+        let Some(known) = ended else {
+            return;
+        };
+        let tombstones = match known.keep {
+            Keep::Whole => &mut self.kept,
+            Keep::UntilPassed => &mut self.brief,
+        };
+        // Without room it stays known, so that it can't start a second time.
+        if tombstones.insert(attempt, Tombstone::Forgotten, now) {
+            self.known.remove(&attempt);
+        }
+    }
+
+    /// Cancels what nobody waits for and forgets what nobody fetched.
+    pub fn tick(&mut self, timing: &Timing, now: Instant) {
+        self.kept.expire(now);
+        self.brief.expire(now);
+        let mut over = Vec::new();
+        for (attempt, known) in &mut self.known {
+            known.look_at_link(timing.grace, now);
+            let held = match known.keep {
+                Keep::Whole => timing.keep,
+                Keep::UntilPassed => timing.ended,
+            };
+            if let State::Ended(ended) = known.state
+                && now.saturating_duration_since(ended) >= held
+            {
+                over.push(*attempt);
+            }
+        }
+        for attempt in over {
+            self.forget(attempt, now);
+        }
+    }
+}
+
+impl Known {
+    fn look_at_link(&mut self, grace: Duration, now: Instant) {
+        if self.answer.is_attached() {
+            self.unattached = None;
+            return;
+        }
+        let since = *self.unattached.get_or_insert(now);
+        let left = now.saturating_duration_since(since) >= grace;
+        if left && self.keep == Keep::UntilPassed {
+            self.answer.cancel.cancel();
+        }
+    }
+}
--- a/crates/agent/src/engine/outlet.rs
+++ b/crates/agent/src/engine/outlet.rs
@@ -58,11 +58,7 @@
     /// # Errors
     ///
     /// [`Failure::NotRun`] only if nothing was written.
-    pub async fn call(
-        &self,
-        call: &Call,
-        before_write: impl FnOnce(),
-    ) -> Result<Reply, Failure> {
+    pub async fn call(&self, call: &Call, before_write: impl FnOnce()) -> Result<Reply, Failure> {
         let req = self.request(call)?;
         let mut conn = Connection::open(self.address, &self.cfg).await?;
         before_write();
@@ -77,7 +73,10 @@
     ///
     /// Fails when the target doesn't answer or answers something else.
     pub async fn load(&self) -> Result<Load, Failure> {
-        self.get("/load").await
+        match self.stand {
+            Stand::Engine => self.get("/load").await,
+            Stand::Service => self.service_load().await,
+        }
     }
 
     /// Asks an engine what it is and can do.
@@ -149,6 +148,13 @@
         parse(&body).map_err(OrderFailure::Failed)
     }
 
+    /// A service that answers, but not with a load, is up all the same.
+    async fn service_load(&self) -> Result<Load, Failure> {
+        let req = self.plain(Method::GET, "/load", Bytes::new())?;
+        let (_, body) = ask(self.address, &self.cfg, req).await?;
+        Ok(serde_json::from_slice(&body).unwrap_or_default())
+    }
+
     async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Failure> {
         let req = self.plain(Method::GET, path, Bytes::new())?;
         let (status, body) = ask(self.address, &self.cfg, req).await?;
@@ -163,7 +169,12 @@
         ask(self.address, &self.cfg, req).await
     }
 
-    fn plain(&self, method: Method, path: &str, body: Bytes) -> Result<Request<Full<Bytes>>, Failure> {
+    fn plain(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Request<Full<Bytes>>, Failure> {
         Request::builder()
             .method(method)
             .uri(path)
--- a/crates/agent/src/engine/reply.rs
+++ b/crates/agent/src/engine/reply.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Response, StatusCode};
 use serde::Deserialize;
 use tokio::time::timeout;
@@ -128,14 +128,13 @@
 }
 
 fn form(status: StatusCode, headers: &HeaderMap, method: &str) -> Whole {
-    let kind = headers.get(CONTENT_TYPE).map(|kind| kind.as_bytes());
+    let kind = headers.get(CONTENT_TYPE).map(HeaderValue::as_bytes);
     let events = kind.is_some_and(|kind| kind.starts_with(EVENT_STREAM));
     if events && status.is_success() {
         return Whole::events();
     }
-    let empty = method == "HEAD"
-        || status == StatusCode::NO_CONTENT
-        || status == StatusCode::NOT_MODIFIED;
+    let empty =
+        method == "HEAD" || status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED;
     let framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
     if empty || framed {
         Whole::framed()
--- a/crates/agent/src/limits.rs
+++ b/crates/agent/src/limits.rs
@@ -27,7 +27,7 @@
             window: r.within("window_bytes", 256 << 10, 1024..=64 * MIB),
             answer: r.within("answer_bytes", 4 * MIB, 4096..=256 * MIB),
             buffers: r.within("buffers_bytes", 64 * MIB, MIB..=16_384 * MIB),
-            remembered: r.within("remembered", 100_000, 100..=10_000_000),
+            remembered: r.within("remembered", 200_000, 100..=10_000_000),
             links: r.within("links", 1024, 4..=100_000),
         }
     }
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -6,7 +6,8 @@
 use wire::proto::End;
 
 use crate::answer::{Answer, Stage};
-use crate::engine::{Call, Failure, Outlet};
+use crate::context::Context;
+use crate::engine::{Call, Failure, Outlet, Stand};
 use crate::{Ending, Keep};
 
 /// How the run of an attempt came to its end.
@@ -21,7 +22,7 @@
 /// Runs a call and fills its answer, until it ended, is cancelled or `within`
 /// is over.
 pub(crate) async fn run(
-    outlet: &Outlet,
+    cx: &Context,
     call: &Call,
     answer: &Answer,
     keep: Keep,
@@ -30,14 +31,14 @@
     let stopped = tokio::select! {
         biased;
         () = answer.cancel.cancelled() => {
-            stop(outlet, call).await;
+            stop(&cx.outlet, call).await;
             Ending::new(End::Cancelled, "cancelled")
         }
         () = sleep(within) => {
-            stop(outlet, call).await;
+            stop(&cx.outlet, call).await;
             Ending::new(End::Deadline, "out of time")
         }
-        ended = fill(outlet, call, answer, keep) => match ended {
+        ended = fill(cx, call, answer, keep) => match ended {
             Ok(ending) => ending,
             Err(Failure::Broken(reason)) => return Stopped::Broke(reason),
             Err(failure) => failure.into(),
@@ -57,15 +58,11 @@
     }
 }
 
-async fn fill(
-    outlet: &Outlet,
-    call: &Call,
-    answer: &Answer,
-    keep: Keep,
-) -> Result<Ending, Failure> {
-    let mut reply = outlet.call(call, || answer.set_written()).await?;
+async fn fill(cx: &Context, call: &Call, answer: &Answer, keep: Keep) -> Result<Ending, Failure> {
+    let mut reply = cx.outlet.call(call, || answer.set_written()).await?;
     answer.set_head(reply.status(), reply.headers());
     while let Some(data) = reply.next().await? {
+        cx.metrics.received(data.len());
         answer.push(data);
         if keep == Keep::Whole && !answer.has_room() {
             // It can't be kept whole, so it couldn't be recorded either.
@@ -80,7 +77,7 @@
 
 /// An engine goes on generating for nobody unless it is told to stop.
 async fn stop(outlet: &Outlet, call: &Call) {
-    if outlet.stand() == crate::engine::Stand::Engine
+    if outlet.stand() == Stand::Engine
         && let Err(e) = outlet.cancel(&call.request).await
     {
         log::debug!("request={} can't be cancelled: {e}", call.request);
--- a/crates/agent/src/timing.rs
+++ b/crates/agent/src/timing.rs
@@ -42,7 +42,7 @@
             grace: time(r, "grace_ms", 5 * second),
             ended: time(r, "ended_ms", 15 * second),
             keep: time(r, "keep_ms", 900 * second),
-            remember: time(r, "remember_ms", 3600 * second),
+            remember: time(r, "remember_ms", 1200 * second),
             shutdown: time(r, "shutdown_ms", 60 * second),
             client: ClientSettings {
                 connect: time(r, "connect_ms", second),
@@ -55,6 +55,6 @@
 }
 
 fn time(r: &mut Reader, key: &str, default: Duration) -> Duration {
-    const LONGEST: Duration = Duration::from_secs(24 * 60 * 60);
+    const LONGEST: Duration = Duration::from_hours(24);
     r.within(key, default, Duration::from_millis(1)..=LONGEST)
 }
--- a/crates/agent/tests/gate.rs
+++ b/crates/agent/tests/gate.rs
@@ -35,13 +35,43 @@
     let gate = gate();
     let arrival = arrival();
     let cases = [
-        (Gate { incarnation: 8, ..gate }, Refusal::Incarnation),
+        (
+            Gate {
+                incarnation: 8,
+                ..gate
+            },
+            Refusal::Incarnation,
+        ),
         (Gate { note: 4, ..gate }, Refusal::Note),
         (Gate { note: 2, ..gate }, Refusal::Note),
-        (Gate { lease: Lease::Over, ..gate }, Refusal::Lease),
-        (Gate { phase: Phase::Leaving, ..gate }, Refusal::Leaving),
-        (Gate { offered: Offered::No, ..gate }, Refusal::NotOffered),
-        (Gate { health: Health::Down, ..gate }, Refusal::Unhealthy),
+        (
+            Gate {
+                lease: Lease::Over,
+                ..gate
+            },
+            Refusal::Lease,
+        ),
+        (
+            Gate {
+                phase: Phase::Leaving,
+                ..gate
+            },
+            Refusal::Leaving,
+        ),
+        (
+            Gate {
+                offered: Offered::No,
+                ..gate
+            },
+            Refusal::NotOffered,
+        ),
+        (
+            Gate {
+                health: Health::Down,
+                ..gate
+            },
+            Refusal::Unhealthy,
+        ),
         (Gate { running: 2, ..gate }, Refusal::Full),
     ];
     assert_eq!(gate.admit(&arrival), Ok(()));
@@ -54,9 +84,15 @@
 fn admit_one_lease() {
     // The entry is cut off from control, or the agent is. One live lease is
     // enough to know that equal numbers mean the newest note.
-    let gate = Gate { lease: Lease::Over, ..gate() };
+    let gate = Gate {
+        lease: Lease::Over,
+        ..gate()
+    };
     assert_eq!(gate.admit(&arrival()), Err(Refusal::Lease));
-    let leased = Arrival { lease: Lease::Live, ..arrival() };
+    let leased = Arrival {
+        lease: Lease::Live,
+        ..arrival()
+    };
     assert_eq!(gate.admit(&leased), Ok(()));
 }
 
@@ -64,12 +100,21 @@
 fn admit_second_suspect() {
     // Two requests are suspect of a crash. Together they would leave open
     // again which one it was, and a bystander could be convicted.
-    let suspect = Arrival { suspicion: Suspicion::Suspect, ..arrival() };
+    let suspect = Arrival {
+        suspicion: Suspicion::Suspect,
+        ..arrival()
+    };
     assert_eq!(gate().admit(&suspect), Ok(()));
-    let busy = Gate { suspects: 1, ..gate() };
+    let busy = Gate {
+        suspects: 1,
+        ..gate()
+    };
     assert_eq!(busy.admit(&suspect), Err(Refusal::Suspect));
     assert_eq!(busy.admit(&arrival()), Ok(()));
-    let convicted = Arrival { suspicion: Suspicion::Convicted, ..arrival() };
+    let convicted = Arrival {
+        suspicion: Suspicion::Convicted,
+        ..arrival()
+    };
     assert_eq!(gate().admit(&convicted), Err(Refusal::Suspect));
 }
 
--- a/crates/fake/src/engine.rs
+++ b/crates/fake/src/engine.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use bytes::Bytes;
 use http_body_util::channel::{Channel, Sender};
@@ -56,6 +56,8 @@
     pub batch: Batch,
     pub experts: watch::Sender<ExpertState>,
     dead: CancellationToken,
+    /// Differs after each restart.
+    instance: String,
 }
 
 impl Engine {
@@ -163,6 +165,7 @@
             batch: Batch::new(shared.cfg.limit),
             experts: watch::Sender::new(ExpertState::default()),
             dead: CancellationToken::new(),
+            instance: instance(),
             shared,
         });
         let dead = life.dead.clone();
@@ -351,6 +354,11 @@
     }
 }
 
+fn instance() -> String {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    format!("{:x}", since.unwrap_or_default().as_nanos())
+}
+
 pub(crate) fn info(life: &Life) -> Value {
     let cfg = &life.shared.cfg;
     json!({
@@ -363,5 +371,6 @@
         "priority": true,
         "checks_fencing": cfg.fencing == crate::FencingCheck::Refuse,
         "exports_kv": false,
+        "instance": life.instance,
     })
 }
