Add the operators' client

Cause: operators drive the system by release notes and need them checked, sent and followed from anywhere, with exit codes that scripts can rely on.

--- a/crates/admin/src/operators.rs
+++ b/crates/admin/src/operators.rs
@@ -179,12 +179,12 @@
         Ok(crate::json(StatusCode::OK, answer.to_string()))
     }
 
-    /// The member `note` of the status document.
+    /// The member `notes` of the status document.
     async fn note_status(&self) -> Result<Response, Problem> {
         let status = self.read(query::Body::Status(StatusQuery {})).await?;
         let status: Value = serde_json::from_slice(&status).map_err(|_| unexpected())?;
-        let note = status.get("note").ok_or_else(unexpected)?;
-        Ok(crate::json(StatusCode::OK, note.to_string()))
+        let notes = status.get("notes").ok_or_else(unexpected)?;
+        Ok(crate::json(StatusCode::OK, notes.to_string()))
     }
 
     async fn document(&self, body: query::Body) -> Result<Response, Problem> {
--- a/crates/admin/tests/operators.rs
+++ b/crates/admin/tests/operators.rs
@@ -58,7 +58,7 @@
 
 fn read(query: &query::Body) -> eyre::Result<query_reply::Body> {
     Ok(match query {
-        query::Body::Status(_) => query_reply::Body::Json(r#"{"note":{"number":7}}"#.into()),
+        query::Body::Status(_) => query_reply::Body::Json(r#"{"notes":{"accepted":7}}"#.into()),
         query::Body::Quarantine(_) => query_reply::Body::Quarantine(Quarantine {
             version: 3,
             suspects: Vec::new(),
@@ -144,8 +144,8 @@
         ("GET", "notes/7", "", "200", "{}"),
         ("GET", "notes/8", "", "404", r#""request":"r1""#),
         ("GET", "notes/0", "", "400", "above 0"),
-        ("GET", "notes/status", "", "200", r#"{"number":7}"#),
-        ("GET", "status", "", "200", r#"{"note":{"number":7}}"#),
+        ("GET", "notes/status", "", "200", r#"{"accepted":7}"#),
+        ("GET", "status", "", "200", r#"{"notes":{"accepted":7}}"#),
         ("GET", "catalogue", "", "503", "no leader"),
         (
             "POST",
--- /dev/null
+++ b/crates/lovageramp/src/client/mod.rs
@@ -0,0 +1,54 @@
+//! The operators' client: release notes, status, draining, quarantine.
+//!
+//! Any host may be named, entry or control; the next one is tried when one
+//! doesn't answer. All commands are idempotent, so trying again is harmless.
+
+mod access;
+mod answer;
+mod command;
+mod exit;
+mod failure;
+mod format;
+mod http;
+mod note;
+mod quarantine;
+mod status;
+mod table;
+mod target;
+
+pub use self::access::Access;
+pub use self::command::{Command, NoteCommand, QuarantineCommand, TargetCommand, commands};
+pub use self::exit::Exit;
+pub use self::failure::Failure;
+pub use self::format::Format;
+
+use std::io::Write;
+
+/// Runs a command and prints what came of it.
+pub async fn run(command: Command) -> Exit {
+    let (format, result) = match command {
+        Command::Note { command } => note::run(command).await,
+        Command::Status { format, access } => (format, status::run(&access, format).await),
+        Command::Target { command } => target::run(command).await,
+        Command::Quarantine { command } => quarantine::run(command).await,
+    };
+    match result {
+        Ok(text) => {
+            print(&text);
+            Exit::Done
+        }
+        Err(failure) => {
+            match format {
+                Format::Json => print(&failure.to_json().to_string()),
+                Format::Text => eprintln!("{failure}"),
+            }
+            failure.exit()
+        }
+    }
+}
+
+/// Prints a text. That nobody reads it any more, as under `head`, is no fault.
+fn print(text: &str) {
+    let mut out = std::io::stdout().lock();
+    let _ = writeln!(out, "{text}");
+}
--- /dev/null
+++ b/crates/lovageramp/src/client/status.rs
@@ -0,0 +1,106 @@
+//! `lovageramp status`.
+
+use bytes::Bytes;
+use hyper::Method;
+use serde_json::Value;
+
+use super::answer::render;
+use super::http::ask;
+use super::note::describe_status;
+use super::table::table;
+use super::{Access, Failure, Format};
+
+/// What stands for a value that isn't there.
+const NOTHING: &str = "-";
+
+/// A table's title, the member of the document it shows, and its columns with
+/// the member of a row that each shows.
+type Section = (&'static str, &'static [(&'static str, &'static str)]);
+
+const SECTIONS: [Section; 4] = [
+    (
+        "replicas",
+        &[
+            ("REPLICA", "name"),
+            ("DISK", "disk"),
+            ("STATE", "state"),
+            ("MATCH", "match"),
+        ],
+    ),
+    (
+        "nodes",
+        &[
+            ("NODE", "name"),
+            ("ROLE", "role"),
+            ("ZONE", "zone"),
+            ("ADDRESS", "address"),
+            ("NOTE", "note"),
+            ("LEAVING", "leaving"),
+        ],
+    ),
+    (
+        "targets",
+        &[
+            ("TARGET", "name"),
+            ("GROUP", "group"),
+            ("SERVICE", "service"),
+            ("AGENT", "agent"),
+            ("HEALTHY", "healthy"),
+            ("DRAINING", "draining"),
+        ],
+    ),
+    (
+        "groups",
+        &[("GROUP", "name"), ("MAP", "map_version"), ("SKEW", "skew")],
+    ),
+];
+
+pub(super) async fn run(access: &Access, format: Format) -> Result<String, Failure> {
+    let path = "/v1/operator/status";
+    let answer = ask(access, Method::GET, path, Bytes::new()).await?;
+    Ok(render(&answer.success()?, format, describe))
+}
+
+fn describe(status: &Value) -> String {
+    let mut parts = vec![format!(
+        "leader {} in term {}, repair {}\n{}\nquarantine: {} convicted, {} suspect",
+        cell(&status["leader"]),
+        cell(&status["term"]),
+        cell(&status["repair"]),
+        describe_status(&status["notes"]),
+        count(&status["quarantine"]["convicted"]),
+        count(&status["quarantine"]["suspects"]),
+    )];
+    for (member, columns) in SECTIONS {
+        let rows = status[member].as_array();
+        let rows: Vec<Vec<String>> = rows
+            .into_iter()
+            .flatten()
+            .map(|row| columns.iter().map(|(_, key)| cell(&row[*key])).collect())
+            .collect();
+        if !rows.is_empty() {
+            let heads: Vec<&str> = columns.iter().map(|(head, _)| *head).collect();
+            parts.push(table(&heads, &rows));
+        }
+    }
+    parts.join("\n\n")
+}
+
+/// Length of a list, or a count that is given as such.
+fn count(value: &Value) -> String {
+    match value.as_array() {
+        Some(list) => list.len().to_string(),
+        None => cell(value),
+    }
+}
+
+fn cell(value: &Value) -> String {
+    match value {
+        Value::Null => NOTHING.to_owned(),
+        Value::String(text) if text.is_empty() => NOTHING.to_owned(),
+        Value::String(text) => text.clone(),
+        Value::Bool(true) => "yes".to_owned(),
+        Value::Bool(false) => "no".to_owned(),
+        other => other.to_string(),
+    }
+}
--- a/crates/lovageramp/src/lib.rs
+++ b/crates/lovageramp/src/lib.rs
@@ -1,1 +1,3 @@
 //! Load balancer for expert-parallel model groups: the daemons and the client.
+
+pub mod client;
