--- /dev/null
+++ b/crates/lovageramp/benches/path.rs
@@ -0,0 +1,223 @@
+//! What the path through entry and agent costs, against the stand-ins called directly,
+//! in the same run. Prints a Markdown table.
+//!
+//! `cargo bench -p lovageramp --bench path`
+
+#![allow(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    reason = "the counts and times of a bench are far below 2^52"
+)]
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use serde_json::json;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use support::{Cluster, ClusterPlan, bearer};
+use tokio::net::TcpStream;
+
+const WARM_UP: usize = 200;
+const REQUESTS: usize = 2_000;
+const CONNECTIONS: usize = 64;
+const SPAN: Duration = Duration::from_secs(4);
+const STREAMS: usize = 100;
+const TOKENS: usize = 2_000;
+const HELD: usize = 500;
+
+fn main() {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    runtime.block_on(measure());
+}
+
+async fn measure() {
+    let cluster = Cluster::start(ClusterPlan {
+        controls: 1,
+        entries: 1,
+        engines: 1,
+        services: 1,
+        step_ms: 0,
+    })
+    .await;
+    cluster.offer().await;
+    let entry = cluster.http("entry-1");
+    let service = cluster.http("fake-desk-01");
+    let engine = cluster.http("fake-advisor-01");
+    println!("| what | direct | through lovageramp | ratio |");
+    println!("|---|---|---|---|");
+    latency(service, entry).await;
+    rate(service, entry).await;
+    frames(&cluster, engine, entry).await;
+    memory(&cluster).await;
+}
+
+struct Caller {
+    sender: SendRequest<Full<Bytes>>,
+}
+
+impl Caller {
+    async fn connect(address: SocketAddr) -> Caller {
+        let stream = TcpStream::connect(address).await.unwrap();
+        stream.set_nodelay(true).unwrap();
+        let (sender, conn) = http1::handshake(TokioIo::new(stream)).await.unwrap();
+        tokio::spawn(conn);
+        Caller { sender }
+    }
+
+    /// Sends a request and reads its whole answer; its length.
+    async fn call(&mut self, method: &str, path: &str, body: String) -> usize {
+        let req = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", "bench")
+            .header("authorization", bearer("huber"))
+            .body(Full::new(Bytes::from(body)))
+            .unwrap();
+        self.sender.ready().await.unwrap();
+        let res = self.sender.send_request(req).await.unwrap();
+        assert_eq!(res.status(), 200);
+        let mut length = 0;
+        let mut body = res.into_body();
+        while let Some(frame) = body.frame().await {
+            length += frame.unwrap().into_data().map_or(0, |data| data.len());
+        }
+        length
+    }
+}
+
+async fn latency(direct: SocketAddr, through: SocketAddr) {
+    let mut near = Caller::connect(direct).await;
+    let mut far = Caller::connect(through).await;
+    let mut times = [
+        Histogram::<u64>::new(3).unwrap(),
+        Histogram::<u64>::new(3).unwrap(),
+    ];
+    // In turns, so that both see the same machine.
+    for round in 0..WARM_UP + REQUESTS {
+        for (place, (caller, path)) in [(&mut near, "/stock"), (&mut far, "/s/order-desk/stock")]
+            .into_iter()
+            .enumerate()
+        {
+            let began = Instant::now();
+            caller.call("GET", path, String::new()).await;
+            if round >= WARM_UP {
+                times[place]
+                    .record(began.elapsed().as_nanos() as u64)
+                    .unwrap();
+            }
+        }
+    }
+    for quantile in [0.5, 0.99] {
+        let [near, far] = [0, 1].map(|n| times[n].value_at_quantile(quantile) as f64 / 1e6);
+        println!(
+            "| p{} of one call after the other, ms | {near:.3} | {far:.3} | {:.3} ms added |",
+            quantile * 100.0,
+            far - near
+        );
+    }
+}
+
+async fn rate(direct: SocketAddr, through: SocketAddr) {
+    let near = calls_per_second(direct, "/stock").await;
+    let far = calls_per_second(through, "/s/order-desk/stock").await;
+    println!(
+        "| calls/s over {CONNECTIONS} connections | {near:.0} | {far:.0} | {:.2} |",
+        far / near
+    );
+}
+
+async fn calls_per_second(address: SocketAddr, path: &'static str) -> f64 {
+    let end = Instant::now() + SPAN;
+    let callers = (0..CONNECTIONS).map(|_| {
+        tokio::spawn(async move {
+            let mut caller = Caller::connect(address).await;
+            let mut count = 0_u32;
+            while Instant::now() < end {
+                caller.call("GET", path, String::new()).await;
+                count += 1;
+            }
+            f64::from(count)
+        })
+    });
+    let mut total = 0.0;
+    for caller in callers.collect::<Vec<_>>() {
+        total += caller.await.unwrap();
+    }
+    total / SPAN.as_secs_f64()
+}
+
+fn chat(tokens: usize, prompt: usize) -> String {
+    json!({"model": "burl-notes", "stream": true, "max_tokens": tokens,
+           "messages": [{"role": "user", "content": format!("note {prompt}")}]})
+    .to_string()
+}
+
+async fn frames(cluster: &Cluster, engine: SocketAddr, entry: SocketAddr) {
+    let near = frames_per_second(engine).await;
+    let before = cluster.processes["entry-1"].cpu_seconds();
+    let agent_before = cluster.processes["advisor-01"].cpu_seconds();
+    let far = frames_per_second(entry).await;
+    let used = cluster.processes["entry-1"].cpu_seconds() - before;
+    let agent_used = cluster.processes["advisor-01"].cpu_seconds() - agent_before;
+    let count = (STREAMS * (TOKENS + 2)) as f64;
+    println!(
+        "| stream frames/s, {STREAMS} streams | {near:.0} | {far:.0} | {:.2} |",
+        far / near
+    );
+    println!(
+        "| frames for each second of the entry's processor time | | {:.0} | |",
+        count / used
+    );
+    println!(
+        "| frames for each second of the agent's processor time | | {:.0} | |",
+        count / agent_used
+    );
+}
+
+async fn frames_per_second(address: SocketAddr) -> f64 {
+    let began = Instant::now();
+    let callers = (0..STREAMS).map(|prompt| {
+        tokio::spawn(async move {
+            let mut caller = Caller::connect(address).await;
+            caller
+                .call("POST", "/v1/chat/completions", chat(TOKENS, prompt))
+                .await
+        })
+    });
+    for caller in callers.collect::<Vec<_>>() {
+        assert!(caller.await.unwrap() > TOKENS);
+    }
+    (STREAMS * (TOKENS + 2)) as f64 / began.elapsed().as_secs_f64()
+}
+
+async fn memory(cluster: &Cluster) {
+    cluster.fault("advisor-01", "stall", "").await;
+    let entry = cluster.http("entry-1");
+    let before = ["entry-1", "advisor-01"].map(|name| cluster.processes[name].resident_bytes());
+    let mut streams = Vec::new();
+    for prompt in 0..HELD {
+        streams.push(tokio::spawn(async move {
+            let mut caller = Caller::connect(entry).await;
+            caller
+                .call("POST", "/v1/chat/completions", chat(8, prompt))
+                .await
+        }));
+    }
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let after = ["entry-1", "advisor-01"].map(|name| cluster.processes[name].resident_bytes());
+    for (place, name) in ["entry", "agent"].into_iter().enumerate() {
+        let each = after[place].saturating_sub(before[place]) / HELD as u64;
+        println!("| bytes of the {name} for each open stream, {HELD} open | | {each} | |");
+    }
+    cluster.fault("advisor-01", "clear", "").await;
+    for stream in streams {
+        stream.abort();
+    }
+}
--- a/crates/lovageramp/src/bin/lovageramp-entry.rs
+++ b/crates/lovageramp/src/bin/lovageramp-entry.rs
@@ -1,3 +1,7 @@
 //! The `lovageramp-entry` daemon.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    lovageramp::daemon::run_entry()
+}
--- /dev/null
+++ b/crates/lovageramp/src/daemon/options.rs
@@ -0,0 +1,63 @@
+//! The options of a daemon.
+
+use bpaf::{OptionParser, Parser, construct, long};
+use std::path::PathBuf;
+use trace::LogFormat;
+
+/// Options that every daemon has.
+#[derive(Clone, Debug)]
+pub(super) struct Options {
+    pub settings: PathBuf,
+    pub check: bool,
+    pub print_settings: bool,
+    pub log: String,
+    pub log_format: LogFormat,
+    pub otlp: Option<String>,
+}
+
+/// The parser of the options that every daemon has.
+pub(super) fn options() -> impl Parser<Options> {
+    let settings = long("settings")
+        .short('s')
+        .help("JSON file with the settings; docs/SETTINGS.md lists the keys")
+        .argument::<PathBuf>("FILE");
+    let check = long("check")
+        .help("Check the settings, print every finding and exit: 0 without findings, 1 with")
+        .switch();
+    let print_settings = long("print-settings")
+        .help("Print the settings in force, defaults included, and exit")
+        .switch();
+    let log = long("log")
+        .help("Level, or levels by module: info, wire=debug")
+        .argument::<String>("LEVELS")
+        .fallback("info".to_owned());
+    let log_format = long("log-format")
+        .help("json or text")
+        .argument::<LogFormat>("FORMAT")
+        .fallback(LogFormat::Text);
+    let otlp = long("otlp")
+        .help("Export spans to this OTLP collector: http://127.0.0.1:4318/v1/traces")
+        .argument::<String>("URL")
+        .optional();
+    construct!(Options {
+        settings,
+        check,
+        print_settings,
+        log,
+        log_format,
+        otlp,
+    })
+}
+
+/// Puts a description and an example to a daemon's options.
+pub(super) fn described<T: 'static>(
+    parser: impl Parser<T> + 'static,
+    about: &'static str,
+    example: &'static str,
+) -> OptionParser<T> {
+    parser
+        .to_options()
+        .descr(about)
+        .footer(example)
+        .version(env!("CARGO_PKG_VERSION"))
+}
--- a/crates/lovageramp/src/lib.rs
+++ b/crates/lovageramp/src/lib.rs
@@ -1,3 +1,7 @@
-//! Load balancer for expert-parallel model groups: the daemons and the client.
+//! Load balancer for expert-parallel model groups: the daemons, the operators' client
+//! and a whole system in one process.
 
 pub mod client;
+pub mod daemon;
+pub mod fakes;
+pub mod standalone;
--- a/crates/lovageramp/src/main.rs
+++ b/crates/lovageramp/src/main.rs
@@ -2,8 +2,10 @@
 
 use std::process::ExitCode;
 
-use bpaf::{Args, OptionParser, ParseFailure, Parser};
+use bpaf::{Args, OptionParser, ParseFailure, Parser, construct};
 use lovageramp::client::{self, Command, Exit};
+use lovageramp::fakes::{self, FakeOptions};
+use lovageramp::standalone::{self, StandaloneOptions};
 
 const EXAMPLES: &str = "\
 Examples:
@@ -12,13 +14,33 @@
   lovageramp target drain advisor-03
   LOVAGERAMP_HOST=10.0.0.1:8080 LOVAGERAMP_TOKEN=... lovageramp status --json
   lovageramp quarantine pardon 9f0c22 --host 10.0.0.1:8080
+  lovageramp standalone --once
 Exit codes: 0 done, 1 refused or findings, 2 wrong usage, 3 no host answered.";
 
 /// Columns of the help text.
 const HELP_WIDTH: usize = 100;
 
-fn options() -> OptionParser<Command> {
-    client::commands()
+/// What the command line asks for.
+#[derive(Clone, Debug)]
+enum Task {
+    Client(Command),
+    Standalone(StandaloneOptions),
+    Fake(FakeOptions),
+}
+
+fn options() -> OptionParser<Task> {
+    let client = client::commands().map(Task::Client);
+    let standalone = standalone::options()
+        .to_options()
+        .descr("Runs the whole system in one process on loopback, for a first try")
+        .command("standalone")
+        .map(Task::Standalone);
+    let fake = fakes::options()
+        .to_options()
+        .descr("Runs a small stand-in for a target, for trials and tests")
+        .command("fake")
+        .map(Task::Fake);
+    construct!([client, standalone, fake])
         .to_options()
         .descr("Operates lovageramp, a load balancer for expert-parallel model groups")
         .footer(EXAMPLES)
@@ -26,15 +48,15 @@
 }
 
 fn main() -> ExitCode {
-    let command = match options().run_inner(Args::current_args()) {
-        Ok(command) => command,
+    let task = match options().run_inner(Args::current_args()) {
+        Ok(task) => task,
         Err(failure) => return explain(&failure),
     };
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build();
     match runtime {
-        Ok(runtime) => runtime.block_on(client::run(command)).into(),
+        Ok(runtime) => runtime.block_on(run(task)).into(),
         Err(err) => {
             eprintln!("can't start: {err}");
             Exit::Unreachable.into()
@@ -42,6 +64,21 @@
     }
 }
 
+async fn run(task: Task) -> Exit {
+    let ended = match task {
+        Task::Client(command) => return client::run(command).await,
+        Task::Standalone(options) => standalone::run(options).await,
+        Task::Fake(options) => fakes::run(options).await,
+    };
+    match ended {
+        Ok(()) => Exit::Done,
+        Err(err) => {
+            eprintln!("{err:#}");
+            Exit::Refused
+        }
+    }
+}
+
 /// Prints help where it was asked for, and what is wrong otherwise.
 fn explain(failure: &ParseFailure) -> ExitCode {
     failure.print_message(HELP_WIDTH);
--- /dev/null
+++ b/crates/lovageramp/src/standalone/deployment.rs
@@ -0,0 +1,316 @@
+//! All daemons and small stand-ins in one process, on loopback.
+
+use super::call::call;
+use super::{DEMO_KEY, DEMO_TOKEN};
+use agent::Agent;
+use control::Control;
+use entry::Entry;
+use eyre::{WrapErr, bail};
+use fake::{Engine, EngineSettings, Service, ServiceSettings};
+use serde_json::{Value, json};
+use std::fs;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use tempfile::TempDir;
+use tokio::net::TcpListener;
+use tokio::time::{Instant, sleep};
+
+/// Longest time until everything answers.
+const START: Duration = Duration::from_mins(1);
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// How many of each to start.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// Targets of the model group.
+    pub engines: u32,
+    /// Targets of the plain service.
+    pub services: u32,
+    /// Time of one engine step.
+    pub step: Duration,
+}
+
+impl Default for Size {
+    fn default() -> Self {
+        Size {
+            engines: 2,
+            services: 2,
+            step: Duration::from_millis(20),
+        }
+    }
+}
+
+/// A running system.
+pub struct Deployment {
+    control: Control,
+    entry: Entry,
+    agents: Vec<Agent>,
+    engines: Vec<Engine>,
+    services: Vec<Service>,
+    _temporary: Option<TempDir>,
+}
+
+impl Deployment {
+    /// Starts all daemons, sends the first release note and waits until it serves.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a daemon can't start or the system does not serve in time.
+    pub async fn start(data: Option<PathBuf>, size: Size) -> eyre::Result<Deployment> {
+        let temporary = match data {
+            Some(_) => None,
+            None => Some(tempfile::tempdir()?),
+        };
+        let folder = match (&data, &temporary) {
+            (Some(folder), _) => folder.clone(),
+            (None, Some(temporary)) => temporary.path().to_path_buf(),
+            (None, None) => bail!("no folder"),
+        };
+        let place = Place::prepare(folder)?;
+        let control = place.control().await?;
+        let controls = [control.link_address()];
+        let mut deployment = Deployment {
+            entry: place.entry(&controls).await?,
+            control,
+            agents: Vec::new(),
+            engines: Vec::new(),
+            services: Vec::new(),
+            _temporary: temporary,
+        };
+        for rank in 0..size.engines {
+            deployment
+                .add_engine(&place, &controls, rank, size.step)
+                .await?;
+        }
+        for number in 0..size.services {
+            deployment.add_service(&place, &controls, number).await?;
+        }
+        deployment.offer(size).await?;
+        Ok(deployment)
+    }
+
+    /// Where callers and operators connect.
+    #[must_use]
+    pub fn entry_address(&self) -> SocketAddr {
+        self.entry.http_address()
+    }
+
+    /// How often the services ran a call, by its key.
+    #[must_use]
+    pub fn reservations_run(&self, key: &str, path: &str) -> u64 {
+        let ran = self.services.iter().map(|service| service.count(key, path));
+        ran.sum()
+    }
+
+    /// Ends everything, from the callers' side inwards.
+    pub async fn shutdown(self) {
+        self.entry.shutdown().await;
+        for agent in self.agents {
+            agent.shutdown().await;
+        }
+        self.control.shutdown().await;
+    }
+
+    async fn add_engine(
+        &mut self,
+        place: &Place,
+        controls: &[SocketAddr],
+        rank: u32,
+        step: Duration,
+    ) -> eyre::Result<()> {
+        let engine = Engine::start(EngineSettings {
+            ranks: vec![rank],
+            step,
+            ..EngineSettings::default()
+        })
+        .await?;
+        let name = engine_name(rank);
+        let target = json!({
+            "group": "blank-advisor",
+            "engine": { "address": engine.address() },
+        });
+        self.agents
+            .push(place.agent(&name, controls, target).await?);
+        self.engines.push(engine);
+        Ok(())
+    }
+
+    async fn add_service(
+        &mut self,
+        place: &Place,
+        controls: &[SocketAddr],
+        number: u32,
+    ) -> eyre::Result<()> {
+        let service = Service::start(ServiceSettings::default()).await?;
+        let name = service_name(number);
+        let target = json!({
+            "service": "order-desk",
+            "target": { "address": service.address() },
+        });
+        self.agents
+            .push(place.agent(&name, controls, target).await?);
+        self.services.push(service);
+        Ok(())
+    }
+
+    /// Sends the note until it is accepted, then waits for an answer of each target.
+    async fn offer(&self, size: Size) -> eyre::Result<()> {
+        let bearer = format!("Bearer {DEMO_TOKEN}");
+        let operator = [("authorization", bearer.as_str())];
+        let note = first_note(size).to_string();
+        self.until(200, "POST", "/v1/operator/notes", &operator, &note)
+            .await?;
+        let bearer = format!("Bearer {DEMO_KEY}");
+        let caller = [("authorization", bearer.as_str())];
+        self.until(200, "GET", "/s/order-desk/stock", &caller, "")
+            .await?;
+        let chat = json!({"model": "burl-notes", "max_tokens": 1,
+                          "messages": [{"role": "user", "content": "ready?"}]});
+        let chat = chat.to_string();
+        self.until(200, "POST", "/v1/chat/completions", &caller, &chat)
+            .await
+    }
+
+    async fn until(
+        &self,
+        status: u16,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> eyre::Result<()> {
+        let end = Instant::now() + START;
+        loop {
+            let reply = call(self.entry_address(), method, path, headers, body.to_owned()).await;
+            match reply {
+                Ok(reply) if reply.status == status => return Ok(()),
+                Ok(reply) if Instant::now() > end => {
+                    bail!(
+                        "{method} {path} still gets {}: {}",
+                        reply.status,
+                        reply.body
+                    )
+                }
+                Err(err) if Instant::now() > end => return Err(err),
+                _ => sleep(PAUSE).await,
+            }
+        }
+    }
+}
+
+fn engine_name(rank: u32) -> String {
+    format!("advisor-{:02}", rank + 1)
+}
+
+fn service_name(number: u32) -> String {
+    format!("desk-{:02}", number + 1)
+}
+
+fn first_note(size: Size) -> Value {
+    let digest = note::Digest::of(DEMO_KEY.as_bytes()).to_string();
+    let mut added = vec![
+        json!({"kind": "model", "name": "burl-notes", "versions": ["2026-11"], "adapters": ["spalted"]}),
+        json!({"kind": "group", "name": "blank-advisor", "model": "burl-notes",
+               "ranks": size.engines, "layers": 2, "experts": 8, "spare_slots": 1,
+               "weights": {"skew": 1.0, "moves": 4.0}}),
+        json!({"kind": "service", "name": "order-desk", "repeatable": ["GET", "HEAD"],
+               "timeout_ms": 10000}),
+        json!({"kind": "account", "name": "demo", "key_sha256": digest, "share": 1,
+               "tokens_per_s": 1_000_000, "requests_per_s": 10000, "concurrent": 1000,
+               "priority": 1}),
+    ];
+    for rank in 0..size.engines {
+        added.push(json!({"kind": "target", "name": engine_name(rank), "group": "blank-advisor"}));
+    }
+    for number in 0..size.services {
+        added
+            .push(json!({"kind": "target", "name": service_name(number), "service": "order-desk"}));
+    }
+    json!({"number": 1, "added": added})
+}
+
+/// The folder with the shared files.
+struct Place {
+    folder: PathBuf,
+}
+
+impl Place {
+    fn prepare(folder: PathBuf) -> eyre::Result<Place> {
+        fs::create_dir_all(&folder).wrap_err_with(|| folder.display().to_string())?;
+        let key = format!("{:032x}", rand::random::<u128>());
+        write_once(&folder.join("cluster.key"), &key)?;
+        write_once(&folder.join("operator.token"), DEMO_TOKEN)?;
+        Ok(Place { folder })
+    }
+
+    fn common(&self, name: &str) -> Value {
+        json!({
+            "name": name,
+            "zone": "oberpfalz",
+            "http": "127.0.0.1:0",
+            "cluster_key_file": self.folder.join("cluster.key"),
+        })
+    }
+
+    async fn control(&self) -> eyre::Result<Control> {
+        let links = loopback().await?;
+        let data = self.folder.join("control");
+        let fresh = !data.exists();
+        let mut settings = self.common("control-1");
+        settings["listen"] = json!(links.local_addr()?);
+        settings["data"] = json!(data);
+        settings["operator_token_file"] = json!(self.folder.join("operator.token"));
+        settings["replicas"] = json!([{"name": "control-1", "address": links.local_addr()?}]);
+        let settings = control::Settings::from_slice(&to_vec(&settings)?)?;
+        if fresh {
+            control::init(&settings)?;
+        }
+        let http = loopback().await?;
+        Control::start(settings, control::Listeners { links, http }).await
+    }
+
+    async fn entry(&self, controls: &[SocketAddr]) -> eyre::Result<Entry> {
+        let mut settings = self.common("entry-1");
+        settings["controls"] = json!(controls);
+        settings["operator_token_file"] = json!(self.folder.join("operator.token"));
+        // Nobody else keeps this process's address list, so nothing need wait for it.
+        settings["timing"] = json!({"address_ttl_ms": 0});
+        let settings = entry::Settings::from_slice(&to_vec(&settings)?)?;
+        let http = loopback().await?;
+        Entry::start(settings, entry::Listeners { http }).await
+    }
+
+    async fn agent(
+        &self,
+        name: &str,
+        controls: &[SocketAddr],
+        target: Value,
+    ) -> eyre::Result<Agent> {
+        let links = loopback().await?;
+        let mut settings = self.common(name);
+        settings["listen"] = json!(links.local_addr()?);
+        settings["controls"] = json!(controls);
+        if let (Some(settings), Value::Object(target)) = (settings.as_object_mut(), target) {
+            settings.extend(target);
+        }
+        let settings = agent::Settings::from_slice(&to_vec(&settings)?)?;
+        let http = loopback().await?;
+        Agent::start(settings, agent::Listeners { links, http }).await
+    }
+}
+
+async fn loopback() -> eyre::Result<TcpListener> {
+    Ok(TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?)
+}
+
+fn to_vec(settings: &Value) -> eyre::Result<Vec<u8>> {
+    Ok(serde_json::to_vec(settings)?)
+}
+
+fn write_once(path: &Path, text: &str) -> eyre::Result<()> {
+    if path.exists() {
+        return Ok(());
+    }
+    fs::write(path, text).wrap_err_with(|| path.display().to_string())
+}
--- /dev/null
+++ b/crates/lovageramp/tests/support/cluster.rs
@@ -0,0 +1,423 @@
+//! A whole deployment of real processes on loopback.
+//!
+//! Every daemon that others dial stands behind a relay with a fixed address, so that
+//! settings can be written before the kernel has chosen the daemons' own ports, and so
+//! that tests can cut, freeze and swallow what goes between any two of them.
+
+use super::process::Process;
+use super::relay::Relay;
+use super::until::until;
+use super::{Answer, get, request};
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use tempfile::TempDir;
+use tokio::sync::SemaphorePermit;
+
+const CONTROL: &str = env!("CARGO_BIN_EXE_lovageramp-control");
+const ENTRY: &str = env!("CARGO_BIN_EXE_lovageramp-entry");
+const AGENT: &str = env!("CARGO_BIN_EXE_lovageramp-agent");
+const CLIENT: &str = env!("CARGO_BIN_EXE_lovageramp");
+const ZONES: [&str; 3] = ["oberpfalz", "allgaeu", "franken"];
+/// The operators' token of every test deployment.
+pub const TOKEN: &str = "operators-token-of-the-tests";
+
+/// How many of each process to start.
+pub struct ClusterPlan {
+    pub controls: usize,
+    pub entries: usize,
+    pub engines: usize,
+    pub services: usize,
+    /// Milliseconds of an engine's step.
+    pub step_ms: u32,
+}
+
+impl Default for ClusterPlan {
+    fn default() -> Self {
+        ClusterPlan {
+            controls: 3,
+            entries: 4,
+            engines: 3,
+            services: 2,
+            step_ms: 2,
+        }
+    }
+}
+
+/// A running deployment; all of it ends when dropped.
+pub struct Cluster {
+    pub folder: TempDir,
+    /// Control replicas, entries, agents and fakes by name.
+    pub processes: BTreeMap<String, Process>,
+    /// Relays by the name of what stands behind them. Each control and each agent has
+    /// one for all that dial it, and `control-1>control-2` and `entry-1>control-2`
+    /// stand between just these two.
+    pub relays: BTreeMap<String, Relay>,
+    pub plan: ClusterPlan,
+    _turn: SemaphorePermit<'static>,
+}
+
+impl Cluster {
+    /// Starts all processes and waits until a leader answers and every entry is ready
+    /// for a first note.
+    pub async fn start(plan: ClusterPlan) -> Cluster {
+        let folder = tempfile::tempdir().unwrap();
+        std::fs::write(folder.path().join("cluster.key"), "key of the test cluster").unwrap();
+        std::fs::write(folder.path().join("operator.token"), TOKEN).unwrap();
+        let mut cluster = Cluster {
+            folder,
+            processes: BTreeMap::new(),
+            relays: BTreeMap::new(),
+            plan,
+            _turn: super::limit::turn().await,
+        };
+        cluster.lay_relays().await;
+        for number in 1..=cluster.plan.controls {
+            cluster.start_control(number).await;
+        }
+        cluster.start_targets().await;
+        for number in 1..=cluster.plan.entries {
+            cluster.start_entry(number).await;
+        }
+        for number in 1..=cluster.plan.entries {
+            cluster.until_ready(&format!("entry-{number}")).await;
+        }
+        cluster
+    }
+
+    async fn lay_relays(&mut self) {
+        let controls: Vec<String> = (1..=self.plan.controls)
+            .map(|n| format!("control-{n}"))
+            .collect();
+        let mut dialers = controls.clone();
+        dialers.extend((1..=self.plan.entries).map(|n| format!("entry-{n}")));
+        dialers.extend(self.agents());
+        for dialer in &dialers {
+            for control in controls.iter().filter(|control| *control != dialer) {
+                let relay = Relay::start().await;
+                self.relays.insert(format!("{dialer}>{control}"), relay);
+            }
+        }
+        for agent in self.agents() {
+            self.relays.insert(agent, Relay::start().await);
+        }
+    }
+
+    /// Names of all agents, which are those of their targets.
+    pub fn agents(&self) -> Vec<String> {
+        let engines = (1..=self.plan.engines).map(|n| format!("advisor-{n:02}"));
+        let services = (1..=self.plan.services).map(|n| format!("desk-{n:02}"));
+        engines.chain(services).collect()
+    }
+
+    fn path(&self, file: &str) -> PathBuf {
+        self.folder.path().join(file)
+    }
+
+    fn relay(&self, name: &str) -> SocketAddr {
+        self.relays[name].address
+    }
+
+    /// Points every relay before `name` at its links.
+    fn point_relays(&self, name: &str, links: SocketAddr) {
+        for (relay, before) in &self.relays {
+            if relay == name || relay.ends_with(&format!(">{name}")) {
+                before.set_target(links);
+            }
+        }
+    }
+
+    fn common(&self, name: &str, zone: usize) -> Value {
+        json!({
+            "name": name,
+            "zone": ZONES[zone % ZONES.len()],
+            "http": "127.0.0.1:0",
+            "cluster_key_file": self.path("cluster.key"),
+        })
+    }
+
+    fn write_settings(&self, name: &str, settings: &Value) -> String {
+        let path = self.path(&format!("{name}.json"));
+        std::fs::write(&path, settings.to_string()).unwrap();
+        path.to_str().unwrap().to_owned()
+    }
+
+    async fn launch(&mut self, program: &str, name: &str, args: &[&str]) {
+        let log = self.path(&format!("{name}.log"));
+        let process = Process::start(program, args, &log).await;
+        if let Some(links) = process.links {
+            self.point_relays(name, links);
+        }
+        self.processes.insert(name.to_owned(), process);
+    }
+
+    /// Starts or restarts control replica `number`; the first one begins the cluster
+    /// when its data folder was never there.
+    pub async fn start_control(&mut self, number: usize) {
+        let name = format!("control-{number}");
+        let data = self.path(&format!("{name}-data"));
+        let replicas: Vec<Value> = (1..=self.plan.controls)
+            .map(|other| {
+                let other = format!("control-{other}");
+                let address = self.relays.get(&format!("{name}>{other}"));
+                let own = self
+                    .relays
+                    .iter()
+                    .find(|(relay, _)| relay.ends_with(&format!(">{name}")));
+                let address = address.or(own.map(|(_, relay)| relay));
+                json!({
+                    "name": other,
+                    "address": address.map_or("127.0.0.1:9".to_owned(), |r| r.address.to_string()),
+                })
+            })
+            .collect();
+        let mut settings = self.common(&name, number);
+        settings["listen"] = "127.0.0.1:0".into();
+        settings["data"] = json!(data);
+        settings["operator_token_file"] = json!(self.path("operator.token"));
+        settings["replicas"] = replicas.into();
+        let file = self.write_settings(&name, &settings);
+        let first_start = number == 1 && !self.path("began").exists();
+        if first_start {
+            let formatted = std::process::Command::new(CONTROL)
+                .args(["--settings", &file, "--init"])
+                .output()
+                .unwrap();
+            assert!(formatted.status.success(), "{formatted:?}");
+            std::fs::write(self.path("began"), "").unwrap();
+        }
+        self.launch(CONTROL, &name, &["--settings", &file]).await;
+    }
+
+    /// Link addresses of all controls, as `dialer` reaches them.
+    fn controls_for(&self, dialer: &str) -> Vec<String> {
+        (1..=self.plan.controls)
+            .map(|control| {
+                self.relay(&format!("{dialer}>control-{control}"))
+                    .to_string()
+            })
+            .collect()
+    }
+
+    /// Starts or restarts an entry.
+    pub async fn start_entry(&mut self, number: usize) {
+        let name = format!("entry-{number}");
+        let mut settings = self.common(&name, number);
+        settings["controls"] = json!(self.controls_for(&name));
+        settings["operator_token_file"] = json!(self.path("operator.token"));
+        settings["timing"] = json!({"address_ttl_ms": 2000});
+        let file = self.write_settings(&name, &settings);
+        self.launch(ENTRY, &name, &["--settings", &file]).await;
+    }
+
+    async fn start_targets(&mut self) {
+        for name in self.agents() {
+            self.start_fake(&name).await;
+            self.start_agent(&name).await;
+        }
+    }
+
+    /// Starts or restarts the fake behind an agent; its address stays the same.
+    pub async fn start_fake(&mut self, name: &str) {
+        let fake = format!("fake-{name}");
+        let kind = if name.starts_with("advisor") {
+            "engine"
+        } else {
+            "service"
+        };
+        if !self.relays.contains_key(&fake) {
+            self.relays.insert(fake.clone(), Relay::start().await);
+        }
+        let rank = name.rsplit('-').next().unwrap().parse::<u32>().unwrap() - 1;
+        let rank = rank.to_string();
+        let step_ms = self.plan.step_ms.to_string();
+        let mut args = vec!["fake", kind, "--listen", "127.0.0.1:0"];
+        if kind == "engine" {
+            args.extend([
+                "--step-ms",
+                &step_ms,
+                "--rank",
+                &rank,
+                "--model",
+                "burl-notes",
+                "--version-name",
+                "2026-11",
+            ]);
+        }
+        let log = self.path(&format!("{fake}.log"));
+        let process = Process::start(CLIENT, &args, &log).await;
+        self.relays[&fake].set_target(process.http);
+        self.processes.insert(fake, process);
+    }
+
+    /// Starts or restarts an agent.
+    pub async fn start_agent(&mut self, name: &str) {
+        let zone = name.bytes().map(usize::from).sum();
+        let mut settings = self.common(name, zone);
+        settings["listen"] = "127.0.0.1:0".into();
+        settings["advertise"] = json!(self.relay(name).to_string());
+        settings["controls"] = json!(self.controls_for(name));
+        let address = self.relay(&format!("fake-{name}")).to_string();
+        if name.starts_with("advisor") {
+            settings["group"] = "blank-advisor".into();
+            settings["engine"] = json!({ "address": address });
+        } else {
+            settings["service"] = "order-desk".into();
+            settings["target"] = json!({ "address": address });
+        }
+        let file = self.write_settings(name, &settings);
+        self.launch(AGENT, name, &["--settings", &file]).await;
+    }
+
+    /// Address for callers of an entry.
+    pub fn http(&self, name: &str) -> SocketAddr {
+        self.processes[name].http
+    }
+
+    /// Waits until `GET /readyz` answers 200.
+    pub async fn until_ready(&self, name: &str) {
+        let address = self.http(name);
+        until(&format!("{name} is ready"), || async move {
+            let answer = get(address, "/readyz", &[]).await.ok()?;
+            (answer.status == 200).then_some(())
+        })
+        .await;
+    }
+
+    /// An operators' request at an entry or a control.
+    pub async fn operator(&self, host: &str, method: &str, path: &str, body: &Value) -> Answer {
+        let bearer = format!("Bearer {TOKEN}");
+        let body = if body.is_null() {
+            String::new()
+        } else {
+            body.to_string()
+        };
+        let headers = [
+            ("authorization", bearer.as_str()),
+            ("content-type", "application/json"),
+        ];
+        request(self.http(host), method, path, &headers, body)
+            .await
+            .unwrap()
+    }
+
+    /// Runs the operators' client against `host`.
+    pub async fn client(&self, host: &str, args: &[&str]) -> std::process::Output {
+        let host = self.http(host).to_string();
+        tokio::process::Command::new(CLIENT)
+            .args(args)
+            .args(["--host", &host])
+            .env("LOVAGERAMP_TOKEN", TOKEN)
+            .output()
+            .await
+            .unwrap()
+    }
+
+    /// The first note: one group, one service, two accounts, all targets.
+    pub fn first_note(&self) -> Value {
+        let mut added = vec![
+            json!({"kind": "model", "name": "burl-notes", "versions": ["2026-11"]}),
+            json!({"kind": "group", "name": "blank-advisor", "model": "burl-notes",
+                   "ranks": self.plan.engines, "layers": 2, "experts": 8, "spare_slots": 1,
+                   "weights": {"skew": 1.0, "moves": 4.0}}),
+            json!({"kind": "service", "name": "order-desk", "repeatable": ["GET", "HEAD"], "timeout_ms": 30000}),
+        ];
+        for account in ["huber", "maier"] {
+            added.push(account_item(account));
+        }
+        for name in self.agents() {
+            let field = if name.starts_with("advisor") {
+                "group"
+            } else {
+                "service"
+            };
+            let of = if name.starts_with("advisor") {
+                "blank-advisor"
+            } else {
+                "order-desk"
+            };
+            added.push(json!({"kind": "target", "name": name, field: of}));
+        }
+        json!({"number": 1, "added": added})
+    }
+
+    /// Sends the first note and waits until it is in force everywhere and every entry
+    /// serves both a model request and a read of the service.
+    pub async fn offer(&self) {
+        let note = self.first_note();
+        until("the first note is accepted", || async {
+            let answer = self
+                .operator("entry-1", "POST", "/v1/operator/notes", &note)
+                .await;
+            (answer.status == 200).then_some(())
+        })
+        .await;
+        for number in 1..=self.plan.entries {
+            let entry = self.http(&format!("entry-{number}"));
+            until(&format!("entry-{number} serves"), || async move {
+                let model = chat(entry, "huber", "hello", false).await.ok()?;
+                let bearer = bearer("huber");
+                let headers = [("authorization", bearer.as_str())];
+                let service = get(entry, "/s/order-desk/stock", &headers).await.ok()?;
+                (model.status == 200 && service.status == 200).then_some(())
+            })
+            .await;
+        }
+    }
+}
+
+/// The key of an account of the tests.
+pub fn bearer(account: &str) -> String {
+    format!("Bearer key-of-{account}")
+}
+
+/// An account's item in a note.
+pub fn account_item(account: &str) -> Value {
+    let digest = note::Digest::of(format!("key-of-{account}").as_bytes()).to_string();
+    json!({"kind": "account", "name": account, "key_sha256": digest, "share": 1,
+           "tokens_per_s": 1_000_000, "requests_per_s": 10000, "concurrent": 1000, "priority": 1})
+}
+
+/// A chat completion.
+pub async fn chat(
+    entry: SocketAddr,
+    account: &str,
+    prompt: &str,
+    stream: bool,
+) -> std::io::Result<Answer> {
+    let body = json!({"model": "burl-notes", "stream": stream, "max_tokens": 16,
+                      "messages": [{"role": "user", "content": prompt}]});
+    let bearer = bearer(account);
+    let headers = [
+        ("authorization", bearer.as_str()),
+        ("content-type", "application/json"),
+    ];
+    request(
+        entry,
+        "POST",
+        "/v1/chat/completions",
+        &headers,
+        body.to_string(),
+    )
+    .await
+}
+
+/// A call of the order desk that may not be repeated.
+pub async fn reserve(
+    entry: SocketAddr,
+    account: &str,
+    key: &str,
+    lot: &str,
+) -> std::io::Result<Answer> {
+    let bearer = bearer(account);
+    let headers = [("authorization", bearer.as_str()), ("idempotency-key", key)];
+    request(
+        entry,
+        "POST",
+        "/s/order-desk/reservations",
+        &headers,
+        lot.to_owned(),
+    )
+    .await
+}
--- /dev/null
+++ b/crates/lovageramp/tests/support/faults.rs
@@ -0,0 +1,98 @@
+//! Failures that tests cause in a running deployment.
+
+use super::cluster::Cluster;
+use super::{get, request, until};
+use serde_json::Value;
+
+impl Cluster {
+    /// Kills a process with SIGKILL.
+    pub async fn kill(&mut self, name: &str) {
+        self.processes.get_mut(name).unwrap().kill().await;
+    }
+
+    /// Sends a process a signal.
+    pub async fn signal(&self, name: &str, signal: &str) {
+        self.processes[name].signal(signal).await;
+    }
+
+    /// Kills a control replica and throws its disk away.
+    pub async fn lose_disk(&mut self, number: usize) {
+        let name = format!("control-{number}");
+        self.kill(&name).await;
+        std::fs::remove_dir_all(self.folder.path().join(format!("{name}-data"))).unwrap();
+    }
+
+    /// Switches a fault on at the stand-in behind an agent.
+    pub async fn fault(&self, agent: &str, fault: &str, value: &str) {
+        let fake = self.http(&format!("fake-{agent}"));
+        let path = format!("/fault/{fault}");
+        let answer = request(fake, "POST", &path, &[], value.to_owned()).await;
+        if let Ok(answer) = answer {
+            assert_eq!(answer.status, 200, "{}", answer.text());
+        }
+    }
+
+    /// How often a stand-in ran requests of this key; an empty key counts all.
+    pub async fn ran_at(&self, agent: &str, key: &str) -> u64 {
+        let fake = self.http(&format!("fake-{agent}"));
+        let Ok(seen) = get(fake, "/seen", &[]).await else {
+            return 0;
+        };
+        let seen = seen.json();
+        let rows = seen.as_array().unwrap().iter();
+        let rows = rows.filter(|row| key.is_empty() || row["key"] == key);
+        rows.map(|row| row["count"].as_u64().unwrap()).sum()
+    }
+
+    /// How often all services ran the call with this key.
+    pub async fn ran(&self, key: &str) -> u64 {
+        let mut ran = 0;
+        for agent in self.agents() {
+            if agent.starts_with("desk") {
+                ran += self.ran_at(&agent, key).await;
+            }
+        }
+        ran
+    }
+
+    /// Waits until a call with this key runs at some service.
+    pub async fn until_runs(&self, key: &str) {
+        until(&format!("{key} runs"), || async {
+            (self.ran(key).await > 0).then_some(())
+        })
+        .await;
+    }
+
+    /// `GET /v1/operator/status` of any host that answers.
+    pub async fn status(&self, host: &str) -> Option<Value> {
+        let bearer = format!("Bearer {}", super::cluster::TOKEN);
+        let headers = [("authorization", bearer.as_str())];
+        let answer = get(self.http(host), "/v1/operator/status", &headers).await;
+        let answer = answer.ok()?;
+        (answer.status == 200).then(|| answer.json())
+    }
+
+    /// Name of the control replica that leads.
+    pub async fn leader(&self) -> String {
+        until("a leader", || async {
+            let status = self.status("entry-1").await?;
+            Some(status["leader"].as_str()?.to_owned())
+        })
+        .await
+    }
+
+    /// Waits until a note is in force everywhere.
+    pub async fn until_in_force(&self, host: &str, number: u64) {
+        until(&format!("note {number} in force everywhere"), || async {
+            let answer = self
+                .operator(host, "GET", "/v1/operator/notes/status", &Value::Null)
+                .await;
+            if answer.status != 200 {
+                return None;
+            }
+            let everywhere = answer.json()["in_force_everywhere"].as_u64()?;
+            (everywhere >= number).then_some(())
+        })
+        .await;
+    }
+}
