--- a/crates/agent/src/answer.rs
+++ b/crates/agent/src/answer.rs
@@ -162,6 +162,8 @@
         if let Some((_, former)) = former {
             former.cancel();
         }
+        drop(inner);
+        self.room.notify_one();
         Some(token)
     }
 
--- a/crates/agent/src/buffer.rs
+++ b/crates/agent/src/buffer.rs
@@ -123,9 +123,13 @@
         }
     }
 
-    /// Counts the window from an offset again, for a link that continues there.
+    /// Continues at an offset, before which all has arrived at whoever asks.
+    /// An answer that is kept whole may begin anew, for another entry.
     pub fn attach(&mut self, offset: u64) {
-        self.passed = offset.min(self.length);
+        match self.keep {
+            Keep::Whole => self.passed = offset.min(self.length),
+            Keep::UntilPassed => self.pass(offset),
+        }
     }
 
     /// Bytes of the answer so far.
