--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -21,6 +21,7 @@
 use crate::map::Maps;
 use crate::metrics::Metrics;
 use crate::monitor::Monitor;
+use crate::order::Orders;
 use crate::status::Status;
 use crate::{Health, Listeners, Phase, Settings};
 
@@ -34,6 +35,7 @@
 pub struct Agent {
     cx: Arc<Context>,
     desk: ActorRef<DeskMsg>,
+    orders: Orders,
     links: SocketAddr,
     http: SocketAddr,
     _stop: DropGuard,
@@ -60,6 +62,7 @@
         cx.metrics.register(&mut registry);
         let (desk, _) = Actor::spawn(None, Desk, Arc::clone(&cx)).await?;
         let (monitor, _) = Actor::spawn(None, Monitor, Arc::clone(&cx)).await?;
+        let orders = crate::order::start(Arc::clone(&cx)).await?;
         let accept = Arc::new(Links {
             cx: Arc::clone(&cx),
             desk: desk.clone(),
@@ -82,6 +85,7 @@
             _stop: cx.stop.clone().drop_guard(),
             cx,
             desk,
+            orders,
             links,
             http,
         })
@@ -105,6 +109,12 @@
         self.cx.incarnation
     }
 
+    /// Gives orders to the engine.
+    #[must_use]
+    pub fn orders(&self) -> Orders {
+        self.orders.clone()
+    }
+
     /// Leaves: tells entries and control, takes nothing new, finishes what
     /// runs, keeps answers until they are recorded, and then ends; at the
     /// latest when the time for a shutdown is over. Calling it again waits
--- a/crates/agent/src/engine/order.rs
+++ b/crates/agent/src/engine/order.rs
@@ -39,7 +39,7 @@
 }
 
 /// What an engine answers to an order that it took.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(default)]
 pub struct Obeyed {
     /// The last step that ran.
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -33,6 +33,7 @@
 mod map;
 mod metrics;
 mod monitor;
+pub mod order;
 mod refusal;
 mod reporter;
 mod run;
--- /dev/null
+++ b/crates/agent/src/order/read_back.rs
@@ -0,0 +1,52 @@
+//! What an order with a lost answer did.
+
+use crate::engine::{MapOrder, MapState, Obeyed};
+
+/// What an engine's state says of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reading {
+    /// It was obeyed, with this answer.
+    Obeyed(Obeyed),
+    /// It was not: it may be given again.
+    NotObeyed,
+    /// The state shows neither: the staged map that it names is gone.
+    Neither,
+}
+
+/// Reads from an engine's state what an order did whose answer was lost.
+///
+/// ```
+/// use agent::engine::{MapOrder, MapState};
+/// use agent::order::{Reading, read_back};
+///
+/// let order = MapOrder::Commit { version: 7, step: 90 };
+/// let staged = MapState { staged: Some(7), ..MapState::default() };
+/// assert_eq!(read_back(&order, &staged), Reading::NotObeyed);
+/// let used = MapState { version: 7, ..MapState::default() };
+/// assert!(matches!(read_back(&order, &used), Reading::Obeyed(_)));
+/// ```
+#[must_use]
+pub fn read_back(order: &MapOrder, state: &MapState) -> Reading {
+    let obeyed = Reading::Obeyed(Obeyed {
+        step: state.step,
+        ready: matches!(order, MapOrder::Stage { .. }),
+        held: matches!(order, MapOrder::Hold { .. }),
+        known: matches!(order, MapOrder::Commit { .. } | MapOrder::Abort { .. }),
+    });
+    let staged = |version: &u64| state.staged == Some(*version);
+    let used = |version: &u64| state.version == *version || state.next == Some(*version);
+    match order {
+        MapOrder::Stage { version, .. } if staged(version) => obeyed,
+        MapOrder::Stage { .. } => Reading::NotObeyed,
+        MapOrder::Hold { version, step } if staged(version) && state.held == Some(*step) => obeyed,
+        MapOrder::Hold { version, .. } if staged(version) => Reading::NotObeyed,
+        MapOrder::Commit { version, .. } if used(version) => obeyed,
+        MapOrder::Commit { version, .. } | MapOrder::Abort { version, .. } if staged(version) => {
+            Reading::NotObeyed
+        }
+        MapOrder::Abort { version, .. } if !used(version) => obeyed,
+        MapOrder::Hold { .. } | MapOrder::Commit { .. } | MapOrder::Abort { .. } => {
+            Reading::Neither
+        }
+    }
+}
