Tell a crash from a lost connection by instance; mind a standstill

Causes, each seen failing: - After a quick restart the known instance stayed the former one, so a connection that merely broke passed for a crash. Attempts now remember the instance they ran on, and the profile is asked for again once in ten looks (crash_and_quick_restart). - A process that was stopped and continued read a start seconds old and ran it, though its entry had given it up: start_read_after_standstill failed with the reservation made. Links that were up are made anew and a start from one of them is refused; looking at the clock alone was not enough, since the desk's tick came first.

--- a/crates/agent/src/attempts.rs
+++ b/crates/agent/src/attempts.rs
@@ -1,6 +1,6 @@
 //! The attempts that an agent knows.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -22,7 +22,9 @@
     pub keep: Keep,
     pub suspicion: Suspicion,
     pub state: State,
-    started: Instant,
+    pub started: Instant,
+    /// The target's instance when it started, as far as that was told.
+    pub instance: String,
     unattached: Option<Instant>,
 }
 
@@ -40,6 +42,7 @@
         fingerprint: Bytes,
         keep: Keep,
         suspicion: Suspicion,
+        instance: String,
         now: Instant,
     ) -> Self {
         Known {
@@ -49,6 +52,7 @@
             suspicion,
             state: State::Running,
             started: now,
+            instance,
             unattached: None,
         }
     }
@@ -195,18 +199,17 @@
         endings
     }
 
-    /// Ends all that a crashed target may have been running, and returns their
-    /// fingerprints. `since` is when the crash was noticed: what started later
-    /// runs on the target that came after.
+    /// Ends all that a crashed target may have been running, as far as `ran_on`
+    /// says that it ran on that one, and returns their fingerprints.
     ///
     /// All of them end here, also those whose connection seems to stand: were
     /// one of them to be reported on its own later, that would count as another
     /// crash, and convict a bystander.
-    pub fn end_crashed(&mut self, since: Instant, now: Instant) -> Vec<Bytes> {
-        let mut fingerprints = BTreeSet::new();
+    pub fn end_crashed(&mut self, now: Instant, ran_on: impl Fn(&Known) -> bool) -> Vec<Bytes> {
+        let mut fingerprints = Vec::new();
         let running = self.known.values_mut().filter(|known| known.is_running());
         for known in running {
-            if known.started > since || known.answer.stage() == Stage::Unwritten {
+            if known.answer.stage() == Stage::Unwritten || !ran_on(known) {
                 continue;
             }
             known.state = State::Ended(now);
@@ -214,10 +217,9 @@
                 .answer
                 .end(Ending::new(End::Crashed, "the target crashed"));
             known.answer.cancel.cancel();
-            fingerprints.insert(known.fingerprint.clone());
+            fingerprints.push(known.fingerprint.clone());
         }
-        fingerprints.remove(&Bytes::new());
-        fingerprints.into_iter().collect()
+        fingerprints
     }
 
     /// Forgets an attempt whose answer is recorded. One that still runs stays.
--- a/crates/agent/src/crash.rs
+++ b/crates/agent/src/crash.rs
@@ -1,6 +1,6 @@
 //! Whether the target crashed.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -38,10 +38,15 @@
 }
 
 /// Whether the target crashed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Verdict {
-    Crashed,
-    Lives,
+    /// It refuses connections.
+    Gone,
+    /// It answers, or another instance in its place does; empty where targets
+    /// don't tell.
+    Answers(String),
+    /// It says nothing, so nothing is known.
+    Silent,
 }
 
 impl Incident {
@@ -63,21 +68,24 @@
     /// requests that the target may have been running.
     pub fn conclude(state: &mut State, verdict: Verdict, now: Instant) {
         let since = state.incident.looking.take().unwrap_or(now);
-        if verdict == Verdict::Lives {
-            state.end_broken(now);
-            return;
-        }
-        let fingerprints = state.attempts.end_crashed(since, now);
-        // What else broke broke with the target that came after.
+        let attempts = &mut state.attempts;
+        let crashed = match verdict {
+            Verdict::Gone => attempts.end_crashed(now, |known| known.started <= since),
+            Verdict::Answers(instance) if !instance.is_empty() => {
+                let crashed = attempts.end_crashed(now, |known| known.instance != instance);
+                // Attempts from now on are known to run on this one.
+                state.cx.status.send_if_modified(|status| {
+                    status.instance = instance;
+                    false
+                });
+                crashed
+            }
+            Verdict::Answers(_) | Verdict::Silent => Vec::new(),
+        };
+        // What else broke merely lost its connection.
         state.end_broken(now);
-        state.incident.remember(&fingerprints, now);
-        state.cx.metrics.crashed();
-        log::warn!(
-            "the target crashed while {} requests ran on it",
-            fingerprints.len()
-        );
-        if !fingerprints.is_empty() {
-            tokio::spawn(report(Arc::clone(&state.cx), fingerprints));
+        if !crashed.is_empty() {
+            record(state, crashed, now);
         }
     }
 
@@ -115,21 +123,31 @@
     }
 }
 
-/// A target that refuses connections, or that another instance answers for,
-/// has crashed; one that still answers merely lost a connection.
+/// Counts a crash and reports it with the fingerprints of what ran.
+fn record(state: &mut State, crashed: Vec<Bytes>, now: Instant) {
+    log::warn!("the target crashed while {} attempts ran", crashed.len());
+    state.cx.metrics.crashed(crashed.len());
+    let mut fingerprints: BTreeSet<Bytes> = crashed.into_iter().collect();
+    fingerprints.remove(&Bytes::new());
+    if fingerprints.is_empty() {
+        return;
+    }
+    let fingerprints: Vec<Bytes> = fingerprints.into_iter().collect();
+    state.incident.remember(&fingerprints, now);
+    tokio::spawn(report(Arc::clone(&state.cx), fingerprints));
+}
+
+/// A target that refuses connections has crashed; one that answers, but as
+/// another instance, has been started again since.
 async fn examine(cx: &Context) -> Verdict {
-    let known = cx.status.borrow().instance.clone();
     for _ in 0..LOOKS {
         match look(cx).await {
-            Err(Failure::NotRun(_)) => return Verdict::Crashed,
-            Ok(instance) if !instance.is_empty() && instance != known => {
-                return Verdict::Crashed;
-            }
-            Ok(_) => return Verdict::Lives,
+            Ok(instance) => return Verdict::Answers(instance),
+            Err(Failure::NotRun(_)) => return Verdict::Gone,
             Err(_) => sleep(PAUSE).await,
         }
     }
-    Verdict::Lives
+    Verdict::Silent
 }
 
 /// The instance that answers; empty where targets don't tell.
--- a/crates/agent/src/desk.rs
+++ b/crates/agent/src/desk.rs
@@ -6,6 +6,7 @@
 use ledger::Attempt;
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
 use wire::Link;
 use wire::proto::{Attach, AttemptState, Progress, Start};
 
@@ -27,7 +28,7 @@
 
 /// What the desk is told and asked.
 pub(crate) enum DeskMsg {
-    Start(Box<Start>, Link, RpcReplyPort<Taken>),
+    Start(Box<Start>, Origin, RpcReplyPort<Taken>),
     Attach(Attach, Link, RpcReplyPort<take::Attached>),
     Bar(Attempt, RpcReplyPort<AttemptState>),
     Cancel(Attempt),
@@ -41,6 +42,13 @@
     Idle(RpcReplyPort<Idle>),
 }
 
+/// The link that a start came on.
+pub(crate) struct Origin {
+    pub link: Link,
+    /// Ends when the link is to be made anew.
+    pub cut: CancellationToken,
+}
+
 /// Whether anything runs or is held.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Idle {
@@ -102,8 +110,8 @@
     /// Whoever asked may have gone meanwhile: then nobody needs the reply.
     fn handle(&mut self, msg: DeskMsg, now: Instant) {
         match msg {
-            DeskMsg::Start(start, link, reply) => {
-                let _ = reply.send(take::start(self, *start, &link, now));
+            DeskMsg::Start(start, from, reply) => {
+                let _ = reply.send(take::start(self, *start, &from, now));
             }
             DeskMsg::Attach(attach, link, reply) => {
                 let _ = reply.send(take::attach(self, &attach, &link));
@@ -166,7 +174,15 @@
     /// Whether the agent stood still until just now, as a process that was
     /// stopped and continued does. What it reads then may be hours old: a
     /// start among it may long have been given up and run elsewhere.
-    pub fn has_stalled(&self, now: Instant) -> bool {
+    ///
+    /// The desk may look at the clock again before it gets to what was read
+    /// from a link; so the links that were up are made anew, and a start from
+    /// one of them doesn't count either.
+    pub fn is_stale(&self, from: &Origin, now: Instant) -> bool {
+        from.cut.is_cancelled() || self.has_stalled(now)
+    }
+
+    fn has_stalled(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.ticked) >= STALL
     }
 
--- a/crates/agent/src/links.rs
+++ b/crates/agent/src/links.rs
@@ -13,7 +13,7 @@
 use wire::{ClusterKey, Identity, Incoming, Link, LinkSettings, Role};
 
 use crate::context::Context;
-use crate::desk::DeskMsg;
+use crate::desk::{DeskMsg, Origin};
 use crate::map::Maps;
 use crate::reporter::report;
 use crate::sender::send_answer;
@@ -87,7 +87,7 @@
     ) {
         let reporter = tokio::spawn(report(Arc::clone(&self.cx), link.clone()));
         while let Some(Some(incoming)) = cut.run_until_cancelled(rx.recv()).await {
-            self.take(incoming).await;
+            self.take(incoming, cut).await;
         }
         reporter.abort();
     }
@@ -101,10 +101,10 @@
     /// Messages that an entry has no business sending are passed over. A
     /// reply that can't be sent means that the link is down, which the
     /// reading side notices.
-    async fn take(&self, incoming: Incoming) {
+    async fn take(&self, incoming: Incoming, cut: &CancellationToken) {
         let Incoming { call, body, link } = incoming;
         match body {
-            Body::Start(start) => self.start(call, start, link).await,
+            Body::Start(start) => self.start(call, start, link, cut).await,
             Body::Attach(attach) => self.attach(call, attach, link).await,
             Body::Bar(bar) => self.bar(call, bar, &link).await,
             Body::Cancel(Cancel { attempt }) => {
@@ -119,10 +119,13 @@
         }
     }
 
-    async fn start(&self, call: u64, start: Start, link: Link) {
-        let to_link = link.clone();
+    async fn start(&self, call: u64, start: Start, link: Link, cut: &CancellationToken) {
+        let from = Origin {
+            link: link.clone(),
+            cut: cut.clone(),
+        };
         let start = Box::new(start);
-        let Ok(taken) = call!(self.desk, |reply| DeskMsg::Start(start, to_link, reply)) else {
+        let Ok(taken) = call!(self.desk, |reply| DeskMsg::Start(start, from, reply)) else {
             return;
         };
         let _ = link.reply(call, Body::StartReply(taken.reply)).await;
--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -7,6 +7,7 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
+use wire::proto::End;
 
 use crate::{Ending, Refusal};
 
@@ -105,8 +106,12 @@
         self.ended.get_or_create(&Ended { end }).inc();
     }
 
-    pub fn crashed(&self) {
+    /// Counts a crash and the attempts that ended with it.
+    pub fn crashed(&self, attempts: usize) {
         self.crashes.inc();
+        let end = Ending::new(End::Crashed, "").name().to_owned();
+        let ended = self.ended.get_or_create(&Ended { end });
+        ended.inc_by(attempts as u64);
     }
 
     pub fn link_refused(&self) {
--- a/crates/agent/src/monitor.rs
+++ b/crates/agent/src/monitor.rs
@@ -14,6 +14,9 @@
 /// Looks in a row that a target may leave unanswered.
 const MISSES: u32 = 2;
 
+/// Looks at the load between two at what the target is.
+const PROFILE_LOOKS: u32 = 10;
+
 /// Asks the target for load, cache changes and what it can do.
 pub(crate) struct Monitor;
 
@@ -25,6 +28,8 @@
     cx: Arc<Context>,
     misses: u32,
     profile: Option<Profile>,
+    /// Looks since the profile was asked for.
+    profile_age: u32,
     cache_sequence: u64,
     clock: JoinHandle<()>,
 }
@@ -42,6 +47,7 @@
         Ok(Watch {
             misses: 0,
             profile: None,
+            profile_age: 0,
             cache_sequence: 0,
             clock: tokio::spawn(keep_time(myself, Arc::clone(&cx))),
             cx,
@@ -96,20 +102,37 @@
     /// An engine that doesn't say what it is can't be offered either.
     async fn ask(&mut self) -> Result<Load, Failure> {
         let load = self.cx.outlet.load().await?;
-        if self.profile.is_none() {
+        if self.profile_age >= PROFILE_LOOKS || self.profile.is_none() {
             let profile = match self.cx.outlet.stand() {
                 Stand::Engine => self.cx.outlet.profile().await?,
                 Stand::Service => Profile::default(),
             };
-            self.cache_sequence = 0;
-            self.cx
-                .status
-                .send_modify(|status| status.instance.clone_from(&profile.instance));
-            self.profile = Some(profile);
+            self.take_profile(profile);
         }
+        self.profile_age += 1;
         Ok(load)
     }
 
+    /// A target may load another model or adapter, or be another instance that
+    /// was started again between two looks.
+    fn take_profile(&mut self, profile: Profile) {
+        self.profile_age = 0;
+        if self.profile.as_ref() == Some(&profile) {
+            return;
+        }
+        let former = self.profile.as_ref().map(|profile| &profile.instance);
+        if former != Some(&profile.instance) {
+            self.cache_sequence = 0;
+        }
+        let instance = profile.instance.clone();
+        self.cx.status.send_if_modified(|status| {
+            status.instance = instance;
+            false
+        });
+        self.profile = Some(profile);
+        self.announce(Health::Up);
+    }
+
     /// A target that refuses connections is down at once; one that is merely
     /// slow to answer is given another look.
     fn miss(&mut self, failure: &Failure, asked: Instant) {
--- a/crates/agent/src/take.rs
+++ b/crates/agent/src/take.rs
@@ -14,7 +14,7 @@
 use crate::answer::{Answer, Cursor, HeadSent};
 use crate::attempts::Known;
 use crate::context::Wanted;
-use crate::desk::{DeskMsg, State, keep};
+use crate::desk::{DeskMsg, Origin, State, keep};
 use crate::engine::{Call, Stand};
 use crate::run::run;
 use crate::{Arrival, Ending, Gate, Keep, Lease, Refusal, Suspicion, Tombstone};
@@ -38,9 +38,9 @@
     pub replaced: CancellationToken,
 }
 
-pub(crate) fn start(state: &mut State, start: Start, link: &Link, now: Instant) -> Taken {
+pub(crate) fn start(state: &mut State, start: Start, from: &Origin, now: Instant) -> Taken {
     let taken = match Attempt::from_slice(&start.attempt) {
-        Some(attempt) => take(state, attempt, &start, link, now),
+        Some(attempt) => take(state, attempt, &start, from, now),
         None => Err(Refusal::NotOffered),
     };
     let (refusal, sending) = match taken {
@@ -66,9 +66,10 @@
     state: &mut State,
     attempt: Attempt,
     start: &Start,
-    link: &Link,
+    from: &Origin,
     now: Instant,
 ) -> Result<Option<Sending>, Refusal> {
+    let link = &from.link;
     if start.incarnation != state.cx.incarnation {
         return Err(Refusal::Incarnation);
     }
@@ -82,7 +83,7 @@
     if let Some(known) = state.attempts.get(attempt) {
         return Ok(begin(&known.answer, link, 0));
     }
-    let suspicion = admit(state, start, now)?;
+    let suspicion = admit(state, start, from, now)?;
     let limits = &state.cx.cfg.limits;
     let keep = keep(start);
     let answer = Arc::new(Answer::new(attempt, keep, limits.window, limits.answer));
@@ -91,6 +92,7 @@
         start.fingerprint.clone(),
         keep,
         suspicion,
+        state.cx.status.borrow().instance.clone(),
         now,
     );
     state.attempts.insert(attempt, known);
@@ -100,10 +102,10 @@
     Ok(sending)
 }
 
-fn admit(state: &State, start: &Start, now: Instant) -> Result<Suspicion, Refusal> {
+fn admit(state: &State, start: &Start, from: &Origin, now: Instant) -> Result<Suspicion, Refusal> {
     // What is read right after a standstill may be a start that was given up
     // long ago; neither lease says anything about it.
-    if state.has_stalled(now) {
+    if state.is_stale(from, now) {
         return Err(Refusal::Lease);
     }
     let cx = &state.cx;
--- a/crates/agent/tests/refusals.rs
+++ b/crates/agent/tests/refusals.rs
@@ -8,8 +8,11 @@
 use serde_json::json;
 use support::{Bench, Caller, id, until};
 use tokio::time::sleep;
+use wire::proto::frame::Body;
 use wire::proto::{AttemptState, End, Refusal};
 
+const PATIENCE: Duration = Duration::from_secs(30);
+
 async fn engine() -> Engine {
     Engine::start(EngineSettings::default()).await.unwrap()
 }
@@ -223,3 +226,38 @@
     sleep(Duration::from_millis(50)).await;
     assert!(bench.control.crashes().is_empty());
 }
+
+#[test]
+fn start_read_after_standstill() {
+    // The agent's process is stopped with a start in its socket, and goes on
+    // seconds later. Its entry has given the attempt up by then; run now, the
+    // reservation could be made a second time.
+    let service = tokio::runtime::Runtime::new().unwrap();
+    let target = service.block_on(Service::start(ServiceSettings::default()));
+    let target = target.unwrap();
+    let agents = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    let bench = agents.block_on(Bench::service(&target, json!({})));
+    let (up, address) = (service.handle().clone(), bench.agent.link_address());
+    let caller = agents.block_on(async move { up.spawn(Caller::dial(address)).await.unwrap() });
+    agents.spawn(async { std::thread::sleep(Duration::from_secs(3)) });
+    let start = wire::proto::Start {
+        entry_leased: true,
+        ..bench.reservation(1, "lot-1")
+    };
+    let link = caller.link.clone();
+    let sent = service.spawn(async move { link.call(Body::Start(start), PATIENCE).await });
+    // The agent's runtime goes on only here, and first stands still.
+    agents.block_on(async {
+        let answer = sent.await.unwrap();
+        let refused = match answer {
+            Ok(Body::StartReply(reply)) => !reply.accepted,
+            _ => true,
+        };
+        assert!(refused);
+        sleep(Duration::from_millis(300)).await;
+    });
+    assert_eq!(target.count("lot-1", "/lots"), 0);
+}
--- a/crates/agent/tests/support/caller.rs
+++ b/crates/agent/tests/support/caller.rs
@@ -72,6 +72,18 @@
         assert!(reply.accepted, "refused: {:?}", reply.refusal());
     }
 
+    /// Starts one attempt after the other until one is taken, and returns it:
+    /// a target that was just started again may not be known to be up yet.
+    pub async fn begin_at_last(&self, start: impl Fn(u128) -> Start) -> Bytes {
+        let mut attempt = 1_000;
+        super::until("an attempt is taken", async || {
+            attempt += 1;
+            self.start(start(attempt)).await.accepted
+        })
+        .await;
+        super::id(attempt)
+    }
+
     /// Starts an attempt that must be refused.
     pub async fn refused(&self, start: Start) -> Refusal {
         let reply = self.start(start).await;
