--- /dev/null
+++ b/crates/agent/tests/nonsense.rs
@@ -0,0 +1,177 @@
+//! Bytes that make no sense, from the target and from links.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use agent::engine::{Call, ClientSettings, MapOrder, Outlet, Stand};
+use fake::{Engine, EngineSettings};
+use quickcheck::{Arbitrary, Gen};
+use serde_json::json;
+use support::{Bench, id, until};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use wire::proto::frame::Body;
+use wire::proto::{Attach, Bar, Cancel, Header, Notes, Progress, Renewed, Start};
+
+/// Heads that make an HTTP client read on.
+const HEADS: [&str; 6] = [
+    "",
+    "HTTP/1.1 200 OK\r\n",
+    "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\n",
+    "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncontent-length: 40\r\n\r\ndata: [DONE]\n\n",
+    "HTTP/1.1 409 Conflict\r\ncontent-length: 3\r\n\r\n",
+];
+
+/// A target that answers each connection with the bytes it is given.
+async fn babbler(answer: Arc<Mutex<Vec<u8>>>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let answer = answer.lock().unwrap().clone();
+            tokio::spawn(async move {
+                let mut asked = [0; 1024];
+                let _ = stream.read(&mut asked).await;
+                let _ = stream.write_all(&answer).await;
+            });
+        }
+    });
+    address
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn outlet_any_bytes() {
+    // The target is broken, or something else answers at its address. Each
+    // call ends in bounded time, none is taken for a whole answer that isn't,
+    // and nothing panics.
+    let answer = Arc::new(Mutex::new(Vec::new()));
+    let target = babbler(Arc::clone(&answer)).await;
+    let second = Duration::from_secs(1);
+    let cfg = ClientSettings {
+        connect: second,
+        head: second,
+        progress: second,
+        question: second,
+    };
+    let mut random = Gen::from_size_and_seed(200, 31);
+    for round in 0..300 {
+        let mut bytes = HEADS[round % HEADS.len()].as_bytes().to_vec();
+        bytes.extend(Vec::<u8>::arbitrary(&mut random));
+        *answer.lock().unwrap() = bytes;
+        let stand = if round % 2 == 0 {
+            Stand::Engine
+        } else {
+            Stand::Service
+        };
+        let outlet = Outlet::new(target, stand, cfg.clone());
+        let call = Call {
+            method: "POST".into(),
+            path: "/lots".into(),
+            ..Call::default()
+        };
+        if let Ok(mut reply) = outlet.call(&call, || ()).await {
+            while let Ok(Some(_)) = reply.next().await {}
+            let _ = reply.usage();
+        }
+        let _ = outlet.load().await;
+        let _ = outlet.profile().await;
+        let _ = outlet.cache(3).await;
+        let _ = outlet.map().await;
+        let hold = MapOrder::Hold {
+            version: 1,
+            step: 2,
+        };
+        let _ = outlet.order(1, &hold).await;
+    }
+}
+
+fn bytes(random: &mut Gen) -> bytes::Bytes {
+    // Now and then an id of the right length.
+    match u8::arbitrary(random) % 3 {
+        0 => id(u128::from(u8::arbitrary(random))),
+        _ => Vec::<u8>::arbitrary(random).into(),
+    }
+}
+
+fn start(bench: &Bench, random: &mut Gen) -> Start {
+    let header = Header {
+        name: String::arbitrary(random),
+        value: bytes(random),
+    };
+    let incarnation = bench.agent.incarnation();
+    Start {
+        attempt: bytes(random),
+        request: bytes(random),
+        incarnation: incarnation.wrapping_add(u64::from(bool::arbitrary(random))),
+        note: u64::from(u8::arbitrary(random) % 3),
+        group: if bool::arbitrary(random) {
+            support::GROUP.into()
+        } else {
+            String::arbitrary(random)
+        },
+        model: "burl-notes".into(),
+        rank: u32::arbitrary(random),
+        deadline_ms: u32::arbitrary(random) % 50,
+        method: String::arbitrary(random),
+        path: String::arbitrary(random),
+        headers: vec![header],
+        body: bytes(random),
+        traceparent: String::arbitrary(random),
+        resume_events: u64::arbitrary(random),
+        keep: bool::arbitrary(random),
+        fingerprint: bytes(random),
+        ..Start::default()
+    }
+}
+
+fn message(bench: &Bench, random: &mut Gen) -> Body {
+    match u8::arbitrary(random) % 7 {
+        0 | 1 => Body::Start(start(bench, random)),
+        2 => Body::Attach(Attach {
+            attempt: bytes(random),
+            offset: u64::arbitrary(random),
+        }),
+        3 => Body::Bar(Bar {
+            attempt: bytes(random),
+        }),
+        4 => Body::Cancel(Cancel {
+            attempt: bytes(random),
+        }),
+        5 => Body::Progress(Progress {
+            attempt: bytes(random),
+            offset: u64::arbitrary(random),
+            done: bool::arbitrary(random),
+        }),
+        _ if bool::arbitrary(random) => Body::Notes(Notes::default()),
+        _ => Body::Renewed(Renewed::default()),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn links_any_messages() {
+    // An entry of another version, or one that is broken, sends messages that
+    // make no sense, requests as one-way and one-way messages as requests. The
+    // agent goes on serving the others.
+    let engine = Engine::start(EngineSettings::default()).await.unwrap();
+    let bench = Bench::engine(&engine, json!({})).await;
+    let broken = bench.caller().await;
+    let mut random = Gen::from_size_and_seed(40, 32);
+    for _ in 0..1_500 {
+        let body = message(&bench, &mut random);
+        if bool::arbitrary(&mut random) {
+            broken.link.send(body).await.unwrap();
+        } else {
+            let _ = broken.link.call(body, Duration::from_millis(2)).await;
+        }
+    }
+    let caller = bench.caller().await;
+    let attempt = caller
+        .begin_at_last(|attempt| bench.chat(attempt, 20))
+        .await;
+    caller.whole(&attempt).await;
+    until("nothing runs", async || engine.running() == 0).await;
+}
