Test the entry against real and scripted agents

Cause: retries, resumes, joins and refusals of the entry had no test. Change: tests of the whole path over a real control replica, real agents and fakes, and of each failure over a stub agent that follows a script and a relay that forgets connections. Mended on the way: a second listener for the same attempt at one entry took the first one's frames away, so that one of several resends at once got 504 (reserve_at_all_entries_at_once); the event that names the problem of a broken stream was lost with the connection (stream_broken_off_visibly); a caller who hung up in mid-stream was never noticed, since the server took a closed sending side for a half-closed one (stream_caller_goes_away): admin::ServerSettings has a HalfClose now, Reads by default.

--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -37,5 +37,5 @@
 pub use prometheus_client::registry::Registry;
 pub use ran::Ran;
 pub use server::serve;
-pub use server_settings::ServerSettings;
+pub use server_settings::{HalfClose, ServerSettings};
 pub use token::Token;
--- a/crates/admin/src/server.rs
+++ b/crates/admin/src/server.rs
@@ -17,7 +17,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::{Peer, Response, ServerSettings};
+use crate::{HalfClose, Peer, Response, ServerSettings};
 
 /// Pause after a failed accept, mostly for want of file descriptors: without
 /// it the loop would spin until one is free.
@@ -102,7 +102,7 @@
     H: Fn(hyper::Request<Incoming>) -> F + Send + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
-    let (head_timeout, drain) = (cfg.head_timeout, cfg.drain);
+    let (head_timeout, drain, half_close) = (cfg.head_timeout, cfg.drain, cfg.half_close);
     async move {
         let service = service_fn(move |mut req| {
             req.extensions_mut().insert(Peer(peer));
@@ -112,8 +112,7 @@
         let mut builder = http1::Builder::new();
         builder.timer(TokioTimer::new());
         builder.header_read_timeout(head_timeout);
-        // Callers may shut down their sending side and still read the answer.
-        builder.half_close(true);
+        builder.half_close(half_close == HalfClose::Reads);
         let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
         let ended = tokio::select! {
             ended = connection.as_mut() => ended,
--- a/crates/admin/src/server_settings.rs
+++ b/crates/admin/src/server_settings.rs
@@ -15,6 +15,19 @@
     pub silence: Duration,
     /// How long open requests may go on after the server was told to stop.
     pub drain: Duration,
+    /// What a peer that shuts down its sending side means by it.
+    pub half_close: HalfClose,
+}
+
+/// What a peer that shuts down its sending side means by it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HalfClose {
+    /// It still reads the answer.
+    Reads,
+    /// It has gone. A request in progress is dropped, so that what it holds
+    /// is free for others; a caller that hangs up can't be told apart from one
+    /// that only stops sending.
+    Gone,
 }
 
 impl Default for ServerSettings {
@@ -24,6 +37,7 @@
             head_timeout: Duration::from_secs(30),
             silence: Duration::from_secs(20),
             drain: Duration::from_secs(30),
+            half_close: HalfClose::Reads,
         }
     }
 }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use admin::{Operators, Pages, ServerSettings, Token};
+use admin::{HalfClose, Operators, Pages, ServerSettings, Token};
 use eyre::WrapErr;
 use node::{Follower, FollowerSettings};
 use ractor::{Actor, ActorRef};
@@ -193,6 +193,7 @@
     let cfg = ServerSettings {
         connections: front.settings.limits.connections,
         drain: front.settings.timing.drain,
+        half_close: HalfClose::Gone,
         ..ServerSettings::default()
     };
     let drain = cfg.drain;
--- a/crates/entry/src/links/agent.rs
+++ b/crates/entry/src/links/agent.rs
@@ -23,9 +23,21 @@
     pub(crate) address: SocketAddr,
     pub(crate) gone: CancellationToken,
     link: watch::Sender<Option<Link>>,
-    attempts: Mutex<BTreeMap<Bytes, mpsc::UnboundedSender<Body>>>,
+    attempts: Mutex<Attempts>,
 }
 
+/// Who waits for the frames of each attempt. There may be several: a call
+/// that is sent again joins the attempt that runs already.
+#[derive(Debug, Default)]
+struct Attempts {
+    waiting: BTreeMap<Bytes, BTreeMap<Listener, mpsc::UnboundedSender<Body>>>,
+    next: u64,
+}
+
+/// One of those who wait for the frames of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Listener(u64);
+
 impl Agent {
     pub(crate) fn new(name: &str, incarnation: u64, address: SocketAddr) -> Self {
         Agent {
@@ -34,7 +46,7 @@
             address,
             gone: CancellationToken::new(),
             link: watch::Sender::new(None),
-            attempts: Mutex::new(BTreeMap::new()),
+            attempts: Mutex::default(),
         }
     }
 
@@ -62,34 +74,47 @@
         }
     }
 
-    /// Registers an attempt; its frames come out of the receiver.
+    /// Registers somebody who waits for the frames of an attempt.
     ///
     /// The channel has no bound of its own: an agent sends at most a window
     /// of bytes beyond what the attempt has acknowledged.
-    pub(crate) fn enlist(&self, attempt: Bytes) -> mpsc::UnboundedReceiver<Body> {
+    pub(crate) fn enlist(&self, attempt: Bytes) -> (Listener, mpsc::UnboundedReceiver<Body>) {
         let (tx, rx) = mpsc::unbounded_channel();
-        self.attempts().insert(attempt, tx);
-        rx
+        let mut attempts = self.attempts();
+        let listener = Listener(attempts.next);
+        attempts.next += 1;
+        let waiting = attempts.waiting.entry(attempt).or_default();
+        waiting.insert(listener, tx);
+        (listener, rx)
     }
 
-    pub(crate) fn dismiss(&self, attempt: &Bytes) {
-        self.attempts().remove(attempt);
+    pub(crate) fn dismiss(&self, attempt: &Bytes, listener: Listener) {
+        let mut attempts = self.attempts();
+        if let Some(waiting) = attempts.waiting.get_mut(attempt) {
+            waiting.remove(&listener);
+            if waiting.is_empty() {
+                attempts.waiting.remove(attempt);
+            }
+        }
     }
 
     pub(crate) fn is_idle(&self) -> bool {
-        self.attempts().is_empty()
+        self.attempts().waiting.is_empty()
     }
 
-    /// Hands a frame to its attempt. Frames of attempts that are over come
-    /// late, or doubled after a fresh connection, and are dropped.
-    pub(crate) fn route(&self, attempt: &Bytes, frame: Body) {
-        if let Some(tx) = self.attempts().get(attempt) {
-            // The receiver goes only together with the entry in the map.
-            let _ = tx.send(frame);
+    /// Hands a frame to those who wait for its attempt. Frames of attempts
+    /// that are over come late, or doubled after a fresh connection, and are
+    /// dropped.
+    pub(crate) fn route(&self, attempt: &Bytes, frame: &Body) {
+        if let Some(waiting) = self.attempts().waiting.get(attempt) {
+            for tx in waiting.values() {
+                // The receiver goes only together with the entry in the map.
+                let _ = tx.send(frame.clone());
+            }
         }
     }
 
-    fn attempts(&self) -> MutexGuard<'_, BTreeMap<Bytes, mpsc::UnboundedSender<Body>>> {
+    fn attempts(&self) -> MutexGuard<'_, Attempts> {
         // Nothing panics under the lock; a poisoned map is whole.
         self.attempts.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/entry/src/links/follow.rs
+++ b/crates/entry/src/links/follow.rs
@@ -50,9 +50,9 @@
 async fn pass_on(agent: &Arc<Agent>, mut rx: mpsc::Receiver<Incoming>, roster: &ActorRef<News>) {
     while let Some(incoming) = rx.recv().await {
         match incoming.body {
-            Body::AnswerHead(ref head) => agent.route(&head.attempt.clone(), incoming.body),
-            Body::AnswerChunk(ref chunk) => agent.route(&chunk.attempt.clone(), incoming.body),
-            Body::AnswerEnd(ref end) => agent.route(&end.attempt.clone(), incoming.body),
+            Body::AnswerHead(ref head) => agent.route(&head.attempt, &incoming.body),
+            Body::AnswerChunk(ref chunk) => agent.route(&chunk.attempt, &incoming.body),
+            Body::AnswerEnd(ref end) => agent.route(&end.attempt, &incoming.body),
             Body::LoadReport(report) => tell(roster, News::Load(Arc::clone(agent), report)),
             Body::CacheEvents(events) => tell(roster, News::Cache(Arc::clone(agent), events)),
             Body::Leaving(_) => tell(roster, News::Leaving(Arc::clone(agent))),
--- a/crates/entry/src/links/mod.rs
+++ b/crates/entry/src/links/mod.rs
@@ -6,7 +6,7 @@
 mod news;
 mod roster;
 
-pub(crate) use agent::Agent;
+pub(crate) use agent::{Agent, Listener};
 pub(crate) use announced::Announced;
 pub(crate) use news::News;
 pub(crate) use roster::{Roster, RosterCx};
--- a/crates/entry/src/work/attempt.rs
+++ b/crates/entry/src/work/attempt.rs
@@ -12,7 +12,7 @@
 use wire::{Assembly, Link, Piece};
 
 use crate::Timing;
-use crate::links::Agent;
+use crate::links::{Agent, Listener};
 
 /// Without a frame of a kept attempt before it is attached again.
 const ATTACH_AGAIN: Duration = Duration::from_secs(3);
@@ -31,6 +31,7 @@
 pub(crate) struct Attempt {
     agent: Arc<Agent>,
     id: Bytes,
+    listener: Listener,
     frames: mpsc::UnboundedReceiver<Body>,
     link: watch::Receiver<Option<Link>>,
     assembly: Assembly,
@@ -143,8 +144,10 @@
     ) -> Self {
         let mut link = agent.link();
         link.mark_unchanged();
+        let (listener, frames) = agent.enlist(id.clone());
         Attempt {
-            frames: agent.enlist(id.clone()),
+            listener,
+            frames,
             assembly: Assembly::new(id.clone(), window),
             agent: Arc::clone(agent),
             id,
@@ -297,7 +300,7 @@
 
 impl Drop for Attempt {
     fn drop(&mut self) {
-        self.agent.dismiss(&self.id);
+        self.agent.dismiss(&self.id, self.listener);
         if self.over || self.abandon == Abandon::Keep {
             return;
         }
--- a/crates/entry/src/work/once.rs
+++ b/crates/entry/src/work/once.rs
@@ -297,10 +297,11 @@
             Err(failure) if attempt.is_over() || agent.gone.is_cancelled() => {
                 self.unknown(id, failure.detail()).await
             }
-            Err(_) => Ok(Step::Answer(Err(still_open(
-                StatusCode::GATEWAY_TIMEOUT,
-                UNREACHABLE,
-            )))),
+            // It may still run: the record leads back to it.
+            Err(_) => {
+                tokio::time::sleep(LOOK).await;
+                Ok(Step::Again)
+            }
         }
     }
 
--- a/crates/entry/src/work/pump.rs
+++ b/crates/entry/src/work/pump.rs
@@ -1,13 +1,13 @@
 //! Streams of server-sent events.
 
 use std::io;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use admin::Problem;
 use bytes::Bytes;
 use route::Ending;
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use wire::Piece;
 use wire::proto::AnswerHead;
 
@@ -22,6 +22,9 @@
 /// Events that may wait for a caller who reads slowly.
 const QUEUE: usize = 64;
 
+/// For an event to be written to the caller's connection.
+const WRITE: Duration = Duration::from_millis(100);
+
 /// Runs a streamed request up to the head of its answer; the events follow
 /// from a task of their own.
 pub(crate) async fn run_stream(mut course: Course) -> Result<Streamed, Problem> {
@@ -195,12 +198,15 @@
         problem.request = Some(self.course.job.id.clone());
         self.course.cx.metrics.broken_streams.inc();
         let event = format!("event: error\ndata: {}\n\n", problem.to_json());
-        let broken = io::Error::other("stream broken off");
         let stall = self.course.cx.timing.stall;
-        for item in [Ok(Bytes::from(event)), Err(broken)] {
-            if !matches!(timeout(stall, self.tx.send(item)).await, Ok(Ok(()))) {
-                return;
-            }
+        let told = timeout(stall, self.tx.send(Ok(Bytes::from(event)))).await;
+        if matches!(told, Ok(Ok(()))) {
+            // An error ends the connection with what is written by then, so
+            // the event is given the time to be written first.
+            sleep(WRITE).await;
+            let broken = io::Error::other("stream broken off");
+            // Fails only when the caller has gone.
+            let _ = timeout(stall, self.tx.send(Err(broken))).await;
         }
     }
 }
--- /dev/null
+++ b/crates/entry/tests/entry/calls.rs
@@ -0,0 +1,191 @@
+//! Calls that may not be repeated, when something goes wrong on the way.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use serde_json::json;
+use sha2::{Digest, Sha256};
+use wire::proto::frame::Body;
+use wire::proto::{AttachReply, AttemptState, BarReply, Claim, Start, command};
+
+use crate::support::{
+    Caller, Cluster, KEY, Reply, Script, StubAgent, accept, answer, eventually, say,
+};
+
+async fn offered() -> (Cluster, entry::Entry, Caller) {
+    let mut cluster = Cluster::start().await;
+    cluster.offer(&[], &["desk-01", "desk-02"]).await;
+    let timing = json!({"beat_ms": 200, "start_ms": 500, "link_grace_ms": 1500});
+    let entry = cluster.entry("entry-1", timing, json!({})).await;
+    let caller = Caller::new(entry.http_address(), KEY);
+    caller.until_ready().await;
+    (cluster, entry, caller)
+}
+
+async fn first_answer(caller: &Caller, key: &str) -> Reply {
+    eventually("a target is chosen", async || {
+        let reply = caller.reserve(key, "{}").await;
+        let unknown = reply.status == 503 && reply.text().contains("no live target");
+        (!unknown).then_some(reply)
+    })
+    .await
+}
+
+/// Replies to questions about attempts with one state.
+fn in_state(stub: &StubAgent, incoming: &wire::Incoming, state: AttemptState) {
+    match &incoming.body {
+        Body::Attach(attach) => {
+            let reply = AttachReply {
+                attempt: attach.attempt.clone(),
+                state: state.into(),
+            };
+            let frames = if state == AttemptState::Ended {
+                answer(&attach.attempt, "application/json", "{\"lot\":17}")
+            } else {
+                Vec::new()
+            };
+            say(incoming, Body::AttachReply(reply), frames);
+        }
+        Body::Bar(bar) => {
+            let state = if state == AttemptState::Absent {
+                AttemptState::Barred
+            } else {
+                state
+            };
+            let reply = BarReply {
+                attempt: bar.attempt.clone(),
+                state: state.into(),
+                incarnation: stub.incarnation,
+            };
+            say(incoming, Body::BarReply(reply), Vec::new());
+        }
+        _ => {}
+    }
+}
+
+fn accept_and(state: AttemptState, frames: fn(&Start) -> Vec<Body>) -> Script {
+    Arc::new(move |stub, incoming| match &incoming.body {
+        Body::Start(start) => say(incoming, accept(start), frames(start)),
+        _ => in_state(stub, incoming, state),
+    })
+}
+
+/// Claims a key as an entry does that dies right afterwards.
+async fn claimed_by_dead_entry(stub: &StubAgent, key: &str) -> Bytes {
+    let digest = |parts: &[&[u8]]| {
+        let mut hasher = Sha256::new();
+        for part in parts {
+            hasher.update((part.len() as u64).to_be_bytes());
+            hasher.update(part);
+        }
+        Bytes::copy_from_slice(&hasher.finalize())
+    };
+    let attempt = Bytes::from_static(b"dead entry's one");
+    let claim = Claim {
+        account: "saegewerk-huber".to_owned(),
+        key: Bytes::copy_from_slice(key.as_bytes()),
+        digest: digest(&[b"POST", b"/reservations", b"{}"]),
+        attempt: attempt.clone(),
+        target: stub.name.clone(),
+        incarnation: stub.incarnation,
+        service: "order-desk".to_owned(),
+    };
+    let within = std::time::Duration::from_secs(20);
+    let outcome = stub.follower.propose(command::Body::Claim(claim), within);
+    assert!(outcome.await.body.is_some());
+    attempt
+}
+
+/// The desk's host dies while it runs a reservation. Nobody will ever learn
+/// whether the burl is reserved: each resend must say just that, and none may
+/// run it again.
+#[tokio::test(flavor = "multi_thread")]
+async fn reserve_agent_restarted() {
+    let (cluster, _entry, caller) = offered().await;
+    let script = accept_and(AttemptState::Absent, |_| Vec::new());
+    let first = StubAgent::desk(&cluster, "desk-01", Arc::clone(&script)).await;
+    let restart = async {
+        eventually("it runs", async || {
+            (!first.starts().is_empty()).then_some(())
+        })
+        .await;
+        StubAgent::desk(&cluster, "desk-01", script).await
+    };
+    let (reply, second) = tokio::join!(first_answer(&caller, "lot-17"), restart);
+    assert_eq!((reply.status, reply.ran().as_str()), (409, "unknown"));
+    let again = caller.reserve("lot-17", "{}").await;
+    assert_eq!((again.status, again.ran().as_str()), (409, "unknown"));
+    assert!(!again.headers.contains_key("retry-after"));
+    assert_eq!(first.starts().len() + second.starts().len(), 1);
+}
+
+/// An entry claimed a key and died before it sent anything. The resend at
+/// another entry bars that attempt, so that it can never start, and runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn reserve_claimed_and_never_started() {
+    let (cluster, _entry, caller) = offered().await;
+    let script = accept_and(AttemptState::Absent, |start| {
+        answer(&start.attempt, "application/json", "{\"lot\":17}")
+    });
+    let stub = StubAgent::desk(&cluster, "desk-01", script).await;
+    let dead = claimed_by_dead_entry(&stub, "lot-17").await;
+    let reply = first_answer(&caller, "lot-17").await;
+    assert_eq!((reply.status, reply.text().as_str()), (200, "{\"lot\":17}"));
+    let barred = stub.picked(|body| match body {
+        Body::Bar(bar) => Some(bar.attempt.clone()),
+        _ => None,
+    });
+    assert_eq!(barred, std::slice::from_ref(&dead));
+    let starts = stub.starts();
+    assert_eq!(starts.len(), 1);
+    assert_ne!(starts[0].attempt, dead);
+}
+
+/// An entry died after it started the call. The resend attaches to it and
+/// records its answer, in place of running it again.
+#[tokio::test(flavor = "multi_thread")]
+async fn reserve_started_by_dead_entry() {
+    let (cluster, _entry, caller) = offered().await;
+    let script = accept_and(AttemptState::Ended, |_| Vec::new());
+    let stub = StubAgent::desk(&cluster, "desk-01", script).await;
+    claimed_by_dead_entry(&stub, "lot-17").await;
+    let reply = first_answer(&caller, "lot-17").await;
+    assert_eq!((reply.status, reply.text().as_str()), (200, "{\"lot\":17}"));
+    let again = caller.reserve("lot-17", "{}").await;
+    assert_eq!(again.body, reply.body);
+    assert!(stub.starts().is_empty());
+    let recorded = stub.picked(|body| match body {
+        Body::Progress(progress) if progress.done => Some(()),
+        _ => None,
+    });
+    assert_eq!(recorded.len(), 1);
+}
+
+/// The caller of a reservation hangs up while it runs. The outcome is
+/// recorded all the same, and the resend gets it.
+#[tokio::test(flavor = "multi_thread")]
+async fn reserve_caller_goes_away() {
+    let (cluster, _entry, caller) = offered().await;
+    let service = fake::ServiceSettings {
+        delay: std::time::Duration::from_millis(800),
+        ..fake::ServiceSettings::default()
+    };
+    let service = fake::Service::start(service).await.unwrap();
+    let mut cluster = cluster;
+    cluster
+        .agent("desk-01", "order-desk", service.address())
+        .await;
+    caller.until_desk().await;
+    let call = {
+        let caller = caller.clone();
+        tokio::spawn(async move { caller.reserve("lot-17", "{}").await })
+    };
+    eventually("it runs", async || {
+        (service.count("lot-17", "/reservations") == 1).then_some(())
+    })
+    .await;
+    call.abort();
+    let again = caller.reserve("lot-17", "{}").await;
+    assert_eq!(again.status, 200, "{}", again.text());
+    assert_eq!(service.count("lot-17", "/reservations"), 1);
+}
--- /dev/null
+++ b/crates/entry/tests/entry/main.rs
@@ -0,0 +1,8 @@
+//! Entries before real control and agents, fake targets and a stub agent.
+
+mod bad_input;
+mod calls;
+mod path;
+mod standing;
+mod streams;
+mod support;
--- /dev/null
+++ b/crates/entry/tests/entry/standing.rs
@@ -0,0 +1,134 @@
+//! Who is let in.
+
+use serde_json::json;
+
+use crate::support::{Caller, Cluster, Form, KEY, chat, eventually};
+
+async fn serving() -> (Cluster, fake::Engine, fake::Service, entry::Entry, Caller) {
+    let mut cluster = Cluster::start().await;
+    let engine = fake::Engine::start(fake::EngineSettings::default())
+        .await
+        .unwrap();
+    let service = fake::Service::start(fake::ServiceSettings::default())
+        .await
+        .unwrap();
+    cluster.offer(&["advisor-01"], &["desk-01"]).await;
+    cluster.agent("advisor-01", "", engine.address()).await;
+    cluster
+        .agent("desk-01", "order-desk", service.address())
+        .await;
+    let (entry, caller) = cluster.ready_entry("entry-1").await;
+    caller.until_served().await;
+    caller.until_desk().await;
+    (cluster, engine, service, entry, caller)
+}
+
+/// An entry is cut off from control. It can't know any more what is offered,
+/// so it takes nothing new, says so at once, and drops out of readiness. Of a
+/// call that may have run before under its key it doesn't say "not run".
+#[tokio::test(flavor = "multi_thread")]
+async fn admit_without_lease() {
+    let (cluster, engine, service, _entry, caller) = serving().await;
+    cluster.control.shutdown().await;
+    eventually("the lease runs out", async || {
+        (caller.get("/readyz").await.status == 503).then_some(())
+    })
+    .await;
+    let (chats, calls) = (engine.seen().len(), service.seen().len());
+    let reply = caller.chat("late", 1, Form::Whole).await;
+    assert_eq!((reply.status, reply.ran().as_str()), (503, "no"));
+    assert!(reply.headers.contains_key("retry-after"));
+    let reply = caller.reserve("lot-17", "{}").await;
+    assert_eq!((reply.status, reply.ran().as_str()), (503, "unknown"));
+    let prompts = |seen: Vec<fake::Seen>| seen.iter().filter(|s| s.method == "POST").count();
+    assert_eq!(
+        prompts(engine.seen()[..chats].to_vec()),
+        prompts(engine.seen())
+    );
+    assert_eq!(
+        prompts(service.seen()[..calls].to_vec()),
+        prompts(service.seen())
+    );
+}
+
+/// One request kills each engine that runs it and its caller sends it again.
+/// Convicted, it is refused at once, and others are served; an operator can
+/// pardon it.
+#[tokio::test(flavor = "multi_thread")]
+async fn admit_convicted() {
+    let (cluster, engine, _service, _entry, caller) = serving().await;
+    engine.fault(fake::Fault::CrashOn("poison".to_owned()));
+    let poison = chat("poison", 3, Form::Whole);
+    let path = "/v1/chat/completions";
+    for _ in 0..2 {
+        caller.post(path, &[], poison.clone()).await;
+        eventually("the engine is down", async || {
+            let reply = caller.chat("ok", 1, Form::Whole).await;
+            (reply.status != 200).then_some(())
+        })
+        .await;
+        engine.restart().await.unwrap();
+        engine.fault(fake::Fault::CrashOn("poison".to_owned()));
+        caller.until_served().await;
+    }
+    let refused = eventually("it is convicted", async || {
+        let reply = caller.post(path, &[], poison.clone()).await;
+        if reply.status != 422 {
+            engine.restart().await.unwrap();
+        }
+        (reply.status == 422).then_some(reply)
+    })
+    .await;
+    assert_eq!(refused.ran(), "no");
+    assert_eq!(caller.chat("ok", 1, Form::Whole).await.status, 200);
+    drop(cluster);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn admit_above_rate() {
+    let mut cluster = Cluster::start().await;
+    let engine = fake::Engine::start(fake::EngineSettings::default())
+        .await
+        .unwrap();
+    cluster.offer(&["advisor-01"], &[]).await;
+    cluster.agent("advisor-01", "", engine.address()).await;
+    let limits = json!({"account_part": 0.0002});
+    let entry = cluster.entry("entry-1", json!({}), limits).await;
+    let caller = Caller::new(entry.http_address(), KEY);
+    caller.until_ready().await;
+    // 10,000 requests a second, of which this entry gives out two, and a
+    // burst of two seconds.
+    let reply = eventually("the rate is used up", async || {
+        let reply = caller.chat("more", 1, Form::Whole).await;
+        (reply.status == 429).then_some(reply)
+    })
+    .await;
+    assert_eq!(reply.ran(), "no");
+    let after = reply.headers["retry-after"]
+        .to_str()
+        .unwrap()
+        .parse::<u64>();
+    assert!(after.is_ok_and(|seconds| seconds >= 1));
+}
+
+/// A target is withdrawn by a note. Work must not go there any more, be it
+/// ever so fit.
+#[tokio::test(flavor = "multi_thread")]
+async fn admit_withdrawn_target() {
+    let (mut cluster, _engine, service, _entry, caller) = serving().await;
+    cluster
+        .note(&json!([]), &json!([{"kind": "target", "name": "desk-01"}]))
+        .await;
+    eventually("it gets nothing new", async || {
+        let reply = caller.get("/s/order-desk/stock").await;
+        (reply.status == 503).then_some(())
+    })
+    .await;
+    let before = service.seen().iter().filter(|s| s.path == "/stock").count();
+    for _ in 0..10 {
+        let reply = caller.get("/s/order-desk/stock").await;
+        assert_eq!((reply.status, reply.ran().as_str()), (503, "no"));
+    }
+    let after = service.seen().iter().filter(|s| s.path == "/stock").count();
+    assert_eq!(before, after);
+}
--- /dev/null
+++ b/crates/entry/tests/entry/support/mod.rs
@@ -0,0 +1,14 @@
+//! A small cluster in one process: one control replica, real agents before
+//! fake targets, and entries.
+
+mod caller;
+mod cluster;
+mod relay;
+mod stub;
+
+pub use caller::{Caller, Form, Reply, chat};
+pub use cluster::{Cluster, KEY, eventually};
+pub use relay::Relay;
+pub use stub::{
+    Script, StubAgent, accept, announcement, answer, chunk, events, finish, head, refuse, say,
+};
