Count the lease of a replaced process, order addresses in one place

And the order of the address list stood twice, in member and entry. Change: the registry keeps replaced leases until they end; nearest_first is used by entry.

--- a/crates/entry/src/http/addresses.rs
+++ b/crates/entry/src/http/addresses.rs
@@ -17,9 +17,8 @@
     let entries = entries.filter(|node| !node.caller_address.is_empty());
     let mut entries: Vec<&NodeInfo> = entries.collect();
     let seed = rand::random::<u64>();
-    // Callers keep the list and begin at its head: in one order for all they
-    // would all meet at one entry.
-    entries.sort_by_cached_key(|node| (node.zone != zone, mix(seed, &node.name)));
+    let distance = |node: &&NodeInfo| u32::from(node.zone != zone);
+    member::nearest_first(&mut entries, seed, distance, |node| &node.name);
     let rows: Vec<_> = entries
         .iter()
         .map(|node| json!({"address": node.caller_address, "zone": node.zone}))
@@ -35,12 +34,3 @@
     let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
     (!zone.is_empty() && zone.bytes().all(plain)).then_some(zone)
 }
-
-/// FNV-1a over seed and name.
-fn mix(seed: u64, name: &str) -> u64 {
-    let bytes = seed.to_le_bytes();
-    let bytes = bytes.iter().copied().chain(name.bytes());
-    bytes.fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-    })
-}
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! The leader of the control replicas holds one [`Registry`]: soft state, built
 //! anew by each leader from the renewals that reach it. Its [`View`] goes to all
-//! nodes; [`addresses`] makes the list for callers from it.
+//! nodes; [`nearest_first`] orders the entries of the list for callers.
 //!
 //! ```
 //! use std::time::{Duration, Instant};
@@ -20,11 +20,11 @@
 //! assert!(!registry.in_force(1, began).everywhere);
 //! ```
 
-mod addresses;
 mod announcement;
 mod capability;
 mod in_force;
 mod member;
+mod nearest_first;
 mod node;
 mod node_key;
 mod refusal;
@@ -35,11 +35,11 @@
 mod slot;
 mod view;
 
-pub use addresses::addresses;
 pub use announcement::Announcement;
 pub use capability::Capability;
 pub use in_force::InForce;
 pub use member::Member;
+pub use nearest_first::nearest_first;
 pub use node::Node;
 pub use node_key::NodeKey;
 pub use refusal::Refusal;
--- a/crates/member/src/registry.rs
+++ b/crates/member/src/registry.rs
@@ -25,6 +25,8 @@
     /// No lease ends before this moment.
     none_ends_before: Instant,
     slots: BTreeMap<NodeKey, Slot>,
+    /// Processes that were replaced before their lease ran out.
+    replaced: Vec<Member>,
 }
 
 impl Registry {
@@ -47,6 +49,7 @@
             settled: false,
             none_ends_before: began,
             slots: BTreeMap::new(),
+            replaced: Vec::new(),
         }
     }
 
@@ -90,6 +93,9 @@
             if slot.is_superseded(node.incarnation) {
                 return Renewal::Refused(Refusal::Superseded);
             }
+            if slot.live && slot.member.node.incarnation != node.incarnation {
+                self.replaced.push(slot.member.clone());
+            }
             if slot.renew(node, number, expires) {
                 self.version += 1;
                 changed = true;
@@ -186,7 +192,8 @@
     /// Whether a note is in force everywhere: every node with a live lease
     /// acts on it or a later one, and every lease that a former leader granted
     /// has run out. A node without a lease takes no new work, so it doesn't
-    /// count.
+    /// count. A process that was replaced does until its lease ends: it may
+    /// still run and know nothing of the other.
     ///
     /// ```
     /// use std::time::{Duration, Instant};
@@ -201,7 +208,8 @@
     /// ```
     #[must_use]
     pub fn in_force(&self, number: u64, now: Instant) -> InForce {
-        let leased = self.members().filter(|member| now < member.expires);
+        let leased = self.members().chain(&self.replaced);
+        let leased = leased.filter(|member| now < member.expires);
         let behind = leased.filter(|member| member.note < number);
         let lagging: Vec<NodeKey> = behind.map(|member| member.node.key.clone()).collect();
         let settled = now >= self.began + self.lease;
@@ -224,6 +232,7 @@
                 earliest = earliest.min(slot.member.expires);
             }
         }
+        self.replaced.retain(|member| now < member.expires);
         self.none_ends_before = earliest;
         changed
     }
--- a/crates/member/tests/registry.rs
+++ b/crates/member/tests/registry.rs
@@ -45,6 +45,20 @@
     assert!(registry.in_force(5, now + LEASE).everywhere);
 }
 
+#[test]
+fn in_force_replaced_process() {
+    // Two processes were started under one name, and the first still runs under
+    // its lease when the second renews. It may go on by the old note, so the new
+    // one must not be reported as in force everywhere.
+    let began = Instant::now();
+    let now = began + LEASE;
+    let mut registry = Registry::new(2, began, LEASE);
+    registry.renew(agent("a", 1), 4, now);
+    registry.renew(agent("a", 2), 5, now + LEASE / 2);
+    assert!(!registry.in_force(5, now + LEASE / 2).everywhere);
+    assert!(registry.in_force(5, now + LEASE).everywhere);
+}
+
 #[test]
 fn renew_same_after_expiry() {
     // A host was cut off for longer than its lease and comes back, the same
