--- a/crates/lovageramp/src/client/status.rs
+++ b/crates/lovageramp/src/client/status.rs
@@ -25,6 +25,7 @@
             ("DISK", "disk"),
             ("STATE", "state"),
             ("MATCH", "match"),
+            ("REPAIR", "repair"),
         ],
     ),
     (
@@ -33,7 +34,8 @@
             ("NODE", "name"),
             ("ROLE", "role"),
             ("ZONE", "zone"),
-            ("ADDRESS", "address"),
+            ("LINKS", "link_address"),
+            ("CALLERS", "caller_address"),
             ("NOTE", "note"),
             ("LEAVING", "leaving"),
         ],
@@ -41,17 +43,23 @@
     (
         "targets",
         &[
-            ("TARGET", "name"),
+            ("TARGET", "target"),
             ("GROUP", "group"),
             ("SERVICE", "service"),
-            ("AGENT", "agent"),
+            ("OFFERED", "offered"),
             ("HEALTHY", "healthy"),
+            ("LEAVING", "leaving"),
             ("DRAINING", "draining"),
         ],
     ),
     (
         "groups",
-        &[("GROUP", "name"), ("MAP", "map_version"), ("SKEW", "skew")],
+        &[
+            ("GROUP", "group"),
+            ("FENCING", "fencing"),
+            ("COORDINATOR", "coordinator"),
+            ("MAP", "version"),
+        ],
     ),
 ];
 
--- a/crates/lovageramp/tests/client.rs
+++ b/crates/lovageramp/tests/client.rs
@@ -59,7 +59,7 @@
         query::Body::Note(_) => String::from_utf8(history.catalogue().to_json()).unwrap(),
         _ => format!(
             r#"{{"leader":"control-1","term":4,"repair":"complete",
-                "replicas":[{{"name":"control-1","disk":"9f","state":"voter","match":7}}],
+                "replicas":[{{"name":"control-1","disk":"9f","state":"voter","match":7,"repair":"complete"}}],
                 "notes":{{"accepted":{number},"in_force_everywhere":{number},"lagging":[]}},
                 "quarantine":{{"suspects":[],"convicted":["ab"]}}}}"#
         ),
@@ -187,8 +187,8 @@
     assert_eq!(
         out,
         "leader control-1 in term 4, repair complete\nnote 1 is in force everywhere\n\
-         quarantine: 1 convicted, 0 suspect\n\nREPLICA    DISK  STATE  MATCH\n\
-         control-1  9f    voter  7\n"
+         quarantine: 1 convicted, 0 suspect\n\nREPLICA    DISK  STATE  MATCH  REPAIR\n\
+         control-1  9f    voter  7      complete\n"
     );
 }
 
