--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -18,6 +18,7 @@
 
 mod body;
 mod hex;
+mod linger;
 mod operators;
 mod outcomes;
 mod pages;
--- a/crates/admin/src/server.rs
+++ b/crates/admin/src/server.rs
@@ -5,9 +5,10 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -17,6 +18,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::linger::Linger;
 use crate::{Peer, Response, ServerSettings};
 
 /// Pause after a failed accept, mostly for want of file descriptors: without
@@ -104,10 +106,21 @@
 {
     let (head_timeout, drain) = (cfg.head_timeout, cfg.drain);
     async move {
-        let service = service_fn(move |mut req| {
+        let unread = Arc::new(AtomicBool::new(false));
+        let stream = Linger::new(stream, Arc::clone(&unread));
+        let service = service_fn(move |mut req: hyper::Request<Incoming>| {
             req.extensions_mut().insert(Peer(peer));
+            let has_body = !req.body().is_end_stream();
+            let unread = Arc::clone(&unread);
             let response = handler(req);
-            async move { Ok::<Response, Infallible>(response.await) }
+            async move {
+                let response = response.await;
+                // Whoever refuses a request may not have read its body.
+                if has_body && !response.status().is_success() {
+                    unread.store(true, Ordering::Relaxed);
+                }
+                Ok::<Response, Infallible>(response)
+            }
         });
         let mut builder = http1::Builder::new();
         builder.timer(TokioTimer::new());
--- a/crates/admin/tests/operators.rs
+++ b/crates/admin/tests/operators.rs
@@ -224,6 +224,28 @@
     assert_eq!(parts(&answer).0, "413", "{answer}");
 }
 
+#[tokio::test]
+async fn serve_unread_body() {
+    // A caller sends a large body, all of it, before it reads the answer, and
+    // the body is refused at its head. Closed at once, the connection would be
+    // reset, and the caller would see a broken pipe instead of the reason.
+    let (address, _stop) = start(ServerSettings::default()).await;
+    let body = vec![b'x'; 24 << 20];
+    for (token, status) in [("wrong", "401"), (TOKEN, "413")] {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        let head = format!(
+            "POST /v1/operator/notes HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {token}\r\n\
+             content-length: {}\r\n\r\n",
+            body.len()
+        );
+        stream.write_all(head.as_bytes()).await.unwrap();
+        stream.write_all(&body).await.unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.unwrap();
+        assert_eq!(parts(&answer).0, status, "{answer}");
+    }
+}
+
 #[tokio::test]
 async fn serve_too_many_connections() {
     // Callers open connections and keep them. Those beyond the limit must learn
