Add the load of both users' mixes

Cause: the decisions are to be shown through the real processes, with what callers were told compared with what targets saw. Change: lovageramp::bench: a seeded open-loop plan, callers who keep the address list, resend and race non-repeatable calls, histograms, table, JSON, SVG.

--- /dev/null
+++ b/crates/lovageramp/src/bench/mod.rs
@@ -0,0 +1,58 @@
+//! `lovageramp bench`: open-loop load that plays both users' mixes.
+//!
+//! Requests are sent at their planned times whether or not earlier ones were
+//! answered, and times count from the planned time: a system that stalls can't
+//! slow its own measurement down. The plan follows from the seed alone.
+
+mod account;
+mod call;
+mod caller;
+mod directory;
+mod histogram;
+mod http;
+mod load;
+mod mix;
+mod options;
+mod outcome;
+mod plan;
+mod plot;
+mod progress;
+mod report;
+mod seen;
+mod sse;
+mod tally;
+mod verdict;
+
+pub use self::call::{Call, Resend};
+pub use self::mix::Mix;
+pub use self::options::{BenchOptions, options};
+pub use self::plan::{Plan, Planned};
+pub use self::sse::Events;
+
+use eyre::ensure;
+
+/// Runs the load and prints what came of it.
+///
+/// # Errors
+///
+/// Fails when no entry can be reached, and when a call was lost, ran more than
+/// once, ran though its caller was told that it didn't, or an answer went to
+/// the wrong caller.
+pub async fn run(options: BenchOptions) -> eyre::Result<()> {
+    let mut reports = Vec::new();
+    for mix in options.mixes()? {
+        reports.push(load::run(&options, &mix).await?);
+    }
+    let text = if options.json {
+        report::json(&reports)
+    } else {
+        report::table(&reports)
+    };
+    println!("{text}");
+    if let Some(path) = &options.plot {
+        plot::draw(path, &reports)?;
+    }
+    let wrong: u64 = reports.iter().map(|report| report.verdict.wrong()).sum();
+    ensure!(wrong == 0, "{wrong} calls came out wrong");
+    Ok(())
+}
--- /dev/null
+++ b/crates/lovageramp/src/bench/sse.rs
@@ -0,0 +1,44 @@
+//! Server-sent events out of a stream of bytes.
+
+use bytes::BytesMut;
+
+/// Prefix of a line with data.
+const DATA: &[u8] = b"data:";
+
+/// Cuts server-sent events out of bytes as they arrive.
+///
+/// ```
+/// let mut events = lovageramp::bench::Events::default();
+/// events.push(b"data: a\n\nda");
+/// events.push(b"ta: b\n\n");
+/// assert_eq!(events.next().as_deref(), Some("a"));
+/// assert_eq!(events.next().as_deref(), Some("b"));
+/// assert_eq!(events.next(), None);
+/// ```
+#[derive(Debug, Default)]
+pub struct Events {
+    buf: BytesMut,
+}
+
+impl Events {
+    /// Takes in bytes.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buf.extend_from_slice(bytes);
+    }
+}
+
+impl Iterator for Events {
+    type Item = String;
+
+    /// The data of the next whole event.
+    fn next(&mut self) -> Option<String> {
+        let end = self.buf.windows(2).position(|pair| pair == b"\n\n")?;
+        let event = self.buf.split_to(end + 2).freeze();
+        let lines = event.as_ref().split(|byte| *byte == b'\n');
+        let data = lines.filter_map(|line| line.strip_prefix(DATA));
+        let data: Vec<String> = data
+            .map(|line| String::from_utf8_lossy(line.trim_ascii()).into_owned())
+            .collect();
+        Some(data.join("\n"))
+    }
+}
