--- a/crates/lovageramp/src/bench/histogram.rs
+++ b/crates/lovageramp/src/bench/histogram.rs
@@ -8,12 +8,15 @@
 /// Three digits are kept of each value.
 const DIGITS: u8 = 3;
 
+/// Longer times count as this long: an hour, in microseconds.
+const LONGEST: u64 = 3_600_000_000;
+
 /// Times in microseconds, with three digits kept.
 pub(super) struct Times(Histogram<u64>);
 
 impl Times {
     pub(super) fn new() -> eyre::Result<Self> {
-        Ok(Times(Histogram::new(DIGITS)?))
+        Ok(Times(Histogram::new_with_max(LONGEST, DIGITS)?))
     }
 
     pub(super) fn add(&mut self, time: Duration) {
