Add lovageramp bench to the command line, close refused bodies in one place

Cause: the load had no command yet; and a refused body was taken in twice over, by a detached task in read_body and by the connection's lingering close. Change: the subcommand; the detached task is gone, since the connection reads on within bounds after any refusal, also those that never look at the body.

--- a/crates/admin/src/body.rs
+++ b/crates/admin/src/body.rs
@@ -3,19 +3,14 @@
 use std::convert::Infallible;
 use std::time::Duration;
 
-use bytes::{Buf, BufMut, Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::StatusCode;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 
 use crate::Problem;
 
-/// Bytes of a refused body that are still taken in.
-const DISCARD_BYTES: usize = 256 << 20;
-/// Time for which a refused body is still taken in.
-const DISCARD_TIME: Duration = Duration::from_secs(20);
-
 /// Body of a response, streamed or whole.
 pub type Body = UnsyncBoxBody<Bytes, std::io::Error>;
 
@@ -79,66 +74,26 @@
 /// ```
 pub async fn read_body<B>(body: B, most: usize, within: Duration) -> Result<Bytes, Problem>
 where
-    B: hyper::body::Body + Send + Unpin + 'static,
-    B::Data: Send,
+    B: hyper::body::Body,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let announced = body.size_hint().lower();
     if usize::try_from(announced).map_or(true, |announced| announced > most) {
-        tokio::spawn(discard(body));
         return Err(too_large(most));
     }
-    let read = tokio::time::timeout(within, read_most(body, most)).await;
-    read.unwrap_or_else(|_| {
-        let detail = format!("the body did not arrive within {} ms", within.as_millis());
-        Err(Problem::new(StatusCode::REQUEST_TIMEOUT, detail))
-    })
-}
-
-async fn read_most<B>(mut body: B, most: usize) -> Result<Bytes, Problem>
-where
-    B: hyper::body::Body + Send + Unpin + 'static,
-    B::Data: Send,
-    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
-{
-    let mut read = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| broken(error.into().as_ref()))?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if read.len() + data.remaining() > most {
-            tokio::spawn(discard(body));
-            return Err(too_large(most));
+    let read = Limited::new(body, most).collect();
+    match tokio::time::timeout(within, read).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large(most)),
+        Ok(Err(error)) => {
+            let detail = format!("the body broke off: {error}");
+            Err(Problem::new(StatusCode::BAD_REQUEST, detail))
         }
-        read.put(data);
-    }
-    Ok(read.freeze())
-}
-
-/// Takes in what is left of a refused body, within bounds, while the answer goes out.
-///
-/// Many callers write their whole body before they read. A connection that is closed
-/// with unread bytes is reset, and such a caller sees a broken pipe instead of the
-/// answer that tells what was wrong.
-async fn discard<B: hyper::body::Body + Unpin>(mut body: B) {
-    let mut left = DISCARD_BYTES;
-    let discarding = async {
-        while let Some(Ok(frame)) = body.frame().await {
-            let length = frame.data_ref().map_or(0, Buf::remaining);
-            left = left.saturating_sub(length);
-            if left == 0 {
-                break;
-            }
+        Err(_) => {
+            let detail = format!("the body did not arrive within {} ms", within.as_millis());
+            Err(Problem::new(StatusCode::REQUEST_TIMEOUT, detail))
         }
-    };
-    // The bounds only limit what a caller that never stops can cost.
-    let _ = tokio::time::timeout(DISCARD_TIME, discarding).await;
-}
-
-fn broken(error: &(dyn std::error::Error + Send + Sync)) -> Problem {
-    let detail = format!("the body broke off: {error}");
-    Problem::new(StatusCode::BAD_REQUEST, detail)
+    }
 }
 
 fn too_large(most: usize) -> Problem {
--- a/crates/lovageramp/src/main.rs
+++ b/crates/lovageramp/src/main.rs
@@ -1,8 +1,9 @@
-//! `lovageramp`: the operators' client.
+//! `lovageramp`: the operators' client, a whole system for a first try, the load.
 
 use std::process::ExitCode;
 
 use bpaf::{Args, OptionParser, ParseFailure, Parser, construct};
+use lovageramp::bench::{self, BenchOptions};
 use lovageramp::client::{self, Command, Exit};
 use lovageramp::fakes::{self, FakeOptions};
 use lovageramp::standalone::{self, StandaloneOptions};
@@ -15,7 +16,14 @@
   LOVAGERAMP_HOST=10.0.0.1:8080 LOVAGERAMP_TOKEN=... lovageramp status --json
   lovageramp quarantine pardon 9f0c22 --host 10.0.0.1:8080
   lovageramp standalone --once
-Exit codes: 0 done, 1 refused or findings, 2 wrong usage, 3 no host answered.";
+  lovageramp bench --host 10.0.0.1:8080 --key KEY --mix hotline --rate 50 --plot hotline.svg
+  Exit codes: 0 done, 1 refused or findings, 2 wrong usage, 3 no host answered.";
+
+const BENCH_EXAMPLES: &str = "\
+Examples:
+  lovageramp bench --host 10.0.0.1:8080 --key LARGE*4 --key SMALL --rate 100 --seconds 60
+  lovageramp bench --host 127.0.0.1:8080 --key KEY --mix association --seen 127.0.0.1:9000 --json
+  Exit codes: 0 all calls came out right, 1 a call was lost, doubled or wrong, 2 wrong usage.";
 
 /// Columns of the help text.
 const HELP_WIDTH: usize = 100;
@@ -26,6 +34,7 @@
     Client(Command),
     Standalone(StandaloneOptions),
     Fake(FakeOptions),
+    Bench(BenchOptions),
 }
 
 fn options() -> OptionParser<Task> {
@@ -40,7 +49,13 @@
         .descr("Runs a small stand-in for a target, for trials and tests")
         .command("fake")
         .map(Task::Fake);
-    construct!([client, standalone, fake])
+    let bench = bench::options()
+        .to_options()
+        .descr("Plays both users' mixes against a running system")
+        .footer(BENCH_EXAMPLES)
+        .command("bench")
+        .map(Task::Bench);
+    construct!([client, standalone, bench, fake])
         .to_options()
         .descr("Operates lovageramp, a load balancer for expert-parallel model groups")
         .footer(EXAMPLES)
@@ -69,6 +84,7 @@
         Task::Client(command) => return client::run(command).await,
         Task::Standalone(options) => standalone::run(options).await,
         Task::Fake(options) => fakes::run(options).await,
+        Task::Bench(options) => bench::run(options).await,
     };
     match ended {
         Ok(()) => Exit::Done,
