--- a/crates/lovageramp/src/bench/mix.rs
+++ b/crates/lovageramp/src/bench/mix.rs
@@ -1,6 +1,9 @@
 //! What the users' callers ask for.
 
 use std::ops::RangeInclusive;
+use std::str::FromStr;
+
+use eyre::bail;
 
 /// What one user's callers ask for.
 #[derive(Debug, Clone, PartialEq)]
@@ -77,3 +80,15 @@
         }
     }
 }
+
+impl FromStr for Mix {
+    type Err = eyre::Report;
+
+    fn from_str(name: &str) -> eyre::Result<Self> {
+        match name {
+            "association" => Ok(Mix::association()),
+            "hotline" => Ok(Mix::hotline()),
+            _ => bail!("unknown mix {name:?}, known are association and hotline"),
+        }
+    }
+}
--- a/crates/lovageramp/src/bench/mod.rs
+++ b/crates/lovageramp/src/bench/mod.rs
@@ -29,8 +29,19 @@
 pub use self::plan::{Plan, Planned};
 pub use self::sse::Events;
 
+use std::time::Duration;
+
 use eyre::ensure;
 
+use crate::standalone::{Deployment, Size};
+
+/// Both users' size: 16 engines and 3 services.
+const SIZE: Size = Size {
+    engines: 16,
+    services: 3,
+    step: Duration::from_millis(20),
+};
+
 /// Runs the load and prints what came of it.
 ///
 /// # Errors
@@ -39,9 +50,20 @@
 /// once, ran though its caller was told that it didn't, or an answer went to
 /// the wrong caller.
 pub async fn run(options: BenchOptions) -> eyre::Result<()> {
+    if !options.host.is_empty() {
+        ensure!(!options.key.is_empty(), "give a client account: --key KEY");
+        return play(&options).await;
+    }
+    let deployment = Deployment::start(None, SIZE).await?;
+    let played = play(&options.for_deployment(&deployment)).await;
+    deployment.shutdown().await;
+    played
+}
+
+async fn play(options: &BenchOptions) -> eyre::Result<()> {
     let mut reports = Vec::new();
-    for mix in options.mixes()? {
-        reports.push(load::run(&options, &mix).await?);
+    for mix in options.mixes() {
+        reports.push(load::run(options, &mix).await?);
     }
     let text = if options.json {
         report::json(&reports)
--- a/crates/lovageramp/src/bench/options.rs
+++ b/crates/lovageramp/src/bench/options.rs
@@ -5,16 +5,20 @@
 use std::time::Duration;
 
 use bpaf::{Bpaf, Parser};
-use eyre::{bail, ensure};
 
 use super::account::Account;
 use super::mix::Mix;
+use crate::standalone::{DEMO_KEY, Deployment};
 
-/// Options of `lovageramp bench`.
+/// More than one process can send.
+const MOST_RATE: f64 = 100_000.0;
+
+/// Options of `lovageramp bench`
 #[derive(Bpaf, Clone, Debug)]
 pub struct BenchOptions {
     /// An entry's address, ip:port; may be given more than once. The address
-    /// list is asked of them, as callers do
+    /// list is asked of them, as callers do. Without it a system of both users'
+    /// size is started in this process
     #[bpaf(argument("ADDR"), many)]
     pub host: Vec<SocketAddr>,
     /// Bearer key of a client account, with *N for N times the load of the
@@ -22,8 +26,8 @@
     #[bpaf(argument("KEY[*N]"), many)]
     pub key: Vec<Account>,
     /// association or hotline; both, one after the other, without
-    #[bpaf(argument("MIX"), optional)]
-    pub mix: Option<String>,
+    #[bpaf(argument("MIX"), many)]
+    pub mix: Vec<Mix>,
     /// Model to ask for instead of the mix's own
     #[bpaf(argument("NAME"), optional)]
     pub model: Option<String>,
@@ -31,7 +35,12 @@
     #[bpaf(argument("NAME"), optional)]
     pub service: Option<String>,
     /// Requests a second
-    #[bpaf(argument("N"), fallback(50.0), display_fallback)]
+    #[bpaf(
+        argument("N"),
+        guard(is_rate, "must be above 0 and at most 100000"),
+        fallback(50.0),
+        display_fallback
+    )]
     pub rate: f64,
     /// Seconds of load for each mix
     #[bpaf(argument("N"), fallback(20), display_fallback)]
@@ -62,20 +71,12 @@
         Duration::from_secs(self.seconds)
     }
 
-    /// The mixes to play, checked.
-    pub(super) fn mixes(&self) -> eyre::Result<Vec<Mix>> {
-        ensure!(
-            self.rate > 0.0 && self.rate.is_finite(),
-            "--rate must be above 0"
-        );
-        ensure!(!self.host.is_empty(), "name an entry: --host ip:port");
-        ensure!(!self.key.is_empty(), "give a client account: --key KEY");
-        let mut mixes = match self.mix.as_deref() {
-            None => vec![Mix::association(), Mix::hotline()],
-            Some("association") => vec![Mix::association()],
-            Some("hotline") => vec![Mix::hotline()],
-            Some(other) => bail!("unknown mix {other:?}, known are association and hotline"),
-        };
+    /// The mixes to play.
+    pub(super) fn mixes(&self) -> Vec<Mix> {
+        let mut mixes = self.mix.clone();
+        if mixes.is_empty() {
+            mixes = vec![Mix::association(), Mix::hotline()];
+        }
         for mix in &mut mixes {
             if let Some(model) = &self.model {
                 mix.model.clone_from(model);
@@ -84,6 +85,28 @@
                 mix.service.clone_from(service);
             }
         }
-        Ok(mixes)
+        mixes
+    }
+
+    /// The same load for a system in this process.
+    pub(super) fn for_deployment(mut self, deployment: &Deployment) -> Self {
+        self.host = vec![deployment.entry_address()];
+        self.key = vec![Account {
+            key: DEMO_KEY.to_owned(),
+            weight: 1,
+        }];
+        self.seen = deployment.service_addresses();
+        let association = Mix::association();
+        self.model = Some(association.model);
+        self.service = Some(association.service);
+        self
     }
 }
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "bpaf hands out a reference"
+)]
+fn is_rate(rate: &f64) -> bool {
+    *rate > 0.0 && *rate <= MOST_RATE
+}
--- a/crates/lovageramp/src/standalone/deployment.rs
+++ b/crates/lovageramp/src/standalone/deployment.rs
@@ -96,6 +96,12 @@
         self.entry.http_address()
     }
 
+    /// Where the plain services listen, which tell what they saw at `/seen`.
+    #[must_use]
+    pub fn service_addresses(&self) -> Vec<SocketAddr> {
+        self.services.iter().map(Service::address).collect()
+    }
+
     /// How often the services ran a call, by its key.
     #[must_use]
     pub fn reservations_run(&self, key: &str, path: &str) -> u64 {
