--- a/crates/agent/src/crash.rs
+++ b/crates/agent/src/crash.rs
@@ -137,17 +137,21 @@
     tokio::spawn(report(Arc::clone(&state.cx), fingerprints));
 }
 
-/// A target that refuses connections has crashed; one that answers, but as
-/// another instance, has been started again since.
+/// A target that refuses connections has crashed, and so has one before which
+/// something still takes connections but each of them is broken off without an
+/// answer; one that answers, but as another instance, has been started again since.
 async fn examine(cx: &Context) -> Verdict {
+    let mut verdict = Verdict::Gone;
     for _ in 0..LOOKS {
         match look(cx).await {
             Ok(instance) => return Verdict::Answers(instance),
             Err(Failure::NotRun(_)) => return Verdict::Gone,
-            Err(_) => sleep(PAUSE).await,
+            Err(Failure::Broken(_)) => {}
+            Err(_) => verdict = Verdict::Silent,
         }
+        sleep(PAUSE).await;
     }
-    Verdict::Silent
+    verdict
 }
 
 /// The instance that answers; empty where targets don't tell.
--- a/crates/lovageramp/tests/support/cluster.rs
+++ b/crates/lovageramp/tests/support/cluster.rs
@@ -83,6 +83,7 @@
         for number in 1..=cluster.plan.entries {
             cluster.until_ready(&format!("entry-{number}")).await;
         }
+        cluster.until_repaired().await;
         cluster
     }
 
@@ -319,7 +320,7 @@
         let mut added = vec![
             json!({"kind": "model", "name": "burl-notes", "versions": ["2026-11"]}),
             json!({"kind": "group", "name": "blank-advisor", "model": "burl-notes",
-                   "ranks": self.plan.engines, "layers": 2, "experts": 8, "spare_slots": 1,
+                   "ranks": self.plan.engines.max(1), "layers": 2, "experts": 8, "spare_slots": 1,
                    "weights": {"skew": 1.0, "moves": 4.0}}),
             json!({"kind": "service", "name": "order-desk", "repeatable": ["GET", "HEAD"], "timeout_ms": 30000}),
         ];
@@ -355,18 +356,29 @@
         .await;
         for number in 1..=self.plan.entries {
             let entry = self.http(&format!("entry-{number}"));
+            let (engines, services) = (self.plan.engines, self.plan.services);
             until(&format!("entry-{number} serves"), || async move {
-                let model = chat(entry, "huber", "hello", false).await.ok()?;
-                let bearer = bearer("huber");
-                let headers = [("authorization", bearer.as_str())];
-                let service = get(entry, "/s/order-desk/stock", &headers).await.ok()?;
-                (model.status == 200 && service.status == 200).then_some(())
+                let model = engines == 0 || serves_models(entry).await;
+                let service = services == 0 || serves_services(entry).await;
+                (model && service).then_some(())
             })
             .await;
         }
     }
 }
 
+async fn serves_models(entry: SocketAddr) -> bool {
+    let answer = chat(entry, "huber", "hello", false).await;
+    answer.is_ok_and(|answer| answer.status == 200)
+}
+
+async fn serves_services(entry: SocketAddr) -> bool {
+    let bearer = bearer("huber");
+    let headers = [("authorization", bearer.as_str())];
+    let answer = get(entry, "/s/order-desk/stock", &headers).await;
+    answer.is_ok_and(|answer| answer.status == 200)
+}
+
 /// The key of an account of the tests.
 pub fn bearer(account: &str) -> String {
     format!("Bearer key-of-{account}")
--- a/crates/lovageramp/tests/support/faults.rs
+++ b/crates/lovageramp/tests/support/faults.rs
@@ -72,6 +72,21 @@
         (answer.status == 200).then(|| answer.json())
     }
 
+    /// Waits until every control replica is a voter that has all of the log. A replica
+    /// with a blank disk is a learner until then, and the loss of others may take the
+    /// majority away.
+    pub async fn until_repaired(&self) {
+        let expected = self.plan.controls;
+        until("the repair is complete", || async {
+            let status = self.status("entry-1").await?;
+            let replicas = status["replicas"].as_array()?;
+            let whole = replicas.iter().all(|replica| replica["state"] == "voter");
+            let complete = status["repair"] == "complete";
+            (replicas.len() == expected && whole && complete).then_some(())
+        })
+        .await;
+    }
+
     /// Name of the control replica that leads.
     pub async fn leader(&self) -> String {
         until("a leader", || async {
--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -188,11 +188,15 @@
     shared.controls.add(address, link);
     async move {
         while let Some(incoming) = rx.recv().await {
-            // Control hints at a new note, so that it is in force before the next
-            // renewal is due; nothing but the renewal itself is trusted.
-            if let Body::Notes(hint) = incoming.body
-                && hint.number > shared.catalogue().number()
-            {
+            // Control hints at a new note or a changed quarantine, so that it is in
+            // force before the next renewal is due; nothing but the renewal itself is
+            // trusted.
+            let news = match incoming.body {
+                Body::Notes(hint) => hint.number > shared.catalogue().number(),
+                Body::Renewed(_) => true,
+                _ => false,
+            };
+            if news {
                 shared.hurry.notify_one();
             }
         }
