--- a/crates/control/tests/replicas/cluster.rs
+++ b/crates/control/tests/replicas/cluster.rs
@@ -1,11 +1,13 @@
 //! A few replicas in one process, with real sockets and data folders.
 
+use crate::relay::Relay;
 use control::{Control, Listeners, Settings};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::fs;
-use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 use store::Ops;
 use tempfile::TempDir;
@@ -23,6 +25,8 @@
     folder: TempDir,
     addresses: BTreeMap<String, SocketAddr>,
     running: BTreeMap<String, Control>,
+    /// From one replica to another.
+    relays: BTreeMap<(String, String), Relay>,
     pub snapshot_entries: u64,
 }
 
@@ -30,25 +34,39 @@
     /// Replicas `r1` to `rN`, of which the first is initialised.
     pub async fn start(size: usize) -> Cluster {
         let mut cluster = Cluster::prepared(size).await;
-        control::init(&cluster.settings("r1")).unwrap();
-        for name in cluster.names() {
-            cluster.up(&name).await;
-        }
-        cluster.repaired().await;
+        cluster.begin().await;
         cluster
     }
 
+    /// Initialises the first replica and starts all.
+    pub async fn begin(&mut self) {
+        control::init(&self.settings("r1")).unwrap();
+        for name in self.names() {
+            self.up(&name).await;
+        }
+        self.repaired().await;
+    }
+
     /// Addresses and key, and nothing that runs.
     pub async fn prepared(size: usize) -> Cluster {
         let folder = tempfile::tempdir().unwrap();
         fs::write(folder.path().join("key"), "0123456789abcdef").unwrap();
         fs::write(folder.path().join("token"), "operators-token-of-tests").unwrap();
+        let (host, relay_host) = own_hosts();
         let mut addresses = BTreeMap::new();
         for place in 1..=size {
-            let listener = listen("127.0.0.1:0".parse().unwrap()).await;
+            let listener = listen(SocketAddr::new(host, 0)).await;
             addresses.insert(format!("r{place}"), listener.local_addr().unwrap());
         }
+        let mut relays = BTreeMap::new();
+        for from in addresses.keys() {
+            for (to, address) in addresses.iter().filter(|(to, _)| *to != from) {
+                let relay = Relay::start(relay_host, *address).await;
+                relays.insert((from.clone(), to.clone()), relay);
+            }
+        }
         Cluster {
+            relays,
             folder,
             addresses,
             running: BTreeMap::new(),
@@ -65,8 +83,10 @@
     }
 
     pub fn settings(&self, name: &str) -> Settings {
-        let replica =
-            |(name, address): (&String, &SocketAddr)| json!({"name": name, "address": address});
+        let replica = |(to, address): (&String, &SocketAddr)| {
+            let relay = self.relays.get(&(name.to_owned(), to.clone()));
+            json!({"name": to, "address": relay.map_or(*address, |relay| relay.address)})
+        };
         let replicas: Vec<Value> = self.addresses.iter().map(replica).collect();
         let settings = json!({
             "name": name,
@@ -103,6 +123,23 @@
         }
     }
 
+    /// Cuts the links between a replica and the others, both ways.
+    pub async fn cut_off(&self, name: &str) {
+        for relay in self.relays_of(name) {
+            relay.cut().await;
+        }
+    }
+
+    pub fn heal(&self, name: &str) {
+        self.relays_of(name).for_each(Relay::heal);
+    }
+
+    fn relays_of(&self, name: &str) -> impl Iterator<Item = &Relay> {
+        let relays = self.relays.iter();
+        let own = relays.filter(move |((from, to), _)| from == name || to == name);
+        own.map(|(_, relay)| relay)
+    }
+
     /// Loses the disk of a replica that is down.
     pub fn wipe(&self, name: &str) {
         fs::remove_dir_all(self.data(name)).unwrap();
@@ -159,6 +196,43 @@
         wait_for("a link", async || dial(address).await).await
     }
 
+    pub async fn dial_as(&self, name: &str, me: Identity) -> Link {
+        let address = self.addresses[name];
+        wait_for("a link", async || dial_as(address, me.clone()).await).await
+    }
+
+    /// The leader among the replicas besides one.
+    pub async fn leader_besides(&self, besides: &str) -> String {
+        wait_for("another leader", async || {
+            let leader = self.leader().await;
+            (leader != besides).then_some(leader)
+        })
+        .await
+    }
+
+    /// Number of the newest note that a replica has applied.
+    pub async fn applied_note(&self, name: &str) -> Option<u64> {
+        let status = self.control(name).status().await.ok()?;
+        status["notes"]["accepted"].as_u64()
+    }
+
+    /// Waits until a replica has applied a note.
+    pub async fn wait_for_note(&self, name: &str, number: u64) {
+        wait_for("a note at a replica", async || {
+            let applied = self.applied_note(name).await;
+            (applied == Some(number)).then_some(())
+        })
+        .await;
+    }
+
+    /// Submits empty notes up to a number.
+    pub async fn submit_up_to(&self, last: u64) {
+        let status = self.leader_status().await;
+        let accepted = status["notes"]["accepted"].as_u64().unwrap();
+        for number in accepted + 1..=last {
+            self.submit(&json!({"number": number}), "anna").await;
+        }
+    }
     /// Has a command committed, whoever leads; sent again until answered.
     pub async fn propose(&self, body: command::Body) -> outcome::Body {
         wait_for("a commit", async || {
@@ -218,7 +292,10 @@
 }
 
 pub async fn dial(address: SocketAddr) -> Option<Link> {
-    let me = Identity::new(Role::Entry, "test", 1);
+    dial_as(address, Identity::new(Role::Entry, "test", 1)).await
+}
+
+pub async fn dial_as(address: SocketAddr, me: Identity) -> Option<Link> {
     let key = ClusterKey::from_bytes(b"0123456789abcdef").unwrap();
     let dialled = wire::dial(address, &me, &key, &LinkSettings::default()).await;
     let (link, mut rx) = dialled.ok()?;
@@ -227,6 +304,17 @@
     Some(link)
 }
 
+/// Loopback addresses of this cluster alone, for replicas and for relays: the
+/// port of a replica that is down can't be given to anybody else.
+fn own_hosts() -> (IpAddr, IpAddr) {
+    const FREE: u32 = 250;
+    static CLUSTERS: AtomicU8 = AtomicU8::new(0);
+    let process = u8::try_from(std::process::id() % FREE).unwrap() + 1;
+    let cluster = CLUSTERS.fetch_add(1, Ordering::Relaxed);
+    let host = |last| IpAddr::V4(Ipv4Addr::new(127, process, cluster, last));
+    (host(1), host(2))
+}
+
 async fn listen(address: SocketAddr) -> TcpListener {
     wait_for("a port", async || TcpListener::bind(address).await.ok()).await
 }
@@ -242,12 +330,3 @@
         tokio::time::sleep(PAUSE).await;
     }
 }
-
-#[allow(dead_code, reason = "not each test file copies folders")]
-pub fn copy_folder(from: &Path, to: &Path) {
-    fs::create_dir_all(to).unwrap();
-    for entry in fs::read_dir(from).unwrap() {
-        let entry = entry.unwrap();
-        fs::copy(entry.path(), to.join(entry.file_name())).unwrap();
-    }
-}
--- /dev/null
+++ b/crates/control/tests/replicas/disks.rs
@@ -0,0 +1,82 @@
+//! Disks that are full or fail, under a running cluster.
+
+use crate::cluster::{Cluster, PATIENCE, note_command, propose_to, wait_for};
+use serde_json::json;
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use store::Ops;
+use tokio::time::timeout;
+use wire::proto::{NoteQuery, outcome, query};
+
+/// The disk of the leader is full. It takes no note and says so, answers
+/// reads, and goes on when there is room.
+#[tokio::test(flavor = "multi_thread")]
+async fn leader_disk_full() {
+    let mut cluster = Cluster::prepared(1).await;
+    control::init(&cluster.settings("r1")).unwrap();
+    let full = Arc::new(AtomicBool::new(false));
+    let asked = Arc::clone(&full);
+    let real = Ops::default();
+    let ops = Ops {
+        write: Arc::new(move |path, file, bytes| {
+            if asked.load(Ordering::Relaxed) {
+                return Err(io::ErrorKind::StorageFull.into());
+            }
+            (real.write)(path, file, bytes)
+        }),
+        ..Ops::default()
+    };
+    cluster.up_with("r1", ops).await;
+    cluster.submit_up_to(1).await;
+    full.store(true, Ordering::Relaxed);
+    let link = cluster.dial("r1").await;
+    let note = note_command(&json!({"number": 2}), "anna");
+    for _ in 0..2 {
+        let answer = propose_to(&link, note.clone()).await;
+        let Some(outcome::Body::Unavailable(refused)) = answer else {
+            panic!("taken: {answer:?}");
+        };
+        assert!(refused.reason.contains("full"), "{}", refused.reason);
+    }
+    assert_eq!(cluster.leader_status().await["disk_full"], true);
+    cluster
+        .query(query::Body::Note(NoteQuery { number: 0 }))
+        .await;
+    full.store(false, Ordering::Relaxed);
+    wait_for("room", async || {
+        (cluster.leader_status().await["disk_full"] == false).then_some(())
+    })
+    .await;
+    cluster.submit_up_to(3).await;
+}
+
+/// A sync fails at the leader. It must stop, since nobody knows what is on
+/// its disk; the others go on, and hold all that was acknowledged.
+#[tokio::test(flavor = "multi_thread")]
+async fn leader_sync_fails() {
+    let mut cluster = Cluster::start(3).await;
+    cluster.submit_up_to(2).await;
+    let leader = cluster.leader().await;
+    cluster.down(&leader).await;
+    let failing = Arc::new(AtomicBool::new(false));
+    let asked = Arc::clone(&failing);
+    let real = Ops::default();
+    let ops = Ops {
+        sync: Arc::new(move |path, file| {
+            if asked.load(Ordering::Relaxed) {
+                return Err(io::Error::other("input/output error"));
+            }
+            (real.sync)(path, file)
+        }),
+        ..Ops::default()
+    };
+    cluster.up_with(&leader, ops).await;
+    cluster.repaired().await;
+    failing.store(true, Ordering::Relaxed);
+    cluster.submit_up_to(5).await;
+    let stopped = cluster.control(&leader).stopped();
+    assert!(timeout(PATIENCE, stopped).await.is_ok());
+    cluster.leader_besides(&leader).await;
+    cluster.submit_up_to(6).await;
+}
--- /dev/null
+++ b/crates/control/tests/replicas/leaders.rs
@@ -0,0 +1,185 @@
+//! Leaders that are lost, cut off, or speak late.
+
+use crate::cluster::{Cluster, note_command, propose_to, wait_for};
+use serde_json::json;
+use wire::proto::frame::Body;
+use wire::proto::quorum_message::Body as QuorumBody;
+use wire::proto::{
+    Append, InstallSnapshot, LogEntry, Query, QuorumMessage, StatusQuery, VoteReply, outcome, query,
+};
+use wire::{Identity, Role};
+
+/// The leader is cut off from the others for long, but not from an operator,
+/// and believes that it leads. What it can't commit it must not acknowledge
+/// and what it reads is old, so it refuses both; afterwards it holds what the
+/// others have accepted, and its own note is gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn propose_at_cut_off_leader() {
+    let cluster = Cluster::start(3).await;
+    cluster.submit_up_to(2).await;
+    let old = cluster.leader().await;
+    let link = cluster.dial(&old).await;
+    cluster.cut_off(&old).await;
+    let lost = note_command(&json!({"number": 3, "added": []}), "anna");
+    let answer = propose_to(&link, lost.clone()).await;
+    assert!(
+        matches!(answer, None | Some(outcome::Body::Unavailable(_))),
+        "{answer:?}"
+    );
+
+    cluster.leader_besides(&old).await;
+    let body = query::Body::Status(StatusQuery {});
+    let query = Body::Query(Query { body: Some(body) });
+    let read = link.call(query, crate::cluster::PATIENCE).await;
+    assert!(matches!(read, Ok(Body::NotLeader(_))), "{read:?}");
+    let refused = propose_to(&link, lost).await;
+    assert!(
+        matches!(refused, None | Some(outcome::Body::Unavailable(_))),
+        "{refused:?}"
+    );
+
+    let theirs =
+        json!({"number": 3, "added": [{"kind": "model", "name": "theirs", "versions": ["1"]}]});
+    cluster.submit(&theirs, "bojan").await;
+    cluster.submit_up_to(5).await;
+    assert!(cluster.applied_note(&old).await < Some(3));
+    cluster.heal(&old);
+    cluster.wait_for_note(&old, 5).await;
+    let again = cluster.submit(&theirs, "bojan").await;
+    assert_eq!(again.operator, "bojan");
+}
+
+/// A leader was replaced long ago, and its messages arrive now: entries in
+/// the place of committed ones, a snapshot of an older state, a vote. The
+/// replicas answer with the newer term and hold what they held.
+#[tokio::test(flavor = "multi_thread")]
+async fn messages_of_old_leader_late() {
+    let mut cluster = Cluster::start(3).await;
+    cluster.submit_up_to(3).await;
+    let old = cluster.leader().await;
+    let status = cluster.leader_status().await;
+    let old_disk = u64::from_str_radix(status["disk"].as_str().unwrap(), 16).unwrap();
+    let old_term = status["term"].as_u64().unwrap();
+    cluster.down(&old).await;
+    let new = cluster.leader_besides(&old).await;
+    cluster.submit_up_to(6).await;
+    let before = cluster.leader_status().await;
+
+    for name in cluster.names().iter().filter(|name| **name != old) {
+        let status = cluster.control(name).status().await.unwrap();
+        let to = u64::from_str_radix(status["disk"].as_str().unwrap(), 16).unwrap();
+        let me = Identity::new(Role::Control, &old, old_disk);
+        let link = cluster.dial_as(name, me).await;
+        for body in late_bodies(old_term) {
+            let (from, term, body) = (old_disk, old_term, Some(body));
+            let message = QuorumMessage {
+                from,
+                to,
+                term,
+                body,
+            };
+            link.send(Body::Quorum(message)).await.unwrap();
+        }
+        // In the name of the new leader, by who isn't it.
+        let from = u64::from_str_radix(before["disk"].as_str().unwrap(), 16).unwrap();
+        let term = before["term"].as_u64().unwrap() + 5;
+        let body = late_bodies(term).pop();
+        let forged = QuorumMessage {
+            from,
+            to,
+            term,
+            body,
+        };
+        link.send(Body::Quorum(forged)).await.unwrap();
+        link.send(Body::Quorum(QuorumMessage::default()))
+            .await
+            .unwrap();
+    }
+    cluster.submit_up_to(7).await;
+    let after = cluster.leader_status().await;
+    assert_eq!(
+        (&after["replica"], &after["term"]),
+        (&json!(new), &before["term"])
+    );
+    for name in cluster.names().iter().filter(|name| **name != old) {
+        cluster.wait_for_note(name, 7).await;
+    }
+}
+
+fn late_bodies(term: u64) -> Vec<QuorumBody> {
+    let entry = |index| LogEntry {
+        index,
+        term,
+        kind: 1,
+        data: bytes::Bytes::new(),
+    };
+    let entries = (1..30).map(entry).collect();
+    let append = Append {
+        commit: 29,
+        round: 900,
+        entries,
+        ..Append::default()
+    };
+    let snapshot = InstallSnapshot {
+        last_index: 500,
+        last_term: term,
+        done: true,
+        ..InstallSnapshot::default()
+    };
+    vec![
+        QuorumBody::VoteReply(VoteReply {
+            pre: false,
+            granted: true,
+        }),
+        QuorumBody::InstallSnapshot(snapshot),
+        QuorumBody::Append(append),
+    ]
+}
+
+/// The leader stops while operators send notes; each answered note stands at
+/// the next leader, in order.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaders_lost_one_after_another() {
+    let mut cluster = Cluster::start(3).await;
+    for round in 1..=4 {
+        cluster.submit_up_to(round * 5).await;
+        let leader = cluster.leader().await;
+        cluster.down(&leader).await;
+        cluster.submit_up_to(round * 5 + 2).await;
+        cluster.up(&leader).await;
+        cluster.repaired().await;
+    }
+    for name in cluster.names() {
+        cluster.wait_for_note(&name, 22).await;
+    }
+}
+
+/// Only one replica of three is left: it must not lead alone, and it tells
+/// callers so at once. With a second one it goes on.
+#[tokio::test(flavor = "multi_thread")]
+async fn propose_without_majority() {
+    let mut cluster = Cluster::start(3).await;
+    cluster.submit_up_to(1).await;
+    let names = cluster.names();
+    cluster.down(&names[0]).await;
+    cluster.down(&names[1]).await;
+    let last = &names[2];
+    wait_for("the last one to give up", async || {
+        let status = cluster.control(last).status().await.ok()?;
+        (status["leads"] == false && status["leader"].is_null()).then_some(())
+    })
+    .await;
+    let link = cluster.dial(last).await;
+    let note = note_command(&json!({"number": 2}), "anna");
+    let body = wire::proto::Command {
+        now_ms: 0,
+        body: Some(note),
+    };
+    let propose = Body::Propose(wire::proto::Propose {
+        command: Some(body),
+    });
+    let answer = link.call(propose, crate::cluster::PATIENCE).await;
+    assert!(matches!(answer, Ok(Body::NotLeader(_))), "{answer:?}");
+    cluster.up(&names[0]).await;
+    cluster.submit_up_to(2).await;
+}
--- /dev/null
+++ b/crates/control/tests/replicas/leases.rs
@@ -0,0 +1,113 @@
+//! Leases of nodes, and when a note is in force everywhere.
+
+use crate::cluster::{Cluster, PATIENCE, wait_for};
+use serde_json::Value;
+use wire::Link;
+use wire::proto::frame::Body;
+use wire::proto::{NodeInfo, Renew, Renewed, Role};
+
+fn entry(name: &str, incarnation: u64) -> NodeInfo {
+    NodeInfo {
+        role: Role::Entry.into(),
+        name: name.to_owned(),
+        incarnation,
+        zone: "ptuj".to_owned(),
+        ..NodeInfo::default()
+    }
+}
+
+async fn renew(link: &Link, info: NodeInfo, note: u64) -> Option<Renewed> {
+    let renew = Renew {
+        node: Some(info),
+        note,
+        ..Renew::default()
+    };
+    match link.call(Body::Renew(renew), PATIENCE).await {
+        Ok(Body::Renewed(renewed)) => Some(renewed),
+        _ => None,
+    }
+}
+
+async fn notes(cluster: &Cluster) -> Value {
+    cluster.leader_status().await["notes"].clone()
+}
+
+/// An entry stays at an older note, as when its link brings nothing. The note
+/// must not be reported as in force everywhere while it may take work, and it
+/// is as soon as its lease has run out, though nobody heard from it again.
+#[tokio::test(flavor = "multi_thread")]
+async fn in_force_waits_for_lease() {
+    let cluster = Cluster::start(1).await;
+    cluster.submit_up_to(1).await;
+    let link = cluster.dial("r1").await;
+    wait_for("leases of earlier leaders to end", async || {
+        (notes(&cluster).await["in_force_everywhere"] == 1).then_some(())
+    })
+    .await;
+    let granted = renew(&link, entry("entry-1", 7), 1).await.unwrap();
+    assert!(granted.lease_ms > 0 && granted.note == 1);
+    cluster.submit_up_to(2).await;
+    let status = notes(&cluster).await;
+    // A slow machine may come here only after the lease.
+    if status["in_force_everywhere"] != 2 {
+        assert_eq!(status["in_force_everywhere"], 1);
+        assert_eq!(status["lagging"][0], "entry entry-1");
+    }
+    wait_for("the lease to end", async || {
+        (notes(&cluster).await["in_force_everywhere"] == 2).then_some(())
+    })
+    .await;
+}
+
+/// A process was restarted, and its former incarnation speaks once more. It
+/// gets no lease, and the view keeps the new one.
+#[tokio::test(flavor = "multi_thread")]
+async fn renew_former_incarnation() {
+    let cluster = Cluster::start(1).await;
+    let link = cluster.dial("r1").await;
+    assert!(renew(&link, entry("entry-1", 7), 0).await.unwrap().lease_ms > 0);
+    assert!(renew(&link, entry("entry-1", 8), 0).await.unwrap().lease_ms > 0);
+    let late = renew(&link, entry("entry-1", 7), 0).await.unwrap();
+    assert_eq!(late.lease_ms, 0);
+    let view = late.view.unwrap();
+    assert_eq!(view.nodes[0].incarnation, 8);
+}
+
+/// A leader that is cut off from the others must grant no lease any more: its
+/// node would work by an old note, and another leader report the next one as
+/// in force everywhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn renew_at_cut_off_leader() {
+    let cluster = Cluster::start(3).await;
+    let old = cluster.leader().await;
+    let link = cluster.dial(&old).await;
+    let granted = wait_for("a lease", async || {
+        renew(&link, entry("entry-1", 7), 0).await
+    })
+    .await;
+    assert!(granted.lease_ms > 0);
+    cluster.cut_off(&old).await;
+    cluster.leader_besides(&old).await;
+    assert!(renew(&link, entry("entry-1", 7), 0).await.is_none());
+    cluster.submit_up_to(1).await;
+    wait_for("the note to be in force", async || {
+        (notes(&cluster).await["in_force_everywhere"] == 1).then_some(())
+    })
+    .await;
+}
+
+/// A node that isn't one, or tells nonsense, gets no lease and harms nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn renew_malformed() {
+    let cluster = Cluster::start(1).await;
+    let link = cluster.dial("r1").await;
+    let nameless = renew(&link, entry("", 7), 0).await.unwrap();
+    assert_eq!(nameless.lease_ms, 0);
+    let mut wrong = entry("entry-1", 7);
+    wrong.link_address = "nowhere".to_owned();
+    assert_eq!(renew(&link, wrong, 0).await.unwrap().lease_ms, 0);
+    let mut control = entry("entry-1", 7);
+    control.role = Role::Control.into();
+    assert_eq!(renew(&link, control, 0).await.unwrap().lease_ms, 0);
+    cluster.submit_up_to(1).await;
+}
--- a/crates/control/tests/replicas/main.rs
+++ b/crates/control/tests/replicas/main.rs
@@ -1,5 +1,10 @@
 //! Replicas in one process, with real sockets and data folders.
 
 mod cluster;
+mod disks;
+mod leaders;
+mod leases;
+mod operators;
 mod path;
+mod relay;
 mod repair;
--- /dev/null
+++ b/crates/control/tests/replicas/operators.rs
@@ -0,0 +1,92 @@
+//! Operators who race, and who lose answers.
+
+use crate::cluster::{Cluster, note_command, propose_to};
+use serde_json::{Value, json};
+use wire::proto::note_outcome::Kind;
+use wire::proto::{NoteOutcome, outcome};
+
+fn note_with(number: u64, model: &str) -> Value {
+    json!({"number": number, "added": [{"kind": "model", "name": model, "versions": ["1"]}]})
+}
+
+async fn kind_at(cluster: &Cluster, note: &Value, operator: &str) -> NoteOutcome {
+    cluster.submit(note, operator).await
+}
+
+/// Two operators send different notes with the same number at the same time.
+/// One of them is in force, and the other is told whose.
+#[tokio::test(flavor = "multi_thread")]
+async fn submit_same_number_two_operators() {
+    let cluster = Cluster::start(3).await;
+    for number in 1..=20 {
+        let (annas, bojans) = (
+            note_with(number, &format!("a{number}")),
+            note_with(number, &format!("b{number}")),
+        );
+        let (anna, bojan) = tokio::join!(
+            kind_at(&cluster, &annas, "anna"),
+            kind_at(&cluster, &bojans, "bojan")
+        );
+        let (winner, loser, name) = match anna.kind() {
+            Kind::Accepted => (anna, bojan, "anna"),
+            _ => (bojan, anna, "bojan"),
+        };
+        assert_eq!(winner.kind(), Kind::Accepted);
+        assert_eq!(loser.kind(), Kind::Conflict);
+        assert_eq!(loser.operator, name);
+        assert_eq!(loser.digest, winner.digest);
+    }
+}
+
+/// An operator's connection breaks just after the note was sent, and the
+/// leader is lost as well. The operator sends it again, for ever so often:
+/// it counts once and each answer is the first one.
+#[tokio::test(flavor = "multi_thread")]
+async fn submit_resent_after_lost_answer() {
+    let mut cluster = Cluster::start(3).await;
+    let leader = cluster.leader().await;
+    let note = note_with(1, "burl-notes");
+    let link = cluster.dial(&leader).await;
+    let (sent, ()) = tokio::join!(propose_to(&link, note_command(&note, "anna")), async {
+        link.close();
+    });
+    assert!(sent.is_none());
+    cluster.down(&leader).await;
+    let first = cluster.submit(&note, "anna").await;
+    assert!(matches!(first.kind(), Kind::Accepted | Kind::Repeated));
+    cluster.submit(&note_with(2, "figure-notes"), "bojan").await;
+    let again = cluster.submit(&note, "anna").await;
+    assert_eq!(again.kind(), Kind::Repeated);
+    assert_eq!((again.number, &again.operator), (1, &"anna".to_owned()));
+    assert_eq!(again.digest, first.digest);
+}
+
+/// A note with a gap, an invalid one and bytes that are no note: each is
+/// refused with the reason, and nothing of it is in force.
+#[tokio::test(flavor = "multi_thread")]
+async fn submit_refused() {
+    let cluster = Cluster::start(1).await;
+    let gap = cluster.submit(&json!({"number": 2}), "anna").await;
+    assert_eq!((gap.kind(), gap.number), (Kind::Gap, 1));
+    let wrong = json!({"number": 1, "withdrawn": [{"kind": "model", "name": "none"}]});
+    let invalid = cluster.submit(&wrong, "anna").await;
+    assert_eq!(invalid.kind(), Kind::Invalid);
+    assert!(!invalid.findings.is_empty());
+    let bytes = cluster.submit(&json!("no note"), "anna").await;
+    assert_eq!(bytes.kind(), Kind::Invalid);
+    assert_eq!(cluster.leader_status().await["notes"]["accepted"], 0);
+}
+
+/// A note that is far too long is refused at once and doesn't hold up others.
+#[tokio::test(flavor = "multi_thread")]
+async fn submit_too_long() {
+    let cluster = Cluster::start(1).await;
+    let link = cluster.dial("r1").await;
+    let long = json!({"number": 1, "added": "x".repeat(5 << 20)});
+    let outcome = propose_to(&link, note_command(&long, "anna")).await;
+    let Some(outcome::Body::Unavailable(refused)) = outcome else {
+        panic!("not refused: {outcome:?}");
+    };
+    assert!(!refused.maybe);
+    cluster.submit_up_to(1).await;
+}
--- a/crates/control/tests/replicas/repair.rs
+++ b/crates/control/tests/replicas/repair.rs
@@ -1,19 +1,6 @@
 //! Replicas that were down, or lost their disk.
 
-use crate::cluster::{Cluster, wait_for};
-use serde_json::json;
-
-async fn submit_up_to(cluster: &Cluster, last: u64) {
-    let accepted = cluster.leader_status().await["notes"]["accepted"].as_u64();
-    for number in accepted.unwrap() + 1..=last {
-        cluster.submit(&json!({"number": number}), "anna").await;
-    }
-}
-
-async fn accepted_at(cluster: &Cluster, name: &str) -> Option<u64> {
-    let status = cluster.control(name).status().await.ok()?;
-    status["notes"]["accepted"].as_u64()
-}
+use crate::cluster::Cluster;
 
 /// A host loses its disk and its replica comes back on a blank one. Were it
 /// to vote as before, a majority could forget what was acknowledged. An
@@ -22,7 +9,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn blank_disk_repaired_second_host_lost() {
     let mut cluster = Cluster::start(3).await;
-    submit_up_to(&cluster, 3).await;
+    cluster.submit_up_to(3).await;
     let leader = cluster.leader().await;
     let mut others = cluster.names();
     others.retain(|name| *name != leader);
@@ -30,7 +17,7 @@
 
     cluster.down(&others[0]).await;
     cluster.wipe(&others[0]);
-    submit_up_to(&cluster, 5).await;
+    cluster.submit_up_to(5).await;
     cluster.up(&others[0]).await;
     cluster.repaired().await;
     let after = cluster.leader_status().await;
@@ -40,10 +27,60 @@
     cluster.wipe(&leader);
     let left = cluster.leader_status().await;
     assert_eq!(left["notes"]["accepted"], 5);
-    submit_up_to(&cluster, 6).await;
-    let held = wait_for("the note at the repaired replica", async || {
-        let number = accepted_at(&cluster, &others[0]).await;
-        number.filter(|number| *number == 6)
-    });
-    assert_eq!(held.await, 6);
+    cluster.submit_up_to(6).await;
+    cluster.wait_for_note(&others[0], 6).await;
+}
+
+/// A replica was down while 300 notes came. It must hold them all again, and
+/// no one may see a state in between as the newest.
+#[tokio::test(flavor = "multi_thread")]
+async fn catch_up_300_notes_by_log() {
+    let mut cluster = Cluster::start(3).await;
+    let leader = cluster.leader().await;
+    let names = cluster.names();
+    let behind = names.iter().find(|name| **name != leader).unwrap();
+    cluster.down(behind).await;
+    cluster.submit_up_to(300).await;
+    cluster.up(behind).await;
+    cluster.wait_for_note(behind, 300).await;
+    cluster.repaired().await;
+}
+
+/// The same, but the log that it lacks was dropped: a snapshot comes first.
+#[tokio::test(flavor = "multi_thread")]
+async fn catch_up_300_notes_by_snapshot() {
+    let mut cluster = Cluster::prepared(3).await;
+    cluster.snapshot_entries = 20;
+    cluster.begin().await;
+    cluster.submit_up_to(700).await;
+    let leader = cluster.leader().await;
+    let names = cluster.names();
+    let behind = names.iter().find(|name| **name != leader).unwrap();
+    cluster.down(behind).await;
+    cluster.wipe(behind);
+    cluster.submit_up_to(1000).await;
+    cluster.up(behind).await;
+    cluster.wait_for_note(behind, 1000).await;
+    cluster.repaired().await;
+    let status = cluster.control(behind).status().await.unwrap();
+    assert!(status["snapshot"].as_u64() > Some(0));
+}
+
+/// All replicas are stopped and started again: every one goes on from its
+/// disk, and the notes stand as accepted.
+#[tokio::test(flavor = "multi_thread")]
+async fn restart_all() {
+    let mut cluster = Cluster::prepared(3).await;
+    cluster.snapshot_entries = 7;
+    cluster.begin().await;
+    cluster.submit_up_to(30).await;
+    for name in cluster.names() {
+        cluster.down(&name).await;
+    }
+    for name in cluster.names() {
+        cluster.up(&name).await;
+    }
+    cluster.repaired().await;
+    assert_eq!(cluster.leader_status().await["notes"]["accepted"], 30);
+    cluster.submit_up_to(31).await;
 }
