--- a/crates/lovageramp/src/daemon/control.rs
+++ b/crates/lovageramp/src/daemon/control.rs
@@ -65,7 +65,12 @@
         http: control.http_address(),
     }
     .print()?;
-    asked_to_end().await?;
+    tokio::select! {
+        asked = asked_to_end() => asked?,
+        // A replica whose disk failed promises nothing any more; a process
+        // that stayed would look alive to whoever watches it.
+        () = control.stopped() => eyre::bail!("the replica can't go on, see its log"),
+    }
     control.shutdown().await;
     Ok(())
 }
