Survive any message, and heartbeats on a full disk

Cause: a message with numbers near 2^64 ended the process (step_any_messages: "attempt to add with overflow"), and while a disk is full each heartbeat left an answer waiting (heartbeats_on_full_disk: "100000 answers wait"). Messages with numbers beyond 2^60 are dropped, and of equal answers that wait the newest is kept. cargo test -p lovageramp-quorum: all pass.

--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -92,3 +92,45 @@
         peer: Peer,
     },
 }
+
+/// Largest term, index or round that is taken for one. At a million a second
+/// it is reached in thirty thousand years; beyond it sums could overflow.
+const MOST: u64 = 1 << 60;
+
+impl Message {
+    /// Whether both answer appends in the same way, to different rounds.
+    pub(crate) fn says_same_but_round(&self, other: &Message) -> bool {
+        let answer = |message: &Message| match message.body {
+            MessageBody::AppendReply {
+                accepted, index, ..
+            } => Some((message.to, message.term, accepted, index)),
+            _ => None,
+        };
+        answer(self).is_some() && answer(self) == answer(other)
+    }
+
+    /// Whether all numbers are such as a replica may send. Others come from a
+    /// fault of the sender, and must not end the process that receives them.
+    pub(crate) fn is_plausible(&self) -> bool {
+        let numbers = match &self.body {
+            MessageBody::VoteRequest {
+                last_index,
+                last_term,
+                ..
+            } => [*last_index, *last_term, 0],
+            MessageBody::Append {
+                previous_index,
+                commit,
+                round,
+                ..
+            } => [*previous_index, *commit, *round],
+            MessageBody::AppendReply { index, round, .. }
+            | MessageBody::SnapshotReply { index, round, .. } => [*index, *round, 0],
+            MessageBody::InstallSnapshot {
+                index, term, round, ..
+            } => [*index, *term, *round],
+            MessageBody::VoteReply { .. } | MessageBody::Join { .. } => [0, 0, 0],
+        };
+        self.term < MOST && numbers.iter().all(|number| *number < MOST)
+    }
+}
--- a/crates/quorum/src/node.rs
+++ b/crates/quorum/src/node.rs
@@ -136,7 +136,7 @@
 
     /// Takes a message. Any message may come late, twice or never.
     pub fn step(&mut self, message: Message, now: Instant) {
-        if message.to != self.id {
+        if message.to != self.id || !message.is_plausible() {
             return;
         }
         if let MessageBody::Join { peer } = message.body {
--- a/crates/quorum/src/node/output.rs
+++ b/crates/quorum/src/node/output.rs
@@ -125,12 +125,32 @@
         let unwritten = u64::from(self.has_unwritten());
         let synced = self.issued.is_empty() && unwritten == 0;
         if promises && (to == self.id || !synced) {
-            self.held.push_back((self.writes + unwritten, message));
+            self.hold(self.writes + unwritten, message);
         } else {
             self.out.push(message);
         }
     }
 
+    /// Keeps a message back. Each heartbeat of the leader adds an answer; while
+    /// a full disk lets no write through, only the newest of those that say
+    /// the same is kept.
+    fn hold(&mut self, needs: u64, message: Message) {
+        if let Some((before, last)) = self.held.back_mut()
+            && *before == needs
+            && last.says_same_but_round(&message)
+        {
+            *last = message;
+            return;
+        }
+        self.held.push_back((needs, message));
+    }
+
+    /// Messages that wait for a sync.
+    #[must_use]
+    pub fn held_back(&self) -> usize {
+        self.held.len()
+    }
+
     /// Commits what a majority has synced, if it is of this leader's term
     /// (section 3.6.2).
     pub(super) fn advance_commit(&mut self) {
--- /dev/null
+++ b/crates/quorum/tests/messages.rs
@@ -0,0 +1,197 @@
+//! Any messages at all.
+
+use bytes::Bytes;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use quorum::{
+    Config, DiskId, Entry, EntryBody, Members, Message, MessageBody, Node, Peer, Restored, Snapshot,
+};
+use std::time::{Duration, Instant};
+
+const DISKS: [u64; 4] = [0, 1, 2, 3];
+
+#[derive(Clone, Debug)]
+struct Any(Message);
+
+fn number(g: &mut Gen) -> u64 {
+    let wild = [u64::MAX, u64::MAX - 1, 1 << 60, (1 << 60) - 1];
+    match u8::arbitrary(g) % 8 {
+        0 => *g.choose(&wild).unwrap(),
+        _ => u64::arbitrary(g) % 6,
+    }
+}
+
+fn disk(g: &mut Gen) -> DiskId {
+    DiskId(*g.choose(&DISKS).unwrap())
+}
+
+fn members(g: &mut Gen) -> Members {
+    let mut members = Members::default();
+    for _ in 0..u8::arbitrary(g) % 4 {
+        members.voters.insert(disk(g), Peer::new("a", ""));
+        members.learners.insert(disk(g), Peer::new("b", ""));
+    }
+    members
+}
+
+fn entries(g: &mut Gen) -> Vec<Entry> {
+    let first = number(g);
+    let count = u64::from(u8::arbitrary(g) % 4);
+    let entry = |place| {
+        let body = match u8::arbitrary(g) % 3 {
+            0 => EntryBody::Noop,
+            1 => EntryBody::Command(Bytes::from_static(b"x")),
+            _ => EntryBody::Members(members(g)),
+        };
+        let index = first.wrapping_add(place);
+        Entry {
+            index,
+            term: number(g),
+            body,
+        }
+    };
+    (0..count).map(entry).collect()
+}
+
+impl Arbitrary for Any {
+    fn arbitrary(g: &mut Gen) -> Any {
+        let (pre, flag, round) = (bool::arbitrary(g), bool::arbitrary(g), number(g));
+        let body = match u8::arbitrary(g) % 7 {
+            0 => MessageBody::VoteRequest {
+                pre,
+                last_index: number(g),
+                last_term: number(g),
+            },
+            1 => MessageBody::VoteReply { pre, granted: flag },
+            2 => MessageBody::Append {
+                previous_index: number(g),
+                previous_term: number(g),
+                commit: number(g),
+                round,
+                entries: entries(g),
+            },
+            3 => MessageBody::AppendReply {
+                accepted: flag,
+                index: number(g),
+                round,
+            },
+            4 => MessageBody::InstallSnapshot {
+                index: number(g),
+                term: number(g),
+                members: members(g),
+                offset: number(g),
+                chunk: Bytes::from(Vec::arbitrary(g)),
+                done: flag,
+                round,
+            },
+            5 => MessageBody::SnapshotReply {
+                index: number(g),
+                offset: number(g),
+                done: flag,
+                round,
+            },
+            _ => MessageBody::Join {
+                peer: Peer::new("c", ""),
+            },
+        };
+        let (from, to, term) = (disk(g), DiskId(1), number(g));
+        Any(Message {
+            from,
+            to,
+            term,
+            body,
+        })
+    }
+}
+
+/// A replica of another version, or one with a fault, sends nonsense: no
+/// message may end the process, and what it says must not be believed so far
+/// that the log has gaps.
+#[test]
+fn step_any_messages() {
+    fn survives(messages: Vec<Any>, voters: u8) -> bool {
+        let mut members = Members::default();
+        for id in 1..=u64::from(voters % 3) + 1 {
+            members.voters.insert(DiskId(id), Peer::default());
+        }
+        let snapshot = Some(Snapshot::initial(members));
+        let restored = Restored {
+            snapshot,
+            ..Restored::default()
+        };
+        let mut now = Instant::now();
+        let mut node = Node::new(DiskId(1), Config::default(), 1, restored, now);
+        let mut applied = 0;
+        for Any(message) in messages {
+            now += Duration::from_millis(300);
+            node.tick(now);
+            node.step(message, now);
+            loop {
+                let ready = node.ready();
+                if ready.is_empty() {
+                    break;
+                }
+                if let Some(snapshot) = &ready.restore {
+                    applied = snapshot.index;
+                }
+                for entry in &ready.committed {
+                    assert_eq!(entry.index, applied + 1);
+                    applied = entry.index;
+                }
+                if let Some(write) = ready.write {
+                    node.persisted(write.number, now);
+                }
+            }
+        }
+        true
+    }
+    QuickCheck::new()
+        .tests(3_000)
+        .rng(Gen::from_size_and_seed(60, 23))
+        .quickcheck(survives as fn(Vec<Any>, u8) -> bool);
+}
+
+/// A follower's disk is full for hours, and the leader's heartbeats go on.
+/// The answers that wait for the disk must not fill the memory.
+#[test]
+fn heartbeats_on_full_disk() {
+    const HEARTBEATS: u64 = 100_000;
+    let mut members = Members::default();
+    for id in 1..=3 {
+        members.voters.insert(DiskId(id), Peer::default());
+    }
+    let snapshot = Some(Snapshot::initial(members));
+    let restored = Restored {
+        snapshot,
+        ..Restored::default()
+    };
+    let now = Instant::now();
+    let mut node = Node::new(DiskId(1), Config::default(), 1, restored, now);
+    let body = EntryBody::Noop;
+    let mut entries = vec![Entry {
+        index: 1,
+        term: 1,
+        body,
+    }];
+    for round in 1..=HEARTBEATS {
+        let (previous_index, previous_term) = if round == 1 { (0, 0) } else { (1, 1) };
+        let body = MessageBody::Append {
+            previous_index,
+            previous_term,
+            commit: 0,
+            round,
+            entries: std::mem::take(&mut entries),
+        };
+        let (from, to, term) = (DiskId(2), DiskId(1), 1);
+        node.step(
+            Message {
+                from,
+                to,
+                term,
+                body,
+            },
+            now,
+        );
+        assert!(node.ready().messages.is_empty());
+    }
+    assert!(node.held_back() < 4, "{} answers wait", node.held_back());
+}
