--- a/crates/control/tests/replicas/main.rs
+++ b/crates/control/tests/replicas/main.rs
@@ -2,6 +2,7 @@
 
 mod cluster;
 mod disks;
+mod http;
 mod leaders;
 mod leases;
 mod operators;
