--- a/crates/agent/src/context.rs
+++ b/crates/agent/src/context.rs
@@ -37,6 +37,15 @@
         }
     }
 
+    /// Notes which instance of the target answers, or that it isn't known.
+    pub fn know_instance(&self, instance: String) {
+        self.status.send_if_modified(|status| {
+            status.instance = instance;
+            // Entries aren't told.
+            false
+        });
+    }
+
     pub fn health(&self) -> Health {
         self.status.borrow().health
     }
--- a/crates/agent/src/crash.rs
+++ b/crates/agent/src/crash.rs
@@ -70,14 +70,17 @@
         let since = state.incident.looking.take().unwrap_or(now);
         let attempts = &mut state.attempts;
         let crashed = match verdict {
-            Verdict::Gone => attempts.end_crashed(now, |known| known.started <= since),
+            Verdict::Gone => {
+                state.cx.know_instance(String::new());
+                attempts.end_crashed(now, |known| known.started <= since)
+            }
             Verdict::Answers(instance) if !instance.is_empty() => {
-                let crashed = attempts.end_crashed(now, |known| known.instance != instance);
-                // Attempts from now on are known to run on this one.
-                state.cx.status.send_if_modified(|status| {
-                    status.instance = instance;
-                    false
+                // What started while it wasn't known which one answers may run on
+                // this one: then it isn't said to have crashed.
+                let crashed = attempts.end_crashed(now, |known| {
+                    !known.instance.is_empty() && known.instance != instance
                 });
+                state.cx.know_instance(instance);
                 crashed
             }
             Verdict::Answers(_) | Verdict::Silent => Vec::new(),
--- a/crates/agent/src/monitor.rs
+++ b/crates/agent/src/monitor.rs
@@ -102,7 +102,8 @@
     /// An engine that doesn't say what it is can't be offered either.
     async fn ask(&mut self) -> Result<Load, Failure> {
         let load = self.cx.outlet.load().await?;
-        if self.profile_age >= PROFILE_LOOKS || self.profile.is_none() {
+        let unknown = self.cx.status.borrow().instance.is_empty();
+        if unknown || self.profile_age >= PROFILE_LOOKS || self.profile.is_none() {
             let profile = match self.cx.outlet.stand() {
                 Stand::Engine => self.cx.outlet.profile().await?,
                 Stand::Service => Profile::default(),
@@ -117,6 +118,7 @@
     /// was started again between two looks.
     fn take_profile(&mut self, profile: Profile) {
         self.profile_age = 0;
+        self.cx.know_instance(profile.instance.clone());
         if self.profile.as_ref() == Some(&profile) {
             return;
         }
@@ -124,11 +126,6 @@
         if former != Some(&profile.instance) {
             self.cache_sequence = 0;
         }
-        let instance = profile.instance.clone();
-        self.cx.status.send_if_modified(|status| {
-            status.instance = instance;
-            false
-        });
         self.profile = Some(profile);
         self.announce(Health::Up);
     }
--- a/crates/agent/tests/crashes.rs
+++ b/crates/agent/tests/crashes.rs
@@ -71,8 +71,8 @@
     })
     .await;
 
-    // The instance that came after is known now: a connection of it that
-    // merely breaks is no crash.
+    // Another instance came after. A connection of it that merely breaks is
+    // no crash.
     let next = caller
         .begin_at_last(|attempt| bench.chat(attempt, 100_000))
         .await;
--- a/crates/agent/tests/refusals.rs
+++ b/crates/agent/tests/refusals.rs
@@ -172,8 +172,10 @@
     })
     .await;
     // A start of it that comes once more runs nothing and isn't "not run".
-    let reply = caller.start(bench.reservation(1, "lot-1")).await;
-    assert!(reply.accepted);
+    let other = bench.caller().await;
+    other.begin(bench.reservation(1, "lot-1")).await;
+    let (_, end) = other.ended(&id(1)).await;
+    assert!(matches!(end, Err(wire::Broken::Ended(end)) if end.end() == End::Lost));
     assert_eq!(service.count("lot-1", "/lots"), 1);
 }
 
@@ -242,13 +244,20 @@
     let bench = agents.block_on(Bench::service(&target, json!({})));
     let (up, address) = (service.handle().clone(), bench.agent.link_address());
     let caller = agents.block_on(async move { up.spawn(Caller::dial(address)).await.unwrap() });
-    agents.spawn(async { std::thread::sleep(Duration::from_secs(3)) });
+    let (began_tx, began) = tokio::sync::oneshot::channel();
+    agents.spawn(async {
+        began_tx.send(()).unwrap();
+        std::thread::sleep(Duration::from_secs(3));
+    });
     let start = wire::proto::Start {
         entry_leased: true,
         ..bench.reservation(1, "lot-1")
     };
     let link = caller.link.clone();
-    let sent = service.spawn(async move { link.call(Body::Start(start), PATIENCE).await });
+    let sent = service.spawn(async move {
+        began.await.unwrap();
+        link.call(Body::Start(start), PATIENCE).await
+    });
     // The agent's runtime goes on only here, and first stands still.
     agents.block_on(async {
         let answer = sent.await.unwrap();
