--- a/crates/admin/src/server.rs
+++ b/crates/admin/src/server.rs
@@ -5,9 +5,10 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -17,7 +18,8 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::{Peer, Response, ServerSettings};
+use crate::linger::Linger;
+use crate::{HalfClose, Peer, Response, ServerSettings};
 
 /// Pause after a failed accept, mostly for want of file descriptors: without
 /// it the loop would spin until one is free.
@@ -102,18 +104,28 @@
     H: Fn(hyper::Request<Incoming>) -> F + Send + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
-    let (head_timeout, drain) = (cfg.head_timeout, cfg.drain);
+    let (head_timeout, drain, half_close) = (cfg.head_timeout, cfg.drain, cfg.half_close);
     async move {
-        let service = service_fn(move |mut req| {
+        let unread = Arc::new(AtomicBool::new(false));
+        let stream = Linger::new(stream, Arc::clone(&unread));
+        let service = service_fn(move |mut req: hyper::Request<Incoming>| {
             req.extensions_mut().insert(Peer(peer));
+            let has_body = !req.body().is_end_stream();
+            let unread = Arc::clone(&unread);
             let response = handler(req);
-            async move { Ok::<Response, Infallible>(response.await) }
+            async move {
+                let response = response.await;
+                // Whoever refuses a request may not have read its body.
+                if has_body && !response.status().is_success() {
+                    unread.store(true, Ordering::Relaxed);
+                }
+                Ok::<Response, Infallible>(response)
+            }
         });
         let mut builder = http1::Builder::new();
         builder.timer(TokioTimer::new());
         builder.header_read_timeout(head_timeout);
-        // Callers may shut down their sending side and still read the answer.
-        builder.half_close(true);
+        builder.half_close(half_close == HalfClose::Reads);
         let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
         let ended = tokio::select! {
             ended = connection.as_mut() => ended,
