--- a/crates/agent/src/crash.rs
+++ b/crates/agent/src/crash.rs
@@ -40,7 +40,7 @@
 /// Whether the target crashed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Verdict {
-    /// It refuses connections.
+    /// It takes no connections.
     Gone,
     /// It answers, or another instance in its place does; empty where targets
     /// don't tell.
@@ -140,17 +140,21 @@
     tokio::spawn(report(Arc::clone(&state.cx), fingerprints));
 }
 
-/// A target that refuses connections has crashed; one that answers, but as
-/// another instance, has been started again since.
+/// A target that refuses connections has crashed, and so has one that breaks
+/// each of them without an answer, as a forwarder with nothing behind it does;
+/// one that answers, but as another instance, was started again since.
 async fn examine(cx: &Context) -> Verdict {
+    let mut verdict = Verdict::Gone;
     for _ in 0..LOOKS {
         match look(cx).await {
             Ok(instance) => return Verdict::Answers(instance),
             Err(Failure::NotRun(_)) => return Verdict::Gone,
-            Err(_) => sleep(PAUSE).await,
+            Err(Failure::Silent(_)) => verdict = Verdict::Silent,
+            Err(Failure::Broken(_) | Failure::EndedEarly(_)) => {}
         }
+        sleep(PAUSE).await;
     }
-    Verdict::Silent
+    verdict
 }
 
 /// The instance that answers; empty where targets don't tell.
--- a/crates/agent/tests/answers.rs
+++ b/crates/agent/tests/answers.rs
@@ -171,10 +171,12 @@
     assert_eq!(caller.length(&id(1)), 4096);
     let fresh = caller.redial(bench.agent.link_address()).await;
     let before = fresh.length(&id(1)) as u64;
-    while fresh.with(&id(1), |taken| taken.end.is_none()) {
+    until("all came", async || {
         let offset = fresh.length(&id(1)) as u64;
         fresh.attach(&id(1), offset).await;
-    }
+        fresh.with(&id(1), |taken| taken.end.is_some())
+    })
+    .await;
     assert!(before > 0);
     assert!(fresh.whole(&id(1)).await.ends_with(b"[DONE]\n\n"));
 }
