--- a/crates/agent/tests/answers.rs
+++ b/crates/agent/tests/answers.rs
@@ -13,13 +13,24 @@
     Engine::start(EngineSettings::default()).await.unwrap()
 }
 
+async fn metric(bench: &Bench, name: &str) -> usize {
+    let text = support::page(bench.agent.http_address(), "/metrics").await;
+    let mut lines = text.lines().filter_map(|line| line.split_once(' '));
+    let (_, value) = lines.find(|(given, _)| *given == name).unwrap();
+    value.trim().parse().unwrap()
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_whole() {
     let engine = engine().await;
     let bench = Bench::engine(&engine, json!({})).await;
     let caller = bench.caller().await;
-    caller.begin(bench.chat(1, 20)).await;
+    let traceparent = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+    let mut start = bench.chat(1, 20);
+    start.traceparent = traceparent.into();
+    caller.begin(start).await;
     let body = caller.whole(&id(1)).await;
+    assert_eq!(engine.seen()[0].header("traceparent"), Some(traceparent));
     assert!(body.ends_with(b"data: [DONE]\n\n"));
     let end = caller.ended(&id(1)).await.1.unwrap();
     assert_eq!(end.usage.unwrap().completion_tokens, 20);
@@ -151,17 +162,25 @@
     caller.expect(&id(1), false);
     caller.begin(bench.chat(1, 2_000)).await;
     until("the window is full", async || caller.length(&id(1)) == 4096).await;
-    let metrics = support::page(bench.agent.http_address(), "/metrics").await;
-    let held = metrics.lines().find(|l| l.starts_with("agent_held_bytes "));
-    let held: usize = held.unwrap().split(' ').nth(1).unwrap().parse().unwrap();
-    assert!(held < 8192 + 1024, "{held} bytes held");
+    // The engine has written all that it is let: nothing more comes for a while.
+    let mut came = 0;
+    until("nothing more comes", async || {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let before = std::mem::replace(&mut came, metric(&bench, "agent_answer_bytes_total").await);
+        before == came
+    })
+    .await;
+    let held = metric(&bench, "agent_held_bytes").await;
+    assert!((4096..8192 + 1024).contains(&held), "{held} bytes held");
     assert_eq!(caller.length(&id(1)), 4096);
     let fresh = caller.redial(bench.agent.link_address()).await;
     let before = fresh.length(&id(1)) as u64;
-    while fresh.with(&id(1), |taken| taken.end.is_none()) {
+    until("all came", async || {
         let offset = fresh.length(&id(1)) as u64;
         fresh.attach(&id(1), offset).await;
-    }
+        fresh.with(&id(1), |taken| taken.end.is_some())
+    })
+    .await;
     assert!(before > 0);
     assert!(fresh.whole(&id(1)).await.ends_with(b"[DONE]\n\n"));
 }
