Test that waiting requests take up a target's room

Cause: the change that counts them had no test: with them left out again, cargo test -p lovageramp-route passed. Change: places_with_requests_waiting, which fails then.

--- a/crates/route/tests/pool.rs
+++ b/crates/route/tests/pool.rs
@@ -260,3 +260,21 @@
         .tests(300)
         .quickcheck(property as fn(Vec<(u8, u8, u8)>, u64) -> bool);
 }
+
+/// Other entries have filled a target, and requests wait there. An entry that
+/// counted only those that run would add its own to the queue, and its callers
+/// would wait though other targets have places.
+#[test]
+fn places_with_requests_waiting() {
+    let now = Instant::now();
+    let (mut pool, keys) = pool_of(1, now);
+    pool.set_share(0.25);
+    let mut load = report(now, 0, 25);
+    load.limit = 8;
+    pool.report(keys[0], &load);
+    assert!((pool.places(now).open - 9.0).abs() < 1e-9);
+    load.queued = 9;
+    pool.report(keys[0], &load);
+    // Its own part is left.
+    assert!((pool.places(now).open - 2.0).abs() < 1e-9);
+}
