Open a span for each hop, pause before retries, look on change only

Cause: the span of an attempt ended as soon as it began, since it was dropped with the message; the roster rebuilt all pools ten times a second whatever changed; an agent with a window below 64 KiB would have waited for ever for an acknowledgement that came each quarter of the entry's own window. Change: spans admission, choice and attempt; a random pause before a further attempt; the roster looks at changes and only advances the queues on a tick; an acknowledgement each KiB, the smallest window that an agent may have; twelve refreshes of the note in place of five.

--- a/crates/entry/src/http/front.rs
+++ b/crates/entry/src/http/front.rs
@@ -225,6 +225,7 @@
 
     /// Lets a request in, if this entry may take new work and its account may
     /// send it.
+    #[tracing::instrument(name = "admission", skip_all, fields(request = %job.id))]
     async fn admit(&self, job: &Job) -> Result<Permit, Problem> {
         if !self.cx.follower.leased(Instant::now()) {
             self.refused("no_lease");
--- a/crates/entry/src/links/news.rs
+++ b/crates/entry/src/links/news.rs
@@ -9,8 +9,10 @@
 /// What the roster is told.
 #[derive(Debug)]
 pub(crate) enum News {
-    /// Time to look again: something changed, or a while has passed.
+    /// Something changed.
     Look,
+    /// A while has passed.
+    Tick,
     /// Another process answers at the agent's address, or a later run of it:
     /// this incarnation is over.
     Gone(Arc<Agent>),
--- a/crates/entry/src/links/roster.rs
+++ b/crates/entry/src/links/roster.rs
@@ -17,8 +17,8 @@
 use super::{Agent, Announced};
 use crate::placement::{Member, Placement};
 
-/// Time after which the roster looks again even if nothing changed.
-const LOOK: Duration = Duration::from_millis(100);
+/// Between two looks at who waits for a place, if nothing changed.
+const TICK: Duration = Duration::from_millis(50);
 
 /// Owns the links to all agents and keeps the pools as the member view, the
 /// note in force and the links themselves say.
@@ -73,6 +73,7 @@
     ) -> Result<(), ActorProcessingErr> {
         match news {
             News::Look => links.look(&myself),
+            News::Tick => links.cx.placement.advance(Instant::now()),
             News::Gone(agent) => {
                 agent.gone.cancel();
                 links.look(&myself);
@@ -98,13 +99,17 @@
     }
 }
 
-/// Has the roster look at each change of what the follower holds, and else
-/// from time to time.
+/// Has the roster look at each change of what the follower holds.
 async fn keep_time(roster: ActorRef<News>, follower: Follower) {
     let mut changed = follower.changed();
-    while roster.send_message(News::Look).is_ok() {
-        // Either outcome means that it is time to look.
-        let _ = timeout(LOOK, changed.changed()).await;
+    let mut news = News::Look;
+    while roster.send_message(news).is_ok() {
+        news = match timeout(TICK, changed.changed()).await {
+            Ok(Ok(())) => News::Look,
+            // The follower is gone, and so is the entry in a moment.
+            Ok(Err(_)) => return,
+            Err(_) => News::Tick,
+        };
     }
 }
 
--- a/crates/entry/src/placement/mod.rs
+++ b/crates/entry/src/placement/mod.rs
@@ -59,6 +59,13 @@
         self.lock().update(now, catalogue, members, entries);
     }
 
+    /// Lets in whoever's turn it is and refuses whose time is over.
+    pub(crate) fn advance(&self, now: Instant) {
+        for state in self.lock().pools.values_mut() {
+            state.advance(now);
+        }
+    }
+
     pub(crate) fn set_quarantine(&self, quarantine: &Quarantine) {
         self.lock().set_quarantine(quarantine);
     }
--- a/crates/entry/src/work/attempt.rs
+++ b/crates/entry/src/work/attempt.rs
@@ -14,6 +14,9 @@
 use crate::Timing;
 use crate::links::{Agent, Listener};
 
+/// Bytes after which an agent hears that they have arrived. It must exceed
+/// no window of an agent, or the agent would wait for ever.
+const ACKNOWLEDGE: u64 = 1 << 10;
 /// Without a frame of a kept attempt before it is attached again.
 const ATTACH_AGAIN: Duration = Duration::from_secs(3);
 
@@ -36,7 +39,6 @@
     link: watch::Receiver<Option<Link>>,
     assembly: Assembly,
     pieces: VecDeque<Piece>,
-    window: usize,
     acknowledged: u64,
     abandon: Abandon,
     over: bool,
@@ -153,7 +155,6 @@
             id,
             link,
             pieces: VecDeque::new(),
-            window,
             acknowledged: 0,
             abandon,
             over: false,
@@ -229,9 +230,9 @@
     /// Tells the agent that what was received so far need not be kept.
     pub(crate) async fn acknowledge(&mut self) {
         let offset = self.assembly.offset();
-        // A quarter of the window at a time keeps the answer flowing without
-        // a message for each event.
-        let due = offset.saturating_sub(self.acknowledged) >= self.window as u64 / 4;
+        // Some bytes at a time keep the answer flowing without a message for
+        // each event.
+        let due = offset.saturating_sub(self.acknowledged) >= ACKNOWLEDGE;
         if !due {
             return;
         }
--- a/crates/entry/src/work/course.rs
+++ b/crates/entry/src/work/course.rs
@@ -7,6 +7,7 @@
 use hyper::StatusCode;
 use route::Ending;
 use tokio::time::sleep;
+use tracing::Span;
 use wire::proto::Refusal;
 
 use super::attempt::{Attempt, Started};
@@ -19,10 +20,13 @@
 /// Pause before looking again for a target with room.
 const LOOK_AGAIN: Duration = Duration::from_millis(10);
 /// Refreshes of the release note for one request.
-const MAX_REFRESHES: u32 = 5;
+const MAX_REFRESHES: u32 = 12;
 /// When to come back after a fault that usually passes in moments.
 pub(crate) const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Longest pause before each further attempt.
+const RETRY_PAUSE: Duration = Duration::from_millis(25);
+
 /// A request on its way: what was tried, and what that says of whether it
 /// ran.
 pub(crate) struct Course {
@@ -39,6 +43,8 @@
 pub(crate) struct Live {
     pub(crate) attempt: Box<Attempt>,
     pub(crate) placed: Placed,
+    /// Open for as long as the attempt.
+    _span: Span,
 }
 
 impl Course {
@@ -58,14 +64,21 @@
     pub(crate) async fn begin(&mut self, at: StartAt) -> Result<Live, Problem> {
         self.wanted.start = at;
         loop {
+            self.pause().await;
             let placed = self.find_place().await?;
-            let start = start_of(&self.cx, &self.job, &placed, at);
+            let (start, span) = start_of(&self.cx, &self.job, &placed, at);
             let agent = Arc::clone(placed.agent());
             self.attempts += 1;
             let window = self.cx.limits.window;
             let started = Attempt::start(&agent, start, window, &self.cx.timing).await;
             let failure = match started {
-                Started::Running(attempt) => return Ok(Live { attempt, placed }),
+                Started::Running(attempt) => {
+                    return Ok(Live {
+                        attempt,
+                        placed,
+                        _span: span,
+                    });
+                }
                 Started::Refused(Refusal::Note) => {
                     placed.end(Ending::Dropped);
                     self.attempts -= 1;
@@ -90,6 +103,15 @@
         }
     }
 
+    /// Waits a moment before a further attempt, each for a time of its own:
+    /// what failed together would else come back together.
+    async fn pause(&self) {
+        if self.attempts > 0 {
+            let pause = RETRY_PAUSE * self.attempts;
+            sleep(pause.mul_f64(rand::random_range(0.0..1.0))).await;
+        }
+    }
+
     /// Says whether the request may be tried again after `failure` at a
     /// target, or what its caller is told.
     pub(crate) fn retry(&mut self, target: &str, failure: Failure) -> Result<(), Problem> {
@@ -127,6 +149,7 @@
     }
 
     /// A target with room, as soon as there is one.
+    #[tracing::instrument(name = "choice", skip_all, fields(request = %self.job.id))]
     pub(crate) async fn find_place(&mut self) -> Result<Placed, Problem> {
         let patience = Instant::now() + self.cx.timing.queue_wait;
         let until = patience.min(self.job.deadline);
--- a/crates/entry/src/work/once.rs
+++ b/crates/entry/src/work/once.rs
@@ -109,12 +109,8 @@
             Ok(placed) => placed,
             Err(problem) => return Ok(Step::Answer(self.records.refuse(problem).await)),
         };
-        let mut start = start_of(
-            &self.course.cx,
-            &self.course.job,
-            &placed,
-            StartAt::Beginning,
-        );
+        let cx = &self.course.cx;
+        let (mut start, _span) = start_of(cx, &self.course.job, &placed, StartAt::Beginning);
         start.keep = true;
         let attempt = start.attempt.clone();
         let agent = placed.agent();
--- a/crates/entry/src/work/open.rs
+++ b/crates/entry/src/work/open.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use tracing::Span;
 use wire::proto::Start;
 
 use super::cx::Cx;
@@ -10,8 +11,9 @@
 use crate::placement::{Placed, StartAt};
 use crate::pool_name::PoolName;
 
-/// Puts the message together that starts an attempt at the chosen place.
-pub(crate) fn start_of(cx: &Cx, job: &Job, placed: &Placed, at: StartAt) -> Start {
+/// Puts the message together that starts an attempt at the chosen place, and
+/// opens the attempt's span.
+pub(crate) fn start_of(cx: &Cx, job: &Job, placed: &Placed, at: StartAt) -> (Start, Span) {
     let now = Instant::now();
     let left = job.deadline.saturating_duration_since(now);
     let (model, service) = match &job.pool {
@@ -20,7 +22,7 @@
     };
     let span = tracing::info_span!("attempt", request = %job.id, target = %placed.agent().name);
     trace::adopt(&span, &job.traceparent);
-    Start {
+    let start = Start {
         attempt: new_attempt(),
         request: Bytes::from(job.id.clone()),
         incarnation: placed.agent().incarnation,
@@ -46,7 +48,8 @@
         keep: false,
         fingerprint: Bytes::copy_from_slice(job.fingerprint.as_bytes()),
         entry_leased: cx.follower.leased(now),
-    }
+    };
+    (start, span)
 }
 
 /// A fresh attempt id.
