Choose only ranks that exist and know warm targets after a restart

Cause: before its first report a target was taken to have rank 0, which stayed beside the reported ones, looked idle and was chosen; an entry that had just started gave all targets a tenth of their places for ten seconds. A call whose entry and agent died together had no test: with the incarnations not compared, all tests passed.

--- a/crates/entry/src/links/announced.rs
+++ b/crates/entry/src/links/announced.rs
@@ -16,6 +16,7 @@
     pub(crate) leaving: bool,
     pub(crate) healthy: bool,
     pub(crate) can_resume: bool,
+    pub(crate) ranks: Vec<u32>,
     pub(crate) adapters: Vec<String>,
     pub(crate) versions: Vec<String>,
 }
@@ -41,6 +42,7 @@
             leaving: node.leaving,
             healthy: target.healthy,
             can_resume: target.can_resume,
+            ranks: target.ranks.clone(),
             adapters: target.adapters.clone(),
             versions: target.versions.clone(),
         })
--- a/crates/entry/src/placement/inner.rs
+++ b/crates/entry/src/placement/inner.rs
@@ -87,7 +87,7 @@
                     queue: self.queue,
                     ..AdmissionSettings::default()
                 };
-                PoolState::new(Tuning::default(), settings)
+                PoolState::new(Tuning::default(), settings, now)
             });
             let distance = |row: &Announced| distance(&self.zone, row, self.zone_distance);
             state.update(now, members, distance);
--- a/crates/entry/src/placement/pool_state.rs
+++ b/crates/entry/src/placement/pool_state.rs
@@ -6,8 +6,8 @@
 
 use rand::rngs::SmallRng;
 use route::{
-    AccountKey, AccountLimits, Admission, AdmissionSettings, Demand, Pool, Refusal, Standing,
-    TargetKey, TicketKey, Tuning,
+    AccountKey, AccountLimits, Admission, AdmissionSettings, Arrival, Demand, Pool, Refusal,
+    Standing, TargetKey, TicketKey, Tuning,
 };
 use tokio::sync::oneshot;
 
@@ -27,10 +27,13 @@
     accounts: BTreeMap<String, AccountKey>,
     slots: BTreeMap<String, Slot>,
     waiters: BTreeMap<TicketKey, Turn>,
+    created: Instant,
     /// When the places were last counted.
     counted: Option<Instant>,
 }
 
+/// Targets that are first heard of within this time ran before the pool did.
+const GETTING_TO_KNOW: Duration = Duration::from_secs(10);
 /// For how long a count of the places holds. Counting looks at each target,
 /// which at hundreds of them is too much for each request.
 const COUNT_HOLDS: Duration = Duration::from_millis(2);
@@ -43,13 +46,14 @@
 }
 
 impl PoolState {
-    pub(super) fn new(tuning: Tuning, settings: AdmissionSettings) -> Self {
+    pub(super) fn new(tuning: Tuning, settings: AdmissionSettings, now: Instant) -> Self {
         PoolState {
             pool: Pool::new(tuning),
             admission: Admission::new(settings),
             accounts: BTreeMap::new(),
             slots: BTreeMap::new(),
             waiters: BTreeMap::new(),
+            created: now,
             counted: None,
         }
     }
@@ -78,11 +82,15 @@
         members: &[&Member],
         distance: impl Fn(&Announced) -> Duration,
     ) {
+        let known = now.saturating_duration_since(self.created) < GETTING_TO_KNOW;
+        let arrival = if known { Arrival::Warm } else { Arrival::Fresh };
         for member in members {
             let name = &member.announced.target;
-            let key = match self.slots.get(name) {
-                Some(slot) => slot.key,
-                None => self.pool.insert(name, distance(&member.announced), now),
+            let key = if let Some(slot) = self.slots.get(name) {
+                slot.key
+            } else {
+                let distance = distance(&member.announced);
+                self.pool.insert(name, distance, arrival, now)
             };
             let slot = Slot {
                 key,
@@ -93,6 +101,7 @@
             if former.is_some_and(|former| !Arc::ptr_eq(&former.agent, &member.agent)) {
                 self.pool.restarted(now, key);
             }
+            self.pool.set_ranks(key, &member.announced.ranks);
             self.pool.set_standing(key, member.standing);
         }
         let pool = &mut self.pool;
--- a/crates/entry/src/work/attempt.rs
+++ b/crates/entry/src/work/attempt.rs
@@ -14,8 +14,8 @@
 use crate::Timing;
 use crate::links::{Agent, Listener};
 
-/// Bytes after which an agent hears that they have arrived. It must exceed
-/// no window of an agent, or the agent would wait for ever.
+/// Bytes after which an agent hears that they have arrived: the smallest
+/// window that an agent may have. With more, such an agent would wait for ever.
 const ACKNOWLEDGE: u64 = 1 << 10;
 /// Without a frame of a kept attempt before it is attached again.
 const ATTACH_AGAIN: Duration = Duration::from_secs(3);
--- a/crates/entry/tests/entry/calls.rs
+++ b/crates/entry/tests/entry/calls.rs
@@ -71,7 +71,7 @@
 }
 
 /// Claims a key as an entry does that dies right afterwards.
-async fn claimed_by_dead_entry(stub: &StubAgent, key: &str) -> Bytes {
+async fn claimed_by_dead_entry(stub: &StubAgent, incarnation: u64, key: &str) -> Bytes {
     let digest = |parts: &[&[u8]]| {
         let mut hasher = Sha256::new();
         for part in parts {
@@ -87,7 +87,7 @@
         digest: digest(&[b"POST", b"/reservations", b"{}"]),
         attempt: attempt.clone(),
         target: stub.name.clone(),
-        incarnation: stub.incarnation,
+        incarnation,
         service: "order-desk".to_owned(),
     };
     let within = std::time::Duration::from_secs(20);
@@ -128,7 +128,7 @@
         answer(&start.attempt, "application/json", "{\"lot\":17}")
     });
     let stub = StubAgent::desk(&cluster, "desk-01", script).await;
-    let dead = claimed_by_dead_entry(&stub, "lot-17").await;
+    let dead = claimed_by_dead_entry(&stub, stub.incarnation, "lot-17").await;
     let reply = first_answer(&caller, "lot-17").await;
     assert_eq!((reply.status, reply.text().as_str()), (200, "{\"lot\":17}"));
     let barred = stub.picked(|body| match body {
@@ -148,7 +148,7 @@
     let (cluster, _entry, caller) = offered().await;
     let script = accept_and(AttemptState::Ended, |_| Vec::new());
     let stub = StubAgent::desk(&cluster, "desk-01", script).await;
-    claimed_by_dead_entry(&stub, "lot-17").await;
+    claimed_by_dead_entry(&stub, stub.incarnation, "lot-17").await;
     let reply = first_answer(&caller, "lot-17").await;
     assert_eq!((reply.status, reply.text().as_str()), (200, "{\"lot\":17}"));
     let again = caller.reserve("lot-17", "{}").await;
@@ -189,3 +189,19 @@
     assert_eq!(again.status, 200, "{}", again.text());
     assert_eq!(service.count("lot-17", "/reservations"), 1);
 }
+
+/// An entry and the agent's host died together while a call ran. The agent
+/// that lives now never heard of the attempt; that it bars it proves nothing
+/// about the former one, and the key must not be freed.
+#[tokio::test(flavor = "multi_thread")]
+async fn reserve_claimed_at_former_incarnation() {
+    let (cluster, _entry, caller) = offered().await;
+    let script = accept_and(AttemptState::Absent, |start| {
+        answer(&start.attempt, "application/json", "{}")
+    });
+    let stub = StubAgent::desk(&cluster, "desk-01", script).await;
+    claimed_by_dead_entry(&stub, stub.incarnation ^ 1, "lot-17").await;
+    let reply = first_answer(&caller, "lot-17").await;
+    assert_eq!((reply.status, reply.ran().as_str()), (409, "unknown"));
+    assert!(stub.starts().is_empty());
+}
--- a/crates/route/benches/policy/choice_cost.rs
+++ b/crates/route/benches/policy/choice_cost.rs
@@ -4,7 +4,9 @@
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use route::{Demand, Ending, Pool, Prefix, RankReport, Report, Standing, TargetKey, Tuning};
+use route::{
+    Arrival, Demand, Ending, Pool, Prefix, RankReport, Report, Standing, TargetKey, Tuning,
+};
 
 const CHOICES: u32 = 200_000;
 
@@ -29,7 +31,12 @@
     let now = Instant::now();
     let mut pool = Pool::new(Tuning::default());
     for i in 0..count {
-        let key: TargetKey = pool.insert(&format!("t{i}"), Duration::from_millis(1), now);
+        let key: TargetKey = pool.insert(
+            &format!("t{i}"),
+            Duration::from_millis(1),
+            Arrival::Fresh,
+            now,
+        );
         pool.set_standing(key, Standing::Ready);
         let rank = RankReport {
             queued_tokens: 37 * (i % 50),
--- a/crates/route/benches/policy/policy.rs
+++ b/crates/route/benches/policy/policy.rs
@@ -5,8 +5,8 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use route::{
-    AccountKey, AccountLimits, Admission, AdmissionSettings, AttemptKey, Choice, Demand, Ending,
-    Pool, Prefix, RankReport, Report, RetryBudget, Standing, TargetKey, Tuning,
+    AccountKey, AccountLimits, Admission, AdmissionSettings, Arrival, AttemptKey, Choice, Demand,
+    Ending, Pool, Prefix, RankReport, Report, RetryBudget, Standing, TargetKey, Tuning,
 };
 
 use crate::server::SLOTS;
@@ -80,7 +80,12 @@
         let mut pool = Pool::new(tuning);
         let mut admission = Admission::new(AdmissionSettings::default());
         let keys = (0..servers).map(|i| {
-            let key = pool.insert(&format!("t{i}"), Duration::from_millis(1), began);
+            let key = pool.insert(
+                &format!("t{i}"),
+                Duration::from_millis(1),
+                Arrival::Fresh,
+                began,
+            );
             pool.set_standing(key, Standing::Ready);
             key
         });
--- a/crates/route/src/place.rs
+++ b/crates/route/src/place.rs
@@ -10,7 +10,7 @@
     pub(crate) key: AttemptKey,
     pub(crate) target: TargetKey,
     pub(crate) incarnation: Instant,
-    pub(crate) rank: usize,
+    pub(crate) rank: u32,
     pub(crate) tokens: u32,
     pub(crate) suspicion: Suspicion,
     pub(crate) started: Instant,
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -9,19 +9,20 @@
 use crate::place::Place;
 use crate::target::{Estimate, Target};
 use crate::{
-    AttemptKey, Choice, Demand, Ending, Places, Report, Standing, Suspicion, TargetKey, Tuning,
+    Arrival, AttemptKey, Choice, Demand, Ending, Places, Report, Standing, Suspicion, TargetKey,
+    Tuning,
 };
 
 /// The targets that one kind of request may be sent to.
 ///
 /// ```
 /// use rand::{SeedableRng, rngs::SmallRng};
-/// use route::{Demand, Pool, Standing, Tuning};
+/// use route::{Arrival, Demand, Pool, Standing, Tuning};
 /// use std::time::{Duration, Instant};
 ///
 /// let now = Instant::now();
 /// let mut pool = Pool::new(Tuning::default());
-/// let key = pool.insert("advisor-01", Duration::from_millis(1), now);
+/// let key = pool.insert("advisor-01", Duration::from_millis(1), Arrival::Warm, now);
 /// pool.set_standing(key, Standing::Ready);
 ///
 /// let mut rng = SmallRng::seed_from_u64(1);
@@ -59,11 +60,27 @@
 
     /// Adds a target at a network distance; it is absent until its standing
     /// is set.
-    pub fn insert(&mut self, name: &str, distance: Duration, now: Instant) -> TargetKey {
-        let target = Target::new(name, distance, now, &self.tuning);
+    pub fn insert(
+        &mut self,
+        name: &str,
+        distance: Duration,
+        arrival: Arrival,
+        now: Instant,
+    ) -> TargetKey {
+        let mut target = Target::new(name, distance, now, &self.tuning);
+        if arrival == Arrival::Warm {
+            target.set_warm();
+        }
         self.targets.insert(target)
     }
 
+    /// Sets which ranks a target has; load reports say so too.
+    pub fn set_ranks(&mut self, key: TargetKey, ranks: &[u32]) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.set_ranks(ranks);
+        }
+    }
+
     /// Takes a target out for good.
     pub fn remove(&mut self, key: TargetKey) {
         self.targets.remove(key);
@@ -151,7 +168,11 @@
     pub fn choose(&self, now: Instant, demand: &Demand<'_>, rng: &mut impl Rng) -> Option<Choice> {
         let best = self.best_of_sample(now, demand, rng);
         let best = best.or_else(|| self.best_of(now, demand, self.ready.iter().copied()));
-        best.map(|(key, estimate)| self.choice(key, estimate))
+        best.map(|(target, estimate)| Choice {
+            target,
+            rank: estimate.rank,
+            expected: Duration::try_from_secs_f64(estimate.seconds).unwrap_or(Duration::MAX),
+        })
     }
 
     /// Registers an attempt at the chosen place.
@@ -159,20 +180,19 @@
         let Some(target) = self.targets.get_mut(choice.target) else {
             return AttemptKey::default();
         };
-        let rank = target.rank_index(choice.rank);
         let incarnation = target.arrived();
         let key = self.attempts.insert_with_key(|key| Place {
             key,
             target: choice.target,
             incarnation,
-            rank,
+            rank: choice.rank,
             tokens: demand.tokens,
             suspicion: demand.suspicion,
             started: now,
             expected: choice.expected.as_secs_f64(),
             first: None,
         });
-        target.started(now, key, rank, demand);
+        target.started(now, key, choice.rank, demand);
         key
     }
 
@@ -295,15 +315,6 @@
             && target.room(now, &self.tuning) >= 1.0
     }
 
-    fn choice(&self, key: TargetKey, estimate: Estimate) -> Choice {
-        let rank = self.targets.get(key).map(|t| t.rank_number(estimate.rank));
-        Choice {
-            target: key,
-            rank: rank.unwrap_or(0),
-            expected: Duration::try_from_secs_f64(estimate.seconds).unwrap_or(Duration::MAX),
-        }
-    }
-
     fn rebuild(&mut self) {
         let ready = self
             .targets
--- a/crates/route/src/rank.rs
+++ b/crates/route/src/rank.rs
@@ -33,7 +33,11 @@
 }
 
 impl Rank {
-    pub(crate) fn new(report: RankReport) -> Self {
+    pub(crate) fn new(number: u32) -> Self {
+        let report = RankReport {
+            rank: number,
+            ..RankReport::default()
+        };
         Rank {
             report,
             ..Rank::default()
--- a/crates/route/src/target.rs
+++ b/crates/route/src/target.rs
@@ -8,7 +8,7 @@
 use crate::ejection::Ejection;
 use crate::place::Place;
 use crate::rank::Rank;
-use crate::{AttemptKey, Demand, Limit, RankReport, Report, Standing, Suspicion, Tuning};
+use crate::{Arrival, AttemptKey, Demand, Limit, Report, Standing, Suspicion, Tuning};
 
 /// Weight of a new observation in a moving average.
 const SMOOTHING: f64 = 0.1;
@@ -34,6 +34,7 @@
     distance: f64,
     ranks: Vec<Rank>,
     since: Instant,
+    arrival: Arrival,
     reported: Option<Instant>,
     /// Requests that waited for a place when the last report was taken.
     queued: f64,
@@ -48,7 +49,7 @@
 /// The rank that suits a request best, and the expected seconds there.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Estimate {
-    pub(crate) rank: usize,
+    pub(crate) rank: u32,
     pub(crate) seconds: f64,
 }
 
@@ -66,6 +67,7 @@
             distance: distance.as_secs_f64(),
             ranks: vec![Rank::default()],
             since: now,
+            arrival: Arrival::Fresh,
             reported: None,
             queued: 0.0,
             factor: 1.0,
@@ -74,6 +76,11 @@
         }
     }
 
+    /// A target that has run for long already.
+    pub(crate) fn set_warm(&mut self) {
+        self.arrival = Arrival::Warm;
+    }
+
     /// Forgets what was learnt of the former incarnation.
     pub(crate) fn restart(&mut self, now: Instant, tuning: &Tuning) {
         self.ejection = Ejection::default();
@@ -84,6 +91,7 @@
         self.own_suspects = 0;
         self.waiting.clear();
         self.since = now;
+        self.arrival = Arrival::Fresh;
         self.reported = None;
         self.queued = 0.0;
         self.factor = 1.0;
@@ -95,21 +103,37 @@
         }
         self.reported = Some(report.taken);
         self.queued = f64::from(report.queued);
+        let numbers: Vec<u32> = report.ranks.iter().map(|row| row.rank).collect();
+        self.set_ranks(&numbers);
         for row in &report.ranks {
-            self.rank_mut(*row).reported(*row, report.taken);
+            if let Some(rank) = self.rank_mut(row.rank) {
+                rank.reported(*row, report.taken);
+            }
         }
         if report.limit > 0 {
             self.limit.set_ceiling(f64::from(report.limit));
         }
     }
 
-    fn rank_mut(&mut self, row: RankReport) -> &mut Rank {
-        let found = self.ranks.iter().position(|r| r.report.rank == row.rank);
-        let index = found.unwrap_or_else(|| {
-            self.ranks.push(Rank::new(row));
-            self.ranks.len() - 1
-        });
-        &mut self.ranks[index]
+    /// Sets which ranks the target has, and keeps what is known of those that
+    /// stay. One that it doesn't have would look idle and be chosen.
+    pub(crate) fn set_ranks(&mut self, numbers: &[u32]) {
+        if numbers.is_empty() {
+            return;
+        }
+        self.ranks
+            .retain(|rank| numbers.contains(&rank.report.rank));
+        for number in numbers {
+            if self.rank_mut(*number).is_none() {
+                self.ranks.push(Rank::new(*number));
+            }
+        }
+    }
+
+    fn rank_mut(&mut self, number: u32) -> Option<&mut Rank> {
+        self.ranks
+            .iter_mut()
+            .find(|rank| rank.report.rank == number)
     }
 
     /// The best rank for the request and the time to first token there.
@@ -120,8 +144,7 @@
         let best = self
             .ranks
             .iter()
-            .enumerate()
-            .map(|(i, rank)| (i, seconds(rank)))
+            .map(|rank| (rank.report.rank, seconds(rank)))
             .min_by(|a, b| a.1.total_cmp(&b.1));
         let (rank, prefill) = best.unwrap_or((0, 0.0));
         let served =
@@ -179,7 +202,7 @@
     /// How much of its full load the target is given, in (0, 1].
     pub(crate) fn warmth(&self, now: Instant, tuning: &Tuning) -> f64 {
         let age = now.saturating_duration_since(self.since);
-        if age >= tuning.slow_start {
+        if self.arrival == Arrival::Warm || age >= tuning.slow_start {
             return 1.0;
         }
         (age.as_secs_f64() / tuning.slow_start.as_secs_f64()).max(SLOW_START_FLOOR)
@@ -203,20 +226,11 @@
         f64::from(self.own_running) / (self.limit.current() * tuning.share).max(1.0)
     }
 
-    pub(crate) fn rank_index(&self, number: u32) -> usize {
-        let found = self.ranks.iter().position(|r| r.report.rank == number);
-        found.unwrap_or(0)
-    }
-
-    pub(crate) fn rank_number(&self, index: usize) -> u32 {
-        self.ranks.get(index).map_or(0, |rank| rank.report.rank)
-    }
-
     pub(crate) fn started(
         &mut self,
         now: Instant,
         key: AttemptKey,
-        rank: usize,
+        rank: u32,
         demand: &Demand<'_>,
     ) {
         self.own_running += 1;
@@ -225,7 +239,7 @@
         }
         self.waiting.insert((now, key));
         self.cache.sent(demand.prefix);
-        if let Some(rank) = self.ranks.get_mut(rank) {
+        if let Some(rank) = self.rank_mut(rank) {
             rank.started(now, demand.tokens);
         }
     }
@@ -249,7 +263,7 @@
 
     pub(crate) fn prefilled(&mut self, now: Instant, place: &Place) {
         self.waiting.remove(&(place.started, place.key));
-        if let Some(rank) = self.ranks.get_mut(place.rank) {
+        if let Some(rank) = self.rank_mut(place.rank) {
             rank.prefilled(now, place.tokens);
         }
     }
@@ -262,7 +276,7 @@
         if place.suspicion == Suspicion::Suspect {
             self.own_suspects = self.own_suspects.saturating_sub(1);
         }
-        if let Some(rank) = self.ranks.get_mut(place.rank) {
+        if let Some(rank) = self.rank_mut(place.rank) {
             rank.ended(now);
         }
     }
--- a/crates/route/tests/pool.rs
+++ b/crates/route/tests/pool.rs
@@ -5,7 +5,8 @@
 use quickcheck::{Gen, QuickCheck};
 use rand::{SeedableRng, rngs::SmallRng};
 use route::{
-    Demand, Ending, Pool, Prefix, RankReport, Report, Standing, Suspicion, TargetKey, Tuning,
+    Arrival, Demand, Ending, Pool, Prefix, RankReport, Report, Standing, Suspicion, TargetKey,
+    Tuning,
 };
 
 const NEAR: Duration = Duration::from_millis(1);
@@ -17,7 +18,7 @@
     };
     let mut pool = Pool::new(tuning);
     let keys = (0..count).map(|i| {
-        let key = pool.insert(&format!("t{i}"), NEAR, now);
+        let key = pool.insert(&format!("t{i}"), NEAR, Arrival::Fresh, now);
         pool.set_standing(key, Standing::Ready);
         key
     });
@@ -203,7 +204,7 @@
 fn restarted_slow_start() {
     let now = Instant::now();
     let mut pool = Pool::new(Tuning::default());
-    let key = pool.insert("t", NEAR, now);
+    let key = pool.insert("t", NEAR, Arrival::Fresh, now);
     pool.set_standing(key, Standing::Ready);
     let later = now + Duration::from_mins(1);
     let full = pool.places(later).open;
@@ -278,3 +279,30 @@
     // Its own part is left.
     assert!((pool.places(now).open - 2.0).abs() < 1e-9);
 }
+
+/// A target's only rank is number 2. One that it doesn't have looks idle; a
+/// request sent there would be refused or run on the wrong rank.
+#[test]
+fn choose_rank_that_exists() {
+    let now = Instant::now();
+    let (mut pool, keys) = pool_of(1, now);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let demand = Demand::of_tokens(10);
+    pool.set_ranks(keys[0], &[2]);
+    assert_eq!(pool.choose(now, &demand, &mut rng).unwrap().rank, 2);
+    let mut load = report(now, 5000, 25);
+    load.ranks[0].rank = 3;
+    pool.report(keys[0], &load);
+    assert_eq!(pool.choose(now, &demand, &mut rng).unwrap().rank, 3);
+}
+
+/// An entry is restarted. The targets were busy all along, and leaving their
+/// places idle would refuse callers for nothing.
+#[test]
+fn insert_warm_full_places() {
+    let now = Instant::now();
+    let mut pool = Pool::new(Tuning::default());
+    let key = pool.insert("t", NEAR, Arrival::Warm, now);
+    pool.set_standing(key, Standing::Ready);
+    assert!(pool.places(now).open >= 64.0);
+}
