--- a/crates/route/tests/pool.rs
+++ b/crates/route/tests/pool.rs
@@ -5,7 +5,8 @@
 use quickcheck::{Gen, QuickCheck};
 use rand::{SeedableRng, rngs::SmallRng};
 use route::{
-    Demand, Ending, Pool, Prefix, RankReport, Report, Standing, Suspicion, TargetKey, Tuning,
+    Arrival, Demand, Ending, Pool, Prefix, RankReport, Report, Standing, Suspicion, TargetKey,
+    Tuning,
 };
 
 const NEAR: Duration = Duration::from_millis(1);
@@ -17,7 +18,7 @@
     };
     let mut pool = Pool::new(tuning);
     let keys = (0..count).map(|i| {
-        let key = pool.insert(&format!("t{i}"), NEAR, now);
+        let key = pool.insert(&format!("t{i}"), NEAR, Arrival::Fresh, now);
         pool.set_standing(key, Standing::Ready);
         key
     });
@@ -29,6 +30,7 @@
     Report {
         taken,
         limit: 64,
+        queued: 0,
         ranks: vec![RankReport {
             rank: 0,
             running: 0,
@@ -202,13 +204,14 @@
 fn restarted_slow_start() {
     let now = Instant::now();
     let mut pool = Pool::new(Tuning::default());
-    let key = pool.insert("t", NEAR, now);
+    let key = pool.insert("t", NEAR, Arrival::Fresh, now);
     pool.set_standing(key, Standing::Ready);
     let later = now + Duration::from_mins(1);
-    let full = pool.places(later);
+    let full = pool.places(later).open;
     pool.restarted(later, key);
-    assert!(pool.places(later) < full / 5.0);
-    assert!((pool.places(later + Duration::from_secs(10)) - full).abs() < 1e-9);
+    assert!(pool.places(later).open < full / 5.0);
+    let warm = pool.places(later + Duration::from_secs(10)).open;
+    assert!((warm - full).abs() < 1e-9);
 }
 
 #[test]
@@ -258,3 +261,48 @@
         .tests(300)
         .quickcheck(property as fn(Vec<(u8, u8, u8)>, u64) -> bool);
 }
+
+/// Other entries have filled a target, and requests wait there. An entry that
+/// counted only those that run would add its own to the queue, and its callers
+/// would wait though other targets have places.
+#[test]
+fn places_with_requests_waiting() {
+    let now = Instant::now();
+    let (mut pool, keys) = pool_of(1, now);
+    pool.set_share(0.25);
+    let mut load = report(now, 0, 25);
+    load.limit = 8;
+    pool.report(keys[0], &load);
+    assert!((pool.places(now).open - 9.0).abs() < 1e-9);
+    load.queued = 9;
+    pool.report(keys[0], &load);
+    // Its own part is left.
+    assert!((pool.places(now).open - 2.0).abs() < 1e-9);
+}
+
+/// A target's only rank is number 2. One that it doesn't have looks idle; a
+/// request sent there would be refused or run on the wrong rank.
+#[test]
+fn choose_rank_that_exists() {
+    let now = Instant::now();
+    let (mut pool, keys) = pool_of(1, now);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let demand = Demand::of_tokens(10);
+    pool.set_ranks(keys[0], &[2]);
+    assert_eq!(pool.choose(now, &demand, &mut rng).unwrap().rank, 2);
+    let mut load = report(now, 5000, 25);
+    load.ranks[0].rank = 3;
+    pool.report(keys[0], &load);
+    assert_eq!(pool.choose(now, &demand, &mut rng).unwrap().rank, 3);
+}
+
+/// An entry is restarted. The targets were busy all along, and leaving their
+/// places idle would refuse callers for nothing.
+#[test]
+fn insert_warm_full_places() {
+    let now = Instant::now();
+    let mut pool = Pool::new(Tuning::default());
+    let key = pool.insert("t", NEAR, Arrival::Warm, now);
+    pool.set_standing(key, Standing::Ready);
+    assert!(pool.places(now).open >= 64.0);
+}
