Kick the expert-map search out of its dead ends

A steady drift near the surprise limit was a surprise for ever, so its trend was never learnt (forecast_follows_drift failed). A straggler had to keep all its slots filled.

A spare copy may be given up without a load. Surprises count towards the usual error; level 0.6, trend 0.3, damping 0.9.

--- a/crates/expert/src/estimate.rs
+++ b/crates/expert/src/estimate.rs
@@ -83,14 +83,18 @@
         let first = self.totals[layer] <= 0.0;
         let error = self.error(layer, tokens, total);
         let usual = self.usual_error[layer];
-        let surprised = error > self.settings.surprise * usual + ERROR_FLOOR;
+        let most = self.settings.surprise * usual + ERROR_FLOOR;
+        let surprised = error > most;
         let weight = match (first, surprised) {
             (true, _) => 1.0,
             (false, true) => LEVEL_AFTER_SURPRISE.max(self.settings.level),
             (false, false) => self.settings.level,
         };
-        if !first && !surprised {
-            self.usual_error[layer] = usual + ERROR_WEIGHT * (error - usual);
+        if !first {
+            // A surprise counts too, up to its limit: a steady drift just
+            // beyond it would otherwise be a surprise for ever, and its trend
+            // never be learnt.
+            self.usual_error[layer] = usual + ERROR_WEIGHT * (error.min(most) - usual);
         }
         let damping = self.settings.damping;
         let (levels, trends) = (self.level.layer_mut(layer), self.trend.layer_mut(layer));
--- a/crates/expert/src/estimate_settings.rs
+++ b/crates/expert/src/estimate_settings.rs
@@ -19,9 +19,9 @@
 impl Default for EstimateSettings {
     fn default() -> EstimateSettings {
         EstimateSettings {
-            level: 0.4,
-            trend: 0.2,
-            damping: 0.8,
+            level: 0.6,
+            trend: 0.3,
+            damping: 0.9,
             surprise: 3.0,
             ahead: 2,
         }
--- a/crates/expert/src/plan.rs
+++ b/crates/expert/src/plan.rs
@@ -7,6 +7,8 @@
 pub struct Plan {
     /// The map; what was planned from if no move pays.
     pub map: Map,
+    /// Whether that map is another one than before.
+    pub is_change: bool,
     /// Experts that the ranks have to load.
     pub loads: u64,
     /// Of these, experts that no live rank held.
@@ -29,6 +31,7 @@
     pub(crate) fn stay(map: &Map) -> Plan {
         Plan {
             map: map.clone(),
+            is_change: false,
             loads: 0,
             repairs: 0,
             homeless: 0,
@@ -38,10 +41,4 @@
             cost: 0.0,
         }
     }
-
-    /// Whether there is anything to switch to.
-    #[must_use]
-    pub fn is_change(&self) -> bool {
-        self.loads > 0
-    }
 }
--- a/crates/expert/src/planner.rs
+++ b/crates/expert/src/planner.rs
@@ -90,6 +90,7 @@
         }
         let loads = next.loads_after(map) as u64;
         Plan {
+            is_change: next != *map,
             map: next,
             loads,
             repairs,
--- a/crates/expert/src/search/chain.rs
+++ b/crates/expert/src/search/chain.rs
@@ -1,10 +1,13 @@
 //! A sequence of moves for one layer, and which part of it to carry out.
 
-use crate::search::{Candidate, LayerState, delta::Delta, moves};
+use crate::search::{Candidate, LayerState, delta::Delta, kick::kick, moves};
 
 /// Longest chain, so that planning ends whatever the load.
 const LONGEST: usize = 512;
 
+/// Most kicks in one chain.
+const KICKS: usize = 32;
+
 /// A sequence of moves for one layer, each made for the state that the
 /// former leave.
 #[derive(Debug)]
@@ -44,17 +47,28 @@
             times: vec![state.slowest().1],
             loads: vec![0],
         };
-        let (mut time, mut loads) = (state.slowest().1, 0);
+        let (mut time, mut loads, mut kicks) = (state.slowest().1, 0, 0);
         while chain.moves.len() < LONGEST && time - even > least_saved {
-            let Some(candidate) = moves::best(&state, delta) else {
+            let next = if let Some(candidate) = moves::best(&state, moves::FEW, delta)
+                .or_else(|| moves::best(&state, usize::MAX, delta))
+            {
+                vec![candidate]
+            } else if kicks < KICKS
+                && let Some(moves) = kick(&state, delta)
+            {
+                kicks += 1;
+                moves
+            } else {
                 break;
             };
-            state.apply(candidate, delta);
-            time = state.slowest().1;
-            loads += candidate.loads();
-            chain.moves.push(candidate);
-            chain.times.push(time);
-            chain.loads.push(loads);
+            for candidate in next {
+                state.apply(candidate, delta);
+                time = state.slowest().1;
+                loads += candidate.loads();
+                chain.moves.push(candidate);
+                chain.times.push(time);
+                chain.loads.push(loads);
+            }
         }
         chain
     }
--- a/crates/expert/src/search/layer_state.rs
+++ b/crates/expert/src/search/layer_state.rs
@@ -128,7 +128,11 @@
     pub(crate) fn measure(&self, candidate: Candidate, delta: &mut Delta) {
         delta.clear();
         match candidate {
-            Candidate::Put { slot, expert } => self.measure_put(slot, expert, delta),
+            Candidate::Drop { slot } => self.measure_drop(slot, delta),
+            Candidate::Put { slot, expert } => {
+                self.measure_drop(slot, delta);
+                self.measure_add(self.rank_of(slot), expert, delta);
+            }
             Candidate::Swap { a, b } => {
                 let (rank_a, rank_b) = (self.rank_of(a), self.rank_of(b));
                 let tokens = |slot: usize| {
@@ -142,7 +146,7 @@
         }
     }
 
-    fn measure_put(&self, slot: usize, expert: u16, delta: &mut Delta) {
+    fn measure_drop(&self, slot: usize, delta: &mut Delta) {
         let rank = self.rank_of(slot);
         let former = self.slots[slot];
         if former != NO_EXPERT {
@@ -154,6 +158,9 @@
                 delta.add(holder, change * self.rank_cost(holder));
             }
         }
+    }
+
+    fn measure_add(&self, rank: u16, expert: u16, delta: &mut Delta) {
         let copies = self.copies(expert);
         let share = self.share(usize::from(expert), copies + 1);
         let less = self.share(usize::from(expert), copies) - share;
@@ -170,12 +177,11 @@
             self.time[rank] += change;
         }
         match candidate {
+            Candidate::Drop { slot } => self.clear(slot),
             Candidate::Put { slot, expert } => {
+                self.clear(slot);
+                self.slots[slot] = expert;
                 let rank = self.rank_of(slot);
-                let former = std::mem::replace(&mut self.slots[slot], expert);
-                if former != NO_EXPERT {
-                    self.holders[usize::from(former)].retain(|&holder| holder != rank);
-                }
                 self.holders[usize::from(expert)].push(rank);
             }
             Candidate::Swap { a, b } => {
@@ -190,6 +196,14 @@
             }
         }
     }
+
+    fn clear(&mut self, slot: usize) {
+        let rank = self.rank_of(slot);
+        let former = std::mem::replace(&mut self.slots[slot], NO_EXPERT);
+        if former != NO_EXPERT {
+            self.holders[usize::from(former)].retain(|&holder| holder != rank);
+        }
+    }
 }
 
 /// Ranks are numbered by `u16` throughout.
--- a/crates/expert/src/search/mod.rs
+++ b/crates/expert/src/search/mod.rs
@@ -3,6 +3,7 @@
 mod candidate;
 mod chain;
 mod delta;
+mod kick;
 mod layer_state;
 mod moves;
 mod repair;
--- a/crates/expert/src/search/moves.rs
+++ b/crates/expert/src/search/moves.rs
@@ -2,8 +2,8 @@
 
 use crate::search::{Candidate, LayerState, NO_EXPERT, delta::Delta};
 
-/// Ranks, least busy first, that are tried as takers of load.
-const TAKERS: usize = 16;
+/// Ranks, least busy first, that are tried as takers of load at first.
+pub(crate) const FEW: usize = 16;
 
 /// Relief below this share of the slowest rank's time is taken for none.
 const LEAST_RELIEF: f64 = 1e-6;
@@ -17,13 +17,13 @@
 /// slow, and then relieving one changes nothing yet. Candidates are therefore
 /// compared by the drop of the sum of the eighth powers of the rank times,
 /// which is ruled by the slowest ranks and still falls with each of them.
-pub(crate) fn best(state: &LayerState<'_>, delta: &mut Delta) -> Option<Candidate> {
+pub(crate) fn best(state: &LayerState<'_>, count: usize, delta: &mut Delta) -> Option<Candidate> {
     let (slowest, limit) = state.slowest();
     if limit <= 0.0 {
         return None;
     }
     let mut best = None;
-    let takers = takers(state, slowest);
+    let takers = takers(state, slowest, count);
     let start = slowest * state.width;
     for slot in start..start + state.width {
         if state.slots[slot] != NO_EXPERT {
@@ -31,6 +31,9 @@
                 try_taker(state, slot, taker, limit, delta, &mut best);
             }
         }
+        if state.slots[slot] != NO_EXPERT && state.is_spare(slot) {
+            consider(state, Candidate::Drop { slot }, limit, delta, &mut best);
+        }
         if state.is_spare(slot) {
             try_replacing(state, slot, limit, delta, &mut best);
         }
@@ -39,14 +42,14 @@
 }
 
 /// The least busy live ranks.
-fn takers(state: &LayerState<'_>, slowest: usize) -> Vec<usize> {
+fn takers(state: &LayerState<'_>, slowest: usize, count: usize) -> Vec<usize> {
     let mut ranks: Vec<usize> = (0..state.time.len())
         .filter(|&rank| rank != slowest && state.is_live(rank))
         .collect();
     let by_time = |a: &usize, b: &usize| state.time[*a].total_cmp(&state.time[*b]).then(a.cmp(b));
-    if ranks.len() > TAKERS {
-        ranks.select_nth_unstable_by(TAKERS, by_time);
-        ranks.truncate(TAKERS);
+    if ranks.len() > count {
+        ranks.select_nth_unstable_by(count, by_time);
+        ranks.truncate(count);
     }
     ranks.sort_unstable_by(by_time);
     ranks
@@ -110,28 +113,22 @@
     best: &mut Best,
 ) {
     state.measure(candidate, delta);
-    let Some(relief) = relief(state, limit, delta) else {
-        return;
-    };
-    let score = relief / f64::from(candidate.loads());
+    let relief = relief(state, limit, delta);
+    // What needs no load is scored as if it needed half of one, lest it go
+    // before everything however little it helps.
+    let score = relief / f64::from(candidate.loads()).max(0.5);
     if score > best.map_or(LEAST_RELIEF, |(score, _)| score) {
         *best = Some((score, candidate));
     }
 }
 
-/// Drop of the sum of powers, or `None` if a rank ends as slow as the
-/// slowest is now.
-fn relief(state: &LayerState<'_>, limit: f64, delta: &Delta) -> Option<f64> {
-    let mut relief = 0.0;
-    for (rank, change) in delta.iter() {
+/// Drop of the sum of powers, in units of the slowest rank's.
+fn relief(state: &LayerState<'_>, limit: f64, delta: &Delta) -> f64 {
+    let relief = delta.iter().map(|(rank, change)| {
         let before = state.time[rank] / limit;
-        let after = before + change / limit;
-        if after >= 1.0 && change > 0.0 {
-            return None;
-        }
-        relief += eighth_power(before) - eighth_power(after);
-    }
-    Some(relief)
+        eighth_power(before) - eighth_power(before + change / limit)
+    });
+    relief.sum()
 }
 
 fn eighth_power(value: f64) -> f64 {
