Switch expert maps by a decision in the durable state

Cause: nothing takes the ranks of a group from one map to the next.

Change: expert::Coordinator and expert::Participant, pure. Stage at all, all promise to stop before the barrier, decision committed in Decisions, outcome to all. A promise is dropped only on a decision; who has not heard asks the durable state. A new coordinator aborts the next version before it stages, so a version never has two contents. Orders to the engine go one at a time and are read back; after a lost answer nothing but reads goes out until the order must have come or gone, as an engine may ignore fencing numbers.

Found by the schedules: a second switch committed before the first one's barrier displaced the first in the engine, so that one rank skipped a map (two maps in one step). A participant now calls a commit applied only once the map is in use.

Guards taken out, and what failed: commit without all promises switch_one_map_in_every_step next version not aborted on open switch_one_map_in_every_step hold not read back switch_one_map_in_every_step former life not learnt switch_one_map_in_every_step second map over a pending one switch_one_map_in_every_step decision under an old number decide_old_fencing stage over a promise on_message_stage_while_promised order after a lost answer on_engine_answer_lost old coordinator's message on_message_old_fencing late message of a past switch on_message_late_stage hold after the barrier on_message_barrier_passed The last five pass the random schedules without their guard: others stand behind them. Not covered: an engine that restarts and runs on before its agent gave it a map; the border has no call by which it would wait.

--- /dev/null
+++ b/crates/expert/src/participant.rs
@@ -0,0 +1,362 @@
+//! Takes one engine through the map switches of its group.
+
+use crate::goal::{Attempt, Goal};
+use crate::{
+    CoordinatorMessage, Decision, EngineState, ParticipantMessage, ParticipantOutput, Standing,
+    SwitchTiming, Verdict,
+};
+use bytes::Bytes;
+use std::time::Instant;
+
+/// Takes one engine through the map switches of its group.
+///
+/// Orders to the engine are given one at a time, and what an order did is
+/// read back before anything is said to the coordinator: an answer may be
+/// lost, and an engine that ignores fencing numbers obeys whatever arrives.
+/// The agent is the only way to its engine, so what is refused here never
+/// reaches it.
+#[derive(Clone, Debug)]
+pub struct Participant {
+    pub(crate) timing: SwitchTiming,
+    /// Highest fencing number seen.
+    pub(crate) fencing: u64,
+    /// Highest version that is known to be decided and done with here.
+    pub(crate) resolved: u64,
+    pub(crate) goal: Goal,
+    /// As last read; `None` if an order was given since.
+    pub(crate) engine: Option<EngineState>,
+    /// Whether the goal was reached with the state last read.
+    pub(crate) told: bool,
+    /// When the order in flight is given up.
+    pub(crate) order_until: Option<Instant>,
+    /// Until when an order that was given up may still be obeyed.
+    pub(crate) quiet_until: Option<Instant>,
+    /// When the durable state is asked, if it is to be asked.
+    pub(crate) ask_at: Option<Instant>,
+    /// When the engine is read again.
+    pub(crate) read_at: Instant,
+}
+
+impl Participant {
+    /// A participant that knows nothing yet: it reads the engine and the
+    /// durable state before it gives an order.
+    ///
+    /// ```
+    /// use expert::{EngineOrder, Participant, ParticipantOutput, SwitchTiming};
+    ///
+    /// let now = std::time::Instant::now();
+    /// let mut participant = Participant::new(SwitchTiming::default(), now);
+    /// let outputs = participant.tick(now + SwitchTiming::default().ghost);
+    /// assert_eq!(outputs[0], ParticipantOutput::Order(EngineOrder::Read));
+    /// ```
+    #[must_use]
+    pub fn new(timing: SwitchTiming, now: Instant) -> Participant {
+        Participant {
+            timing,
+            fencing: 0,
+            resolved: 0,
+            goal: Goal::Learn,
+            engine: None,
+            told: false,
+            order_until: None,
+            // An order of a former life may still be on its way.
+            quiet_until: Some(now + timing.ghost),
+            ask_at: None,
+            read_at: now,
+        }
+    }
+
+    /// Highest fencing number seen.
+    #[must_use]
+    pub fn fencing(&self) -> u64 {
+        self.fencing
+    }
+
+    /// The engine as last read.
+    #[must_use]
+    pub fn engine(&self) -> Option<EngineState> {
+        self.engine
+    }
+
+    /// Takes in a message of the coordinator `from`.
+    pub fn on_message(
+        &mut self,
+        from: &str,
+        message: CoordinatorMessage,
+        now: Instant,
+    ) -> Vec<ParticipantOutput> {
+        match message {
+            CoordinatorMessage::Stage {
+                fencing,
+                version,
+                map,
+            } => {
+                if let Some(refusal) = self.refuse(from, fencing) {
+                    return vec![refusal];
+                }
+                let attempt = Attempt {
+                    coordinator: Some(from.to_owned()),
+                    fencing,
+                    version,
+                    map,
+                };
+                self.stage(attempt, now);
+            }
+            CoordinatorMessage::Hold {
+                fencing,
+                version,
+                barrier_step,
+            } => {
+                if let Some(refusal) = self.refuse(from, fencing) {
+                    return vec![refusal];
+                }
+                if !self.hold(from, version, barrier_step) {
+                    let message = ParticipantMessage::Refused { version };
+                    return vec![send(from, message)];
+                }
+            }
+            CoordinatorMessage::Outcome {
+                version,
+                barrier_step,
+                verdict,
+                ..
+            } => {
+                if version <= self.resolved {
+                    return vec![send(from, ParticipantMessage::Applied { version })];
+                }
+                self.outcome(from, version, barrier_step, verdict, now);
+            }
+        }
+        self.tick(now)
+    }
+
+    /// A coordinator that has been superseded still believes that it leads:
+    /// its orders would undo those of the next one, at least with an engine
+    /// that ignores the number.
+    fn refuse(&mut self, from: &str, fencing: u64) -> Option<ParticipantOutput> {
+        if fencing < self.fencing {
+            let fencing = self.fencing;
+            return Some(send(from, ParticipantMessage::Fenced { fencing }));
+        }
+        self.fencing = fencing;
+        None
+    }
+
+    fn stage(&mut self, attempt: Attempt, now: Instant) {
+        match &mut self.goal {
+            // Asked again, as the answer was lost or isn't due yet.
+            Goal::Stage { attempt: known } if known.version == attempt.version => {
+                known.coordinator = attempt.coordinator;
+                self.told = false;
+            }
+            // Without a promise the former attempt binds nobody.
+            Goal::Rest | Goal::Stage { .. } if attempt.version > self.resolved => {
+                self.goal = Goal::Stage { attempt };
+                self.told = false;
+            }
+            // The promise for the former version holds until its outcome is
+            // known, which the coordinator of the next one must have seen.
+            Goal::Hold { .. } | Goal::Learn => self.ask(now),
+            Goal::Rest | Goal::Stage { .. } | Goal::Finish { .. } => {}
+        }
+    }
+
+    /// Whether the hold is taken up.
+    fn hold(&mut self, from: &str, version: u64, barrier_step: u64) -> bool {
+        match &mut self.goal {
+            Goal::Stage { attempt } if attempt.version == version => {
+                let attempt = attempt.clone();
+                self.goal = Goal::Hold {
+                    attempt,
+                    barrier_step,
+                };
+            }
+            Goal::Hold {
+                attempt,
+                barrier_step: held,
+            } if attempt.version == version && *held == barrier_step => {
+                attempt.coordinator = Some(from.to_owned());
+            }
+            _ => return false,
+        }
+        self.told = false;
+        true
+    }
+
+    fn outcome(
+        &mut self,
+        from: &str,
+        version: u64,
+        barrier_step: u64,
+        verdict: Verdict,
+        now: Instant,
+    ) {
+        match &self.goal {
+            Goal::Stage { attempt } | Goal::Hold { attempt, .. } if attempt.version == version => {
+                let mut attempt = attempt.clone();
+                attempt.coordinator = Some(from.to_owned());
+                self.finish(attempt, barrier_step, verdict);
+            }
+            // An order of a former life of this agent may have come to the
+            // engine after it was read, so it is read again.
+            Goal::Rest => {
+                self.goal = Goal::Learn;
+                self.engine = None;
+            }
+            Goal::Finish { .. } => {}
+            // Something was missed: the durable state has all of it.
+            Goal::Learn | Goal::Stage { .. } | Goal::Hold { .. } => self.ask(now),
+        }
+    }
+
+    fn finish(&mut self, attempt: Attempt, barrier_step: u64, verdict: Verdict) {
+        self.told = false;
+        self.goal = Goal::Finish {
+            attempt,
+            barrier_step,
+            verdict,
+        };
+    }
+
+    pub(crate) fn ask(&mut self, now: Instant) {
+        self.ask_at = Some(self.ask_at.unwrap_or(now));
+    }
+
+    /// Takes in what the durable state holds for the group; the default if it
+    /// holds nothing.
+    pub fn on_standing(&mut self, standing: &Standing, now: Instant) -> Vec<ParticipantOutput> {
+        self.fencing = self.fencing.max(standing.fencing);
+        let latest = standing.current.as_ref().map_or(0, |last| last.version);
+        match &self.goal {
+            Goal::Learn => self.learn(standing, latest),
+            Goal::Finish { .. } => {}
+            goal => match goal.undecided() {
+                Some(version) if version <= latest => self.decided(version, standing),
+                Some(_) => {}
+                None => self.catch_up(standing, latest),
+            },
+        }
+        if self.goal.undecided().is_none() && self.goal != Goal::Learn {
+            self.ask_at = None;
+        }
+        self.tick(now)
+    }
+
+    /// Finds out where a former life of this agent left off.
+    fn learn(&mut self, standing: &Standing, latest: u64) {
+        let Some(engine) = self.engine else {
+            return;
+        };
+        match (engine.staged, engine.held) {
+            (Some(version), _) if version <= latest => self.decided(version, standing),
+            // A promise of the former life binds this one.
+            (Some(version), Some(barrier_step)) => {
+                self.goal = Goal::Hold {
+                    attempt: learnt(version, standing.fencing, Bytes::new()),
+                    barrier_step,
+                };
+                self.told = true;
+            }
+            _ => {
+                self.goal = Goal::Rest;
+                self.catch_up(standing, latest);
+            }
+        }
+    }
+
+    /// The attempt at `version` is decided.
+    fn decided(&mut self, version: u64, standing: &Standing) {
+        let commit = standing.committed.iter().find(|d| d.version == version);
+        if let Some(decision) = commit {
+            self.commit(decision);
+            return;
+        }
+        let attempt = match &self.goal {
+            Goal::Stage { attempt } | Goal::Hold { attempt, .. } => attempt.clone(),
+            _ => learnt(version, standing.fencing, Bytes::new()),
+        };
+        self.finish(attempt, 0, Verdict::Abort);
+    }
+
+    /// Nothing is at work here; takes up a committed map that was missed.
+    fn catch_up(&mut self, standing: &Standing, latest: u64) {
+        self.resolved = self.resolved.max(latest);
+        let known = self
+            .engine
+            .map(|engine| engine.next.unwrap_or(engine.version));
+        if let (Some(newest), Some(known)) = (standing.committed.first(), known)
+            && newest.version > known
+        {
+            self.commit(newest);
+        }
+    }
+
+    fn commit(&mut self, decision: &Decision) {
+        let attempt = learnt(decision.version, decision.fencing, decision.map.clone());
+        self.finish(attempt, decision.barrier_step, Verdict::Commit);
+    }
+
+    /// Takes in the engine's answer to an order: its state after it, or
+    /// `None` if the answer was lost or the order refused.
+    pub fn on_engine(
+        &mut self,
+        state: Option<EngineState>,
+        now: Instant,
+    ) -> Vec<ParticipantOutput> {
+        if self.order_until.take().is_none() {
+            // The order was given up before.
+            return Vec::new();
+        }
+        self.engine = state;
+        if state.is_none() {
+            self.lost(now);
+        }
+        self.tick(now)
+    }
+
+    /// An order that was given up may still be on its way. Another one given
+    /// now could overtake it, and the engine would end with what the former
+    /// asked for; so only reads go out until it must have come or gone.
+    fn lost(&mut self, now: Instant) {
+        self.engine = None;
+        self.quiet_until = Some(now + self.timing.ghost);
+        self.read_at = now + self.timing.resend;
+    }
+
+    /// Does what is due. Called from time to time.
+    pub fn tick(&mut self, now: Instant) -> Vec<ParticipantOutput> {
+        let mut outputs = Vec::new();
+        if self.order_until.is_some_and(|until| now >= until) {
+            self.order_until = None;
+            self.lost(now);
+        }
+        if self.quiet_until.is_some_and(|until| now >= until) {
+            self.quiet_until = None;
+        }
+        if self.order_until.is_none() {
+            self.advance(now, &mut outputs);
+        }
+        if self.ask_at.is_some_and(|at| now >= at) {
+            self.ask_at = Some(now + self.timing.resend);
+            outputs.push(ParticipantOutput::Ask);
+        }
+        outputs
+    }
+}
+
+/// An attempt known from the engine or the durable state.
+fn learnt(version: u64, fencing: u64, map: Bytes) -> Attempt {
+    Attempt {
+        coordinator: None,
+        fencing,
+        version,
+        map,
+    }
+}
+
+pub(crate) fn send(to: &str, message: ParticipantMessage) -> ParticipantOutput {
+    ParticipantOutput::Send {
+        to: to.to_owned(),
+        message,
+    }
+}
--- /dev/null
+++ b/crates/expert/tests/switch/world.rs
@@ -0,0 +1,352 @@
+//! A group, its coordinators, the durable state and an unreliable network,
+//! driven by a seed.
+
+use crate::engine::Engine;
+use crate::event::Event;
+use bytes::Bytes;
+use expert::{
+    Coordinator, CoordinatorOutput, Decisions, Participant, ParticipantOutput, SwitchTiming,
+};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+pub const RANKS: usize = 3;
+const GROUP: &str = "blank-advisor";
+
+/// Ticks that an order may be on its way; below `order` and `ghost` of the
+/// timing together.
+const ORDER_DELAY: u64 = 18;
+const MESSAGE_DELAY: u64 = 60;
+
+/// How the network and the processes behave.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Weather {
+    Foul,
+    Fair,
+}
+
+/// One agent's participant.
+struct Agent {
+    participant: Participant,
+    life: usize,
+    /// Serial of the order whose answer is awaited.
+    serial: u64,
+}
+
+pub struct World {
+    rng: StdRng,
+    weather: Weather,
+    start: Instant,
+    tick: u64,
+    pub decisions: Decisions,
+    pub engines: Vec<Engine>,
+    agents: Vec<Agent>,
+    coordinators: BTreeMap<usize, Coordinator>,
+    lives: usize,
+    serials: u64,
+    maps: u64,
+    post: Vec<(u64, Event)>,
+    /// Contents that each step ran on.
+    pub ran: BTreeMap<u64, BTreeSet<Bytes>>,
+}
+
+fn timing() -> SwitchTiming {
+    SwitchTiming {
+        resend: Duration::from_millis(15),
+        attempt: Duration::from_millis(150),
+        order: Duration::from_millis(10),
+        ghost: Duration::from_millis(10),
+        lead_steps: 12,
+    }
+}
+
+impl World {
+    pub fn new(seed: u64) -> World {
+        let start = Instant::now();
+        let agent = || Agent {
+            participant: Participant::new(timing(), start),
+            life: 0,
+            serial: 0,
+        };
+        World {
+            rng: StdRng::seed_from_u64(seed),
+            weather: Weather::Foul,
+            start,
+            tick: 0,
+            decisions: Decisions::new(),
+            engines: (0..RANKS).map(|_| Engine::default()).collect(),
+            agents: (0..RANKS).map(|_| agent()).collect(),
+            coordinators: BTreeMap::new(),
+            lives: 0,
+            serials: 0,
+            maps: 0,
+            post: Vec::new(),
+            ran: BTreeMap::new(),
+        }
+    }
+
+    pub fn set_weather(&mut self, weather: Weather) {
+        self.weather = weather;
+    }
+
+    fn now(&self) -> Instant {
+        self.start + Duration::from_millis(self.tick)
+    }
+
+    fn chance(&mut self, percent: u32) -> bool {
+        self.rng.random_range(0..100) < percent
+    }
+
+    /// One millisecond.
+    pub fn step(&mut self) {
+        self.tick += 1;
+        if self.weather == Weather::Foul {
+            self.misfortune();
+        }
+        self.deliver();
+        for rank in 0..RANKS {
+            let now = self.now();
+            let outputs = self.agents[rank].participant.tick(now);
+            self.carry_out(rank, outputs);
+        }
+        for life in self.coordinators.keys().copied().collect::<Vec<_>>() {
+            self.drive(life);
+        }
+        self.run_steps();
+    }
+
+    fn misfortune(&mut self) {
+        if self.coordinators.is_empty() || self.rng.random_range(0..400) == 0 {
+            self.add_coordinator();
+        }
+        if self.rng.random_range(0..300) == 0 {
+            let lives: Vec<usize> = self.coordinators.keys().copied().collect();
+            let lost = lives[self.rng.random_range(0..lives.len())];
+            self.coordinators.remove(&lost);
+        }
+        if self.rng.random_range(0..300) == 0 {
+            let rank = self.rng.random_range(0..RANKS);
+            let agent = &mut self.agents[rank];
+            agent.life += 1;
+            let now = self.start + Duration::from_millis(self.tick);
+            agent.participant = Participant::new(timing(), now);
+        }
+    }
+
+    pub fn add_coordinator(&mut self) {
+        self.lives += 1;
+        let members = (0..RANKS).map(|rank| rank.to_string()).collect();
+        let coordinator = Coordinator::new(members, timing(), self.now());
+        self.coordinators.insert(self.lives, coordinator);
+    }
+
+    pub fn remove_coordinators(&mut self) {
+        self.coordinators.clear();
+    }
+
+    fn drive(&mut self, life: usize) {
+        let now = self.now();
+        let idle = self.coordinators[&life].is_idle();
+        let begin = idle && self.chance(20);
+        if begin {
+            self.maps += 1;
+        }
+        let map = Bytes::from(format!("map {}", self.maps));
+        let Some(coordinator) = self.coordinators.get_mut(&life) else {
+            return;
+        };
+        let mut outputs = coordinator.tick(now);
+        if begin {
+            outputs.extend(coordinator.begin(map, now));
+        }
+        self.send(life, outputs);
+    }
+
+    /// Each engine may run a step once all have run the one before.
+    fn run_steps(&mut self) {
+        for rank in 0..RANKS {
+            let next = self.engines[rank].state.step + 1;
+            let all = self.engines.iter().all(|e| e.state.step + 1 >= next);
+            if all && self.engines[rank].may_run(next) && self.chance(30) {
+                let step = self.engines[rank].run();
+                let content = self.engines[rank].content.clone();
+                self.ran.entry(step).or_default().insert(content);
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let tick = self.tick;
+        let (due, later) = std::mem::take(&mut self.post)
+            .into_iter()
+            .partition(|(at, _)| *at <= tick);
+        self.post = later;
+        let mut due: Vec<(u64, Event)> = due;
+        while !due.is_empty() {
+            let next = self.rng.random_range(0..due.len());
+            let (_, event) = due.swap_remove(next);
+            self.take(event);
+        }
+    }
+
+    /// Posts a message that may be lost, doubled and late.
+    fn post(&mut self, event: Event) {
+        let mut copies = 1;
+        if self.weather == Weather::Foul {
+            copies = match self.rng.random_range(0..100) {
+                0..8 => 0,
+                8..20 => 2,
+                _ => 1,
+            };
+        }
+        for event in std::iter::repeat_n(event, copies) {
+            let most = if self.chance(10) { MESSAGE_DELAY } else { 4 };
+            self.post_within(most, event);
+        }
+    }
+
+    fn post_within(&mut self, most: u64, event: Event) {
+        let most = if self.weather == Weather::Fair {
+            2
+        } else {
+            most
+        };
+        let at = self.tick + self.rng.random_range(1..=most);
+        self.post.push((at, event));
+    }
+
+    fn take(&mut self, event: Event) {
+        let now = self.now();
+        match event {
+            Event::ToParticipant {
+                rank,
+                from,
+                message,
+            } => {
+                let agent = &mut self.agents[rank];
+                let outputs = agent
+                    .participant
+                    .on_message(&from.to_string(), message, now);
+                self.carry_out(rank, outputs);
+            }
+            Event::ToCoordinator {
+                life,
+                from,
+                message,
+            } => self.with(life, |c| c.on_message(&from.to_string(), message, now)),
+            Event::Open { life } => {
+                let standing = self.decisions.open_coordinator(GROUP, "agent", life as u64);
+                self.post(Event::Opened { life, standing });
+            }
+            Event::Opened { life, standing } => self.with(life, |c| c.on_opened(&standing, now)),
+            Event::Decide { life, decision } => {
+                let outcome = self.decisions.decide(GROUP, decision);
+                self.post(Event::Decided { life, outcome });
+            }
+            Event::Decided { life, outcome } => self.with(life, |c| c.on_decided(outcome, now)),
+            Event::Ask { rank, life } => {
+                let standing = self.decisions.current(GROUP).cloned().unwrap_or_default();
+                self.post(Event::Answer {
+                    rank,
+                    life,
+                    standing,
+                });
+            }
+            Event::Answer {
+                rank,
+                life,
+                standing,
+            } => {
+                if self.agents[rank].life == life {
+                    let outputs = self.agents[rank].participant.on_standing(&standing, now);
+                    self.carry_out(rank, outputs);
+                }
+            }
+            Event::Order {
+                rank,
+                life,
+                serial,
+                order,
+            } => {
+                let state = self.engines[rank].obey(&order);
+                if self.weather == Weather::Fair || !self.chance(15) {
+                    self.post_within(
+                        4,
+                        Event::Obeyed {
+                            rank,
+                            life,
+                            serial,
+                            state,
+                        },
+                    );
+                }
+            }
+            Event::Obeyed {
+                rank,
+                life,
+                serial,
+                state,
+            } => {
+                let agent = &mut self.agents[rank];
+                if agent.life == life && agent.serial == serial {
+                    let outputs = agent.participant.on_engine(Some(state), now);
+                    self.carry_out(rank, outputs);
+                }
+            }
+        }
+    }
+
+    fn with(&mut self, life: usize, act: impl FnOnce(&mut Coordinator) -> Vec<CoordinatorOutput>) {
+        if let Some(coordinator) = self.coordinators.get_mut(&life) {
+            let outputs = act(coordinator);
+            self.send(life, outputs);
+        }
+    }
+
+    fn send(&mut self, life: usize, outputs: Vec<CoordinatorOutput>) {
+        for output in outputs {
+            match output {
+                CoordinatorOutput::Open => self.post(Event::Open { life }),
+                CoordinatorOutput::Decide(decision) => self.post(Event::Decide { life, decision }),
+                CoordinatorOutput::Send { to, message } => self.post(Event::ToParticipant {
+                    rank: to.parse().unwrap(),
+                    from: life,
+                    message,
+                }),
+                CoordinatorOutput::Deposed => {
+                    self.coordinators.remove(&life);
+                }
+            }
+        }
+    }
+
+    fn carry_out(&mut self, rank: usize, outputs: Vec<ParticipantOutput>) {
+        let life = self.agents[rank].life;
+        for output in outputs {
+            match output {
+                ParticipantOutput::Ask => self.post(Event::Ask { rank, life }),
+                ParticipantOutput::Send { to, message } => self.post(Event::ToCoordinator {
+                    life: to.parse().unwrap(),
+                    from: rank,
+                    message,
+                }),
+                ParticipantOutput::Order(order) => {
+                    self.serials += 1;
+                    self.agents[rank].serial = self.serials;
+                    let event = Event::Order {
+                        rank,
+                        life,
+                        serial: self.serials,
+                        order,
+                    };
+                    if self.weather == Weather::Fair || !self.chance(10) {
+                        let most = if self.chance(20) { ORDER_DELAY } else { 3 };
+                        self.post_within(most, event);
+                    }
+                }
+            }
+        }
+    }
+}
