--- a/crates/admin/src/operators.rs
+++ b/crates/admin/src/operators.rs
@@ -23,6 +23,9 @@
 
 const BODY_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// A fingerprint is a SHA-256 digest.
+const FINGERPRINT_BYTES: usize = 32;
+
 /// Number in a query that stands for the catalogue instead of one note.
 const WHOLE_CATALOGUE: u64 = 0;
 
@@ -144,8 +147,9 @@
     }
 
     async fn pardon(&self, fingerprint: &str) -> Result<Response, Problem> {
-        let Some(bytes) = hex::decode(fingerprint) else {
-            let detail = "a fingerprint is written in hexadecimal digits";
+        let bytes = hex::decode(fingerprint);
+        let Some(bytes) = bytes.filter(|bytes| bytes.len() == FINGERPRINT_BYTES) else {
+            let detail = "a fingerprint is written in 64 hexadecimal digits";
             return Err(Problem::new(StatusCode::BAD_REQUEST, detail));
         };
         let command = command::Body::Pardon(Pardon {
--- a/crates/lovageramp/src/client/note.rs
+++ b/crates/lovageramp/src/client/note.rs
@@ -145,7 +145,11 @@
         return format!("note {accepted} is in force everywhere");
     }
     let lagging = names(&notes["lagging"]);
-    format!("note {accepted} is accepted, {everywhere} in force everywhere, behind: {lagging}")
+    let reached = match everywhere.as_u64() {
+        Some(number) => format!("note {number} is in force everywhere"),
+        None => "which one is in force everywhere isn't known yet".to_owned(),
+    };
+    format!("note {accepted} is accepted, {reached}; behind: {lagging}")
 }
 
 fn names(list: &Value) -> String {
