Tell raced calls and broken streams apart in the load's figures

Cause: the first table could not say which streams broke nor that the 1 s at p95 of non-repeatable calls belongs to those sent twice at once. Change: a kind of their own, and breaks counted by the entry that sent the stream.

--- a/crates/lovageramp/src/bench/caller.rs
+++ b/crates/lovageramp/src/bench/caller.rs
@@ -7,7 +7,6 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Collected};
 use hyper::Method;
-use hyper::body::Incoming;
 use serde_json::Value;
 use sha2::{Digest, Sha256};
 
@@ -15,7 +14,7 @@
 use super::directory::Directory;
 use super::http::{Client, PATIENCE, Sent, Whole};
 use super::outcome::{Ending, Kind, Outcome};
-use super::sse::Events;
+use super::stream::Stream;
 use super::{Call, Planned, Resend};
 
 /// Addresses that a caller tries before it gives up on a connection.
@@ -119,10 +118,16 @@
                     return outcome;
                 }
                 Sent::Answered(response) if response.status() == 200 => {
-                    let id = answer_id(&body);
-                    let stream = self.stream(&mut outcome, response.into_body(), &id, tokens);
-                    if tokio::time::timeout(PATIENCE, stream).await.is_err() {
-                        outcome.ending = Ending::Broken;
+                    let stream = Stream {
+                        outcome: &mut outcome,
+                        host,
+                        id: answer_id(&body),
+                        tokens,
+                        began: self.began,
+                    };
+                    let read = stream.read(response.into_body());
+                    if tokio::time::timeout(PATIENCE, read).await.is_err() {
+                        outcome.detail = Some(format!("a stream of {host} did not end"));
                     }
                     return outcome;
                 }
@@ -138,41 +143,6 @@
         outcome
     }
 
-    async fn stream(&self, outcome: &mut Outcome, mut body: Incoming, id: &str, tokens: u32) {
-        outcome.ending = Ending::Broken;
-        let mut events = Events::default();
-        let mut seen = 0;
-        let mut last = Instant::now();
-        while let Some(Ok(frame)) = body.frame().await {
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            events.push(&data);
-            for event in events.by_ref() {
-                if event == "[DONE]" {
-                    let whole = seen == tokens && outcome.foreign == 0;
-                    outcome.ending = if whole { Ending::Done } else { Ending::Broken };
-                    continue;
-                }
-                let event: Value = serde_json::from_str(&event).unwrap_or_default();
-                outcome.foreign += u64::from(event["id"].as_str().is_some_and(|it| it != id));
-                if event["choices"][0]["delta"]["content"].is_null() {
-                    continue;
-                }
-                seen += 1;
-                if outcome.first.is_none() {
-                    outcome.first = Some(self.since(outcome.planned));
-                } else {
-                    outcome.gaps.push(last.elapsed());
-                }
-                last = Instant::now();
-            }
-        }
-        if outcome.ending != Ending::Done {
-            outcome.detail = Some(format!("the stream ended after {seen} of {tokens} tokens"));
-        }
-    }
-
     async fn read(&self, planned: Duration, mut turn: usize, bearer: &str, path: &str) -> Outcome {
         let mut outcome = Outcome::new(Kind::Read, planned);
         let headers = [("authorization", bearer)];
@@ -216,7 +186,11 @@
 
 impl Write<'_> {
     async fn run(&self, planned: Duration, turn: usize, resend: Resend) -> Outcome {
-        let mut outcome = Outcome::new(Kind::Write, planned);
+        let kind = match resend {
+            Resend::AtOnce => Kind::Raced,
+            Resend::Never | Resend::Afterwards => Kind::Write,
+        };
+        let mut outcome = Outcome::new(kind, planned);
         outcome.key = Some(self.key.to_owned());
         let first = match resend {
             Resend::AtOnce => {
--- a/crates/lovageramp/src/bench/mod.rs
+++ b/crates/lovageramp/src/bench/mod.rs
@@ -20,6 +20,7 @@
 mod report;
 mod seen;
 mod sse;
+mod stream;
 mod tally;
 mod verdict;
 
--- a/crates/lovageramp/src/bench/outcome.rs
+++ b/crates/lovageramp/src/bench/outcome.rs
@@ -26,6 +26,8 @@
     Read,
     /// Non-repeatable call.
     Write,
+    /// Non-repeatable call that is sent twice at once.
+    Raced,
 }
 
 /// What became of one request.
--- a/crates/lovageramp/src/bench/report.rs
+++ b/crates/lovageramp/src/bench/report.rs
@@ -28,10 +28,11 @@
     (Ending::Failed, "failed"),
 ];
 
-const KINDS: [(Kind, &str); 3] = [
+const KINDS: [(Kind, &str); 4] = [
     (Kind::Chat, "model requests"),
     (Kind::Read, "reads"),
     (Kind::Write, "non-repeatable"),
+    (Kind::Raced, "non-repeatable, two at once"),
 ];
 
 /// All reports as one JSON document.
@@ -76,7 +77,7 @@
     }
     let first = match kind {
         Kind::Chat => "first_token",
-        Kind::Read | Kind::Write => "answer",
+        Kind::Read | Kind::Write | Kind::Raced => "answer",
     };
     document[first] = tally.first.to_json();
     if !tally.gaps.is_empty() {
--- a/crates/lovageramp/src/bench/tally.rs
+++ b/crates/lovageramp/src/bench/tally.rs
@@ -47,7 +47,7 @@
 impl Tally {
     pub(super) fn new() -> eyre::Result<Self> {
         let mut kinds = BTreeMap::new();
-        for kind in [Kind::Chat, Kind::Read, Kind::Write] {
+        for kind in [Kind::Chat, Kind::Read, Kind::Write, Kind::Raced] {
             kinds.insert(kind, KindTally::new()?);
         }
         Ok(Tally {
