Wait for the lost disk to leave the voters before the next loss

Cause: state_survives_second_lost_after_repair failed in 3 of 9 runs with "the repair is complete" never seen. Status and logs at the failure showed the next disk thrown away while the status still listed the disk lost before as a voter: the loss had not been noticed yet, so two of three disks were gone at once. Ruled out: a replica that never joins.

--- a/crates/lovageramp/tests/support/cluster.rs
+++ b/crates/lovageramp/tests/support/cluster.rs
@@ -55,6 +55,8 @@
     /// stand between just these two.
     pub relays: BTreeMap<String, Relay>,
     pub plan: ClusterPlan,
+    /// Identities of the controls' disks that were thrown away.
+    pub lost_disks: Vec<String>,
     _turn: SemaphorePermit<'static>,
 }
 
@@ -70,6 +72,7 @@
             processes: BTreeMap::new(),
             relays: BTreeMap::new(),
             plan,
+            lost_disks: Vec::new(),
             _turn: super::limit::turn().await,
         };
         cluster.lay_relays().await;
--- a/crates/lovageramp/tests/support/faults.rs
+++ b/crates/lovageramp/tests/support/faults.rs
@@ -18,6 +18,14 @@
     /// Kills a control replica and throws its disk away.
     pub async fn lose_disk(&mut self, number: usize) {
         let name = format!("control-{number}");
+        let disk = until("the disk's identity", || async {
+            let status = self.any_status().await?;
+            let mut replicas = status["replicas"].as_array()?.iter();
+            let replica = replicas.find(|replica| replica["name"] == name.as_str())?;
+            Some(replica["disk"].as_str()?.to_owned())
+        })
+        .await;
+        self.lost_disks.push(disk);
         self.kill(&name).await;
         std::fs::remove_dir_all(self.folder.path().join(format!("{name}-data"))).unwrap();
     }
@@ -92,13 +100,19 @@
 
     /// Waits until every control replica is a voter that has all of the log. A replica
     /// with a blank disk is a learner until then, and the loss of others may take the
-    /// majority away.
+    /// majority away. While a lost disk is still among the voters its loss has not been
+    /// noticed yet, whatever the rest of the status says.
     pub async fn until_repaired(&self) {
         let expected = self.plan.controls;
         until("the repair is complete", || async {
             let status = self.any_status().await?;
             let replicas = status["replicas"].as_array()?;
-            let whole = replicas.iter().all(|replica| replica["state"] == "voter");
+            let is_lost = |replica: &Value| {
+                let mut lost = self.lost_disks.iter();
+                lost.any(|disk| replica["disk"] == disk.as_str())
+            };
+            let is_whole = |replica: &Value| replica["state"] == "voter" && !is_lost(replica);
+            let whole = replicas.iter().all(is_whole);
             let complete = status["repair"] == "complete";
             (replicas.len() == expected && whole && complete).then_some(())
         })
