--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -28,6 +28,8 @@
 pub(crate) enum Msg {
     /// Time has passed.
     Tick,
+    /// All that was told before this is to be carried out.
+    Pump,
     /// From another replica.
     Peer(Box<Message>),
     /// A link to another replica is up.
@@ -72,6 +74,8 @@
     reads: Reads,
     /// A snapshot is being saved.
     saving: Option<quorum::Snapshot>,
+    /// [`Msg::Pump`] is in the mailbox.
+    pump_due: bool,
     /// When to ask again to be taken in.
     join_at: Instant,
     metrics: Metrics,
--- a/crates/control/src/replica/actor.rs
+++ b/crates/control/src/replica/actor.rs
@@ -47,8 +47,16 @@
         state: &mut State,
     ) -> Result<(), ActorProcessingErr> {
         let now = Instant::now();
-        state.take(msg, now);
-        state.pump(now);
+        match msg {
+            Msg::Pump => {
+                state.pump_due = false;
+                state.pump(now);
+            }
+            msg => {
+                state.take(msg, now);
+                state.pump_later(&myself)?;
+            }
+        }
         if let Some(reason) = &state.failed {
             log::error!("replica stops: {reason}");
             state.commands.give_up(reason);
@@ -105,12 +113,24 @@
             reads: Reads::default(),
             saving: None,
             join_at: now,
+            pump_due: false,
             failed: None,
         })
     }
 
+    /// What waits in the mailbox is taken first, so that the commands of many
+    /// callers go into one write and one message to each replica.
+    fn pump_later(&mut self, myself: &ActorRef<Msg>) -> Result<(), ActorProcessingErr> {
+        if !self.pump_due {
+            self.pump_due = true;
+            myself.cast(Msg::Pump)?;
+        }
+        Ok(())
+    }
+
     fn take(&mut self, msg: Msg, now: Instant) {
         match msg {
+            Msg::Pump => {}
             Msg::Tick => self.tick(now),
             Msg::Peer(message) => self.node.step(*message, now),
             Msg::PeerUp(id, link) => {
