--- a/crates/agent/src/crash.rs
+++ b/crates/agent/src/crash.rs
@@ -40,7 +40,7 @@
 /// Whether the target crashed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Verdict {
-    /// It refuses connections.
+    /// It takes no connections.
     Gone,
     /// It answers, or another instance in its place does; empty where targets
     /// don't tell.
@@ -70,14 +70,17 @@
         let since = state.incident.looking.take().unwrap_or(now);
         let attempts = &mut state.attempts;
         let crashed = match verdict {
-            Verdict::Gone => attempts.end_crashed(now, |known| known.started <= since),
+            Verdict::Gone => {
+                state.cx.know_instance(String::new());
+                attempts.end_crashed(now, |known| known.started <= since)
+            }
             Verdict::Answers(instance) if !instance.is_empty() => {
-                let crashed = attempts.end_crashed(now, |known| known.instance != instance);
-                // Attempts from now on are known to run on this one.
-                state.cx.status.send_if_modified(|status| {
-                    status.instance = instance;
-                    false
+                // What started while it wasn't known which one answers may run on
+                // this one: then it isn't said to have crashed.
+                let crashed = attempts.end_crashed(now, |known| {
+                    !known.instance.is_empty() && known.instance != instance
                 });
+                state.cx.know_instance(instance);
                 crashed
             }
             Verdict::Answers(_) | Verdict::Silent => Vec::new(),
@@ -137,17 +140,21 @@
     tokio::spawn(report(Arc::clone(&state.cx), fingerprints));
 }
 
-/// A target that refuses connections has crashed; one that answers, but as
-/// another instance, has been started again since.
+/// A target that refuses connections has crashed, and so has one that breaks
+/// each of them without an answer, as a forwarder with nothing behind it does;
+/// one that answers, but as another instance, was started again since.
 async fn examine(cx: &Context) -> Verdict {
+    let mut verdict = Verdict::Gone;
     for _ in 0..LOOKS {
         match look(cx).await {
             Ok(instance) => return Verdict::Answers(instance),
             Err(Failure::NotRun(_)) => return Verdict::Gone,
-            Err(_) => sleep(PAUSE).await,
+            Err(Failure::Silent(_)) => verdict = Verdict::Silent,
+            Err(Failure::Broken(_) | Failure::EndedEarly(_)) => {}
         }
+        sleep(PAUSE).await;
     }
-    Verdict::Silent
+    verdict
 }
 
 /// The instance that answers; empty where targets don't tell.
--- a/crates/route/src/target.rs
+++ b/crates/route/src/target.rs
@@ -8,7 +8,7 @@
 use crate::ejection::Ejection;
 use crate::place::Place;
 use crate::rank::Rank;
-use crate::{AttemptKey, Demand, Limit, RankReport, Report, Standing, Suspicion, Tuning};
+use crate::{Arrival, AttemptKey, Demand, Limit, Report, Standing, Suspicion, Tuning};
 
 /// Weight of a new observation in a moving average.
 const SMOOTHING: f64 = 0.1;
@@ -34,7 +34,10 @@
     distance: f64,
     ranks: Vec<Rank>,
     since: Instant,
+    arrival: Arrival,
     reported: Option<Instant>,
+    /// Requests that waited for a place when the last report was taken.
+    queued: f64,
     /// Observed by expected time to first token, a moving average.
     factor: f64,
     /// Time that an attempt holds its place, a moving average in seconds.
@@ -46,7 +49,7 @@
 /// The rank that suits a request best, and the expected seconds there.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Estimate {
-    pub(crate) rank: usize,
+    pub(crate) rank: u32,
     pub(crate) seconds: f64,
 }
 
@@ -64,13 +67,20 @@
             distance: distance.as_secs_f64(),
             ranks: vec![Rank::default()],
             since: now,
+            arrival: Arrival::Fresh,
             reported: None,
+            queued: 0.0,
             factor: 1.0,
             hold: 1.0,
             waiting: BTreeSet::new(),
         }
     }
 
+    /// A target that has run for long already.
+    pub(crate) fn set_warm(&mut self) {
+        self.arrival = Arrival::Warm;
+    }
+
     /// Forgets what was learnt of the former incarnation.
     pub(crate) fn restart(&mut self, now: Instant, tuning: &Tuning) {
         self.ejection = Ejection::default();
@@ -81,33 +91,49 @@
         self.own_suspects = 0;
         self.waiting.clear();
         self.since = now;
+        self.arrival = Arrival::Fresh;
         self.reported = None;
+        self.queued = 0.0;
         self.factor = 1.0;
     }
 
-    pub(crate) fn report(&mut self, report: &Report, share: f64) {
+    pub(crate) fn report(&mut self, report: &Report) {
         if self.reported.is_some_and(|last| report.taken < last) {
             return;
         }
         self.reported = Some(report.taken);
+        self.queued = f64::from(report.queued);
+        let numbers: Vec<u32> = report.ranks.iter().map(|row| row.rank).collect();
+        self.set_ranks(&numbers);
         for row in &report.ranks {
-            self.rank_mut(*row).reported(*row, report.taken);
+            if let Some(rank) = self.rank_mut(row.rank) {
+                rank.reported(*row, report.taken);
+            }
         }
         if report.limit > 0 {
-            // The entries share the target's limit. Each is allowed twice its
-            // part, for traffic is uneven; beyond that the target refuses.
-            let part = f64::from(report.limit) * (2.0 * share).min(1.0);
-            self.limit.set_ceiling(part);
+            self.limit.set_ceiling(f64::from(report.limit));
+        }
+    }
+
+    /// Sets which ranks the target has, and keeps what is known of those that
+    /// stay. One that it doesn't have would look idle and be chosen.
+    pub(crate) fn set_ranks(&mut self, numbers: &[u32]) {
+        if numbers.is_empty() {
+            return;
+        }
+        self.ranks
+            .retain(|rank| numbers.contains(&rank.report.rank));
+        for number in numbers {
+            if self.rank_mut(*number).is_none() {
+                self.ranks.push(Rank::new(*number));
+            }
         }
     }
 
-    fn rank_mut(&mut self, row: RankReport) -> &mut Rank {
-        let found = self.ranks.iter().position(|r| r.report.rank == row.rank);
-        let index = found.unwrap_or_else(|| {
-            self.ranks.push(Rank::new(row));
-            self.ranks.len() - 1
-        });
-        &mut self.ranks[index]
+    fn rank_mut(&mut self, number: u32) -> Option<&mut Rank> {
+        self.ranks
+            .iter_mut()
+            .find(|rank| rank.report.rank == number)
     }
 
     /// The best rank for the request and the time to first token there.
@@ -118,8 +144,7 @@
         let best = self
             .ranks
             .iter()
-            .enumerate()
-            .map(|(i, rank)| (i, seconds(rank)))
+            .map(|rank| (rank.report.rank, seconds(rank)))
             .min_by(|a, b| a.1.total_cmp(&b.1));
         let (rank, prefill) = best.unwrap_or((0, 0.0));
         let served =
@@ -148,9 +173,8 @@
 
     /// Time until a place is free, when more wait than there are places.
     fn place_seconds(&self, tuning: &Tuning) -> f64 {
-        let running: f64 = self.ranks.iter().map(|r| r.running(tuning.share)).sum();
-        let places = (self.limit.current() / (2.0 * tuning.share).min(1.0)).max(1.0);
-        let excess = running + 1.0 - places;
+        let places = self.limit.current();
+        let excess = self.running(tuning.share) + 1.0 - places;
         if excess > 0.0 {
             excess * self.hold / places
         } else {
@@ -158,6 +182,12 @@
         }
     }
 
+    /// Requests that run or wait at the target, as estimated.
+    fn running(&self, share: f64) -> f64 {
+        let running: f64 = self.ranks.iter().map(|rank| rank.running(share)).sum();
+        running + self.queued
+    }
+
     /// How long past its expected first token the oldest waiting attempt is.
     /// Reports of a target that stalled stay good until they stop coming; an
     /// attempt without its first token tells sooner.
@@ -172,36 +202,35 @@
     /// How much of its full load the target is given, in (0, 1].
     pub(crate) fn warmth(&self, now: Instant, tuning: &Tuning) -> f64 {
         let age = now.saturating_duration_since(self.since);
-        if age >= tuning.slow_start {
+        if self.arrival == Arrival::Warm || age >= tuning.slow_start {
             return 1.0;
         }
         (age.as_secs_f64() / tuning.slow_start.as_secs_f64()).max(SLOW_START_FLOOR)
     }
 
-    pub(crate) fn has_room(&self, now: Instant, tuning: &Tuning) -> bool {
-        let allowed = self.limit.current() * self.warmth(now, tuning);
-        f64::from(self.own_running) < allowed.floor().max(1.0)
-    }
-
-    /// Requests of this entry for each place that it may use.
-    pub(crate) fn fill(&self) -> f64 {
-        f64::from(self.own_running) / self.limit.current().max(1.0)
-    }
-
-    pub(crate) fn rank_index(&self, number: u32) -> usize {
-        let found = self.ranks.iter().position(|r| r.report.rank == number);
-        found.unwrap_or(0)
+    /// How many more requests this entry may send.
+    ///
+    /// The entries share the target's limit. Each may always use its own
+    /// part; beyond that it may use what the others leave, as far as the
+    /// reports tell.
+    pub(crate) fn room(&self, now: Instant, tuning: &Tuning) -> f64 {
+        let limit = self.limit.current() * tuning.overcommit * self.warmth(now, tuning);
+        let own = f64::from(self.own_running);
+        let part = (limit * tuning.share).floor().max(1.0);
+        let left = limit - self.running(tuning.share);
+        (part - own).max(left.floor()).max(0.0)
     }
 
-    pub(crate) fn rank_number(&self, index: usize) -> u32 {
-        self.ranks.get(index).map_or(0, |rank| rank.report.rank)
+    /// Requests of this entry for each place of its own part.
+    pub(crate) fn fill(&self, tuning: &Tuning) -> f64 {
+        f64::from(self.own_running) / (self.limit.current() * tuning.share).max(1.0)
     }
 
     pub(crate) fn started(
         &mut self,
         now: Instant,
         key: AttemptKey,
-        rank: usize,
+        rank: u32,
         demand: &Demand<'_>,
     ) {
         self.own_running += 1;
@@ -210,13 +239,13 @@
         }
         self.waiting.insert((now, key));
         self.cache.sent(demand.prefix);
-        if let Some(rank) = self.ranks.get_mut(rank) {
+        if let Some(rank) = self.rank_mut(rank) {
             rank.started(now, demand.tokens);
         }
     }
 
     /// Takes the time of a first token, against what was expected.
-    pub(crate) fn answered(&mut self, now: Instant, place: &Place) {
+    pub(crate) fn answered(&mut self, now: Instant, place: &Place, tuning: &Tuning) {
         self.prefilled(now, place);
         let waited = now.saturating_duration_since(place.started).as_secs_f64();
         let served = (waited - self.distance).max(0.0);
@@ -224,16 +253,17 @@
         let observed = self.factor * served / expected;
         let factor = self.factor + SMOOTHING * (observed - self.factor);
         self.factor = factor.clamp(1.0 / FACTOR_MAX, FACTOR_MAX);
-        if served > LATE * expected.max(LATE_FLOOR) && self.fill() > 0.5 {
+        let running = self.running(tuning.share);
+        if served > LATE * expected.max(LATE_FLOOR) && running > self.limit.current() / 2.0 {
             self.limit.full();
         } else {
-            self.limit.on_time(self.own_running);
+            self.limit.on_time(running);
         }
     }
 
     pub(crate) fn prefilled(&mut self, now: Instant, place: &Place) {
         self.waiting.remove(&(place.started, place.key));
-        if let Some(rank) = self.ranks.get_mut(place.rank) {
+        if let Some(rank) = self.rank_mut(place.rank) {
             rank.prefilled(now, place.tokens);
         }
     }
@@ -246,7 +276,7 @@
         if place.suspicion == Suspicion::Suspect {
             self.own_suspects = self.own_suspects.saturating_sub(1);
         }
-        if let Some(rank) = self.ranks.get_mut(place.rank) {
+        if let Some(rank) = self.rank_mut(place.rank) {
             rank.ended(now);
         }
     }
