Hint at a changed quarantine and at drains

Cause: tests/quarantine.rs of the process tests: a request crashed a third target because nodes learnt of its conviction only at their next renewal.

--- a/crates/control/src/replica/output.rs
+++ b/crates/control/src/replica/output.rs
@@ -12,7 +12,7 @@
 use store::Batch;
 use wire::proto::frame::Body;
 use wire::proto::note_outcome::Kind;
-use wire::proto::{Command, Notes, Outcome, outcome};
+use wire::proto::{Command, Notes, Outcome, Renewed, outcome};
 
 impl State {
     /// Does what is wanted until nothing more is.
@@ -92,33 +92,42 @@
     fn apply_command(&mut self, data: bytes::Bytes) -> outcome::Body {
         // What can't be decoded becomes an empty command on every replica.
         let command = Command::decode(data).unwrap_or_default();
+        let quarantine = self.machine.quarantine().version();
         let body = self.machine.apply(command);
         self.metrics.commands.inc();
+        if self.machine.quarantine().version() != quarantine {
+            self.tell_nodes(&Body::Renewed(Renewed::default()));
+        }
         match &body {
-            outcome::Body::Note(note) if note.kind() == Kind::Accepted => self.tell_nodes(),
+            outcome::Body::Note(note) if note.kind() == Kind::Accepted => {
+                let number = self.machine.history().catalogue().number();
+                let hint = Notes {
+                    number,
+                    ..Notes::default()
+                };
+                self.tell_nodes(&Body::Notes(hint));
+            }
             outcome::Body::Drain(_) => {
                 if let Some(roster) = &mut self.roster {
                     roster.drained();
                 }
+                self.tell_nodes(&Body::Renewed(Renewed::default()));
             }
             _ => {}
         }
         body
     }
 
-    /// Hints at a new note, so that nodes fetch it before their next renewal.
-    fn tell_nodes(&mut self) {
-        let number = self.machine.history().catalogue().number();
+    /// Hints at a change, so that nodes renew their lease at once and learn
+    /// of it. A node that misses the hint learns of it at the next renewal.
+    fn tell_nodes(&mut self, hint: &Body) {
         self.nodes.retain(|link| !link.is_closed());
         for link in &self.nodes {
-            let link = link.clone();
-            let hint = Notes {
-                number,
-                ..Notes::default()
-            };
+            let (link, hint) = (link.clone(), hint.clone());
             tokio::spawn(async move {
-                // A node that misses the hint learns of it when it renews.
-                let _ = link.send(Body::Notes(hint)).await;
+                if let Err(e) = link.send(hint).await {
+                    log::debug!("hint to {} is lost: {e}", link.peer().name);
+                }
             });
         }
     }
--- a/crates/control/tests/replicas/cluster.rs
+++ b/crates/control/tests/replicas/cluster.rs
@@ -12,9 +12,10 @@
 use store::Ops;
 use tempfile::TempDir;
 use tokio::net::TcpListener;
+use tokio::sync::mpsc;
 use wire::proto::frame::Body;
 use wire::proto::{Command, Propose, Query, SubmitNote, command, outcome, query, query_reply};
-use wire::{ClusterKey, Identity, Link, LinkSettings, Role};
+use wire::{ClusterKey, Identity, Incoming, Link, LinkSettings, Role};
 
 /// Bound on any wait; a machine that is much slower still passes.
 pub const PATIENCE: Duration = Duration::from_mins(1);
@@ -196,6 +197,15 @@
         wait_for("a link", async || dial(address).await).await
     }
 
+    /// A link as a node keeps it, with what comes over it unasked.
+    pub async fn dial_as_node(&self, name: &str) -> (Link, mpsc::Receiver<Incoming>) {
+        let key = ClusterKey::from_bytes(b"0123456789abcdef").unwrap();
+        let me = Identity::new(Role::Agent, "desk-01", 1);
+        let cfg = LinkSettings::default();
+        let dialled = wire::dial(self.addresses[name], &me, &key, &cfg).await;
+        dialled.unwrap()
+    }
+
     pub async fn dial_as(&self, name: &str, me: Identity) -> Link {
         let address = self.addresses[name];
         wait_for("a link", async || dial_as(address, me.clone()).await).await
--- a/crates/control/tests/replicas/leases.rs
+++ b/crates/control/tests/replicas/leases.rs
@@ -2,9 +2,11 @@
 
 use crate::cluster::{Cluster, PATIENCE, wait_for};
 use serde_json::Value;
+use tokio::time::timeout;
 use wire::Link;
+use wire::proto::command;
 use wire::proto::frame::Body;
-use wire::proto::{NodeInfo, Renew, Renewed, Role};
+use wire::proto::{Crashed, NodeInfo, Renew, Renewed, Role};
 
 fn entry(name: &str, incarnation: u64) -> NodeInfo {
     NodeInfo {
@@ -111,3 +113,22 @@
     assert_eq!(renew(&link, control, 0).await.unwrap().lease_ms, 0);
     cluster.submit_up_to(1).await;
 }
+
+/// A request has crashed a target. Until a node hears of it the same request
+/// may crash the next, so nodes are hinted at it before their next renewal.
+#[tokio::test(flavor = "multi_thread")]
+async fn hint_quarantine_changed() {
+    let cluster = Cluster::start(1).await;
+    let (_link, mut rx) = cluster.dial_as_node("r1").await;
+    let crashed = Crashed {
+        target: "advisor-01".to_owned(),
+        incarnation: 7,
+        fingerprints: vec![vec![1; 32].into()],
+    };
+    cluster.propose(command::Body::Crashed(crashed)).await;
+    let hint = timeout(PATIENCE, rx.recv()).await.unwrap().unwrap();
+    assert!(matches!(hint.body, Body::Renewed(_)) && hint.call == 0);
+    cluster.submit_up_to(1).await;
+    let hint = timeout(PATIENCE, rx.recv()).await.unwrap().unwrap();
+    assert!(matches!(hint.body, Body::Notes(notes) if notes.number == 1));
+}
