--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -56,6 +56,12 @@
 impl Machine {
     /// Applies a committed command. Its time is the leader's that ordered it;
     /// one that lies before an earlier command's counts as that one's.
+    ///
+    /// ```
+    /// let mut machine = control::Machine::default();
+    /// machine.apply(wire::proto::Command { now_ms: 9, body: None });
+    /// assert_eq!(machine.now_ms(), 9);
+    /// ```
     pub fn apply(&mut self, command: Command) -> outcome::Body {
         self.now_ms = self.now_ms.max(command.now_ms);
         match command.body {
@@ -96,36 +102,66 @@
     }
 
     /// The accepted notes.
+    ///
+    /// ```
+    /// let machine = control::Machine::default();
+    /// assert_eq!(machine.history().catalogue().number(), 0);
+    /// ```
     #[must_use]
     pub fn history(&self) -> &History {
         &self.history
     }
 
     /// The ledger of non-repeatable calls.
+    ///
+    /// ```
+    /// let machine = control::Machine::default();
+    /// assert!(machine.ledger().is_empty());
+    /// ```
     #[must_use]
     pub fn ledger(&self) -> &Ledger {
         &self.ledger
     }
 
     /// Requests that crash targets.
+    ///
+    /// ```
+    /// let machine = control::Machine::default();
+    /// assert_eq!(machine.quarantine().suspects().count(), 0);
+    /// ```
     #[must_use]
     pub fn quarantine(&self) -> &Quarantine {
         &self.quarantine
     }
 
     /// Expert-map decisions.
+    ///
+    /// ```
+    /// let machine = control::Machine::default();
+    /// assert_eq!(machine.decisions().groups().count(), 0);
+    /// ```
     #[must_use]
     pub fn decisions(&self) -> &Decisions {
         &self.decisions
     }
 
     /// Targets that an operator drains.
+    ///
+    /// ```
+    /// let machine = control::Machine::default();
+    /// assert!(machine.drained().is_empty());
+    /// ```
     #[must_use]
     pub fn drained(&self) -> &BTreeSet<String> {
         &self.drained
     }
 
     /// Latest time of a command, in milliseconds since the epoch.
+    ///
+    /// ```
+    /// let machine = control::Machine::default();
+    /// assert_eq!(machine.now_ms(), 0);
+    /// ```
     #[must_use]
     pub fn now_ms(&self) -> u64 {
         self.now_ms
--- a/crates/control/src/roster.rs
+++ b/crates/control/src/roster.rs
@@ -40,6 +40,12 @@
 
 impl Roster {
     /// The roster of a leader that begins now.
+    ///
+    /// ```
+    /// # use std::time::{Duration, Instant};
+    /// let (now, lease) = (Instant::now(), Duration::from_secs(3));
+    /// assert_eq!(control::Roster::new(7, lease, now).term(), 7);
+    /// ```
     #[must_use]
     pub fn new(term: u64, lease: Duration, now: Instant) -> Roster {
         Roster {
@@ -51,12 +57,26 @@
     }
 
     /// Term of the leader.
+    ///
+    /// ```
+    /// # use std::time::{Duration, Instant};
+    /// let (now, lease) = (Instant::now(), Duration::from_secs(3));
+    /// let roster = control::Roster::new(7, lease, now);
+    /// assert_eq!(roster.term(), 7);
+    /// ```
     #[must_use]
     pub fn term(&self) -> u64 {
         self.term
     }
 
     /// Version of the view.
+    ///
+    /// ```
+    /// # use std::time::{Duration, Instant};
+    /// let (now, lease) = (Instant::now(), Duration::from_secs(3));
+    /// let roster = control::Roster::new(7, lease, now);
+    /// assert_eq!(roster.version(), 1);
+    /// ```
     #[must_use]
     pub fn version(&self) -> u64 {
         self.registry.version() + self.drains
@@ -67,6 +87,14 @@
     /// # Errors
     ///
     /// Tells why there is none.
+    ///
+    /// ```
+    /// # use std::time::{Duration, Instant};
+    /// let (now, lease) = (Instant::now(), Duration::from_secs(3));
+    /// let mut roster = control::Roster::new(7, lease, now);
+    /// let nameless = wire::proto::NodeInfo::default();
+    /// assert!(roster.renew(nameless, 1, now).is_err());
+    /// ```
     pub fn renew(&mut self, info: NodeInfo, number: u64, now: Instant) -> Result<(), &'static str> {
         let node = parse(info)?;
         let before = self.registry.members().find(|m| m.node.key == node.key);
@@ -87,17 +115,40 @@
     }
 
     /// Ends the leases that have run out.
+    ///
+    /// ```
+    /// # use std::time::{Duration, Instant};
+    /// let (now, lease) = (Instant::now(), Duration::from_secs(3));
+    /// let mut roster = control::Roster::new(7, lease, now);
+    /// roster.expire(now + lease);
+    /// assert!(roster.view(&Default::default()).settled);
+    /// ```
     pub fn expire(&mut self, now: Instant) {
         self.registry.expire(now);
         self.former.retain(|(_, _, until)| now < *until);
     }
 
     /// Tells that the drained targets have changed.
+    ///
+    /// ```
+    /// # use std::time::{Duration, Instant};
+    /// let (now, lease) = (Instant::now(), Duration::from_secs(3));
+    /// let mut roster = control::Roster::new(7, lease, now);
+    /// roster.drained();
+    /// assert_eq!(roster.version(), 2);
+    /// ```
     pub fn drained(&mut self) {
         self.drains += 1;
     }
 
     /// How far the notes up to the newest have come.
+    ///
+    /// ```
+    /// # use std::time::{Duration, Instant};
+    /// let (now, lease) = (Instant::now(), Duration::from_secs(3));
+    /// let roster = control::Roster::new(7, lease, now);
+    /// assert_eq!(roster.progress(4, now).everywhere, None);
+    /// ```
     #[must_use]
     pub fn progress(&self, newest: u64, now: Instant) -> Progress {
         let mut everywhere = newest;
@@ -120,11 +171,25 @@
     }
 
     /// The nodes that live.
+    ///
+    /// ```
+    /// # use std::time::{Duration, Instant};
+    /// let (now, lease) = (Instant::now(), Duration::from_secs(3));
+    /// let roster = control::Roster::new(7, lease, now);
+    /// assert_eq!(roster.members().count(), 0);
+    /// ```
     pub fn members(&self) -> impl Iterator<Item = &Member> {
         self.registry.members()
     }
 
     /// The nodes that live. A drained target shows as leaving.
+    ///
+    /// ```
+    /// # use std::time::{Duration, Instant};
+    /// let (now, lease) = (Instant::now(), Duration::from_secs(3));
+    /// let roster = control::Roster::new(7, lease, now);
+    /// assert!(roster.view(&Default::default()).nodes.is_empty());
+    /// ```
     #[must_use]
     pub fn view(&self, drained: &BTreeSet<String>) -> MemberView {
         let view = self.registry.view();
--- a/crates/quorum/src/node.rs
+++ b/crates/quorum/src/node.rs
@@ -1,6 +1,7 @@
 //! One replica.
 
 mod election;
+mod inspect;
 mod install;
 mod membership;
 mod output;
@@ -11,8 +12,7 @@
 use crate::leader::Leader;
 use crate::log::Log;
 use crate::{
-    Config, DiskId, Entry, EntryBody, HardState, Members, Message, MessageBody, ReplicaStatus,
-    Restored, Snapshot, Status,
+    Config, DiskId, Entry, EntryBody, HardState, Members, Message, MessageBody, Restored, Snapshot,
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -79,6 +79,13 @@
 impl Node {
     /// A replica that starts with what its disk holds. `seed` makes the
     /// election timeouts differ between replicas. The crate page shows it.
+    ///
+    /// ```
+    /// # use quorum::*;
+    /// # let now = std::time::Instant::now();
+    /// let node = Node::new(DiskId(1), Config::default(), 7, Restored::default(), now);
+    /// assert!(node.wants_in(now));
+    /// ```
     #[must_use]
     pub fn new(id: DiskId, cfg: Config, seed: u64, restored: Restored, now: Instant) -> Node {
         let blank = restored.snapshot.is_none();
@@ -126,6 +133,14 @@
     }
 
     /// Moves the time on: heartbeats, elections, loss of a majority.
+    ///
+    /// ```
+    /// # use quorum::*;
+    /// # let now = std::time::Instant::now();
+    /// let mut node = Node::new(DiskId(1), Config::default(), 7, Restored::default(), now);
+    /// node.tick(now);
+    /// assert!(node.ready().is_empty());
+    /// ```
     pub fn tick(&mut self, now: Instant) {
         if self.is_leader() {
             self.lead(now);
@@ -135,6 +150,16 @@
     }
 
     /// Takes a message. Any message may come late, twice or never.
+    ///
+    /// ```
+    /// # use quorum::*;
+    /// # let now = std::time::Instant::now();
+    /// let mut node = Node::new(DiskId(1), Config::default(), 7, Restored::default(), now);
+    /// let body = MessageBody::VoteRequest { pre: true, last_index: 0, last_term: 0 };
+    /// let message = Message { from: DiskId(2), to: DiskId(1), term: 1, body };
+    /// node.step(message, now + Config::default().election);
+    /// assert_eq!(node.ready().messages.len(), 1);
+    /// ```
     pub fn step(&mut self, message: Message, now: Instant) {
         if message.to != self.id || !message.is_plausible() {
             return;
@@ -182,134 +207,6 @@
         }
     }
 
-    /// Own disk.
-    #[must_use]
-    pub fn id(&self) -> DiskId {
-        self.id
-    }
-
-    /// Newest term heard of; of a leader, its fencing number.
-    #[must_use]
-    pub fn term(&self) -> u64 {
-        self.hard.term
-    }
-
-    /// Whether this replica leads, or still believes so; see
-    /// [`Node::leased`].
-    #[must_use]
-    pub fn is_leader(&self) -> bool {
-        matches!(self.role, Role::Leader(_))
-    }
-
-    /// Whether this replica leads and no other can: a majority has answered
-    /// so lately that it gives no vote yet (sections 6.2 and 6.4.1).
-    #[must_use]
-    pub fn leased(&self, now: Instant) -> bool {
-        match &self.role {
-            Role::Leader(leader) => leader.leased(now, self.cfg.lease()),
-            _ => false,
-        }
-    }
-
-    /// Whether this leader has committed an entry of its own term, and so
-    /// holds all that was ever acknowledged (section 6.4).
-    #[must_use]
-    pub fn has_committed_own(&self) -> bool {
-        match &self.role {
-            Role::Leader(leader) => self.commit >= leader.noop,
-            _ => false,
-        }
-    }
-
-    /// Whether all that this leader has found committed was handed out to be
-    /// applied, so that the state machine lacks nothing acknowledged before it.
-    #[must_use]
-    pub fn has_applied_own(&self) -> bool {
-        match &self.role {
-            Role::Leader(leader) => self.applied >= leader.noop,
-            _ => false,
-        }
-    }
-
-    /// The leader, if known.
-    #[must_use]
-    pub fn leader(&self) -> Option<DiskId> {
-        self.leader
-    }
-
-    /// The members as of the end of the log.
-    #[must_use]
-    pub fn members(&self) -> &Members {
-        const NONE: &Members = &Members {
-            voters: BTreeMap::new(),
-            learners: BTreeMap::new(),
-        };
-        self.members.last().map_or(NONE, |(_, members)| members)
-    }
-
-    /// Whether this replica should ask to be taken in: it is no voter and
-    /// hears no leader.
-    ///
-    /// A blank one is so. One that was being taken in may be so as well: the
-    /// change that made it a learner can be lost with the leader that ordered
-    /// it, and then nobody knows of this replica any more.
-    #[must_use]
-    pub fn wants_in(&self, now: Instant) -> bool {
-        let silent = now.saturating_duration_since(self.heard) >= self.cfg.election;
-        !self.is_voter() && (self.leader.is_none() || silent)
-    }
-
-    /// Last entry handed out to be applied, and its term.
-    #[must_use]
-    pub fn applied(&self) -> (u64, u64) {
-        let term = self.log.term_at(self.applied);
-        (self.applied, term.unwrap_or(self.snapshot.term))
-    }
-
-    /// Members as of an entry that is still in the log.
-    #[must_use]
-    pub fn members_at(&self, index: u64) -> Members {
-        let mut before = self.members.iter().rev();
-        let found = before.find(|(set, _)| *set <= index);
-        found.map_or_else(Members::default, |(_, members)| members.clone())
-    }
-
-    /// What is known of this replica and the others.
-    #[must_use]
-    pub fn status(&self, now: Instant) -> Status {
-        Status {
-            id: self.id,
-            term: self.hard.term,
-            leader: self.leader,
-            commit: self.commit,
-            applied: self.applied,
-            last: self.log.last_index(),
-            settled: self.members_settled(),
-            replicas: self.replicas(now),
-        }
-    }
-
-    fn replicas(&self, now: Instant) -> Vec<ReplicaStatus> {
-        let members = self.members();
-        let mut rows = Vec::new();
-        for id in members.ids() {
-            let mut row = ReplicaStatus {
-                id,
-                peer: members.peer(id).cloned().unwrap_or_default(),
-                voter: members.voters.contains_key(&id),
-                matched: None,
-                active: id == self.id,
-            };
-            if let Role::Leader(leader) = &self.role {
-                let matched = leader.peers.get(&id).map(|p| p.matched);
-                row.matched = matched.or((id == self.id).then_some(self.stable));
-                row.active |= leader.active(id, now, self.cfg.election);
-            }
-            rows.push(row);
-        }
-        rows
-    }
-
     fn is_voter(&self) -> bool {
         self.members().voters.contains_key(&self.id)
     }
--- a/crates/quorum/src/node/install.rs
+++ b/crates/quorum/src/node/install.rs
@@ -12,6 +12,15 @@
 impl Node {
     /// Tells of a snapshot that the state machine has made and synced, at an
     /// entry that was handed out. The log before it may go.
+    ///
+    /// ```
+    /// # use quorum::*;
+    /// # let now = std::time::Instant::now();
+    /// let mut node = Node::new(DiskId(1), Config::default(), 7, Restored::default(), now);
+    /// // Beyond what was handed out: ignored.
+    /// node.compacted(Snapshot { index: 9, ..Snapshot::default() });
+    /// assert_eq!(node.snapshot().index, 0);
+    /// ```
     pub fn compacted(&mut self, snapshot: Snapshot) {
         if snapshot.index <= self.snapshot.index || snapshot.index > self.applied {
             return;
@@ -170,6 +179,13 @@
     }
 
     /// The newest snapshot.
+    ///
+    /// ```
+    /// # use quorum::*;
+    /// # let now = std::time::Instant::now();
+    /// let node = Node::new(DiskId(1), Config::default(), 7, Restored::default(), now);
+    /// assert_eq!(node.snapshot().index, 0);
+    /// ```
     #[must_use]
     pub fn snapshot(&self) -> &Snapshot {
         &self.snapshot
--- a/crates/quorum/src/node/membership.rs
+++ b/crates/quorum/src/node/membership.rs
@@ -27,6 +27,13 @@
     ///
     /// Returns false if that can't be done now: this replica doesn't lead, a
     /// change is under way, or the rest would have no majority.
+    ///
+    /// ```
+    /// # use quorum::*;
+    /// # let now = std::time::Instant::now();
+    /// let mut node = Node::new(DiskId(1), Config::default(), 7, Restored::default(), now);
+    /// assert!(!node.remove(DiskId(2), now));
+    /// ```
     pub fn remove(&mut self, id: DiskId, now: Instant) -> bool {
         if !self.may_change(now) || id == self.id || !self.members().contains(id) {
             return false;
--- a/crates/quorum/src/node/output.rs
+++ b/crates/quorum/src/node/output.rs
@@ -7,6 +7,13 @@
 impl Node {
     /// What is to be done now; everything is handed out once. The crate page
     /// shows the round of `ready` and `persisted`.
+    ///
+    /// ```
+    /// # use quorum::*;
+    /// # let now = std::time::Instant::now();
+    /// let mut node = Node::new(DiskId(1), Config::default(), 7, Restored::default(), now);
+    /// assert!(node.ready().is_empty());
+    /// ```
     pub fn ready(&mut self) -> Ready {
         self.replicate_all();
         let write = self.next_write();
@@ -64,6 +71,16 @@
     }
 
     /// Tells that all writes up to `number` are synced.
+    ///
+    /// ```
+    /// # use quorum::*;
+    /// # let now = std::time::Instant::now();
+    /// let mut node = Node::new(DiskId(1), Config::default(), 7, Restored::default(), now);
+    /// if let Some(write) = node.ready().write {
+    ///     // Written and synced here.
+    ///     node.persisted(write.number, now);
+    /// }
+    /// ```
     pub fn persisted(&mut self, number: u64, now: Instant) {
         while self.issued.front().is_some_and(|i| i.number <= number) {
             let Some(issued) = self.issued.pop_front() else {
@@ -146,6 +163,13 @@
     }
 
     /// Messages that wait for a sync.
+    ///
+    /// ```
+    /// # use quorum::*;
+    /// # let now = std::time::Instant::now();
+    /// let node = Node::new(DiskId(1), Config::default(), 7, Restored::default(), now);
+    /// assert_eq!(node.held_back(), 0);
+    /// ```
     #[must_use]
     pub fn held_back(&self) -> usize {
         self.held.len()
--- a/crates/quorum/src/node/replicate.rs
+++ b/crates/quorum/src/node/replicate.rs
@@ -37,6 +37,13 @@
 
     /// Begins the round that confirms the reads asked so far, unless one is
     /// under way. Without it they wait for the next heartbeat.
+    ///
+    /// ```
+    /// # use quorum::*;
+    /// # let now = std::time::Instant::now();
+    /// let mut node = Node::new(DiskId(1), Config::default(), 7, Restored::default(), now);
+    /// node.begin_reads_round(now);
+    /// ```
     pub fn begin_reads_round(&mut self, now: Instant) {
         let own = self.has_committed_own();
         let Role::Leader(leader) = &self.role else {
--- a/crates/quorum/src/node/serve.rs
+++ b/crates/quorum/src/node/serve.rs
@@ -14,6 +14,14 @@
     /// # Errors
     ///
     /// The replica doesn't lead, or can't be sure that it still does.
+    ///
+    /// ```
+    /// # use quorum::*;
+    /// # let now = std::time::Instant::now();
+    /// let mut node = Node::new(DiskId(1), Config::default(), 7, Restored::default(), now);
+    /// let refused = node.propose("note".into(), now);
+    /// assert_eq!(refused, Err(Refused::NotLeader));
+    /// ```
     pub fn propose(&mut self, data: Bytes, now: Instant) -> Result<(u64, u64), Refused> {
         if !self.is_leader() {
             return Err(Refused::NotLeader);
@@ -32,6 +40,13 @@
     /// # Errors
     ///
     /// The replica doesn't lead.
+    ///
+    /// ```
+    /// # use quorum::*;
+    /// # let now = std::time::Instant::now();
+    /// let mut node = Node::new(DiskId(1), Config::default(), 7, Restored::default(), now);
+    /// assert_eq!(node.read(1), Err(Refused::NotLeader));
+    /// ```
     pub fn read(&mut self, token: u64) -> Result<(), Refused> {
         let Role::Leader(leader) = &mut self.role else {
             return Err(Refused::NotLeader);
--- a/crates/store/src/disk.rs
+++ b/crates/store/src/disk.rs
@@ -38,6 +38,14 @@
     ///
     /// The folder is blank, used by another process, damaged, or can't be
     /// read or written.
+    ///
+    /// ```
+    /// # use store::{Batch, Disk, Ops, Snapshot};
+    /// # let folder = tempfile::tempdir().unwrap();
+    /// # store::format(folder.path(), "control-1", &Ops::default()).unwrap();
+    /// let (mut disk, _) = Disk::open(folder.path(), Ops::default()).unwrap();
+    /// disk.sync().unwrap();
+    /// ```
     pub fn open(folder: &Path, ops: Ops) -> Result<(Disk, Recovered)> {
         let identity = crate::identity(folder)?;
         let lock = lock(folder)?;
@@ -99,6 +107,15 @@
     ///
     /// If the disk is full nothing was written and the same may be tried
     /// again. All else stops the disk.
+    ///
+    /// ```
+    /// # use store::{Batch, Disk, Ops, Snapshot};
+    /// # let folder = tempfile::tempdir().unwrap();
+    /// # store::format(folder.path(), "control-1", &Ops::default()).unwrap();
+    /// let (mut disk, _) = Disk::open(folder.path(), Ops::default()).unwrap();
+    /// disk.write(&Batch::default()).unwrap();
+    /// disk.sync().unwrap();
+    /// ```
     pub fn write(&mut self, batch: &Batch) -> Result<()> {
         self.going()?;
         let done = self.write_batch(batch);
@@ -110,6 +127,14 @@
     /// # Errors
     ///
     /// Any error stops the disk.
+    ///
+    /// ```
+    /// # use store::{Batch, Disk, Ops, Snapshot};
+    /// # let folder = tempfile::tempdir().unwrap();
+    /// # store::format(folder.path(), "control-1", &Ops::default()).unwrap();
+    /// let (mut disk, _) = Disk::open(folder.path(), Ops::default()).unwrap();
+    /// disk.sync().unwrap();
+    /// ```
     pub fn sync(&mut self) -> Result<()> {
         self.going()?;
         if !self.segment.has_unsynced() {
@@ -127,6 +152,14 @@
     /// # Errors
     ///
     /// If the disk is full the log is as before. All else stops the disk.
+    ///
+    /// ```
+    /// # use store::{Batch, Disk, Ops, Snapshot};
+    /// # let folder = tempfile::tempdir().unwrap();
+    /// # store::format(folder.path(), "control-1", &Ops::default()).unwrap();
+    /// let (mut disk, _) = Disk::open(folder.path(), Ops::default()).unwrap();
+    /// disk.save(&Snapshot::default()).unwrap();
+    /// ```
     pub fn save(&mut self, snapshot: &Snapshot) -> Result<()> {
         self.sync()?;
         let done = snapshot::save(&self.folder, snapshot, &self.ops)
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -66,24 +66,48 @@
 
     /// Whether the disk is full: nothing was written, and the same may be
     /// tried again.
+    ///
+    /// ```
+    /// # let folder = tempfile::tempdir().unwrap();
+    /// let e = store::identity(folder.path()).unwrap_err();
+    /// assert!(!e.is_full());
+    /// ```
     #[must_use]
     pub fn is_full(&self) -> bool {
         matches!(self.code, Code::Full(_))
     }
 
     /// Whether what is on the disk can't be trusted.
+    ///
+    /// ```
+    /// # let folder = tempfile::tempdir().unwrap();
+    /// let e = store::identity(folder.path()).unwrap_err();
+    /// assert!(!e.is_damage());
+    /// ```
     #[must_use]
     pub fn is_damage(&self) -> bool {
         matches!(self.code, Code::Damaged(..))
     }
 
     /// Whether another process has the folder open.
+    ///
+    /// ```
+    /// # let folder = tempfile::tempdir().unwrap();
+    /// let e = store::identity(folder.path()).unwrap_err();
+    /// assert!(!e.is_in_use());
+    /// ```
     #[must_use]
     pub fn is_in_use(&self) -> bool {
         matches!(self.code, Code::InUse(_))
     }
 
     /// Whether the folder was never formatted.
+    ///
+    /// ```
+    /// # let folder = tempfile::tempdir().unwrap();
+    /// let e = store::identity(folder.path()).unwrap_err();
+    /// assert!(e.is_blank());
+    /// ```
     #[must_use]
     pub fn is_blank(&self) -> bool {
         matches!(self.code, Code::Blank(_))
