Take the time of commands from the leader's monotonic clock

The time now goes on from the last command at the pace of the leader's monotonic clock; commands are taken only once the leader has applied all before it.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,6 +7,7 @@
 //! the disk, and a task for each other replica keeps a link to it.
 
 mod asker;
+mod clock;
 mod codec;
 mod control;
 mod disk;
@@ -23,6 +24,7 @@
 mod settings;
 mod timing;
 
+pub use clock::Clock;
 pub use control::Control;
 pub use init::init;
 pub use listeners::Listeners;
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -156,7 +156,7 @@
         &self.drained
     }
 
-    /// Latest time of a command, in milliseconds since the epoch.
+    /// Latest time of a command, by the [`Clock`](crate::Clock) of its leader.
     ///
     /// ```
     /// let machine = control::Machine::default();
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -9,6 +9,7 @@
 pub(crate) use actor::{Replica, Start};
 pub(crate) use status::add_leaders_part;
 
+use crate::clock::Clock;
 use crate::disk::{Fullness, Job, Report};
 use crate::machine::Machine;
 use crate::metrics::Metrics;
@@ -70,6 +71,8 @@
     peers: Peers,
     nodes: Vec<Link>,
     roster: Option<Roster>,
+    /// While this replica leads and has applied all that came before.
+    clock: Option<Clock>,
     commands: Commands,
     reads: Reads,
     /// A snapshot is being saved.
--- a/crates/control/src/replica/actor.rs
+++ b/crates/control/src/replica/actor.rs
@@ -108,6 +108,7 @@
             peers: Peers::default(),
             nodes: Vec::new(),
             roster: None,
+            clock: None,
             metrics,
             commands: Commands::default(),
             reads: Reads::default(),
--- a/crates/control/src/replica/answer.rs
+++ b/crates/control/src/replica/answer.rs
@@ -4,7 +4,7 @@
 use crate::disk::Fullness;
 use crate::reply::{Commit, Reply, unavailable};
 use prost::Message as _;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 use wire::proto::frame::Body;
 use wire::proto::query::Body as Question;
 use wire::proto::query_reply::Body as Answer;
@@ -83,7 +83,11 @@
         if self.commands.is_full() {
             return Err("too many commands wait".to_owned());
         }
-        command.now_ms = self.wall_ms();
+        // Before that this leader doesn't know all that was ordered, and when.
+        let Some(clock) = self.clock.filter(|_| self.node.has_applied_own()) else {
+            return Err("the leader was elected just now".to_owned());
+        };
+        command.now_ms = clock.now_ms(now);
         let data = command.encode_to_vec();
         if data.len() > MOST_COMMAND_BYTES {
             return Err("the command is too long".to_owned());
@@ -92,15 +96,6 @@
         ordered.map_err(|e| e.to_string())
     }
 
-    /// Wall time that never goes back behind a committed command.
-    fn wall_ms(&self) -> u64 {
-        let since = SystemTime::now().duration_since(UNIX_EPOCH);
-        let ms = since.map_or(0, |since| since.as_millis());
-        u64::try_from(ms)
-            .unwrap_or(u64::MAX)
-            .max(self.machine.now_ms())
-    }
-
     pub(super) fn query(&mut self, query: Query, reply: Reply) {
         if !self.node.is_leader() || self.reads.is_full() {
             return reply.send(self.not_leader());
--- a/crates/control/src/replica/output.rs
+++ b/crates/control/src/replica/output.rs
@@ -1,6 +1,7 @@
 //! Carries out what the replicated log wants done.
 
 use super::State;
+use crate::clock::Clock;
 use crate::codec;
 use crate::disk::{Fullness, Job};
 use crate::machine::Machine;
@@ -136,6 +137,7 @@
     fn follow_leadership(&mut self, now: Instant) {
         let term = self.node.term();
         if !self.node.is_leader() {
+            self.clock = None;
             if self.roster.take().is_some() {
                 log::info!("no longer the leader, term is {term}");
                 self.commands.give_up("the leader was replaced");
@@ -147,6 +149,10 @@
             self.commands.give_up("the leader was replaced");
             let length = self.settings.timing.lease;
             self.roster = Some(Roster::new(term, length, now));
+            self.clock = None;
+        }
+        if self.clock.is_none() && self.node.has_applied_own() {
+            self.clock = Some(Clock::new(self.machine.now_ms(), now));
         }
     }
 
--- a/crates/control/src/replica/status.rs
+++ b/crates/control/src/replica/status.rs
@@ -55,6 +55,7 @@
             "ledger": {
                 "records": self.machine.ledger().len(),
                 "bytes": self.machine.ledger().bytes(),
+                "time_ms": self.machine.now_ms(),
             },
         })
     }
--- a/crates/control/tests/replicas/leaders.rs
+++ b/crates/control/tests/replicas/leaders.rs
@@ -189,3 +189,27 @@
     cluster.up(&names[0]).await;
     cluster.submit_up_to(2).await;
 }
+
+/// The wall clock of a control host is years off. Records of non-repeatable
+/// calls are kept for a time that must not depend on it, or they would all
+/// expire when that host comes to lead, and a resend would run again.
+#[tokio::test(flavor = "multi_thread")]
+async fn time_is_not_wall_time() {
+    const HOUR_MS: u64 = 3_600_000;
+    let mut cluster = Cluster::start(3).await;
+    cluster.submit_up_to(1).await;
+    let time = async |cluster: &Cluster| {
+        let status = cluster.leader_status().await;
+        status["ledger"]["time_ms"].as_u64().unwrap()
+    };
+    let before = time(&cluster).await;
+    assert!(before < HOUR_MS, "{before}");
+    let leader = cluster.leader().await;
+    cluster.down(&leader).await;
+    cluster.submit_up_to(2).await;
+    let after = time(&cluster).await;
+    assert!(
+        (before..before + HOUR_MS).contains(&after),
+        "{before} {after}"
+    );
+}
--- a/crates/wire/src/gen/lovageramp.rs
+++ b/crates/wire/src/gen/lovageramp.rs
@@ -426,7 +426,8 @@
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Command {
-    /// Milliseconds since the epoch, set by the leader that orders it.
+    /// Milliseconds that the cluster has had a leader, set by the one that
+    /// orders the command.
     #[prost(uint64, tag = "1")]
     pub now_ms: u64,
     #[prost(oneof = "command::Body", tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19")]
