--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -9,6 +9,7 @@
 pub(crate) use actor::{Replica, Start};
 pub(crate) use status::add_leaders_part;
 
+use crate::clock::Clock;
 use crate::disk::{Fullness, Job, Report};
 use crate::machine::Machine;
 use crate::metrics::Metrics;
@@ -28,6 +29,8 @@
 pub(crate) enum Msg {
     /// Time has passed.
     Tick,
+    /// All that was told before this is to be carried out.
+    Pump,
     /// From another replica.
     Peer(Box<Message>),
     /// A link to another replica is up.
@@ -68,10 +71,14 @@
     peers: Peers,
     nodes: Vec<Link>,
     roster: Option<Roster>,
+    /// While this replica leads and has applied all that came before.
+    clock: Option<Clock>,
     commands: Commands,
     reads: Reads,
     /// A snapshot is being saved.
     saving: Option<quorum::Snapshot>,
+    /// [`Msg::Pump`] is in the mailbox.
+    pump_due: bool,
     /// When to ask again to be taken in.
     join_at: Instant,
     metrics: Metrics,
