--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -8,18 +8,21 @@
 use crate::affinity::Affinity;
 use crate::place::Place;
 use crate::target::{Estimate, Target};
-use crate::{AttemptKey, Choice, Demand, Ending, Report, Standing, Suspicion, TargetKey, Tuning};
+use crate::{
+    Arrival, AttemptKey, Choice, Demand, Ending, Places, Report, Standing, Suspicion, TargetKey,
+    Tuning,
+};
 
 /// The targets that one kind of request may be sent to.
 ///
 /// ```
 /// use rand::{SeedableRng, rngs::SmallRng};
-/// use route::{Demand, Pool, Standing, Tuning};
+/// use route::{Arrival, Demand, Pool, Standing, Tuning};
 /// use std::time::{Duration, Instant};
 ///
 /// let now = Instant::now();
 /// let mut pool = Pool::new(Tuning::default());
-/// let key = pool.insert("advisor-01", Duration::from_millis(1), now);
+/// let key = pool.insert("advisor-01", Duration::from_millis(1), Arrival::Warm, now);
 /// pool.set_standing(key, Standing::Ready);
 ///
 /// let mut rng = SmallRng::seed_from_u64(1);
@@ -57,11 +60,27 @@
 
     /// Adds a target at a network distance; it is absent until its standing
     /// is set.
-    pub fn insert(&mut self, name: &str, distance: Duration, now: Instant) -> TargetKey {
-        let target = Target::new(name, distance, now, &self.tuning);
+    pub fn insert(
+        &mut self,
+        name: &str,
+        distance: Duration,
+        arrival: Arrival,
+        now: Instant,
+    ) -> TargetKey {
+        let mut target = Target::new(name, distance, now, &self.tuning);
+        if arrival == Arrival::Warm {
+            target.set_warm();
+        }
         self.targets.insert(target)
     }
 
+    /// Sets which ranks a target has; load reports say so too.
+    pub fn set_ranks(&mut self, key: TargetKey, ranks: &[u32]) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.set_ranks(ranks);
+        }
+    }
+
     /// Takes a target out for good.
     pub fn remove(&mut self, key: TargetKey) {
         self.targets.remove(key);
@@ -97,7 +116,7 @@
     /// Takes a load report. One older than the last is dropped.
     pub fn report(&mut self, key: TargetKey, report: &Report) {
         if let Some(target) = self.targets.get_mut(key) {
-            target.report(report, self.tuning.share);
+            target.report(report);
         }
     }
 
@@ -126,14 +145,20 @@
         self.targets.get(key).map_or(0, |target| target.own_running)
     }
 
-    /// Places for requests of this entry on all ready targets.
+    /// Places for requests on all ready targets. This looks at each of them.
     #[must_use]
-    pub fn places(&self, now: Instant) -> f64 {
+    pub fn places(&self, now: Instant) -> Places {
         let ready = self.ready.iter().filter_map(|key| self.targets.get(*key));
-        ready
-            .filter(|target| !target.ejection.is_active(now))
-            .map(|target| target.limit.current() * target.warmth(now, &self.tuning))
-            .sum()
+        let ready = ready.filter(|target| !target.ejection.is_active(now));
+        let mut places = Places::default();
+        for target in ready {
+            let limit = target.limit.current() * target.warmth(now, &self.tuning);
+            places.all += limit;
+            places.spare += limit * (self.tuning.overcommit - 1.0);
+            places.part += limit * self.tuning.share;
+            places.open += f64::from(target.own_running) + target.room(now, &self.tuning);
+        }
+        places
     }
 
     /// Chooses target and rank by the least expected time to first token
@@ -143,7 +168,11 @@
     pub fn choose(&self, now: Instant, demand: &Demand<'_>, rng: &mut impl Rng) -> Option<Choice> {
         let best = self.best_of_sample(now, demand, rng);
         let best = best.or_else(|| self.best_of(now, demand, self.ready.iter().copied()));
-        best.map(|(key, estimate)| self.choice(key, estimate))
+        best.map(|(target, estimate)| Choice {
+            target,
+            rank: estimate.rank,
+            expected: Duration::try_from_secs_f64(estimate.seconds).unwrap_or(Duration::MAX),
+        })
     }
 
     /// Registers an attempt at the chosen place.
@@ -151,20 +180,19 @@
         let Some(target) = self.targets.get_mut(choice.target) else {
             return AttemptKey::default();
         };
-        let rank = target.rank_index(choice.rank);
         let incarnation = target.arrived();
         let key = self.attempts.insert_with_key(|key| Place {
             key,
             target: choice.target,
             incarnation,
-            rank,
+            rank: choice.rank,
             tokens: demand.tokens,
             suspicion: demand.suspicion,
             started: now,
             expected: choice.expected.as_secs_f64(),
             first: None,
         });
-        target.started(now, key, rank, demand);
+        target.started(now, key, choice.rank, demand);
         key
     }
 
@@ -177,7 +205,7 @@
             return;
         }
         if let Some(target) = self.targets.get_mut(place.target) {
-            target.answered(now, place);
+            target.answered(now, place, &self.tuning);
         }
         place.first = Some(now);
     }
@@ -256,10 +284,12 @@
         let target = self.targets.get(key)?;
         let neighbours = self.ready.iter().take(self.tuning.samples);
         let fills = neighbours.filter_map(|key| self.targets.get(*key));
-        let (sum, count) = fills.fold((0.0, 0.0), |(sum, count), t| (sum + t.fill(), count + 1.0));
+        let (sum, count) = fills.fold((0.0, 0.0), |(sum, count), t| {
+            (sum + t.fill(&self.tuning), count + 1.0)
+        });
         let bound = self.tuning.affinity_bound * (sum / f64::max(count, 1.0));
-        let fits = target.fill() <= bound || target.own_running == 0;
-        (fits && target.has_room(now, &self.tuning)).then_some(key)
+        let fits = target.fill(&self.tuning) <= bound || target.own_running == 0;
+        (fits && target.room(now, &self.tuning) >= 1.0).then_some(key)
     }
 
     fn best_of(
@@ -282,16 +312,7 @@
             && !target.ejection.is_active(now)
             && alone
             && !demand.avoid.contains(&key)
-            && target.has_room(now, &self.tuning)
-    }
-
-    fn choice(&self, key: TargetKey, estimate: Estimate) -> Choice {
-        let rank = self.targets.get(key).map(|t| t.rank_number(estimate.rank));
-        Choice {
-            target: key,
-            rank: rank.unwrap_or(0),
-            expected: Duration::try_from_secs_f64(estimate.seconds).unwrap_or(Duration::MAX),
-        }
+            && target.room(now, &self.tuning) >= 1.0
     }
 
     fn rebuild(&mut self) {
