--- a/crates/agent/tests/leaving.rs
+++ b/crates/agent/tests/leaving.rs
@@ -87,8 +87,13 @@
     let bound = json!({"timing": {"shutdown_ms": 300}});
     let bench = Arc::new(Bench::engine(&engine, bound).await);
     let caller = bench.caller().await;
-    caller.begin(bench.chat(1, 1_000_000)).await;
-    shut_down(&bench).await.unwrap();
+    let endless = wire::proto::Start {
+        deadline_ms: 0,
+        ..bench.chat(1, 1_000_000)
+    };
+    caller.begin(endless).await;
+    let shutdown = shut_down(&bench);
+    until("the shutdown ended", async || shutdown.is_finished()).await;
     caller.link.closed().await;
 }
 
