Make four tests of the entry as strict as they read

Cause: with a guard taken out, these still passed: stream_caller_goes_away (the attempt was given up as stalled after 30 s all the same), shutdown_with_open_stream (the list had one row before the entry was in it), start_refused_for_note (plain retries sufficed), admit_without_lease (agents refuse too).

--- a/crates/entry/tests/entry/support/relay.rs
+++ b/crates/entry/tests/entry/support/relay.rs
@@ -14,6 +14,7 @@
     pub address: SocketAddr,
     target: Arc<Mutex<Option<SocketAddr>>>,
     forgotten: Arc<Mutex<CancellationToken>>,
+    cut: CancellationToken,
 }
 
 impl Relay {
@@ -23,10 +24,14 @@
             address: listener.local_addr().unwrap(),
             target: Arc::default(),
             forgotten: Arc::default(),
+            cut: CancellationToken::new(),
         };
         let accepting = relay.clone();
         tokio::spawn(async move {
             while let Ok((near, _)) = listener.accept().await {
+                if accepting.cut.is_cancelled() {
+                    continue;
+                }
                 let target = *accepting.target.lock().unwrap();
                 let Some(target) = target else { continue };
                 let Ok(far) = TcpStream::connect(target).await else {
@@ -46,6 +51,12 @@
         *self.target.lock().unwrap() = Some(target);
     }
 
+    /// Lets nothing through any more.
+    pub fn cut(&self) {
+        self.cut.cancel();
+        self.forget();
+    }
+
     /// Swallows all bytes of the present connections from now on.
     pub fn forget(&self) {
         let mut forgotten = self.forgotten.lock().unwrap();
