Give a request up that has crashed two targets

Cause: tests/quarantine.rs of the process tests showed one request crash three targets before it was refused: the entry tried again at once, by what it knew of the quarantine before. Change: after a crash the entry notes it for the fingerprint, asks control for the newest quarantine and checks it before another attempt; own crashes count for ten seconds, two of them refuse the request (422), also when it is sent again. Failed first: with that step taken out whole_crashes_two_targets fails.

--- a/crates/entry/src/http/front.rs
+++ b/crates/entry/src/http/front.rs
@@ -20,7 +20,7 @@
 use crate::metrics::{Reason, Status};
 use crate::placement::{Permit, Record};
 use crate::pool_name::PoolName;
-use crate::work::{Course, Cx, OnceJob, refuse_once, run_once, run_stream, run_whole};
+use crate::work::{Course, Cx, OnceJob, convicted, refuse_once, run_once, run_stream, run_whole};
 
 /// Answers callers and operators; clones share everything.
 #[derive(Clone)]
@@ -215,11 +215,7 @@
                 job.suspicion = suspicion;
                 Ok(())
             }
-            Record::Convicted => {
-                let detail = "this request crashed targets; an operator can pardon it";
-                let status = StatusCode::UNPROCESSABLE_ENTITY;
-                Err(Problem::new(status, detail))
-            }
+            Record::Convicted => Err(convicted()),
         }
     }
 
--- a/crates/entry/src/placement/inner.rs
+++ b/crates/entry/src/placement/inner.rs
@@ -28,6 +28,9 @@
     convicted: BTreeSet<Fingerprint>,
     suspects: BTreeSet<Fingerprint>,
     quarantine_version: u64,
+    /// Crashes that this entry saw requests cause or be near of, and when the
+    /// last one was.
+    crashes: BTreeMap<Fingerprint, (u32, Instant)>,
     rng: SmallRng,
     zone: String,
     zone_distance: Duration,
@@ -35,6 +38,13 @@
     queue: usize,
 }
 
+/// For how long own crashes count: until the quarantine must have heard of
+/// them. It has the last word, also when an operator pardons a request.
+const OWN_CRASHES: Duration = Duration::from_secs(10);
+/// Requests of which own crashes are remembered.
+const MAX_OWN_CRASHES: usize = 4096;
+/// Targets that one request may crash before it is refused.
+const MAX_CRASHED: u32 = 2;
 /// Network distance assumed within an availability zone.
 const NEAR: Duration = Duration::from_micros(300);
 
@@ -53,6 +63,7 @@
             convicted: BTreeSet::new(),
             suspects: BTreeSet::new(),
             quarantine_version: 0,
+            crashes: BTreeMap::new(),
             rng: SmallRng::seed_from_u64(seed),
             zone: zone.to_owned(),
             zone_distance: timing.zone_distance,
@@ -145,10 +156,25 @@
         self.suspects = read(&quarantine.suspects);
     }
 
-    pub(super) fn record(&self, fingerprint: &Fingerprint) -> Record {
-        if self.convicted.contains(fingerprint) {
+    /// Notes that a target crashed while the request ran there.
+    pub(super) fn crashed(&mut self, now: Instant, fingerprint: Fingerprint) {
+        self.crashes
+            .retain(|_, (_, at)| now.saturating_duration_since(*at) < OWN_CRASHES);
+        let known = self.crashes.contains_key(&fingerprint);
+        if known || self.crashes.len() < MAX_OWN_CRASHES {
+            let (count, at) = self.crashes.entry(fingerprint).or_insert((0, now));
+            *count += 1;
+            *at = now;
+        }
+    }
+
+    pub(super) fn record(&self, now: Instant, fingerprint: &Fingerprint) -> Record {
+        let own = self.crashes.get(fingerprint);
+        let own = own.filter(|(_, at)| now.saturating_duration_since(*at) < OWN_CRASHES);
+        let own = own.map_or(0, |(count, _)| *count);
+        if self.convicted.contains(fingerprint) || own >= MAX_CRASHED {
             Record::Convicted
-        } else if self.suspects.contains(fingerprint) {
+        } else if self.suspects.contains(fingerprint) || own > 0 {
             Record::Runs(Suspicion::Suspect)
         } else {
             Record::Runs(Suspicion::Clear)
--- a/crates/entry/src/placement/mod.rs
+++ b/crates/entry/src/placement/mod.rs
@@ -71,7 +71,12 @@
     }
 
     pub(crate) fn record(&self, fingerprint: &Fingerprint) -> Record {
-        self.lock().record(fingerprint)
+        self.lock().record(Instant::now(), fingerprint)
+    }
+
+    /// Notes that a target crashed while the request ran there.
+    pub(crate) fn crashed(&self, fingerprint: Fingerprint) {
+        self.lock().crashed(Instant::now(), fingerprint);
     }
 
     pub(crate) fn report(&self, agent: &Arc<Agent>, report: &Report) {
--- a/crates/entry/src/work/course.rs
+++ b/crates/entry/src/work/course.rs
@@ -15,7 +15,7 @@
 use super::failure::Failure;
 use super::open::start_of;
 use crate::job::Job;
-use crate::placement::{Permit, Placed, StartAt, Wanted};
+use crate::placement::{Permit, Placed, Record, StartAt, Wanted};
 
 /// Pause before looking again for a target with room.
 const LOOK_AGAIN: Duration = Duration::from_millis(10);
@@ -99,7 +99,7 @@
                     Failure::Lost
                 }
             };
-            self.retry(&agent.name, failure)?;
+            self.retry(&agent.name, failure).await?;
         }
     }
 
@@ -114,11 +114,14 @@
 
     /// Says whether the request may be tried again after `failure` at a
     /// target, or what its caller is told.
-    pub(crate) fn retry(&mut self, target: &str, failure: Failure) -> Result<(), Problem> {
+    pub(crate) async fn retry(&mut self, target: &str, failure: Failure) -> Result<(), Problem> {
         self.ran = worse(self.ran, failure.ran());
         self.wanted.avoid.push(target.to_owned());
         let (id, detail) = (&self.job.id, failure.detail());
         log::info!("request={id} attempt at {target} failed: {detail}");
+        if failure == Failure::Crashed {
+            self.heed_crash().await?;
+        }
         let late = Instant::now() >= self.job.deadline;
         let may = failure.is_passing() && !late && self.attempts < self.cx.limits.attempts;
         if may && self.cx.placement.withdraw_retry() {
@@ -128,6 +131,28 @@
         Err(self.given_up(if late { Failure::Late } else { failure }))
     }
 
+    /// The target crashed while the request ran there. Tried again by what was
+    /// known before, a request that crashes targets would take down one more
+    /// before the quarantine is heard of.
+    async fn heed_crash(&mut self) -> Result<(), Problem> {
+        self.cx.placement.crashed(self.job.fingerprint);
+        // Without an answer, the entry's own record of the crash counts.
+        let _ = tokio::time::timeout(self.cx.timing.start, self.cx.follower.refresh()).await;
+        let quarantine = self.cx.follower.quarantine();
+        self.cx.placement.set_quarantine(&quarantine);
+        match self.cx.placement.record(&self.job.fingerprint) {
+            Record::Runs(suspicion) => {
+                self.job.suspicion = suspicion;
+                Ok(())
+            }
+            Record::Convicted => {
+                let mut problem = convicted();
+                problem.ran = self.ran;
+                Err(problem)
+            }
+        }
+    }
+
     /// Part of the answer has come: the request ran, whatever follows.
     pub(crate) fn has_run(&mut self) {
         self.ran = Ran::Yes;
@@ -192,6 +217,12 @@
     }
 }
 
+/// The refusal of a request that has crashed targets.
+pub(crate) fn convicted() -> Problem {
+    let detail = "this request crashed targets; an operator can pardon it";
+    Problem::new(StatusCode::UNPROCESSABLE_ENTITY, detail)
+}
+
 /// The less certain of what two attempts say.
 fn worse(a: Ran, b: Ran) -> Ran {
     match (a, b) {
--- a/crates/entry/src/work/mod.rs
+++ b/crates/entry/src/work/mod.rs
@@ -13,7 +13,7 @@
 mod whole;
 
 pub(crate) use answer::{Answer, Streamed};
-pub(crate) use course::Course;
+pub(crate) use course::{Course, convicted};
 pub(crate) use cx::Cx;
 pub(crate) use once::{OnceJob, refuse_once, run_once};
 pub(crate) use pump::run_stream;
--- a/crates/entry/src/work/once.rs
+++ b/crates/entry/src/work/once.rs
@@ -173,7 +173,7 @@
     /// within the limits of retries.
     async fn released(&mut self, id: &Bytes, target: &str) -> Result<Step, Problem> {
         self.records.release(id).await?;
-        match self.course.retry(target, Failure::NotRun) {
+        match self.course.retry(target, Failure::NotRun).await {
             Ok(()) => Ok(Step::Again),
             Err(problem) => Ok(Step::Answer(Err(problem))),
         }
@@ -288,6 +288,10 @@
                 self.released(id, &target).await
             }
             Err(failure @ (Failure::Crashed | Failure::TooLarge)) => {
+                if failure == Failure::Crashed {
+                    let fingerprint = self.course.job.fingerprint;
+                    self.course.cx.placement.crashed(fingerprint);
+                }
                 self.unknown(id, failure.detail()).await
             }
             Err(failure) if attempt.is_over() || agent.gone.is_cancelled() => {
--- a/crates/entry/src/work/pump.rs
+++ b/crates/entry/src/work/pump.rs
@@ -41,7 +41,7 @@
             Err(failure) => {
                 live.placed.end(failure.ending());
                 drop(live.attempt);
-                course.retry(&target, failure)?;
+                course.retry(&target, failure).await?;
             }
         }
     }
@@ -132,7 +132,7 @@
     /// is never given an event twice: without any given the answer may begin
     /// anew, else the target must resume.
     async fn go_on(&mut self, target: &str, failure: Failure) -> Result<Live, Problem> {
-        self.course.retry(target, failure)?;
+        self.course.retry(target, failure).await?;
         self.events.restart();
         let at = if self.given == 0 {
             StartAt::Beginning
--- a/crates/entry/src/work/whole.rs
+++ b/crates/entry/src/work/whole.rs
@@ -47,12 +47,12 @@
         Ok((answer, _)) => {
             live.placed.end(Ending::Full);
             // Out of retries, the target's own words say most.
-            let again = course.retry(&target, Failure::Lost).is_ok();
+            let again = course.retry(&target, Failure::Lost).await.is_ok();
             Ok((!again).then_some(answer))
         }
         Err(failure) => {
             live.placed.end(failure.ending());
-            course.retry(&target, failure)?;
+            course.retry(&target, failure).await?;
             Ok(None)
         }
     }
--- a/crates/entry/tests/entry/standing.rs
+++ b/crates/entry/tests/entry/standing.rs
@@ -87,10 +87,10 @@
     engine.fault(fake::Fault::CrashOn("poison".to_owned()));
     let poison = chat("poison", 3, Form::Whole);
     let path = "/v1/chat/completions";
-    let refused = eventually("it is convicted", async || {
+    eventually("it is convicted", async || {
         let reply = caller.post(path, &[], poison.clone()).await;
         if reply.status == 422 {
-            return Some(reply);
+            return Some(());
         }
         if caller.chat("ok", 1, Form::Whole).await.status != 200 {
             engine.restart().await.unwrap();
@@ -100,7 +100,8 @@
     })
     .await;
     engine.restart().await.unwrap();
-    assert_eq!(refused.ran(), "no");
+    let refused = caller.post(path, &[], poison.clone()).await;
+    assert_eq!((refused.status, refused.ran().as_str()), (422, "no"));
     caller.until_served().await;
     drop(cluster);
 }
--- a/crates/entry/tests/entry/streams.rs
+++ b/crates/entry/tests/entry/streams.rs
@@ -357,3 +357,23 @@
     .await;
     assert_eq!(reply.ran(), "unknown");
 }
+
+/// One request crashes each target that runs it, and control hears of the
+/// crashes late. Tried again by what was known before, it would take down a
+/// third target.
+#[tokio::test(flavor = "multi_thread")]
+async fn whole_crashes_two_targets() {
+    let cluster = offered().await;
+    let script = by_turn(|_, start| {
+        let end = finish(&start.attempt, "", End::Crashed);
+        (accept(start), vec![end])
+    });
+    let one = StubAgent::engine(&cluster, "advisor-01", Arc::clone(&script)).await;
+    let two = StubAgent::engine(&cluster, "advisor-02", script).await;
+    let (_entry, caller) = ready(&cluster).await;
+    let reply = first_answer(&caller, Form::Whole).await;
+    assert_eq!((reply.status, reply.ran().as_str()), (422, "unknown"));
+    let again = caller.chat("draft", 9, Form::Whole).await;
+    assert_eq!((again.status, again.ran().as_str()), (422, "no"));
+    assert_eq!(one.starts().len() + two.starts().len(), 2);
+}
