Ask for the newest quarantine before a suspect runs

Cause: trial run of the process test of the quarantine: after one entry had refused a request for its second crash, the other entry, a renewal behind, ran it once more and the third target was lost. Change: a suspect is run only after a refresh. Partial: an entry that doesn't yet know it for suspect still runs it; that rests on control's hint and the agents' order of reporting (their crates).

--- a/crates/entry/src/http/front.rs
+++ b/crates/entry/src/http/front.rs
@@ -146,7 +146,7 @@
         job.prefix = chat.prefix();
         job.adapter.clone_from(&chat.adapter);
         job.version.clone_from(&chat.version);
-        self.check_quarantine(&mut job)?;
+        self.check_quarantine(&mut job).await?;
         let permit = self.admit(&job).await?;
         let course = Course::new(self.cx.clone(), job, permit);
         if chat.stream {
@@ -184,7 +184,7 @@
         if let Some(key) = key {
             return self.once(job, key).await;
         }
-        self.check_quarantine(&mut job)?;
+        self.check_quarantine(&mut job).await?;
         let permit = self.admit(&job).await?;
         let course = Course::new(self.cx.clone(), job, permit);
         run_whole(course).await.map(reply::whole)
@@ -192,7 +192,7 @@
 
     /// A call that may not be repeated.
     async fn once(&self, mut job: Job, key: Bytes) -> Result<Response, Problem> {
-        let quarantined = self.check_quarantine(&mut job);
+        let quarantined = self.check_quarantine(&mut job).await;
         let digest = digest(&[job.method.as_bytes(), job.path.as_bytes(), &job.body]);
         let digest = Bytes::copy_from_slice(&digest);
         let once = OnceJob { job, key, digest };
@@ -208,9 +208,19 @@
     }
 
     /// Refuses a request that has crashed targets before, and notes whether
-    /// it may have.
-    fn check_quarantine(&self, job: &mut Job) -> Result<(), Problem> {
-        match self.cx.placement.record(&job.fingerprint) {
+    /// it may have. Of a suspect the newest is asked first: it may have been
+    /// convicted a moment ago, and would take down another target.
+    async fn check_quarantine(&self, job: &mut Job) -> Result<(), Problem> {
+        let placement = &self.cx.placement;
+        let mut record = placement.record(&job.fingerprint);
+        if record == Record::Runs(Suspicion::Suspect) {
+            let within = self.settings.timing.start;
+            // Without an answer, what is known counts.
+            let _ = tokio::time::timeout(within, self.cx.follower.refresh()).await;
+            placement.set_quarantine(&self.cx.follower.quarantine());
+            record = placement.record(&job.fingerprint);
+        }
+        match record {
             Record::Runs(suspicion) => {
                 job.suspicion = suspicion;
                 Ok(())
