--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -58,15 +58,16 @@
         let seed = rand::random();
         let placement = Placement::new(&settings.zone, &settings.limits, &settings.timing, seed);
         let placement = Arc::new(placement);
+        let (metrics, registry) = Metrics::new();
         let roster = RosterCx {
             follower: follower.clone(),
             placement: Arc::clone(&placement),
             me,
             key,
             link,
+            metrics: metrics.pools.clone(),
         };
         let (roster, _) = Actor::spawn(None, Roster, roster).await?;
-        let (metrics, registry) = Metrics::new();
         let leaving = Arc::new(AtomicBool::new(false));
         let cx = Cx {
             follower: follower.clone(),
--- a/crates/entry/src/links/roster.rs
+++ b/crates/entry/src/links/roster.rs
@@ -15,6 +15,7 @@
 use super::follow::follow;
 use super::news::News;
 use super::{Agent, Announced};
+use crate::metrics::PoolMetrics;
 use crate::placement::{Member, Placement};
 
 /// Between two looks at who waits for a place, if nothing changed.
@@ -31,6 +32,7 @@
     pub(crate) me: Identity,
     pub(crate) key: ClusterKey,
     pub(crate) link: LinkSettings,
+    pub(crate) metrics: PoolMetrics,
 }
 
 /// What the actor keeps.
@@ -73,7 +75,7 @@
     ) -> Result<(), ActorProcessingErr> {
         match news {
             News::Look => links.look(&myself),
-            News::Tick => links.cx.placement.advance(Instant::now()),
+            News::Tick => links.tick(),
             News::Gone(agent) => {
                 agent.gone.cancel();
                 links.look(&myself);
@@ -114,6 +116,12 @@
 }
 
 impl Links {
+    fn tick(&self) {
+        let now = Instant::now();
+        self.cx.placement.advance(now);
+        self.cx.placement.show(now, &self.cx.metrics);
+    }
+
     /// Brings links and pools in line with the member view and the note.
     fn look(&mut self, myself: &ActorRef<News>) {
         let now = Instant::now();
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -20,6 +20,21 @@
     pub(crate) broken_streams: Counter,
     /// Seconds from a request's arrival to the head of its answer.
     pub(crate) answer_seconds: Histogram,
+    pub(crate) pools: PoolMetrics,
+}
+
+/// Gauges of each pool, by the model or service.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PoolMetrics {
+    pub(crate) ready: Family<Pool, Gauge>,
+    pub(crate) running: Family<Pool, Gauge>,
+    pub(crate) waiting: Family<Pool, Gauge>,
+    pub(crate) places: Family<Pool, Gauge>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct Pool {
+    pub(crate) pool: String,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -43,6 +58,7 @@
             open_streams: Gauge::default(),
             broken_streams: Counter::default(),
             answer_seconds: Histogram::new(exponential_buckets(0.001, 2.0, 18)),
+            pools: PoolMetrics::default(),
         };
         let mut registry = Registry::with_prefix("lovageramp_entry");
         metrics.register(&mut registry);
@@ -61,5 +77,10 @@
         registry.register("broken_streams", "Streams broken off", broken);
         let seconds = self.answer_seconds.clone();
         registry.register("answer_seconds", "Time to the head of an answer", seconds);
+        let pools = self.pools.clone();
+        registry.register("ready_targets", "Targets that may be chosen", pools.ready);
+        registry.register("running", "Requests that hold a place", pools.running);
+        registry.register("waiting", "Requests that wait for a place", pools.waiting);
+        registry.register("places", "Places open to this entry", pools.places);
     }
 }
--- a/crates/entry/src/placement/mod.rs
+++ b/crates/entry/src/placement/mod.rs
@@ -16,6 +16,7 @@
 
 use crate::job::Job;
 use crate::links::Agent;
+use crate::metrics::PoolMetrics;
 use crate::{Limits, Timing};
 
 use inner::Inner;
@@ -66,6 +67,13 @@
         }
     }
 
+    /// Shows the figures of all pools.
+    pub(crate) fn show(&self, now: Instant, metrics: &PoolMetrics) {
+        for (name, state) in &self.lock().pools {
+            state.show(name.as_str(), now, metrics);
+        }
+    }
+
     pub(crate) fn set_quarantine(&self, quarantine: &Quarantine) {
         self.lock().set_quarantine(quarantine);
     }
--- a/crates/entry/src/placement/pool_state.rs
+++ b/crates/entry/src/placement/pool_state.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use rand::rngs::SmallRng;
 use route::{
     AccountKey, AccountLimits, Admission, AdmissionSettings, Arrival, Demand, Pool, Refusal,
@@ -15,6 +17,7 @@
 use super::placed::{Found, StartAt, Wanted};
 use crate::job::Job;
 use crate::links::{Agent, Announced};
+use crate::metrics::{self, PoolMetrics};
 
 /// Tells a queued request that its turn has come, or that it never will.
 pub(super) type Turn = oneshot::Sender<Result<(), Refusal>>;
@@ -159,6 +162,21 @@
         self.advance(now);
     }
 
+    /// Shows the pool's figures.
+    pub(super) fn show(&self, name: &str, now: Instant, metrics: &PoolMetrics) {
+        let label = metrics::Pool {
+            pool: name.to_owned(),
+        };
+        let show = |family: &Family<metrics::Pool, Gauge>, value: usize| {
+            let value = i64::try_from(value).unwrap_or(i64::MAX);
+            family.get_or_create(&label).set(value);
+        };
+        show(&metrics.ready, self.pool.ready().len());
+        show(&metrics.running, self.admission.running() as usize);
+        show(&metrics.waiting, self.admission.waiting());
+        show(&metrics.places, to_whole(self.pool.places(now).open));
+    }
+
     fn count_places(&mut self, now: Instant) {
         let holds = |counted| now.saturating_duration_since(counted) < COUNT_HOLDS;
         if !self.counted.is_some_and(holds) {
@@ -223,3 +241,13 @@
         && has(&announced.adapters, &job.adapter)
         && has(&announced.versions, &job.version)
 }
+
+/// The whole part of a count.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the count is clamped to what the type holds before"
+)]
+fn to_whole(count: f64) -> usize {
+    count.clamp(0.0, f64::from(u32::MAX)) as usize
+}
