Switch expert maps between the agents of a group

Cause: the switch protocol ran in tests only.

Change: agent/src/map runs participant and, at the live agent with the lowest name, coordinator over links, control and the order queue; gathers windows, plans, switches. Settings under "maps". Maps go to engines as JSON by layer, rank and slot. A switch begins only while all ranks of the group are there: an engine whose agent can't be reached may run on.

The schedules had no such fence: given one, switch_goes_on_after_trouble failed; outcomes now go under the highest number seen, and after a refused order the durable state is asked for it. (3) Engines that tell one step time for all ranks made ranks with few tokens pass for slow.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -18,7 +18,6 @@
 use crate::desk::{Desk, DeskMsg, Idle};
 use crate::engine::Outlet;
 use crate::links::Links;
-use crate::map::Maps;
 use crate::metrics::Metrics;
 use crate::monitor::Monitor;
 use crate::order::Orders;
@@ -63,10 +62,11 @@
         let (desk, _) = Actor::spawn(None, Desk, Arc::clone(&cx)).await?;
         let (monitor, _) = Actor::spawn(None, Monitor, Arc::clone(&cx)).await?;
         let orders = crate::order::start(Arc::clone(&cx)).await?;
+        let maps = crate::map::start(&cx, &orders, &me, &key, &link).await?;
         let accept = Arc::new(Links {
             cx: Arc::clone(&cx),
             desk: desk.clone(),
-            maps: Maps,
+            maps,
             me,
             key,
             cfg: link,
--- a/crates/agent/src/engine/outlet.rs
+++ b/crates/agent/src/engine/outlet.rs
@@ -12,8 +12,8 @@
 use super::client::{Connection, ask};
 use super::reply::HOP_HEADERS;
 use super::{
-    CacheChange, Call, ClientSettings, Failure, Load, MapOrder, MapState, Obeyed, OrderFailure,
-    Profile, Reply,
+    CacheChange, Call, ClientSettings, ExpertCounts, Failure, Load, MapOrder, MapState, Obeyed,
+    OrderFailure, Profile, Reply,
 };
 
 const JSON: HeaderValue = HeaderValue::from_static("application/json");
@@ -97,12 +97,12 @@
         self.get(&format!("/cache?after={after}")).await
     }
 
-    /// Asks for steps and token counts of the experts, a JSON document.
+    /// Asks for steps and token counts of the experts.
     ///
     /// # Errors
     ///
     /// Fails when the target doesn't answer or answers something else.
-    pub async fn experts(&self) -> Result<Value, Failure> {
+    pub async fn experts(&self) -> Result<ExpertCounts, Failure> {
         self.get("/experts").await
     }
 
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -50,6 +50,7 @@
 pub use crate::gate::{Arrival, Gate, Health, Lease, Offered, Phase, Suspicion};
 pub use crate::limits::Limits;
 pub use crate::listeners::Listeners;
+pub use crate::map::MapSettings;
 pub use crate::refusal::Refusal;
 pub use crate::settings::Settings;
 pub use crate::timing::Timing;
--- a/crates/agent/src/links.rs
+++ b/crates/agent/src/links.rs
@@ -94,7 +94,7 @@
 
     async fn serve_agent(&self, mut rx: mpsc::Receiver<Incoming>, cut: &CancellationToken) {
         while let Some(Some(incoming)) = cut.run_until_cancelled(rx.recv()).await {
-            self.maps.take(incoming).await;
+            self.maps.take(incoming);
         }
     }
 
--- /dev/null
+++ b/crates/agent/src/map/engine_calls.rs
@@ -0,0 +1,70 @@
+//! What the map actor asks of the engine.
+
+use std::sync::Arc;
+
+use expert::{EngineOrder, EngineState, Map, Verdict};
+use ractor::ActorRef;
+
+use crate::context::Context;
+use crate::engine::{MapOrder, MapState, map_document};
+use crate::map::msg::MapMsg;
+use crate::order::Orders;
+
+/// Gives an order and reports the state that it left, which is read back.
+pub(crate) async fn order(
+    cx: Arc<Context>,
+    orders: Orders,
+    serial: u64,
+    order: EngineOrder,
+    inbox: ActorRef<MapMsg>,
+) {
+    let state = match given(&orders, order).await {
+        Some(()) => cx.outlet.map().await.ok().as_ref().map(state),
+        None => None,
+    };
+    let _ = inbox.send_message(MapMsg::Engine { serial, state });
+}
+
+/// Whether the order is known to have been answered.
+async fn given(orders: &Orders, order: EngineOrder) -> Option<()> {
+    let (fencing, order) = match order {
+        EngineOrder::Read => return Some(()),
+        EngineOrder::Stage {
+            fencing,
+            version,
+            map,
+        } => {
+            let map = Map::from_bytes(map).ok()?;
+            let map = map_document(&map);
+            (fencing, MapOrder::Stage { version, map })
+        }
+        EngineOrder::Hold {
+            fencing,
+            version,
+            barrier_step: step,
+        } => (fencing, MapOrder::Hold { version, step }),
+        EngineOrder::Outcome {
+            fencing,
+            version,
+            barrier_step: step,
+            verdict: Verdict::Commit,
+        } => (fencing, MapOrder::Commit { version, step }),
+        EngineOrder::Outcome {
+            fencing,
+            version,
+            barrier_step: step,
+            verdict: Verdict::Abort,
+        } => (fencing, MapOrder::Abort { version, step }),
+    };
+    orders.give(fencing, order).await.ok().map(drop)
+}
+
+fn state(map: &MapState) -> EngineState {
+    EngineState {
+        step: map.step,
+        version: map.version,
+        staged: map.staged,
+        next: map.next.filter(|next| *next > map.version),
+        held: map.held,
+    }
+}
--- /dev/null
+++ b/crates/agent/src/map/maps.rs
@@ -0,0 +1,54 @@
+//! The way to the map actor.
+
+use std::sync::Arc;
+
+use ractor::{Actor, ActorRef};
+use wire::{ClusterKey, Identity, Incoming, LinkSettings};
+
+use crate::context::Context;
+use crate::engine::Stand;
+use crate::map::msg::MapMsg;
+use crate::map::peers::Peers;
+use crate::map::switcher::{Start, Switcher};
+use crate::order::Orders;
+
+/// Takes the messages of the other agents of the group.
+#[derive(Clone, Debug)]
+pub(crate) struct Maps {
+    actor: Option<ActorRef<MapMsg>>,
+}
+
+impl Maps {
+    /// Takes one message.
+    pub fn take(&self, incoming: Incoming) {
+        if let Some(actor) = &self.actor {
+            let _ = actor.send_message(MapMsg::Incoming(Box::new(incoming)));
+        }
+    }
+}
+
+/// Starts the actor; before a plain service there is nothing to do.
+pub(crate) async fn start(
+    cx: &Arc<Context>,
+    orders: &Orders,
+    me: &Identity,
+    key: &ClusterKey,
+    link: &LinkSettings,
+) -> eyre::Result<Maps> {
+    if cx.cfg.stand == Stand::Service {
+        return Ok(Maps { actor: None });
+    }
+    let peers = Peers::new(me.clone(), key.clone(), link.clone());
+    let start = Start {
+        cx: Arc::clone(cx),
+        orders: orders.clone(),
+        peers,
+    };
+    let (actor, _) = Actor::spawn(None, Switcher, start).await?;
+    let (stop, ended) = (cx.stop.clone(), actor.clone());
+    tokio::spawn(async move {
+        stop.cancelled().await;
+        ended.stop(None);
+    });
+    Ok(Maps { actor: Some(actor) })
+}
--- a/crates/agent/src/map/mod.rs
+++ b/crates/agent/src/map/mod.rs
@@ -1,19 +1,24 @@
 //! Expert-map switches between the agents of one group.
+//!
+//! Each agent takes its own engine through the switches of its group
+//! ([`expert::Participant`]). The live agent with the lowest name also
+//! coordinates: it gathers what the engines count, plans, and drives the
+//! switch ([`expert::Coordinator`]). That two agents may both believe to be
+//! that one, as their member views differ for a while, is harmless: the
+//! durable state takes decisions under the current fencing number alone.
 
-use wire::Incoming;
+mod chooser;
+mod control_calls;
+mod engine_calls;
+mod maps;
+mod members;
+mod msg;
+mod peers;
+mod settings;
+mod state;
+mod switcher;
+mod translate;
+mod windows;
 
-/// Takes the messages of the other agents of the group.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Maps;
-
-impl Maps {
-    /// Takes one message.
-    #[allow(
-        clippy::unused_async,
-        clippy::unused_self,
-        reason = "filled in with the switch protocol"
-    )]
-    pub async fn take(&self, incoming: Incoming) {
-        log::debug!("passed over a message of {}", incoming.link.peer().name);
-    }
-}
+pub(crate) use maps::{Maps, start};
+pub use settings::MapSettings;
--- /dev/null
+++ b/crates/agent/src/map/msg.rs
@@ -0,0 +1,32 @@
+//! What the map actor is told.
+
+use expert::{DecideOutcome, EngineState, Standing};
+use wire::Incoming;
+use wire::proto::frame::Body;
+
+use crate::engine::ExpertCounts;
+
+/// What the map actor is told. A call that failed is told as `None`, so that
+/// it can be made again.
+#[derive(Debug)]
+pub(crate) enum MapMsg {
+    /// A message of another agent.
+    Incoming(Box<Incoming>),
+    /// A message of this agent to itself.
+    Own(Box<Body>),
+    /// Look what is due.
+    Tick,
+    /// What the order of this number left the engine in.
+    Engine {
+        serial: u64,
+        state: Option<EngineState>,
+    },
+    /// What the durable state holds.
+    Standing(Option<Standing>),
+    /// The coordinator was opened.
+    Opened(Option<Standing>),
+    /// A decision was answered.
+    Decided(Option<DecideOutcome>),
+    /// What this agent's engine has counted, for the coordinator `to`.
+    Counted { to: String, counts: ExpertCounts },
+}
--- /dev/null
+++ b/crates/agent/src/map/settings.rs
@@ -0,0 +1,54 @@
+//! Settings of expert maps.
+
+use std::time::Duration;
+
+use cfg::Reader;
+use expert::{MoveCost, SwitchTiming};
+
+/// When expert maps are planned, and how they are switched.
+#[derive(Clone, Debug)]
+pub struct MapSettings {
+    /// Length of a window: loads are counted and a map is planned once in each.
+    pub window: Duration,
+    /// Windows over which a move is expected to go on paying.
+    pub horizon: u32,
+    /// What loading experts costs.
+    pub cost: MoveCost,
+    /// Times of a switch.
+    pub timing: SwitchTiming,
+}
+
+impl MapSettings {
+    pub(crate) fn read(r: &mut Reader) -> Self {
+        const MIB: u64 = 1 << 20;
+        let day = Duration::from_hours(24);
+        let times = Duration::from_millis(1)..=day;
+        let defaults = SwitchTiming::default();
+        let time = |r: &mut Reader, key, default| r.within(key, default, times.clone());
+        let window = time(r, "window_ms", Duration::from_mins(5));
+        let store = r.within("store_bytes_per_s", 1000 * MIB, 1..=1 << 50);
+        MapSettings {
+            window,
+            horizon: r.within("horizon_windows", 12, 1..=10_000),
+            cost: MoveCost {
+                expert_bytes: r.within("expert_bytes", 42 * MIB, 1..=1 << 40),
+                store_bytes_per_s: precise(store),
+                slowdown: precise(r.within("slowdown_permille", 100, 0..=1000)) / 1000.0,
+                store_price: 1.0,
+                plan_bytes: store.saturating_mul(window.as_secs().max(1)),
+            },
+            timing: SwitchTiming {
+                resend: time(r, "resend_ms", defaults.resend),
+                attempt: time(r, "attempt_ms", defaults.attempt),
+                order: time(r, "order_ms", defaults.order),
+                ghost: time(r, "ghost_ms", defaults.ghost),
+                lead_steps: r.within("lead_steps", defaults.lead_steps, 1..=1_000_000),
+            },
+        }
+    }
+}
+
+#[allow(clippy::cast_precision_loss, reason = "the ranges end below 2^53")]
+fn precise(value: u64) -> f64 {
+    value as f64
+}
--- /dev/null
+++ b/crates/agent/src/map/translate.rs
@@ -0,0 +1,193 @@
+//! The messages between agents and control, and the expert crate's own types.
+
+use expert::{
+    CoordinatorMessage, DecideOutcome, Decision, ParticipantMessage, Refusal, Standing, Verdict,
+};
+use wire::proto::frame::Body;
+use wire::proto::{
+    BarrierHeld, CoordinatorOutcome, DecideMap, HoldBarrier, MapApplied, MapDecision, MapOutcome,
+    StageMap, Staged,
+};
+
+/// A coordinator's message as it is sent.
+pub(crate) fn to_participant(group: &str, message: CoordinatorMessage) -> Body {
+    let group = group.to_owned();
+    match message {
+        CoordinatorMessage::Stage {
+            fencing,
+            version,
+            map,
+        } => Body::StageMap(StageMap {
+            group,
+            fencing,
+            version,
+            map,
+        }),
+        CoordinatorMessage::Hold {
+            fencing,
+            version,
+            barrier_step,
+        } => Body::HoldBarrier(HoldBarrier {
+            group,
+            fencing,
+            version,
+            barrier_step,
+        }),
+        CoordinatorMessage::Outcome {
+            fencing,
+            version,
+            barrier_step,
+            verdict,
+        } => Body::MapOutcome(MapOutcome {
+            group,
+            fencing,
+            version,
+            barrier_step,
+            commit: verdict == Verdict::Commit,
+        }),
+    }
+}
+
+/// A participant's answer as it is sent.
+pub(crate) fn to_coordinator(group: &str, message: ParticipantMessage) -> Body {
+    let group = group.to_owned();
+    match message {
+        ParticipantMessage::Staged { version, step } => Body::Staged(Staged {
+            group,
+            version,
+            ready: true,
+            step,
+            ..Staged::default()
+        }),
+        ParticipantMessage::Fenced { fencing } => Body::Staged(Staged {
+            group,
+            fencing,
+            ..Staged::default()
+        }),
+        ParticipantMessage::Held { version } => Body::BarrierHeld(BarrierHeld {
+            group,
+            version,
+            held: true,
+            ..BarrierHeld::default()
+        }),
+        ParticipantMessage::Refused { version } => Body::BarrierHeld(BarrierHeld {
+            group,
+            version,
+            ..BarrierHeld::default()
+        }),
+        ParticipantMessage::Applied { version } => Body::MapApplied(MapApplied {
+            group,
+            version,
+            applied: true,
+        }),
+    }
+}
+
+/// What was received, for one of the two state machines.
+pub(crate) enum Received {
+    Participant(CoordinatorMessage),
+    Coordinator(ParticipantMessage),
+}
+
+/// A message of a switch in `group`; `None` for anything else.
+pub(crate) fn from_body(group: &str, body: Body) -> Option<Received> {
+    let received = match body {
+        Body::StageMap(m) if m.group == group => Received::Participant(CoordinatorMessage::Stage {
+            fencing: m.fencing,
+            version: m.version,
+            map: m.map,
+        }),
+        Body::HoldBarrier(m) if m.group == group => {
+            Received::Participant(CoordinatorMessage::Hold {
+                fencing: m.fencing,
+                version: m.version,
+                barrier_step: m.barrier_step,
+            })
+        }
+        Body::MapOutcome(m) if m.group == group => {
+            Received::Participant(CoordinatorMessage::Outcome {
+                fencing: m.fencing,
+                version: m.version,
+                barrier_step: m.barrier_step,
+                verdict: verdict(m.commit),
+            })
+        }
+        Body::Staged(m) if m.group == group => Received::Coordinator(if m.ready {
+            ParticipantMessage::Staged {
+                version: m.version,
+                step: m.step,
+            }
+        } else {
+            ParticipantMessage::Fenced { fencing: m.fencing }
+        }),
+        Body::BarrierHeld(BarrierHeld {
+            group: g,
+            version,
+            held,
+            ..
+        }) if g == group => Received::Coordinator(if held {
+            ParticipantMessage::Held { version }
+        } else {
+            ParticipantMessage::Refused { version }
+        }),
+        Body::MapApplied(m) if m.group == group && m.applied => {
+            let version = m.version;
+            Received::Coordinator(ParticipantMessage::Applied { version })
+        }
+        _ => return None,
+    };
+    Some(received)
+}
+
+/// What control holds for the group.
+pub(crate) fn standing(outcome: CoordinatorOutcome) -> Standing {
+    Standing {
+        fencing: outcome.fencing,
+        current: outcome.current.map(decision),
+        committed: outcome.committed.into_iter().map(decision).collect(),
+        ..Standing::default()
+    }
+}
+
+/// A decision as it is proposed.
+pub(crate) fn decide(group: &str, decision: Decision) -> DecideMap {
+    DecideMap {
+        group: group.to_owned(),
+        fencing: decision.fencing,
+        version: decision.version,
+        barrier_step: decision.barrier_step,
+        commit: decision.verdict == Verdict::Commit,
+        map: decision.map,
+    }
+}
+
+/// Control's answer to a decision. Why it was refused isn't told: whatever
+/// the reason, this coordinator has to open again.
+pub(crate) fn decided(answer: MapDecision) -> DecideOutcome {
+    if answer.accepted {
+        return DecideOutcome::Accepted(decision(answer));
+    }
+    let current = (answer.version > 0).then(|| decision(answer));
+    DecideOutcome::Refused {
+        refusal: Refusal::Fencing,
+        current,
+    }
+}
+
+fn decision(decision: MapDecision) -> Decision {
+    Decision {
+        fencing: decision.fencing,
+        version: decision.version,
+        barrier_step: decision.barrier_step,
+        verdict: verdict(decision.commit),
+        map: decision.map,
+    }
+}
+
+fn verdict(commit: bool) -> Verdict {
+    if commit {
+        Verdict::Commit
+    } else {
+        Verdict::Abort
+    }
+}
--- /dev/null
+++ b/crates/agent/src/map/windows.rs
@@ -0,0 +1,42 @@
+//! What an engine counted in a window.
+
+use std::collections::BTreeMap;
+
+use wire::proto::RankWindow;
+
+use crate::engine::ExpertCounts;
+
+/// Turns an engine's growing counts into those of a window.
+#[derive(Debug, Default)]
+pub(crate) struct Windows {
+    before: BTreeMap<u32, Vec<u64>>,
+}
+
+impl Windows {
+    /// What was counted since the last call; nothing at the first.
+    pub fn next(&mut self, counts: ExpertCounts) -> Vec<RankWindow> {
+        let mut windows = Vec::new();
+        for rank in counts.ranks {
+            let tokens: Vec<u64> = rank.tokens.into_iter().flatten().collect();
+            let window = |before: &Vec<u64>| RankWindow {
+                rank: rank.rank,
+                step_us: rank.step_us,
+                tokens: difference(&tokens, before),
+                step: counts.step,
+                map_version: counts.map_version,
+            };
+            windows.extend(self.before.get(&rank.rank).map(window));
+            self.before.insert(rank.rank, tokens);
+        }
+        windows
+    }
+}
+
+/// An engine that restarted counts from zero again.
+fn difference(tokens: &[u64], before: &[u64]) -> Vec<u32> {
+    let since = |(now, before): (&u64, &u64)| now.checked_sub(*before).unwrap_or(*now);
+    let counts = tokens.iter().zip(before).map(since);
+    counts
+        .map(|count| u32::try_from(count).unwrap_or(u32::MAX))
+        .collect()
+}
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -7,7 +7,7 @@
 use serde_json::Value;
 
 use crate::engine::Stand;
-use crate::{Limits, Timing};
+use crate::{Limits, MapSettings, Timing};
 
 /// Settings of an agent, checked.
 #[derive(Clone, Debug)]
@@ -36,6 +36,8 @@
     pub timing: Timing,
     /// Bounds.
     pub limits: Limits,
+    /// Expert maps.
+    pub maps: MapSettings,
     effective: Value,
 }
 
@@ -73,6 +75,7 @@
         let serves = read_serves(&mut r);
         let timing = Timing::read(&mut r.section("timing"));
         let limits = Limits::read(&mut r.section("limits"));
+        let maps = MapSettings::read(&mut r.section("maps"));
         if limits.window > limits.answer {
             r.finding("limits", "window_bytes must not exceed answer_bytes");
         }
@@ -93,6 +96,7 @@
                 target,
                 timing,
                 limits,
+                maps,
                 effective,
             })
         };
--- a/crates/agent/tests/support/control.rs
+++ b/crates/agent/tests/support/control.rs
@@ -1,14 +1,17 @@
 //! A stand-in for control: one replica that always leads.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
+use expert::{Decision, Decisions, Standing, Verdict};
 use serde_json::json;
 use tokio::net::TcpListener;
 use wire::proto::frame::Body;
 use wire::proto::{
-    CoordinatorOutcome, CrashedOutcome, MemberView, NodeInfo, NotLeader, Notes, Outcome, Propose,
-    Quarantine, QueryReply, Renewed, command, outcome, query_reply,
+    CoordinatorOutcome, CrashedOutcome, DecideMap, MapDecision, MemberView, NodeInfo, NotLeader,
+    Notes, Outcome, Propose, Quarantine, QueryReply, Renewed, Unavailable, command, outcome,
+    query_reply,
 };
 use wire::{Identity, LinkSettings, Role};
 
@@ -24,7 +27,13 @@
     leads: bool,
     view: MemberView,
     quarantine: Quarantine,
-    fencing: u64,
+    decisions: Decisions,
+    /// Whether proposals to commit a map are kept from the durable state.
+    deaf_to_commits: bool,
+    commits_asked: u64,
+    /// Whether the view is made of all agents that renewed.
+    live_view: bool,
+    agents: BTreeMap<String, NodeInfo>,
     last: Option<NodeInfo>,
     renewals: u64,
     crashes: Vec<Vec<bytes::Bytes>>,
@@ -41,7 +50,11 @@
                 leads: true,
                 view: MemberView::default(),
                 quarantine: Quarantine::default(),
-                fencing: 0,
+                decisions: Decisions::new(),
+                deaf_to_commits: false,
+                commits_asked: 0,
+                live_view: false,
+                agents: BTreeMap::new(),
                 last: None,
                 renewals: 0,
                 crashes: Vec::new(),
@@ -87,8 +100,41 @@
         self.inner.lock().unwrap().lease_ms = lease_ms;
     }
 
+    /// Opens coordinators until the fencing number is this one.
     pub fn fence(&self, fencing: u64) {
-        self.inner.lock().unwrap().fencing = fencing;
+        let decisions = &mut self.inner.lock().unwrap().decisions;
+        while decisions.open_coordinator(super::GROUP, "other", 1).fencing < fencing {}
+    }
+
+    pub fn notes(&self, notes: Vec<String>) {
+        self.inner.lock().unwrap().notes = notes;
+    }
+
+    /// From now on the view is made of all agents that renew.
+    pub fn show_agents(&self) {
+        self.inner.lock().unwrap().live_view = true;
+    }
+
+    /// Takes an agent out of the view until it renews again.
+    pub fn forget(&self, name: &str) {
+        self.inner.lock().unwrap().agents.remove(name);
+    }
+
+    /// Loses every proposal to commit a map, or no longer.
+    pub fn lose_commits(&self, lose: bool) {
+        self.inner.lock().unwrap().deaf_to_commits = lose;
+    }
+
+    /// Proposals to commit a map that were lost.
+    pub fn commits_lost(&self) -> u64 {
+        self.inner.lock().unwrap().commits_asked
+    }
+
+    /// What stands for the group.
+    pub fn standing(&self) -> Standing {
+        let inner = self.inner.lock().unwrap();
+        let standing = inner.decisions.current(super::GROUP);
+        standing.cloned().unwrap_or_default()
     }
 
     /// Gives out this member view.
@@ -143,6 +189,7 @@
             Body::Renew(renew) => {
                 inner.last = renew.node;
                 inner.renewals += 1;
+                inner.see_agents();
                 Body::Renewed(Renewed {
                     term: 1,
                     note: inner.notes.len() as u64,
@@ -162,10 +209,7 @@
             }
             Body::Propose(propose) => Body::Outcome(inner.propose(propose)),
             Body::Query(_) => Body::QueryReply(QueryReply {
-                body: Some(query_reply::Body::Map(CoordinatorOutcome {
-                    fencing: inner.fencing,
-                    ..CoordinatorOutcome::default()
-                })),
+                body: Some(query_reply::Body::Map(inner.opened())),
             }),
             _ => Body::NotLeader(NotLeader::default()),
         }
@@ -174,14 +218,84 @@
 
 impl Inner {
     fn propose(&mut self, propose: Propose) -> Outcome {
-        let body = propose.command.and_then(|command| command.body);
-        if let Some(command::Body::Crashed(crashed)) = body {
-            self.crashes.push(crashed.fingerprints);
-        }
+        let body = match propose.command.and_then(|command| command.body) {
+            Some(command::Body::OpenCoordinator(open)) => {
+                let (agent, incarnation) = (&open.agent, open.incarnation);
+                let decisions = &mut self.decisions;
+                decisions.open_coordinator(&open.group, agent, incarnation);
+                outcome::Body::Coordinator(self.opened())
+            }
+            Some(command::Body::DecideMap(decide)) => self.decide(decide),
+            Some(command::Body::Crashed(crashed)) => {
+                self.crashes.push(crashed.fingerprints);
+                outcome::Body::Crashed(CrashedOutcome::default())
+            }
+            _ => outcome::Body::Crashed(CrashedOutcome::default()),
+        };
         Outcome {
             index: 1,
-            body: Some(outcome::Body::Crashed(CrashedOutcome::default())),
+            body: Some(body),
+        }
+    }
+
+    fn decide(&mut self, decide: DecideMap) -> outcome::Body {
+        if decide.commit && self.deaf_to_commits {
+            self.commits_asked += 1;
+            return outcome::Body::Unavailable(Unavailable {
+                reason: "lost".into(),
+                maybe: true,
+                retry_after_ms: 1,
+            });
         }
+        let decision = Decision {
+            fencing: decide.fencing,
+            version: decide.version,
+            barrier_step: decide.barrier_step,
+            verdict: if decide.commit {
+                Verdict::Commit
+            } else {
+                Verdict::Abort
+            },
+            map: decide.map,
+        };
+        let outcome = self.decisions.decide(&decide.group, decision);
+        let current = outcome.current().map(map_decision).unwrap_or_default();
+        outcome::Body::Map(MapDecision {
+            accepted: outcome.is_accepted(),
+            ..current
+        })
+    }
+
+    fn opened(&self) -> CoordinatorOutcome {
+        let standing = self.decisions.current(super::GROUP);
+        let standing = standing.cloned().unwrap_or_default();
+        CoordinatorOutcome {
+            fencing: standing.fencing,
+            current: standing.current.as_ref().map(map_decision),
+            committed: standing.committed.iter().map(map_decision).collect(),
+        }
+    }
+
+    fn see_agents(&mut self) {
+        if let Some(node) = self.last.clone().filter(|_| self.live_view) {
+            self.agents.insert(node.name.clone(), node);
+            self.view.term = 1;
+            self.view.version += 1;
+            self.view.settled = true;
+            self.view.nodes = self.agents.values().cloned().collect();
+        }
+    }
+}
+
+fn map_decision(decision: &Decision) -> MapDecision {
+    MapDecision {
+        group: super::GROUP.into(),
+        fencing: decision.fencing,
+        version: decision.version,
+        barrier_step: decision.barrier_step,
+        commit: decision.verdict == Verdict::Commit,
+        map: decision.map.clone(),
+        accepted: true,
     }
 }
 
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -68,6 +68,12 @@
         Bench::under(Control::start().await, name, target, more).await
     }
 
+    /// An agent of this name under a control that others share.
+    pub async fn join(control: &Control, name: &str, engine: &fake::Engine, more: Value) -> Self {
+        let target = json!({"group": GROUP, "engine": {"address": engine.address().to_string()}});
+        Bench::under(control.clone(), name, target, more).await
+    }
+
     async fn under(control: Control, name: &str, target: Value, more: Value) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let key_file = folder.path().join("cluster.key");
--- a/crates/expert/src/map.rs
+++ b/crates/expert/src/map.rs
@@ -2,7 +2,7 @@
 
 use crate::error::Code;
 use crate::record::MapRecord;
-use crate::{Error, ExpertId, MapFault, Rank, Result, Shape};
+use crate::{Error, ExpertId, Load, MapFault, Rank, Result, Shape};
 use bytes::Bytes;
 use prost::Message;
 use std::collections::BTreeSet;
@@ -172,6 +172,38 @@
         }));
     }
 
+    /// Tokens that each rank computes of `load`, all layers together.
+    ///
+    /// ```
+    /// use expert::{Load, Map, Shape};
+    ///
+    /// let map = Map::uniform(Shape::with_spare(1, 2, 2, 0, 1));
+    /// let mut load = Load::new(1, 2);
+    /// load.add(&[30, 10]);
+    /// assert_eq!(map.tokens_by_rank(&load), [30.0, 10.0]);
+    /// ```
+    #[must_use]
+    pub fn tokens_by_rank(&self, load: &Load) -> Vec<f64> {
+        let mut tokens = vec![0.0; self.shape.ranks()];
+        for layer in 0..self.shape.layers().min(load.layers()) {
+            let values = load.layer(layer);
+            let mut copies = vec![0_u32; values.len()];
+            for expert in self.layer(layer).iter().flatten() {
+                if let Some(count) = copies.get_mut(expert.index()) {
+                    *count += 1;
+                }
+            }
+            for (rank, tokens) in tokens.iter_mut().enumerate() {
+                for expert in self.rank_slots(layer, rank).iter().flatten() {
+                    let value = values.get(expert.index()).copied().unwrap_or_default();
+                    let count = copies.get(expert.index()).copied().unwrap_or_default();
+                    *tokens += value / f64::from(count.max(1));
+                }
+            }
+        }
+        tokens
+    }
+
     /// How many experts the ranks have to load that `former` did not give
     /// them.
     ///
--- a/crates/expert/src/participant.rs
+++ b/crates/expert/src/participant.rs
@@ -320,6 +320,9 @@
     fn lost(&mut self, now: Instant) {
         self.engine = None;
         self.quiet_until = Some(now + self.timing.ghost);
+        // It may have been refused for a number that is higher than any seen
+        // here; the durable state knows it.
+        self.ask(now);
         self.read_at = now + self.timing.resend;
     }
 
--- a/crates/expert/src/participant_steps.rs
+++ b/crates/expert/src/participant_steps.rs
@@ -121,8 +121,15 @@
             self.read_at = now + self.timing.resend;
             return None;
         }
+        // What is decided holds under any later number too. Under its own it
+        // would be refused where a higher one has been seen, by this agent or
+        // by an engine that checks, and the rank would wait for ever.
+        let attempt = Attempt {
+            fencing: self.fencing.max(attempt.fencing),
+            ..attempt.clone()
+        };
         if engine.staged != Some(version) {
-            return Some(stage_order(attempt));
+            return Some(stage_order(&attempt));
         }
         Some(EngineOrder::Outcome {
             fencing: attempt.fencing,
--- a/crates/expert/src/speeds.rs
+++ b/crates/expert/src/speeds.rs
@@ -49,20 +49,29 @@
             .zip(seconds)
             .map(|(&tokens, &seconds)| (tokens > 0.0 && seconds > 0.0).then(|| tokens / seconds))
             .collect();
-        let mut sorted: Vec<f64> = rates.iter().flatten().copied().collect();
-        sorted.sort_by(f64::total_cmp);
-        let Some(&middle) = sorted.get(sorted.len() / 2) else {
+        let Some(middle) = middle(rates.iter().flatten().copied()) else {
             return;
         };
+        let usual = self::middle(seconds.iter().copied().filter(|&s| s > 0.0));
         let per_token = self.seconds_per_token;
         self.seconds_per_token = per_token + WEIGHT * (1.0 / middle - per_token);
-        for (raw, rate) in self.raw.iter_mut().zip(&rates) {
-            if let Some(rate) = rate {
-                *raw += WEIGHT * (rate / middle - *raw);
-            }
+        for (rank, rate) in rates.iter().enumerate().take(self.raw.len()) {
+            let Some(rate) = rate else {
+                continue;
+            };
+            // Some engines tell the same time for all ranks, that of the
+            // slowest: a rank with few tokens would then pass for slow.
+            let differs = usual.is_some_and(|s| (seconds[rank] / s - 1.0).abs() > DEAD_ZONE);
+            let known = self.is_unusual(rank);
+            let speed = if differs || known { rate / middle } else { 1.0 };
+            self.raw[rank] += WEIGHT * (speed - self.raw[rank]);
         }
     }
 
+    fn is_unusual(&self, rank: usize) -> bool {
+        (self.raw[rank] - 1.0).abs() > DEAD_ZONE
+    }
+
     /// Marks a rank as lost: it holds nothing and computes nothing.
     ///
     /// ```
@@ -104,11 +113,10 @@
     /// Panics if there is no such rank.
     #[must_use]
     pub fn relative(&self, rank: usize) -> f64 {
-        let raw = self.raw[rank];
-        if (raw - 1.0).abs() <= DEAD_ZONE {
-            1.0
+        if self.is_unusual(rank) {
+            self.raw[rank].max(SLOWEST)
         } else {
-            raw.max(SLOWEST)
+            1.0
         }
     }
 
@@ -121,3 +129,9 @@
         (0..self.raw.len()).map(cost).collect()
     }
 }
+
+fn middle(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let mut sorted: Vec<f64> = values.collect();
+    sorted.sort_by(f64::total_cmp);
+    sorted.get(sorted.len() / 2).copied()
+}
--- a/crates/expert/src/switch_timing.rs
+++ b/crates/expert/src/switch_timing.rs
@@ -23,7 +23,7 @@
         SwitchTiming {
             resend: Duration::from_millis(500),
             attempt: Duration::from_mins(1),
-            order: Duration::from_secs(5),
+            order: Duration::from_secs(30),
             ghost: Duration::from_secs(2),
             lead_steps: 100,
         }
--- a/crates/expert/tests/planner.rs
+++ b/crates/expert/tests/planner.rs
@@ -180,6 +180,18 @@
     assert!(plan.after < 0.8 * plan.before);
 }
 
+#[test]
+fn observe_same_time_for_all() {
+    // An engine tells the time of the slowest rank for all. The rank with
+    // few tokens must not pass for a slow one, or it would never be given
+    // more.
+    let mut speeds = Speeds::new(3, 1e-4);
+    for _ in 0..10 {
+        speeds.observe(&[900.0, 100.0, 100.0], &[0.1, 0.1, 0.1]);
+    }
+    assert!((0..3).all(|rank| (speeds.relative(rank) - 1.0).abs() < 1e-9));
+}
+
 #[test]
 fn check_each_fault() {
     let shape = Shape::with_spare(1, 2, 2, 1, 1);
--- a/crates/expert/tests/switch/engine.rs
+++ b/crates/expert/tests/switch/engine.rs
@@ -1,12 +1,22 @@
-//! An engine that obeys orders whatever their fencing number.
+//! An engine that may or may not check fencing numbers.
 
 use bytes::Bytes;
 use expert::{EngineOrder, EngineState, Verdict};
 
-/// An engine that obeys orders whatever their fencing number.
+/// What an engine does with an old fencing number.
+#[derive(Clone, Copy, Default, PartialEq)]
+pub enum FencingCheck {
+    #[default]
+    Ignore,
+    Refuse,
+}
+
+/// An engine that may or may not check fencing numbers.
 #[derive(Default)]
 pub struct Engine {
     pub state: EngineState,
+    pub check: FencingCheck,
+    fencing: u64,
     staged: Bytes,
     next: Option<(u64, Bytes)>,
     /// Content of the map in use.
@@ -14,7 +24,13 @@
 }
 
 impl Engine {
-    pub fn obey(&mut self, order: &EngineOrder) -> EngineState {
+    /// The state after the order, or `None` if it was refused.
+    pub fn obey(&mut self, order: &EngineOrder) -> Option<EngineState> {
+        let fencing = fencing(order).unwrap_or(self.fencing);
+        if self.check == FencingCheck::Refuse && fencing < self.fencing {
+            return None;
+        }
+        self.fencing = self.fencing.max(fencing);
         match order {
             EngineOrder::Read => {}
             EngineOrder::Stage { version, map, .. } => {
@@ -37,7 +53,7 @@
                 ..
             } => self.outcome(*version, *barrier_step, *verdict),
         }
-        self.state
+        Some(self.state)
     }
 
     fn outcome(&mut self, version: u64, barrier_step: u64, verdict: Verdict) {
@@ -66,3 +82,13 @@
         self.state.step
     }
 }
+
+/// Fencing number of an order; a read has none.
+pub fn fencing(order: &EngineOrder) -> Option<u64> {
+    match order {
+        EngineOrder::Read => None,
+        EngineOrder::Stage { fencing, .. }
+        | EngineOrder::Hold { fencing, .. }
+        | EngineOrder::Outcome { fencing, .. } => Some(*fencing),
+    }
+}
--- a/crates/expert/tests/switch/event.rs
+++ b/crates/expert/tests/switch/event.rs
@@ -53,6 +53,6 @@
         rank: usize,
         life: usize,
         serial: u64,
-        state: EngineState,
+        state: Option<EngineState>,
     },
 }
--- a/crates/expert/tests/switch/world.rs
+++ b/crates/expert/tests/switch/world.rs
@@ -1,11 +1,12 @@
 //! A group, its coordinators, the durable state and an unreliable network,
 //! driven by a seed.
 
-use crate::engine::Engine;
+use crate::engine::{Engine, FencingCheck, fencing};
 use crate::event::Event;
 use bytes::Bytes;
 use expert::{
-    Coordinator, CoordinatorOutput, Decisions, Participant, ParticipantOutput, SwitchTiming,
+    Coordinator, CoordinatorOutput, Decisions, EngineOrder, EngineState, Participant,
+    ParticipantOutput, SwitchTiming,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -33,6 +34,8 @@
     life: usize,
     /// Serial of the order whose answer is awaited.
     serial: u64,
+    /// Highest fencing number of its orders; learnt before the first.
+    fence: Option<u64>,
 }
 
 pub struct World {
@@ -52,6 +55,18 @@
     pub ran: BTreeMap<u64, BTreeSet<Bytes>>,
 }
 
+/// Some engines check fencing numbers and some don't.
+fn engine(seed: u64, rank: usize) -> Engine {
+    let check = if seed >> rank & 1 == 0 {
+        FencingCheck::Ignore
+    } else {
+        FencingCheck::Refuse
+    };
+    let mut engine = Engine::default();
+    engine.check = check;
+    engine
+}
+
 fn timing() -> SwitchTiming {
     SwitchTiming {
         resend: Duration::from_millis(15),
@@ -69,6 +84,7 @@
             participant: Participant::new(timing(), start),
             life: 0,
             serial: 0,
+            fence: None,
         };
         World {
             rng: StdRng::seed_from_u64(seed),
@@ -76,7 +92,7 @@
             start,
             tick: 0,
             decisions: Decisions::new(),
-            engines: (0..RANKS).map(|_| Engine::default()).collect(),
+            engines: (0..RANKS).map(|rank| engine(seed, rank)).collect(),
             agents: (0..RANKS).map(|_| agent()).collect(),
             coordinators: BTreeMap::new(),
             lives: 0,
@@ -130,6 +146,7 @@
             let rank = self.rng.random_range(0..RANKS);
             let agent = &mut self.agents[rank];
             agent.life += 1;
+            agent.fence = None;
             let now = self.start + Duration::from_millis(self.tick);
             agent.participant = Participant::new(timing(), now);
         }
@@ -270,7 +287,7 @@
                 serial,
                 order,
             } => {
-                let state = self.engines[rank].obey(&order);
+                let state = self.obey(rank, life, &order);
                 if self.weather == Weather::Fair || !self.chance(15) {
                     self.post_within(
                         4,
@@ -291,13 +308,27 @@
             } => {
                 let agent = &mut self.agents[rank];
                 if agent.life == life && agent.serial == serial {
-                    let outputs = agent.participant.on_engine(Some(state), now);
+                    let outputs = agent.participant.on_engine(state, now);
                     self.carry_out(rank, outputs);
                 }
             }
         }
     }
 
+    /// The agent refuses orders under a lower number than it has learnt.
+    fn obey(&mut self, rank: usize, life: usize, order: &EngineOrder) -> Option<EngineState> {
+        let current = self.decisions.current(GROUP).map_or(0, |s| s.fencing);
+        let agent = &mut self.agents[rank];
+        if let Some(fencing) = fencing(order).filter(|_| agent.life == life) {
+            let fence = agent.fence.get_or_insert(current);
+            if fencing < *fence {
+                return None;
+            }
+            *fence = fencing;
+        }
+        self.engines[rank].obey(order)
+    }
+
     fn with(&mut self, life: usize, act: impl FnOnce(&mut Coordinator) -> Vec<CoordinatorOutput>) {
         if let Some(coordinator) = self.coordinators.get_mut(&life) {
             let outputs = act(coordinator);
