--- a/crates/entry/src/placement/mod.rs
+++ b/crates/entry/src/placement/mod.rs
@@ -59,6 +59,13 @@
         self.lock().update(now, catalogue, members, entries);
     }
 
+    /// Lets in whoever's turn it is and refuses whose time is over.
+    pub(crate) fn advance(&self, now: Instant) {
+        for state in self.lock().pools.values_mut() {
+            state.advance(now);
+        }
+    }
+
     pub(crate) fn set_quarantine(&self, quarantine: &Quarantine) {
         self.lock().set_quarantine(quarantine);
     }
@@ -72,6 +79,7 @@
         for state in inner.pools.values_mut() {
             if let Some(key) = state.key_of(agent) {
                 state.pool.report(key, report);
+                state.advance(Instant::now());
             }
         }
     }
