Answer a call sent twice at once without a second's wait

The entry that no longer gets the frames looked only once a second whether the other had recorded the answer. Change: the first look comes after 20 ms, each further one after twice as long, a second at most.

--- a/crates/entry/src/work/once.rs
+++ b/crates/entry/src/work/once.rs
@@ -27,6 +27,13 @@
 const AFTERCARE: Duration = Duration::from_secs(30);
 /// Between two looks at whether another entry has recorded the outcome.
 const LOOK: Duration = Duration::from_millis(250);
+/// Before the first look while an attempt is followed; each further one waits
+/// twice as long. Mostly the answer comes first; where a caller sent its call
+/// through two entries at once, one of them gets no frames and must not keep
+/// it waiting.
+const FIRST_LOOK: Duration = Duration::from_millis(20);
+/// Between two looks while an attempt is followed, at most.
+const MOST_LOOK: Duration = Duration::from_secs(1);
 /// Claims for one call before it is given up.
 const MAX_CLAIMS: u32 = 16;
 
@@ -264,11 +271,13 @@
         let collected = {
             let collecting = collect(&mut attempt, None, max, deadline, first);
             let mut collecting = std::pin::pin!(collecting);
+            let mut pause = FIRST_LOOK;
             loop {
                 tokio::select! {
                     collected = collecting.as_mut() => break collected,
-                    () = tokio::time::sleep(LOOK * 4) => {}
+                    () = tokio::time::sleep(pause) => {}
                 }
+                pause = (pause * 2).min(MOST_LOOK);
                 // The frames go to whoever attached last, which may be
                 // another entry with the same call.
                 if let Some(step) = self.look().await {
--- a/crates/lovageramp/tests/bench.rs
+++ b/crates/lovageramp/tests/bench.rs
@@ -81,7 +81,7 @@
 const CLIENT: &str = env!("CARGO_BIN_EXE_lovageramp");
 
 /// Runs the load against a small deployment; its figures and its exit code.
-async fn play(cluster: &Cluster, seen: SocketAddr, seed: &str) -> (Value, Option<i32>) {
+async fn play(cluster: &Cluster, fake: SocketAddr, seed: &str) -> (Value, Option<i32>) {
     let bench = tokio::process::Command::new(CLIENT)
         .args([
             "bench",
@@ -94,7 +94,7 @@
         ])
         .args(["--key", "key-of-huber", "--seed", seed, "--json"])
         .args(["--host", &cluster.http("entry-1").to_string()])
-        .args(["--seen", &seen.to_string()])
+        .args(["--seen", &fake.to_string()])
         .output();
     let bench = bench.await.unwrap();
     let figures: Value = serde_json::from_slice(&bench.stdout).unwrap();
