Keep operators' names beyond ASCII

Cause: a note sent by Kovačič was kept as sent by "operator", so whoever lost the race could not learn by whom: send_name_beyond_ascii failed so first. Change: the header is read as UTF-8.

--- a/crates/admin/src/operators.rs
+++ b/crates/admin/src/operators.rs
@@ -128,7 +128,8 @@
     async fn send_note(&self, headers: &HeaderMap, body: Incoming) -> Result<Response, Problem> {
         let json = read_body(body, MOST_BODY_BYTES, BODY_TIMEOUT).await?;
         let operator = headers.get(OPERATOR_HEADER);
-        let operator = operator.and_then(|name| name.to_str().ok());
+        // Names are UTF-8, which `to_str` would refuse beyond ASCII.
+        let operator = operator.and_then(|name| str::from_utf8(name.as_bytes()).ok());
         let command = command::Body::SubmitNote(SubmitNote {
             json,
             operator: operator.unwrap_or(UNNAMED).to_owned(),
--- a/crates/lovageramp/tests/client.rs
+++ b/crates/lovageramp/tests/client.rs
@@ -192,6 +192,30 @@
     );
 }
 
+#[tokio::test]
+async fn send_name_beyond_ascii() {
+    // An operator is called Kovačič, and so is the login. The note must go out,
+    // and whoever comes second must read the name as it is written.
+    let host = start().await.to_string();
+    let folder = tempfile::tempdir().unwrap();
+    let note = file(&folder, "1.json", r#"{"number": 1}"#);
+    let other = file(&folder, "other.json", FIRST);
+    let args = [
+        "note",
+        "send",
+        &note,
+        "--host",
+        &host,
+        "--operator",
+        "Kovačič",
+    ];
+    let (exit, _, err) = client(&args, TOKEN).await;
+    assert_eq!(exit, 0, "{err}");
+    let (exit, _, err) = client(&["note", "send", &other, "--host", &host], TOKEN).await;
+    assert_eq!(exit, 1);
+    assert!(err.contains("sent by \"Kovačič\""), "{err}");
+}
+
 #[tokio::test]
 async fn run_next_host() {
     // The first host that the operator named is down. The command must go
