Wait for a note through a change of leader

Change: looks that fail are waited out until the time is over. With the first failed look ending the wait, send_wait_through_election fails.

--- a/crates/lovageramp/src/client/note.rs
+++ b/crates/lovageramp/src/client/note.rs
@@ -8,7 +8,7 @@
 use note::{Catalogue, Note};
 use serde_json::Value;
 
-use super::answer::render;
+use super::answer::{Answer, render};
 use super::http::ask;
 use super::{Access, Failure, Format, NoteCommand};
 
@@ -89,19 +89,25 @@
     Ok(render(&answer, format, describe_sent))
 }
 
-/// Waits until a note is in force everywhere.
+/// Waits until a note is in force everywhere. While control changes its leader
+/// nobody can say how far it has come; the note is accepted all the same, so
+/// that is waited out as well.
 async fn in_force(access: &Access, number: u64, within: Duration) -> Result<(), Failure> {
     let deadline = Instant::now() + within;
     loop {
-        let answer = ask(access, Method::GET, NOTE_STATUS, Bytes::new()).await?;
-        let status = answer.success()?;
-        let everywhere = status["in_force_everywhere"].as_u64();
-        if everywhere.is_some_and(|newest| newest >= number) {
+        let answer = ask(access, Method::GET, NOTE_STATUS, Bytes::new()).await;
+        let status = answer.and_then(Answer::success);
+        let everywhere = status.as_ref().map(|notes| &notes["in_force_everywhere"]);
+        let newest = everywhere.ok().and_then(Value::as_u64);
+        if newest.is_some_and(|newest| newest >= number) {
             return Ok(());
         }
         if Instant::now() >= deadline {
-            let lagging = names(&status["lagging"]);
-            let detail = format!("accepted, but not yet in force at {lagging}");
+            let behind = match status {
+                Ok(notes) => names(&notes["lagging"]),
+                Err(failure) => format!("any host that could say so: {failure}"),
+            };
+            let detail = format!("accepted, but not yet in force at {behind}");
             return Err(Failure::Refused(serde_json::json!({"detail": detail})));
         }
         tokio::time::sleep(POLL).await;
--- a/crates/lovageramp/tests/cli.rs
+++ b/crates/lovageramp/tests/cli.rs
@@ -99,6 +99,30 @@
     }
 }
 
+#[tokio::test]
+async fn send_again_after_lost_majority() {
+    // Two of three controls die and an operator sends a note again. She must hear
+    // that nobody can take it now, and get the first answer once they are back.
+    let mut cluster = small().await;
+    let note = note_file(&cluster, "2.json", &model(2, "late"));
+    let args = ["note", "send", &note, "--wait", "60"];
+    let first = cluster.client("entry-1", &args).await;
+    assert!(first.status.success(), "{}", text(&first));
+    for control in ["control-1", "control-2"] {
+        cluster.processes.get_mut(control).unwrap().kill().await;
+    }
+    let refused = cluster.client("entry-1", &args).await;
+    assert_eq!(refused.status.code(), Some(3), "{}", text(&refused));
+    for number in 1..=2 {
+        cluster.start_control(number).await;
+    }
+    until("the first answer comes again", || async {
+        let again = cluster.client("entry-1", &args).await;
+        text(&again).contains("was accepted before").then_some(())
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn drain_and_undo() {
     // A target is drained for repair. Its service must stop to reach it within
--- a/crates/lovageramp/tests/client.rs
+++ b/crates/lovageramp/tests/client.rs
@@ -4,6 +4,7 @@
 
 use std::net::SocketAddr;
 use std::process::{Command, Output};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 
 use admin::{Operators, ServerSettings, Token, serve};
@@ -68,6 +69,12 @@
 
 /// Serves the operators' routes over one history.
 async fn start() -> SocketAddr {
+    start_with_failures(0).await
+}
+
+/// The same, while the first reads find no leader.
+async fn start_with_failures(failures: u32) -> SocketAddr {
+    let failures = AtomicU32::new(failures);
     let history = Arc::new(Mutex::new(History::default()));
     let asked = Arc::clone(&history);
     let operators = Operators::new(
@@ -77,6 +84,11 @@
             Box::pin(async { Outcome { index: 1, body } })
         }),
         Arc::new(move |query| {
+            let left = failures.load(Ordering::Relaxed);
+            if left > 0 {
+                failures.store(left - 1, Ordering::Relaxed);
+                return Box::pin(async { Err(eyre::eyre!("no leader")) });
+            }
             let json = read(&asked.lock().unwrap(), &query).into();
             let body = Some(query_reply::Body::Json(json));
             Box::pin(async { Ok(QueryReply { body }) })
@@ -216,6 +228,20 @@
     assert!(err.contains("sent by \"Kovačič\""), "{err}");
 }
 
+#[tokio::test]
+async fn send_wait_through_election() {
+    // A note is accepted and the leader dies, so that for a while nobody can say
+    // where it is in force. Told "no host answered", the operator would think
+    // that it was not accepted.
+    let host = start_with_failures(3).await.to_string();
+    let folder = tempfile::tempdir().unwrap();
+    let note = file(&folder, "1.json", FIRST);
+    let args = ["note", "send", &note, "--host", &host, "--wait", "30"];
+    let (exit, out, err) = client(&args, TOKEN).await;
+    assert_eq!((exit, err.as_str()), (0, ""));
+    assert_eq!(out, "note 1 is accepted and in force everywhere\n");
+}
+
 #[tokio::test]
 async fn run_next_host() {
     // The first host that the operator named is down. The command must go
