Lose answers and agents in the test of not run

Cause: with calls that are still open told "no", reserve_told_not_run passed: no call had run whose answer was lost. Change: an agent is killed while its service runs a call, and a service loses its answers.

--- a/crates/lovageramp/tests/not_run.rs
+++ b/crates/lovageramp/tests/not_run.rs
@@ -104,10 +104,23 @@
     let callers = Callers::start(&entries);
     callers.answered(50).await;
 
+    // An agent dies while its service runs a call.
+    let before = cluster.ran_at("desk-01", "").await;
+    cluster.fault("desk-01", "stall", "").await;
+    until("a call runs at desk-01", || async {
+        (cluster.ran_at("desk-01", "").await > before).then_some(())
+    })
+    .await;
     cluster.kill("desk-01").await;
+    cluster.fault("desk-01", "clear", "").await;
     callers.answered(30).await;
     cluster.start_agent("desk-01").await;
 
+    // A service runs calls and its answers are lost.
+    cluster.fault("desk-03", "lose-answer", "").await;
+    callers.answered(40).await;
+    cluster.fault("desk-03", "clear", "").await;
+
     cluster.relays["desk-02"].swallow_there();
     callers.answered(30).await;
     cluster.signal("desk-03", "STOP").await;
