--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -3,9 +3,11 @@
 
 mod caller;
 mod control;
+mod relay;
 
 pub use caller::Caller;
 pub use control::Control;
+pub use relay::Relay;
 
 use std::time::Duration;
 
@@ -49,6 +51,12 @@
         Bench::start("advisor-01", target, timing).await
     }
 
+    /// An agent before an engine that is reached through a relay.
+    pub async fn relayed(relay: &Relay) -> Self {
+        let target = json!({"group": GROUP, "engine": {"address": relay.address.to_string()}});
+        Bench::start("advisor-01", target, json!({})).await
+    }
+
     /// An agent before a plain service, taking work.
     pub async fn service(service: &fake::Service, timing: Value) -> Self {
         let target =
@@ -68,6 +76,12 @@
         Bench::under(Control::start().await, name, target, more).await
     }
 
+    /// An agent of this name under a control that others share.
+    pub async fn join(control: &Control, name: &str, engine: &fake::Engine, more: Value) -> Self {
+        let target = json!({"group": GROUP, "engine": {"address": engine.address().to_string()}});
+        Bench::under(control.clone(), name, target, more).await
+    }
+
     async fn under(control: Control, name: &str, target: Value, more: Value) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let key_file = folder.path().join("cluster.key");
