End dialled links with the agent

Cause: read in review: the task that reads a link dialled to another agent holds the link itself, so it went on after the agent's end and the other side saw a living link.

Change: these tasks end with the agent's stop token.

--- a/crates/agent/src/map/maps.rs
+++ b/crates/agent/src/map/maps.rs
@@ -38,7 +38,7 @@
     if cx.cfg.stand == Stand::Service {
         return Ok(Maps { actor: None });
     }
-    let peers = Peers::new(me.clone(), key.clone(), link.clone());
+    let peers = Peers::new(me.clone(), key.clone(), link.clone(), cx.stop.clone());
     let start = Start {
         cx: Arc::clone(cx),
         orders: orders.clone(),
--- a/crates/agent/src/map/peers.rs
+++ b/crates/agent/src/map/peers.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use ractor::ActorRef;
+use tokio_util::sync::CancellationToken;
 use wire::proto::frame::Body;
 use wire::{ClusterKey, Identity, Link, LinkSettings};
 
@@ -16,6 +17,8 @@
     me: Identity,
     key: ClusterKey,
     cfg: LinkSettings,
+    /// Ends the links that were dialled.
+    stop: CancellationToken,
     links: Arc<Mutex<BTreeMap<String, Slot>>>,
 }
 
@@ -25,11 +28,12 @@
 }
 
 impl Peers {
-    pub fn new(me: Identity, key: ClusterKey, cfg: LinkSettings) -> Self {
+    pub fn new(me: Identity, key: ClusterKey, cfg: LinkSettings, stop: CancellationToken) -> Self {
         Peers {
             me,
             key,
             cfg,
+            stop,
             links: Arc::default(),
         }
     }
@@ -62,10 +66,9 @@
             _ => {
                 let Some(address) = address else { return };
                 links.insert(name.to_owned(), Slot::Dialling);
-                tokio::spawn(
-                    self.clone()
-                        .dial(name.to_owned(), address, body, inbox.clone()),
-                );
+                let peers = self.clone();
+                let dial = peers.dial(name.to_owned(), address, body, inbox.clone());
+                tokio::spawn(self.stop.clone().run_until_cancelled_owned(dial));
             }
         }
     }
