Try fewer moves in the search for expert maps

Cause: a plan took 86 ms on average at 16x60 (hotline, daily drift) and 6.6 ms at 16x4; most candidates can't help.

Change: exchanges that don't relieve the slowest rank, copies that leave the taker slower than it, and replacements by a larger share are no longer measured; a chain ends when its last 16 moves save less than half of what pays.

The machine was shared, so times are rough.

--- a/crates/expert/src/search/chain.rs
+++ b/crates/expert/src/search/chain.rs
@@ -5,6 +5,13 @@
 /// Longest chain, so that planning ends whatever the load.
 const LONGEST: usize = 512;
 
+/// Moves at the end of a chain that are looked at together: if they save far
+/// less than pays, so will those after them.
+const TAIL: usize = 16;
+
+/// Share of what pays that the tail must save for the search to go on.
+const TAIL_SHARE: f64 = 0.5;
+
 /// Most kicks in one chain.
 const KICKS: usize = 32;
 
@@ -48,7 +55,10 @@
             loads: vec![0],
         };
         let (mut time, mut loads, mut kicks) = (state.slowest().1, 0, 0);
-        while chain.moves.len() < LONGEST && time - even > least_saved {
+        while chain.moves.len() < LONGEST
+            && time - even > least_saved
+            && chain.tail_pays(least_saved)
+        {
             let next = if let Some(candidate) = moves::best(&state, moves::FEW, delta)
                 .or_else(|| moves::best(&state, usize::MAX, delta))
             {
@@ -73,6 +83,17 @@
         chain
     }
 
+    /// Whether the last moves still save enough for each load.
+    fn tail_pays(&self, least_saved: f64) -> bool {
+        let Some(from) = self.moves.len().checked_sub(TAIL) else {
+            return true;
+        };
+        let end = self.moves.len();
+        let saved = self.times[from] - self.times[end];
+        let loads = f64::from(self.loads[end] - self.loads[from]);
+        saved > TAIL_SHARE * least_saved * loads
+    }
+
     /// The chain cut at the corners of its lower convex hull of time over
     /// loads: the gain for each load falls from one segment to the next.
     pub(crate) fn segments(&self) -> Vec<Segment> {
--- a/crates/expert/src/search/moves.rs
+++ b/crates/expert/src/search/moves.rs
@@ -33,8 +33,6 @@
         }
         if state.slots[slot] != NO_EXPERT && state.is_spare(slot) {
             consider(state, Candidate::Drop { slot }, limit, delta, &mut best);
-        }
-        if state.is_spare(slot) {
             try_replacing(state, slot, limit, delta, &mut best);
         }
     }
@@ -67,19 +65,32 @@
 ) {
     let expert = state.slots[slot];
     let rank = state.rank_of(slot);
+    let given = state.share(usize::from(expert), state.copies(expert));
+    let copied = state.share(usize::from(expert), state.copies(expert) + 1);
+    // What would leave the taker slower than the slowest rank is now.
+    let too_much = |former: f64, new: f64| {
+        let change = (new - former) * state.rank_cost(state.rank_of(taker * state.width));
+        state.time[taker] + change >= limit
+    };
     if state.holds(state.rank_of(taker * state.width), expert) {
         return;
     }
     for other in taker * state.width..(taker + 1) * state.width {
-        if state.is_spare(other) {
+        let returned = state.slots[other];
+        let former = if returned == NO_EXPERT {
+            0.0
+        } else {
+            state.share(usize::from(returned), state.copies(returned))
+        };
+        if state.is_spare(other) && !too_much(former, copied) {
             let put = Candidate::Put {
                 slot: other,
                 expert,
             };
             consider(state, put, limit, delta, best);
         }
-        let returned = state.slots[other];
-        if returned != NO_EXPERT && !state.holds(rank, returned) {
+        let relieves = former < given && !too_much(former, given);
+        if returned != NO_EXPERT && relieves && !state.holds(rank, returned) {
             let swap = Candidate::Swap { a: slot, b: other };
             consider(state, swap, limit, delta, best);
         }
@@ -95,11 +106,14 @@
     best: &mut Best,
 ) {
     let rank = state.rank_of(slot);
-    for expert in 0..state.load.len() {
-        let Ok(expert) = u16::try_from(expert) else {
+    let former = state.slots[slot];
+    let former = state.share(usize::from(former), state.copies(former));
+    for index in 0..state.load.len() {
+        let Ok(expert) = u16::try_from(index) else {
             return;
         };
-        if !state.holds(rank, expert) {
+        let relieves = state.share(index, state.copies(expert) + 1) < former;
+        if relieves && !state.holds(rank, expert) {
             consider(state, Candidate::Put { slot, expert }, limit, delta, best);
         }
     }
