--- a/crates/entry/src/placement/mod.rs
+++ b/crates/entry/src/placement/mod.rs
@@ -16,6 +16,7 @@
 
 use crate::job::Job;
 use crate::links::Agent;
+use crate::metrics::PoolMetrics;
 use crate::{Limits, Timing};
 
 use inner::Inner;
@@ -66,12 +67,24 @@
         }
     }
 
+    /// Shows the figures of all pools.
+    pub(crate) fn show(&self, now: Instant, metrics: &PoolMetrics) {
+        for (name, state) in &self.lock().pools {
+            state.show(name.as_str(), now, metrics);
+        }
+    }
+
     pub(crate) fn set_quarantine(&self, quarantine: &Quarantine) {
         self.lock().set_quarantine(quarantine);
     }
 
     pub(crate) fn record(&self, fingerprint: &Fingerprint) -> Record {
-        self.lock().record(fingerprint)
+        self.lock().record(Instant::now(), fingerprint)
+    }
+
+    /// Notes that a target crashed while the request ran there.
+    pub(crate) fn crashed(&self, fingerprint: Fingerprint) {
+        self.lock().crashed(Instant::now(), fingerprint);
     }
 
     pub(crate) fn report(&self, agent: &Arc<Agent>, report: &Report) {
