--- a/crates/expert/benches/maps/main.rs
+++ b/crates/expert/benches/maps/main.rs
@@ -20,6 +20,7 @@
 use run::Run;
 use scenario::Scenario;
 use score::Score;
+use std::thread;
 
 fn main() {
     let only: Option<String> = std::env::args().find(|arg| arg.contains('x') && !arg.contains('/'));
@@ -33,8 +34,7 @@
             continue;
         }
         for scenario in Scenario::ALL {
-            let play = |policy| Run::play(policy, scenario, ranks, layers);
-            let scores = Policy::ALL.map(play);
+            let scores = play_all(scenario, ranks, layers);
             for (policy, score) in Policy::ALL.iter().zip(&scores) {
                 row(scenario.name(), &size, *policy, score, &scores[1]);
             }
@@ -42,6 +42,17 @@
     }
 }
 
+/// The policies side by side, each on a thread of its own.
+fn play_all(scenario: Scenario, ranks: u16, layers: u16) -> Vec<Score> {
+    thread::scope(|scope| {
+        let play = |policy| scope.spawn(move || Run::play(policy, scenario, ranks, layers));
+        let runs = Policy::ALL.map(play);
+        let score = |run: thread::ScopedJoinHandle<'_, Score>| run.join();
+        runs.into_iter().map(score).collect::<Result<_, _>>()
+    })
+    .expect("a policy failed")
+}
+
 fn row(scenario: &str, size: &str, policy: Policy, score: &Score, full: &Score) {
     println!(
         "| {scenario} | {size} | {} | {:.3} | {:.3} | {:.3} | {:.3} | {:.0} | {:.4} | {:.1} | {:.1} | {:.1} |",
