--- a/crates/lovageramp/tests/silent.rs
+++ b/crates/lovageramp/tests/silent.rs
@@ -25,8 +25,9 @@
     }
 }
 
+/// Longer than what an agent sends ahead of the progress that it hears of.
 fn body(prompt: &str) -> String {
-    json!({"model": "burl-notes", "stream": true, "max_tokens": 600,
+    json!({"model": "burl-notes", "stream": true, "max_tokens": 1600,
            "messages": [{"role": "user", "content": prompt}]})
     .to_string()
 }
