--- a/crates/lovageramp/benches/path.rs
+++ b/crates/lovageramp/benches/path.rs
@@ -44,6 +44,7 @@
         engines: 1,
         services: 1,
         step_ms: 0,
+        limit: 1_000,
     })
     .await;
     cluster.offer().await;
--- a/crates/lovageramp/src/fakes.rs
+++ b/crates/lovageramp/src/fakes.rs
@@ -27,6 +27,9 @@
         /// Milliseconds of a step
         #[bpaf(argument("MS"), fallback(2))]
         step_ms: u64,
+        /// Requests that it runs at once
+        #[bpaf(argument("N"), fallback(64))]
+        limit: u32,
     },
     /// A plain service
     #[bpaf(command("service"))]
@@ -59,6 +62,7 @@
             model,
             version_name,
             step_ms,
+            limit,
         } => {
             let ranks = if rank.is_empty() { vec![0] } else { rank };
             let engine = Engine::start(EngineSettings {
@@ -67,6 +71,7 @@
                 models: vec![model],
                 versions: vec![version_name],
                 step: Duration::from_millis(step_ms),
+                limit,
                 ..EngineSettings::default()
             })
             .await?;
--- a/crates/lovageramp/tests/support/cluster.rs
+++ b/crates/lovageramp/tests/support/cluster.rs
@@ -31,6 +31,8 @@
     pub services: usize,
     /// Milliseconds of an engine's step.
     pub step_ms: u32,
+    /// Requests that an engine runs at once.
+    pub limit: u32,
 }
 
 impl Default for ClusterPlan {
@@ -41,6 +43,7 @@
             engines: 3,
             services: 2,
             step_ms: 2,
+            limit: 64,
         }
     }
 }
@@ -236,9 +239,12 @@
         let rank = name.rsplit('-').next().unwrap().parse::<u32>().unwrap() - 1;
         let rank = rank.to_string();
         let step_ms = self.plan.step_ms.to_string();
+        let limit = self.plan.limit.to_string();
         let mut args = vec!["fake", kind, "--listen", "127.0.0.1:0"];
         if kind == "engine" {
             args.extend([
+                "--limit",
+                &limit,
                 "--step-ms",
                 &step_ms,
                 "--rank",
