Count running attempts as they change and forget answers at once

Each start asked the agent for its running and suspect attempts and held bytes, and each answer counted through all attempts of the last seconds, about 5,700. They are now counted as they change, and an entry that has a whole answer says so.

--- a/crates/agent/src/attempts.rs
+++ b/crates/agent/src/attempts.rs
@@ -71,6 +71,11 @@
 /// All attempts that an agent knows, and those that must never start.
 pub(crate) struct Attempts {
     known: BTreeMap<Attempt, Known>,
+    /// Of the known ones: counted as they change, since each start asks.
+    running: usize,
+    suspects: usize,
+    /// Bytes held of all answers at the last tick.
+    held: usize,
     /// Barred attempts, and non-repeatable ones that are forgotten.
     kept: Tombstones,
     /// Repeatable attempts that are forgotten.
@@ -81,6 +86,9 @@
     pub fn new(limits: &Limits, timing: &Timing) -> Self {
         Attempts {
             known: BTreeMap::new(),
+            running: 0,
+            suspects: 0,
+            held: 0,
             kept: Tombstones::new(limits.remembered, timing.remember),
             brief: Tombstones::new(limits.remembered, REMEMBER_REPEATABLE),
         }
@@ -99,27 +107,30 @@
         !self.kept.is_full() && !self.brief.is_full()
     }
 
+    /// Enters an attempt that begins to run and was not known before.
     pub fn insert(&mut self, attempt: Attempt, known: Known) {
+        self.running += 1;
+        self.suspects += usize::from(known.suspicion == Suspicion::Suspect);
         self.known.insert(attempt, known);
     }
 
     pub fn running(&self) -> usize {
-        self.known
-            .values()
-            .filter(|known| known.is_running())
-            .count()
+        self.running
     }
 
     pub fn suspects(&self) -> usize {
-        let running = self.known.values().filter(|known| known.is_running());
-        running
-            .filter(|known| known.suspicion == Suspicion::Suspect)
-            .count()
+        self.suspects
     }
 
-    /// Bytes held of all answers.
+    /// Bytes held of all answers, as of the last tick.
     pub fn held(&self) -> usize {
-        self.known.values().map(|known| known.answer.held()).sum()
+        self.held
+    }
+
+    /// Notes that an attempt runs no longer.
+    fn ran(&mut self, suspicion: Suspicion) {
+        self.running -= 1;
+        self.suspects -= usize::from(suspicion == Suspicion::Suspect);
     }
 
     pub fn remembered(&self) -> usize {
@@ -176,6 +187,8 @@
         }
         known.state = State::Ended(now);
         known.answer.end(ending);
+        let suspicion = known.suspicion;
+        self.ran(suspicion);
         true
     }
 
@@ -194,14 +207,19 @@
     /// Ends all attempts whose connection broke, and returns their endings.
     pub fn end_broken(&mut self, now: Instant) -> Vec<Ending> {
         let mut endings = Vec::new();
+        let mut ended = Vec::new();
         for known in self.known.values_mut() {
             if let State::Broke(reason) = &known.state {
                 let ending = Ending::new(End::Lost, reason.clone());
                 endings.push(ending.clone());
                 known.answer.end(ending);
                 known.state = State::Ended(now);
+                ended.push(known.suspicion);
             }
         }
+        for suspicion in ended {
+            self.ran(suspicion);
+        }
         endings
     }
 
@@ -213,6 +231,7 @@
     /// crash, and convict a bystander.
     pub fn pick_crashed(&mut self, ran_on: impl Fn(&Known) -> bool) -> Vec<(Attempt, Bytes)> {
         let mut crashed = Vec::new();
+        let mut suspicions = Vec::new();
         let running = self
             .known
             .iter_mut()
@@ -224,6 +243,10 @@
             known.state = State::Crashed;
             known.answer.cancel.cancel();
             crashed.push((*attempt, known.fingerprint.clone()));
+            suspicions.push(known.suspicion);
+        }
+        for suspicion in suspicions {
+            self.ran(suspicion);
         }
         crashed
     }
@@ -260,7 +283,9 @@
         self.kept.expire(now);
         self.brief.expire(now);
         let mut over = Vec::new();
+        self.held = 0;
         for (attempt, known) in &mut self.known {
+            self.held += known.answer.held();
             known.look_at_link(timing.grace, now);
             let held = match known.keep {
                 Keep::Whole => timing.keep,
--- a/crates/entry/src/work/attempt.rs
+++ b/crates/entry/src/work/attempt.rs
@@ -191,6 +191,11 @@
         loop {
             if let Some(piece) = self.pieces.pop_front() {
                 self.over |= matches!(piece, Piece::Whole(_) | Piece::Broken(_));
+                if matches!(piece, Piece::Whole(_)) && self.abandon == Abandon::Cancel {
+                    // Nobody will ask for it again, and what an agent holds it
+                    // looks through at each tick.
+                    self.forget().await;
+                }
                 return Next::Piece(piece);
             }
             let left = deadline.saturating_duration_since(Instant::now());
