Wait for the disk before a replica counts as stopped

Ruled out: a second replica on the folder (the lock refuses it); a retry of the removal in the test would have hidden that an operator who copies or removes the folder after a stop meets the same.

Change: the disk's thread holds a guard that is dropped once the disk is closed; the end of a replica is told only then.

Before: shutdown_waits_for_disk, which holds a sync, fails with the wait taken out (assertion on the end of the shutdown).

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -62,7 +62,8 @@
         let mut settings = settings;
         settings.advertise.get_or_insert(link_address);
         let token = Token::from_file(&settings.operator_token_file)?;
-        let start = open(settings.clone(), ops).await?;
+        let disk_closed = CancellationToken::new();
+        let start = open(settings.clone(), ops, disk_closed.clone()).await?;
         let metrics = start.metrics.clone();
         let disk = start.recovered.identity.disk;
         let (_, me) = links::disk_identity(disk, &settings.name);
@@ -105,7 +106,7 @@
         let beat = settings.timing.heartbeat / TICKS_IN_HEARTBEAT;
         tasks.spawn(until(stop.clone(), keep_time(beat, replica.clone())));
         let ended = CancellationToken::new();
-        tokio::spawn(watch(actor, stop.clone(), ended.clone()));
+        tokio::spawn(watch(actor, stop.clone(), disk_closed, ended.clone()));
         Ok(Control {
             link_address,
             http_address,
@@ -159,12 +160,14 @@
 }
 
 /// Opens the data folder. A predecessor on it may still be ending.
-async fn open(settings: Settings, ops: Ops) -> Result<Start> {
+async fn open(settings: Settings, ops: Ops, disk_closed: CancellationToken) -> Result<Start> {
     const PAUSE: Duration = Duration::from_millis(50);
     let opened = async {
         loop {
             let (settings, ops) = (settings.clone(), ops.clone());
-            match tokio::task::spawn_blocking(move || open_blocking(settings, ops)).await? {
+            let disk_closed = disk_closed.clone();
+            let open = move || open_blocking(settings, ops, disk_closed);
+            match tokio::task::spawn_blocking(open).await? {
                 Err(e) if e.is_in_use() => tokio::time::sleep(PAUSE).await,
                 done => return Ok::<_, eyre::Report>(done?),
             }
@@ -175,7 +178,11 @@
     in_time.wrap_err_with(|| format!("another process has the folder {folder}"))?
 }
 
-fn open_blocking(settings: Settings, ops: Ops) -> store::Result<Start> {
+fn open_blocking(
+    settings: Settings,
+    ops: Ops,
+    disk_closed: CancellationToken,
+) -> store::Result<Start> {
     match store::identity(&settings.data) {
         Err(e) if e.is_blank() => {
             let identity = store::format(&settings.data, &settings.name, &ops)?;
@@ -193,6 +200,7 @@
         disk,
         recovered,
         metrics: Metrics::default(),
+        disk_closed: disk_closed.drop_guard(),
     })
 }
 
@@ -214,10 +222,21 @@
     }
 }
 
-async fn watch(actor: JoinHandle<()>, stop: CancellationToken, ended: CancellationToken) {
+/// Tells of the end once the actor has ended and its disk is closed.
+///
+/// The disk's thread may outlive the actor by a write or a snapshot. Were the
+/// end told before, whoever then removes or copies the data folder, or starts
+/// another replica on it, would meet files that still appear in it.
+async fn watch(
+    actor: JoinHandle<()>,
+    stop: CancellationToken,
+    disk_closed: CancellationToken,
+    ended: CancellationToken,
+) {
     if let Err(e) = actor.await {
         log::error!("replica ended: {e}");
     }
     stop.cancel();
+    disk_closed.cancelled().await;
     ended.cancel();
 }
--- a/crates/control/src/disk.rs
+++ b/crates/control/src/disk.rs
@@ -6,6 +6,7 @@
 use std::thread;
 use std::time::Duration;
 use store::{Batch, Disk, Snapshot};
+use tokio_util::sync::DropGuard;
 
 /// Writes that one sync covers at most.
 const MOST_IN_GROUP: usize = 1024;
@@ -51,13 +52,19 @@
     Full,
 }
 
-/// Starts the thread; it ends when the sender is dropped.
-pub(crate) fn spawn(disk: Disk, replica: ActorRef<Msg>) -> std::io::Result<Sender<Job>> {
+/// Starts the thread; it ends when the sender is dropped and all that was
+/// asked for is done. `closed` is dropped once the disk is closed.
+pub(crate) fn spawn(
+    disk: Disk,
+    replica: ActorRef<Msg>,
+    closed: DropGuard,
+) -> std::io::Result<Sender<Job>> {
     let (tx, rx) = channel();
     let name = "disk".to_owned();
-    thread::Builder::new()
-        .name(name)
-        .spawn(move || serve(disk, &rx, &replica))?;
+    thread::Builder::new().name(name).spawn(move || {
+        serve(disk, &rx, &replica);
+        drop(closed);
+    })?;
     Ok(tx)
 }
 
--- a/crates/control/src/replica/actor.rs
+++ b/crates/control/src/replica/actor.rs
@@ -12,6 +12,7 @@
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use std::time::Instant;
 use store::{Disk, Recovered};
+use tokio_util::sync::DropGuard;
 
 /// Runs one replica.
 pub(crate) struct Replica;
@@ -22,6 +23,8 @@
     pub(crate) disk: Disk,
     pub(crate) recovered: Recovered,
     pub(crate) metrics: Metrics,
+    /// Dropped once the disk is closed.
+    pub(crate) disk_closed: DropGuard,
 }
 
 impl Actor for Replica {
@@ -82,6 +85,7 @@
             disk,
             recovered,
             metrics,
+            disk_closed,
         } = start;
         let id = DiskId(recovered.identity.disk);
         let stored = recovered.snapshot.map(codec::snapshot).transpose()?;
@@ -99,7 +103,7 @@
         };
         let node = Node::new(id, cfg, rand::random(), restored, now);
         Ok(State {
-            jobs: disk::spawn(disk, myself.clone())?,
+            jobs: disk::spawn(disk, myself.clone(), disk_closed)?,
             settings,
             node,
             machine: Machine::default(),
--- a/crates/control/tests/replicas/disks.rs
+++ b/crates/control/tests/replicas/disks.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 use store::Ops;
 use tokio::time::timeout;
 use wire::proto::{NoteQuery, outcome, query};
@@ -83,3 +84,43 @@
     cluster.leader_besides(&leader).await;
     cluster.submit_up_to(6).await;
 }
+
+/// A replica is asked to stop while its disk is slow. The operator who then
+/// copies or removes the data folder must not meet files that still appear in
+/// it, so the stop is not over before the disk's last write is.
+#[tokio::test(flavor = "multi_thread")]
+async fn shutdown_waits_for_disk() {
+    let mut cluster = Cluster::prepared(1).await;
+    control::init(&cluster.settings("r1")).unwrap();
+    let slow = Arc::new(AtomicBool::new(false));
+    let held = Arc::new(AtomicBool::new(false));
+    let (asked, holding) = (Arc::clone(&slow), Arc::clone(&held));
+    let real = Ops::default();
+    let ops = Ops {
+        sync: Arc::new(move |path, file| {
+            while asked.load(Ordering::Relaxed) {
+                holding.store(true, Ordering::Relaxed);
+                std::thread::sleep(Duration::from_millis(5));
+            }
+            (real.sync)(path, file)
+        }),
+        ..Ops::default()
+    };
+    cluster.up_with("r1", ops).await;
+    cluster.submit_up_to(1).await;
+    slow.store(true, Ordering::Relaxed);
+    let link = cluster.dial("r1").await;
+    let note = note_command(&json!({"number": 2}), "anna");
+    let unanswered = tokio::spawn(async move { propose_to(&link, note).await });
+    wait_for("a sync", async || {
+        held.load(Ordering::Relaxed).then_some(())
+    })
+    .await;
+    let control = cluster.control("r1").clone();
+    let mut stop = tokio::spawn(async move { control.shutdown().await });
+    assert!(timeout(Duration::from_secs(1), &mut stop).await.is_err());
+    slow.store(false, Ordering::Relaxed);
+    timeout(PATIENCE, stop).await.unwrap().unwrap();
+    unanswered.abort();
+    cluster.wipe("r1");
+}
