Keep a queue that never empties short

Ruled out: longer bounds (4 s, 5 s) trade the one for the other; a short wait once an account's own queue stands starts the long waits again by chance (tables in docs/design/routing.md).

Change: a request may wait 5 s, but only 1 s once the whole queue was not empty for 20 s; then it is refused at once with Retry-After.

Still missed: refusals under the flood.

--- a/crates/entry/src/placement/inner.rs
+++ b/crates/entry/src/placement/inner.rs
@@ -35,7 +35,7 @@
     zone: String,
     zone_distance: Duration,
     account_part: f64,
-    queue: usize,
+    admission: AdmissionSettings,
 }
 
 /// For how long own crashes count: until the quarantine must have heard of
@@ -68,7 +68,12 @@
             zone: zone.to_owned(),
             zone_distance: timing.zone_distance,
             account_part: limits.account_part,
-            queue: limits.queue,
+            admission: AdmissionSettings {
+                queue: limits.queue,
+                standing_after: timing.standing_after,
+                standing_wait: timing.standing_wait,
+                ..AdmissionSettings::default()
+            },
         }
     }
 
@@ -93,13 +98,10 @@
             }
         }
         for (name, members) in &offered {
-            let state = self.pools.entry(name.clone()).or_insert_with(|| {
-                let settings = AdmissionSettings {
-                    queue: self.queue,
-                    ..AdmissionSettings::default()
-                };
-                PoolState::new(Tuning::default(), settings, now)
-            });
+            let state = self
+                .pools
+                .entry(name.clone())
+                .or_insert_with(|| PoolState::new(Tuning::default(), self.admission, now));
             let distance = |row: &Announced| distance(&self.zone, row, self.zone_distance);
             state.update(now, members, distance);
             state.pool.set_share(1.0 / f64::from(entries));
--- a/crates/entry/src/timing.rs
+++ b/crates/entry/src/timing.rs
@@ -19,6 +19,10 @@
     pub stall: Duration,
     /// Longest wait for a place at a target.
     pub queue_wait: Duration,
+    /// A queue that was not empty for so long is kept short.
+    pub standing_after: Duration,
+    /// Longest wait for a place in such a queue.
+    pub standing_wait: Duration,
     /// For a chat completion whose caller states no time.
     pub chat_timeout: Duration,
     /// Longest time that a caller may ask for.
@@ -48,7 +52,9 @@
             link_grace: at_least("link_grace_ms", ms(3000), ms(10)),
             start: at_least("start_ms", ms(2000), ms(10)),
             stall: at_least("stall_ms", ms(30_000), ms(100)),
-            queue_wait: at_least("queue_wait_ms", ms(3000), ms(1)),
+            queue_wait: at_least("queue_wait_ms", ms(5000), ms(1)),
+            standing_after: at_least("standing_after_ms", ms(20_000), ms(1)),
+            standing_wait: at_least("standing_wait_ms", ms(1000), ms(1)),
             chat_timeout: at_least("chat_timeout_ms", ms(300_000), ms(100)),
             timeout_max: at_least("timeout_max_ms", ms(900_000), ms(100)),
             receive: at_least("receive_ms", ms(30_000), ms(100)),
--- a/crates/route/benches/policy/run.rs
+++ b/crates/route/benches/policy/run.rs
@@ -27,7 +27,7 @@
 /// For how long a caller waits for its first token.
 const PATIENCE: f64 = 10.0;
 /// For how long our entry lets a request wait for a place.
-const QUEUE_WAIT: f64 = 3.0;
+const QUEUE_WAIT: f64 = 5.0;
 const MAX_ATTEMPTS: usize = 3;
 /// Requests before this time only warm up.
 const WARM: f64 = 20.0;
--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -48,6 +48,8 @@
     places: Places,
     running: u32,
     waiting: usize,
+    /// Since when some request waits.
+    waiting_since: Option<Instant>,
     virtual_time: f64,
     shed: Vec<(TicketKey, Refusal)>,
 }
@@ -69,6 +71,7 @@
             places: Places::default(),
             running: 0,
             waiting: 0,
+            waiting_since: None,
             virtual_time: 0.0,
             shed: Vec::new(),
         }
@@ -131,10 +134,11 @@
             account: key,
             tokens,
             priority,
+            entered: now,
             deadline,
             state: TicketState::Waiting,
         });
-        self.queue(ticket, key, priority);
+        self.queue(ticket, key, priority, now);
         self.place_one(ticket)
     }
 
@@ -158,7 +162,7 @@
             TicketState::Waiting => {
                 account.waiting.retain(|waiting| *waiting != key);
                 account.ration.refund(ticket.tokens);
-                self.waiting -= 1;
+                self.leave_queue();
             }
         }
     }
@@ -195,13 +199,21 @@
         Admitted::Queued(ticket)
     }
 
-    fn queue(&mut self, ticket: TicketKey, key: AccountKey, priority: u32) {
+    fn queue(&mut self, ticket: TicketKey, key: AccountKey, priority: u32, now: Instant) {
         let tickets = &self.tickets;
         if let Some(account) = self.accounts.get_mut(key) {
             let goes_first = |other: &TicketKey| tickets[*other].priority >= priority;
             let at = account.waiting.partition_point(goes_first);
             account.waiting.insert(at, ticket);
             self.waiting += 1;
+            self.waiting_since.get_or_insert(now);
+        }
+    }
+
+    fn leave_queue(&mut self) {
+        self.waiting -= 1;
+        if self.waiting == 0 {
+            self.waiting_since = None;
         }
     }
 
@@ -237,7 +249,8 @@
             return;
         };
         ticket.state = TicketState::Running;
-        self.waiting -= 1;
+        let ticket = *ticket;
+        self.leave_queue();
         self.running += 1;
         let Some(account) = self.accounts.get_mut(ticket.account) else {
             return;
@@ -267,7 +280,7 @@
         let late: Vec<TicketKey> = self
             .tickets
             .iter()
-            .filter(|(_, t)| t.state == TicketState::Waiting && t.deadline <= now)
+            .filter(|(_, t)| t.state == TicketState::Waiting && self.is_late(t, now))
             .map(|(key, _)| key)
             .collect();
         for key in late {
@@ -276,6 +289,23 @@
         }
     }
 
+    /// Whether a waiting request has waited for long enough.
+    ///
+    /// A queue that never empties serves no more requests than a short one,
+    /// but each after the longest wait: callers see their first token seconds
+    /// late, all of them, for as long as the overload lasts. So waits in it
+    /// are cut short, as controlled delay does for packets (Nichols and
+    /// Jacobson, 2012) and Maurer for requests ("Fail at Scale", 2015).
+    fn is_late(&self, ticket: &Ticket, now: Instant) -> bool {
+        if ticket.deadline <= now {
+            return true;
+        }
+        let since = |then| now.saturating_duration_since(then);
+        let stands = |then| since(then) >= self.settings.standing_after;
+        self.waiting_since.is_some_and(stands)
+            && since(ticket.entered) >= self.settings.standing_wait
+    }
+
     fn refusal(&self, reason: Reason) -> Refusal {
         Refusal {
             reason,
--- a/crates/route/src/admission_settings.rs
+++ b/crates/route/src/admission_settings.rs
@@ -12,6 +12,11 @@
     pub reserve: f64,
     /// When a shed request is told to come back.
     pub retry_after: Duration,
+    /// A queue that was not empty for so long doesn't smooth a burst any more;
+    /// it only makes everyone wait.
+    pub standing_after: Duration,
+    /// Longest wait in such a queue.
+    pub standing_wait: Duration,
 }
 
 impl Default for AdmissionSettings {
@@ -20,6 +25,8 @@
             queue: 256,
             reserve: 0.25,
             retry_after: Duration::from_secs(1),
+            standing_after: Duration::from_secs(20),
+            standing_wait: Duration::from_secs(1),
         }
     }
 }
--- a/crates/route/src/ticket.rs
+++ b/crates/route/src/ticket.rs
@@ -17,6 +17,7 @@
     pub(crate) account: AccountKey,
     pub(crate) tokens: u32,
     pub(crate) priority: u32,
+    pub(crate) entered: Instant,
     pub(crate) deadline: Instant,
     pub(crate) state: TicketState,
 }
--- a/crates/route/tests/admission.rs
+++ b/crates/route/tests/admission.rs
@@ -109,6 +109,52 @@
     assert_eq!(admission.waiting(), 0);
 }
 
+/// More work comes than the targets can do, for minutes. If everyone may wait
+/// for long, everyone does: all callers see their first token seconds late.
+#[test]
+fn advance_standing_queue() {
+    let began = Instant::now();
+    let settings = AdmissionSettings::default();
+    let mut admission = Admission::new(settings);
+    let account = admission.insert(AccountLimits::default(), began);
+    let second = Duration::from_secs(1);
+    let mut now = began;
+    while now < began + settings.standing_after {
+        admission.enter(now, account, 1, 1, now + LONG);
+        assert!(admission.advance(now).refused.is_empty());
+        now += second;
+    }
+    let newest = admission.enter(now, account, 1, 1, now + LONG);
+    let refused = admission.advance(now).refused;
+    assert_eq!(refused.len(), 20, "all but the newest have waited too long");
+    assert!(refused.iter().all(|(_, r)| r.reason == Reason::Expired));
+    let Admitted::Queued(newest) = newest else {
+        unreachable!("there is no place");
+    };
+    now += settings.standing_wait;
+    assert_eq!(admission.advance(now).refused[0].0, newest);
+}
+
+/// A burst fills the queue, then it empties, then another burst comes. The
+/// queue smooths both: nobody may be refused as in a lasting overload.
+#[test]
+fn advance_queue_empty_between() {
+    let began = Instant::now();
+    let settings = AdmissionSettings::default();
+    let mut admission = Admission::new(settings);
+    let account = admission.insert(AccountLimits::default(), began);
+    let Admitted::Queued(first) = admission.enter(began, account, 1, 1, began + LONG) else {
+        unreachable!("there is no place");
+    };
+    let later = began + settings.standing_after / 2;
+    admission.release(first, 0);
+    admission.enter(later, account, 1, 1, later + LONG);
+    let end = began + settings.standing_after + settings.standing_wait;
+    assert!(admission.advance(end).refused.is_empty());
+    let standing = later + settings.standing_after;
+    assert_eq!(admission.advance(standing).refused.len(), 1);
+}
+
 #[test]
 fn admission_random_operations() {
     fn property(steps: Vec<(u8, u8, u8)>) -> bool {
