Keep a folder in which a sync failed from being opened

Seen: a replica stops at a failed sync, but its supervisor starts it again, and the new process reads from the system's memory what the disk never got; its own sync at the open then reports success. A sync that failed for want of room while a segment was begun counted as a full disk: the batch was tried again and reported as synced (`sync_without_room_is_final`).

Ruled out: a mark set at each start and removed at a clean end, since it would keep every killed replica out.

Change: a failed sync leaves the file `sync-failed` in the folder, also one at the open, and a marked folder isn't opened. Errors of syncs never count as "full".

Guards taken out: without the check, open_after_failed_sync and open_after_failed_sync_at_open got an open disk; without the mark at the open, the latter did; with sync errors as plain ones, "disk is full".

--- a/crates/store/src/disk.rs
+++ b/crates/store/src/disk.rs
@@ -3,7 +3,7 @@
 use crate::frame::FrameKind;
 use crate::replay::Replay;
 use crate::segment::{self, Segment};
-use crate::{Batch, Error, HardState, Ops, Record, Recovered, Result, Snapshot, snapshot};
+use crate::{Batch, Error, HardState, Ops, Record, Recovered, Result, Snapshot, snapshot, trust};
 use std::collections::BTreeMap;
 use std::fs::{File, TryLockError};
 use std::path::{Path, PathBuf};
@@ -36,8 +36,8 @@
     ///
     /// # Errors
     ///
-    /// The folder is blank, used by another process, damaged, or can't be
-    /// read or written.
+    /// The folder is blank, used by another process, damaged, marked since a
+    /// sync failed in it, or can't be read or written.
     ///
     /// ```
     /// # use store::{Batch, Disk, Ops, Snapshot};
@@ -47,12 +47,21 @@
     /// disk.sync().unwrap();
     /// ```
     pub fn open(folder: &Path, ops: Ops) -> Result<(Disk, Recovered)> {
+        let opened = Disk::open_folder(folder, ops.clone());
+        if let Err(e) = &opened {
+            trust::mark(folder, e, &ops);
+        }
+        opened
+    }
+
+    fn open_folder(folder: &Path, ops: Ops) -> Result<(Disk, Recovered)> {
         let identity = crate::identity(folder)?;
         let lock = lock(folder)?;
+        trust::check(folder)?;
         // A predecessor may have been killed between a rename and its sync.
         // What is read below must not be undone later by a power cut.
         let synced = (ops.sync_folder)(folder);
-        synced.map_err(|e| Error::io("sync", folder, e))?;
+        synced.map_err(|e| Error::sync(folder, e))?;
         let snapshot = snapshot::newest(folder)?;
         let mut replay = Replay::run(folder)?;
         let goes_on = match &snapshot {
@@ -141,10 +150,7 @@
             return Ok(());
         }
         let done = self.segment.sync(&self.ops);
-        if done.is_err() {
-            self.stopped = true;
-        }
-        done
+        self.stop_on(done)
     }
 
     /// Saves a snapshot of what the log holds, and drops what it covers.
@@ -178,6 +184,7 @@
         if let Err(e) = &done
             && !e.is_full()
         {
+            trust::mark(&self.folder, e, &self.ops);
             self.stopped = true;
         }
         done
@@ -237,7 +244,7 @@
             // Removals that aren't synced may last in any order. A segment
             // that came back before a gap would be taken for damage.
             let synced = (self.ops.sync_folder)(&self.folder);
-            synced.map_err(|e| Error::io("sync", &self.folder, e))?;
+            synced.map_err(|e| Error::sync(&self.folder, e))?;
             self.highest.remove(&number);
         }
         snapshot::remove_old(&self.folder, &self.ops)
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -18,7 +18,9 @@
     Io(&'static str, PathBuf, io::Error),
     Full(PathBuf),
     Damaged(PathBuf, u64, &'static str),
+    Sync(PathBuf, io::Error),
     Stopped,
+    Untrusted(PathBuf),
     Blank(PathBuf),
     Formatted(PathBuf),
     InUse(PathBuf),
@@ -39,6 +41,23 @@
         Error { code }
     }
 
+    /// A sync that failed. Even for want of room it can't be tried again: the
+    /// system may have dropped what it couldn't write, and the next sync would
+    /// report success without it.
+    pub(crate) fn sync(path: &Path, e: io::Error) -> Error {
+        let code = Code::Sync(path.to_owned(), e);
+        Error { code }
+    }
+
+    pub(crate) fn untrusted(path: &Path) -> Error {
+        let code = Code::Untrusted(path.to_owned());
+        Error { code }
+    }
+
+    pub(crate) fn is_sync(&self) -> bool {
+        matches!(self.code, Code::Sync(..))
+    }
+
     pub(crate) fn damaged(path: &Path, offset: u64, what: &'static str) -> Error {
         let code = Code::Damaged(path.to_owned(), offset, what);
         Error { code }
@@ -89,6 +108,19 @@
         matches!(self.code, Code::Damaged(..))
     }
 
+    /// Whether a sync failed in this folder before: what can be read of it
+    /// now need not be what is on the disk.
+    ///
+    /// ```
+    /// # let folder = tempfile::tempdir().unwrap();
+    /// let e = store::identity(folder.path()).unwrap_err();
+    /// assert!(!e.is_untrusted());
+    /// ```
+    #[must_use]
+    pub fn is_untrusted(&self) -> bool {
+        matches!(self.code, Code::Untrusted(_))
+    }
+
     /// Whether another process has the folder open.
     ///
     /// ```
@@ -122,6 +154,13 @@
             Code::Damaged(path, offset, what) => {
                 write!(f, "{what} at {}, byte {offset}", path.display())
             }
+            Code::Sync(path, e) => write!(f, "sync failed: {e} at {}", path.display()),
+            Code::Untrusted(path) => write!(
+                f,
+                "a sync failed here and what lasts is not known; start with a blank data folder, \
+                 or check the disk, restart the host and remove {}",
+                path.display()
+            ),
             Code::Stopped => f.write_str("an earlier sync failed, what it covered is not known"),
             Code::Blank(path) => write!(f, "data folder is blank at {}", path.display()),
             Code::Formatted(path) => {
@@ -135,7 +174,7 @@
 impl std::error::Error for Error {
     fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
         match &self.code {
-            Code::Io(_, _, e) => Some(e),
+            Code::Io(_, _, e) | Code::Sync(_, e) => Some(e),
             _ => None,
         }
     }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -34,6 +34,7 @@
 mod scan;
 mod segment;
 mod snapshot;
+mod trust;
 
 pub use batch::Batch;
 pub use disk::Disk;
--- a/crates/store/src/segment.rs
+++ b/crates/store/src/segment.rs
@@ -49,7 +49,7 @@
         }
         segment.write(&buf, ops)?;
         segment.sync(ops)?;
-        (ops.sync_folder)(folder).map_err(|e| Error::io("sync", folder, e))?;
+        (ops.sync_folder)(folder).map_err(|e| Error::sync(folder, e))?;
         Ok(segment)
     }
 
@@ -110,7 +110,7 @@
     }
 
     pub(crate) fn sync(&mut self, ops: &Ops) -> Result<()> {
-        (ops.sync)(&self.path, &self.file).map_err(|e| Error::io("sync", &self.path, e))?;
+        (ops.sync)(&self.path, &self.file).map_err(|e| Error::sync(&self.path, e))?;
         self.synced = self.written;
         Ok(())
     }
--- a/crates/store/src/snapshot.rs
+++ b/crates/store/src/snapshot.rs
@@ -61,7 +61,7 @@
     }
     (ops.rename)(&temporary, path).map_err(|e| Error::io("renaming", path, e))?;
     let folder = path.parent().unwrap_or(Path::new("."));
-    (ops.sync_folder)(folder).map_err(|e| Error::io("sync", folder, e))
+    (ops.sync_folder)(folder).map_err(|e| Error::sync(folder, e))
 }
 
 fn write_temporary(path: &Path, bytes: &[u8], ops: &Ops) -> Result<()> {
--- a/crates/store/tests/disk/refusal.rs
+++ b/crates/store/tests/disk/refusal.rs
@@ -85,6 +85,82 @@
     assert!(disk.write(&batch(2, 9)).is_err());
 }
 
+/// Syncs that fail once with an error, when asked to.
+fn failing_once(kind: io::ErrorKind) -> (Arc<AtomicBool>, Ops) {
+    let failing = Arc::new(AtomicBool::new(false));
+    let asked = Arc::clone(&failing);
+    let ops = Ops {
+        sync: Arc::new(move |_, file| {
+            if asked.swap(false, Ordering::Relaxed) {
+                return Err(kind.into());
+            }
+            file.sync_data()
+        }),
+        ..Ops::default()
+    };
+    (failing, ops)
+}
+
+/// A sync fails and the process ends; a supervisor starts it again at once.
+/// The system still shows what it never wrote, so the folder must not be
+/// opened as if nothing had been: what a replica promises on it is gone after
+/// a power cut.
+#[test]
+fn open_after_failed_sync() {
+    let folder = tempfile::tempdir().unwrap();
+    store::format(folder.path(), "one", &Ops::default()).unwrap();
+    let (failing, ops) = failing_once(io::ErrorKind::Other);
+    let (mut disk, _) = Disk::open(folder.path(), ops).unwrap();
+    disk.write(&batch(1, 9)).unwrap();
+    failing.store(true, Ordering::Relaxed);
+    assert!(disk.sync().is_err());
+    drop(disk);
+    for _ in 0..2 {
+        let refused = Disk::open(folder.path(), Ops::default()).unwrap_err();
+        assert!(refused.is_untrusted(), "{refused}");
+    }
+    let refused = Disk::open(folder.path(), Ops::default()).unwrap_err();
+    let mark = folder.path().join("sync-failed");
+    assert!(refused.to_string().contains(mark.to_str().unwrap()));
+    std::fs::remove_file(mark).unwrap();
+    assert!(Disk::open(folder.path(), Ops::default()).is_ok());
+}
+
+/// A replica was killed with bytes that were not synced, and the sync at its
+/// next start fails. The start after that would find a system that reports
+/// success without them.
+#[test]
+fn open_after_failed_sync_at_open() {
+    let folder = tempfile::tempdir().unwrap();
+    store::format(folder.path(), "one", &Ops::default()).unwrap();
+    let (mut disk, _) = Disk::open(folder.path(), Ops::default()).unwrap();
+    disk.write(&batch(1, 9)).unwrap();
+    drop(disk);
+    let (failing, ops) = failing_once(io::ErrorKind::Other);
+    failing.store(true, Ordering::Relaxed);
+    assert!(Disk::open(folder.path(), ops).is_err());
+    let refused = Disk::open(folder.path(), Ops::default()).unwrap_err();
+    assert!(refused.is_untrusted(), "{refused}");
+}
+
+/// Some file systems find only at the sync that there is no room, and may
+/// have dropped the bytes by then. A write that waited for room and was tried
+/// again would be reported as synced without them.
+#[test]
+fn sync_without_room_is_final() {
+    let folder = tempfile::tempdir().unwrap();
+    store::format(folder.path(), "one", &Ops::default()).unwrap();
+    let (failing, ops) = failing_once(io::ErrorKind::StorageFull);
+    let (mut disk, _) = Disk::open(folder.path(), ops).unwrap();
+    disk.set_segment_bytes(0);
+    disk.write(&batch(1, 9)).unwrap();
+    failing.store(true, Ordering::Relaxed);
+    // The next segment is begun, which syncs the one before.
+    let refused = disk.write(&batch(2, 9)).unwrap_err();
+    assert!(!refused.is_full(), "{refused}");
+    assert!(disk.write(&batch(2, 9)).is_err());
+}
+
 /// A second process is started on the same folder by mistake. Both would
 /// write to one log.
 #[test]
