--- a/crates/store/src/disk.rs
+++ b/crates/store/src/disk.rs
@@ -47,9 +47,10 @@
     /// disk.sync().unwrap();
     /// ```
     pub fn open(folder: &Path, ops: Ops) -> Result<(Disk, Recovered)> {
-        let opened = Disk::open_folder(folder, ops.clone());
+        let marking = ops.clone();
+        let opened = Disk::open_folder(folder, ops);
         if let Err(e) = &opened {
-            trust::mark(folder, e, &ops);
+            trust::mark(folder, e, &marking);
         }
         opened
     }
