Let a leader with a full disk apply what the others synced

Every read waited behind it, `status` at an entry got no answer. The crate's test of a full disk had a single replica and couldn't show it.

Ruled out: stepping down, which would move reads as well but needs a leader that hands over; it may follow.

Change: a leader hands out all that is committed. Its commit rests on a majority that has synced, so its own crash undoes nothing. A follower still waits for its own sync.

--- a/crates/quorum/src/node/output.rs
+++ b/crates/quorum/src/node/output.rs
@@ -64,7 +64,15 @@
         if self.received.is_some() || self.restoring.is_some() {
             return Vec::new();
         }
-        let to = self.commit.min(self.stable);
+        // A leader's commit rests on a majority that has synced. Its own disk
+        // need not be among them: were it waited for, a leader whose disk is
+        // full would keep every read waiting behind a note that the others
+        // have already made last.
+        let to = if self.is_leader() {
+            self.commit
+        } else {
+            self.commit.min(self.stable)
+        };
         let entries = self.log.slice(self.applied + 1, to, usize::MAX, usize::MAX);
         self.applied = self.applied.max(to);
         entries
--- a/crates/quorum/tests/rules.rs
+++ b/crates/quorum/tests/rules.rs
@@ -149,6 +149,28 @@
     assert_eq!(applied(&[bench.node.ready()]), [1]);
 }
 
+/// The disk of the leader is full, and the others have synced a note. The
+/// note is accepted then; whoever asks the leader must not be kept waiting
+/// until somebody has made room.
+#[test]
+fn read_on_full_disk() {
+    let mut bench = Bench::new(HardState::default(), Vec::new());
+    bench.lead();
+    bench.accept(SECOND, 1, 1);
+    bench.sync();
+    let (index, _) = bench.node.propose("note".into(), bench.now).unwrap();
+    let ready = bench.node.ready();
+    assert!(ready.write.is_some());
+    // The write is never reported as synced.
+    bench.accept(SECOND, index, 1);
+    bench.accept(THIRD, index, 1);
+    assert_eq!(applied(&[bench.node.ready()]).last(), Some(&index));
+    bench.node.read(1).unwrap();
+    bench.node.begin_reads_round(bench.now);
+    bench.accept(SECOND, index, 2);
+    assert_eq!(bench.node.ready().reads, [(1, index)]);
+}
+
 /// A vote leaves the process before it is synced, and the host loses power:
 /// the replica would vote again and the term have two leaders.
 #[test]
