Refuse at once on a full disk; show disks that fail as processes

Ruled out: a short time for all commands, since an election passes by itself and an operator needn't see it.

Change: `Unavailable` says whether it lasts. A control that asked several times says "may have run" once any try may have. The daemon's loop takes file operations (`daemon::serve_control`), and `durable_disk` runs it in the test executable started again, with faults switched on by a file. The history of operators moved to tests/support/notes.rs; a 503 with `ran` "no" is now checked to have changed nothing, which was taken for "unknown".

--- a/crates/admin/src/outcomes.rs
+++ b/crates/admin/src/outcomes.rs
@@ -113,7 +113,7 @@
         _ => Unavailable {
             reason: "control gave an answer of another kind".to_owned(),
             maybe: true,
-            retry_after_ms: 0,
+            ..Unavailable::default()
         },
     };
     let mut problem = Problem::new(StatusCode::SERVICE_UNAVAILABLE, unavailable.reason);
--- a/crates/admin/tests/operators.rs
+++ b/crates/admin/tests/operators.rs
@@ -51,7 +51,7 @@
         _ => outcome::Body::Unavailable(Unavailable {
             reason: "no leader".into(),
             maybe: true,
-            retry_after_ms: 0,
+            ..Unavailable::default()
         }),
     }
 }
--- a/crates/agent/tests/support/control.rs
+++ b/crates/agent/tests/support/control.rs
@@ -252,6 +252,7 @@
                 reason: "lost".into(),
                 maybe: true,
                 retry_after_ms: 1,
+                lasting: false,
             });
         }
         let decision = Decision {
--- a/crates/control/src/asker.rs
+++ b/crates/control/src/asker.rs
@@ -109,6 +109,8 @@
 
     async fn ask(&self, body: Body, within: Duration) -> Result<Body> {
         let deadline = Instant::now() + within;
+        // What an earlier try may have left in the log counts for the answer.
+        let mut maybe = false;
         loop {
             let left = deadline.saturating_duration_since(Instant::now());
             if left.is_zero() {
@@ -117,11 +119,20 @@
             match self.ask_once(body.clone(), left).await {
                 Ok(Body::NotLeader(_)) => {}
                 Ok(Body::Outcome(Outcome {
-                    body: Some(outcome::Body::Unavailable(_)),
+                    body: Some(outcome::Body::Unavailable(mut answer)),
                     ..
-                })) if left > PAUSE => {}
+                })) => {
+                    maybe |= answer.maybe;
+                    if answer.lasting || left <= PAUSE {
+                        answer.maybe = maybe;
+                        return Ok(Body::Outcome(outcome_of(answer)));
+                    }
+                }
                 Ok(answer) => return Ok(answer),
-                Err(e) => log::debug!("asking the leader: {e}"),
+                Err(e) => {
+                    maybe = true;
+                    log::debug!("asking the leader: {e}");
+                }
             }
             sleep(PAUSE.min(left)).await;
         }
@@ -154,11 +165,14 @@
 }
 
 fn unavailable(reason: String) -> Outcome {
-    let unavailable = Unavailable {
+    outcome_of(Unavailable {
         reason,
         maybe: true,
-        retry_after_ms: 0,
-    };
+        ..Unavailable::default()
+    })
+}
+
+fn outcome_of(unavailable: Unavailable) -> Outcome {
     Outcome {
         index: 0,
         body: Some(outcome::Body::Unavailable(unavailable)),
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -172,7 +172,7 @@
 fn malformed(reason: &str) -> outcome::Body {
     outcome::Body::Unavailable(Unavailable {
         reason: reason.to_owned(),
-        maybe: false,
-        retry_after_ms: 0,
+        lasting: true,
+        ..Unavailable::default()
     })
 }
--- a/crates/control/src/replica/actor.rs
+++ b/crates/control/src/replica/actor.rs
@@ -1,5 +1,6 @@
 //! The actor's life and its mailbox.
 
+use super::answer::DISK_FULL;
 use super::{Ask, Commands, Msg, Reads, State};
 use crate::codec;
 use crate::disk::{self, Fullness, Report, SaveResult};
@@ -195,7 +196,7 @@
                 }
                 self.fullness = fullness;
                 if fullness == Fullness::Full {
-                    self.commands.give_up("the disk of the leader is full");
+                    self.commands.give_up_for_long(DISK_FULL);
                 }
             }
             Report::Failed(reason) => self.failed = Some(reason),
--- a/crates/control/src/replica/answer.rs
+++ b/crates/control/src/replica/answer.rs
@@ -2,7 +2,7 @@
 
 use super::State;
 use crate::disk::Fullness;
-use crate::reply::{Commit, Reply, unavailable};
+use crate::reply::{Commit, Reply, unavailable, unavailable_for_long};
 use prost::Message as _;
 use std::time::{Duration, Instant};
 use wire::proto::frame::Body;
@@ -12,6 +12,8 @@
 
 /// Longest command, so that one doesn't hold up the log for all.
 const MOST_COMMAND_BYTES: usize = 4 << 20;
+/// What is answered to commands while a write of the leader waits for room.
+pub(super) const DISK_FULL: &str = "the disk of the leader is full";
 
 impl State {
     /// Where to ask instead.
@@ -69,31 +71,34 @@
         }
         match self.order(command, now) {
             Ok(place) => self.commands.insert(place, reply, now),
-            Err(reason) => {
+            Err(answer) => {
                 self.metrics.refused_commands.inc();
-                reply.send(unavailable(&reason, Commit::Never));
+                reply.send(*answer);
             }
         }
     }
 
-    fn order(&mut self, mut command: Command, now: Instant) -> Result<(u64, u64), String> {
+    /// Orders a command, or says why it never will be.
+    fn order(&mut self, mut command: Command, now: Instant) -> Result<(u64, u64), Box<Body>> {
+        let for_now = |reason: &str| Err(Box::new(unavailable(reason, Commit::Never)));
+        let for_long = |reason: &str| Err(Box::new(unavailable_for_long(reason, Commit::Never)));
         if self.fullness == Fullness::Full {
-            return Err("the disk of the leader is full".to_owned());
+            return for_long(DISK_FULL);
         }
         if self.commands.is_full() {
-            return Err("too many commands wait".to_owned());
+            return for_now("too many commands wait");
         }
         // Before that this leader doesn't know all that was ordered, and when.
         let Some(clock) = self.clock.filter(|_| self.node.has_applied_own()) else {
-            return Err("the leader was elected just now".to_owned());
+            return for_now("the leader was elected just now");
         };
         command.now_ms = clock.now_ms(now);
         let data = command.encode_to_vec();
         if data.len() > MOST_COMMAND_BYTES {
-            return Err("the command is too long".to_owned());
+            return for_long("the command is too long");
         }
         let ordered = self.node.propose(data.into(), now);
-        ordered.map_err(|e| e.to_string())
+        ordered.or_else(|e| for_now(&e.to_string()))
     }
 
     pub(super) fn query(&mut self, query: Query, reply: Reply) {
--- a/crates/control/src/replica/pending.rs
+++ b/crates/control/src/replica/pending.rs
@@ -1,9 +1,10 @@
 //! What waits for the log.
 
-use crate::reply::{Commit, Reply, unavailable};
+use crate::reply::{Commit, Reply, unavailable, unavailable_for_long};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 use wire::proto::Query;
+use wire::proto::frame::Body;
 
 /// Commands that wait at a time; one more is refused at once.
 pub(super) const MOST_COMMANDS: usize = 16_384;
@@ -50,8 +51,17 @@
 
     /// Gives up on all: whether they are committed is for others to say.
     pub(super) fn give_up(&mut self, reason: &str) {
+        self.answer_all(&unavailable(reason, Commit::Perhaps));
+    }
+
+    /// The same where nothing can be committed for a while.
+    pub(super) fn give_up_for_long(&mut self, reason: &str) {
+        self.answer_all(&unavailable_for_long(reason, Commit::Perhaps));
+    }
+
+    fn answer_all(&mut self, answer: &Body) {
         for (_, waiting) in std::mem::take(&mut self.waiting) {
-            waiting.reply.send(unavailable(reason, Commit::Perhaps));
+            waiting.reply.send(answer.clone());
         }
     }
 
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -147,7 +147,7 @@
         token,
         Arc::new(move |command| {
             let follower = propose.clone();
-            Box::pin(async move { follower.propose(command, within).await })
+            Box::pin(async move { follower.propose_or_refuse(command, within).await })
         }),
         Arc::new(move |body| {
             let follower = query.clone();
--- a/crates/entry/src/work/records.rs
+++ b/crates/entry/src/work/records.rs
@@ -185,6 +185,11 @@
             // A claim is settled even when little time is left.
             within.min(left.max(READ))
         };
-        self.follower.propose(command, within).await.body
+        let asked = match &command {
+            // The call has run: its outcome is offered as long as there is time.
+            command::Body::Finish(_) => self.follower.propose(command, within).await,
+            _ => self.follower.propose_or_refuse(command, within).await,
+        };
+        asked.body
     }
 }
--- a/crates/lovageramp/src/daemon/control.rs
+++ b/crates/lovageramp/src/daemon/control.rs
@@ -7,6 +7,7 @@
 use bpaf::{construct, long};
 use control::{Control, Listeners, Settings};
 use std::process::ExitCode;
+use store::Ops;
 
 const ABOUT: &str = "A replica of lovageramp's durable state.";
 const EXAMPLE: &str = "\
@@ -46,19 +47,30 @@
                 if init {
                     return control::init(&settings);
                 }
-                serve(settings).await
+                serve_control(settings, Ops::default()).await
             },
         },
     )
 }
 
-async fn serve(settings: Settings) -> eyre::Result<()> {
+/// Runs a replica with these file operations until it is asked to end or can't go on.
+///
+/// # Errors
+///
+/// It can't start, or its disk can't be relied on any more.
+///
+/// ```no_run
+/// # async fn run(settings: control::Settings) -> eyre::Result<()> {
+/// lovageramp::daemon::serve_control(settings, store::Ops::default()).await
+/// # }
+/// ```
+pub async fn serve_control(settings: Settings, ops: Ops) -> eyre::Result<()> {
     let listeners = Listeners {
         links: bind(settings.listen).await?,
         http: bind(settings.http).await?,
     };
     let name = settings.name.clone();
-    let control = Control::start(settings, listeners).await?;
+    let control = Control::start_with(settings, listeners, ops).await?;
     Ready {
         name: &name,
         links: Some(control.link_address()),
--- a/crates/lovageramp/tests/durable_history.rs
+++ b/crates/lovageramp/tests/durable_history.rs
@@ -5,183 +5,14 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use serde_json::{Value, json};
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use support::{Answer, Cluster, ClusterPlan, TOKEN, request, until};
-use todc_utils::{Action, History, Specification, WGLChecker};
-use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout};
+use support::notes::{Operators, Shared};
+use support::{Cluster, ClusterPlan, until};
+use tokio::time::sleep;
 
 const CONTROLS: usize = 3;
-const OPERATORS: usize = 4;
+const OPERATORS: u64 = 4;
 const FAULTS: usize = 9;
-/// An operator gives up on an answer after this.
-const PATIENCE: Duration = Duration::from_secs(4);
-
-/// What an operator did, with the answer. A note's content is a number of its own.
-#[derive(Clone, Copy, Debug)]
-enum Operation {
-    /// A note was sent: its number, its content, what was answered.
-    Send(usize, u32, Sent),
-    /// The note of a number was read.
-    Read(usize, Option<u32>),
-}
-
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Sent {
-    /// Accepted, now or when it was first sent.
-    Holds,
-    /// Another note has the number, or the number is not the next.
-    Refused,
-    /// No answer: it may count at any time since, or never.
-    Unknown,
-}
-
-/// The accepted notes, one after the other.
-struct Notes;
-
-impl Specification for Notes {
-    type State = Vec<u32>;
-    type Operation = Operation;
-
-    fn init() -> Vec<u32> {
-        Vec::new()
-    }
-
-    fn apply(operation: &Operation, state: &Vec<u32>) -> (bool, Vec<u32>) {
-        match *operation {
-            Operation::Read(number, content) => {
-                (state.get(number - 1).copied() == content, state.clone())
-            }
-            Operation::Send(number, content, sent) => {
-                let is_next = number == state.len() + 1;
-                let mut after = state.clone();
-                if is_next && sent != Sent::Refused {
-                    after.push(content);
-                }
-                let holds = after.get(number - 1) == Some(&content);
-                let valid = match sent {
-                    Sent::Holds => holds,
-                    Sent::Refused => !is_next && !holds,
-                    Sent::Unknown => true,
-                };
-                (valid, after)
-            }
-        }
-    }
-}
-
-/// Calls and responses, each with the number of its operation.
-type Actions = Vec<(usize, Action<Operation>)>;
-
-/// What all operators and the troublemaker share.
-#[derive(Clone, Default)]
-struct Shared {
-    hosts: Arc<Mutex<BTreeMap<String, SocketAddr>>>,
-    actions: Arc<Mutex<Actions>>,
-    contents: Arc<AtomicU32>,
-    /// Each operation is a process of its own in the history, since one without an
-    /// answer never ends.
-    operations: Arc<Mutex<usize>>,
-    over: Arc<AtomicBool>,
-}
-
-impl Shared {
-    fn learn(&self, cluster: &Cluster, name: &str) {
-        let address = cluster.http(name);
-        self.hosts.lock().unwrap().insert(name.to_owned(), address);
-    }
-
-    fn any_host(&self, rng: &mut StdRng) -> SocketAddr {
-        let hosts = self.hosts.lock().unwrap();
-        let place = rng.random_range(0..hosts.len());
-        *hosts.values().nth(place).unwrap()
-    }
-
-    fn call(&self, operation: Operation) -> usize {
-        let mut operations = self.operations.lock().unwrap();
-        let id = *operations;
-        *operations += 1;
-        self.actions
-            .lock()
-            .unwrap()
-            .push((id, Action::Call(operation)));
-        id
-    }
-
-    fn respond(&self, id: usize, operation: Operation) {
-        let mut actions = self.actions.lock().unwrap();
-        actions.push((id, Action::Response(operation)));
-        // The checker looks at the operation of the call.
-        let call = actions.iter_mut().find(|(of, _)| *of == id).unwrap();
-        call.1 = Action::Call(operation);
-    }
-}
-
-async fn ask(host: SocketAddr, method: &str, path: &str, body: String) -> Option<Answer> {
-    let bearer = format!("Bearer {TOKEN}");
-    let headers = [("authorization", bearer.as_str())];
-    let asked = request(host, method, path, &headers, body);
-    timeout(PATIENCE, asked).await.ok()?.ok()
-}
-
-/// Reads a note and enters it into the history, unless there is no answer.
-async fn read(shared: &Shared, host: SocketAddr, number: usize) -> Option<Option<u32>> {
-    let id = shared.call(Operation::Read(number, None));
-    let path = format!("/v1/operator/notes/{number}");
-    let answer = ask(host, "GET", &path, String::new()).await;
-    let content = match answer {
-        Some(answer) if answer.status == 200 => Some(content_of(&answer.json())),
-        Some(answer) if answer.status == 404 => None,
-        // A read without an answer says nothing.
-        _ => {
-            shared.actions.lock().unwrap().retain(|(of, _)| *of != id);
-            return None;
-        }
-    };
-    shared.respond(id, Operation::Read(number, content));
-    Some(content)
-}
-
-fn content_of(note: &Value) -> u32 {
-    let name = note["added"][0]["name"].as_str().unwrap();
-    name.strip_prefix("model-").unwrap().parse().unwrap()
-}
-
-async fn send(shared: &Shared, host: SocketAddr, number: usize) {
-    let content = shared.contents.fetch_add(1, Ordering::Relaxed);
-    let id = shared.call(Operation::Send(number, content, Sent::Unknown));
-    let model = json!({"kind": "model", "name": format!("model-{content}"), "versions": ["1"]});
-    let note = json!({"number": number, "added": [model]});
-    let answer = ask(host, "POST", "/v1/operator/notes", note.to_string()).await;
-    let sent = match answer.map(|answer| answer.status) {
-        Some(200) => Sent::Holds,
-        Some(409) => Sent::Refused,
-        _ => return,
-    };
-    shared.respond(id, Operation::Send(number, content, sent));
-}
-
-/// Sends and reads at any host until the trouble is over.
-async fn operate(shared: Shared, seed: u64) {
-    let mut rng = StdRng::seed_from_u64(seed);
-    let mut next = 1;
-    while !shared.over.load(Ordering::Relaxed) {
-        let host = shared.any_host(&mut rng);
-        if rng.random_range(0..2) == 0 {
-            send(&shared, host, next).await;
-        }
-        let host = shared.any_host(&mut rng);
-        if let Some(Some(_)) = read(&shared, host, next).await {
-            next += 1;
-        }
-        sleep(Duration::from_millis(rng.random_range(20..200))).await;
-    }
-}
 
 async fn until_repaired(cluster: &Cluster) {
     until("the repair is complete", || async {
@@ -265,61 +96,12 @@
     })
     .await;
     until_repaired(&cluster).await;
-    let shared = Shared::default();
-    for number in 1..=CONTROLS {
-        shared.learn(&cluster, &format!("control-{number}"));
-    }
-    let mut operators = JoinSet::new();
-    for seed in 0..OPERATORS {
-        operators.spawn(operate(shared.clone(), seed as u64));
-    }
+    let operators = Operators::start(&cluster, OPERATORS, 0);
     let mut rng = StdRng::seed_from_u64(4711);
     for round in 0..FAULTS {
-        trouble(&mut cluster, &shared, round, &mut rng).await;
-    }
-    shared.over.store(true, Ordering::Relaxed);
-    while let Some(ended) = operators.join_next().await {
-        ended.unwrap();
+        trouble(&mut cluster, &operators.shared, round, &mut rng).await;
     }
     until_repaired(&cluster).await;
-    let accepted = read_all(&cluster, &shared).await;
+    let accepted = operators.end(&cluster).await;
     assert!(accepted > FAULTS, "only {accepted} notes were accepted");
-    let history = History::from_actions(complete(&shared));
-    assert!(
-        WGLChecker::<Notes>::is_linearizable(history),
-        "{:?}",
-        shared.actions
-    );
-}
-
-/// Reads all notes at each control; gives their number.
-async fn read_all(cluster: &Cluster, shared: &Shared) -> usize {
-    let mut accepted = 0;
-    for control in 1..=CONTROLS {
-        let host = cluster.http(&format!("control-{control}"));
-        for number in 1.. {
-            let content = until("an answer", || read(shared, host, number)).await;
-            if content.is_none() {
-                accepted = number - 1;
-                break;
-            }
-        }
-    }
-    accepted
-}
-
-/// Ends the operations without an answer at the end of the history.
-fn complete(shared: &Shared) -> Actions {
-    let mut actions = shared.actions.lock().unwrap().clone();
-    let ended = |id: usize| actions.iter().filter(|(of, _)| *of == id).count() == 2;
-    let open = actions.iter().filter(|(id, _)| !ended(*id)).cloned();
-    let ends: Vec<_> = open
-        .map(|(id, action)| match action {
-            Action::Call(operation) | Action::Response(operation) => {
-                (id, Action::Response(operation))
-            }
-        })
-        .collect();
-    actions.extend(ends);
-    actions
 }
--- a/crates/lovageramp/tests/support/cluster.rs
+++ b/crates/lovageramp/tests/support/cluster.rs
@@ -13,6 +13,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use tempfile::TempDir;
+use tokio::process::Command;
 use tokio::sync::SemaphorePermit;
 
 const CONTROL: &str = env!("CARGO_BIN_EXE_lovageramp-control");
@@ -33,6 +34,8 @@
     pub step_ms: u32,
     /// Requests that an engine runs at once.
     pub limit: u32,
+    /// Controls run with disks that can be made to fail, see [`super::disks`].
+    pub faulty_disks: bool,
 }
 
 impl Default for ClusterPlan {
@@ -44,6 +47,7 @@
             services: 2,
             step_ms: 2,
             limit: 64,
+            faulty_disks: false,
         }
     }
 }
@@ -118,7 +122,7 @@
         engines.chain(services).collect()
     }
 
-    fn path(&self, file: &str) -> PathBuf {
+    pub(super) fn path(&self, file: &str) -> PathBuf {
         self.folder.path().join(file)
     }
 
@@ -151,8 +155,14 @@
     }
 
     async fn launch(&mut self, program: &str, name: &str, args: &[&str]) {
+        let mut command = Command::new(program);
+        command.args(args);
+        self.launch_command(command, name).await;
+    }
+
+    async fn launch_command(&mut self, command: Command, name: &str) {
         let log = self.path(&format!("{name}.log"));
-        let process = Process::start(program, args, &log).await;
+        let process = Process::launch(command, &log).await;
         if let Some(links) = process.links {
             self.point_relays(name, links);
         }
@@ -194,6 +204,10 @@
             assert!(formatted.status.success(), "{formatted:?}");
             std::fs::write(self.path("began"), "").unwrap();
         }
+        if self.plan.faulty_disks {
+            let command = super::disks::control_with_faults(&file);
+            return self.launch_command(command, &name).await;
+        }
         self.launch(CONTROL, &name, &["--settings", &file]).await;
     }
 
--- a/crates/lovageramp/tests/support/mod.rs
+++ b/crates/lovageramp/tests/support/mod.rs
@@ -7,9 +7,11 @@
 )]
 
 mod cluster;
+pub mod disks;
 mod faults;
 mod http;
 mod limit;
+pub mod notes;
 mod process;
 mod relay;
 mod until;
--- a/crates/lovageramp/tests/support/process.rs
+++ b/crates/lovageramp/tests/support/process.rs
@@ -24,13 +24,19 @@
 impl Process {
     /// Starts `program` and waits for the line that says where it listens.
     pub async fn start(program: &str, args: &[&str], log: &Path) -> Process {
+        let mut command = Command::new(program);
+        command.args(args);
+        Process::launch(command, log).await
+    }
+
+    /// As [`Process::start`], from a command.
+    pub async fn launch(mut command: Command, log: &Path) -> Process {
         let log = std::fs::File::options()
             .create(true)
             .append(true)
             .open(log)
             .unwrap();
-        let mut child = Command::new(program)
-            .args(args)
+        let mut child = command
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .stderr(log)
@@ -38,9 +44,14 @@
             .spawn()
             .unwrap();
         let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
-        let line = lines.next_line().await.unwrap();
-        let line = line.unwrap_or_else(|| panic!("{program} {args:?} ended before it was ready"));
-        let ready: Value = serde_json::from_str(&line).unwrap();
+        let ready = loop {
+            let line = lines.next_line().await.unwrap();
+            let line = line.unwrap_or_else(|| panic!("{command:?} ended before it was ready"));
+            // A test that is started as a daemon prints lines of its own before.
+            if let Ok(ready @ Value::Object(_)) = serde_json::from_str(&line) {
+                break ready;
+            }
+        };
         // The pipe stays open: a daemon that prints must not fail at it.
         tokio::spawn(async move { while let Ok(Some(_)) = lines.next_line().await {} });
         let address = |key: &str| ready[key].as_str().map(|text| text.parse().unwrap());
--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -108,6 +108,23 @@
     /// `within` is over. An outcome `Unavailable` tells in `maybe` whether the command
     /// may still be committed.
     pub async fn propose(&self, command: command::Body, within: Duration) -> Outcome {
+        self.propose_while(command, within, |_| true).await
+    }
+
+    /// As [`Follower::propose`], but answers at once when control says that asking
+    /// again soon is of no use, as while the leader's disk is full: whoever waits is
+    /// told now when to come back.
+    pub async fn propose_or_refuse(&self, command: command::Body, within: Duration) -> Outcome {
+        let passes = |answer: &Unavailable| !answer.lasting;
+        self.propose_while(command, within, passes).await
+    }
+
+    async fn propose_while(
+        &self,
+        command: command::Body,
+        within: Duration,
+        goes_on: impl Fn(&Unavailable) -> bool,
+    ) -> Outcome {
         let command = Command {
             now_ms: 0,
             body: Some(command),
@@ -123,8 +140,8 @@
                 Ok(Body::Outcome(outcome)) => match outcome.body {
                     Some(outcome::Body::Unavailable(answer)) => {
                         may_be_committed |= answer.maybe;
-                        if left.is_zero() {
-                            return unavailable(answer.reason, may_be_committed);
+                        if left.is_zero() || !goes_on(&answer) {
+                            return final_answer(answer, may_be_committed);
                         }
                         pause().await;
                     }
@@ -158,14 +175,19 @@
 
 fn unavailable(reason: String, maybe: bool) -> Outcome {
     let retry_after_ms = u32::try_from(RETRY_AFTER.as_millis()).unwrap_or(u32::MAX);
-    let body = outcome::Body::Unavailable(Unavailable {
+    let answer = Unavailable {
         reason,
-        maybe,
         retry_after_ms,
-    });
+        ..Unavailable::default()
+    };
+    final_answer(answer, maybe)
+}
+
+fn final_answer(mut answer: Unavailable, maybe: bool) -> Outcome {
+    answer.maybe = maybe;
     Outcome {
         index: 0,
-        body: Some(body),
+        body: Some(outcome::Body::Unavailable(answer)),
     }
 }
 
--- a/crates/wire/src/gen/lovageramp.rs
+++ b/crates/wire/src/gen/lovageramp.rs
@@ -646,6 +646,9 @@
     pub maybe: bool,
     #[prost(uint32, tag = "3")]
     pub retry_after_ms: u32,
+    /// True when asking again at once is of no use, as while a disk is full.
+    #[prost(bool, tag = "4")]
+    pub lasting: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Finding {
