Let the agent's links carry on while the desk decides on a start

Cause: each start waited in the link's reading loop for the desk's reply, so a link carried no more starts than there are wake-ups of two tasks in turn.

Change: the loop hands the start to the desk and goes on; the task that sends the answer passes the reply on first, so there is no task more. Starts without a reply are bounded (1,024 for all links). The order of messages at the desk is as before, and a start read before a standstill is refused as before (start_read_after_standstill).

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -8,7 +8,7 @@
 use hyper::StatusCode;
 use node::{Follower, FollowerSettings};
 use ractor::{Actor, ActorRef, call};
-use tokio::sync::{broadcast, watch};
+use tokio::sync::{Semaphore, broadcast, watch};
 use tokio::time::sleep;
 use tokio_util::sync::{CancellationToken, DropGuard};
 use wire::proto::NodeInfo;
@@ -17,7 +17,7 @@
 use crate::context::Context;
 use crate::desk::{Desk, DeskMsg, Idle};
 use crate::engine::Outlet;
-use crate::links::Links;
+use crate::links::{Links, MAX_ASKED};
 use crate::metrics::Metrics;
 use crate::monitor::Monitor;
 use crate::order::Orders;
@@ -71,6 +71,7 @@
             me,
             key,
             cfg: link,
+            asked: Arc::new(Semaphore::new(MAX_ASKED)),
         });
         tokio::spawn(accept.accept(listeners.links));
         tokio::spawn(serve_pages(Arc::clone(&cx), registry, listeners.http));
--- a/crates/agent/src/links.rs
+++ b/crates/agent/src/links.rs
@@ -6,7 +6,7 @@
 use ledger::Attempt;
 use ractor::{ActorRef, call};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 use wire::proto::frame::Body;
 use wire::proto::{Attach, Bar, BarReply, Cancel, Start};
@@ -22,6 +22,9 @@
 /// Before the next connection is accepted after that failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Starts and attachments that wait for the desk's reply at most.
+pub(crate) const MAX_ASKED: usize = 1024;
+
 /// What accepting a link needs.
 pub(crate) struct Links {
     pub cx: Arc<Context>,
@@ -30,6 +33,8 @@
     pub me: Identity,
     pub key: ClusterKey,
     pub cfg: LinkSettings,
+    /// Places for starts and attachments that wait for the desk.
+    pub asked: Arc<Semaphore>,
 }
 
 impl Links {
@@ -119,26 +124,55 @@
         }
     }
 
+    /// Hands a start to the desk; a task of its own passes the desk's word on,
+    /// and then the answer. Waiting here for the desk would let the link carry
+    /// no more starts than there are wake-ups of two tasks in turn.
     async fn start(&self, call: u64, start: Start, link: Link, cut: &CancellationToken) {
+        let Some(place) = self.place(&link).await else {
+            return;
+        };
         let from = Origin {
             link: link.clone(),
             cut: cut.clone(),
         };
-        let start = Box::new(start);
-        let Ok(taken) = call!(self.desk, |reply| DeskMsg::Start(start, from, reply)) else {
+        let (reply, taken) = oneshot::channel();
+        let msg = DeskMsg::Start(Box::new(start), from, reply.into());
+        if self.desk.send_message(msg).is_err() {
             return;
-        };
-        let _ = link.reply(call, Body::StartReply(taken.reply)).await;
-        send(taken.sending, link);
+        }
+        tokio::spawn(async move {
+            let Ok(taken) = taken.await else { return };
+            let _ = link.reply(call, Body::StartReply(taken.reply)).await;
+            drop(place);
+            send(taken.sending, link).await;
+        });
     }
 
     async fn attach(&self, call: u64, attach: Attach, link: Link) {
-        let to_link = link.clone();
-        let Ok(attached) = call!(self.desk, |reply| DeskMsg::Attach(attach, to_link, reply)) else {
+        let Some(place) = self.place(&link).await else {
             return;
         };
-        let _ = link.reply(call, Body::AttachReply(attached.reply)).await;
-        send(attached.sending, link);
+        let (reply, attached) = oneshot::channel();
+        let msg = DeskMsg::Attach(attach, link.clone(), reply.into());
+        if self.desk.send_message(msg).is_err() {
+            return;
+        }
+        tokio::spawn(async move {
+            let Ok(attached) = attached.await else { return };
+            let _ = link.reply(call, Body::AttachReply(attached.reply)).await;
+            drop(place);
+            send(attached.sending, link).await;
+        });
+    }
+
+    /// A place among the messages that the desk has not replied to. Without a
+    /// bound a flood of starts would pile up before the desk.
+    async fn place(&self, link: &Link) -> Option<OwnedSemaphorePermit> {
+        let asked = Arc::clone(&self.asked);
+        tokio::select! {
+            place = asked.acquire_owned() => place.ok(),
+            () = link.closed() => None,
+        }
     }
 
     async fn bar(&self, call: u64, bar: Bar, link: &Link) {
@@ -157,13 +191,13 @@
     }
 }
 
-fn send(sending: Option<Sending>, link: Link) {
+async fn send(sending: Option<Sending>, link: Link) {
     if let Some(sending) = sending {
         let Sending {
             answer,
             cursor,
             replaced,
         } = sending;
-        tokio::spawn(send_answer(answer, link, cursor, replaced));
+        send_answer(answer, link, cursor, replaced).await;
     }
 }
