--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -8,7 +8,7 @@
 use hyper::StatusCode;
 use node::{Follower, FollowerSettings};
 use ractor::{Actor, ActorRef, call};
-use tokio::sync::{broadcast, watch};
+use tokio::sync::{Semaphore, broadcast, watch};
 use tokio::time::sleep;
 use tokio_util::sync::{CancellationToken, DropGuard};
 use wire::proto::NodeInfo;
@@ -17,7 +17,7 @@
 use crate::context::Context;
 use crate::desk::{Desk, DeskMsg, Idle};
 use crate::engine::Outlet;
-use crate::links::Links;
+use crate::links::{Links, MAX_ASKED};
 use crate::metrics::Metrics;
 use crate::monitor::Monitor;
 use crate::order::Orders;
@@ -59,6 +59,7 @@
         let mut registry = admin::Registry::default();
         let cx = context(cfg, me.incarnation, follower);
         cx.metrics.register(&mut registry);
+        cx.outlet.counts().register(&mut registry);
         let (desk, _) = Actor::spawn(None, Desk, Arc::clone(&cx)).await?;
         let (monitor, _) = Actor::spawn(None, Monitor, Arc::clone(&cx)).await?;
         let orders = crate::order::start(Arc::clone(&cx)).await?;
@@ -70,6 +71,7 @@
             me,
             key,
             cfg: link,
+            asked: Arc::new(Semaphore::new(MAX_ASKED)),
         });
         tokio::spawn(accept.accept(listeners.links));
         tokio::spawn(serve_pages(Arc::clone(&cx), registry, listeners.http));
@@ -171,7 +173,8 @@
 fn context(cfg: Settings, incarnation: u64, follower: Follower) -> Arc<Context> {
     let stop = CancellationToken::new();
     Arc::new(Context {
-        outlet: Outlet::new(cfg.target, cfg.stand, cfg.timing.client.clone()),
+        outlet: Outlet::new(cfg.target, cfg.stand, cfg.timing.client.clone())
+            .keeping(cfg.limits.kept, cfg.timing.kept),
         cfg,
         incarnation,
         follower,
