Link each entry to a subset of the targets

Every entry linked every target: at 411 entries before 600 targets that is 77 KB/s of heartbeats at an entry and 53 KB/s at an agent, of 7 KB/s that a node may spend (docs/CAPACITY.md).

Ruled out: slices of a shuffled list, which move most links when the number of entries changes; own zone only, which leaves an entry nothing when the zone is lost; handing the links out from control.

Change: route::Subset, pure. Each entry picks 6 targets of each model or service and profile, half of them in its own zone, each target picks 8 entries, both by rendezvous hashing; what either picked is linked. A target's places are shared by the entries that link it (Pool::set_share by target). An entry whose subset is out of reach turns to others, twice as many at each step. An agent outside the subset is dialled when a call that runs there is asked for, and let go after ten heartbeats without use. With up to 8 entries all link all, as before.

Failed first, guard out: without the reserve no other desk ever served; without the dial on demand a resend got 503; a link let go while in use left callers without an answer for a minute; without the targets' picks targets were left out; with all entries counted the shares were wrong.

places_with_requests_waiting calls set_share for its target now; what it asserts is the same.

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -66,6 +66,9 @@
             key,
             link,
             metrics: metrics.pools.clone(),
+            links: metrics.links.clone(),
+            zone: settings.zone.clone(),
+            subset: settings.limits.subset(),
         };
         let (roster, _) = Actor::spawn(None, Roster, roster).await?;
         let leaving = Arc::new(AtomicBool::new(false));
--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -1,6 +1,7 @@
 //! Bounds of an entry.
 
 use cfg::Reader;
+use route::SubsetSettings;
 
 /// Bounds of an entry.
 #[derive(Clone, Debug)]
@@ -24,6 +25,11 @@
     /// This entry's part of each account's rates and concurrency; 0 divides
     /// them by the number of entries.
     pub account_part: f64,
+    /// Targets of one model or service that this entry links at least; the same at
+    /// all entries.
+    pub subset_targets: usize,
+    /// Entries that link each target at least; the same at all entries.
+    pub subset_entries: usize,
     /// Bytes of an answer in flight from an agent.
     pub window: usize,
     /// Tokens assumed of an answer whose request names no maximum.
@@ -31,6 +37,13 @@
 }
 
 impl Limits {
+    pub(crate) fn subset(&self) -> SubsetSettings {
+        SubsetSettings {
+            targets: self.subset_targets,
+            entries: self.subset_entries,
+        }
+    }
+
     pub(crate) fn read(r: &mut Reader) -> Self {
         Limits {
             body: r.within("body", 4 << 20, 1..=32 << 20),
@@ -42,6 +55,8 @@
             retry_ratio: r.within("retry_ratio", 0.1, 0.0..=1.0),
             retry_reserve: r.within("retry_reserve", 10, 0..=10_000),
             account_part: r.within("account_part", 0.0, 0.0..=1.0),
+            subset_targets: r.within("subset_targets", 6, 1..=10_000),
+            subset_entries: r.within("subset_entries", 8, 1..=10_000),
             window: r.within("window", 256 << 10, 1024..=16 << 20),
             answer_tokens: r.within("answer_tokens", 256, 1..=1_000_000),
         }
--- a/crates/entry/src/links/agent.rs
+++ b/crates/entry/src/links/agent.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use tokio::sync::{mpsc, watch};
@@ -15,7 +15,8 @@
 ///
 /// The connection comes and goes beneath it; attempts watch [`Agent::link`]
 /// and attach anew. Once the incarnation is known to be over, `gone` ends
-/// whatever ran there.
+/// whatever ran there. The connection is held only while the agent is wanted:
+/// as one of the entry's subset, or by somebody who needs just this one.
 #[derive(Debug)]
 pub(crate) struct Agent {
     pub(crate) name: String,
@@ -23,6 +24,7 @@
     pub(crate) address: SocketAddr,
     pub(crate) gone: CancellationToken,
     link: watch::Sender<Option<Link>>,
+    wanted: watch::Sender<bool>,
     attempts: Mutex<Attempts>,
 }
 
@@ -32,6 +34,8 @@
 struct Attempts {
     waiting: BTreeMap<Bytes, BTreeMap<Listener, mpsc::UnboundedSender<Body>>>,
     next: u64,
+    /// When the connection was last asked for or used.
+    used: Option<Instant>,
 }
 
 /// One of those who wait for the frames of an attempt.
@@ -46,6 +50,7 @@
             address,
             gone: CancellationToken::new(),
             link: watch::Sender::new(None),
+            wanted: watch::Sender::new(false),
             attempts: Mutex::default(),
         }
     }
@@ -64,8 +69,43 @@
         self.link.send_replace(link);
     }
 
-    /// The connection as soon as there is one, within a bound.
+    /// Whether the connection is to be held, as that changes.
+    pub(super) fn wanted(&self) -> watch::Receiver<bool> {
+        self.wanted.subscribe()
+    }
+
+    /// Has the connection dialled and held.
+    pub(super) fn want(&self) {
+        let mut attempts = self.attempts();
+        attempts.used = Some(Instant::now());
+        self.wanted
+            .send_if_modified(|wanted| !std::mem::replace(wanted, true));
+    }
+
+    /// Lets the connection go once nobody has used it for `linger`: what runs
+    /// there finishes first, and who has just chosen the target still gets to it.
+    pub(super) fn release(&self, now: Instant, linger: Duration) {
+        // Under the lock, so that nobody asks for it in between.
+        let attempts = self.attempts();
+        let used = attempts.used.unwrap_or(now);
+        let idle = attempts.waiting.is_empty();
+        if idle && now.saturating_duration_since(used) >= linger {
+            self.wanted
+                .send_if_modified(|wanted| std::mem::replace(wanted, false));
+        }
+    }
+
+    /// Ends the connection, if there is one.
+    pub(super) fn close(&self) {
+        if let Some(link) = self.link.send_replace(None) {
+            link.close();
+        }
+    }
+
+    /// The connection as soon as there is one, within a bound. It is dialled if the
+    /// agent is not one of the entry's subset.
     pub(crate) async fn reach(&self, within: Duration) -> Option<Link> {
+        self.want();
         let mut link = self.link();
         let up = link.wait_for(|link| link.as_ref().is_some_and(|link| !link.is_closed()));
         tokio::select! {
@@ -90,6 +130,7 @@
 
     pub(crate) fn dismiss(&self, attempt: &Bytes, listener: Listener) {
         let mut attempts = self.attempts();
+        attempts.used = Some(Instant::now());
         if let Some(waiting) = attempts.waiting.get_mut(attempt) {
             waiting.remove(&listener);
             if waiting.is_empty() {
--- a/crates/entry/src/links/follow.rs
+++ b/crates/entry/src/links/follow.rs
@@ -10,7 +10,8 @@
 use super::Agent;
 use super::news::News;
 
-/// Dials the agent until its incarnation is over.
+/// Keeps the connection up while the agent is wanted, until its incarnation is
+/// over.
 pub(super) async fn follow(
     agent: Arc<Agent>,
     me: Identity,
@@ -19,11 +20,27 @@
     roster: ActorRef<News>,
 ) {
     let gone = agent.gone.clone();
-    let address = agent.address;
-    let dialled = wire::redial(address, me, key, cfg, move |link, rx| {
-        serve(Arc::clone(&agent), link, rx, roster.clone())
-    });
-    gone.run_until_cancelled(dialled).await;
+    let kept = async {
+        let mut wanted = agent.wanted();
+        while wanted.wait_for(|wanted| *wanted).await.is_ok() {
+            let (served, told) = (Arc::clone(&agent), roster.clone());
+            let (me, key, cfg) = (me.clone(), key.clone(), cfg.clone());
+            let dialled = wire::redial(agent.address, me, key, cfg, move |link, rx| {
+                serve(Arc::clone(&served), link, rx, told.clone())
+            });
+            let released = async {
+                // An error means that the agent is gone too.
+                let _ = wanted.wait_for(|wanted| !*wanted).await;
+            };
+            tokio::select! {
+                () = dialled => {}
+                () = released => {}
+            }
+            agent.close();
+            tell(&roster, News::Look);
+        }
+    };
+    gone.run_until_cancelled(kept).await;
 }
 
 async fn serve(
--- a/crates/entry/src/links/roster.rs
+++ b/crates/entry/src/links/roster.rs
@@ -6,7 +6,7 @@
 
 use node::Follower;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
-use route::{RankReport, Report, Standing};
+use route::{RankReport, Reach, Report, Standing, SubsetSettings};
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 use wire::proto::LoadReport;
@@ -14,12 +14,16 @@
 
 use super::follow::follow;
 use super::news::News;
+use super::subsets::Subsets;
 use super::{Agent, Announced};
-use crate::metrics::PoolMetrics;
+use crate::metrics::{LinkMetrics, PoolMetrics};
 use crate::placement::{Member, Placement};
 
 /// Between two looks at who waits for a place, if nothing changed.
 const TICK: Duration = Duration::from_millis(50);
+/// An agent that is no longer of the subset keeps its link for so many heartbeats
+/// after its last use. A change that is soon taken back then moves no link.
+const LINGER_BEATS: u32 = 10;
 
 /// Owns the links to all agents and keeps the pools as the member view, the
 /// note in force and the links themselves say.
@@ -33,12 +37,18 @@
     pub(crate) key: ClusterKey,
     pub(crate) link: LinkSettings,
     pub(crate) metrics: PoolMetrics,
+    pub(crate) links: LinkMetrics,
+    pub(crate) zone: String,
+    pub(crate) subset: SubsetSettings,
 }
 
 /// What the actor keeps.
 pub(crate) struct Links {
     cx: RosterCx,
     held: BTreeMap<String, Held>,
+    subsets: Subsets,
+    /// When an agent will have been out of reach for too long.
+    next_look: Option<Instant>,
     clock: JoinHandle<()>,
 }
 
@@ -47,6 +57,10 @@
     task: JoinHandle<()>,
     /// It said on its link that it leaves, which the member view tells later.
     leaving: bool,
+    /// It is one of the targets to link.
+    chosen: bool,
+    /// Since when it is chosen and can't be given work.
+    down: Option<Instant>,
 }
 
 impl Actor for Roster {
@@ -60,9 +74,12 @@
         cx: RosterCx,
     ) -> Result<Links, ActorProcessingErr> {
         let clock = tokio::spawn(keep_time(myself, cx.follower.clone()));
+        let subsets = Subsets::new(cx.subset, &cx.me.name, &cx.zone);
         Ok(Links {
             cx,
             held: BTreeMap::new(),
+            subsets,
+            next_look: None,
             clock,
         })
     }
@@ -75,7 +92,7 @@
     ) -> Result<(), ActorProcessingErr> {
         match news {
             News::Look => links.look(&myself),
-            News::Tick => links.tick(),
+            News::Tick => links.tick(&myself),
             News::Gone(agent) => {
                 agent.gone.cancel();
                 links.look(&myself);
@@ -116,32 +133,87 @@
 }
 
 impl Links {
-    fn tick(&self) {
+    fn tick(&mut self, myself: &ActorRef<News>) {
         let now = Instant::now();
+        let linger = self.cx.link.beat * LINGER_BEATS;
+        for held in self.held.values().filter(|held| !held.chosen) {
+            held.agent.release(now, linger);
+        }
+        if self.next_look.is_some_and(|next| now >= next) {
+            self.look(myself);
+        }
         self.cx.placement.advance(now);
         self.cx.placement.show(now, &self.cx.metrics);
+        let up = self.held.values().filter(|held| held.agent.is_up());
+        self.cx.links.up.set(to_i64(up.count()));
+        self.cx.links.targets.set(to_i64(self.held.len()));
     }
 
     /// Brings links and pools in line with the member view and the note.
     fn look(&mut self, myself: &ActorRef<News>) {
         let now = Instant::now();
         let view = self.cx.follower.view();
+        let catalogue = self.cx.follower.catalogue();
         let announced = Announced::from_view(&view);
         for row in &announced {
             self.keep(row, myself);
         }
         self.drop_dead(&announced);
-        let members = announced.iter().filter_map(|row| self.member(row));
+        self.subsets.update(&view, &catalogue, &announced);
+        let linked = self.choose(now, &announced);
+        let members = announced.iter().filter_map(|row| {
+            let entries = linked.get(&row.target)?;
+            self.member(row, *entries)
+        });
         let members: Vec<Member> = members.collect();
         let entries = view
             .nodes
             .iter()
             .filter(|node| node.role() == wire::Role::Entry && !node.leaving);
         let entries = u32::try_from(entries.count()).unwrap_or(u32::MAX);
-        let catalogue = self.cx.follower.catalogue();
+        let agents = self.held.values().map(|held| Arc::clone(&held.agent));
         let placement = &self.cx.placement;
         placement.set_quarantine(&self.cx.follower.quarantine());
         placement.update(now, &catalogue, &members, entries.max(1));
+        placement.set_agents(agents);
+    }
+
+    /// Chooses the agents to link, and has them dialled.
+    fn choose(&mut self, now: Instant, announced: &[Announced]) -> BTreeMap<String, u32> {
+        let patience = self.cx.link.beat;
+        for row in announced {
+            if let Some(held) = self.held.get_mut(&row.target) {
+                held.notice(now, row);
+            }
+        }
+        let mut linked = self.subsets.linked(|target| {
+            let down = self.held.get(target).and_then(|held| held.down);
+            match down {
+                Some(since) if now >= since + patience => Reach::Down,
+                _ => Reach::Unknown,
+            }
+        });
+        self.next_look = None;
+        for row in announced {
+            let Some(held) = self.held.get_mut(&row.target) else {
+                continue;
+            };
+            if row.leaving && held.chosen {
+                // What runs there finishes, and a target less is no reason to
+                // let others wait for a connection.
+                linked.insert(row.target.clone(), 1);
+            }
+            let chosen = linked.contains_key(&row.target);
+            if chosen || held.chosen {
+                held.agent.want();
+            }
+            held.chosen = chosen;
+            held.notice(now, row);
+            let due = held.down.map(|since| since + patience);
+            let due = due.filter(|due| *due > now);
+            self.next_look = self.next_look.into_iter().chain(due).min();
+        }
+        linked
     }
 
     /// Sees to it that the announced incarnation is linked.
@@ -167,6 +239,8 @@
             agent,
             task,
             leaving: false,
+            chosen: false,
+            down: None,
         };
         self.held.insert(row.target.clone(), held);
     }
@@ -187,11 +261,11 @@
         });
     }
 
-    fn member(&self, row: &Announced) -> Option<Member> {
+    fn member(&self, row: &Announced, entries: u32) -> Option<Member> {
         let held = self.held.get(&row.target)?;
         let standing = if row.leaving || held.leaving {
             Standing::Leaving
-        } else if row.healthy && held.agent.is_up() && !held.agent.gone.is_cancelled() {
+        } else if held.is_fit(row) {
             Standing::Ready
         } else {
             Standing::Absent
@@ -200,6 +274,7 @@
             agent: Arc::clone(&held.agent),
             announced: row.clone(),
             standing,
+            entries,
         })
     }
 
@@ -239,3 +314,20 @@
         self.cx.placement.report(agent, &report);
     }
 }
+
+impl Held {
+    /// Notes since when it can't be given the work that it is chosen for.
+    fn notice(&mut self, now: Instant, row: &Announced) {
+        let since = self.down.unwrap_or(now);
+        self.down = (self.chosen && !self.is_fit(row)).then_some(since);
+    }
+
+    /// Whether the target can be given work, but for its leaving.
+    fn is_fit(&self, row: &Announced) -> bool {
+        row.healthy && self.agent.is_up() && !self.agent.gone.is_cancelled()
+    }
+}
+
+fn to_i64(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -21,6 +21,14 @@
     /// Seconds from a request's arrival to the head of its answer.
     pub(crate) answer_seconds: Histogram,
     pub(crate) pools: PoolMetrics,
+    pub(crate) links: LinkMetrics,
+}
+
+/// Gauges of the links to agents.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct LinkMetrics {
+    pub(crate) up: Gauge,
+    pub(crate) targets: Gauge,
 }
 
 /// Gauges of each pool, by the model or service.
@@ -59,6 +67,7 @@
             broken_streams: Counter::default(),
             answer_seconds: Histogram::new(exponential_buckets(0.001, 2.0, 18)),
             pools: PoolMetrics::default(),
+            links: LinkMetrics::default(),
         };
         let mut registry = Registry::with_prefix("lovageramp_entry");
         metrics.register(&mut registry);
@@ -77,6 +86,9 @@
         registry.register("broken_streams", "Streams broken off", broken);
         let seconds = self.answer_seconds.clone();
         registry.register("answer_seconds", "Time to the head of an answer", seconds);
+        let links = self.links.clone();
+        registry.register("links", "Links to agents that are up", links.up);
+        registry.register("agents", "Agents known, linked or not", links.targets);
         let pools = self.pools.clone();
         registry.register("ready_targets", "Targets that may be chosen", pools.ready);
         registry.register("running", "Requests that hold a place", pools.running);
--- a/crates/entry/src/placement/inner.rs
+++ b/crates/entry/src/placement/inner.rs
@@ -1,6 +1,7 @@
 //! The state behind the lock.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use note::{Catalogue, Offer};
@@ -16,7 +17,7 @@
 use super::pool_state::{PoolState, Turn};
 use super::{Member, Record, Wanted};
 use crate::job::Job;
-use crate::links::Announced;
+use crate::links::{Agent, Announced};
 use crate::pool_name::PoolName;
 use crate::{Limits, Timing};
 
@@ -24,6 +25,8 @@
 pub(super) struct Inner {
     pub(super) pools: BTreeMap<PoolName, PoolState>,
     pub(super) budget: RetryBudget,
+    /// The agents of all live targets, linked or not.
+    pub(super) agents: BTreeMap<String, Arc<Agent>>,
     rations: BTreeMap<String, Ration>,
     convicted: BTreeSet<Fingerprint>,
     suspects: BTreeSet<Fingerprint>,
@@ -58,6 +61,7 @@
     ) -> Self {
         Inner {
             pools: BTreeMap::new(),
+            agents: BTreeMap::new(),
             budget: RetryBudget::new(limits.retry_ratio, limits.retry_reserve, now),
             rations: BTreeMap::new(),
             convicted: BTreeSet::new(),
@@ -102,7 +106,6 @@
             });
             let distance = |row: &Announced| distance(&self.zone, row, self.zone_distance);
             state.update(now, members, distance);
-            state.pool.set_share(1.0 / f64::from(entries));
             state.advance(now);
         }
         self.withdraw_pools(now, &offered);
@@ -232,7 +235,7 @@
 
 /// The pool that an announced target belongs to, if the note offers it for
 /// just that group or service.
-fn pool_of(catalogue: &Catalogue, announced: &Announced) -> Option<PoolName> {
+pub(crate) fn pool_of(catalogue: &Catalogue, announced: &Announced) -> Option<PoolName> {
     let target = catalogue.target(&announced.target)?;
     if target.offer != announced.offer {
         return None;
--- a/crates/entry/src/placement/member.rs
+++ b/crates/entry/src/placement/member.rs
@@ -12,4 +12,6 @@
     pub(crate) agent: Arc<Agent>,
     pub(crate) announced: Announced,
     pub(crate) standing: Standing,
+    /// Entries that send it work, this one included.
+    pub(crate) entries: u32,
 }
--- a/crates/entry/src/placement/mod.rs
+++ b/crates/entry/src/placement/mod.rs
@@ -20,6 +20,7 @@
 use crate::{Limits, Timing};
 
 use inner::Inner;
+pub(crate) use inner::pool_of;
 pub(crate) use member::Member;
 pub(crate) use permit::Permit;
 pub(crate) use placed::{Placed, StartAt, Wanted};
@@ -132,11 +133,16 @@
         Some(Placed::new(Arc::clone(self), job.pool.clone(), found))
     }
 
-    /// The agent of a target, in whichever pool it is.
+    /// Sets the agents of all live targets, linked or not.
+    pub(crate) fn set_agents(&self, agents: impl Iterator<Item = Arc<Agent>>) {
+        let named = agents.map(|agent| (agent.name.clone(), agent));
+        self.lock().agents = named.collect();
+    }
+
+    /// The agent of a target, whether or not new work is sent there: a call may run
+    /// there that another entry sent.
     pub(crate) fn agent(&self, target: &str) -> Option<Arc<Agent>> {
-        let inner = self.lock();
-        let mut states = inner.pools.values();
-        states.find_map(|state| state.agent(target))
+        self.lock().agents.get(target).cloned()
     }
 
     /// Whether any target is offered and announced for the request, be it
--- a/crates/entry/src/placement/pool_state.rs
+++ b/crates/entry/src/placement/pool_state.rs
@@ -66,10 +66,6 @@
         Arc::ptr_eq(&slot.agent, agent).then_some(slot.key)
     }
 
-    pub(super) fn agent(&self, target: &str) -> Option<Arc<Agent>> {
-        self.slots.get(target).map(|slot| Arc::clone(&slot.agent))
-    }
-
     pub(super) fn has_targets(&self) -> bool {
         !self.slots.is_empty()
     }
@@ -105,6 +101,8 @@
                 self.pool.restarted(now, key);
             }
             self.pool.set_ranks(key, &member.announced.ranks);
+            self.pool
+                .set_share(key, 1.0 / f64::from(member.entries.max(1)));
             self.pool.set_standing(key, member.standing);
         }
         let pool = &mut self.pool;
--- a/crates/entry/tests/entry/calls.rs
+++ b/crates/entry/tests/entry/calls.rs
@@ -63,7 +63,7 @@
     }
 }
 
-fn accept_and(state: AttemptState, frames: fn(&Start) -> Vec<Body>) -> Script {
+pub fn accept_and(state: AttemptState, frames: fn(&Start) -> Vec<Body>) -> Script {
     Arc::new(move |stub, incoming| match &incoming.body {
         Body::Start(start) => say(incoming, accept(start), frames(start)),
         _ => in_state(stub, incoming, state),
@@ -71,7 +71,7 @@
 }
 
 /// Claims a key as an entry does that dies right afterwards.
-async fn claimed_by_dead_entry(stub: &StubAgent, incarnation: u64, key: &str) -> Bytes {
+pub async fn claimed_by_dead_entry(stub: &StubAgent, incarnation: u64, key: &str) -> Bytes {
     let digest = |parts: &[&[u8]]| {
         let mut hasher = Sha256::new();
         for part in parts {
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -5,4 +5,5 @@
 mod path;
 mod standing;
 mod streams;
+mod subsets;
 mod support;
--- a/crates/route/src/affinity.rs
+++ b/crates/route/src/affinity.rs
@@ -46,7 +46,7 @@
 }
 
 /// The finalizer of `SplitMix64` (Steele, Lea and Flood, 2014).
-fn mix(value: u64) -> u64 {
+pub(crate) fn mix(value: u64) -> u64 {
     let mut z = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
     z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -44,6 +44,8 @@
 
 /// Fewest targets that must stay when others are ejected.
 const KEPT: usize = 1;
+/// Least part of a target that an entry may be given.
+const LEAST_SHARE: f64 = 1e-3;
 
 impl Pool {
     /// A pool without targets.
@@ -108,9 +110,13 @@
         }
     }
 
-    /// Changes this entry's part of the traffic.
-    pub fn set_share(&mut self, share: f64) {
-        self.tuning.share = share.clamp(1e-3, 1.0);
+    /// Changes this entry's part of what a target runs: one over the number of
+    /// entries that send it work. They differ from target to target where each
+    /// entry keeps links to some of them only.
+    pub fn set_share(&mut self, key: TargetKey, share: f64) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.share = share.clamp(LEAST_SHARE, 1.0);
+        }
     }
 
     /// Takes a load report. One older than the last is dropped.
@@ -155,7 +161,7 @@
             let limit = target.limit.current() * target.warmth(now, &self.tuning);
             places.all += limit;
             places.spare += limit * (self.tuning.overcommit - 1.0);
-            places.part += limit * self.tuning.share;
+            places.part += limit * target.share;
             places.open += f64::from(target.own_running) + target.room(now, &self.tuning);
         }
         places
@@ -205,7 +211,7 @@
             return;
         }
         if let Some(target) = self.targets.get_mut(place.target) {
-            target.answered(now, place, &self.tuning);
+            target.answered(now, place);
         }
         place.first = Some(now);
     }
@@ -284,11 +290,9 @@
         let target = self.targets.get(key)?;
         let neighbours = self.ready.iter().take(self.tuning.samples);
         let fills = neighbours.filter_map(|key| self.targets.get(*key));
-        let (sum, count) = fills.fold((0.0, 0.0), |(sum, count), t| {
-            (sum + t.fill(&self.tuning), count + 1.0)
-        });
+        let (sum, count) = fills.fold((0.0, 0.0), |(sum, count), t| (sum + t.fill(), count + 1.0));
         let bound = self.tuning.affinity_bound * (sum / f64::max(count, 1.0));
-        let fits = target.fill(&self.tuning) <= bound || target.own_running == 0;
+        let fits = target.fill() <= bound || target.own_running == 0;
         (fits && target.room(now, &self.tuning) >= 1.0).then_some(key)
     }
 
--- a/crates/route/src/target.rs
+++ b/crates/route/src/target.rs
@@ -31,6 +31,8 @@
     pub(crate) limit: Limit,
     pub(crate) own_running: u32,
     pub(crate) own_suspects: u32,
+    /// This entry's part of what the target runs, in (0, 1].
+    pub(crate) share: f64,
     distance: f64,
     ranks: Vec<Rank>,
     since: Instant,
@@ -64,6 +66,7 @@
             limit: Limit::new(tuning.limit),
             own_running: 0,
             own_suspects: 0,
+            share: tuning.share,
             distance: distance.as_secs_f64(),
             ranks: vec![Rank::default()],
             since: now,
@@ -147,8 +150,7 @@
             .map(|rank| (rank.report.rank, seconds(rank)))
             .min_by(|a, b| a.1.total_cmp(&b.1));
         let (rank, prefill) = best.unwrap_or((0, 0.0));
-        let served =
-            (prefill + self.place_seconds(tuning)) * self.factor / self.warmth(now, tuning);
+        let served = (prefill + self.place_seconds()) * self.factor / self.warmth(now, tuning);
         Estimate {
             rank,
             seconds: self.distance + served + self.overdue_seconds(now, served),
@@ -164,17 +166,17 @@
         } else {
             rank.report.step.as_secs_f64()
         };
-        let queued = rank.queued(tuning.share);
-        let running = rank.running(tuning.share);
+        let queued = rank.queued(self.share);
+        let running = rank.running(self.share);
         let kv = f64::from(rank.report.kv_used_permille) / 1000.0;
         let load = running / self.limit.current().max(1.0);
         step * (1.0 + (queued + tokens) * tuning.steps_per_token + load + kv)
     }
 
     /// Time until a place is free, when more wait than there are places.
-    fn place_seconds(&self, tuning: &Tuning) -> f64 {
+    fn place_seconds(&self) -> f64 {
         let places = self.limit.current();
-        let excess = self.running(tuning.share) + 1.0 - places;
+        let excess = self.running() + 1.0 - places;
         if excess > 0.0 {
             excess * self.hold / places
         } else {
@@ -183,8 +185,9 @@
     }
 
     /// Requests that run or wait at the target, as estimated.
-    fn running(&self, share: f64) -> f64 {
-        let running: f64 = self.ranks.iter().map(|rank| rank.running(share)).sum();
+    fn running(&self) -> f64 {
+        let ranks = self.ranks.iter();
+        let running: f64 = ranks.map(|rank| rank.running(self.share)).sum();
         running + self.queued
     }
 
@@ -216,14 +219,14 @@
     pub(crate) fn room(&self, now: Instant, tuning: &Tuning) -> f64 {
         let limit = self.limit.current() * tuning.overcommit * self.warmth(now, tuning);
         let own = f64::from(self.own_running);
-        let part = (limit * tuning.share).floor().max(1.0);
-        let left = limit - self.running(tuning.share);
+        let part = (limit * self.share).floor().max(1.0);
+        let left = limit - self.running();
         (part - own).max(left.floor()).max(0.0)
     }
 
     /// Requests of this entry for each place of its own part.
-    pub(crate) fn fill(&self, tuning: &Tuning) -> f64 {
-        f64::from(self.own_running) / (self.limit.current() * tuning.share).max(1.0)
+    pub(crate) fn fill(&self) -> f64 {
+        f64::from(self.own_running) / (self.limit.current() * self.share).max(1.0)
     }
 
     pub(crate) fn started(
@@ -245,7 +248,7 @@
     }
 
     /// Takes the time of a first token, against what was expected.
-    pub(crate) fn answered(&mut self, now: Instant, place: &Place, tuning: &Tuning) {
+    pub(crate) fn answered(&mut self, now: Instant, place: &Place) {
         self.prefilled(now, place);
         let waited = now.saturating_duration_since(place.started).as_secs_f64();
         let served = (waited - self.distance).max(0.0);
@@ -253,7 +256,7 @@
         let observed = self.factor * served / expected;
         let factor = self.factor + SMOOTHING * (observed - self.factor);
         self.factor = factor.clamp(1.0 / FACTOR_MAX, FACTOR_MAX);
-        let running = self.running(tuning.share);
+        let running = self.running();
         if served > LATE * expected.max(LATE_FLOOR) && running > self.limit.current() / 2.0 {
             self.limit.full();
         } else {
--- a/crates/route/src/tuning.rs
+++ b/crates/route/src/tuning.rs
@@ -7,7 +7,7 @@
 pub struct Tuning {
     /// Targets compared for each choice.
     pub samples: usize,
-    /// This entry's part of all that the targets run, in (0, 1].
+    /// This entry's part of all that a target runs, in (0, 1], until it is set.
     pub share: f64,
     /// Time over which a fresh target is brought to its full load.
     pub slow_start: Duration,
--- a/crates/route/tests/pool.rs
+++ b/crates/route/tests/pool.rs
@@ -269,7 +269,7 @@
 fn places_with_requests_waiting() {
     let now = Instant::now();
     let (mut pool, keys) = pool_of(1, now);
-    pool.set_share(0.25);
+    pool.set_share(keys[0], 0.25);
     let mut load = report(now, 0, 25);
     load.limit = 8;
     pool.report(keys[0], &load);
@@ -280,6 +280,26 @@
     assert!((pool.places(now).open - 2.0).abs() < 1e-9);
 }
 
+/// A target is served by two entries, another one by forty. An entry that took the same
+/// part of both would fill the second one far beyond its places, or leave most of the
+/// first one idle.
+#[test]
+fn set_share_by_target() {
+    let now = Instant::now();
+    let (mut pool, keys) = pool_of(2, now);
+    let mut load = report(now, 0, 25);
+    load.limit = 40;
+    load.ranks[0].running = 45;
+    for key in &keys {
+        pool.report(*key, &load);
+    }
+    pool.set_share(keys[0], 0.5);
+    pool.set_share(keys[1], 0.025);
+    // The parts of 45 places: 22 and 1.
+    assert!((pool.places(now).open - 23.0).abs() < 1e-9);
+    assert!((pool.places(now).part - 21.0).abs() < 1e-9);
+}
+
 /// A target's only rank is number 2. One that it doesn't have looks idle; a
 /// request sent there would be refused or run on the wrong rank.
 #[test]
