--- a/crates/admin/src/operators.rs
+++ b/crates/admin/src/operators.rs
@@ -9,8 +9,8 @@
 use hyper::{HeaderMap, Method, Request, StatusCode};
 use serde_json::{Value, json};
 use wire::proto::{
-    Drain, NoteQuery, Outcome, Pardon, QuarantineQuery, QueryReply, StatusQuery, SubmitNote,
-    command, query, query_reply,
+    Drain, Forget, LedgerQuery, NoteQuery, Outcome, Pardon, QuarantineQuery, QueryReply,
+    StatusQuery, SubmitNote, command, query, query_reply,
 };
 
 use crate::{Problem, Ran, Response, Token, hex, outcomes, read_body};
@@ -26,6 +26,9 @@
 /// A fingerprint is a SHA-256 digest.
 const FINGERPRINT_BYTES: usize = 32;
 
+/// An attempt is named by 128 random bits.
+const ATTEMPT_BYTES: usize = 16;
+
 /// Number in a query that stands for the catalogue instead of one note.
 const WHOLE_CATALOGUE: u64 = 0;
 
@@ -117,6 +120,8 @@
             (&Method::POST, ["targets", name, "drain"]) => self.drain(name, body).await,
             (&Method::GET, ["quarantine"]) => self.quarantine().await,
             (&Method::DELETE, ["quarantine", fingerprint]) => self.pardon(fingerprint).await,
+            (&Method::GET, ["ledger"]) => self.document(query::Body::Ledger(LedgerQuery {})).await,
+            (&Method::DELETE, ["ledger", attempt]) => self.forget(attempt).await,
             (method, known) if is_route(known) => {
                 let detail = format!("{method} isn't known here");
                 Err(Problem::new(StatusCode::METHOD_NOT_ALLOWED, detail))
@@ -159,6 +164,18 @@
         outcomes::pardon((self.propose)(command).await, fingerprint)
     }
 
+    async fn forget(&self, attempt: &str) -> Result<Response, Problem> {
+        let bytes = hex::decode(attempt);
+        let Some(bytes) = bytes.filter(|bytes| bytes.len() == ATTEMPT_BYTES) else {
+            let detail = "an attempt is written in 32 hexadecimal digits";
+            return Err(Problem::new(StatusCode::BAD_REQUEST, detail));
+        };
+        let command = command::Body::Forget(Forget {
+            attempt: bytes.into(),
+        });
+        outcomes::forget((self.propose)(command).await, attempt)
+    }
+
     async fn note(&self, number: &str) -> Result<Response, Problem> {
         let number = number.parse().ok().filter(|number| *number > 0);
         let Some(number) = number else {
@@ -231,8 +248,8 @@
 fn is_route(segments: &[&str]) -> bool {
     matches!(
         segments,
-        ["notes" | "catalogue" | "status" | "quarantine"]
-            | ["notes" | "quarantine", _]
+        ["notes" | "catalogue" | "status" | "quarantine" | "ledger"]
+            | ["notes" | "quarantine" | "ledger", _]
             | ["targets", _, "drain"]
     )
 }
--- a/crates/admin/src/outcomes.rs
+++ b/crates/admin/src/outcomes.rs
@@ -47,6 +47,24 @@
     }
 }
 
+pub(crate) fn forget(outcome: Outcome, attempt: &str) -> Result<Response, Problem> {
+    match outcome.body {
+        Some(outcome::Body::Forget(call)) if call.known => {
+            let answer = json!({
+                "forgotten": attempt,
+                "account": call.account,
+                "key": call.key.escape_ascii().to_string(),
+            });
+            Ok(crate::json(StatusCode::OK, answer.to_string()))
+        }
+        Some(outcome::Body::Forget(_)) => {
+            let detail = format!("{attempt} isn't an attempt whose outcome is unknown");
+            Err(Problem::new(StatusCode::NOT_FOUND, detail))
+        }
+        other => Err(failed(other)),
+    }
+}
+
 fn note_answer(note: &NoteOutcome) -> Result<Response, Problem> {
     let number = note.number;
     let (status, detail) = match note.kind() {
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -6,6 +6,7 @@
 mod notes;
 mod snapshot;
 
+pub(crate) use calls::MOST_UNPROVED;
 use expert::Decisions;
 use ledger::{Ledger, Limits};
 use note::History;
@@ -76,6 +77,8 @@
             }
             Some(Body::DecideMap(decide)) => outcome::Body::Map(self.decide_map(decide)),
             Some(Body::Drain(drain)) => outcome::Body::Drain(self.drain(drain)),
+            Some(Body::Forget(forget)) => self.forget(&forget),
+            Some(Body::LedgerLimits(limits)) => self.set_ledger_limits(limits),
             Some(Body::Batch(batch)) => self.apply_all(batch.commands),
             None => malformed("command without a body"),
         }
--- a/crates/control/src/machine/calls.rs
+++ b/crates/control/src/machine/calls.rs
@@ -2,13 +2,20 @@
 
 use super::{Machine, malformed};
 use bytes::Bytes;
-use ledger::{Attempt, CallKey, Claimed, Digest, Verdict};
+use ledger::{Attempt, CallKey, Claimed, Digest, Holder, Unproved, Verdict};
+use serde_json::{Value, json};
 use wire::proto::claim_outcome::Kind;
 use wire::proto::{
-    Answer, Claim, ClaimOutcome, Finish, FinishOutcome, Header, Release, ReleaseOutcome, finish,
-    outcome,
+    Answer, Claim, ClaimOutcome, Finish, FinishOutcome, Forget, ForgetOutcome, Header,
+    LedgerLimits, Release, ReleaseOutcome, finish, outcome,
 };
 
+/// Calls that a list for operators has at most: the oldest.
+const MOST_LISTED: usize = 1000;
+
+/// Bound of the limit of calls that nobody proved to have ended.
+pub(crate) const MOST_UNPROVED: u64 = 100_000;
+
 impl Machine {
     pub(super) fn claim(&mut self, claim: Claim) -> outcome::Body {
         let Some(digest) = Digest::from_slice(&claim.digest) else {
@@ -60,6 +67,56 @@
         })
     }
 
+    pub(super) fn forget(&mut self, forget: &Forget) -> outcome::Body {
+        let Some(attempt) = Attempt::from_slice(&forget.attempt) else {
+            return malformed("attempt is not 16 bytes");
+        };
+        let forgotten = self.ledger.forget(attempt, self.now_ms);
+        outcome::Body::Forget(match forgotten {
+            None => ForgetOutcome::default(),
+            Some(call) => ForgetOutcome {
+                known: true,
+                account: call.account,
+                key: call.key,
+            },
+        })
+    }
+
+    pub(super) fn set_ledger_limits(&mut self, limits: LedgerLimits) -> outcome::Body {
+        let unproved = limits.max_unproved.clamp(1, MOST_UNPROVED);
+        self.ledger.set_limits(ledger::Limits {
+            keep_ms: limits.keep_ms,
+            running_ms: limits.running_ms,
+            max_unproved: usize::try_from(unproved).unwrap_or(usize::MAX),
+            ..*self.ledger.limits()
+        });
+        outcome::Body::LedgerLimits(limits)
+    }
+
+    /// The calls of which nobody proved that they ended, for operators.
+    pub(crate) fn unproved(&self) -> Value {
+        let mut calls: Vec<_> = self.ledger.unproved().collect();
+        calls.sort_by_key(|call| call.since_ms);
+        let rows = calls.iter().take(MOST_LISTED);
+        let rows: Vec<Value> = rows.map(|call| self.unproved_row(call)).collect();
+        json!({
+            "unproved": calls.len(),
+            "most": self.ledger.limits().max_unproved,
+            "calls": rows,
+        })
+    }
+
+    fn unproved_row(&self, call: &Unproved) -> Value {
+        json!({
+            "attempt": call.holder.attempt.to_string(),
+            "account": call.key.account,
+            "key": call.key.key.escape_ascii().to_string(),
+            "target": call.holder.target,
+            "reason": call.reason,
+            "for_ms": self.now_ms.saturating_sub(call.since_ms),
+        })
+    }
+
     /// What stands for a call.
     pub(crate) fn record(&self, account: &str, key: &Bytes) -> Option<ClaimOutcome> {
         let key = CallKey::new(account, key.clone());
@@ -76,24 +133,30 @@
         Claimed::Full => of_kind(Kind::Full),
         Claimed::Running(holder) => ClaimOutcome {
             kind: Kind::Running.into(),
-            attempt: Bytes::copy_from_slice(&holder.attempt.to_bytes()),
-            target: holder.target,
-            incarnation: holder.incarnation,
-            ..empty
+            ..held(holder)
         },
         Claimed::Finished(answer) => ClaimOutcome {
             kind: Kind::Finished.into(),
             answer: Some(answer_message(answer)),
             ..empty
         },
-        Claimed::Unknown(reason) => ClaimOutcome {
+        Claimed::Unknown(unknown) => ClaimOutcome {
             kind: Kind::Unknown.into(),
-            reason,
-            ..empty
+            reason: unknown.reason,
+            ..unknown.holder.map(held).unwrap_or_default()
         },
     })
 }
 
+fn held(holder: Holder) -> ClaimOutcome {
+    ClaimOutcome {
+        attempt: Bytes::copy_from_slice(&holder.attempt.to_bytes()),
+        target: holder.target,
+        incarnation: holder.incarnation,
+        ..ClaimOutcome::default()
+    }
+}
+
 fn of_kind(kind: Kind) -> ClaimOutcome {
     ClaimOutcome {
         kind: kind.into(),
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -16,6 +16,7 @@
     pub(crate) disk_full: Gauge,
     pub(crate) ledger_records: Gauge,
     pub(crate) ledger_bytes: Gauge,
+    pub(crate) ledger_unproved: Gauge,
     pub(crate) nodes: Gauge,
     pub(crate) commands: Counter,
     pub(crate) refused_commands: Counter,
@@ -43,6 +44,11 @@
                 &self.ledger_records,
             ),
             ("ledger_bytes", "Bytes of those records", &self.ledger_bytes),
+            (
+                "ledger_unproved",
+                "Non-repeatable calls that nobody proved to have ended",
+                &self.ledger_unproved,
+            ),
             (
                 "nodes",
                 "Nodes that hold a lease from this leader",
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -81,6 +81,8 @@
     pump_due: bool,
     /// When to ask again to be taken in.
     join_at: Instant,
+    /// Term in which this leader ordered its settings of the ledger.
+    limits_ordered: Option<u64>,
     metrics: Metrics,
     /// Why the replica can't go on.
     failed: Option<String>,
--- a/crates/control/src/replica/actor.rs
+++ b/crates/control/src/replica/actor.rs
@@ -114,6 +114,7 @@
             reads: Reads::default(),
             saving: None,
             join_at: now,
+            limits_ordered: None,
             pump_due: false,
             failed: None,
         })
@@ -159,6 +160,7 @@
             roster.expire(now);
         }
         self.measure(now);
+        self.keep_ledger_limits(now);
         if now >= self.join_at && self.node.wants_in(now) {
             self.join_at = now + self.settings.timing.election;
             let ids: Vec<DiskId> = self.peers.ids().collect();
--- a/crates/control/src/replica/answer.rs
+++ b/crates/control/src/replica/answer.rs
@@ -3,12 +3,15 @@
 use super::State;
 use crate::disk::Fullness;
 use crate::reply::{Commit, Reply, unavailable};
+use crate::roster::Roster;
 use prost::Message as _;
 use std::time::{Duration, Instant};
 use wire::proto::frame::Body;
 use wire::proto::query::Body as Question;
 use wire::proto::query_reply::Body as Answer;
-use wire::proto::{Command, FetchNotes, NotLeader, Query, QueryReply, Renew, Renewed};
+use wire::proto::{
+    Command, FetchNotes, LedgerLimits, NotLeader, Query, QueryReply, Renew, Renewed, command,
+};
 
 /// Longest command, so that one doesn't hold up the log for all.
 const MOST_COMMAND_BYTES: usize = 4 << 20;
@@ -76,6 +79,31 @@
         }
     }
 
+    /// Brings the bounds of the ledger to this leader's settings. They are
+    /// part of the replicated state: were each replica to go by its own, a
+    /// record would be gone on one and stand on another.
+    pub(super) fn keep_ledger_limits(&mut self, now: Instant) {
+        let wanted = self.settings.ledger;
+        let Some(term) = self.roster.as_ref().map(Roster::term) else {
+            return;
+        };
+        let known = self.node.leased(now) && self.node.has_applied_own();
+        let limits = self.machine.ledger().limits();
+        let in_force = LedgerLimits {
+            keep_ms: limits.keep_ms,
+            running_ms: limits.running_ms,
+            max_unproved: limits.max_unproved as u64,
+        };
+        if !known || wanted == in_force || self.limits_ordered == Some(term) {
+            return;
+        }
+        let body = Some(command::Body::LedgerLimits(wanted));
+        match self.order(Command { now_ms: 0, body }, now) {
+            Ok(_) => self.limits_ordered = Some(term),
+            Err(e) => log::debug!("the ledger's limits can't be set now: {e}"),
+        }
+    }
+
     fn order(&mut self, mut command: Command, now: Instant) -> Result<(u64, u64), String> {
         if self.fullness == Fullness::Full {
             return Err("the disk of the leader is full".to_owned());
@@ -127,6 +155,7 @@
                 let record = self.machine.record(&q.account, &q.key);
                 Answer::Record(record.unwrap_or_default())
             }
+            Question::Ledger(_) => Answer::Json(self.machine.unproved().to_string().into()),
             Question::Map(q) => Answer::Map(self.machine.map(&q.group)),
             Question::Note(q) if q.number == 0 => {
                 Answer::Json(self.machine.history().catalogue().to_json().into())
--- a/crates/control/src/replica/output.rs
+++ b/crates/control/src/replica/output.rs
@@ -173,6 +173,8 @@
         );
         set(&metrics.ledger_records, self.machine.ledger().len() as u64);
         set(&metrics.ledger_bytes, self.machine.ledger().bytes() as u64);
+        let unproved = self.machine.ledger().unproved_len();
+        set(&metrics.ledger_unproved, unproved as u64);
         set(&metrics.nodes, nodes as u64);
     }
 
--- a/crates/control/src/replica/status.rs
+++ b/crates/control/src/replica/status.rs
@@ -55,6 +55,8 @@
             "ledger": {
                 "records": self.machine.ledger().len(),
                 "bytes": self.machine.ledger().bytes(),
+                "unproved": self.machine.ledger().unproved_len(),
+                "most_unproved": self.machine.ledger().limits().max_unproved,
                 "time_ms": self.machine.now_ms(),
             },
         })
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -1,9 +1,11 @@
 //! Settings of a replica.
 
 use crate::Timing;
+use crate::machine::MOST_UNPROVED;
 use cfg::{Findings, Reader};
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use wire::proto::LedgerLimits;
 
 const MOST_REPLICAS: usize = 9;
 
@@ -41,6 +43,8 @@
     pub snapshot_entries: u64,
     /// Times.
     pub timing: Timing,
+    /// Bounds of the ledger, the same on every replica of a cluster.
+    pub ledger: LedgerLimits,
     /// What is in force, defaults included.
     pub effective: serde_json::Value,
 }
@@ -70,6 +74,7 @@
         let replicas = read_replicas(&mut r, name.as_deref());
         let snapshot_entries = r.within("snapshot_entries", SNAPSHOT_ENTRIES, 1..=u64::MAX);
         let timing = Timing::read(r.section("timing"));
+        let ledger = read_ledger(&mut r.section("ledger"));
         let effective = r.effective();
         r.finish()?;
         let given = (name, zone, listen, http, data);
@@ -93,6 +98,7 @@
             replicas,
             snapshot_entries,
             timing,
+            ledger,
             effective,
         })
     }
@@ -105,6 +111,16 @@
     }
 }
 
+fn read_ledger(r: &mut Reader) -> LedgerLimits {
+    const LONGEST_MS: u64 = 365 * 24 * 60 * 60 * 1000;
+    let default = ledger::Limits::default();
+    LedgerLimits {
+        running_ms: r.within("running_ms", default.running_ms, 100..=LONGEST_MS),
+        keep_ms: r.within("keep_ms", default.keep_ms, 100..=LONGEST_MS),
+        max_unproved: r.within("unproved", default.max_unproved as u64, 1..=MOST_UNPROVED),
+    }
+}
+
 fn read_replicas(r: &mut Reader, own: Option<&str>) -> Vec<ReplicaAddress> {
     let mut replicas: Vec<ReplicaAddress> = Vec::new();
     for mut row in r.sections("replicas") {
--- a/crates/entry/src/links/agent.rs
+++ b/crates/entry/src/links/agent.rs
@@ -55,9 +55,14 @@
         self.link.subscribe()
     }
 
-    pub(crate) fn is_up(&self) -> bool {
+    /// The connection, if it is up now.
+    pub(crate) fn current_link(&self) -> Option<Link> {
         let link = self.link.borrow();
-        link.as_ref().is_some_and(|link| !link.is_closed())
+        link.clone().filter(|link| !link.is_closed())
+    }
+
+    pub(crate) fn is_up(&self) -> bool {
+        self.current_link().is_some()
     }
 
     pub(crate) fn set_link(&self, link: Option<Link>) {
--- a/crates/entry/src/work/attempt.rs
+++ b/crates/entry/src/work/attempt.rs
@@ -91,6 +91,18 @@
         start: Start,
         window: usize,
         timing: &Timing,
+    ) -> Started {
+        let link = agent.current_link();
+        Attempt::start_on(agent, link, start, window, timing).await
+    }
+
+    /// The same on one connection only.
+    pub(crate) async fn start_on(
+        agent: &Arc<Agent>,
+        link: Option<Link>,
+        start: Start,
+        window: usize,
+        timing: &Timing,
     ) -> Started {
         let abandon = if start.keep {
             Abandon::Keep
@@ -98,7 +110,7 @@
             Abandon::Cancel
         };
         let mut attempt = Attempt::new(agent, start.attempt.clone(), window, timing, abandon);
-        let Some(link) = attempt.current_link() else {
+        let Some(link) = link else {
             attempt.over = true;
             return Started::NotRun;
         };
@@ -241,7 +253,7 @@
         if !due {
             return;
         }
-        let Some(link) = self.current_link() else {
+        let Some(link) = self.agent.current_link() else {
             return;
         };
         self.acknowledged = offset;
@@ -252,7 +264,7 @@
     /// Tells the agent that the whole answer is recorded.
     pub(crate) async fn forget(&mut self) {
         self.over = true;
-        if let Some(link) = self.current_link() {
+        if let Some(link) = self.agent.current_link() {
             let offset = self.assembly.offset();
             // If it is lost, the agent forgets the answer after its own time.
             let _ = link.send(self.progress(offset, Recorded::Yes)).await;
@@ -267,11 +279,6 @@
         })
     }
 
-    fn current_link(&self) -> Option<Link> {
-        let link = self.link.borrow();
-        link.clone().filter(|link| !link.is_closed())
-    }
-
     /// The connection went or a fresh one came: goes on there, from the byte
     /// that comes next. `false` once the attempt is lost.
     async fn attach_anew(&mut self, deadline: Instant) -> bool {
@@ -310,7 +317,7 @@
         if self.over || self.abandon == Abandon::Keep {
             return;
         }
-        let Some(link) = self.current_link() else {
+        let Some(link) = self.agent.current_link() else {
             // The agent cancels it by itself after its grace time.
             return;
         };
--- a/crates/entry/src/work/mod.rs
+++ b/crates/entry/src/work/mod.rs
@@ -10,6 +10,7 @@
 mod open;
 mod pump;
 mod records;
+mod told;
 mod whole;
 
 pub(crate) use answer::{Answer, Streamed};
--- a/crates/entry/src/work/once.rs
+++ b/crates/entry/src/work/once.rs
@@ -2,22 +2,24 @@
 
 use std::time::{Duration, Instant};
 
-use admin::{Problem, Ran};
+use admin::Problem;
 use bytes::Bytes;
 use hyper::StatusCode;
 use route::Ending;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
+use wire::Link;
 use wire::proto::claim_outcome::Kind;
 use wire::proto::{AttemptState, ClaimOutcome, Refusal};
 
 use super::answer::Answer;
 use super::attempt::{Attempt, Joined, Started};
-use super::course::{Course, RETRY_AFTER};
+use super::course::Course;
 use super::cx::Cx;
 use super::failure::Failure;
 use super::open::start_of;
-use super::records::{Called, Records, Stood};
+use super::records::{Records, Stood};
+use super::told::{UNREACHABLE, stands, still_open};
 use super::whole::collect;
 use crate::job::Job;
 use crate::placement::{Permit, Placed, StartAt};
@@ -80,7 +82,6 @@
 }
 
 const LATE: &str = "the deadline passed before the outcome was recorded; ask again with the key";
-const UNREACHABLE: &str = "the call's target can't be reached now; ask again with the same key";
 
 struct Once {
     course: Course,
@@ -121,26 +122,40 @@
         start.keep = true;
         let attempt = start.attempt.clone();
         let agent = placed.agent();
+        // The start goes out on no later connection than this. An entry that
+        // is stopped after its claim finds it closed when it goes on, and so
+        // can't start an attempt that was barred so long ago that its agent
+        // no longer remembers the bar.
+        let link = agent.current_link();
         let record = self.records.claim(&attempt, &agent.name, agent.incarnation);
         let record = record.await?;
         let ours = record.attempt == attempt;
         match record.kind() {
-            Kind::Claimed => self.start(placed, start).await,
-            Kind::Running if ours => self.start(placed, start).await,
+            Kind::Claimed => self.start(placed, link, start).await,
+            Kind::Running if ours => self.start(placed, link, start).await,
             Kind::Running => {
                 drop(placed);
                 self.join(record).await
             }
+            Kind::Unknown if !record.attempt.is_empty() => {
+                drop(placed);
+                self.join_late(record).await
+            }
             _ => Ok(Step::Answer(stands(record))),
         }
     }
 
     /// Starts the attempt that the claim is for.
-    async fn start(&mut self, placed: Placed, start: wire::proto::Start) -> Result<Step, Problem> {
+    async fn start(
+        &mut self,
+        placed: Placed,
+        link: Option<Link>,
+        start: wire::proto::Start,
+    ) -> Result<Step, Problem> {
         let id = start.attempt.clone();
         let agent = placed.agent().clone();
         let cx = &self.course.cx;
-        let started = Attempt::start(&agent, start, cx.limits.window, &cx.timing).await;
+        let started = Attempt::start_on(&agent, link, start, cx.limits.window, &cx.timing).await;
         match started {
             Started::Running(attempt) => {
                 let first = || placed.answered();
@@ -218,6 +233,23 @@
         }
     }
 
+    /// Nothing was heard of the attempt in time. Its agent may have stood still
+    /// and be at work on it now: then its answer is still worth having. If the
+    /// agent can't be reached at once, the caller isn't kept waiting.
+    async fn join_late(&mut self, record: ClaimOutcome) -> Result<Step, Problem> {
+        let cx = &self.course.cx;
+        let agent = cx.placement.agent(&record.target);
+        let agent = agent.filter(|agent| agent.incarnation == record.incarnation);
+        let Some(agent) = agent.filter(|agent| agent.is_up()) else {
+            return Ok(Step::Answer(stands(record)));
+        };
+        let id = record.attempt.clone();
+        match Attempt::join(&agent, id, cx.limits.window, &cx.timing).await {
+            Joined::Attached(attempt) => self.follow(attempt, &record.attempt, || ()).await,
+            Joined::State(_) | Joined::Unreachable => Ok(Step::Answer(stands(record))),
+        }
+    }
+
     /// Bars an attempt that has not started, and frees its key.
     ///
     /// The reply tells the incarnation that lives now, after the claim was
@@ -280,7 +312,7 @@
                 pause = (pause * 2).min(MOST_LOOK);
                 // The frames go to whoever attached last, which may be
                 // another entry with the same call.
-                if let Some(step) = self.look().await {
+                if let Some(step) = self.look_for_answer().await {
                     return Ok(step);
                 }
             }
@@ -288,7 +320,9 @@
         match collected {
             Ok((answer, used)) => {
                 self.course.permit.set_used(used);
-                let answer = self.records.finish(id, answer).await;
+                // Until it is recorded the agent must keep it: nobody else
+                // could tell what came of the call.
+                let answer = self.records.finish(id, answer).await?;
                 attempt.forget().await;
                 Ok(Step::Answer(answer))
             }
@@ -337,54 +371,23 @@
 
     /// Looks whether an outcome is recorded.
     async fn look(&self) -> Option<Step> {
-        match self.records.look().await {
-            Stood::Over(record) => Some(Step::Answer(stands(record))),
-            Stood::Free => Some(Step::Again),
-            Stood::Open | Stood::Unsure => None,
-        }
+        step_of(self.records.look().await)
     }
-}
 
-/// What a caller is told of a record that is not running.
-pub(super) fn stands(record: ClaimOutcome) -> Called {
-    match record.kind() {
-        Kind::Finished => Ok(answer_of(record.answer.unwrap_or_default())),
-        Kind::Mismatch => Err(Problem::new(
-            StatusCode::UNPROCESSABLE_ENTITY,
-            "the idempotency key was used for another request",
-        )),
-        Kind::Full => {
-            let mut problem = Problem::new(
-                StatusCode::SERVICE_UNAVAILABLE,
-                "no room for the record of another call",
-            );
-            problem.retry_after = Some(RETRY_AFTER);
-            Err(problem)
-        }
-        Kind::Unknown => {
-            let detail = format!("the outcome can't be learnt any more: {}", record.reason);
-            let mut problem = Problem::new(StatusCode::CONFLICT, detail);
-            problem.ran = Ran::Unknown;
-            Err(problem)
-        }
-        Kind::Unspecified | Kind::Claimed | Kind::Running => {
-            Err(still_open(StatusCode::SERVICE_UNAVAILABLE, UNREACHABLE))
+    /// Looks whether the answer of the attempt that is followed is recorded.
+    /// "Unknown" is none: the attempt that is followed may yet tell.
+    async fn look_for_answer(&self) -> Option<Step> {
+        match self.records.look().await {
+            Stood::Over(record) if record.kind() == Kind::Unknown => None,
+            stood => step_of(stood),
         }
     }
 }
 
-fn answer_of(answer: wire::proto::Answer) -> Answer {
-    Answer {
-        status: answer.status,
-        headers: answer.headers,
-        body: answer.body,
+fn step_of(stood: Stood) -> Option<Step> {
+    match stood {
+        Stood::Over(record) => Some(Step::Answer(stands(record))),
+        Stood::Free => Some(Step::Again),
+        Stood::Open | Stood::Unsure => None,
     }
 }
-
-/// The outcome isn't known yet, and may be later.
-pub(super) fn still_open(status: StatusCode, detail: &str) -> Problem {
-    let mut problem = Problem::new(status, detail);
-    problem.ran = Ran::Unknown;
-    problem.retry_after = Some(RETRY_AFTER);
-    problem
-}
--- a/crates/entry/src/work/records.rs
+++ b/crates/entry/src/work/records.rs
@@ -14,10 +14,8 @@
 
 use super::answer::Answer;
 use super::cx::Cx;
-use super::once::{OnceJob, stands, still_open};
-
-/// What a caller of a non-repeatable call is told.
-pub(super) type Called = Result<Answer, Problem>;
+use super::once::OnceJob;
+use super::told::{Called, stands, still_open};
 
 /// For how long an outcome is offered to the ledger.
 const FINISH: Duration = Duration::from_mins(1);
@@ -99,7 +97,11 @@
     }
 
     /// Records the answer; what is given out is what the ledger holds then.
-    pub(super) async fn finish(&self, attempt: &Bytes, answer: Answer) -> Called {
+    ///
+    /// # Errors
+    ///
+    /// The ledger can't be reached: nothing is known to be recorded.
+    pub(super) async fn finish(&self, attempt: &Bytes, answer: Answer) -> Result<Called, Problem> {
         let result = finish::Result::Answer(wire::proto::Answer {
             status: answer.status,
             headers: answer.headers.clone(),
@@ -109,9 +111,9 @@
         if record.attempt == *attempt || record.attempt.is_empty() {
             // It is this attempt's record, even if the answer was too large
             // for the ledger to keep.
-            return Ok(answer);
+            return Ok(Ok(answer));
         }
-        stands(record)
+        Ok(stands(record))
     }
 
     /// Records that nobody can learn what became of the attempt.
--- /dev/null
+++ b/crates/entry/src/work/told.rs
@@ -0,0 +1,60 @@
+//! What the caller of a non-repeatable call is told.
+
+use admin::{Problem, Ran};
+use hyper::StatusCode;
+use wire::proto::ClaimOutcome;
+use wire::proto::claim_outcome::Kind;
+
+use super::answer::Answer;
+use super::course::RETRY_AFTER;
+
+/// What a caller of a non-repeatable call is told.
+pub(super) type Called = Result<Answer, Problem>;
+
+/// Why a caller is told to ask again.
+pub(super) const UNREACHABLE: &str =
+    "the call's target can't be reached now; ask again with the same key";
+
+/// What a caller is told of a record that is not running.
+pub(super) fn stands(record: ClaimOutcome) -> Called {
+    match record.kind() {
+        Kind::Finished => Ok(answer_of(record.answer.unwrap_or_default())),
+        Kind::Mismatch => Err(Problem::new(
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "the idempotency key was used for another request",
+        )),
+        Kind::Full => {
+            let mut problem = Problem::new(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "no room for the record of another call",
+            );
+            problem.retry_after = Some(RETRY_AFTER);
+            Err(problem)
+        }
+        Kind::Unknown => {
+            let detail = format!("the outcome can't be learnt any more: {}", record.reason);
+            let mut problem = Problem::new(StatusCode::CONFLICT, detail);
+            problem.ran = Ran::Unknown;
+            Err(problem)
+        }
+        Kind::Unspecified | Kind::Claimed | Kind::Running => {
+            Err(still_open(StatusCode::SERVICE_UNAVAILABLE, UNREACHABLE))
+        }
+    }
+}
+
+fn answer_of(answer: wire::proto::Answer) -> Answer {
+    Answer {
+        status: answer.status,
+        headers: answer.headers,
+        body: answer.body,
+    }
+}
+
+/// The outcome isn't known yet, and may be later.
+pub(super) fn still_open(status: StatusCode, detail: &str) -> Problem {
+    let mut problem = Problem::new(status, detail);
+    problem.ran = Ran::Unknown;
+    problem.retry_after = Some(RETRY_AFTER);
+    problem
+}
--- a/crates/ledger/src/claimed.rs
+++ b/crates/ledger/src/claimed.rs
@@ -1,6 +1,6 @@
 //! What stands in the ledger for a key.
 
-use crate::{Answer, Holder};
+use crate::{Answer, Holder, Unknown};
 
 /// The answer to a claim, and what stands after a finish or release.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -11,8 +11,8 @@
     Running(Holder),
     /// The call ran and this is its answer.
     Finished(Answer),
-    /// Whether the call ran can't be learnt any more, and why.
-    Unknown(String),
+    /// Whether the call ran isn't known.
+    Unknown(Unknown),
     /// The key was used for a call that asked for something else.
     Mismatch,
     /// The ledger is full; nothing was recorded.
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -2,8 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::record::{Record, bounded};
-use crate::{Attempt, CallKey, Claim, Claimed, Holder, Limits, Verdict};
+use crate::record::{Record, State, ended};
+use crate::{Attempt, CallKey, Claim, Claimed, Holder, Limits, Unproved, Verdict};
 
 /// Reason of a claim whose attempt was never reported on.
 const OUTLIVED: &str = "nothing was heard of the attempt in time";
@@ -11,8 +11,9 @@
 /// At most one attempt for each key, bounded in number, bytes and time.
 ///
 /// Each call first brings the ledger up to `now_ms`: claims that run for too
-/// long become unknown, records that have been kept long enough go. A time
-/// before the latest one seen counts as the latest one.
+/// long become unknown, records of calls that ended go once they have been
+/// kept long enough. A time before the latest one seen counts as the latest
+/// one. What nobody proved to have ended goes by no time.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Ledger {
     limits: Limits,
@@ -21,6 +22,9 @@
     records: BTreeMap<CallKey, Record>,
     /// The same keys by the time at which something falls due.
     due: BTreeSet<(u64, CallKey)>,
+    /// Counted as they change, since each claim asks.
+    running: usize,
+    unproved: usize,
 }
 
 impl Ledger {
@@ -37,6 +41,8 @@
             bytes: 0,
             records: BTreeMap::new(),
             due: BTreeSet::new(),
+            running: 0,
+            unproved: 0,
         }
     }
 
@@ -72,8 +78,9 @@
                 target: claim.target,
                 incarnation: claim.incarnation,
             },
-            due_ms: self.now_ms.saturating_add(self.limits.running_ms),
-            verdict: None,
+            state: State::Running {
+                until_ms: self.now_ms.saturating_add(self.limits.running_ms),
+            },
         };
         if !self.has_room(&claim.key, &record) {
             return Claimed::Full;
@@ -82,7 +89,9 @@
         Claimed::Claimed
     }
 
-    /// Records how an attempt ended; the first result stays.
+    /// Records how an attempt ended; the first result stays, but for an
+    /// answer, which takes the place of "unknown": it proves that the attempt
+    /// ended, and the caller is better served with it.
     ///
     /// Returns whether this result is the one that was stored, and what
     /// stands for the key.
@@ -105,10 +114,10 @@
         let Some(record) = self.records.get(key) else {
             return (false, Claimed::Absent);
         };
-        if record.verdict.is_some() || record.holder.attempt != attempt {
+        if record.holder.attempt != attempt || !record.takes(&verdict) {
             return (false, record.standing());
         }
-        self.end(key, bounded(verdict, self.limits.max_answer));
+        self.end(key, verdict);
         (true, self.standing(key))
     }
 
@@ -129,13 +138,34 @@
         let Some(record) = self.records.get(key) else {
             return (false, Claimed::Absent);
         };
-        if record.verdict.is_some() || record.holder.attempt != attempt {
+        let runs = matches!(record.state, State::Running { .. });
+        if !runs || record.holder.attempt != attempt {
             return (false, record.standing());
         }
         self.remove(key);
         (true, Claimed::Absent)
     }
 
+    /// Frees the key of a call whose outcome is unknown, by the word of an
+    /// operator who has made sure that it can't run any more. Returns the
+    /// call, if there is one with this attempt.
+    ///
+    /// The attempt is named and not the key, so that a word given twice can't
+    /// free a key that was claimed anew in between.
+    ///
+    /// ```
+    /// # use ledger::*;
+    /// let mut ledger = Ledger::new(Limits::default());
+    /// assert_eq!(ledger.forget(Attempt(1), 0), None);
+    /// ```
+    pub fn forget(&mut self, attempt: Attempt, now_ms: u64) -> Option<CallKey> {
+        self.expire(now_ms);
+        let found = self.unproved().find(|call| call.holder.attempt == attempt);
+        let key = found?.key.clone();
+        self.remove(&key);
+        Some(key)
+    }
+
     /// Brings the ledger up to `now_ms`.
     ///
     /// ```
@@ -169,6 +199,39 @@
             .map_or(Claimed::Absent, Record::standing)
     }
 
+    /// The calls of which nobody proved that they ended, in the order of
+    /// their keys.
+    ///
+    /// ```
+    /// # use ledger::*;
+    /// assert_eq!(Ledger::new(Limits::default()).unproved().count(), 0);
+    /// ```
+    pub fn unproved(&self) -> impl Iterator<Item = Unproved<'_>> {
+        self.records
+            .iter()
+            .filter_map(|(key, record)| match &record.state {
+                State::Unproved { reason, since_ms } => Some(Unproved {
+                    key,
+                    holder: &record.holder,
+                    reason,
+                    since_ms: *since_ms,
+                }),
+                State::Running { .. } | State::Ended { .. } => None,
+            })
+    }
+
+    /// Number of claims that may run.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.running
+    }
+
+    /// Number of calls of which nobody proved that they ended.
+    #[must_use]
+    pub fn unproved_len(&self) -> usize {
+        self.unproved
+    }
+
     /// The latest time seen, in milliseconds.
     #[must_use]
     pub fn now_ms(&self) -> u64 {
@@ -199,6 +262,20 @@
         &self.limits
     }
 
+    /// Puts other bounds in force; records keep the times that they have.
+    ///
+    /// ```
+    /// # use ledger::*;
+    /// let mut ledger = Ledger::new(Limits::default());
+    /// ledger.set_limits(Limits { max_unproved: 9, ..Limits::default() });
+    /// assert_eq!(ledger.limits().max_unproved, 9);
+    /// ```
+    pub fn set_limits(&mut self, limits: Limits) {
+        self.limits = limits;
+        let sizes = self.records.iter().map(|(k, r)| self.size_of(k, r));
+        self.bytes = sizes.sum();
+    }
+
     pub(crate) fn records(&self) -> &BTreeMap<CallKey, Record> {
         &self.records
     }
@@ -212,14 +289,28 @@
 
     pub(crate) fn insert(&mut self, key: CallKey, record: Record) {
         self.bytes += self.size_of(&key, &record);
-        self.due.insert((record.due_ms, key.clone()));
+        if let Some(due_ms) = record.state.due_ms() {
+            self.due.insert((due_ms, key.clone()));
+        }
+        match record.state {
+            State::Running { .. } => self.running += 1,
+            State::Unproved { .. } => self.unproved += 1,
+            State::Ended { .. } => {}
+        }
         self.records.insert(key, record);
     }
 
     fn remove(&mut self, key: &CallKey) -> Option<Record> {
         let record = self.records.remove(key)?;
         self.bytes -= self.size_of(key, &record);
-        self.due.remove(&(record.due_ms, key.clone()));
+        if let Some(due_ms) = record.state.due_ms() {
+            self.due.remove(&(due_ms, key.clone()));
+        }
+        match record.state {
+            State::Running { .. } => self.running -= 1,
+            State::Unproved { .. } => self.unproved -= 1,
+            State::Ended { .. } => {}
+        }
         Some(record)
     }
 
@@ -227,34 +318,36 @@
         let Some(mut record) = self.remove(key) else {
             return;
         };
-        record.verdict = Some(verdict);
-        record.due_ms = self.now_ms.saturating_add(self.limits.keep_ms);
+        let limits = &self.limits;
+        record.state = ended(verdict, limits.max_answer, self.now_ms, limits.keep_ms);
         self.insert(key.clone(), record);
     }
 
-    /// A running claim whose attempt was never reported on may have run, so
-    /// it is never freed here: a resend would run it a second time.
+    /// A running claim whose attempt was never reported on may have run, or
+    /// may run yet, so it isn't freed here: a resend would run it a second
+    /// time.
     fn fall_due(&mut self, key: &CallKey) {
         let Some(mut record) = self.remove(key) else {
             return;
         };
-        if record.verdict.is_some() {
-            return;
+        if let State::Running { until_ms } = record.state {
+            record.state = State::Unproved {
+                reason: OUTLIVED.into(),
+                since_ms: until_ms,
+            };
+            self.insert(key.clone(), record);
         }
-        record.verdict = Some(Verdict::Unknown(OUTLIVED.into()));
-        let ended_ms = record.due_ms;
-        record.due_ms = ended_ms
-            .saturating_add(self.limits.keep_ms)
-            .max(self.now_ms.saturating_add(1));
-        self.insert(key.clone(), record);
     }
 
     fn size_of(&self, key: &CallKey, record: &Record) -> usize {
         2 * key.size() + record.size(self.limits.max_answer)
     }
 
+    /// Each claim that runs may turn out never to be proved over, so it needs
+    /// its place among those from the start.
     fn has_room(&self, key: &CallKey, record: &Record) -> bool {
-        self.records.len() < self.limits.max_records
+        self.running + self.unproved < self.limits.max_unproved
+            && self.records.len() < self.limits.max_records
             && self.bytes + self.size_of(key, record) <= self.limits.max_bytes
     }
 }
@@ -263,7 +356,8 @@
     if record.digest != claim.digest {
         return Claimed::Mismatch;
     }
-    if record.verdict.is_none() && record.holder.attempt == claim.attempt {
+    let runs = matches!(record.state, State::Running { .. });
+    if runs && record.holder.attempt == claim.attempt {
         return Claimed::Claimed;
     }
     record.standing()
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -4,8 +4,9 @@
 //! anything is sent to a target, the key is claimed for one attempt; the
 //! result is recorded before the caller is answered. A key that is claimed
 //! is never free again but by [`Ledger::release`], which needs proof that
-//! the attempt was barred before it started, or by expiry of its record a
-//! stated time after it ended.
+//! the attempt was barred before it started; by expiry of its record a stated
+//! time after its answer proved that it ended; or by [`Ledger::forget`], an
+//! operator's word. Time alone frees nothing that was not proved to be over.
 //!
 //! The state machine is replicated: it reads no clock, and the same calls
 //! with the same times give the same state everywhere.
@@ -42,6 +43,8 @@
 mod limits;
 mod record;
 mod snapshot;
+mod unknown;
+mod unproved;
 mod verdict;
 
 pub use answer::Answer;
@@ -54,4 +57,6 @@
 pub use holder::Holder;
 pub use ledger::Ledger;
 pub use limits::Limits;
+pub use unknown::Unknown;
+pub use unproved::Unproved;
 pub use verdict::Verdict;
--- a/crates/ledger/src/limits.rs
+++ b/crates/ledger/src/limits.rs
@@ -13,7 +13,9 @@
     pub max_bytes: usize,
     /// Bytes of one answer at most; a larger one is recorded as unknown.
     pub max_answer: usize,
-    /// Time in milliseconds that a record is kept after it ended.
+    /// Calls at most that run, or of which nobody proved that they ended.
+    pub max_unproved: usize,
+    /// Time in milliseconds that the record of a call that ended is kept.
     pub keep_ms: u64,
     /// Time in milliseconds after which a running claim becomes unknown.
     pub running_ms: u64,
@@ -26,6 +28,7 @@
             max_records: 100_000,
             max_bytes: 64 << 20,
             max_answer: 64 << 10,
+            max_unproved: 10_000,
             keep_ms: HOUR_MS,
             running_ms: HOUR_MS / 4,
         }
--- a/crates/ledger/src/snapshot.rs
+++ b/crates/ledger/src/snapshot.rs
@@ -4,7 +4,7 @@
 use prost::Message;
 
 use crate::error::Code;
-use crate::record::Record;
+use crate::record::{Record, State};
 use crate::{Answer, Attempt, CallKey, Digest, Holder, Ledger, Limits, Result, Verdict};
 
 #[derive(Clone, PartialEq, Message)]
@@ -23,6 +23,9 @@
     running_ms: u64,
     #[prost(message, repeated, tag = "7")]
     records: Vec<Row>,
+    /// 0 in snapshots that were written before there was such a limit.
+    #[prost(uint64, tag = "8")]
+    max_unproved: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -39,12 +42,17 @@
     target: String,
     #[prost(uint64, tag = "6")]
     incarnation: u64,
+    /// When it falls due, or since when its outcome is unknown.
     #[prost(uint64, tag = "7")]
-    due_ms: u64,
+    time_ms: u64,
     #[prost(message, optional, tag = "8")]
     answer: Option<AnswerRow>,
     #[prost(string, optional, tag = "9")]
     unknown: Option<String>,
+    /// Of an unknown outcome: whether the attempt is proved to have ended.
+    /// Earlier versions didn't tell, so without it nothing is proved.
+    #[prost(bool, tag = "10")]
+    ended: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -80,6 +88,7 @@
             max_answer: limits.max_answer as u64,
             keep_ms: limits.keep_ms,
             running_ms: limits.running_ms,
+            max_unproved: limits.max_unproved as u64,
             records: self.records().iter().map(row).collect(),
         };
         snapshot.encode_to_vec()
@@ -100,6 +109,10 @@
             max_records: clamp(snapshot.max_records),
             max_bytes: clamp(snapshot.max_bytes),
             max_answer: clamp(snapshot.max_answer),
+            max_unproved: match snapshot.max_unproved {
+                0 => Limits::default().max_unproved,
+                limit => clamp(limit),
+            },
             keep_ms: snapshot.keep_ms,
             running_ms: snapshot.running_ms,
         };
@@ -122,10 +135,17 @@
 }
 
 fn row((key, record): (&CallKey, &Record)) -> Row {
-    let (answer, unknown) = match &record.verdict {
-        None => (None, None),
-        Some(Verdict::Answer(answer)) => (Some(answer_row(answer)), None),
-        Some(Verdict::Unknown(reason)) => (None, Some(reason.clone())),
+    let (answer, unknown) = match &record.state {
+        State::Running { .. } => (None, None),
+        State::Ended { verdict, .. } => match verdict {
+            Verdict::Answer(answer) => (Some(answer_row(answer)), None),
+            Verdict::Unknown(reason) => (None, Some(reason.clone())),
+        },
+        State::Unproved { reason, .. } => (None, Some(reason.clone())),
+    };
+    let time_ms = match record.state {
+        State::Running { until_ms } | State::Ended { until_ms, .. } => until_ms,
+        State::Unproved { since_ms, .. } => since_ms,
     };
     Row {
         account: key.account.clone(),
@@ -134,9 +154,10 @@
         attempt: Bytes::copy_from_slice(&record.holder.attempt.to_bytes()),
         target: record.holder.target.clone(),
         incarnation: record.holder.incarnation,
-        due_ms: record.due_ms,
+        time_ms,
         answer,
         unknown,
+        ended: matches!(record.state, State::Ended { .. }),
     }
 }
 
@@ -150,10 +171,21 @@
 }
 
 fn parse(row: Row) -> Option<(CallKey, Record)> {
-    let verdict = match (row.answer, row.unknown) {
-        (None, None) => None,
-        (Some(answer), None) => Some(Verdict::Answer(parse_answer(answer)?)),
-        (None, Some(reason)) => Some(Verdict::Unknown(reason)),
+    let until_ms = row.time_ms;
+    let state = match (row.answer, row.unknown) {
+        (None, None) => State::Running { until_ms },
+        (Some(answer), None) => State::Ended {
+            verdict: Verdict::Answer(parse_answer(answer)?),
+            until_ms,
+        },
+        (None, Some(reason)) if row.ended => State::Ended {
+            verdict: Verdict::Unknown(reason),
+            until_ms,
+        },
+        (None, Some(reason)) => State::Unproved {
+            reason,
+            since_ms: row.time_ms,
+        },
         (Some(_), Some(_)) => return None,
     };
     let record = Record {
@@ -163,8 +195,7 @@
             target: row.target,
             incarnation: row.incarnation,
         },
-        due_ms: row.due_ms,
-        verdict,
+        state,
     };
     Some((CallKey::new(row.account, row.key), record))
 }
--- a/crates/ledger/src/verdict.rs
+++ b/crates/ledger/src/verdict.rs
@@ -5,9 +5,9 @@
 /// The result that a finish records.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
-    /// The target's whole answer.
+    /// The target's whole answer, which proves that the attempt ended.
     Answer(Answer),
-    /// Whether the call ran can't be learnt any more, and why.
+    /// Nobody can tell whether the call ran or will yet run, and why.
     Unknown(String),
 }
 
--- a/crates/ledger/tests/ledger.rs
+++ b/crates/ledger/tests/ledger.rs
@@ -1,6 +1,6 @@
 //! Claims, finishes, releases and expiry, and schedules of them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use ledger::{Answer, Attempt, CallKey, Claim, Claimed, Digest, Ledger, Limits, Verdict};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
@@ -10,6 +10,7 @@
         max_records: 4,
         max_bytes: 8_000,
         max_answer: 1_000,
+        max_unproved: 4,
         keep_ms: 100,
         running_ms: 50,
     }
@@ -84,7 +85,115 @@
         ledger.claim(claim(1, 2), 149),
         Claimed::Unknown(_)
     ));
-    assert_eq!(ledger.claim(claim(1, 2), 150), Claimed::Claimed);
+}
+
+#[test]
+fn expire_unproved() {
+    // A host is paused just before its agent writes a call to the target, for
+    // longer than any record is kept. The caller asks again; were the key free
+    // by then, the call would run, and once more when the host goes on.
+    for told in [false, true] {
+        let mut ledger = Ledger::new(limits());
+        let key = claim(1, 1).key;
+        ledger.claim(claim(1, 1), 0);
+        if told {
+            let lost = Verdict::Unknown("the target was restarted".into());
+            assert!(ledger.finish(&key, Attempt(1), lost, 1).0);
+        }
+        for now in [150, 10_000, u64::MAX / 2] {
+            let Claimed::Unknown(unknown) = ledger.claim(claim(1, 2), now) else {
+                panic!("free after {now} ms");
+            };
+            assert_eq!(unknown.holder.unwrap().attempt, Attempt(1));
+        }
+        assert_eq!(ledger.unproved_len(), 1);
+    }
+}
+
+#[test]
+fn finish_unproved_with_answer() {
+    // The paused host goes on and the call runs after all. Its answer proves
+    // that it ended: the caller gets it, and the record goes in due time.
+    let mut ledger = Ledger::new(limits());
+    let key = claim(1, 1).key;
+    ledger.claim(claim(1, 1), 0);
+    ledger.expire(1_000);
+    let lost = Verdict::Unknown("lost".into());
+    assert!(!ledger.finish(&key, Attempt(1), lost, 1_001).0);
+    assert!(!ledger.finish(&key, Attempt(2), answer("b").into(), 1_001).0);
+    assert!(ledger.finish(&key, Attempt(1), answer("a").into(), 1_001).0);
+    assert_eq!(
+        ledger.claim(claim(1, 2), 1_002),
+        Claimed::Finished(answer("a"))
+    );
+    assert_eq!(ledger.claim(claim(1, 2), 1_101), Claimed::Claimed);
+}
+
+#[test]
+fn release_unproved() {
+    // A release comes long after its claim became unknown. The agent whose
+    // word it carries may have forgotten by then that it ran the call.
+    let mut ledger = Ledger::new(limits());
+    let key = claim(1, 1).key;
+    ledger.claim(claim(1, 1), 0);
+    assert!(!ledger.release(&key, Attempt(1), 60).0);
+    assert!(matches!(ledger.claim(claim(1, 2), 61), Claimed::Unknown(_)));
+}
+
+#[test]
+fn forget_twice() {
+    // An operator gives the word for a call, loses the answer and gives it
+    // again, after the key was claimed anew. The new claim must stand.
+    let mut ledger = Ledger::new(limits());
+    let key = claim(1, 1).key;
+    ledger.claim(claim(1, 1), 0);
+    assert_eq!(ledger.forget(Attempt(1), 1), None, "it may be running");
+    assert_eq!(ledger.forget(Attempt(1), 50), Some(key));
+    assert_eq!(ledger.claim(claim(1, 2), 51), Claimed::Claimed);
+    assert_eq!(ledger.forget(Attempt(1), 52), None);
+    assert!(matches!(ledger.claim(claim(1, 3), 53), Claimed::Running(_)));
+}
+
+#[test]
+fn claim_unproved_full() {
+    // Calls whose outcome is unknown pile up and no operator looks at them.
+    // New calls are refused before they run, rather than old ones forgotten.
+    let limits = Limits {
+        max_records: 100,
+        max_bytes: 1 << 20,
+        ..limits()
+    };
+    let mut ledger = Ledger::new(limits);
+    for key in 1..=4 {
+        assert_eq!(ledger.claim(claim(key, 1), 0), Claimed::Claimed);
+    }
+    assert_eq!(ledger.claim(claim(5, 1), 0), Claimed::Full);
+    assert_eq!(ledger.claim(claim(5, 1), 1_000), Claimed::Full);
+    assert_eq!(ledger.unproved().count(), 4);
+    ledger.forget(Attempt(1), 1_000);
+    assert_eq!(ledger.claim(claim(5, 1), 1_000), Claimed::Claimed);
+}
+
+#[test]
+fn from_slice_first_version() {
+    // Control is upgraded; its snapshot has no limit of unproved calls and no
+    // word on which outcomes were proved. What it remembers of calls whose outcome is
+    // unknown must not become free by that.
+    let mut ledger = Ledger::new(limits());
+    let key = claim(1, 1).key;
+    ledger.claim(claim(1, 1), 0);
+    ledger.finish(&key, Attempt(1), Verdict::Unknown("lost".into()), 1);
+    let now = ledger.to_bytes();
+    // Field 8, the limit, is written last: its tag and a value of one byte.
+    let (first, added) = now.split_at(now.len() - 2);
+    assert_eq!(added, [8 << 3, 4]);
+    let mut restored = Ledger::from_slice(first).unwrap();
+    assert_eq!(
+        restored.limits().max_unproved,
+        Limits::default().max_unproved
+    );
+    let stands = restored.claim(claim(1, 2), 1_000_000);
+    assert!(matches!(stands, Claimed::Unknown(_)));
 }
 
 #[test]
@@ -153,48 +262,61 @@
         Step {
             key: u8::arbitrary(g) % 3,
             attempt: u8::arbitrary(g) % 5,
-            kind: u8::arbitrary(g) % 8,
+            kind: u8::arbitrary(g) % 9,
             wait: u8::arbitrary(g) % 30,
         }
     }
 }
 
-/// Keeps its own account of the attempts that may be running for each key.
+/// Keeps its own account of the attempts that may write to their target now or
+/// at any later time: an attempt that was granted its key stays among them,
+/// however long it is stopped, until it was barred, until its answer came, or
+/// until an operator has made sure that it is over.
 fn at_most_one(steps: Vec<Step>) -> bool {
     let limits = limits();
     let mut ledger = Ledger::new(limits);
-    let mut holder: BTreeMap<u8, (u8, u64)> = BTreeMap::new();
+    let mut may_write: BTreeMap<u8, BTreeSet<u128>> = BTreeMap::new();
     let mut now = 0;
     for step in steps {
-        now += u64::from(step.wait);
-        // A record may go only `keep_ms` after the claim at the earliest.
-        holder.retain(|_, (_, since)| now < *since + limits.keep_ms);
+        now += u64::from(step.wait) * u64::from(step.wait);
         let key = claim(step.key, 0).key;
         let attempt = Attempt(step.attempt.into());
+        let live = may_write.entry(step.key).or_default();
         match step.kind {
             0..=3 => {
                 if ledger.claim(claim(step.key, attempt.0), now) == Claimed::Claimed {
-                    let entry = holder.entry(step.key).or_insert((step.attempt, now));
-                    if entry.0 != step.attempt {
-                        return false;
-                    }
+                    live.insert(attempt.0);
+                }
+            }
+            4 => {
+                let (stored, _) = ledger.finish(&key, attempt, answer("a").into(), now);
+                if stored && !live.remove(&attempt.0) {
+                    return false;
                 }
             }
-            4 => drop(ledger.finish(&key, attempt, answer("a").into(), now)),
             5 => drop(ledger.finish(&key, attempt, Verdict::Unknown("u".into()), now)),
             6 => {
-                let released = ledger.release(&key, attempt, now).0;
-                let held = holder.get(&step.key).map(|(attempt, _)| *attempt);
-                if released && held != Some(step.attempt) {
+                if ledger.release(&key, attempt, now).0 && !live.remove(&attempt.0) {
                     return false;
                 }
-                if released {
-                    holder.remove(&step.key);
+            }
+            7 => {
+                if let Some(key) = ledger.forget(attempt, now) {
+                    let live = may_write.entry(key.key[0]).or_default();
+                    if !live.remove(&attempt.0) {
+                        return false;
+                    }
                 }
             }
             _ => ledger.expire(now.saturating_sub(40)),
         }
-        if ledger.len() > limits.max_records || ledger.bytes() > limits.max_bytes {
+        if may_write.values().any(|live| live.len() > 1) {
+            return false;
+        }
+        if ledger.len() > limits.max_records
+            || ledger.bytes() > limits.max_bytes
+            || ledger.running() + ledger.unproved_len() > limits.max_unproved
+        {
             return false;
         }
         // A replica that restores here goes on exactly as this one does.
@@ -208,9 +330,10 @@
 
 #[test]
 fn claim_any_schedule() {
-    // Claims, finishes and releases of several attempts arrive in any order
-    // and late. Two that both believe they hold a key would send the same
-    // crew twice.
+    // Claims, finishes, releases and operators' words on several attempts
+    // arrive in any order and late, and an attempt may be stopped before it
+    // writes to its target and go on at any later time. Two that may both
+    // write would send the same crew twice.
     QuickCheck::new()
         .rng(Gen::from_size_and_seed(120, 4711))
         .tests(2_000)
--- a/crates/lovageramp/src/client/command.rs
+++ b/crates/lovageramp/src/client/command.rs
@@ -41,6 +41,13 @@
         #[bpaf(external(quarantine_command))]
         command: QuarantineCommand,
     },
+    /// List and forget calls whose outcome nobody knows
+    #[bpaf(command("ledger"))]
+    Ledger {
+        /// What to do with the ledger.
+        #[bpaf(external(ledger_command))]
+        command: LedgerCommand,
+    },
 }
 
 /// Commands about release notes
@@ -152,6 +159,37 @@
     },
 }
 
+/// Commands about non-repeatable calls whose outcome nobody knows
+#[derive(Bpaf, Clone, Debug)]
+pub enum LedgerCommand {
+    /// List the calls that may have run, or may run yet, oldest first
+    #[bpaf(command("list"))]
+    List {
+        /// How to print.
+        #[bpaf(external(format))]
+        format: Format,
+        /// How to reach the system.
+        #[bpaf(external(access))]
+        access: Access,
+    },
+    /// Free the key of such a call, so that it runs when it is sent again
+    ///
+    /// Only after its service was asked whether the call ran, and neither the
+    /// service nor the agent of that time can run it any more.
+    #[bpaf(command("forget"))]
+    Forget {
+        /// How to print.
+        #[bpaf(external(format))]
+        format: Format,
+        /// How to reach the system.
+        #[bpaf(external(access))]
+        access: Access,
+        /// The attempt, as listed
+        #[bpaf(positional("ATTEMPT"))]
+        attempt: String,
+    },
+}
+
 /// The parser of the client's commands.
 #[must_use]
 pub fn commands() -> impl Parser<Command> {
--- a/crates/lovageramp/src/client/mod.rs
+++ b/crates/lovageramp/src/client/mod.rs
@@ -1,4 +1,4 @@
-//! The operators' client: release notes, status, draining, quarantine.
+//! The operators' client: release notes, status, draining, quarantine, ledger.
 //!
 //! Any host may be named, entry or control; the next one is tried when one
 //! doesn't answer. All commands are idempotent, so trying again is harmless.
@@ -10,6 +10,7 @@
 mod failure;
 mod format;
 mod http;
+mod ledger;
 mod note;
 mod quarantine;
 mod status;
@@ -17,7 +18,9 @@
 mod target;
 
 pub use self::access::Access;
-pub use self::command::{Command, NoteCommand, QuarantineCommand, TargetCommand, commands};
+pub use self::command::{
+    Command, LedgerCommand, NoteCommand, QuarantineCommand, TargetCommand, commands,
+};
 pub use self::exit::Exit;
 pub use self::failure::Failure;
 pub use self::format::Format;
@@ -31,6 +34,7 @@
         Command::Status { format, access } => (format, status::run(&access, format).await),
         Command::Target { command } => target::run(command).await,
         Command::Quarantine { command } => quarantine::run(command).await,
+        Command::Ledger { command } => ledger::run(command).await,
     };
     match result {
         Ok(text) => {
--- a/crates/wire/src/gen/lovageramp.rs
+++ b/crates/wire/src/gen/lovageramp.rs
@@ -443,7 +443,10 @@
     /// orders the command.
     #[prost(uint64, tag = "1")]
     pub now_ms: u64,
-    #[prost(oneof = "command::Body", tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19")]
+    #[prost(
+        oneof = "command::Body",
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
+    )]
     pub body: ::core::option::Option<command::Body>,
 }
 /// Nested message and enum types in `Command`.
@@ -470,6 +473,10 @@
         Drain(super::Drain),
         #[prost(message, tag = "19")]
         Batch(super::Batch),
+        #[prost(message, tag = "20")]
+        Forget(super::Forget),
+        #[prost(message, tag = "21")]
+        LedgerLimits(super::LedgerLimits),
     }
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -556,6 +563,23 @@
     #[prost(bytes = "bytes", tag = "3")]
     pub attempt: ::prost::bytes::Bytes,
 }
+/// An operator has made sure that this attempt, of which nothing is known, can't
+/// run any more: its key is free again.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Forget {
+    #[prost(bytes = "bytes", tag = "1")]
+    pub attempt: ::prost::bytes::Bytes,
+}
+/// The leader's settings of the ledger, where they differ from those in force.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct LedgerLimits {
+    #[prost(uint64, tag = "1")]
+    pub keep_ms: u64,
+    #[prost(uint64, tag = "2")]
+    pub running_ms: u64,
+    #[prost(uint64, tag = "3")]
+    pub max_unproved: u64,
+}
 /// A target crashed while these requests ran on it.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Crashed {
@@ -607,7 +631,10 @@
 pub struct Outcome {
     #[prost(uint64, tag = "1")]
     pub index: u64,
-    #[prost(oneof = "outcome::Body", tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19")]
+    #[prost(
+        oneof = "outcome::Body",
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
+    )]
     pub body: ::core::option::Option<outcome::Body>,
 }
 /// Nested message and enum types in `Outcome`.
@@ -635,6 +662,10 @@
         /// Not committed and never will be by this call, or not known to be.
         #[prost(message, tag = "19")]
         Unavailable(super::Unavailable),
+        #[prost(message, tag = "20")]
+        Forget(super::ForgetOutcome),
+        #[prost(message, tag = "21")]
+        LedgerLimits(super::LedgerLimits),
     }
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -726,6 +757,8 @@
 pub struct ClaimOutcome {
     #[prost(enumeration = "claim_outcome::Kind", tag = "1")]
     pub kind: i32,
+    /// The attempt that holds the key; with UNKNOWN only if nobody has proved that
+    /// it ended: then its answer is still taken.
     #[prost(bytes = "bytes", tag = "2")]
     pub attempt: ::prost::bytes::Bytes,
     #[prost(string, tag = "3")]
@@ -810,6 +843,15 @@
     pub record: ::core::option::Option<ClaimOutcome>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ForgetOutcome {
+    #[prost(bool, tag = "1")]
+    pub known: bool,
+    #[prost(string, tag = "2")]
+    pub account: ::prost::alloc::string::String,
+    #[prost(bytes = "bytes", tag = "3")]
+    pub key: ::prost::bytes::Bytes,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct CrashedOutcome {
     #[prost(bytes = "bytes", repeated, tag = "1")]
     pub suspects: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
@@ -861,7 +903,7 @@
 /// Linearizable reads, by read-index at the leader.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Query {
-    #[prost(oneof = "query::Body", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "query::Body", tags = "1, 2, 3, 4, 5, 6")]
     pub body: ::core::option::Option<query::Body>,
 }
 /// Nested message and enum types in `Query`.
@@ -878,12 +920,17 @@
         Map(super::MapQuery),
         #[prost(message, tag = "5")]
         Note(super::NoteQuery),
+        #[prost(message, tag = "6")]
+        Ledger(super::LedgerQuery),
     }
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct StatusQuery {}
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct QuarantineQuery {}
+/// The calls whose outcome is unknown.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct LedgerQuery {}
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RecordQuery {
     #[prost(string, tag = "1")]
