Prove that a stopped agent's call runs once, through processes

Seen: nothing showed at the processes that a call whose agent stands still for longer than its record's time isn't run beside it.

Change: the relay of the tests holds what a connection carries from a given message on, so that a moment is forced and not timed; the ledger's times are shortened by settings.

--- a/crates/lovageramp/tests/support/cluster.rs
+++ b/crates/lovageramp/tests/support/cluster.rs
@@ -33,6 +33,8 @@
     pub step_ms: u32,
     /// Requests that an engine runs at once.
     pub limit: u32,
+    /// Settings of the controls' ledger, where they differ from the defaults.
+    pub ledger: Value,
 }
 
 impl Default for ClusterPlan {
@@ -44,6 +46,7 @@
             services: 2,
             step_ms: 2,
             limit: 64,
+            ledger: json!({}),
         }
     }
 }
@@ -184,6 +187,7 @@
         settings["data"] = json!(data);
         settings["operator_token_file"] = json!(self.path("operator.token"));
         settings["replicas"] = replicas.into();
+        settings["ledger"] = self.plan.ledger.clone();
         let file = self.write_settings(&name, &settings);
         let first_start = number == 1 && !self.path("began").exists();
         if first_start {
--- a/crates/lovageramp/tests/support/faults.rs
+++ b/crates/lovageramp/tests/support/faults.rs
@@ -71,6 +71,20 @@
         .await;
     }
 
+    /// The time of the durable state, in milliseconds that there was a leader.
+    pub async fn ledger_time_ms(&self) -> Option<u64> {
+        self.any_status().await?["ledger"]["time_ms"].as_u64()
+    }
+
+    /// Waits until one of these relays holds something, and says which.
+    pub async fn until_held(&self, relays: &[String]) -> String {
+        until("bytes are held", || async {
+            let mut relays = relays.iter();
+            relays.find(|name| self.relays[*name].is_holding()).cloned()
+        })
+        .await
+    }
+
     /// `GET /v1/operator/status` of any host that answers.
     pub async fn status(&self, host: &str) -> Option<Value> {
         let bearer = format!("Bearer {}", super::cluster::TOKEN);
--- a/crates/lovageramp/tests/support/relay.rs
+++ b/crates/lovageramp/tests/support/relay.rs
@@ -19,6 +19,20 @@
     Cut,
 }
 
+/// From which bytes on connections hold what goes through them.
+#[derive(Clone, Debug)]
+struct Hold {
+    direction: Direction,
+    /// A connection holds from the chunk on that has these bytes.
+    from: Vec<u8>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Direction {
+    There,
+    Back,
+}
+
 /// A relay before one address; the address may change when a process is restarted.
 pub struct Relay {
     /// Where to connect to.
@@ -33,6 +47,9 @@
     swallow: watch::Sender<(u64, u64)>,
     count: Mutex<u64>,
     bytes: AtomicU64,
+    hold: watch::Sender<Option<Hold>>,
+    /// Connections that hold something now.
+    holding: AtomicU64,
 }
 
 impl Relay {
@@ -46,6 +63,8 @@
             swallow: watch::Sender::new((0, 0)),
             count: Mutex::new(0),
             bytes: AtomicU64::new(0),
+            hold: watch::Sender::new(None),
+            holding: AtomicU64::new(0),
         });
         tokio::spawn(serve(listener, Arc::clone(&state)));
         Relay { address, state }
@@ -78,6 +97,32 @@
         self.state.swallow.send_modify(|limits| limits.1 = count);
     }
 
+    /// A connection that carries these bytes towards the target holds them and all
+    /// that follows, until released.
+    pub fn hold_there(&self, from: &str) {
+        self.hold(Direction::There, from);
+    }
+
+    /// The same with bytes that come back from the target.
+    pub fn hold_back(&self, from: &str) {
+        self.hold(Direction::Back, from);
+    }
+
+    fn hold(&self, direction: Direction, from: &str) {
+        let from = from.as_bytes().to_vec();
+        self.state.hold.send_replace(Some(Hold { direction, from }));
+    }
+
+    /// Whether a connection holds something.
+    pub fn is_holding(&self) -> bool {
+        self.state.holding.load(Ordering::Relaxed) > 0
+    }
+
+    /// Hands on what is held, and holds nothing any more.
+    pub fn release(&self) {
+        self.state.hold.send_replace(None);
+    }
+
     /// Bytes that went through, both ways.
     pub fn bytes(&self) -> u64 {
         self.state.bytes.load(Ordering::Relaxed)
@@ -117,9 +162,12 @@
     let (near_rx, near_tx) = near.into_split();
     let (far_rx, far_tx) = far.into_split();
     let mut mode = state.mode.subscribe();
-    let bytes = &state.bytes;
-    let there = copy(near_rx, far_tx, bytes, || number < state.swallow.borrow().0);
-    let back = copy(far_rx, near_tx, bytes, || number < state.swallow.borrow().1);
+    let there = copy(near_rx, far_tx, Direction::There, &state, || {
+        number < state.swallow.borrow().0
+    });
+    let back = copy(far_rx, near_tx, Direction::Back, &state, || {
+        number < state.swallow.borrow().1
+    });
     tokio::select! {
         ((), ()) = async { tokio::join!(there, back) } => {}
         _ = mode.wait_for(|mode| *mode == Mode::Cut) => {}
@@ -129,15 +177,17 @@
 async fn copy(
     mut from: impl AsyncReadExt + Unpin,
     mut to: impl AsyncWriteExt + Unpin,
-    bytes: &AtomicU64,
+    direction: Direction,
+    state: &State,
     swallows: impl Fn() -> bool,
 ) {
     let mut buf = vec![0; 64 << 10];
     while let Ok(n @ 1..) = from.read(&mut buf).await {
-        bytes.fetch_add(n as u64, Ordering::Relaxed);
+        state.bytes.fetch_add(n as u64, Ordering::Relaxed);
         if swallows() {
             continue;
         }
+        wait_while_held(direction, &buf[..n], state).await;
         if to.write_all(&buf[..n]).await.is_err() {
             break;
         }
@@ -148,3 +198,17 @@
     }
     let _ = to.shutdown().await;
 }
+
+/// A message goes into one write of its process, so that it lies in one chunk here.
+async fn wait_while_held(direction: Direction, chunk: &[u8], state: &State) {
+    let mut hold = state.hold.subscribe();
+    let is_held = hold.borrow().as_ref().is_some_and(|hold| {
+        let mut windows = chunk.windows(hold.from.len());
+        hold.direction == direction && windows.any(|window| window == hold.from)
+    });
+    if is_held {
+        state.holding.fetch_add(1, Ordering::Relaxed);
+        let _ = hold.wait_for(Option::is_none).await;
+        state.holding.fetch_sub(1, Ordering::Relaxed);
+    }
+}
