--- a/crates/lovageramp/tests/support/relay.rs
+++ b/crates/lovageramp/tests/support/relay.rs
@@ -23,8 +23,9 @@
 #[derive(Clone, Debug)]
 struct Hold {
     direction: Direction,
-    /// A connection holds from the chunk on that has these bytes.
-    from: Vec<u8>,
+    /// A connection holds from the chunk on that has these bytes; without any, only
+    /// those hold on that do so already.
+    from: Option<Vec<u8>>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -109,10 +110,19 @@
     }
 
     fn hold(&self, direction: Direction, from: &str) {
-        let from = from.as_bytes().to_vec();
+        let from = Some(from.as_bytes().to_vec());
         self.state.hold.send_replace(Some(Hold { direction, from }));
     }
 
+    /// No further connection begins to hold.
+    pub fn hold_no_other(&self) {
+        self.state.hold.send_modify(|hold| {
+            if let Some(hold) = hold {
+                hold.from = None;
+            }
+        });
+    }
+
     /// Whether a connection holds something.
     pub fn is_holding(&self) -> bool {
         self.state.holding.load(Ordering::Relaxed) > 0
@@ -203,8 +213,8 @@
 async fn wait_while_held(direction: Direction, chunk: &[u8], state: &State) {
     let mut hold = state.hold.subscribe();
     let is_held = hold.borrow().as_ref().is_some_and(|hold| {
-        let mut windows = chunk.windows(hold.from.len());
-        hold.direction == direction && windows.any(|window| window == hold.from)
+        let has = |from: &Vec<u8>| chunk.windows(from.len()).any(|window| window == from);
+        hold.direction == direction && hold.from.as_ref().is_some_and(has)
     });
     if is_held {
         state.holding.fetch_add(1, Ordering::Relaxed);
