--- a/crates/lovageramp/tests/support/cluster.rs
+++ b/crates/lovageramp/tests/support/cluster.rs
@@ -36,6 +36,8 @@
     pub limit: u32,
     /// Controls run with disks that can be made to fail, see [`super::disks`].
     pub faulty_disks: bool,
+    /// Settings of the controls' ledger, where they differ from the defaults.
+    pub ledger: Value,
 }
 
 impl Default for ClusterPlan {
@@ -48,6 +50,7 @@
             step_ms: 2,
             limit: 64,
             faulty_disks: false,
+            ledger: json!({}),
         }
     }
 }
@@ -194,6 +197,7 @@
         settings["data"] = json!(data);
         settings["operator_token_file"] = json!(self.path("operator.token"));
         settings["replicas"] = replicas.into();
+        settings["ledger"] = self.plan.ledger.clone();
         let file = self.write_settings(&name, &settings);
         let first_start = number == 1 && !self.path("began").exists();
         if first_start {
