Show one expert map a step through separate processes

Stand-in engines of one group now step in a collective over TCP, so that each can be a process of its own; it records the map of each rank in each step and can lose a rank or take one back. It replaces the lock-step within one process, which the tests of fake and agent used; their checks are the same.

Cause: an outcome did not raise the number that an agent knows, so its engine was let go under the number of the frozen coordinator, and what that one sends after it thaws passed for current. The number is raised now; on_message_old_fencing_after_outcome holds it in the crate.

--- a/crates/agent/tests/maps.rs
+++ b/crates/agent/tests/maps.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 
-use fake::{Engine, EngineSettings, FencingCheck, Lockstep};
+use fake::{Collective, Engine, EngineSettings, FencingCheck};
 use serde_json::{Value, json};
 use support::{Bench, Control, GROUP, until};
 
@@ -13,6 +13,7 @@
 /// A group of three ranks whose first expert is far hotter than the others.
 struct Group {
     control: Control,
+    _collective: Collective,
     engines: Vec<Engine>,
     agents: BTreeMap<&'static str, Bench>,
 }
@@ -21,13 +22,13 @@
     async fn start(control: Control, fencing: FencingCheck) -> Self {
         control.notes(vec![note()]);
         control.show_agents();
-        let lockstep = Lockstep::new();
+        let collective = Collective::start(0..3).await.unwrap();
         let mut engines = Vec::new();
         for rank in 0..3 {
             let cfg = EngineSettings {
                 ranks: vec![rank],
                 popularity: vec![300, 10, 10, 10, 10, 10],
-                lockstep: Some(lockstep.clone()),
+                collective: Some(collective.address()),
                 fencing,
                 ..EngineSettings::default()
             };
@@ -35,6 +36,7 @@
         }
         let mut group = Group {
             control,
+            _collective: collective,
             engines,
             agents: BTreeMap::new(),
         };
--- a/crates/expert/src/participant.rs
+++ b/crates/expert/src/participant.rs
@@ -116,11 +116,16 @@
                 }
             }
             CoordinatorMessage::Outcome {
+                fencing,
                 version,
                 barrier_step,
                 verdict,
-                ..
             } => {
+                // The next coordinator's first message is the abort of what
+                // hangs. If its number weren't heeded here, the engine would
+                // be let go under the former one, and what the superseded
+                // coordinator still sends would pass for current.
+                self.fencing = self.fencing.max(fencing);
                 if version <= self.resolved {
                     return vec![send(from, ParticipantMessage::Applied { version })];
                 }
--- a/crates/expert/tests/participant.rs
+++ b/crates/expert/tests/participant.rs
@@ -100,6 +100,27 @@
     );
 }
 
+#[test]
+fn on_message_old_fencing_after_outcome() {
+    // All that was heard of the next coordinator is the abort of what hung.
+    // The former one thaws and goes on as if it led: the engine ignores
+    // fencing numbers, so the order must end here.
+    let (mut participant, now) = ready(Instant::now());
+    participant.on_message("a", stage(1, 1), now);
+    let abort = CoordinatorMessage::Outcome {
+        fencing: 2,
+        version: 1,
+        barrier_step: 0,
+        verdict: Verdict::Abort,
+    };
+    participant.on_message("b", abort, now);
+    let outputs = participant.on_message("a", stage(1, 3), now);
+    assert_eq!(
+        answers(&outputs),
+        [ParticipantMessage::Fenced { fencing: 2 }]
+    );
+}
+
 #[test]
 fn on_message_late_stage() {
     // A message of a switch that is over arrives late.
--- a/crates/fake/src/engine.rs
+++ b/crates/fake/src/engine.rs
@@ -14,6 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::batch::{Batch, lock};
+use crate::collective_member::CollectiveMember;
 use crate::completion::{Completion, Form};
 use crate::expert_state::ExpertState;
 use crate::faults::Faults;
@@ -55,7 +56,7 @@
     pub shared: Arc<Shared>,
     pub batch: Batch,
     pub experts: watch::Sender<ExpertState>,
-    dead: CancellationToken,
+    pub dead: CancellationToken,
     /// Differs after each restart.
     instance: String,
 }
@@ -163,7 +164,10 @@
     ) -> io::Result<(Arc<Life>, SocketAddr)> {
         let life = Arc::new(Life {
             batch: Batch::new(shared.cfg.limit),
-            experts: watch::Sender::new(ExpertState::default()),
+            experts: watch::Sender::new(ExpertState::new(
+                shared.cfg.waits,
+                shared.cfg.popularity.len(),
+            )),
             dead: CancellationToken::new(),
             instance: instance(),
             shared,
@@ -207,21 +211,27 @@
     }
 }
 
-async fn step_for_ever(life: &Life) {
-    let mut member = life.shared.cfg.lockstep.as_ref().map(crate::Lockstep::join);
-    let mut step = member.as_ref().map_or(0, |member| member.step);
+async fn step_for_ever(life: &Arc<Life>) {
+    let cfg = &life.shared.cfg;
+    let mut member = cfg
+        .collective
+        .map(|address| CollectiveMember::join(address, Arc::clone(life)));
+    let mut step = 0;
     loop {
         tokio::time::sleep(life.step_time().max(IDLE_STEP)).await;
         life.shared.faults.wait_out(&Fault::Stall).await;
-        step += 1;
-        if let Some(member) = &member {
-            member.await_turn(step).await;
-        }
+        step = match &mut member {
+            Some(member) => member.after(step).await,
+            None => step + 1,
+        };
         let mut experts = life.experts.subscribe();
         let _ = experts.wait_for(|experts| experts.may_run(step)).await;
-        life.experts.send_modify(|experts| experts.run(step));
-        if let Some(member) = &mut member {
-            member.end(step);
+        life.experts.send_modify(|experts| {
+            experts.run(step);
+            experts.count(&cfg.popularity, cfg.drift_steps);
+        });
+        if let Some(member) = &member {
+            member.end(&life.experts.borrow());
         }
         life.batch.step.send_replace(step);
     }
@@ -371,6 +381,7 @@
         "priority": true,
         "checks_fencing": cfg.fencing == crate::FencingCheck::Refuse,
         "exports_kv": false,
+        "waits_for_map": cfg.waits,
         "instance": life.instance,
     })
 }
--- a/crates/fake/src/engine_settings.rs
+++ b/crates/fake/src/engine_settings.rs
@@ -3,8 +3,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::Lockstep;
-
 /// How an engine behaves.
 #[derive(Clone, Debug)]
 pub struct EngineSettings {
@@ -33,8 +31,13 @@
     pub layers: usize,
     /// Tokens that each step adds to each expert of a layer, by expert.
     pub popularity: Vec<u32>,
-    /// Steps in common with the other engines of its group.
-    pub lockstep: Option<Lockstep>,
+    /// Steps after which the popularity moves on by one expert; 0 for never.
+    pub drift_steps: u64,
+    /// The collective that it steps in with the other engines of its group.
+    pub collective: Option<SocketAddr>,
+    /// Whether it runs no step after a start until it is told which maps are
+    /// in force.
+    pub waits: bool,
 }
 
 /// What an engine does with an old fencing number.
@@ -61,7 +64,9 @@
             stage: Duration::ZERO,
             layers: 2,
             popularity: vec![4, 3, 2, 1],
-            lockstep: None,
+            drift_steps: 0,
+            collective: None,
+            waits: false,
         }
     }
 }
--- a/crates/fake/src/expert_state.rs
+++ b/crates/fake/src/expert_state.rs
@@ -1,6 +1,7 @@
 //! Steps and expert maps of an engine.
 
 use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
 
 /// What an engine knows of its steps and maps.
 #[derive(Clone, Debug, Default)]
@@ -9,41 +10,92 @@
     pub step: u64,
     /// Version of the map that it ran with.
     pub version: u64,
-    /// Version and content of the map that is loaded but not in use.
-    pub staged: Option<(u64, Value)>,
+    /// Digest of that map; empty for the one that it was started with.
+    pub content: String,
+    /// The map that is loaded but not in use.
+    pub staged: Option<Loaded>,
     /// The step that doesn't run until the outcome is known.
     pub held: Option<u64>,
-    /// From which step on another version is in use.
-    next: Option<(u64, u64)>,
+    /// From which step on another map is in use.
+    next: Option<(u64, Loaded)>,
+    /// Whether no step runs until it is told which maps are in force.
+    pub waiting: bool,
+    /// Number of the formation that it steps in, and the ranks of that.
+    pub formation: Option<(u64, Vec<u32>)>,
     /// The highest fencing number seen.
     pub fencing: u64,
     /// Each version that ran, and its first step.
     pub history: Vec<(u64, u64)>,
+    /// Tokens that each expert of a layer has computed.
+    pub tokens: Vec<u64>,
+}
+
+/// A map that is loaded.
+#[derive(Clone, Debug)]
+pub(crate) struct Loaded {
+    pub version: u64,
+    pub content: String,
+}
+
+impl Loaded {
+    pub fn new(version: u64, map: &Value) -> Self {
+        let digest = Sha256::digest(map.to_string());
+        let content = digest[..8].iter().map(|byte| format!("{byte:02x}"));
+        Loaded {
+            version,
+            content: content.collect(),
+        }
+    }
 }
 
 impl ExpertState {
+    /// An engine that was just started.
+    pub fn new(waiting: bool, experts: usize) -> Self {
+        ExpertState {
+            waiting,
+            tokens: vec![0; experts],
+            ..ExpertState::default()
+        }
+    }
+
     pub fn may_run(&self, step: u64) -> bool {
-        self.held.is_none_or(|held| step < held)
+        !self.waiting && self.held.is_none_or(|held| step < held)
     }
 
     pub fn run(&mut self, step: u64) {
         self.step = step;
-        if let Some((_, version)) = self.next.take_if(|(from, _)| step >= *from) {
-            self.version = version;
+        if let Some((_, next)) = self.next.take_if(|(from, _)| step >= *from) {
+            self.change(next);
         }
         if self.history.last().map(|(_, version)| *version) != Some(self.version) {
             self.history.push((step, self.version));
         }
     }
 
-    pub fn stage(&mut self, version: u64, map: Value) -> Value {
-        self.staged = Some((version, map));
+    /// Counts a step's tokens; which expert is hot moves on every `drift`
+    /// steps.
+    pub fn count(&mut self, popularity: &[u32], drift: u64) {
+        let experts = popularity.len();
+        let turn = self.step.checked_div(drift).unwrap_or_default();
+        let turn = usize::try_from(turn).unwrap_or_default();
+        for (expert, tokens) in popularity.iter().enumerate() {
+            self.tokens[(expert + turn) % experts] += u64::from(*tokens);
+        }
+    }
+
+    fn change(&mut self, map: Loaded) {
+        self.version = map.version;
+        self.content = map.content;
+    }
+
+    pub fn stage(&mut self, map: Loaded) -> Value {
+        let version = map.version;
+        self.staged = Some(map);
         json!({"version": version, "ready": true, "step": self.step})
     }
 
     pub fn hold(&mut self, version: u64, step: u64) -> Value {
-        let staged = self.staged.as_ref().map(|(staged, _)| *staged);
-        let held = staged == Some(version) && self.step < step;
+        let held = self.is_staged(version) && self.step < step;
         if held {
             self.held = Some(step);
         }
@@ -51,25 +103,47 @@
     }
 
     pub fn outcome(&mut self, version: u64, step: u64, end: MapEnd) -> Value {
-        let staged = self.staged.as_ref().map(|(staged, _)| *staged);
-        let known = staged == Some(version);
-        if known {
-            self.staged = None;
+        let staged = self.staged.take_if(|staged| staged.version == version);
+        let known = staged.is_some();
+        if let Some(staged) = staged {
             self.held = None;
-        }
-        if known && end == MapEnd::Commit {
-            self.next = Some((step, version));
+            if end == MapEnd::Commit {
+                self.next = Some((step, staged));
+            }
         }
         json!({"version": self.version, "known": known, "step": self.step})
     }
 
+    /// Takes over the maps in force, each with its first step, oldest first,
+    /// and goes on; does nothing unless it waits for them.
+    pub fn join(&mut self, maps: Vec<(u64, Loaded)>) -> Value {
+        if std::mem::take(&mut self.waiting) {
+            for (from, map) in maps {
+                if from <= self.step + 1 {
+                    self.change(map);
+                } else {
+                    self.next = Some((from, map));
+                }
+            }
+        }
+        json!({"version": self.version, "step": self.step})
+    }
+
+    fn is_staged(&self, version: u64) -> bool {
+        self.staged.as_ref().map(|staged| staged.version) == Some(version)
+    }
+
     pub fn to_json(&self) -> Value {
+        let formation = self.formation.as_ref();
         json!({
             "step": self.step,
             "version": self.version,
-            "staged": self.staged.as_ref().map(|(version, _)| version),
-            "next": self.next.map(|(_, version)| version),
+            "staged": self.staged.as_ref().map(|staged| staged.version),
+            "next": self.next.as_ref().map(|(_, next)| next.version),
             "held": self.held,
+            "waiting": self.waiting,
+            "formation": formation.map_or(0, |(number, _)| *number),
+            "ranks": formation.map(|(_, ranks)| ranks),
             "fencing": self.fencing,
         })
     }
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -16,6 +16,8 @@
 //! ```
 
 mod batch;
+mod collective;
+mod collective_member;
 mod completion;
 mod engine;
 mod engine_settings;
@@ -24,18 +26,19 @@
 mod faults;
 mod http;
 mod life;
-mod lockstep;
 mod orders;
+mod ran_step;
 mod seen;
 mod seen_log;
 mod service;
 mod service_settings;
 mod weight_store;
 
+pub use collective::Collective;
 pub use engine::Engine;
 pub use engine_settings::{EngineSettings, FencingCheck};
 pub use fault::Fault;
-pub use lockstep::Lockstep;
+pub use ran_step::RanStep;
 pub use seen::Seen;
 pub use service::Service;
 pub use service_settings::ServiceSettings;
--- a/crates/fake/src/orders.rs
+++ b/crates/fake/src/orders.rs
@@ -5,13 +5,14 @@
 use serde_json::{Value, json};
 
 use crate::engine::{Life, info};
-use crate::expert_state::{ExpertState, MapEnd};
+use crate::expert_state::{ExpertState, Loaded, MapEnd};
 use crate::http::{self, Answer, Reply};
 use crate::{Fault, FencingCheck, Seen};
 
 #[derive(Deserialize)]
 struct Order {
     fencing: u64,
+    #[serde(default)]
     version: u64,
     #[serde(default)]
     step: u64,
@@ -19,6 +20,16 @@
     commit: bool,
     #[serde(default)]
     map: Value,
+    #[serde(default)]
+    maps: Vec<InForce>,
+}
+
+/// A map and its first step.
+#[derive(Deserialize)]
+struct InForce {
+    version: u64,
+    step: u64,
+    map: Value,
 }
 
 #[derive(Deserialize)]
@@ -55,7 +66,9 @@
             http::ok(&life.batch.cache_events(after.parse().unwrap_or_default()))
         }
         ("POST", "/cancel") => cancel(life, &seen),
-        ("POST", "/map/stage" | "/map/hold" | "/map/outcome") => return order(life, seen).await,
+        ("POST", "/map/stage" | "/map/hold" | "/map/outcome" | "/map/join") => {
+            return order(life, seen).await;
+        }
         _ => http::problem(StatusCode::NOT_FOUND, "no such path"),
     };
     Ok(answer)
@@ -105,8 +118,13 @@
 
 fn obey(experts: &mut ExpertState, path: &str, order: Order) -> Value {
     match path {
-        "/map/stage" => experts.stage(order.version, order.map),
+        "/map/stage" => experts.stage(Loaded::new(order.version, &order.map)),
         "/map/hold" => experts.hold(order.version, order.step),
+        "/map/join" => {
+            let maps = order.maps.into_iter();
+            let loaded = |map: InForce| (map.step, Loaded::new(map.version, &map.map));
+            experts.join(maps.map(loaded).collect())
+        }
         _ => {
             let end = if order.commit {
                 MapEnd::Commit
@@ -123,12 +141,7 @@
     let cfg = &life.shared.cfg;
     let state = life.experts.borrow();
     let step_us = u64::try_from(life.step_time().as_micros()).unwrap_or(u64::MAX);
-    let layer: Vec<u64> = cfg
-        .popularity
-        .iter()
-        .map(|tokens| u64::from(*tokens) * state.step)
-        .collect();
-    let layers = vec![layer; cfg.layers];
+    let layers = vec![state.tokens.clone(); cfg.layers];
     let ranks: Vec<Value> = cfg
         .ranks
         .iter()
--- a/crates/fake/tests/engine.rs
+++ b/crates/fake/tests/engine.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use fake::{Engine, EngineSettings, Fault, FencingCheck, Lockstep};
+use fake::{Collective, Engine, EngineSettings, Fault, FencingCheck};
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
 use hyper::body::Bytes;
@@ -122,13 +122,14 @@
 async fn map_switched_in_lockstep() {
     // Two engines of a group switch at one step, also when one of them hears
     // the outcome late: the other waits for it at the barrier.
-    let lockstep = Lockstep::new();
-    let cfg = EngineSettings {
-        lockstep: Some(lockstep),
+    let collective = Collective::start([0, 1]).await.unwrap();
+    let cfg = |rank| EngineSettings {
+        ranks: vec![rank],
+        collective: Some(collective.address()),
         ..EngineSettings::default()
     };
-    let one = Engine::start(cfg.clone()).await.unwrap();
-    let two = Engine::start(cfg).await.unwrap();
+    let one = Engine::start(cfg(0)).await.unwrap();
+    let two = Engine::start(cfg(1)).await.unwrap();
     let mut barrier = 0;
     for engine in [&one, &two] {
         let stage = json!({"fencing": 1, "version": 7, "map": {}});
@@ -151,3 +152,72 @@
     assert_eq!(one.map_history(), [(1, 0), (barrier, 7)]);
     assert_eq!(two.map_history().last(), Some(&(barrier, 7)));
 }
+
+#[tokio::test]
+async fn collective_engine_back() {
+    // An engine dies and is started again. The others wait for it, and it
+    // runs no step before it is told which maps are in force.
+    let collective = Collective::start([0, 1]).await.unwrap();
+    let cfg = |rank| EngineSettings {
+        ranks: vec![rank],
+        collective: Some(collective.address()),
+        waits: true,
+        ..EngineSettings::default()
+    };
+    let one = Engine::start(cfg(0)).await.unwrap();
+    let two = Engine::start(cfg(1)).await.unwrap();
+    let none = json!({"fencing": 1, "maps": []});
+    for engine in [&one, &two] {
+        until_formed(engine, 2).await;
+        assert_eq!(engine.map()["waiting"], true);
+        order(engine, "/map/join", none.clone()).await;
+    }
+    until_step(&collective, 10).await;
+    two.restart().await.unwrap();
+    until_formed(&two, 3).await;
+    let stopped = collective.ended();
+    assert_eq!(one.map()["formation"], 3);
+    assert_eq!(two.map()["waiting"], true);
+    let map = json!({"version": 7, "step": 1, "map": {}});
+    let join = json!({"fencing": 1, "maps": [map]});
+    order(&two, "/map/join", join).await;
+    until_step(&collective, stopped + 10).await;
+    let mut last = collective.history().into_iter().rev();
+    let last = last.find(|ran| ran.ranks == [1]).unwrap();
+    assert_eq!(last.version, 7);
+}
+
+#[tokio::test]
+async fn collective_rank_lost() {
+    // An engine freezes. The others wait until its rank is declared lost, go
+    // on without it, and throw it out.
+    let collective = Collective::start([0, 1]).await.unwrap();
+    let cfg = |rank| EngineSettings {
+        ranks: vec![rank],
+        collective: Some(collective.address()),
+        ..EngineSettings::default()
+    };
+    let one = Engine::start(cfg(0)).await.unwrap();
+    let two = Engine::start(cfg(1)).await.unwrap();
+    until_step(&collective, 10).await;
+    two.fault(Fault::Stall);
+    collective.lose(1);
+    until_formed(&one, 3).await;
+    assert_eq!(one.map()["ranks"], json!([0]));
+    until_step(&collective, collective.ended() + 10).await;
+    while tokio::net::TcpStream::connect(two.address()).await.is_ok() {
+        tokio::task::yield_now().await;
+    }
+}
+
+async fn until_formed(engine: &Engine, formation: u64) {
+    while engine.map()["formation"] != formation {
+        tokio::task::yield_now().await;
+    }
+}
+
+async fn until_step(collective: &Collective, step: u64) {
+    while collective.ended() < step {
+        tokio::task::yield_now().await;
+    }
+}
--- /dev/null
+++ b/crates/lovageramp/tests/support/calls.rs
@@ -0,0 +1,60 @@
+//! Calls of the tests' client accounts.
+
+use super::{Answer, request};
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+
+/// The key of an account of the tests.
+pub fn bearer(account: &str) -> String {
+    format!("Bearer key-of-{account}")
+}
+
+/// An account's item in a note.
+pub fn account_item(account: &str) -> Value {
+    let digest = note::Digest::of(format!("key-of-{account}").as_bytes()).to_string();
+    json!({"kind": "account", "name": account, "key_sha256": digest, "share": 1,
+           "tokens_per_s": 1_000_000, "requests_per_s": 10000, "concurrent": 1000, "priority": 1})
+}
+
+/// A chat completion.
+pub async fn chat(
+    entry: SocketAddr,
+    account: &str,
+    prompt: &str,
+    stream: bool,
+) -> std::io::Result<Answer> {
+    let body = json!({"model": "burl-notes", "stream": stream, "max_tokens": 16,
+                      "messages": [{"role": "user", "content": prompt}]});
+    let bearer = bearer(account);
+    let headers = [
+        ("authorization", bearer.as_str()),
+        ("content-type", "application/json"),
+    ];
+    request(
+        entry,
+        "POST",
+        "/v1/chat/completions",
+        &headers,
+        body.to_string(),
+    )
+    .await
+}
+
+/// A call of the order desk that may not be repeated.
+pub async fn reserve(
+    entry: SocketAddr,
+    account: &str,
+    key: &str,
+    lot: &str,
+) -> std::io::Result<Answer> {
+    let bearer = bearer(account);
+    let headers = [("authorization", bearer.as_str()), ("idempotency-key", key)];
+    request(
+        entry,
+        "POST",
+        "/s/order-desk/reservations",
+        &headers,
+        lot.to_owned(),
+    )
+    .await
+}
--- a/crates/lovageramp/tests/support/cluster.rs
+++ b/crates/lovageramp/tests/support/cluster.rs
@@ -7,7 +7,7 @@
 use super::process::Process;
 use super::relay::Relay;
 use super::until::until;
-use super::{Answer, get, request};
+use super::{Answer, account_item, bearer, chat, get, request};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -33,6 +33,14 @@
     pub step_ms: u32,
     /// Requests that an engine runs at once.
     pub limit: u32,
+    /// Ranks of each engine.
+    pub ranks_each: usize,
+    /// More arguments of each engine.
+    pub engine_args: Vec<String>,
+    /// More settings of each agent before an engine.
+    pub agent_settings: Value,
+    /// Fields of the group's item in the first note that differ.
+    pub group: Value,
 }
 
 impl Default for ClusterPlan {
@@ -44,6 +52,10 @@
             services: 2,
             step_ms: 2,
             limit: 64,
+            ranks_each: 1,
+            engine_args: Vec::new(),
+            agent_settings: json!({}),
+            group: json!({}),
         }
     }
 }
@@ -237,8 +249,10 @@
         if !self.relays.contains_key(&fake) {
             self.relays.insert(fake.clone(), Relay::start().await);
         }
-        let rank = name.rsplit('-').next().unwrap().parse::<u32>().unwrap() - 1;
-        let rank = rank.to_string();
+        let number: usize = name.rsplit('-').next().unwrap().parse().unwrap();
+        let each = self.plan.ranks_each;
+        let ranks = (number - 1) * each..number * each;
+        let ranks: Vec<String> = ranks.map(|rank| rank.to_string()).collect();
         let step_ms = self.plan.step_ms.to_string();
         let limit = self.plan.limit.to_string();
         let mut args = vec!["fake", kind, "--listen", "127.0.0.1:0"];
@@ -248,13 +262,13 @@
                 &limit,
                 "--step-ms",
                 &step_ms,
-                "--rank",
-                &rank,
                 "--model",
                 "burl-notes",
                 "--version-name",
                 "2026-11",
             ]);
+            args.extend(ranks.iter().flat_map(|rank| ["--rank", rank]));
+            args.extend(self.plan.engine_args.iter().map(String::as_str));
         }
         let log = self.path(&format!("{fake}.log"));
         let process = Process::start(CLIENT, &args, &log).await;
@@ -273,6 +287,7 @@
         if name.starts_with("advisor") {
             settings["group"] = "blank-advisor".into();
             settings["engine"] = json!({ "address": address });
+            merge(&mut settings, &self.plan.agent_settings);
         } else {
             settings["service"] = "order-desk".into();
             settings["target"] = json!({ "address": address });
@@ -327,11 +342,14 @@
 
     /// The first note: one group, one service, two accounts, all targets.
     pub fn first_note(&self) -> Value {
+        let ranks = self.plan.engines.max(1) * self.plan.ranks_each;
+        let mut group = json!({"kind": "group", "name": "blank-advisor", "model": "burl-notes",
+            "ranks": ranks, "layers": 2, "experts": 8, "spare_slots": 1,
+            "weights": {"skew": 1.0, "moves": 4.0}});
+        merge(&mut group, &self.plan.group);
         let mut added = vec![
             json!({"kind": "model", "name": "burl-notes", "versions": ["2026-11"]}),
-            json!({"kind": "group", "name": "blank-advisor", "model": "burl-notes",
-                   "ranks": self.plan.engines.max(1), "layers": 2, "experts": 8, "spare_slots": 1,
-                   "weights": {"skew": 1.0, "moves": 4.0}}),
+            group,
             json!({"kind": "service", "name": "order-desk", "repeatable": ["GET", "HEAD"], "timeout_ms": 30000}),
         ];
         for account in ["huber", "maier"] {
@@ -389,57 +407,9 @@
     answer.is_ok_and(|answer| answer.status == 200)
 }
 
-/// The key of an account of the tests.
-pub fn bearer(account: &str) -> String {
-    format!("Bearer key-of-{account}")
-}
-
-/// An account's item in a note.
-pub fn account_item(account: &str) -> Value {
-    let digest = note::Digest::of(format!("key-of-{account}").as_bytes()).to_string();
-    json!({"kind": "account", "name": account, "key_sha256": digest, "share": 1,
-           "tokens_per_s": 1_000_000, "requests_per_s": 10000, "concurrent": 1000, "priority": 1})
-}
-
-/// A chat completion.
-pub async fn chat(
-    entry: SocketAddr,
-    account: &str,
-    prompt: &str,
-    stream: bool,
-) -> std::io::Result<Answer> {
-    let body = json!({"model": "burl-notes", "stream": stream, "max_tokens": 16,
-                      "messages": [{"role": "user", "content": prompt}]});
-    let bearer = bearer(account);
-    let headers = [
-        ("authorization", bearer.as_str()),
-        ("content-type", "application/json"),
-    ];
-    request(
-        entry,
-        "POST",
-        "/v1/chat/completions",
-        &headers,
-        body.to_string(),
-    )
-    .await
-}
-
-/// A call of the order desk that may not be repeated.
-pub async fn reserve(
-    entry: SocketAddr,
-    account: &str,
-    key: &str,
-    lot: &str,
-) -> std::io::Result<Answer> {
-    let bearer = bearer(account);
-    let headers = [("authorization", bearer.as_str()), ("idempotency-key", key)];
-    request(
-        entry,
-        "POST",
-        "/s/order-desk/reservations",
-        &headers,
-        lot.to_owned(),
-    )
-    .await
+/// Sets each field of `more`.
+fn merge(into: &mut Value, more: &Value) {
+    for (key, value) in more.as_object().into_iter().flatten() {
+        into[key] = value.clone();
+    }
 }
--- a/crates/lovageramp/tests/support/relay.rs
+++ b/crates/lovageramp/tests/support/relay.rs
@@ -17,6 +17,9 @@
     Open,
     /// Refuses new connections and resets the open ones.
     Cut,
+    /// Swallows what comes back from the target on all connections, also new
+    /// ones, while `Open` is not set again; those are then lost.
+    Mute,
 }
 
 /// A relay before one address; the address may change when a process is restarted.
@@ -33,6 +36,8 @@
     swallow: watch::Sender<(u64, u64)>,
     count: Mutex<u64>,
     bytes: AtomicU64,
+    /// Connections made before the relay was last muted.
+    muted_at: AtomicU64,
 }
 
 impl Relay {
@@ -46,6 +51,7 @@
             swallow: watch::Sender::new((0, 0)),
             count: Mutex::new(0),
             bytes: AtomicU64::new(0),
+            muted_at: AtomicU64::new(0),
         });
         tokio::spawn(serve(listener, Arc::clone(&state)));
         Relay { address, state }
@@ -61,6 +67,14 @@
         self.state.mode.send_replace(Mode::Cut);
     }
 
+    /// What is sent arrives, but no answer comes back, on no connection.
+    pub fn mute(&self) {
+        self.state
+            .muted_at
+            .store(self.connections(), Ordering::Relaxed);
+        self.state.mode.send_replace(Mode::Mute);
+    }
+
     /// Lets new connections through again.
     pub fn heal(&self) {
         self.state.mode.send_replace(Mode::Open);
@@ -83,6 +97,11 @@
         self.state.bytes.load(Ordering::Relaxed)
     }
 
+    /// How many connections were made since the relay was muted.
+    pub fn muted_connections(&self) -> u64 {
+        self.connections() - self.state.muted_at.load(Ordering::Relaxed)
+    }
+
     /// How many connections were made through the relay.
     pub fn connections(&self) -> u64 {
         *self.state.count.lock().unwrap()
@@ -118,8 +137,9 @@
     let (far_rx, far_tx) = far.into_split();
     let mut mode = state.mode.subscribe();
     let bytes = &state.bytes;
+    let muted = |number| *state.mode.borrow() == Mode::Mute || number < state.swallow.borrow().1;
     let there = copy(near_rx, far_tx, bytes, || number < state.swallow.borrow().0);
-    let back = copy(far_rx, near_tx, bytes, || number < state.swallow.borrow().1);
+    let back = copy(far_rx, near_tx, bytes, || muted(number));
     tokio::select! {
         ((), ()) = async { tokio::join!(there, back) } => {}
         _ = mode.wait_for(|mode| *mode == Mode::Cut) => {}
