--- a/crates/lovageramp/tests/support/relay.rs
+++ b/crates/lovageramp/tests/support/relay.rs
@@ -17,6 +17,9 @@
     Open,
     /// Refuses new connections and resets the open ones.
     Cut,
+    /// Swallows what comes back from the target on all connections, also new
+    /// ones, while `Open` is not set again; those are then lost.
+    Mute,
 }
 
 /// From which bytes on connections hold what goes through them.
@@ -51,6 +54,8 @@
     hold: watch::Sender<Option<Hold>>,
     /// Connections that hold something now.
     holding: AtomicU64,
+    /// Connections made before the relay was last muted.
+    muted_at: AtomicU64,
 }
 
 impl Relay {
@@ -66,6 +71,7 @@
             bytes: AtomicU64::new(0),
             hold: watch::Sender::new(None),
             holding: AtomicU64::new(0),
+            muted_at: AtomicU64::new(0),
         });
         tokio::spawn(serve(listener, Arc::clone(&state)));
         Relay { address, state }
@@ -81,6 +87,14 @@
         self.state.mode.send_replace(Mode::Cut);
     }
 
+    /// What is sent arrives, but no answer comes back, on no connection.
+    pub fn mute(&self) {
+        self.state
+            .muted_at
+            .store(self.connections(), Ordering::Relaxed);
+        self.state.mode.send_replace(Mode::Mute);
+    }
+
     /// Lets new connections through again.
     pub fn heal(&self) {
         self.state.mode.send_replace(Mode::Open);
@@ -138,6 +152,11 @@
         self.state.bytes.load(Ordering::Relaxed)
     }
 
+    /// How many connections were made since the relay was muted.
+    pub fn muted_connections(&self) -> u64 {
+        self.connections() - self.state.muted_at.load(Ordering::Relaxed)
+    }
+
     /// How many connections were made through the relay.
     pub fn connections(&self) -> u64 {
         *self.state.count.lock().unwrap()
@@ -172,12 +191,11 @@
     let (near_rx, near_tx) = near.into_split();
     let (far_rx, far_tx) = far.into_split();
     let mut mode = state.mode.subscribe();
+    let muted = |number| *state.mode.borrow() == Mode::Mute || number < state.swallow.borrow().1;
     let there = copy(near_rx, far_tx, Direction::There, &state, || {
         number < state.swallow.borrow().0
     });
-    let back = copy(far_rx, near_tx, Direction::Back, &state, || {
-        number < state.swallow.borrow().1
-    });
+    let back = copy(far_rx, near_tx, Direction::Back, &state, || muted(number));
     tokio::select! {
         ((), ()) = async { tokio::join!(there, back) } => {}
         _ = mode.wait_for(|mode| *mode == Mode::Cut) => {}
