Report a replica as behind only for what was due long ago

A replica was behind whenever it lacked the newest commit, so for a moment after each command; under a steady load an operator who waits for "repair complete" would never see it.

Ruled out: polling in the test, which would hide that from its operators.

Change: a replica is behind if it lacks what was committed timing.lag_ms (2 s) ago; a new leader takes all of its log for due at once. A link that is down counts as silent at once, since a lost disk that was told of by the missing commit before (blank_disk_repaired_second_host_lost failed without it: the old disk was reported whole) must not be overlooked for longer than before.

Before, with the lag at zero: repair_complete_under_load fails. After: the 26 tests of replicas pass.

--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Whether the link to that replica is up.
+    pub(crate) fn is_up(&self, id: DiskId) -> bool {
+        self.links.get(&id).is_some_and(|link| !link.tx.is_closed())
+    }
+
     pub(crate) fn ids(&self) -> impl Iterator<Item = DiskId> {
         self.links.keys().copied()
     }
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -2,6 +2,7 @@
 
 mod actor;
 mod answer;
+mod backlog;
 mod output;
 mod pending;
 mod status;
@@ -17,6 +18,7 @@
 use crate::reply::Reply;
 use crate::roster::Roster;
 use crate::settings::Settings;
+use backlog::Backlog;
 use pending::{Commands, Reads};
 use quorum::{DiskId, Message, Node};
 use std::sync::mpsc::Sender;
@@ -71,6 +73,8 @@
     peers: Peers,
     nodes: Vec<Link>,
     roster: Option<Roster>,
+    /// While this replica leads.
+    backlog: Option<Backlog>,
     /// While this replica leads and has applied all that came before.
     clock: Option<Clock>,
     commands: Commands,
--- a/crates/control/src/replica/actor.rs
+++ b/crates/control/src/replica/actor.rs
@@ -113,6 +113,7 @@
             peers: Peers::default(),
             nodes: Vec::new(),
             roster: None,
+            backlog: None,
             clock: None,
             metrics,
             commands: Commands::default(),
@@ -164,7 +165,11 @@
         if let Some(roster) = &mut self.roster {
             roster.expire(now);
         }
-        self.measure(now);
+        let status = self.node.status(now);
+        if let Some(backlog) = &mut self.backlog {
+            backlog.note(status.commit, now);
+        }
+        self.measure(&status, now);
         self.keep_ledger_limits(now);
         if now >= self.join_at && self.node.wants_in(now) {
             self.join_at = now + self.settings.timing.election;
--- a/crates/control/src/replica/output.rs
+++ b/crates/control/src/replica/output.rs
@@ -1,6 +1,7 @@
 //! Carries out what the replicated log wants done.
 
 use super::State;
+use super::backlog::Backlog;
 use crate::clock::Clock;
 use crate::codec;
 use crate::disk::{Fullness, Job};
@@ -8,7 +9,7 @@
 use crate::roster::Roster;
 use prometheus_client::metrics::gauge::Gauge;
 use prost::Message as _;
-use quorum::{Entry, EntryBody, Ready, Snapshot, Write};
+use quorum::{Entry, EntryBody, Ready, Snapshot, Status, Write};
 use std::time::Instant;
 use store::Batch;
 use wire::proto::frame::Body;
@@ -138,6 +139,7 @@
         let term = self.node.term();
         if !self.node.is_leader() {
             self.clock = None;
+            self.backlog = None;
             if self.roster.take().is_some() {
                 log::info!("no longer the leader, term is {term}");
                 self.commands.give_up("the leader was replaced");
@@ -149,6 +151,8 @@
             self.commands.give_up("the leader was replaced");
             let length = self.settings.timing.lease;
             self.roster = Some(Roster::new(term, length, now));
+            let last = self.node.status(now).last;
+            self.backlog = Some(Backlog::new(last, self.settings.timing.lag, now));
             self.clock = None;
         }
         if self.clock.is_none() && self.node.has_applied_own() {
@@ -157,8 +161,7 @@
     }
 
     /// Brings the gauges up to date.
-    pub(super) fn measure(&self, now: Instant) {
-        let status = self.node.status(now);
+    pub(super) fn measure(&self, status: &Status, now: Instant) {
         let nodes = self.roster.as_ref().map_or(0, |r| r.members().count());
         let metrics = &self.metrics;
         set(&metrics.has_leader, u64::from(status.leader.is_some()));
--- a/crates/control/src/replica/status.rs
+++ b/crates/control/src/replica/status.rs
@@ -1,6 +1,7 @@
 //! What a replica tells operators.
 
 use super::State;
+use super::backlog::Backlog;
 use crate::disk::Fullness;
 use crate::roster::Roster;
 use member::{Capability, Member, Serves};
@@ -8,6 +9,8 @@
 use serde_json::{Value, json};
 use std::time::Instant;
 
+/// Nothing is left of a repair.
+const COMPLETE: &str = "complete";
 /// Parts of the status that only a leader knows.
 const LEADERS_PARTS: [&str; 4] = ["replicas", "repair", "nodes", "targets"];
 /// The same within the part on notes.
@@ -44,7 +47,7 @@
             "applied": self.applied,
             "last": status.last,
             "snapshot": self.node.snapshot().index,
-            "replicas": replicas(&status),
+            "replicas": self.replicas(&status),
             "repair": self.repair(&status),
             "notes": self.notes(now),
             "nodes": self.nodes(),
@@ -70,13 +73,50 @@
         if !status.settled {
             return json!("a change of the members is under way");
         }
-        let waiting = status.replicas.iter().find(|row| !is_whole(row, status));
-        match waiting {
-            None => json!("complete"),
-            Some(row) => json!(format!("{}: {}", row.peer.name, repair_of(row, status))),
+        let rows = status.replicas.iter();
+        let repairs = rows.map(|row| (row, self.repair_of(row, status)));
+        let mut waiting = repairs.filter(|(_, repair)| *repair != COMPLETE);
+        match waiting.next() {
+            None => json!(COMPLETE),
+            Some((row, repair)) => json!(format!("{}: {repair}", row.peer.name)),
         }
     }
 
+    /// What is left of the repair of one replica.
+    ///
+    /// A link that breaks tells of a loss at once, the silence only after an
+    /// election timeout; a disk that comes back blank sooner than that would
+    /// be taken for one that never went.
+    fn repair_of(&self, row: &ReplicaStatus, status: &Status) -> &'static str {
+        let Some(matched) = row.matched else {
+            return "unknown";
+        };
+        let linked = row.id == status.id || self.peers.is_up(row.id);
+        let due = self.backlog.as_ref().map_or(status.commit, Backlog::due);
+        match (row.active && linked, row.voter, matched >= due) {
+            (false, ..) => "silent",
+            (true, false, false) => "catching up",
+            (true, false, true) => "to be made a voter",
+            (true, true, false) => "behind",
+            (true, true, true) => COMPLETE,
+        }
+    }
+
+    fn replicas(&self, status: &Status) -> Vec<Value> {
+        let row = |row: &ReplicaStatus| {
+            json!({
+                "name": row.peer.name,
+                "address": row.peer.address,
+                "disk": row.id.to_string(),
+                "state": if row.voter { "voter" } else { "learner" },
+                "match": row.matched,
+                "active": row.active,
+                "repair": self.repair_of(row, status),
+            })
+        };
+        status.replicas.iter().map(row).collect()
+    }
+
     fn notes(&self, now: Instant) -> Value {
         let accepted = self.machine.history().catalogue().number();
         let progress = self.roster.as_ref().map(|r| r.progress(accepted, now));
@@ -160,35 +200,3 @@
         json!({ "suspects": suspects, "convicted": convicted })
     }
 }
-
-fn replicas(status: &Status) -> Vec<Value> {
-    let row = |row: &ReplicaStatus| {
-        json!({
-            "name": row.peer.name,
-            "address": row.peer.address,
-            "disk": row.id.to_string(),
-            "state": if row.voter { "voter" } else { "learner" },
-            "match": row.matched,
-            "active": row.active,
-            "repair": repair_of(row, status),
-        })
-    };
-    status.replicas.iter().map(row).collect()
-}
-
-fn is_whole(row: &ReplicaStatus, status: &Status) -> bool {
-    row.voter && row.active && row.matched >= Some(status.commit)
-}
-
-fn repair_of(row: &ReplicaStatus, status: &Status) -> &'static str {
-    let Some(matched) = row.matched else {
-        return "unknown";
-    };
-    match (row.active, row.voter, matched >= status.commit) {
-        (false, ..) => "silent",
-        (true, false, false) => "catching up",
-        (true, false, true) => "to be made a voter",
-        (true, true, false) => "behind",
-        (true, true, true) => "complete",
-    }
-}
--- a/crates/control/src/timing.rs
+++ b/crates/control/src/timing.rs
@@ -16,6 +16,8 @@
     pub link_beat: Duration,
     /// After this a command that isn't committed is answered as unknown.
     pub commit: Duration,
+    /// A replica that lacks what was committed so long ago is behind.
+    pub lag: Duration,
 }
 
 impl Default for Timing {
@@ -26,6 +28,7 @@
             lease: Duration::from_secs(3),
             link_beat: Duration::from_millis(500),
             commit: Duration::from_secs(5),
+            lag: Duration::from_secs(2),
         }
     }
 }
@@ -39,6 +42,7 @@
             lease: r.or("lease_ms", default.lease),
             link_beat: r.or("link_beat_ms", default.link_beat),
             commit: r.or("commit_ms", default.commit),
+            lag: r.or("lag_ms", default.lag),
         };
         timing.check(&mut r);
         timing
--- a/crates/control/tests/replicas/disks.rs
+++ b/crates/control/tests/replicas/disks.rs
@@ -124,3 +124,55 @@
     unanswered.abort();
     cluster.wipe("r1");
 }
+
+/// The disk of one replica stands still for a moment while notes go on. An
+/// operator who waits for the end of a repair under such a load must see it,
+/// though one replica always lacks the newest entry.
+#[tokio::test(flavor = "multi_thread")]
+async fn repair_complete_under_load() {
+    let hour = 3_600_000;
+    let (cluster, _held) = one_disk_held(hour).await;
+    assert_eq!(cluster.leader_status().await["repair"], "complete");
+}
+
+/// The disk of one replica stands still for good. It holds its links up, so
+/// that only the report on what it lacks tells.
+#[tokio::test(flavor = "multi_thread")]
+async fn repair_behind_for_long() {
+    let (cluster, behind) = one_disk_held(50).await;
+    wait_for("the report", async || {
+        let repair = cluster.leader_status().await["repair"].clone();
+        (repair == format!("{behind}: behind")).then_some(())
+    })
+    .await;
+}
+
+/// Three replicas; the disk of a follower syncs no more, and two notes were
+/// accepted since.
+async fn one_disk_held(lag_ms: u64) -> (Cluster, String) {
+    let mut cluster = Cluster::prepared(3).await;
+    cluster.lag_ms = lag_ms;
+    cluster.begin().await;
+    let leader = cluster.leader().await;
+    let names = cluster.names();
+    let follower = names.into_iter().find(|name| *name != leader).unwrap();
+    cluster.down(&follower).await;
+    let hold = Arc::new(AtomicBool::new(false));
+    let asked = Arc::clone(&hold);
+    let real = Ops::default();
+    let ops = Ops {
+        sync: Arc::new(move |path, file| {
+            while asked.load(Ordering::Relaxed) {
+                std::thread::sleep(Duration::from_millis(5));
+            }
+            (real.sync)(path, file)
+        }),
+        ..Ops::default()
+    };
+    cluster.up_with(&follower, ops).await;
+    cluster.repaired().await;
+    cluster.caught_up(&follower).await;
+    hold.store(true, Ordering::Relaxed);
+    cluster.submit_up_to(2).await;
+    (cluster, follower)
+}
