Show the loss of a zone and of a region under five controls

Seen: nothing showed more than three controls, a lost availability zone or a region cut off together with its entry, targets and callers.

Change: `durable_zones` with five controls in three zones. zone_lost kills controls, entry and agent of the leader's zone at once; a control of it comes back blank while the rest is gone. region_cut_off cuts the leader's zone off, then another one while a voter of the rest is lost and comes back blank. Operators race at all controls the while, their history is checked for linearizability; callers reserve at all entries, and what each was told is compared with what ran. Relays can cut the links of named dialers, by the name in the hello, since an agent has one address for all.

Ruled out: cutting only the links to controls, which would leave the cut-off entry its targets elsewhere.

--- a/crates/lovageramp/tests/support/cluster.rs
+++ b/crates/lovageramp/tests/support/cluster.rs
@@ -20,7 +20,6 @@
 const ENTRY: &str = env!("CARGO_BIN_EXE_lovageramp-entry");
 const AGENT: &str = env!("CARGO_BIN_EXE_lovageramp-agent");
 const CLIENT: &str = env!("CARGO_BIN_EXE_lovageramp");
-const ZONES: [&str; 3] = ["oberpfalz", "allgaeu", "franken"];
 /// The operators' token of every test deployment.
 pub const TOKEN: &str = "operators-token-of-the-tests";
 
@@ -139,10 +138,10 @@
         }
     }
 
-    fn common(&self, name: &str, zone: usize) -> Value {
+    fn common(&self, name: &str) -> Value {
         json!({
             "name": name,
-            "zone": ZONES[zone % ZONES.len()],
+            "zone": super::zones::zone_of(name),
             "http": "127.0.0.1:0",
             "cluster_key_file": self.path("cluster.key"),
         })
@@ -189,7 +188,7 @@
                 })
             })
             .collect();
-        let mut settings = self.common(&name, number);
+        let mut settings = self.common(&name);
         settings["listen"] = "127.0.0.1:0".into();
         settings["data"] = json!(data);
         settings["operator_token_file"] = json!(self.path("operator.token"));
@@ -224,7 +223,7 @@
     /// Starts or restarts an entry.
     pub async fn start_entry(&mut self, number: usize) {
         let name = format!("entry-{number}");
-        let mut settings = self.common(&name, number);
+        let mut settings = self.common(&name);
         settings["controls"] = json!(self.controls_for(&name));
         settings["operator_token_file"] = json!(self.path("operator.token"));
         // A slow machine must not turn a wait for room into a refusal.
@@ -278,8 +277,7 @@
 
     /// Starts or restarts an agent.
     pub async fn start_agent(&mut self, name: &str) {
-        let zone = name.bytes().map(usize::from).sum();
-        let mut settings = self.common(name, zone);
+        let mut settings = self.common(name);
         settings["listen"] = "127.0.0.1:0".into();
         settings["advertise"] = json!(self.relay(name).to_string());
         settings["controls"] = json!(self.controls_for(name));
--- a/crates/lovageramp/tests/support/mod.rs
+++ b/crates/lovageramp/tests/support/mod.rs
@@ -6,6 +6,7 @@
     reason = "each test file is a crate of its own and uses a part of this"
 )]
 
+pub mod callers;
 mod cluster;
 pub mod disks;
 mod faults;
@@ -15,6 +16,7 @@
 mod process;
 mod relay;
 mod until;
+pub mod zones;
 
 pub use cluster::{Cluster, ClusterPlan, TOKEN, account_item, bearer, chat, reserve};
 pub use http::{Answer, get, open_stream, request};
--- a/crates/lovageramp/tests/support/notes.rs
+++ b/crates/lovageramp/tests/support/notes.rs
@@ -150,23 +150,30 @@
 }
 
 fn content_of(note: &Value) -> u32 {
-    let name = note["added"][0]["name"].as_str().unwrap();
-    name.strip_prefix("model-").unwrap().parse().unwrap()
+    let names = note["added"].as_array().unwrap().iter();
+    let mut names = names.filter_map(|item| item["name"].as_str());
+    let content = names.find_map(|name| name.strip_prefix("model-"));
+    content.unwrap().parse().unwrap()
 }
 
-async fn send(shared: &Shared, host: SocketAddr, number: usize) {
+/// Sends a note with a content of its own, and the items of `note` beside it.
+async fn send(shared: &Shared, host: SocketAddr, number: usize, mut note: Value) -> Sent {
     let content = shared.contents.fetch_add(1, Ordering::Relaxed);
     let id = shared.call(Operation::Send(number, content, Sent::Unknown));
     let model = json!({"kind": "model", "name": format!("model-{content}"), "versions": ["1"]});
-    let note = json!({"number": shared.before + number, "added": [model]});
+    let mut added = vec![model];
+    added.extend(note["added"].as_array().into_iter().flatten().cloned());
+    note["added"] = added.into();
+    note["number"] = json!(shared.before + number);
     let answer = ask(host, "POST", "/v1/operator/notes", note.to_string()).await;
     let sent = match answer {
         Some(answer) if answer.status == 200 => Sent::Holds,
         Some(answer) if answer.status == 409 => Sent::Refused,
         Some(answer) if answer.status == 503 && answer.json()["ran"] == "no" => Sent::Never,
-        _ => return,
+        _ => return Sent::Unknown,
     };
     shared.respond(id, Operation::Send(number, content, sent));
+    sent
 }
 
 /// Sends and reads at any host until the trouble is over.
@@ -176,7 +183,7 @@
     while !shared.over.load(Ordering::Relaxed) {
         let host = shared.any_host(&mut rng);
         if rng.random_range(0..2) == 0 {
-            send(&shared, host, next).await;
+            send(&shared, host, next, json!({})).await;
         }
         let host = shared.any_host(&mut rng);
         if let Some(Some(_)) = read(&shared, host, next).await {
@@ -209,6 +216,21 @@
         Operators { shared, tasks }
     }
 
+    /// Has a note accepted among theirs, under whichever number is free; gives the
+    /// number.
+    pub async fn send_next(&self, cluster: &Cluster, host: &str, note: Value) -> u64 {
+        let host = cluster.http(host);
+        until("the note is accepted", || async {
+            let path = "/v1/operator/notes/status";
+            let status = ask(host, "GET", path, String::new()).await?;
+            let accepted = status.json()["accepted"].as_u64()?;
+            let next = usize::try_from(accepted).unwrap() + 1 - self.shared.before;
+            let sent = send(&self.shared, host, next, note.clone()).await;
+            (sent == Sent::Holds).then_some(accepted + 1)
+        })
+        .await
+    }
+
     /// Waits until they have done this much more.
     pub async fn until_tried_again(&self, times: usize) {
         let done = || *self.shared.operations.lock().unwrap();
--- a/crates/lovageramp/tests/support/relay.rs
+++ b/crates/lovageramp/tests/support/relay.rs
@@ -1,8 +1,9 @@
 //! A TCP relay between two processes that can cut, freeze and swallow.
 
+use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -29,6 +30,8 @@
 struct State {
     target: Mutex<Option<SocketAddr>>,
     mode: watch::Sender<Mode>,
+    /// Processes whose connections are cut, by the name in their hello.
+    barred: watch::Sender<BTreeSet<String>>,
     /// Connections with a lower number swallow bytes towards the target, and back.
     swallow: watch::Sender<(u64, u64)>,
     count: Mutex<u64>,
@@ -43,6 +46,7 @@
         let state = Arc::new(State {
             target: Mutex::new(None),
             mode: watch::Sender::new(Mode::Open),
+            barred: watch::Sender::default(),
             swallow: watch::Sender::new((0, 0)),
             count: Mutex::new(0),
             bytes: AtomicU64::new(0),
@@ -66,6 +70,11 @@
         self.state.mode.send_replace(Mode::Open);
     }
 
+    /// Cuts the links of the processes with these names, and of no others.
+    pub fn bar(&self, names: BTreeSet<String>) {
+        self.state.barred.send_replace(names);
+    }
+
     /// From now on the open connections swallow what goes towards the target.
     pub fn swallow_there(&self) {
         let count = *self.state.count.lock().unwrap();
@@ -118,19 +127,40 @@
     let (far_rx, far_tx) = far.into_split();
     let mut mode = state.mode.subscribe();
     let bytes = &state.bytes;
-    let there = copy(near_rx, far_tx, bytes, || number < state.swallow.borrow().0);
-    let back = copy(far_rx, near_tx, bytes, || number < state.swallow.borrow().1);
+    let hello = OnceLock::new();
+    let is_barred = |names: &BTreeSet<String>| {
+        let hello = hello.get().map_or(&[][..], Vec::as_slice);
+        names.iter().any(|name| is_hello_of(hello, name))
+    };
+    let mut barred = state.barred.subscribe();
+    let passes = |bytes: &[u8]| {
+        hello.get_or_init(|| bytes.to_vec());
+        !is_barred(&state.barred.borrow())
+    };
+    let swallows = || number < state.swallow.borrow().0;
+    let there = copy(near_rx, far_tx, bytes, swallows, passes);
+    let swallows = || number < state.swallow.borrow().1;
+    let back = copy(far_rx, near_tx, bytes, swallows, |_| true);
     tokio::select! {
         ((), ()) = async { tokio::join!(there, back) } => {}
         _ = mode.wait_for(|mode| *mode == Mode::Cut) => {}
+        _ = barred.wait_for(|names| is_barred(names)) => {}
     }
 }
 
+/// Whether the first bytes of a connection hold this name, as a string of the codec.
+fn is_hello_of(hello: &[u8], name: &str) -> bool {
+    let length = u8::try_from(name.len()).unwrap();
+    let string = [&[length], name.as_bytes()].concat();
+    hello.windows(string.len()).any(|part| part == string)
+}
+
 async fn copy(
     mut from: impl AsyncReadExt + Unpin,
     mut to: impl AsyncWriteExt + Unpin,
     bytes: &AtomicU64,
     swallows: impl Fn() -> bool,
+    passes: impl Fn(&[u8]) -> bool,
 ) {
     let mut buf = vec![0; 64 << 10];
     while let Ok(n @ 1..) = from.read(&mut buf).await {
@@ -138,6 +168,9 @@
         if swallows() {
             continue;
         }
+        if !passes(&buf[..n]) {
+            return;
+        }
         if to.write_all(&buf[..n]).await.is_err() {
             break;
         }
