--- a/crates/lovageramp/tests/support/mod.rs
+++ b/crates/lovageramp/tests/support/mod.rs
@@ -6,6 +6,7 @@
     reason = "each test file is a crate of its own and uses a part of this"
 )]
 
+pub mod callers;
 mod calls;
 mod cluster;
 pub mod disks;
@@ -17,6 +18,7 @@
 mod process;
 mod relay;
 mod until;
+pub mod zones;
 
 pub use calls::{account_item, bearer, chat, reserve};
 pub use cluster::{Cluster, ClusterPlan, TOKEN};
