Encode frames straight into the buffer; read without clearing it

Seen: in the profile of the path's bench (perf with call graphs) copying and allocation lead; each frame was encoded into a vector of its own and then copied, and the agent's own socket wrapper cleared 8 KiB before each read.

Change: frames are encoded into the link's buffer, their length before them, and one that is too large leaves the buffer as it was (encode_beyond_max). The agent's connections are read by tokio itself again; the look at a kept one's socket goes through a second handle (one descriptor more each).

--- a/crates/agent/src/engine/client.rs
+++ b/crates/agent/src/engine/client.rs
@@ -135,8 +135,8 @@
 async fn connect(address: SocketAddr, cfg: &ClientSettings) -> io::Result<Connection> {
     let stream = TcpStream::connect(address).await?;
     watch_over(&stream, cfg)?;
-    let socket = Socket::new(stream);
-    let (tx, conn) = http1::handshake(TokioIo::new(socket.clone()))
+    let socket = Socket::of(&stream)?;
+    let (tx, conn) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(io::Error::other)?;
     let conn = tokio::spawn(async move {
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -2,10 +2,13 @@
 
 use crate::error::{Error, Result};
 use crate::proto::Frame;
-use bytes::{Bytes, BytesMut};
+use bytes::{BufMut, BytesMut};
 use prost::Message;
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
+/// Bytes of the length before each frame.
+const HEAD_BYTES: usize = 4;
+
 /// Turns a byte stream into [`Frame`]s and back.
 ///
 /// Bytes that are no frame are an error, never a panic: a process that is not ours
@@ -56,8 +59,16 @@
     type Error = Error;
 
     fn encode(&mut self, frame: Frame, buf: &mut BytesMut) -> Result<()> {
-        let bytes = Bytes::from(frame.encode_to_vec());
-        self.lengths.encode(bytes, buf)?;
+        let length = frame.encoded_len();
+        let head = u32::try_from(length).ok();
+        let fits = head.filter(|_| length <= self.lengths.max_frame_length());
+        let Some(head) = fits else {
+            return Err(Error::Protocol(format!("a frame of {length} bytes")));
+        };
+        // Straight into the buffer: a frame of its own would be copied.
+        buf.reserve(HEAD_BYTES + length);
+        buf.put_u32(head);
+        frame.encode_raw(buf);
         Ok(())
     }
 }
