Pass on renewals through a few nodes of a large zone

The leader heard from each node straight: 14.9% of a core at 1,020 nodes of the 4.8% that a node may spend (docs/CAPACITY.md).

Ruled out: one relay a zone (a relay of 170 nodes exceeds a node's own limits); the leader naming the relays (one more thing to hand out); one renewal that stands for many (the note number and the incarnation of each node must stand for themselves).

Change: in a zone of more than 32 nodes one in 16 passes on the renewals of the others as one RenewBatch, chosen by rendezvous hashing from the view (member::renewal_path). Views come once for all that hold the same one. A node behind a relay closes its links to control after ten beats without use. A relay that doesn't answer within half of the time between renewals is left alone for a while, and the node renews straight after a random moment, within the same lease. Renewals are numbered, so that one that was overtaken takes nothing back. The node still counts its lease from when it sent the renewal that is answered.

Failed first, guard out: without the straight renewal 14 nodes lost their lease, in all of killed, frozen, slow and cut off; overtaken renewals taken: a node that leaves shown as ready; refused ones granted: a replaced incarnation got a lease; the first one's note taken for all; a view for each: 20 in place of 1.

cargo test -p lovageramp-node -p lovageramp-member -p lovageramp-control -p lovageramp-agent -p lovageramp-wire -p lovageramp-wire-gen: all pass. A relay and the leader lost together is worked out in docs/design/processes.md, not tested.

crates/agent/tests/support/control.rs names the defaults of the new fields; no check changed.

--- a/crates/agent/src/links.rs
+++ b/crates/agent/src/links.rs
@@ -94,7 +94,11 @@
 
     async fn serve_agent(&self, mut rx: mpsc::Receiver<Incoming>, cut: &CancellationToken) {
         while let Some(Some(incoming)) = cut.run_until_cancelled(rx.recv()).await {
-            self.maps.take(incoming);
+            if is_relayed(&incoming.body) {
+                self.cx.follower.relay(incoming);
+            } else {
+                self.maps.take(incoming);
+            }
         }
     }
 
@@ -102,6 +106,10 @@
     /// reply that can't be sent means that the link is down, which the
     /// reading side notices.
     async fn take(&self, incoming: Incoming, cut: &CancellationToken) {
+        if is_relayed(&incoming.body) {
+            self.cx.follower.relay(incoming);
+            return;
+        }
         let Incoming { call, body, link } = incoming;
         match body {
             Body::Start(start) => self.start(call, start, link, cut).await,
@@ -157,6 +165,11 @@
     }
 }
 
+/// Whether another node wants it passed on to control.
+fn is_relayed(body: &Body) -> bool {
+    matches!(body, Body::Renew(_) | Body::FetchNotes(_))
+}
+
 fn send(sending: Option<Sending>, link: Link) {
     if let Some(sending) = sending {
         let Sending {
--- a/crates/agent/tests/support/control.rs
+++ b/crates/agent/tests/support/control.rs
@@ -203,6 +203,7 @@
                     lease_ms: inner.lease_ms,
                     view: Some(inner.view.clone()),
                     quarantine: Some(inner.quarantine.clone()),
+                    ..Renewed::default()
                 })
             }
             Body::FetchNotes(fetch) => {
--- a/crates/control/src/links.rs
+++ b/crates/control/src/links.rs
@@ -102,6 +102,7 @@
     let reply = Reply::Remote(link, call);
     Some(Msg::Ask(Box::new(match body {
         Body::Renew(renew) => Ask::Renew(renew, reply),
+        Body::RenewBatch(batch) => Ask::RenewBatch(batch, reply),
         Body::FetchNotes(fetch) => Ask::Notes(fetch, reply),
         Body::Propose(propose) => Ask::Propose(propose, reply),
         Body::Query(query) => Ask::Query(query, reply),
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -19,6 +19,8 @@
     pub(crate) nodes: Gauge,
     pub(crate) commands: Counter,
     pub(crate) refused_commands: Counter,
+    pub(crate) renewals: Counter,
+    pub(crate) renewal_messages: Counter,
 }
 
 impl Metrics {
@@ -59,6 +61,12 @@
                 "Commands not taken",
                 &self.refused_commands,
             ),
+            ("renewals", "Renewals answered as leader", &self.renewals),
+            (
+                "renewal_messages",
+                "Messages that they came in",
+                &self.renewal_messages,
+            ),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -2,6 +2,7 @@
 
 mod actor;
 mod answer;
+mod granting;
 mod output;
 mod pending;
 mod status;
@@ -23,7 +24,7 @@
 use std::time::Instant;
 use tokio::sync::oneshot;
 use wire::Link;
-use wire::proto::{FetchNotes, Propose, Query, Renew};
+use wire::proto::{FetchNotes, Propose, Query, Renew, RenewBatch};
 
 /// What the actor is told.
 pub(crate) enum Msg {
@@ -51,6 +52,8 @@
 pub(crate) enum Ask {
     /// To renew its lease.
     Renew(Renew, Reply),
+    /// To renew the leases of several nodes.
+    RenewBatch(RenewBatch, Reply),
     /// For notes that it lacks.
     Notes(FetchNotes, Reply),
     /// To commit a command.
--- a/crates/control/src/replica/actor.rs
+++ b/crates/control/src/replica/actor.rs
@@ -205,6 +205,7 @@
     fn take_ask(&mut self, ask: Ask, now: Instant) {
         match ask {
             Ask::Renew(renew, reply) => self.renew(renew, reply, now),
+            Ask::RenewBatch(batch, reply) => self.renew_batch(batch, reply, now),
             Ask::Notes(fetch, reply) => self.fetch_notes(fetch, reply),
             Ask::Propose(propose, reply) => match propose.command {
                 Some(command) => self.propose(command, reply, now),
--- a/crates/control/src/replica/answer.rs
+++ b/crates/control/src/replica/answer.rs
@@ -1,14 +1,17 @@
 //! What nodes ask for.
 
 use super::State;
+use super::granting::Granting;
 use crate::disk::Fullness;
 use crate::reply::{Commit, Reply, unavailable};
 use prost::Message as _;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 use wire::proto::frame::Body;
 use wire::proto::query::Body as Question;
 use wire::proto::query_reply::Body as Answer;
-use wire::proto::{Command, FetchNotes, NotLeader, Query, QueryReply, Renew, Renewed};
+use wire::proto::{
+    Command, FetchNotes, NotLeader, Query, QueryReply, Renew, RenewBatch, Renewed, RenewedBatch,
+};
 
 /// Longest command, so that one doesn't hold up the log for all.
 const MOST_COMMAND_BYTES: usize = 4 << 20;
@@ -30,30 +33,51 @@
     /// any leader before it acknowledged: a lease says that the note it names
     /// is the newest.
     pub(super) fn renew(&mut self, renew: Renew, reply: Reply, now: Instant) {
-        let surely = self.node.leased(now) && self.node.has_applied_own();
-        let (Some(roster), Some(info), true) = (&mut self.roster, renew.node, surely) else {
+        let batch = RenewBatch {
+            renewals: vec![renew],
+        };
+        let Some(mut batch) = self.renew_all(batch, now) else {
+            return reply.send(self.not_leader());
+        };
+        let Some(renewed) = batch.renewals.pop() else {
             return reply.send(self.not_leader());
         };
-        roster.expire(now);
-        let name = info.name.clone();
-        let mut lease = self.settings.timing.lease;
-        if let Err(reason) = roster.renew(info, renew.note, now) {
-            log::warn!("no lease for {name}: {reason}");
-            lease = Duration::ZERO;
-        }
-        let drained = self.machine.drained();
-        let view = roster.news(renew.view_term, renew.view_version, drained);
-        let quarantine = self.machine.quarantine_message();
-        let known = renew.quarantine_version == quarantine.version;
         reply.send(Body::Renewed(Renewed {
-            term: roster.term(),
-            note: self.machine.history().catalogue().number(),
-            lease_ms: u32::try_from(lease.as_millis()).unwrap_or(u32::MAX),
-            view,
-            quarantine: (!known).then_some(quarantine),
+            view: batch.views.pop(),
+            quarantine: batch.quarantine,
+            shared_view: 0,
+            shared_quarantine: false,
+            ..renewed
         }));
     }
 
+    /// Grants the leases of several nodes that one of them has passed on. Each
+    /// stands for itself: its incarnation, its note and its lease are its own.
+    pub(super) fn renew_batch(&mut self, batch: RenewBatch, reply: Reply, now: Instant) {
+        match self.renew_all(batch, now) {
+            Some(renewed) => reply.send(Body::RenewedBatch(renewed)),
+            None => reply.send(self.not_leader()),
+        }
+    }
+
+    fn renew_all(&mut self, batch: RenewBatch, now: Instant) -> Option<RenewedBatch> {
+        let surely = self.node.leased(now) && self.node.has_applied_own();
+        let roster = self.roster.as_mut().filter(|_| surely)?;
+        let known = self.machine.quarantine_message();
+        let granting = Granting {
+            note: self.machine.history().catalogue().number(),
+            lease: self.settings.timing.lease,
+            drained: self.machine.drained(),
+            quarantine: known.version,
+        };
+        let mut renewed = granting.grant(roster, batch, now);
+        self.metrics.renewal_messages.inc();
+        self.metrics.renewals.inc_by(renewed.renewals.len() as u64);
+        let asked = renewed.renewals.iter().any(|r| r.shared_quarantine);
+        renewed.quarantine = asked.then_some(known);
+        Some(renewed)
+    }
+
     /// Any replica may answer: what it has applied is committed.
     pub(super) fn fetch_notes(&self, fetch: FetchNotes, reply: Reply) {
         let newest = self.machine.history().catalogue().number();
--- a/crates/control/src/roster.rs
+++ b/crates/control/src/roster.rs
@@ -93,11 +93,34 @@
     /// assert!(roster.renew(nameless, 1, now).is_err());
     /// ```
     pub fn renew(&mut self, info: NodeInfo, number: u64, now: Instant) -> Result<(), &'static str> {
+        self.renew_in_order(info, number, 0, now)
+    }
+
+    /// Grants a lease to a node at that note; `sequence` counts its renewals.
+    ///
+    /// # Errors
+    ///
+    /// Tells why there is none.
+    ///
+    /// ```
+    /// # use std::time::{Duration, Instant};
+    /// let (now, lease) = (Instant::now(), Duration::from_secs(3));
+    /// let mut roster = control::Roster::new(7, lease, now);
+    /// let nameless = wire::proto::NodeInfo::default();
+    /// assert!(roster.renew_in_order(nameless, 1, 1, now).is_err());
+    /// ```
+    pub fn renew_in_order(
+        &mut self,
+        info: NodeInfo,
+        number: u64,
+        sequence: u64,
+        now: Instant,
+    ) -> Result<(), &'static str> {
         let node = parse(info)?;
         let before = self.registry.members().find(|m| m.node.key == node.key);
         let former = before.filter(|m| m.node.incarnation != node.incarnation);
         let former = former.map(|m| (m.node.key.clone(), m.note, m.expires));
-        match self.registry.renew(node, number, now) {
+        match self.registry.renew_in_order(node, number, sequence, now) {
             Renewal::Granted { .. } => {
                 // A process that was replaced may still run and take work
                 // until its lease is over.
--- a/crates/lovageramp/benches/capacity.rs
+++ b/crates/lovageramp/benches/capacity.rs
@@ -1,7 +1,7 @@
 //! What following control costs the leader and a node, by the number of nodes: the
 //! slopes of docs/CAPACITY.md. Three real control processes; the nodes are followers in
-//! this process, with one relay before each control that counts bytes. Prints a
-//! Markdown table.
+//! this process, with one relay before each control that counts bytes, and one before
+//! each that passes on the renewals of others. Prints a Markdown table.
 //!
 //! `cargo bench -p lovageramp --bench capacity`
 
@@ -19,6 +19,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use support::{Cluster, ClusterPlan, Relay, account_item, until};
+use tokio::net::TcpListener;
+use tokio_util::sync::{CancellationToken, DropGuard};
 use wire::proto::{Announcement, NodeInfo};
 use wire::{ClusterKey, Identity, LinkSettings, Role};
 
@@ -34,7 +36,26 @@
     runtime.block_on(measure());
 }
 
+/// How renewals get to the leader.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Path {
+    /// Straight, as in zones that are small.
+    Straight,
+    /// Through nodes that pass them on, in zones that are large.
+    Relayed,
+}
+
 async fn measure() {
+    println!(
+        "| renewals | nodes | leader, % of a core | leader, MB, most so far | bytes/s a node over control's links | bytes/s of the busiest relay, most | accepted to in force at all, s: median of {NOTES} | worst |"
+    );
+    println!("|---|---|---|---|---|---|---|---|");
+    for path in [Path::Straight, Path::Relayed] {
+        measure_path(path).await;
+    }
+}
+
+async fn measure_path(path: Path) {
     let cluster = Cluster::start(ClusterPlan {
         controls: 3,
         entries: 1,
@@ -45,21 +66,27 @@
     .await;
     cluster.offer().await;
     let leader = cluster.leader().await;
-    println!(
-        "| nodes | leader, % of a core | leader, MB | bytes/s a node | accepted to in force at all, s: median of {NOTES} | worst |"
-    );
-    println!("|---|---|---|---|---|---|");
     let mut number = 1;
     for size in SIZES {
         let relays = relays(&cluster).await;
-        let followers = follow(size, &relays, &format!("size{size}"));
+        let nodes = follow(path, size, &relays, &format!("size{size}")).await;
+        let followers: Vec<Follower> = nodes.iter().map(|node| node.follower.clone()).collect();
         until_all(&followers, number).await;
-        tokio::time::sleep(RENEW * 4).await;
-        let before = (cluster.processes[&leader].cpu_seconds(), bytes(&relays));
+        // Long enough for links to control that are no longer used to be closed.
+        tokio::time::sleep(RENEW * 12).await;
+        let busy = |nodes: &[Node]| -> Vec<u64> { nodes.iter().map(Node::bytes).collect() };
+        let before = (
+            cluster.processes[&leader].cpu_seconds(),
+            bytes(&relays),
+            busy(&nodes),
+        );
         tokio::time::sleep(SPAN).await;
         let used =
             (cluster.processes[&leader].cpu_seconds() - before.0) / SPAN.as_secs_f64() * 100.0;
         let sent = (bytes(&relays) - before.1) as f64 / SPAN.as_secs_f64() / size as f64;
+        let passed = busy(&nodes).into_iter().zip(before.2);
+        let passed = passed.map(|(after, before)| after - before).max();
+        let passed = passed.unwrap_or(0) as f64 / SPAN.as_secs_f64();
         let memory = cluster.processes[&leader].resident_bytes() as f64 / f64::from(1 << 20);
         let mut times = Vec::new();
         for _ in 0..NOTES {
@@ -67,12 +94,17 @@
             times.push(in_force(&cluster, &followers, number).await);
         }
         times.sort_by(f64::total_cmp);
+        let name = match path {
+            Path::Straight => "straight",
+            Path::Relayed => "relayed",
+        };
         println!(
-            "| {size} | {used:.2} | {memory:.1} | {sent:.0} | {:.2} | {:.2} |",
+            "| {name} | {size} | {used:.2} | {memory:.1} | {sent:.0} | {passed:.0} | {:.2} | {:.2} |",
             times[times.len() / 2],
             times[times.len() - 1]
         );
         drop(followers);
+        drop(nodes);
     }
 }
 
@@ -90,41 +122,100 @@
     relays
 }
 
-fn follow(size: usize, relays: &[Relay], prefix: &str) -> Vec<Follower> {
+/// A node, and where others reach it.
+struct Node {
+    follower: Follower,
+    relay: Option<Relay>,
+    _stop: DropGuard,
+}
+
+impl Node {
+    /// Bytes that others have exchanged with it.
+    fn bytes(&self) -> u64 {
+        self.relay.as_ref().map_or(0, Relay::bytes)
+    }
+}
+
+async fn follow(path: Path, size: usize, relays: &[Relay], prefix: &str) -> Vec<Node> {
     let controls: Vec<SocketAddr> = relays.iter().map(|relay| relay.address).collect();
-    (0..size)
-        .map(|number| {
-            let name = format!("{prefix}-{number}");
-            let agent = number % 10 < AGENTS_OF_TEN;
-            let role = if agent { Role::Agent } else { Role::Entry };
-            let me = Identity::new(role, name.clone(), number as u64 + 1);
-            let target = agent.then(|| Announcement {
-                target: name.clone(),
-                group: "blank-advisor".to_owned(),
-                ranks: (0..8).collect(),
-                models: vec!["burl-notes".to_owned()],
-                healthy: true,
-                ..Announcement::default()
-            });
-            let info = NodeInfo {
-                role: role.into(),
-                incarnation: me.incarnation,
-                name,
-                zone: format!("zone-{}", number % 6),
-                link_address: "127.0.0.1:9".to_owned(),
-                caller_address: "127.0.0.1:9".to_owned(),
-                leaving: false,
-                target,
-            };
-            let cfg = FollowerSettings {
-                controls: controls.clone(),
-                renew: RENEW,
-                key: ClusterKey::from_bytes(b"key of the test cluster").unwrap(),
-                link: LinkSettings::default(),
+    let mut nodes = Vec::new();
+    for number in 0..size {
+        let name = format!("{prefix}-{number}");
+        nodes.push(start_node(path, number, name, controls.clone()).await);
+    }
+    nodes
+}
+
+async fn start_node(path: Path, number: usize, name: String, controls: Vec<SocketAddr>) -> Node {
+    let agent = number % 10 < AGENTS_OF_TEN;
+    let role = if agent { Role::Agent } else { Role::Entry };
+    let me = Identity::new(role, name.clone(), number as u64 + 1);
+    let accepts = agent && path == Path::Relayed;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let relay = if accepts {
+        let relay = Relay::start().await;
+        relay.set_target(listener.local_addr().unwrap());
+        Some(relay)
+    } else {
+        None
+    };
+    let target = agent.then(|| Announcement {
+        target: name.clone(),
+        group: "blank-advisor".to_owned(),
+        ranks: (0..8).collect(),
+        models: vec!["burl-notes".to_owned()],
+        healthy: true,
+        ..Announcement::default()
+    });
+    let address = relay.as_ref().map(|relay| relay.address.to_string());
+    let info = NodeInfo {
+        role: role.into(),
+        incarnation: me.incarnation,
+        name,
+        zone: format!("zone-{}", number % 6),
+        link_address: address.unwrap_or_default(),
+        caller_address: "127.0.0.1:9".to_owned(),
+        leaving: false,
+        target,
+    };
+    let cfg = FollowerSettings {
+        controls,
+        renew: RENEW,
+        key: key(),
+        link: LinkSettings::default(),
+    };
+    let follower = Follower::spawn(me.clone(), info, cfg);
+    let stop = CancellationToken::new();
+    if accepts {
+        let accepting = accept(listener, me, follower.clone(), stop.clone());
+        tokio::spawn(stop.clone().run_until_cancelled_owned(accepting));
+    }
+    Node {
+        follower,
+        relay,
+        _stop: stop.drop_guard(),
+    }
+}
+
+/// Passes on the renewals of other nodes, as an agent does.
+async fn accept(listener: TcpListener, me: Identity, follower: Follower, stop: CancellationToken) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let (me, follower) = (me.clone(), follower.clone());
+        let serving = async move {
+            let accepted = wire::accept(stream, &me, &key(), &LinkSettings::default()).await;
+            let Ok((_link, mut rx)) = accepted else {
+                return;
             };
-            Follower::spawn(me, info, cfg)
-        })
-        .collect()
+            while let Some(incoming) = rx.recv().await {
+                follower.relay(incoming);
+            }
+        };
+        tokio::spawn(stop.clone().run_until_cancelled_owned(serving));
+    }
+}
+
+fn key() -> ClusterKey {
+    ClusterKey::from_bytes(b"key of the test cluster").unwrap()
 }
 
 async fn until_all(followers: &[Follower], number: u64) {
--- a/crates/member/src/nearest_first.rs
+++ b/crates/member/src/nearest_first.rs
@@ -1,8 +1,6 @@
 //! The order of the address list for callers.
 
-/// FNV-1a, 64 bit: offset basis and prime.
-const FNV_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
-const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+use crate::hash::{FNV_BASIS, FNV_PRIME};
 
 /// Orders entries for a caller, those at the least distance first.
 ///
--- a/crates/member/src/registry.rs
+++ b/crates/member/src/registry.rs
@@ -90,6 +90,32 @@
     /// assert_eq!(late, Renewal::Refused(Refusal::Superseded));
     /// ```
     pub fn renew(&mut self, node: Node, number: u64, now: Instant) -> Renewal {
+        self.renew_in_order(node, number, 0, now)
+    }
+
+    /// Takes in a renewal that may have been overtaken on its way through another
+    /// node. `sequence` counts the renewals of each process.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use member::{Node, Registry, Role};
+    ///
+    /// let now = Instant::now();
+    /// let mut registry = Registry::new(1, now, Duration::from_secs(3));
+    /// let serving = Node::new(Role::Agent, "desk-01", 1, "ptuj");
+    /// let leaving = Node { leaving: true, ..serving.clone() };
+    /// registry.renew_in_order(leaving, 4, 2, now);
+    /// registry.renew_in_order(serving, 3, 1, now);
+    /// assert!(registry.view().nodes[0].leaving);
+    /// assert_eq!(registry.members().next().unwrap().note, 4);
+    /// ```
+    pub fn renew_in_order(
+        &mut self,
+        node: Node,
+        number: u64,
+        sequence: u64,
+        now: Instant,
+    ) -> Renewal {
         let mut changed = self.expire(now);
         let expires = now + self.lease;
         if let Some(slot) = self.slots.get_mut(&node.key) {
@@ -99,7 +125,7 @@
             if slot.live && slot.member.node.incarnation != node.incarnation {
                 self.replaced.push(slot.member.clone());
             }
-            if slot.renew(node, number, expires) {
+            if slot.renew(node, number, sequence, expires) {
                 self.version += 1;
                 slot.changed = self.version;
                 changed = true;
@@ -117,7 +143,8 @@
             expires,
         };
         self.version += 1;
-        self.slots.insert(key, Slot::new(member, self.version));
+        self.slots
+            .insert(key, Slot::new(member, self.version, sequence));
         Renewal::Granted { changed: true }
     }
 
--- a/crates/member/src/slot.rs
+++ b/crates/member/src/slot.rs
@@ -18,11 +18,14 @@
     /// Version of the view that last showed it otherwise than before.
     pub(crate) changed: u64,
     superseded: VecDeque<u64>,
+    /// Number of the newest renewal of this incarnation; 0 when they aren't numbered.
+    sequence: u64,
 }
 
 impl Slot {
-    pub(crate) fn new(member: Member, version: u64) -> Self {
+    pub(crate) fn new(member: Member, version: u64, sequence: u64) -> Self {
         Slot {
+            sequence,
             member,
             live: true,
             changed: version,
@@ -35,9 +38,24 @@
     }
 
     /// Takes in a renewal; whether what is seen from outside changed.
-    pub(crate) fn renew(&mut self, node: Node, number: u64, expires: Instant) -> bool {
+    ///
+    /// One that was overtaken by a later one of the same process prolongs the lease
+    /// and changes nothing else: it would show a target that is leaving as ready.
+    pub(crate) fn renew(
+        &mut self,
+        node: Node,
+        number: u64,
+        sequence: u64,
+        expires: Instant,
+    ) -> bool {
         let known = &self.member.node;
-        if known.incarnation != node.incarnation {
+        let same = known.incarnation == node.incarnation;
+        if same && self.live && sequence < self.sequence {
+            self.member.expires = expires;
+            return false;
+        }
+        self.sequence = sequence;
+        if !same {
             self.superseded.push_back(known.incarnation);
             if self.superseded.len() > MOST_SUPERSEDED {
                 self.superseded.pop_front();
--- a/crates/node/src/ask.rs
+++ b/crates/node/src/ask.rs
@@ -27,6 +27,7 @@
 ) -> std::result::Result<Body, Unanswered> {
     let deadline = Instant::now() + within;
     let mut maybe = false;
+    let _asking = shared.controls.asking();
     while Instant::now() < deadline {
         let Some(link) = shared.controls.pick() else {
             // Bounded besides the notice: a link that came up between the look and
--- a/crates/node/src/controls.rs
+++ b/crates/node/src/controls.rs
@@ -3,14 +3,19 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use tokio::sync::Notify;
+use std::time::{Duration, Instant};
+use tokio::sync::{Notify, watch};
 use wire::Link;
 
 /// The links that are up, and who was last said to lead.
-#[derive(Default)]
+///
+/// A node that renews through another one needs them only when it asks for something
+/// else, so they are dialled then and closed again: a thousand links cost the leader
+/// more than the renewals do.
 pub(crate) struct Controls {
     state: Mutex<State>,
     up: Notify,
+    wanted: watch::Sender<bool>,
 }
 
 #[derive(Default)]
@@ -18,9 +23,65 @@
     links: BTreeMap<SocketAddr, Link>,
     leader: Option<String>,
     turn: usize,
+    /// Questions that wait for an answer.
+    asking: usize,
+    /// When the last one ended.
+    used: Option<Instant>,
+}
+
+/// Somebody asks; the links are held until this is dropped.
+pub(crate) struct Asking<'a>(&'a Controls);
+
+impl Drop for Asking<'_> {
+    fn drop(&mut self) {
+        let mut state = self.0.state();
+        state.asking -= 1;
+        state.used = Some(Instant::now());
+    }
+}
+
+impl Default for Controls {
+    fn default() -> Self {
+        Controls {
+            state: Mutex::default(),
+            up: Notify::new(),
+            wanted: watch::Sender::new(true),
+        }
+    }
 }
 
 impl Controls {
+    /// Whether the links are to be held, as that changes.
+    pub(crate) fn wanted(&self) -> watch::Receiver<bool> {
+        self.wanted.subscribe()
+    }
+
+    /// Has the links dialled and held.
+    pub(crate) fn asking(&self) -> Asking<'_> {
+        let mut state = self.state();
+        state.asking += 1;
+        self.wanted
+            .send_if_modified(|wanted| !std::mem::replace(wanted, true));
+        Asking(self)
+    }
+
+    /// Closes the links if nobody has used them for `linger`.
+    pub(crate) fn release(&self, now: Instant, linger: Duration) {
+        // Under the lock, so that nobody asks in between.
+        let mut state = self.state();
+        let idle = state
+            .used
+            .is_none_or(|used| now.saturating_duration_since(used) >= linger);
+        if state.asking > 0 || !idle {
+            return;
+        }
+        self.wanted
+            .send_if_modified(|wanted| std::mem::replace(wanted, false));
+        for link in std::mem::take(&mut state.links).into_values() {
+            link.close();
+        }
+    }
+
     pub(crate) fn add(&self, address: SocketAddr, link: Link) {
         self.state().links.insert(address, link);
         self.up.notify_waiters();
--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -1,6 +1,7 @@
 //! The handle on all that a node knows from control.
 
 use crate::ask::{Unanswered, ask, pause};
+use crate::relayed;
 use crate::renewer::{Renewer, renew};
 use crate::settings::FollowerSettings;
 use crate::shared::Shared;
@@ -11,7 +12,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, watch};
-use tokio_util::sync::{CancellationToken, DropGuard};
+use tokio_util::sync::DropGuard;
 use wire::proto::frame::Body;
 use wire::proto::{
     Announcement, Command, MemberView, NodeInfo, Outcome, Propose, Quarantine, Query, QueryReply,
@@ -36,7 +37,7 @@
     #[must_use]
     pub fn spawn(me: Identity, info: NodeInfo, cfg: FollowerSettings) -> Follower {
         let shared = Arc::new(Shared::new(me, info, cfg));
-        let stop = CancellationToken::new();
+        let stop = shared.stop.clone();
         for address in shared.cfg.controls.clone() {
             let keep = keep_link(Arc::clone(&shared), address);
             tokio::spawn(stop.clone().run_until_cancelled_owned(keep));
@@ -97,6 +98,18 @@
         self.shared.announce(|info| info.target = Some(target));
     }
 
+    /// Name of the node that this one renews through, if it does.
+    #[must_use]
+    pub fn renews_through(&self) -> Option<String> {
+        self.shared.upstream.name()
+    }
+
+    /// Passes on what another node of the availability zone sends: its renewals and
+    /// its questions for notes. Others of its messages are passed over.
+    pub fn relay(&self, incoming: Incoming) {
+        relayed::take(&self.shared, incoming);
+    }
+
     /// Asks for the newest note now, and returns when it was fetched or can't be.
     pub async fn refresh(&self) {
         renew(&self.shared).await;
@@ -170,13 +183,22 @@
 }
 
 async fn keep_link(shared: Arc<Shared>, address: SocketAddr) {
-    let me = shared.me.clone();
-    let key = shared.cfg.key.clone();
-    let link = shared.cfg.link.clone();
-    redial(address, me, key, link, move |link, rx| {
-        serve(Arc::clone(&shared), address, link, rx)
-    })
-    .await;
+    let mut wanted = shared.controls.wanted();
+    while wanted.wait_for(|wanted| *wanted).await.is_ok() {
+        let (me, key) = (shared.me.clone(), shared.cfg.key.clone());
+        let (cfg, served) = (shared.cfg.link.clone(), Arc::clone(&shared));
+        let dialled = redial(address, me, key, cfg, move |link, rx| {
+            serve(Arc::clone(&served), address, link, rx)
+        });
+        let released = async {
+            // An error means that the follower is gone too.
+            let _ = wanted.wait_for(|wanted| !*wanted).await;
+        };
+        tokio::select! {
+            () = dialled => {}
+            () = released => {}
+        }
+    }
 }
 
 fn serve(
@@ -188,16 +210,8 @@
     shared.controls.add(address, link);
     async move {
         while let Some(incoming) = rx.recv().await {
-            // Control hints at a new note or a changed quarantine, so that it is in
-            // force before the next renewal is due; nothing but the renewal itself is
-            // trusted.
-            let news = match incoming.body {
-                Body::Notes(hint) => hint.number > shared.catalogue().number(),
-                Body::Renewed(_) => true,
-                _ => false,
-            };
-            if news {
-                shared.hurry.notify_one();
+            if shared.heed(&incoming.body) {
+                shared.relayed.hint(&incoming.body);
             }
         }
         shared.controls.remove(address);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,14 +4,20 @@
 //! node's lease, fetches release notes, and holds the newest of everything: the
 //! catalogue, the member view, the quarantine. Nothing that it holds ever goes back to
 //! an older state, whichever replica it hears it from.
+//!
+//! In an availability zone of many nodes it renews through another node, and may have
+//! to pass on the renewals of others: whoever accepts links hands such messages to
+//! [`Follower::relay`].
 
 mod ask;
 mod controls;
 mod follower;
 mod lease;
+mod relayed;
 mod renewer;
 mod settings;
 mod shared;
+mod upstream;
 mod view;
 
 pub use crate::follower::Follower;
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -2,13 +2,17 @@
 
 use crate::controls::Controls;
 use crate::lease::Lease;
+use crate::relayed::Relayed;
 use crate::settings::FollowerSettings;
+use crate::upstream::Upstream;
 use crate::view::merge;
 use note::Catalogue;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::{Notify, watch};
+use tokio_util::sync::CancellationToken;
 use wire::Identity;
+use wire::proto::frame::Body;
 use wire::proto::{MemberView, NodeInfo, Notes, Quarantine, Renewed};
 
 /// What a follower holds.
@@ -18,6 +22,12 @@
     pub(crate) controls: Controls,
     /// Asks for a renewal before its time.
     pub(crate) hurry: Notify,
+    /// A renewal has ended.
+    pub(crate) renewed: Notify,
+    pub(crate) upstream: Upstream,
+    pub(crate) relayed: Relayed,
+    /// Ends all tasks.
+    pub(crate) stop: CancellationToken,
     held: Mutex<Held>,
     changed: watch::Sender<u64>,
 }
@@ -28,6 +38,10 @@
     lease: Lease,
     view: Arc<MemberView>,
     quarantine: Arc<Quarantine>,
+    /// When a relay wants the next renewal.
+    next: Option<Duration>,
+    /// Renewals so far.
+    sequence: u64,
 }
 
 impl Shared {
@@ -38,12 +52,18 @@
             lease: Lease::default(),
             view: Arc::new(MemberView::default()),
             quarantine: Arc::new(Quarantine::default()),
+            next: None,
+            sequence: 0,
         };
         Shared {
             me,
             controls: Controls::default(),
             cfg,
             hurry: Notify::new(),
+            renewed: Notify::new(),
+            upstream: Upstream::default(),
+            relayed: Relayed::default(),
+            stop: CancellationToken::new(),
             held: Mutex::new(held),
             changed: watch::Sender::new(0),
         }
@@ -79,6 +99,37 @@
         self.hurry.notify_one();
     }
 
+    /// Control hints at a new note or a changed quarantine, so that it is in force
+    /// before the next renewal is due; nothing but the renewal itself is trusted.
+    /// Whether it is news.
+    pub(crate) fn heed(&self, hint: &Body) -> bool {
+        let news = match hint {
+            Body::Notes(hint) => hint.number > self.catalogue().number(),
+            Body::Renewed(_) => true,
+            _ => false,
+        };
+        if news {
+            self.hurry.notify_one();
+        }
+        news
+    }
+
+    /// Numbers a renewal.
+    pub(crate) fn next_sequence(&self) -> u64 {
+        let mut held = self.held();
+        held.sequence += 1;
+        held.sequence
+    }
+
+    pub(crate) fn set_next(&self, next: Option<Duration>) {
+        self.held().next = next;
+    }
+
+    /// The time until the next renewal.
+    pub(crate) fn take_next(&self) -> Duration {
+        self.held().next.take().unwrap_or(self.cfg.renew)
+    }
+
     /// Takes in the view and quarantine that came with a renewal.
     pub(crate) fn take_renewed(&self, renewed: &Renewed) {
         let mut held = self.held();
--- /dev/null
+++ b/crates/node/tests/relay/batch.rs
@@ -0,0 +1,123 @@
+//! What control makes of renewals that come in one message.
+
+use super::zone::{key, start_control};
+use std::time::Duration;
+use wire::proto::frame::Body;
+use wire::proto::{
+    NodeInfo, Query, QueryReply, Renew, RenewBatch, RenewedBatch, StatusQuery, query, query_reply,
+};
+use wire::{Identity, Link, LinkSettings, Role};
+
+async fn dial(address: std::net::SocketAddr) -> Link {
+    let me = Identity::new(Role::Agent, "relay", 1);
+    let dialled = wire::dial(address, &me, &key(), &LinkSettings::default()).await;
+    let (link, mut rx) = dialled.unwrap();
+    tokio::spawn(async move { while rx.recv().await.is_some() {} });
+    link
+}
+
+fn renewal(name: &str, incarnation: u64, sequence: u64) -> Renew {
+    let info = NodeInfo {
+        role: Role::Agent.into(),
+        name: name.to_owned(),
+        incarnation,
+        zone: "celje".to_owned(),
+        ..NodeInfo::default()
+    };
+    Renew {
+        node: Some(info),
+        sequence,
+        ..Renew::default()
+    }
+}
+
+async fn granted(link: &Link, renewals: Vec<Renew>) -> RenewedBatch {
+    let end = std::time::Instant::now() + Duration::from_mins(1);
+    loop {
+        let batch = RenewBatch {
+            renewals: renewals.clone(),
+        };
+        let answer = link
+            .call(Body::RenewBatch(batch), Duration::from_secs(10))
+            .await;
+        if let Ok(Body::RenewedBatch(renewed)) = answer {
+            return renewed;
+        }
+        assert!(std::time::Instant::now() < end, "never granted");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// A relay passes on the renewal of a process that was replaced under its name, together
+/// with those of others. If the batch stood or fell as a whole, the replaced one would get
+/// work again, or the others would lose their leases for it.
+#[tokio::test]
+async fn renew_batch_superseded_among_others() {
+    let (_control, address, _folder) = start_control().await;
+    let link = dial(address).await;
+    granted(&link, vec![renewal("desk-01", 1, 1)]).await;
+    granted(&link, vec![renewal("desk-01", 2, 1)]).await;
+    let renewed = granted(
+        &link,
+        vec![
+            renewal("desk-02", 7, 1),
+            renewal("desk-01", 1, 2),
+            renewal("desk-01", 2, 2),
+        ],
+    )
+    .await;
+    let leases: Vec<bool> = renewed.renewals.iter().map(|r| r.lease_ms > 0).collect();
+    assert_eq!(leases, [true, false, true]);
+}
+
+/// Nodes that hold the same view are told the same; it must come once, or a common start
+/// would cost the leader as many views as there are nodes.
+#[tokio::test]
+async fn renew_batch_views_come_once() {
+    let (_control, address, _folder) = start_control().await;
+    let link = dial(address).await;
+    let all = (0..20)
+        .map(|n| renewal(&format!("desk-{n:02}"), 1, 1))
+        .collect();
+    let renewed = granted(&link, all).await;
+    assert_eq!(renewed.views.len(), 1);
+    assert_eq!(renewed.views[0].nodes.len(), 20);
+    assert!(renewed.renewals.iter().all(|r| r.shared_view == 1));
+    let mut known = renewal("desk-00", 1, 2);
+    (known.view_term, known.view_version) = (renewed.renewals[0].term, renewed.views[0].version);
+    let renewed = granted(&link, vec![known, renewal("desk-01", 1, 2)]).await;
+    let places: Vec<u32> = renewed.renewals.iter().map(|r| r.shared_view).collect();
+    assert!(places[0] == 0 || renewed.views.len() == 2, "{places:?}");
+    assert_ne!(places[1], 0);
+}
+
+/// Two nodes of a batch act on different notes. Were the batch's note taken for all of
+/// them, a note would be called in force everywhere while one still works by the former.
+#[tokio::test(flavor = "multi_thread")]
+async fn renew_batch_note_of_each() {
+    let (_control, address, _folder) = start_control().await;
+    let link = dial(address).await;
+    let mut ahead = renewal("desk-01", 1, 1);
+    ahead.note = 3;
+    let behind = renewal("desk-02", 1, 1);
+    granted(&link, vec![ahead, behind]).await;
+    let status = Body::Query(Query {
+        body: Some(query::Body::Status(StatusQuery {})),
+    });
+    let answer = link.call(status, Duration::from_secs(10)).await.unwrap();
+    let Body::QueryReply(QueryReply {
+        body: Some(query_reply::Body::Json(json)),
+    }) = answer
+    else {
+        panic!("{answer:?}");
+    };
+    let status: serde_json::Value = serde_json::from_slice(&json).unwrap();
+    let nodes = status["nodes"].as_array().unwrap().iter();
+    let acted_on: Vec<_> = nodes
+        .map(|node| (node["name"].as_str(), node["note"].as_u64()))
+        .collect();
+    assert_eq!(
+        acted_on,
+        [(Some("desk-01"), Some(3)), (Some("desk-02"), Some(0))]
+    );
+}
--- a/crates/wire/src/gen/lovageramp.rs
+++ b/crates/wire/src/gen/lovageramp.rs
@@ -7,7 +7,7 @@
     pub reply: bool,
     #[prost(
         oneof = "frame::Body",
-        tags = "10, 11, 12, 13, 20, 30, 31, 32, 33, 34, 35, 36, 37, 38, 50, 51, 52, 53, 54, 55, 56, 57, 58, 59, 60, 61, 62, 63, 70, 71, 72, 73, 74, 75, 76"
+        tags = "10, 11, 12, 13, 20, 30, 31, 32, 33, 34, 35, 36, 37, 38, 39, 40, 50, 51, 52, 53, 54, 55, 56, 57, 58, 59, 60, 61, 62, 63, 70, 71, 72, 73, 74, 75, 76"
     )]
     pub body: ::core::option::Option<frame::Body>,
 }
@@ -46,6 +46,10 @@
         Query(super::Query),
         #[prost(message, tag = "38")]
         QueryReply(super::QueryReply),
+        #[prost(message, tag = "39")]
+        RenewBatch(super::RenewBatch),
+        #[prost(message, tag = "40")]
+        RenewedBatch(super::RenewedBatch),
         /// Entry to agent, and back.
         #[prost(message, tag = "50")]
         Start(super::Start),
@@ -357,6 +361,10 @@
     pub view_version: u64,
     #[prost(uint64, tag = "5")]
     pub quarantine_version: u64,
+    /// Counts the node's renewals; 0 when it doesn't. One that is overtaken on its
+    /// way through a relay says nothing new.
+    #[prost(uint64, tag = "6")]
+    pub sequence: u64,
 }
 /// A lease counts from when the node sent the renewal.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -372,6 +380,31 @@
     pub view: ::core::option::Option<MemberView>,
     #[prost(message, optional, tag = "5")]
     pub quarantine: ::core::option::Option<Quarantine>,
+    /// In a batch: place in `views`, counted from 1, and whether its quarantine is
+    /// for this node too.
+    #[prost(uint32, tag = "6")]
+    pub shared_view: u32,
+    #[prost(bool, tag = "7")]
+    pub shared_quarantine: bool,
+    /// Set by a relay: when to renew next, so that its nodes come together.
+    #[prost(uint32, tag = "8")]
+    pub next_ms: u32,
+}
+/// The renewals of nodes of one availability zone, sent by one that passes them on.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RenewBatch {
+    #[prost(message, repeated, tag = "1")]
+    pub renewals: ::prost::alloc::vec::Vec<Renew>,
+}
+/// Answers in the order of the renewals; what is the same for several comes once.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RenewedBatch {
+    #[prost(message, repeated, tag = "1")]
+    pub renewals: ::prost::alloc::vec::Vec<Renewed>,
+    #[prost(message, repeated, tag = "2")]
+    pub views: ::prost::alloc::vec::Vec<MemberView>,
+    #[prost(message, optional, tag = "3")]
+    pub quarantine: ::core::option::Option<Quarantine>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct NotLeader {
