--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -3,6 +3,7 @@
 mod actor;
 mod answer;
 mod backlog;
+mod granting;
 mod output;
 mod pending;
 mod status;
@@ -25,7 +26,7 @@
 use std::time::Instant;
 use tokio::sync::oneshot;
 use wire::Link;
-use wire::proto::{FetchNotes, Propose, Query, Renew};
+use wire::proto::{FetchNotes, Propose, Query, Renew, RenewBatch};
 
 /// What the actor is told.
 pub(crate) enum Msg {
@@ -53,6 +54,8 @@
 pub(crate) enum Ask {
     /// To renew its lease.
     Renew(Renew, Reply),
+    /// To renew the leases of several nodes.
+    RenewBatch(RenewBatch, Reply),
     /// For notes that it lacks.
     Notes(FetchNotes, Reply),
     /// To commit a command.
