--- a/crates/agent/src/engine/mod.rs
+++ b/crates/agent/src/engine/mod.rs
@@ -24,7 +24,7 @@
 pub use failure::Failure;
 pub use load::{Load, RankLoad};
 pub use map_document::map_document;
-pub use order::{MapOrder, MapState, Obeyed, OrderFailure};
+pub use order::{InForce, MapOrder, MapState, Obeyed, OrderFailure};
 pub use outlet::{Outlet, Stand};
 pub use profile::Profile;
 pub use reply::{Reply, Usage};
--- a/crates/agent/src/engine/order.rs
+++ b/crates/agent/src/engine/order.rs
@@ -8,7 +8,7 @@
 /// One step of a switch to another expert map.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum MapOrder {
-    /// Load a map without using it.
+    /// Begin to load a map without using it; `GET /map` tells when it is done.
     Stage {
         /// Version of the map.
         version: u64,
@@ -22,6 +22,14 @@
         /// The step.
         step: u64,
     },
+    /// Take over the maps in force and begin to run steps, if the engine waits
+    /// for that in this formation.
+    Join {
+        /// Number of the formation.
+        formation: u64,
+        /// The maps, oldest first.
+        maps: Vec<InForce>,
+    },
     /// Use the staged map from a step on.
     Commit {
         /// Version of the staged map.
@@ -38,6 +46,17 @@
     },
 }
 
+/// A map that is in force from a step on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InForce {
+    /// Version of the map.
+    pub version: u64,
+    /// The first step that uses it.
+    pub step: u64,
+    /// The map, a JSON document.
+    pub map: Bytes,
+}
+
 /// What an engine answers to an order that it took.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(default)]
@@ -60,12 +79,26 @@
     pub step: u64,
     /// Version in use.
     pub version: u64,
+    /// Version that is being loaded.
+    pub loading: Option<u64>,
     /// Version loaded and not in use.
     pub staged: Option<u64>,
     /// Version that will be in use from a later step on.
     pub next: Option<u64>,
     /// The step that waits for an outcome.
     pub held: Option<u64>,
+    /// Whether the engine runs no step after a start until it has joined.
+    pub waits: bool,
+    /// Whether it waits for that now.
+    pub waiting: bool,
+    /// Number of the formation in which it steps with the other engines of
+    /// its group: 0 between two, `None` if the engine tells none.
+    ///
+    /// An engine may tell of a formation only once all engines in it have
+    /// left the former one.
+    pub formation: Option<u64>,
+    /// Ranks of that formation.
+    pub ranks: Vec<u32>,
     /// The highest fencing number that the engine has seen.
     pub fencing: u64,
 }
--- a/crates/agent/src/engine/outlet.rs
+++ b/crates/agent/src/engine/outlet.rs
@@ -12,8 +12,8 @@
 use super::client::{Connection, ask};
 use super::reply::HOP_HEADERS;
 use super::{
-    CacheChange, Call, ClientSettings, ExpertCounts, Failure, Load, MapOrder, MapState, Obeyed,
-    OrderFailure, Profile, Reply,
+    CacheChange, Call, ClientSettings, ExpertCounts, Failure, InForce, Load, MapOrder, MapState,
+    Obeyed, OrderFailure, Profile, Reply,
 };
 
 const JSON: HeaderValue = HeaderValue::from_static("application/json");
@@ -246,6 +246,16 @@
             let body = json!({"fencing": fencing, "version": version, "step": step});
             ("/map/hold", body.to_string())
         }
+        MapOrder::Join { formation, maps } => {
+            let mut all = Vec::new();
+            for InForce { version, step, map } in maps {
+                let map: Value = serde_json::from_slice(map)
+                    .map_err(|e| OrderFailure::Failed(Failure::NotRun(e.to_string())))?;
+                all.push(json!({"version": version, "step": step, "map": map}));
+            }
+            let body = json!({"fencing": fencing, "formation": formation, "maps": all});
+            ("/map/join", body.to_string())
+        }
         MapOrder::Commit { version, step } => outcome(version, step, true),
         MapOrder::Abort { version, step } => outcome(version, step, false),
     })
--- a/crates/agent/src/map/chooser.rs
+++ b/crates/agent/src/map/chooser.rs
@@ -2,11 +2,16 @@
 
 use std::collections::BTreeMap;
 
-use expert::{Estimate, EstimateSettings, Load, Map, Planner, Shape, Speeds, Weights};
+use std::time::Duration;
+
+use expert::{
+    Estimate, EstimateSettings, Load, Map, MapFault, Plan, Planner, Shape, Speeds, Weights,
+};
 use note::Group;
 use wire::proto::RankWindow;
 
 use crate::map::MapSettings;
+use crate::map::party::PartyRanks;
 
 /// Seconds for a token of a layer before any is known.
 const FIRST_SECONDS_PER_TOKEN: f64 = 1e-6;
@@ -19,22 +24,44 @@
     speeds: Speeds,
     /// Windows of the ranks, since the last plan.
     windows: BTreeMap<u32, RankWindow>,
+    /// A map that can't be repaired with the ranks that step.
+    hopeless: Option<Map>,
 }
 
 impl Chooser {
-    /// For a group of this size; `hosts` says which agent each rank is with.
-    pub fn new(group: &Group, hosts: Vec<u16>) -> Option<Self> {
+    /// For a group of this size.
+    pub fn new(group: &Group, party: PartyRanks) -> Option<Self> {
         let narrow = |value: u32| u16::try_from(value).ok();
         let (layers, experts) = (narrow(group.layers)?, narrow(group.experts)?);
         let slots = narrow(group.experts.div_ceil(group.ranks.max(1)) + group.spare_slots)?;
-        let ranks = hosts.len();
+        let ranks = party.hosts.len();
         let settings = EstimateSettings::default();
-        Some(Chooser {
-            shape: Shape::new(layers, experts, slots, hosts),
+        let mut chooser = Chooser {
+            shape: Shape::new(layers, experts, slots, party.hosts.clone()),
             estimate: Estimate::new(layers.into(), experts.into(), settings),
             speeds: Speeds::new(ranks, FIRST_SECONDS_PER_TOKEN),
             windows: BTreeMap::new(),
-        })
+            hopeless: None,
+        };
+        chooser.set_party(party);
+        Some(chooser)
+    }
+
+    /// Ranks were lost, came back or have moved to other hosts.
+    pub fn set_party(&mut self, party: PartyRanks) {
+        for (rank, live) in party.live.into_iter().enumerate() {
+            if live {
+                self.speeds.set_live(rank);
+            } else {
+                self.speeds.set_lost(rank);
+            }
+        }
+        let bare = Map::empty(self.shape.clone()).on_hosts(party.hosts);
+        if let Some(bare) = bare {
+            self.shape = bare.shape().clone();
+        }
+        self.windows.clear();
+        self.hopeless = None;
     }
 
     /// Whether it is for a group of this size.
@@ -58,12 +85,15 @@
     /// It starts from the newest committed map, `present`; before the first,
     /// or if that is for a group of another size, from the one that engines
     /// start with.
-    pub fn plan(&mut self, present: Option<&Map>, group: &Group, cfg: &MapSettings) -> Option<Map> {
-        let uniform = Map::uniform(self.shape.clone());
-        let present = present
-            .filter(|map| *map.shape() == self.shape)
-            .unwrap_or(&uniform);
-        if self.windows.len() < self.shape.ranks() {
+    pub fn plan(
+        &mut self,
+        present: Option<&Map>,
+        group: &Group,
+        cfg: &MapSettings,
+    ) -> Option<Plan> {
+        let present = self.present(present);
+        let mut live = self.speeds.live().iter().zip(0..);
+        if live.any(|(live, rank)| *live && !self.windows.contains_key(&rank)) {
             return None;
         }
         let windows = std::mem::take(&mut self.windows);
@@ -72,27 +102,74 @@
             load.add(&window.tokens);
         }
         self.estimate.observe(&load);
-        let (tokens, seconds) = by_rank(present, &load, &windows);
+        let (tokens, seconds) = by_rank(&present, &load, &windows);
         self.speeds.observe(&tokens, &seconds);
+        let weights = Weights {
+            skew: group.weights.skew,
+            moves: group.weights.moves,
+        };
+        self.planned(&present, weights, cfg)
+    }
+
+    /// The map that has a copy again of every expert that only lost ranks
+    /// held, and is the present one otherwise; `None` if there is none.
+    ///
+    /// Nothing else is moved: the weight store gives out so many bytes a
+    /// second and no more, and without these experts answers are wrong.
+    pub fn repair(&mut self, present: Option<&Map>, cfg: &MapSettings) -> Option<Plan> {
+        let present = self.present(present);
+        let faults = present.check(self.speeds.live());
+        let mut missing = faults
+            .iter()
+            .filter(|fault| matches!(fault, MapFault::Missing { .. }));
+        missing.next()?;
+        if self.hopeless.as_ref() == Some(&present) {
+            return None;
+        }
+        let nothing_else = Weights {
+            skew: 0.0,
+            moves: 1.0,
+        };
+        let plan = self.planned(&present, nothing_else, cfg);
+        if plan.is_none() {
+            log::error!("no slot is left for experts that lost ranks held");
+            self.hopeless = Some(present);
+        }
+        plan
+    }
+
+    fn present(&self, present: Option<&Map>) -> Map {
+        let hosts = self.shape.hosts().to_vec();
+        present
+            .and_then(|map| map.on_hosts(hosts))
+            .filter(|map| *map.shape() == self.shape)
+            .unwrap_or_else(|| Map::uniform(self.shape.clone()))
+    }
+
+    fn planned(&self, present: &Map, weights: Weights, cfg: &MapSettings) -> Option<Plan> {
         let planner = Planner {
-            weights: Weights {
-                skew: group.weights.skew,
-                moves: group.weights.moves,
-            },
+            weights,
             cost: cfg.cost,
             horizon: f64::from(cfg.horizon),
         };
         let plan = planner.plan(present, &self.estimate.forecast(), &self.speeds);
-        plan.is_change.then_some(plan.map)
+        plan.is_change.then_some(plan)
     }
 }
 
 /// Tokens that the map gives each rank, and seconds that it was busy.
 fn by_rank(map: &Map, load: &Load, windows: &BTreeMap<u32, RankWindow>) -> (Vec<f64>, Vec<f64>) {
     let tokens = map.tokens_by_rank(load);
-    let seconds = windows
-        .values()
-        .map(|window| f64::from(window.step_us) / 1e6)
-        .collect();
+    let ranks = 0..u32::try_from(tokens.len()).unwrap_or_default();
+    let step_us = |rank| windows.get(&rank).map_or(0, |window| window.step_us);
+    let seconds = ranks.map(|rank| f64::from(step_us(rank)) / 1e6).collect();
     (tokens, seconds)
 }
+
+/// Time to load what a plan asks for, at the rate of the weight store and with
+/// as much again for what others load from it.
+pub(crate) fn loading(plan: &Plan, cfg: &MapSettings) -> Duration {
+    let loads = u32::try_from(plan.loads).unwrap_or(u32::MAX);
+    let seconds = 2.0 * f64::from(loads) * cfg.cost.load_seconds();
+    Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+}
--- a/crates/agent/src/map/control_calls.rs
+++ b/crates/agent/src/map/control_calls.rs
@@ -16,17 +16,30 @@
 
 /// Opens a coordinator and reports what stands.
 pub(crate) async fn open(cx: Arc<Context>, inbox: ActorRef<MapMsg>) {
+    let standing = opened(&cx).await;
+    let _ = inbox.send_message(MapMsg::Opened(standing));
+}
+
+/// Opens a number so that the engine can join, and reports what stands.
+pub(crate) async fn open_to_join(cx: Arc<Context>, formation: u64, inbox: ActorRef<MapMsg>) {
+    let standing = opened(&cx).await;
+    let _ = inbox.send_message(MapMsg::JoinOpened {
+        formation,
+        standing,
+    });
+}
+
+async fn opened(cx: &Context) -> Option<Standing> {
     let open = command::Body::OpenCoordinator(OpenCoordinator {
         group: cx.cfg.serves.clone(),
         agent: cx.cfg.name.clone(),
         incarnation: cx.incarnation,
     });
     let outcome = cx.follower.propose(open, WITHIN).await;
-    let opened = match outcome.body {
+    match outcome.body {
         Some(outcome::Body::Coordinator(opened)) => Some(translate::standing(opened)),
         _ => None,
-    };
-    let _ = inbox.send_message(MapMsg::Opened(opened));
+    }
 }
 
 /// Has a decision committed and reports the answer.
--- a/crates/agent/src/map/engine_calls.rs
+++ b/crates/agent/src/map/engine_calls.rs
@@ -2,11 +2,11 @@
 
 use std::sync::Arc;
 
-use expert::{EngineOrder, EngineState, Map, Verdict};
+use expert::{Decision, EngineOrder, EngineState, Map, Verdict};
 use ractor::ActorRef;
 
 use crate::context::Context;
-use crate::engine::{MapOrder, MapState, map_document};
+use crate::engine::{InForce, MapOrder, MapState, map_document};
 use crate::map::msg::MapMsg;
 use crate::order::Orders;
 
@@ -38,6 +38,14 @@
             let map = map_document(&map);
             (fencing, MapOrder::Stage { version, map })
         }
+        EngineOrder::Join {
+            fencing,
+            formation,
+            maps,
+        } => {
+            let maps = maps.into_iter().map(in_force).collect::<Option<_>>()?;
+            (fencing, MapOrder::Join { formation, maps })
+        }
         EngineOrder::Hold {
             fencing,
             version,
@@ -59,12 +67,28 @@
     orders.give(fencing, order).await.ok().map(drop)
 }
 
+fn in_force(decision: Decision) -> Option<InForce> {
+    let map = Map::from_bytes(decision.map).ok()?;
+    Some(InForce {
+        version: decision.version,
+        step: decision.barrier_step,
+        map: map_document(&map),
+    })
+}
+
 fn state(map: &MapState) -> EngineState {
     EngineState {
         step: map.step,
         version: map.version,
+        loading: map.loading,
         staged: map.staged,
         next: map.next.filter(|next| *next > map.version),
         held: map.held,
+        waits: map.waits,
+        waiting: map.waiting,
+        formation: match map.formation {
+            Some(0) => None,
+            told => Some(told.unwrap_or_default()),
+        },
     }
 }
--- a/crates/agent/src/map/members.rs
+++ b/crates/agent/src/map/members.rs
@@ -10,8 +10,8 @@
 pub(crate) struct Members {
     /// Where each accepts links.
     pub addresses: BTreeMap<String, SocketAddr>,
-    /// Number of the agent that each rank is with.
-    ranks: BTreeMap<u32, u16>,
+    /// The agent that each rank is with.
+    ranks: BTreeMap<u32, String>,
 }
 
 impl Members {
@@ -24,8 +24,7 @@
             let Some((target, address)) = target.zip(node.link_address.parse().ok()) else {
                 continue;
             };
-            let number = u16::try_from(members.addresses.len()).unwrap_or(u16::MAX);
-            let ranks = target.ranks.iter().map(|rank| (*rank, number));
+            let ranks = target.ranks.iter().map(|rank| (*rank, node.name.clone()));
             members.ranks.extend(ranks);
             members.addresses.insert(node.name.clone(), address);
         }
@@ -41,13 +40,15 @@
         self.addresses.keys().next().map(String::as_str)
     }
 
-    /// The agent of each rank, if all `ranks` of the group are there.
-    ///
-    /// An engine whose agent can't be reached may run on all the same, so
-    /// without it no switch may begin.
-    pub fn hosts(&self, ranks: u32) -> Option<Vec<u16>> {
-        (0..ranks)
-            .map(|rank| self.ranks.get(&rank).copied())
-            .collect()
+    /// Number of the agent that a rank is with.
+    pub fn host(&self, rank: u32) -> Option<u16> {
+        let agent = self.ranks.get(&rank)?;
+        let number = self.addresses.keys().position(|name| name == agent)?;
+        u16::try_from(number).ok()
+    }
+
+    /// Name of that agent.
+    pub fn agent(&self, rank: u32) -> Option<String> {
+        self.ranks.get(&rank).cloned()
     }
 }
--- a/crates/agent/src/map/mod.rs
+++ b/crates/agent/src/map/mod.rs
@@ -8,11 +8,15 @@
 //! durable state takes decisions under the current fencing number alone.
 
 mod chooser;
+mod control_call;
 mod control_calls;
 mod engine_calls;
+mod formations;
+mod loads;
 mod maps;
 mod members;
 mod msg;
+mod party;
 mod peers;
 mod settings;
 mod state;
--- a/crates/agent/src/map/msg.rs
+++ b/crates/agent/src/map/msg.rs
@@ -4,7 +4,7 @@
 use wire::Incoming;
 use wire::proto::frame::Body;
 
-use crate::engine::ExpertCounts;
+use crate::engine::{ExpertCounts, MapState};
 
 /// What the map actor is told. A call that failed is told as `None`, so that
 /// it can be made again.
@@ -25,8 +25,20 @@
     Standing(Option<Standing>),
     /// The coordinator was opened.
     Opened(Option<Standing>),
+    /// A number was opened so that the engine can join in this formation.
+    JoinOpened {
+        formation: u64,
+        standing: Option<Standing>,
+    },
+    /// The formation in which this agent's engine steps, for the coordinator
+    /// `to`.
+    Formed { to: String, map: MapState },
     /// A decision was answered.
     Decided(Option<DecideOutcome>),
     /// What this agent's engine has counted, for the coordinator `to`.
-    Counted { to: String, counts: ExpertCounts },
+    Counted {
+        to: String,
+        counts: ExpertCounts,
+        map: MapState,
+    },
 }
--- a/crates/agent/src/map/settings.rs
+++ b/crates/agent/src/map/settings.rs
@@ -10,6 +10,8 @@
 pub struct MapSettings {
     /// Length of a window: loads are counted and a map is planned once in each.
     pub window: Duration,
+    /// Between two looks at which ranks step together.
+    pub formation: Duration,
     /// Windows over which a move is expected to go on paying.
     pub horizon: u32,
     /// What loading experts costs.
@@ -29,6 +31,7 @@
         let store = r.within("store_bytes_per_s", 1000 * MIB, 1..=1 << 50);
         MapSettings {
             window,
+            formation: time(r, "formation_ms", Duration::from_secs(2)),
             horizon: r.within("horizon_windows", 12, 1..=10_000),
             cost: MoveCost {
                 expert_bytes: r.within("expert_bytes", 42 * MIB, 1..=1 << 40),
--- a/crates/agent/src/map/state.rs
+++ b/crates/agent/src/map/state.rs
@@ -1,22 +1,26 @@
 //! Participant and coordinator of one agent, and what they want done.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Instant;
 
 use expert::{
-    Coordinator, CoordinatorOutput, DecideOutcome, Map, Participant, ParticipantOutput, Standing,
-    Verdict,
+    Coordinator, CoordinatorOutput, DecideOutcome, Map, Participant, ParticipantOutput, Plan,
+    Standing, Verdict,
 };
+use note::Group;
 use ractor::ActorRef;
 use wire::Incoming;
 use wire::proto::GroupLoad;
 use wire::proto::frame::Body;
 
 use crate::context::Context;
-use crate::engine::ExpertCounts;
-use crate::map::chooser::Chooser;
+use crate::map::chooser::{self, Chooser};
+use crate::map::control_call::ControlCall;
+use crate::map::formations::Formations;
 use crate::map::members::Members;
 use crate::map::msg::MapMsg;
+use crate::map::party::Party;
 use crate::map::peers::Peers;
 use crate::map::switcher::Start;
 use crate::map::translate::{self, Received};
@@ -26,25 +30,26 @@
 
 /// Participant and coordinator of one agent, and what they want done.
 pub(crate) struct State {
-    cx: Arc<Context>,
+    pub cx: Arc<Context>,
     orders: Orders,
     peers: Peers,
-    inbox: ActorRef<MapMsg>,
+    pub inbox: ActorRef<MapMsg>,
     participant: Participant,
-    coordinator: Option<Coordinator>,
-    members: Members,
-    chooser: Option<Chooser>,
+    pub coordinator: Option<Coordinator>,
+    pub members: Members,
+    pub formations: Formations,
+    party: Party,
+    formation_asked: Instant,
+    pub chooser: Option<Chooser>,
     /// The newest committed map, as the coordinator knows it; `None` before
     /// the first.
     present: Option<Map>,
-    windows: Windows,
+    pub windows: Windows,
     window_ends: Instant,
     /// Number of the last order to the engine.
     serial: u64,
-    /// Whether a call to control is on its way, by kind.
-    opening: bool,
-    deciding: bool,
-    asking: bool,
+    /// Calls to control that are on their way.
+    calls: BTreeSet<ControlCall>,
 }
 
 impl State {
@@ -60,13 +65,14 @@
             inbox,
             coordinator: None,
             members: Members::default(),
+            formations: Formations::default(),
+            party: Party::default(),
+            formation_asked: now,
             chooser: None,
             present: None,
             windows: Windows::default(),
             serial: 0,
-            opening: false,
-            deciding: false,
-            asking: false,
+            calls: BTreeSet::new(),
         }
     }
 
@@ -91,7 +97,7 @@
                 self.participate(outputs);
             }
             MapMsg::Standing(standing) => {
-                self.asking = false;
+                self.calls.remove(&ControlCall::Ask);
                 if let Some(standing) = standing {
                     let outputs = self.participant.on_standing(&standing, now);
                     self.participate(outputs);
@@ -99,7 +105,18 @@
             }
             MapMsg::Opened(standing) => self.opened(standing, now),
             MapMsg::Decided(outcome) => self.decided(outcome, now),
-            MapMsg::Counted { to, counts } => self.counted(&to, counts),
+            MapMsg::JoinOpened {
+                formation,
+                standing,
+            } => {
+                self.calls.remove(&ControlCall::Join);
+                if let Some(standing) = standing {
+                    let outputs = self.participant.on_opened(formation, &standing, now);
+                    self.participate(outputs);
+                }
+            }
+            MapMsg::Formed { to, map } => self.formed(&to, map),
+            MapMsg::Counted { to, counts, map } => self.counted(&to, counts, &map),
         }
     }
 
@@ -134,6 +151,11 @@
             let outputs = coordinator.tick(now);
             self.coordinate(outputs);
         }
+        if now >= self.formation_asked + self.cx.cfg.maps.formation {
+            self.formation_asked = now;
+            self.ask_formation();
+        }
+        self.repair(now);
         if now >= self.window_ends {
             self.window_ends = now + self.cx.cfg.maps.window;
             self.plan(now);
@@ -156,40 +178,78 @@
             .coordinator
             .as_ref()
             .is_none_or(Coordinator::is_deposed);
-        if deposed || members != self.members {
+        self.formations.keep(&members.addresses);
+        let catalogue = self.cx.follower.catalogue();
+        let group = catalogue.group(&self.cx.cfg.serves);
+        let ranks = group.map_or(0, |group| group.ranks);
+        let party = Party::new(&members, self.formations.newest(), ranks);
+        self.members = members;
+        if deposed || party != self.party {
             log::info!("coordinates the expert maps of {}", self.cx.cfg.serves);
             let timing = self.cx.cfg.maps.timing;
-            self.coordinator = Some(Coordinator::new(members.names(), timing, now));
-            self.chooser = None;
-            self.members = members;
+            let agents = party.agents.clone();
+            let coordinator = Coordinator::new(agents, party.formation, timing, now);
+            self.coordinator = Some(coordinator);
+            self.party = party;
+            self.choose_for(group);
+        }
+    }
+
+    /// Takes the chooser to the ranks that step now. Without all of them
+    /// there is none, and no switch begins.
+    fn choose_for(&mut self, group: Option<&Group>) {
+        let chooser = self.chooser.take();
+        let Some((group, ranks)) = group.zip(self.party.ranks.clone()) else {
+            return;
+        };
+        self.chooser = match chooser.filter(|chooser| chooser.is_for(group)) {
+            Some(mut chooser) => {
+                chooser.set_party(ranks);
+                Some(chooser)
+            }
+            None => Chooser::new(group, ranks),
+        };
+    }
+
+    /// Puts experts that only lost ranks held where they can be used, at once:
+    /// until then the group computes without them.
+    fn repair(&mut self, now: Instant) {
+        let (Some(coordinator), Some(chooser)) = (&self.coordinator, &mut self.chooser) else {
+            return;
+        };
+        if !coordinator.is_idle() {
+            return;
+        }
+        if let Some(plan) = chooser.repair(self.present.as_ref(), &self.cx.cfg.maps) {
+            let (repairs, group) = (plan.repairs, &self.cx.cfg.serves);
+            log::warn!("places {repairs} experts of {group} that lost ranks held");
+            self.begin(&plan, now);
+        }
+    }
+
+    fn begin(&mut self, plan: &Plan, now: Instant) {
+        log::info!("switches the expert map of {}", self.cx.cfg.serves);
+        let loading = chooser::loading(plan, &self.cx.cfg.maps);
+        if let Some(coordinator) = &mut self.coordinator {
+            let outputs = coordinator.begin(plan.map.to_bytes(), loading, now);
+            self.coordinate(outputs);
         }
     }
 
     /// Begins a switch if one pays, and has the next window counted.
     fn plan(&mut self, now: Instant) {
-        let Some(coordinator) = &mut self.coordinator else {
+        let Some(coordinator) = &self.coordinator else {
             return;
         };
         let catalogue = self.cx.follower.catalogue();
         let Some(group) = catalogue.group(&self.cx.cfg.serves) else {
             return;
         };
-        // Without all ranks the chooser is missing, and no switch begins.
-        if self
-            .chooser
-            .as_ref()
-            .is_none_or(|chooser| !chooser.is_for(group))
-        {
-            let hosts = self.members.hosts(group.ranks);
-            self.chooser = hosts.and_then(|hosts| Chooser::new(group, hosts));
-        }
         if let Some(chooser) = &mut self.chooser
             && coordinator.is_idle()
-            && let Some(map) = chooser.plan(self.present.as_ref(), group, &self.cx.cfg.maps)
+            && let Some(plan) = chooser.plan(self.present.as_ref(), group, &self.cx.cfg.maps)
         {
-            log::info!("switches the expert map of {}", self.cx.cfg.serves);
-            let outputs = coordinator.begin(map.to_bytes(), now);
-            self.coordinate(outputs);
+            self.begin(&plan, now);
         }
         for name in self.members.names() {
             let load = GroupLoad {
@@ -200,39 +260,8 @@
         }
     }
 
-    /// Without ranks it asks for this agent's counts.
-    fn group_load(&mut self, from: &str, load: GroupLoad) {
-        if load.group != self.cx.cfg.serves {
-            return;
-        }
-        if !load.ranks.is_empty() {
-            if let Some(chooser) = &mut self.chooser {
-                chooser.take(load.ranks);
-            }
-            return;
-        }
-        let (cx, inbox, to) = (Arc::clone(&self.cx), self.inbox.clone(), from.to_owned());
-        tokio::spawn(async move {
-            if let Ok(counts) = cx.outlet.experts().await {
-                let _ = inbox.send_message(MapMsg::Counted { to, counts });
-            }
-        });
-    }
-
-    fn counted(&mut self, to: &str, counts: ExpertCounts) {
-        let ranks = self.windows.next(counts);
-        if !ranks.is_empty() {
-            let load = GroupLoad {
-                group: self.cx.cfg.serves.clone(),
-                window: 0,
-                ranks,
-            };
-            self.send(to, Body::GroupLoad(load));
-        }
-    }
-
     fn opened(&mut self, standing: Option<Standing>, now: Instant) {
-        self.opening = false;
+        self.calls.remove(&ControlCall::Open);
         let (Some(standing), Some(coordinator)) = (standing, &mut self.coordinator) else {
             return;
         };
@@ -243,7 +272,7 @@
     }
 
     fn decided(&mut self, outcome: Option<DecideOutcome>, now: Instant) {
-        self.deciding = false;
+        self.calls.remove(&ControlCall::Decide);
         let (Some(outcome), Some(coordinator)) = (outcome, &mut self.coordinator) else {
             return;
         };
@@ -260,15 +289,15 @@
     fn coordinate(&mut self, outputs: Vec<CoordinatorOutput>) {
         for output in outputs {
             match output {
-                CoordinatorOutput::Open if self.opening => {}
+                CoordinatorOutput::Open if self.calls.contains(&ControlCall::Open) => {}
                 CoordinatorOutput::Open => {
-                    self.opening = true;
+                    self.calls.insert(ControlCall::Open);
                     let (cx, inbox) = (Arc::clone(&self.cx), self.inbox.clone());
                     tokio::spawn(control_calls::open(cx, inbox));
                 }
-                CoordinatorOutput::Decide(_) if self.deciding => {}
+                CoordinatorOutput::Decide(_) if self.calls.contains(&ControlCall::Decide) => {}
                 CoordinatorOutput::Decide(decision) => {
-                    self.deciding = true;
+                    self.calls.insert(ControlCall::Decide);
                     let (cx, inbox) = (Arc::clone(&self.cx), self.inbox.clone());
                     tokio::spawn(control_calls::decide(cx, decision, inbox));
                 }
@@ -284,9 +313,15 @@
     fn participate(&mut self, outputs: Vec<ParticipantOutput>) {
         for output in outputs {
             match output {
-                ParticipantOutput::Ask if self.asking => {}
+                ParticipantOutput::Open { .. } if self.calls.contains(&ControlCall::Join) => {}
+                ParticipantOutput::Open { formation } => {
+                    self.calls.insert(ControlCall::Join);
+                    let (cx, inbox) = (Arc::clone(&self.cx), self.inbox.clone());
+                    tokio::spawn(control_calls::open_to_join(cx, formation, inbox));
+                }
+                ParticipantOutput::Ask if self.calls.contains(&ControlCall::Ask) => {}
                 ParticipantOutput::Ask => {
-                    self.asking = true;
+                    self.calls.insert(ControlCall::Ask);
                     let (cx, inbox) = (Arc::clone(&self.cx), self.inbox.clone());
                     tokio::spawn(control_calls::ask(cx, inbox));
                 }
@@ -305,7 +340,7 @@
         }
     }
 
-    fn send(&self, to: &str, body: Body) {
+    pub fn send(&self, to: &str, body: Body) {
         if to == self.cx.cfg.name {
             let _ = self.inbox.send_message(MapMsg::Own(Box::new(body)));
             return;
--- a/crates/agent/src/map/translate.rs
+++ b/crates/agent/src/map/translate.rs
@@ -27,11 +27,13 @@
             fencing,
             version,
             barrier_step,
+            formation,
         } => Body::HoldBarrier(HoldBarrier {
             group,
             fencing,
             version,
             barrier_step,
+            formation,
         }),
         CoordinatorMessage::Outcome {
             fencing,
@@ -102,6 +104,7 @@
                 fencing: m.fencing,
                 version: m.version,
                 barrier_step: m.barrier_step,
+                formation: m.formation,
             })
         }
         Body::MapOutcome(m) if m.group == group => {
--- a/crates/agent/src/order/read_back.rs
+++ b/crates/agent/src/order/read_back.rs
@@ -34,9 +34,12 @@
         known: matches!(order, MapOrder::Commit { .. } | MapOrder::Abort { .. }),
     });
     let staged = |version: &u64| state.staged == Some(*version);
+    let loading = |version: &u64| state.loading == Some(*version);
     let used = |version: &u64| state.version == *version || state.next == Some(*version);
     match order {
-        MapOrder::Stage { version, .. } if staged(version) => obeyed,
+        MapOrder::Join { .. } if state.waiting => Reading::NotObeyed,
+        MapOrder::Join { .. } => obeyed,
+        MapOrder::Stage { version, .. } if staged(version) || loading(version) => obeyed,
         MapOrder::Stage { .. } => Reading::NotObeyed,
         MapOrder::Hold { version, step } if staged(version) && state.held == Some(*step) => obeyed,
         MapOrder::Hold { version, .. } if staged(version) => Reading::NotObeyed,
@@ -44,6 +47,7 @@
         MapOrder::Commit { version, .. } | MapOrder::Abort { version, .. } if staged(version) => {
             Reading::NotObeyed
         }
+        MapOrder::Abort { version, .. } if loading(version) => Reading::NotObeyed,
         MapOrder::Abort { version, .. } if !used(version) => obeyed,
         MapOrder::Hold { .. } | MapOrder::Commit { .. } | MapOrder::Abort { .. } => {
             Reading::Neither
--- a/crates/expert/src/coordinator.rs
+++ b/crates/expert/src/coordinator.rs
@@ -6,7 +6,7 @@
 };
 use bytes::Bytes;
 use std::collections::BTreeSet;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Drives the participants of a group through map switches.
 ///
@@ -19,6 +19,7 @@
 pub struct Coordinator {
     timing: SwitchTiming,
     members: BTreeSet<String>,
+    formation: u64,
     fencing: u64,
     next_version: u64,
     phase: Phase,
@@ -52,7 +53,7 @@
 
 impl Coordinator {
     /// A coordinator for the agents `members`, which must be all whose
-    /// engines run the group's steps. It does nothing until
+    /// engines run the group's steps in `formation`. It does nothing until
     /// [`tick`](Coordinator::tick).
     ///
     /// ```
@@ -61,14 +62,20 @@
     ///
     /// let now = std::time::Instant::now();
     /// let members = BTreeSet::from(["advisor-01".to_owned()]);
-    /// let mut coordinator = Coordinator::new(members, SwitchTiming::default(), now);
+    /// let mut coordinator = Coordinator::new(members, 0, SwitchTiming::default(), now);
     /// assert_eq!(coordinator.tick(now), [CoordinatorOutput::Open]);
     /// ```
     #[must_use]
-    pub fn new(members: BTreeSet<String>, timing: SwitchTiming, now: Instant) -> Coordinator {
+    pub fn new(
+        members: BTreeSet<String>,
+        formation: u64,
+        timing: SwitchTiming,
+        now: Instant,
+    ) -> Coordinator {
         Coordinator {
             timing,
             members,
+            formation,
             fencing: 0,
             next_version: 0,
             phase: Phase::Opening,
@@ -88,14 +95,21 @@
         matches!(self.phase, Phase::Deposed)
     }
 
+    /// Formation in which the engines of the members step.
+    #[must_use]
+    pub fn formation(&self) -> u64 {
+        self.formation
+    }
+
     /// Agents that take part.
     #[must_use]
     pub fn members(&self) -> &BTreeSet<String> {
         &self.members
     }
 
-    /// Begins a switch to `map`; does nothing unless idle.
-    pub fn begin(&mut self, map: Bytes, now: Instant) -> Vec<CoordinatorOutput> {
+    /// Begins a switch to `map`, which takes `loading` to load at the rate of
+    /// the weight store; does nothing unless idle.
+    pub fn begin(&mut self, map: Bytes, loading: Duration, now: Instant) -> Vec<CoordinatorOutput> {
         if !self.is_idle() || map.is_empty() {
             return Vec::new();
         }
@@ -103,7 +117,7 @@
             map,
             waiting: self.members.clone(),
             step: 0,
-            until: now + self.timing.attempt,
+            until: now + self.timing.attempt + loading,
         };
         self.send(now)
     }
@@ -305,6 +319,7 @@
                     fencing,
                     version,
                     barrier_step: *barrier_step,
+                    formation: self.formation,
                 },
             ),
             Phase::Telling { decision, waiting } => to_all(
--- a/crates/expert/src/coordinator_message.rs
+++ b/crates/expert/src/coordinator_message.rs
@@ -23,6 +23,8 @@
         version: u64,
         /// The step.
         barrier_step: u64,
+        /// Formation of the engines that promise.
+        formation: u64,
     },
     /// What was decided.
     Outcome {
--- a/crates/expert/src/engine_order.rs
+++ b/crates/expert/src/engine_order.rs
@@ -1,6 +1,6 @@
 //! What an agent asks of its engine during a switch.
 
-use crate::Verdict;
+use crate::{Decision, Verdict};
 use bytes::Bytes;
 
 /// What an agent asks of its engine during a switch, one at a time.
@@ -26,6 +26,16 @@
         /// The step.
         barrier_step: u64,
     },
+    /// Take over the maps in force and begin to run steps; nothing if it
+    /// doesn't wait for that, or steps in another formation.
+    Join {
+        /// Fencing number under which the maps were learnt.
+        fencing: u64,
+        /// Formation that it steps in.
+        formation: u64,
+        /// The newest committed decisions, oldest first.
+        maps: Vec<Decision>,
+    },
     /// Use the staged map from `barrier_step` on, or drop it.
     Outcome {
         /// Fencing number of the decision.
--- a/crates/expert/src/goal.rs
+++ b/crates/expert/src/goal.rs
@@ -1,6 +1,6 @@
 //! What a participant is working towards.
 
-use crate::Verdict;
+use crate::{Standing, Verdict};
 use bytes::Bytes;
 
 /// What a participant is working towards.
@@ -9,12 +9,22 @@
     /// To learn from engine and durable state where a former life of this
     /// agent left off.
     Learn,
+    /// The engine, which was started, on the maps that the others use.
+    Join {
+        /// What stood once no promise of its former life counted any more.
+        standing: Option<Standing>,
+    },
     /// Nothing is to be done.
     Rest,
     /// The map loaded.
     Stage { attempt: Attempt },
     /// The engine stopped before the barrier.
-    Hold { attempt: Attempt, barrier_step: u64 },
+    Hold {
+        attempt: Attempt,
+        barrier_step: u64,
+        /// Formation that the coordinator counts on, if it has asked.
+        formation: Option<u64>,
+    },
     /// The engine told the outcome.
     Finish {
         attempt: Attempt,
@@ -38,7 +48,7 @@
     pub(crate) fn undecided(&self) -> Option<u64> {
         match self {
             Goal::Stage { attempt } | Goal::Hold { attempt, .. } => Some(attempt.version),
-            Goal::Learn | Goal::Rest | Goal::Finish { .. } => None,
+            Goal::Learn | Goal::Join { .. } | Goal::Rest | Goal::Finish { .. } => None,
         }
     }
 }
--- a/crates/expert/src/lib.rs
+++ b/crates/expert/src/lib.rs
@@ -47,6 +47,7 @@
 mod participant;
 mod participant_message;
 mod participant_output;
+mod participant_standing;
 mod participant_steps;
 mod plan;
 mod planner;
--- a/crates/expert/src/map.rs
+++ b/crates/expert/src/map.rs
@@ -69,6 +69,25 @@
         &self.shape
     }
 
+    /// The same slots with the ranks on other hosts; `None` for another number
+    /// of ranks.
+    ///
+    /// ```
+    /// use expert::{Map, Shape};
+    ///
+    /// let map = Map::uniform(Shape::new(1, 4, 3, vec![0, 0]));
+    /// let moved = map.on_hosts(vec![0, 1]).unwrap();
+    /// assert_eq!(moved.layer(0), map.layer(0));
+    /// assert!(map.on_hosts(vec![0]).is_none());
+    /// ```
+    #[must_use]
+    pub fn on_hosts(&self, hosts: Vec<u16>) -> Option<Map> {
+        (hosts.len() == self.shape.ranks()).then(|| Map {
+            shape: self.shape.on_hosts(hosts),
+            slots: self.slots.clone(),
+        })
+    }
+
     /// Slots of one layer, by rank.
     ///
     /// # Panics
--- a/crates/expert/src/participant.rs
+++ b/crates/expert/src/participant.rs
@@ -2,10 +2,9 @@
 
 use crate::goal::{Attempt, Goal};
 use crate::{
-    CoordinatorMessage, Decision, EngineState, ParticipantMessage, ParticipantOutput, Standing,
-    SwitchTiming, Verdict,
+    CoordinatorMessage, EngineState, ParticipantMessage, ParticipantOutput, Standing, SwitchTiming,
+    Verdict,
 };
-use bytes::Bytes;
 use std::time::Instant;
 
 /// Takes one engine through the map switches of its group.
@@ -29,12 +28,18 @@
     pub(crate) told: bool,
     /// When the order in flight is given up.
     pub(crate) order_until: Option<Instant>,
+    /// Whether it only reads.
+    pub(crate) is_read: bool,
     /// Until when an order that was given up may still be obeyed.
     pub(crate) quiet_until: Option<Instant>,
     /// When the durable state is asked, if it is to be asked.
     pub(crate) ask_at: Option<Instant>,
     /// When the engine is read again.
     pub(crate) read_at: Instant,
+    /// Formation of the engine when a new fencing number was asked for.
+    pub(crate) join_in: Option<u64>,
+    /// When it is asked for again.
+    pub(crate) open_at: Instant,
 }
 
 impl Participant {
@@ -59,10 +64,13 @@
             engine: None,
             told: false,
             order_until: None,
+            is_read: false,
             // An order of a former life may still be on its way.
             quiet_until: Some(now + timing.ghost),
             ask_at: None,
             read_at: now,
+            join_in: None,
+            open_at: now,
         }
     }
 
@@ -106,11 +114,12 @@
                 fencing,
                 version,
                 barrier_step,
+                formation,
             } => {
                 if let Some(refusal) = self.refuse(from, fencing) {
                     return vec![refusal];
                 }
-                if !self.hold(from, version, barrier_step) {
+                if !self.hold(from, version, barrier_step, formation) {
                     let message = ParticipantMessage::Refused { version };
                     return vec![send(from, message)];
                 }
@@ -162,24 +171,27 @@
             // The promise for the former version holds until its outcome is
             // known, which the coordinator of the next one must have seen.
             Goal::Hold { .. } | Goal::Learn => self.ask(now),
-            Goal::Rest | Goal::Stage { .. } | Goal::Finish { .. } => {}
+            Goal::Rest | Goal::Join { .. } | Goal::Stage { .. } | Goal::Finish { .. } => {}
         }
     }
 
     /// Whether the hold is taken up.
-    fn hold(&mut self, from: &str, version: u64, barrier_step: u64) -> bool {
+    fn hold(&mut self, from: &str, version: u64, barrier_step: u64, counted: u64) -> bool {
         match &mut self.goal {
             Goal::Stage { attempt } if attempt.version == version => {
                 let attempt = attempt.clone();
                 self.goal = Goal::Hold {
                     attempt,
                     barrier_step,
+                    formation: Some(counted),
                 };
             }
             Goal::Hold {
                 attempt,
                 barrier_step: held,
+                formation,
             } if attempt.version == version && *held == barrier_step => {
+                *formation = Some(counted);
                 attempt.coordinator = Some(from.to_owned());
             }
             _ => return false,
@@ -208,13 +220,13 @@
                 self.goal = Goal::Learn;
                 self.engine = None;
             }
-            Goal::Finish { .. } => {}
+            Goal::Join { .. } | Goal::Finish { .. } => {}
             // Something was missed: the durable state has all of it.
             Goal::Learn | Goal::Stage { .. } | Goal::Hold { .. } => self.ask(now),
         }
     }
 
-    fn finish(&mut self, attempt: Attempt, barrier_step: u64, verdict: Verdict) {
+    pub(crate) fn finish(&mut self, attempt: Attempt, barrier_step: u64, verdict: Verdict) {
         self.told = false;
         self.goal = Goal::Finish {
             attempt,
@@ -227,6 +239,25 @@
         self.ask_at = Some(self.ask_at.unwrap_or(now));
     }
 
+    /// Takes in that a new fencing number was opened for this agent, whose
+    /// engine was to join in `formation`.
+    pub fn on_opened(
+        &mut self,
+        formation: u64,
+        standing: &Standing,
+        now: Instant,
+    ) -> Vec<ParticipantOutput> {
+        self.fencing = self.fencing.max(standing.fencing);
+        if let Goal::Join {
+            standing: known @ None,
+        } = &mut self.goal
+            && self.join_in == Some(formation)
+        {
+            *known = Some(standing.clone());
+        }
+        self.tick(now)
+    }
+
     /// Takes in what the durable state holds for the group; the default if it
     /// holds nothing.
     pub fn on_standing(&mut self, standing: &Standing, now: Instant) -> Vec<ParticipantOutput> {
@@ -234,7 +265,7 @@
         let latest = standing.current.as_ref().map_or(0, |last| last.version);
         match &self.goal {
             Goal::Learn => self.learn(standing, latest),
-            Goal::Finish { .. } => {}
+            Goal::Join { .. } | Goal::Finish { .. } => {}
             goal => match goal.undecided() {
                 Some(version) if version <= latest => self.decided(version, standing),
                 Some(_) => {}
@@ -247,60 +278,6 @@
         self.tick(now)
     }
 
-    /// Finds out where a former life of this agent left off.
-    fn learn(&mut self, standing: &Standing, latest: u64) {
-        let Some(engine) = self.engine else {
-            return;
-        };
-        match (engine.staged, engine.held) {
-            (Some(version), _) if version <= latest => self.decided(version, standing),
-            // A promise of the former life binds this one.
-            (Some(version), Some(barrier_step)) => {
-                self.goal = Goal::Hold {
-                    attempt: learnt(version, standing.fencing, Bytes::new()),
-                    barrier_step,
-                };
-                self.told = true;
-            }
-            _ => {
-                self.goal = Goal::Rest;
-                self.catch_up(standing, latest);
-            }
-        }
-    }
-
-    /// The attempt at `version` is decided.
-    fn decided(&mut self, version: u64, standing: &Standing) {
-        let commit = standing.committed.iter().find(|d| d.version == version);
-        if let Some(decision) = commit {
-            self.commit(decision);
-            return;
-        }
-        let attempt = match &self.goal {
-            Goal::Stage { attempt } | Goal::Hold { attempt, .. } => attempt.clone(),
-            _ => learnt(version, standing.fencing, Bytes::new()),
-        };
-        self.finish(attempt, 0, Verdict::Abort);
-    }
-
-    /// Nothing is at work here; takes up a committed map that was missed.
-    fn catch_up(&mut self, standing: &Standing, latest: u64) {
-        self.resolved = self.resolved.max(latest);
-        let known = self
-            .engine
-            .map(|engine| engine.next.unwrap_or(engine.version));
-        if let (Some(newest), Some(known)) = (standing.committed.first(), known)
-            && newest.version > known
-        {
-            self.commit(newest);
-        }
-    }
-
-    fn commit(&mut self, decision: &Decision) {
-        let attempt = learnt(decision.version, decision.fencing, decision.map.clone());
-        self.finish(attempt, decision.barrier_step, Verdict::Commit);
-    }
-
     /// Takes in the engine's answer to an order: its state after it, or
     /// `None` if the answer was lost or the order refused.
     pub fn on_engine(
@@ -324,11 +301,14 @@
     /// asked for; so only reads go out until it must have come or gone.
     fn lost(&mut self, now: Instant) {
         self.engine = None;
+        self.read_at = now + self.timing.resend;
+        if self.is_read {
+            return;
+        }
         self.quiet_until = Some(now + self.timing.ghost);
         // It may have been refused for a number that is higher than any seen
         // here; the durable state knows it.
         self.ask(now);
-        self.read_at = now + self.timing.resend;
     }
 
     /// Does what is due. Called from time to time.
@@ -352,16 +332,6 @@
     }
 }
 
-/// An attempt known from the engine or the durable state.
-fn learnt(version: u64, fencing: u64, map: Bytes) -> Attempt {
-    Attempt {
-        coordinator: None,
-        fencing,
-        version,
-        map,
-    }
-}
-
 pub(crate) fn send(to: &str, message: ParticipantMessage) -> ParticipantOutput {
     ParticipantOutput::Send {
         to: to.to_owned(),
--- a/crates/expert/src/participant_output.rs
+++ b/crates/expert/src/participant_output.rs
@@ -12,6 +12,12 @@
     /// the answer goes to
     /// [`Participant::on_standing`](crate::Participant::on_standing).
     Ask,
+    /// Open a new fencing number in the durable state; the answer goes to
+    /// [`Participant::on_opened`](crate::Participant::on_opened).
+    Open {
+        /// Formation in which the engine is to join.
+        formation: u64,
+    },
     /// Answer the coordinator.
     Send {
         /// Name of its agent.
--- a/crates/expert/src/participant_steps.rs
+++ b/crates/expert/src/participant_steps.rs
@@ -3,7 +3,7 @@
 use crate::goal::{Attempt, Goal};
 use crate::participant::send;
 use crate::{
-    EngineOrder, EngineState, Participant, ParticipantMessage, ParticipantOutput, Verdict,
+    EngineOrder, EngineState, Participant, ParticipantMessage, ParticipantOutput, Standing, Verdict,
 };
 use std::time::Instant;
 
@@ -17,7 +17,9 @@
             }
             return;
         };
+        self.heed_start(engine);
         let next = match self.goal.clone() {
+            Goal::Join { standing } => self.advance_join(standing, engine, now, outputs),
             Goal::Learn => {
                 self.ask(now);
                 None
@@ -27,7 +29,8 @@
             Goal::Hold {
                 attempt,
                 barrier_step,
-            } => self.advance_hold(&attempt, barrier_step, engine, now, outputs),
+                formation,
+            } => self.advance_hold(&attempt, barrier_step, formation, engine, now, outputs),
             Goal::Finish {
                 attempt,
                 barrier_step,
@@ -38,27 +41,107 @@
             && self.quiet_until.is_none()
         {
             self.order(order, now, outputs);
+        } else if self.engine.is_some() && now >= self.read_at + self.timing.resend {
+            // The engine may restart at any time, whatever was asked of it.
+            self.order(EngineOrder::Read, now, outputs);
         }
     }
 
     fn order(&mut self, order: EngineOrder, now: Instant, outputs: &mut Vec<ParticipantOutput>) {
         self.engine = None;
+        self.is_read = order == EngineOrder::Read;
         self.order_until = Some(now + self.timing.order);
         self.read_at = now;
         outputs.push(ParticipantOutput::Order(order));
     }
 
+    /// Notices that the engine was started since it was last read: it has
+    /// lost its maps and whatever it promised.
+    fn heed_start(&mut self, engine: EngineState) {
+        if engine.waiting && !matches!(self.goal, Goal::Join { .. }) {
+            self.goal = Goal::Join { standing: None };
+        }
+        // An order of before may have reached the engine after its start, and
+        // it would keep a promise that nobody here knows of.
+        if !engine.waiting && engine.held.is_some() && self.goal == Goal::Rest {
+            self.goal = Goal::Learn;
+        }
+    }
+
+    /// Brings an engine that was started onto the maps of the others.
+    ///
+    /// A coordinator may count on a promise that the engine gave before its
+    /// start, and commit a switch at any moment. So a new fencing number is
+    /// opened first: from then on that commit is refused, or stands already
+    /// in what the durable state answers. Whatever comes after needs the
+    /// promise of an engine in the present formation, and so this one's.
+    fn advance_join(
+        &mut self,
+        standing: Option<Standing>,
+        engine: EngineState,
+        now: Instant,
+        outputs: &mut Vec<ParticipantOutput>,
+    ) -> Option<EngineOrder> {
+        if !engine.waiting {
+            self.joined(standing);
+            return None;
+        }
+        // Before it is in a formation a switch may be decided without it.
+        let formation = engine.formation?;
+        if let Some(standing) = standing.filter(|_| self.join_in == Some(formation)) {
+            let maps = standing.committed.into_iter().rev().collect();
+            return Some(EngineOrder::Join {
+                fencing: self.fencing.max(standing.fencing),
+                formation,
+                maps,
+            });
+        }
+        if self.join_in != Some(formation) || now >= self.open_at {
+            self.join_in = Some(formation);
+            self.goal = Goal::Join { standing: None };
+            self.open_at = now + self.timing.resend;
+            outputs.push(ParticipantOutput::Open { formation });
+        }
+        None
+    }
+
+    /// The engine runs steps on the maps in force.
+    fn joined(&mut self, standing: Option<Standing>) {
+        self.join_in = None;
+        let Some(standing) = standing else {
+            self.goal = Goal::Learn;
+            return;
+        };
+        let latest = standing.current.as_ref().map_or(0, |last| last.version);
+        self.resolved = self.resolved.max(latest);
+        self.goal = Goal::Rest;
+        if let Some(newest) = standing.committed.first() {
+            // It comes into use at a later step, perhaps.
+            self.commit(newest);
+        }
+    }
+
     fn advance_stage(
         &mut self,
         attempt: &Attempt,
         engine: EngineState,
         outputs: &mut Vec<ParticipantOutput>,
     ) -> Option<EngineOrder> {
-        if engine.staged != Some(attempt.version) {
+        let version = attempt.version;
+        if !engine.waits {
+            // After a restart it would join on its start map while the others
+            // run on this one.
+            self.tell(attempt, ParticipantMessage::Refused { version }, outputs);
+            return None;
+        }
+        if engine.loading == Some(version) {
+            return None;
+        }
+        if engine.staged != Some(version) {
             return Some(stage_order(attempt));
         }
         let message = ParticipantMessage::Staged {
-            version: attempt.version,
+            version,
             step: engine.step,
         };
         self.tell(attempt, message, outputs);
@@ -69,6 +152,7 @@
         &mut self,
         attempt: &Attempt,
         barrier_step: u64,
+        formation: Option<u64>,
         engine: EngineState,
         now: Instant,
         outputs: &mut Vec<ParticipantOutput>,
@@ -77,6 +161,11 @@
         // message that tells it may be lost: the durable state is asked.
         self.ask_at = Some(self.ask_at.unwrap_or(now + self.timing.resend));
         let version = attempt.version;
+        if formation.is_some_and(|counted| engine.formation != Some(counted)) {
+            // Engines that the coordinator doesn't know of step along.
+            self.tell(attempt, ParticipantMessage::Refused { version }, outputs);
+            return None;
+        }
         if engine.staged == Some(version) && engine.held == Some(barrier_step) {
             self.tell(attempt, ParticipantMessage::Held { version }, outputs);
             return None;
@@ -104,7 +193,10 @@
         let version = attempt.version;
         let done = match verdict {
             Verdict::Commit => engine.version >= version,
-            Verdict::Abort => engine.staged != Some(version) && engine.held.is_none(),
+            Verdict::Abort => {
+                let is_there = [engine.staged, engine.loading].contains(&Some(version));
+                !is_there && engine.held.is_none()
+            }
         };
         if done {
             self.tell(attempt, ParticipantMessage::Applied { version }, outputs);
@@ -128,7 +220,11 @@
             fencing: self.fencing.max(attempt.fencing),
             ..attempt.clone()
         };
-        if engine.staged != Some(version) {
+        if verdict == Verdict::Commit && engine.loading == Some(version) {
+            return None;
+        }
+        let is_there = [engine.staged, engine.loading].contains(&Some(version));
+        if !is_there {
             return Some(stage_order(&attempt));
         }
         Some(EngineOrder::Outcome {
--- a/crates/expert/src/shape.rs
+++ b/crates/expert/src/shape.rs
@@ -47,6 +47,11 @@
         Shape::new(layers, experts, slots, hosts.collect())
     }
 
+    /// The same dimensions on other hosts.
+    pub(crate) fn on_hosts(&self, hosts: Vec<u16>) -> Shape {
+        Shape::new(self.layers, self.experts, self.slots, hosts)
+    }
+
     /// Number of layers with experts.
     #[must_use]
     pub fn layers(&self) -> usize {
--- a/crates/expert/tests/planner.rs
+++ b/crates/expert/tests/planner.rs
@@ -168,6 +168,17 @@
     assert_eq!(plan.homeless, 2, "15 slots are left for 16 experts");
 }
 
+#[test]
+fn plan_without_weight_of_skew() {
+    // Experts that only lost ranks held are missing, and the weight store
+    // gives out so much and no more: nothing else may be loaded before them.
+    fn property(case: Case) -> bool {
+        let plan = planner(0.0, 1.0).plan(&case.map, &case.load, &case.speeds);
+        plan.loads == plan.repairs
+    }
+    check(property, 9);
+}
+
 #[test]
 fn plan_straggler_given_less() {
     // One rank slows down and all wait for it in every step.
--- a/crates/expert/tests/switch/event.rs
+++ b/crates/expert/tests/switch/event.rs
@@ -26,6 +26,17 @@
         life: usize,
         standing: Standing,
     },
+    OpenJoin {
+        rank: usize,
+        life: usize,
+        formation: u64,
+    },
+    JoinOpened {
+        rank: usize,
+        life: usize,
+        formation: u64,
+        standing: Standing,
+    },
     Decide {
         life: usize,
         decision: Decision,
--- a/crates/fake/src/collective_member.rs
+++ b/crates/fake/src/collective_member.rs
@@ -78,7 +78,7 @@
     message: &Value,
 ) {
     if let Some(formation) = message["leave_for"].as_u64() {
-        experts.send_modify(|experts| experts.formation = None);
+        experts.send_modify(|experts| experts.formation = Some((0, Vec::new())));
         let _ = answers.send(json!({"left_for": formation}));
     }
     if let Some(formation) = message["formation"].as_u64() {
--- a/crates/fake/src/engine_settings.rs
+++ b/crates/fake/src/engine_settings.rs
@@ -27,6 +27,8 @@
     pub fencing: FencingCheck,
     /// Time that staging an expert map takes.
     pub stage: Duration,
+    /// The weight store that it loads experts from.
+    pub weights: Option<SocketAddr>,
     /// Layers with experts.
     pub layers: usize,
     /// Tokens that each step adds to each expert of a layer, by expert.
@@ -62,6 +64,7 @@
             tokens: 16,
             fencing: FencingCheck::Ignore,
             stage: Duration::ZERO,
+            weights: None,
             layers: 2,
             popularity: vec![4, 3, 2, 1],
             drift_steps: 0,
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -26,6 +26,7 @@
 mod faults;
 mod http;
 mod life;
+mod loading;
 mod orders;
 mod ran_step;
 mod seen;
--- a/crates/fake/src/weight_store.rs
+++ b/crates/fake/src/weight_store.rs
@@ -53,6 +53,8 @@
 #[derive(Debug)]
 struct Bucket {
     bytes: f64,
+    /// Bytes given out a second.
+    rate: u64,
     filled: Instant,
     served: u64,
     refused: u64,
@@ -76,6 +78,7 @@
         let dead = CancellationToken::new();
         let bucket = Mutex::new(Bucket {
             bytes: 0.0,
+            rate: cfg.bytes_per_s,
             filled: Instant::now(),
             served: 0,
             refused: 0,
@@ -96,6 +99,11 @@
         self.address
     }
 
+    /// Gives out so many bytes a second from now on.
+    pub fn set_rate(&self, bytes_per_s: u64) {
+        self.state.bucket().rate = bytes_per_s;
+    }
+
     /// Bytes given out so far.
     #[must_use]
     pub fn served_bytes(&self) -> u64 {
@@ -125,9 +133,9 @@
         reason = "a rate of bytes needs no more than 52 bits"
     )]
     fn take(&self, now: Instant) -> Result<(), Duration> {
-        let rate = self.cfg.bytes_per_s.max(1) as f64;
         let wanted = self.cfg.expert_bytes as f64;
         let mut bucket = self.bucket();
+        let rate = bucket.rate.max(1) as f64;
         let elapsed = now.duration_since(bucket.filled).as_secs_f64();
         bucket.bytes = (bucket.bytes + elapsed * rate).min(rate.max(wanted));
         bucket.filled = now;
--- a/crates/lovageramp/src/fakes.rs
+++ b/crates/lovageramp/src/fakes.rs
@@ -57,6 +57,9 @@
     /// Milliseconds that staging an expert map takes
     #[bpaf(argument("MS"), fallback(0))]
     stage_ms: u64,
+    /// Weight store that it loads experts from
+    #[bpaf(argument("IP:PORT"), optional)]
+    weights: Option<SocketAddr>,
     /// Collective in which the engines of its group step
     #[bpaf(argument("IP:PORT"), optional)]
     collective: Option<SocketAddr>,
@@ -84,6 +87,7 @@
             limit: self.limit,
             fencing,
             stage: Duration::from_millis(self.stage_ms),
+            weights: self.weights,
             layers: self.layers,
             popularity: or(self.popularity, defaults.popularity),
             drift_steps: self.drift_steps,
--- a/crates/wire/src/gen/lovageramp.rs
+++ b/crates/wire/src/gen/lovageramp.rs
@@ -1132,6 +1132,17 @@
     pub window: u64,
     #[prost(message, repeated, tag = "3")]
     pub ranks: ::prost::alloc::vec::Vec<RankWindow>,
+    /// Asks for the formation alone, or answers that.
+    #[prost(bool, tag = "4")]
+    pub about_formation: bool,
+    #[prost(bool, tag = "5")]
+    pub is_answer: bool,
+    /// Number of the formation in which the engine steps; 0 if it tells none.
+    #[prost(uint64, tag = "6")]
+    pub formation: u64,
+    /// Ranks of that formation.
+    #[prost(uint32, repeated, tag = "7")]
+    pub formed: ::prost::alloc::vec::Vec<u32>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RankWindow {
@@ -1185,6 +1196,9 @@
     pub version: u64,
     #[prost(uint64, tag = "4")]
     pub barrier_step: u64,
+    /// Formation of the engines that promise.
+    #[prost(uint64, tag = "5")]
+    pub formation: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct BarrierHeld {
