--- a/crates/agent/src/engine/outlet.rs
+++ b/crates/agent/src/engine/outlet.rs
@@ -16,8 +16,8 @@
 use super::pool::Pool;
 use super::reply::HOP_HEADERS;
 use super::{
-    CacheChange, Call, ClientSettings, ExpertCounts, Failure, Load, MapOrder, MapState, Obeyed,
-    OrderFailure, PoolCounts, Profile, Repeats, Reply,
+    CacheChange, Call, ClientSettings, ExpertCounts, Failure, InForce, Load, MapOrder, MapState,
+    Obeyed, OrderFailure, PoolCounts, Profile, Repeats, Reply,
 };
 
 /// Bytes of a body at most that is written to a connection that was kept. More
@@ -314,6 +314,16 @@
             let body = json!({"fencing": fencing, "version": version, "step": step});
             ("/map/hold", body.to_string())
         }
+        MapOrder::Join { formation, maps } => {
+            let mut all = Vec::new();
+            for InForce { version, step, map } in maps {
+                let map: Value = serde_json::from_slice(map)
+                    .map_err(|e| OrderFailure::Failed(Failure::NotRun(e.to_string())))?;
+                all.push(json!({"version": version, "step": step, "map": map}));
+            }
+            let body = json!({"fencing": fencing, "formation": formation, "maps": all});
+            ("/map/join", body.to_string())
+        }
         MapOrder::Commit { version, step } => outcome(version, step, true),
         MapOrder::Abort { version, step } => outcome(version, step, false),
     })
--- a/crates/lovageramp/tests/support/callers.rs
+++ b/crates/lovageramp/tests/support/callers.rs
@@ -1,6 +1,7 @@
 //! Callers of the order desk who go on through faults, and what became of each call.
 
-use super::cluster::{Cluster, reserve};
+use super::cluster::Cluster;
+use super::reserve;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
--- a/crates/lovageramp/tests/support/relay.rs
+++ b/crates/lovageramp/tests/support/relay.rs
@@ -59,6 +59,8 @@
     holding: AtomicU64,
     /// Connections made before the relay was last muted.
     muted_at: AtomicU64,
+    /// What requests whose answers are lost begin with.
+    lose_answers: Mutex<&'static str>,
 }
 
 impl Relay {
@@ -76,6 +78,7 @@
             hold: watch::Sender::new(None),
             holding: AtomicU64::new(0),
             muted_at: AtomicU64::new(0),
+            lose_answers: Mutex::new(""),
         });
         tokio::spawn(serve(listener, Arc::clone(&state)));
         Relay { address, state }
@@ -109,6 +112,12 @@
         self.state.barred.send_replace(names);
     }
 
+    /// From now on the answers to requests that begin with `start` are lost;
+    /// none if it is empty.
+    pub fn lose_answers(&self, start: &'static str) {
+        *self.state.lose_answers.lock().unwrap() = start;
+    }
+
     /// From now on the open connections swallow what goes towards the target.
     pub fn swallow_there(&self) {
         let count = *self.state.count.lock().unwrap();
@@ -172,6 +181,18 @@
     }
 }
 
+impl State {
+    /// Whether the answer to the request that comes first is to be lost.
+    async fn loses_answer(&self, near: &TcpStream) -> bool {
+        let start = *self.lose_answers.lock().unwrap();
+        let mut buf = vec![0; start.len()];
+        if start.is_empty() {
+            return false;
+        }
+        near.peek(&mut buf).await.is_ok() && buf == start.as_bytes()
+    }
+}
+
 async fn serve(listener: TcpListener, state: Arc<State>) {
     while let Ok((near, _)) = listener.accept().await {
         if *state.mode.borrow() == Mode::Cut {
@@ -197,6 +218,7 @@
     };
     near.set_nodelay(true).unwrap();
     far.set_nodelay(true).unwrap();
+    let lost = state.loses_answer(&near).await;
     let (near_rx, near_tx) = near.into_split();
     let (far_rx, far_tx) = far.into_split();
     let mut mode = state.mode.subscribe();
@@ -212,7 +234,7 @@
     };
     let swallows = || number < state.swallow.borrow().0;
     let there = copy(near_rx, far_tx, Direction::There, &state, swallows, passes);
-    let muted = || *state.mode.borrow() == Mode::Mute || number < state.swallow.borrow().1;
+    let muted = || lost || *state.mode.borrow() == Mode::Mute || number < state.swallow.borrow().1;
     let back = copy(far_rx, near_tx, Direction::Back, &state, muted, |_| true);
     tokio::select! {
         ((), ()) = async { tokio::join!(there, back) } => {}
