Give log lines of a request its id in a field of its own

Seen: the id stood in the text of a line, so a search had to cut up text.

Ruled out: flexi_logger's trc feature sets a global tracing subscriber of its own, beside which no layer for the export of spans can stand, and writes to files with tracing's formats; its kv feature brings two more libraries.

Change: log's kv feature and two formats of ours, handed to flexi_logger; a line for each attempt and answer at debug level, at entry and agent.

--- a/crates/admin/src/operators.rs
+++ b/crates/admin/src/operators.rs
@@ -92,7 +92,7 @@
         let status = answer
             .as_ref()
             .map_or_else(|problem| problem.status, Response::status);
-        log::info!("request={id} operator {method} {path} {status}");
+        log::info!(request = id; "operator {method} {path} {status}");
         answer.unwrap_or_else(|mut problem| {
             problem.request = Some(id.to_owned());
             problem.into_response()
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -19,6 +19,16 @@
     Broke(String),
 }
 
+impl Stopped {
+    /// The name under which logs have it.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Stopped::Ended(ending) => ending.name(),
+            Stopped::Broke(_) => "broken",
+        }
+    }
+}
+
 /// Runs a call and fills its answer, until it ended, is cancelled or `within`
 /// is over.
 pub(crate) async fn run(
@@ -80,6 +90,6 @@
     if outlet.stand() == Stand::Engine
         && let Err(e) = outlet.cancel(&call.request).await
     {
-        log::debug!("request={} can't be cancelled: {e}", call.request);
+        log::debug!(request = call.request.as_str(); "can't be cancelled: {e}");
     }
 }
--- a/crates/agent/src/take.rs
+++ b/crates/agent/src/take.rs
@@ -211,10 +211,13 @@
     let keep = keep(start);
     let cx = Arc::clone(&state.cx);
     let desk = state.myself.clone();
+    let request = text(&start.request);
     let run = async move {
         let stopped = run(&cx, &call, &answer, keep, within)
             .instrument(engine)
             .await;
+        let (request, target) = (request.as_str(), cx.cfg.name.as_str());
+        log::debug!(request = request, target = target; "attempt ended: {}", stopped.name());
         // The desk is gone only when the whole agent is.
         let _ = desk.send_message(DeskMsg::Stopped(attempt, stopped));
     };
--- a/crates/entry/src/http/front.rs
+++ b/crates/entry/src/http/front.rs
@@ -66,13 +66,16 @@
         let answered = self.ask(req, &id, arrived).instrument(span).await;
         let mut response = answered.unwrap_or_else(|mut problem| {
             problem.request = Some(id.clone());
-            log::info!("request={id} status={}: {}", problem.status, problem.detail);
+            let status = problem.status.as_u16();
+            log::info!(request = id.as_str(), status = status; "{}", problem.detail);
             problem.into_response()
         });
         if let Ok(id) = HeaderValue::from_str(&id) {
             response.headers_mut().insert("x-request-id", id);
         }
         self.count(&response, arrived);
+        let status = response.status().as_u16();
+        log::debug!(request = id.as_str(), status = status; "answered");
         response
     }
 
--- a/crates/entry/src/work/course.rs
+++ b/crates/entry/src/work/course.rs
@@ -73,6 +73,8 @@
             let started = Attempt::start(&agent, start, window, &self.cx.timing).await;
             let failure = match started {
                 Started::Running(attempt) => {
+                    let (id, target) = (self.job.id.as_str(), agent.name.as_str());
+                    log::debug!(request = id, target = target; "attempt taken");
                     return Ok(Live {
                         attempt,
                         placed,
@@ -117,8 +119,8 @@
     pub(crate) async fn retry(&mut self, target: &str, failure: Failure) -> Result<(), Problem> {
         self.ran = worse(self.ran, failure.ran());
         self.wanted.avoid.push(target.to_owned());
-        let (id, detail) = (&self.job.id, failure.detail());
-        log::info!("request={id} attempt at {target} failed: {detail}");
+        let (id, detail) = (self.job.id.as_str(), failure.detail());
+        log::info!(request = id, target = target; "attempt failed: {detail}");
         if failure == Failure::Crashed {
             self.heed_crash().await?;
         }
--- a/crates/lovageramp/tests/support/cluster.rs
+++ b/crates/lovageramp/tests/support/cluster.rs
@@ -60,6 +60,8 @@
     pub plan: ClusterPlan,
     /// Identities of the controls' disks that were thrown away.
     pub lost_disks: Vec<String>,
+    /// Further options of what is started from now on.
+    pub options: Vec<&'static str>,
     _turn: SemaphorePermit<'static>,
 }
 
@@ -76,6 +78,7 @@
             relays: BTreeMap::new(),
             plan,
             lost_disks: Vec::new(),
+            options: Vec::new(),
             _turn: super::limit::turn().await,
         };
         cluster.lay_relays().await;
@@ -152,7 +155,8 @@
 
     async fn launch(&mut self, program: &str, name: &str, args: &[&str]) {
         let log = self.path(&format!("{name}.log"));
-        let process = Process::start(program, args, &log).await;
+        let args = [args, &self.options].concat();
+        let process = Process::start(program, &args, &log).await;
         if let Some(links) = process.links {
             self.point_relays(name, links);
         }
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -13,9 +13,11 @@
 //! ```
 
 mod context;
+mod line;
 mod logs;
 mod spans;
 
 pub use crate::context::{adopt, context, is_valid};
+pub use crate::line::{json_line, text_line};
 pub use crate::logs::{LogFormat, start_logs};
 pub use crate::spans::{Spans, start_spans};
--- a/crates/trace/src/logs.rs
+++ b/crates/trace/src/logs.rs
@@ -34,8 +34,8 @@
 pub fn start_logs(spec: &str, format: LogFormat) -> eyre::Result<LoggerHandle> {
     let logger = Logger::try_with_str(spec).wrap_err("log level")?;
     let format = match format {
-        LogFormat::Json => flexi_logger::json_format,
-        LogFormat::Text => flexi_logger::detailed_format,
+        LogFormat::Json => crate::json_line,
+        LogFormat::Text => crate::text_line,
     };
     let started = logger.log_to_stderr().format(format).start();
     started.wrap_err("can't begin to log")
