--- a/crates/trace/src/spans.rs
+++ b/crates/trace/src/spans.rs
@@ -1,12 +1,23 @@
 //! Spans, exported as OpenTelemetry.
 
+use std::time::Duration;
+
 use eyre::WrapErr;
 use opentelemetry::trace::TracerProvider;
 use opentelemetry_otlp::{SpanExporter, WithExportConfig};
 use opentelemetry_sdk::Resource;
 use opentelemetry_sdk::trace::SdkTracerProvider;
+use tracing_subscriber::Layer;
+use tracing_subscriber::filter::filter_fn;
 use tracing_subscriber::layer::SubscriberExt;
 
+/// Crate whose spans aren't exported: it opens one for each message of an actor, which
+/// would bury those of the requests.
+const SILENT: &str = "ractor";
+
+/// For the collector to take a batch. The end of a process waits for the last one.
+const EXPORT: Duration = Duration::from_secs(2);
+
 /// The running export of spans; dropping it sends what is left.
 #[derive(Debug)]
 pub struct Spans {
@@ -30,6 +41,7 @@
     let exporter = SpanExporter::builder()
         .with_http()
         .with_endpoint(endpoint)
+        .with_timeout(EXPORT)
         .build()
         .wrap_err_with(|| format!("span collector {endpoint}"))?;
     let resource = Resource::builder()
@@ -40,7 +52,8 @@
         .with_resource(resource)
         .build();
     let layer = tracing_opentelemetry::layer().with_tracer(provider.tracer("lovageramp"));
-    let subscriber = tracing_subscriber::registry().with(layer);
+    let ours = filter_fn(|of| !of.target().starts_with(SILENT));
+    let subscriber = tracing_subscriber::registry().with(layer.with_filter(ours));
     tracing::subscriber::set_global_default(subscriber).wrap_err("can't record spans")?;
     Ok(Spans { provider })
 }
