--- a/crates/lovageramp/tests/support/cluster.rs
+++ b/crates/lovageramp/tests/support/cluster.rs
@@ -78,6 +78,8 @@
     pub plan: ClusterPlan,
     /// Identities of the controls' disks that were thrown away.
     pub lost_disks: Vec<String>,
+    /// Further options of what is started from now on.
+    pub options: Vec<&'static str>,
     _turn: SemaphorePermit<'static>,
 }
 
@@ -94,6 +96,7 @@
             relays: BTreeMap::new(),
             plan,
             lost_disks: Vec::new(),
+            options: Vec::new(),
             _turn: super::limit::turn().await,
         };
         cluster.lay_relays().await;
@@ -170,7 +173,7 @@
 
     async fn launch(&mut self, program: &str, name: &str, args: &[&str]) {
         let mut command = Command::new(program);
-        command.args(args);
+        command.args(args).args(&self.options);
         self.launch_command(command, name).await;
     }
 
