Give out parts of accounts' limits by use over all entries

Each entry gave out one over the number of entries of an account's limits, so a caller that uses one entry alone got a quarter of its limit today and 0.2% at 411 entries (docs/CAPACITY.md).

Ruled out: the whole at each entry (an account exceeds its limits by the number of entries); counts of requests at the leader (a round trip for each request); giving entries less than their own part while nothing is granted (callers who change their entry would be refused for a second).

Change: route::Exchange at control's leader and route::Usage at the entries, pure. Use rides on renewals (AccountUse), parts on the answers (AccountPart), for a lease, through relays too. What was granted is not granted elsewhere before its entry says that it acts on less, or a lease has passed; a new leader grants each just what it holds for its first lease. An entry acts on its own part at least; by that the sum may exceed a limit until the grant comes, about a second.

--- a/crates/control/src/replica/granting.rs
+++ b/crates/control/src/replica/granting.rs
@@ -3,7 +3,7 @@
 use crate::roster::Roster;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
-use wire::proto::{MemberView, Renew, RenewBatch, Renewed, RenewedBatch};
+use wire::proto::{AccountPart, MemberView, Renew, RenewBatch, Renewed, RenewedBatch};
 
 /// What this leader grants leases on.
 pub(super) struct Granting<'a> {
@@ -25,12 +25,13 @@
         roster.expire(now);
         let mut granted = Vec::new();
         for mut renew in batch.renewals {
-            let lease = self.lease_of(roster, &mut renew, now);
-            granted.push((renew, lease));
+            let lease = self.lease_of(roster, &renew, now);
+            let parts = parts_of(roster, &mut renew, lease, now);
+            granted.push((renew, lease, parts));
         }
         let mut batch = RenewedBatch::default();
         let mut places: BTreeMap<(u64, u64), u32> = BTreeMap::new();
-        for (renew, lease) in granted {
+        for (renew, lease, parts) in granted {
             let held = (renew.view_term, renew.view_version);
             let place = *places.entry(held).or_insert_with(|| {
                 let news = roster.news(held.0, held.1, self.drained);
@@ -41,6 +42,7 @@
                 note: self.note,
                 lease_ms: u32::try_from(lease.as_millis()).unwrap_or(u32::MAX),
                 shared_view: place,
+                parts,
                 shared_quarantine: renew.quarantine_version != self.quarantine,
                 ..Renewed::default()
             });
@@ -48,8 +50,8 @@
         batch
     }
 
-    fn lease_of(&self, roster: &mut Roster, renew: &mut Renew, now: Instant) -> Duration {
-        let Some(info) = renew.node.take() else {
+    fn lease_of(&self, roster: &mut Roster, renew: &Renew, now: Instant) -> Duration {
+        let Some(info) = renew.node.clone() else {
             return Duration::ZERO;
         };
         let name = info.name.clone();
@@ -63,6 +65,20 @@
     }
 }
 
+/// An entry without a lease takes no new work, so it needs no part of anything.
+fn parts_of(
+    roster: &mut Roster,
+    renew: &mut Renew,
+    lease: Duration,
+    now: Instant,
+) -> Vec<AccountPart> {
+    let entry = renew.node.take().filter(|_| !lease.is_zero());
+    let uses = std::mem::take(&mut renew.uses);
+    entry.map_or_else(Vec::new, |entry| {
+        roster.share(&entry, renew.sequence, &uses, now)
+    })
+}
+
 /// The place of a view among those to be sent, counted from 1; 0 for none.
 fn place_of(views: &mut Vec<MemberView>, news: Option<MemberView>) -> u32 {
     let Some(news) = news else {
--- a/crates/control/src/roster.rs
+++ b/crates/control/src/roster.rs
@@ -1,9 +1,11 @@
 //! The nodes that hold a lease, between the messages and `member`.
 
 use member::{Announcement, Capability, Member, Node, NodeKey, Registry, Renewal, Role, Serves};
+use route::{Exchange, Use, WHOLE};
 use std::collections::BTreeSet;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::{Duration, Instant};
-use wire::proto::{self, MemberView, NodeInfo, NodeRef};
+use wire::proto::{self, AccountPart, AccountUse, MemberView, NodeInfo, NodeRef};
 
 /// The nodes that hold a lease from this leader.
 ///
@@ -24,6 +26,7 @@
     registry: Registry,
     /// Leases of incarnations that were replaced, with their notes.
     former: Vec<(NodeKey, u64, Instant)>,
+    exchange: Exchange,
 }
 
 /// How far the accepted notes have come.
@@ -50,6 +53,7 @@
             term,
             registry: Registry::new(term, now, lease),
             former: Vec::new(),
+            exchange: Exchange::new(now, lease),
         }
     }
 
@@ -134,6 +138,45 @@
         }
     }
 
+    /// Grants a node that holds a lease its parts of accounts' limits.
+    ///
+    /// ```
+    /// # use std::time::{Duration, Instant};
+    /// # use wire::proto::{AccountUse, NodeInfo, Role};
+    /// let (now, lease) = (Instant::now(), Duration::from_secs(3));
+    /// let mut roster = control::Roster::new(1, lease, now);
+    /// let entry = NodeInfo { role: Role::Entry.into(), ..NodeInfo::default() };
+    /// let used = AccountUse { account: 7, demand: 20, held: 0 };
+    /// let parts = roster.share(&entry, 1, &[used], now + lease);
+    /// assert_eq!(parts[0].part, route::WHOLE);
+    /// ```
+    pub fn share(
+        &mut self,
+        entry: &NodeInfo,
+        sequence: u64,
+        uses: &[AccountUse],
+        now: Instant,
+    ) -> Vec<AccountPart> {
+        if uses.is_empty() || entry.role() != proto::Role::Entry {
+            return Vec::new();
+        }
+        // Distinct for each run of each entry, within this leader.
+        let mut key = DefaultHasher::new();
+        (&entry.name, entry.incarnation).hash(&mut key);
+        let uses = uses.iter().map(|used| Use {
+            account: used.account,
+            demand: used.demand.min(WHOLE),
+            held: used.held.min(WHOLE),
+        });
+        let uses: Vec<Use> = uses.collect();
+        let parts = self.exchange.report(key.finish(), sequence, &uses, now);
+        let parts = parts.into_iter().map(|granted| AccountPart {
+            account: granted.account,
+            part: granted.part,
+        });
+        parts.collect()
+    }
+
     /// Ends the leases that have run out.
     ///
     /// ```
@@ -146,6 +189,7 @@
     pub fn expire(&mut self, now: Instant) {
         self.registry.expire(now);
         self.former.retain(|(_, _, until)| now < *until);
+        self.exchange.expire(now);
     }
 
     /// Tells that the drained targets have changed.
--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -22,8 +22,8 @@
     pub retry_ratio: f64,
     /// Retries beside those, which refill at one a second.
     pub retry_reserve: u32,
-    /// This entry's part of each account's rates and concurrency; 0 divides
-    /// them by the number of entries.
+    /// A fixed part of each account's rates and concurrency for this entry; 0
+    /// has control give out parts by use.
     pub account_part: f64,
     /// Targets of one model or service that this entry links at least; the same at
     /// all entries.
--- a/crates/entry/src/placement/inner.rs
+++ b/crates/entry/src/placement/inner.rs
@@ -4,15 +4,16 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use node::Parts;
 use note::{Catalogue, Offer};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use route::{
-    AccountLimits, AdmissionSettings, Fingerprint, Ration, Reason, Refusal, RetryBudget, Suspicion,
-    TicketKey, Tuning,
+    AdmissionSettings, Fingerprint, Reason, Refusal, RetryBudget, Suspicion, TicketKey, Tuning,
 };
-use wire::proto::Quarantine;
+use wire::proto::{AccountUse, Quarantine};
 
+use super::allowance::Allowance;
 use super::placed::Found;
 use super::pool_state::{PoolState, Turn};
 use super::{Member, Record, Wanted};
@@ -27,7 +28,7 @@
     pub(super) budget: RetryBudget,
     /// The agents of all live targets, linked or not.
     pub(super) agents: BTreeMap<String, Arc<Agent>>,
-    rations: BTreeMap<String, Ration>,
+    accounts: BTreeMap<String, Allowance>,
     convicted: BTreeSet<Fingerprint>,
     suspects: BTreeSet<Fingerprint>,
     quarantine_version: u64,
@@ -38,6 +39,8 @@
     zone: String,
     zone_distance: Duration,
     account_part: f64,
+    /// The part that this entry gives out of an account that it was granted none of.
+    own_part: f64,
     queue: usize,
 }
 
@@ -48,6 +51,11 @@
 const MAX_OWN_CRASHES: usize = 4096;
 /// Targets that one request may crash before it is refused.
 const MAX_CRASHED: u32 = 2;
+/// A part that was granted is no longer acted on so long before its end: it is looked at
+/// at each tick only.
+const GRANT_MARGIN: Duration = Duration::from_millis(200);
+/// Accounts whose use control is told of with each renewal.
+const MOST_TOLD: usize = 128;
 /// Network distance assumed within an availability zone.
 const NEAR: Duration = Duration::from_micros(300);
 
@@ -63,7 +71,8 @@
             pools: BTreeMap::new(),
             agents: BTreeMap::new(),
             budget: RetryBudget::new(limits.retry_ratio, limits.retry_reserve, now),
-            rations: BTreeMap::new(),
+            accounts: BTreeMap::new(),
+            own_part: 1.0,
             convicted: BTreeSet::new(),
             suspects: BTreeSet::new(),
             quarantine_version: 0,
@@ -83,7 +92,7 @@
         members: &[Member],
         entries: u32,
     ) {
-        self.update_rations(now, catalogue, entries);
+        self.update_accounts(now, catalogue, entries);
         let mut offered: BTreeMap<PoolName, Vec<&Member>> = BTreeMap::new();
         for model in catalogue.models() {
             offered.insert(PoolName::Model(model.name.clone()), Vec::new());
@@ -124,25 +133,39 @@
         });
     }
 
-    fn update_rations(&mut self, now: Instant, catalogue: &Catalogue, entries: u32) {
-        let part = if self.account_part > 0.0 {
+    fn update_accounts(&mut self, now: Instant, catalogue: &Catalogue, entries: u32) {
+        self.own_part = if self.account_part > 0.0 {
             self.account_part
         } else {
             1.0 / f64::from(entries)
         };
         for account in catalogue.accounts() {
-            let limits = limits_of(account, part);
-            match self.rations.get_mut(&account.name) {
-                Some(ration) if *ration.limits() == limits => {}
-                Some(ration) => ration.set_limits(limits, now),
-                None => {
-                    let ration = Ration::new(limits, now);
-                    self.rations.insert(account.name.clone(), ration);
-                }
-            }
+            let part = self.own_part;
+            let allowance = self.accounts.entry(account.name.clone());
+            let allowance = allowance.or_insert_with(|| Allowance::new(account, part, now));
+            allowance.set_account(account, part, now);
+        }
+        self.accounts.retain(|name, allowance| {
+            allowance.ration().present() > 0 || catalogue.account(name).is_some()
+        });
+    }
+
+    /// Acts on the parts of accounts' limits that were granted, and says what is used.
+    pub(super) fn exchange(&mut self, now: Instant, parts: &Parts) -> Vec<AccountUse> {
+        let soon = now + GRANT_MARGIN;
+        let fixed = self.account_part > 0.0;
+        let mut told = Vec::new();
+        for allowance in self.accounts.values_mut() {
+            let part = parts.get(&allowance.number()).filter(|_| !fixed);
+            let part = part
+                .filter(|(_, until)| soon < *until)
+                .map(|(part, _)| *part);
+            allowance.set_part(part, self.own_part, now);
+            told.extend(allowance.told(now).filter(|_| !fixed));
         }
-        self.rations
-            .retain(|name, ration| ration.present() > 0 || catalogue.account(name).is_some());
+        told.sort_by_key(|used| std::cmp::Reverse((used.demand, used.account)));
+        told.truncate(MOST_TOLD);
+        told
     }
 
     pub(super) fn set_quarantine(&mut self, quarantine: &Quarantine) {
@@ -191,12 +214,13 @@
         until: Instant,
         turn: Turn,
     ) -> Result<(TicketKey, bool), Refusal> {
-        let ration = self.rations.get_mut(&job.account).ok_or_else(Self::shed)?;
+        let account = self.accounts.get_mut(&job.account);
+        let account = account.ok_or_else(Self::shed)?;
         let state = self.pools.get_mut(&job.pool).ok_or_else(Self::shed)?;
-        ration.enter(now, job.tokens)?;
+        account.enter(now, job.tokens)?;
         let entered = state.enter(now, job, until, turn);
         if entered.is_err() {
-            ration.leave(job.tokens, 0);
+            account.ration().leave(job.tokens, 0);
         } else {
             self.budget.deposit();
         }
@@ -211,8 +235,8 @@
         estimated: u32,
         used: u32,
     ) {
-        if let Some(ration) = self.rations.get_mut(account) {
-            ration.leave(estimated, used);
+        if let Some(allowance) = self.accounts.get_mut(account) {
+            allowance.ration().leave(estimated, used);
         }
         if let Some(state) = self.pools.get_mut(pool) {
             state.release(Instant::now(), ticket, used);
@@ -256,25 +280,3 @@
         other_zone
     }
 }
-
-/// This entry's part of an account's limits, rounded up so that it is never
-/// nothing.
-fn limits_of(account: &note::Account, part: f64) -> AccountLimits {
-    let concurrent = (f64::from(account.concurrent) * part).ceil();
-    AccountLimits {
-        share: f64::from(account.share),
-        tokens_per_s: f64::from(account.tokens_per_s) * part,
-        requests_per_s: f64::from(account.requests_per_s) * part,
-        concurrent: to_u32(concurrent),
-    }
-}
-
-/// A whole number that is known to be in range.
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "the value is clamped to the range of the type before"
-)]
-fn to_u32(value: f64) -> u32 {
-    value.clamp(0.0, f64::from(u32::MAX)) as u32
-}
--- a/crates/entry/src/placement/mod.rs
+++ b/crates/entry/src/placement/mod.rs
@@ -1,5 +1,6 @@
 //! The pools of targets, and who is let in to them.
 
+mod allowance;
 mod inner;
 mod member;
 mod permit;
@@ -9,10 +10,11 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
+use node::Parts;
 use note::Catalogue;
 use route::{Fingerprint, Refusal, Report, Suspicion};
 use tokio::sync::oneshot;
-use wire::proto::{CacheEvents, Quarantine};
+use wire::proto::{AccountUse, CacheEvents, Quarantine};
 
 use crate::job::Job;
 use crate::links::Agent;
@@ -153,6 +155,11 @@
         state.is_some_and(PoolState::has_targets)
     }
 
+    /// Acts on the parts of accounts' limits that were granted, and says what is used.
+    pub(crate) fn exchange(&self, now: Instant, parts: &Parts) -> Vec<AccountUse> {
+        self.lock().exchange(now, parts)
+    }
+
     /// Takes one retry from the budget, if there is one.
     pub(crate) fn withdraw_retry(&self) -> bool {
         self.lock().budget.withdraw(Instant::now())
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -1,5 +1,6 @@
 //! Entries before real control and agents, fake targets and a stub agent.
 
+mod accounts;
 mod bad_input;
 mod calls;
 mod path;
--- a/crates/entry/tests/entry/subsets.rs
+++ b/crates/entry/tests/entry/subsets.rs
@@ -41,7 +41,7 @@
 }
 
 /// Announces an entry that serves nobody.
-fn announce_entry(cluster: &Cluster, name: &str) -> Follower {
+pub fn announce_entry(cluster: &Cluster, name: &str) -> Follower {
     let me = Identity::new(Role::Entry, name, rand::random());
     let info = NodeInfo {
         role: Role::Entry.into(),
--- a/crates/entry/tests/entry/support/cluster.rs
+++ b/crates/entry/tests/entry/support/cluster.rs
@@ -75,9 +75,18 @@
 
     /// Has a note accepted, with the next number.
     pub async fn note(&mut self, added: &Value, withdrawn: &Value) {
+        self.submit(added, &json!([]), withdrawn).await;
+    }
+
+    /// Has a note accepted that changes items.
+    pub async fn change(&mut self, changed: &Value) {
+        self.submit(&json!([]), changed, &json!([])).await;
+    }
+
+    async fn submit(&mut self, added: &Value, changed: &Value, withdrawn: &Value) {
         self.notes += 1;
-        let note =
-            json!({"number": self.notes, "added": added, "changed": [], "withdrawn": withdrawn});
+        let note = json!({"number": self.notes, "added": added, "changed": changed,
+            "withdrawn": withdrawn});
         let caller = Caller::new(self.control.http_address(), TOKEN);
         eventually("the note is accepted", async || {
             let reply = caller
@@ -172,7 +181,7 @@
     }
 }
 
-fn sha256_hex(bytes: &[u8]) -> String {
+pub fn sha256_hex(bytes: &[u8]) -> String {
     use sha2::{Digest, Sha256};
     use std::fmt::Write;
     let mut text = String::new();
--- a/crates/lovageramp/benches/capacity.rs
+++ b/crates/lovageramp/benches/capacity.rs
@@ -3,7 +3,8 @@
 //! this process, with one relay before each control that counts bytes, and one before
 //! each that passes on the renewals of others. Prints a Markdown table.
 //!
-//! `cargo bench -p lovageramp --bench capacity`
+//! `cargo bench -p lovageramp --bench capacity`, or for some of the rows only
+//! `cargo bench -p lovageramp --bench capacity -- relayed 400 1020`
 
 #![allow(
     clippy::cast_precision_loss,
@@ -18,7 +19,7 @@
 use serde_json::json;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
-use support::{Cluster, ClusterPlan, Relay, account_item, until};
+use support::{Cluster, ClusterPlan, Relay, account_item, get, until};
 use tokio::net::TcpListener;
 use tokio_util::sync::{CancellationToken, DropGuard};
 use wire::proto::{Announcement, NodeInfo};
@@ -47,15 +48,30 @@
 
 async fn measure() {
     println!(
-        "| renewals | nodes | leader, % of a core | leader, MB, most so far | bytes/s a node over control's links | bytes/s of the busiest relay, most | accepted to in force at all, s: median of {NOTES} | worst |"
+        "| renewals | nodes | leader, % of a core | leader, MB, most so far | bytes/s a node over control's links | bytes/s of the busiest relay, most | renewals/s | messages/s they came in | accepted to in force at all, s: median of {NOTES} | worst |"
     );
-    println!("|---|---|---|---|---|---|---|---|");
-    for path in [Path::Straight, Path::Relayed] {
-        measure_path(path).await;
+    println!("|---|---|---|---|---|---|---|---|---|---|");
+    let asked: Vec<String> = std::env::args().skip(1).collect();
+    let asked = |row: &str| asked.iter().any(|asked| asked == row);
+    let sizes: Vec<usize> = SIZES
+        .into_iter()
+        .filter(|n| asked(&n.to_string()))
+        .collect();
+    let sizes = if sizes.is_empty() {
+        SIZES.to_vec()
+    } else {
+        sizes
+    };
+    let paths = [(Path::Straight, "straight"), (Path::Relayed, "relayed")];
+    let any = paths.iter().any(|(_, name)| asked(name));
+    for (path, name) in paths {
+        if asked(name) || !any {
+            measure_path(path, name, &sizes).await;
+        }
     }
 }
 
-async fn measure_path(path: Path) {
+async fn measure_path(path: Path, name: &str, sizes: &[usize]) {
     let cluster = Cluster::start(ClusterPlan {
         controls: 3,
         entries: 1,
@@ -67,7 +83,7 @@
     cluster.offer().await;
     let leader = cluster.leader().await;
     let mut number = 1;
-    for size in SIZES {
+    for &size in sizes {
         let relays = relays(&cluster).await;
         let nodes = follow(path, size, &relays, &format!("size{size}")).await;
         let followers: Vec<Follower> = nodes.iter().map(|node| node.follower.clone()).collect();
@@ -75,6 +91,7 @@
         // Long enough for links to control that are no longer used to be closed.
         tokio::time::sleep(RENEW * 12).await;
         let busy = |nodes: &[Node]| -> Vec<u64> { nodes.iter().map(Node::bytes).collect() };
+        let counted = renewals(&cluster, &leader).await;
         let before = (
             cluster.processes[&leader].cpu_seconds(),
             bytes(&relays),
@@ -88,18 +105,17 @@
         let passed = passed.map(|(after, before)| after - before).max();
         let passed = passed.unwrap_or(0) as f64 / SPAN.as_secs_f64();
         let memory = cluster.processes[&leader].resident_bytes() as f64 / f64::from(1 << 20);
+        let now = renewals(&cluster, &leader).await;
+        let rate = |after: f64, before: f64| (after - before) / SPAN.as_secs_f64();
+        let (renewed, messages) = (rate(now.0, counted.0), rate(now.1, counted.1));
         let mut times = Vec::new();
         for _ in 0..NOTES {
             number += 1;
             times.push(in_force(&cluster, &followers, number).await);
         }
         times.sort_by(f64::total_cmp);
-        let name = match path {
-            Path::Straight => "straight",
-            Path::Relayed => "relayed",
-        };
         println!(
-            "| {name} | {size} | {used:.2} | {memory:.1} | {sent:.0} | {passed:.0} | {:.2} | {:.2} |",
+            "| {name} | {size} | {used:.2} | {memory:.1} | {sent:.0} | {passed:.0} | {renewed:.0} | {messages:.0} | {:.2} | {:.2} |",
             times[times.len() / 2],
             times[times.len() - 1]
         );
@@ -108,6 +124,21 @@
     }
 }
 
+/// Renewals that the leader has answered, and the messages that they came in.
+async fn renewals(cluster: &Cluster, leader: &str) -> (f64, f64) {
+    let text = get(cluster.http(leader), "/metrics", &[])
+        .await
+        .unwrap()
+        .text();
+    let value = |name: &str| -> f64 {
+        let prefix = format!("lovageramp_control_{name}_total ");
+        let mut lines = text.lines();
+        let value = lines.find_map(|line| line.strip_prefix(&prefix));
+        value.unwrap().parse().unwrap()
+    };
+    (value("renewals"), value("renewal_messages"))
+}
+
 async fn relays(cluster: &Cluster) -> Vec<Relay> {
     let mut relays = Vec::new();
     for control in 1..=3 {
--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -4,7 +4,7 @@
 use crate::relayed;
 use crate::renewer::{Renewer, renew};
 use crate::settings::FollowerSettings;
-use crate::shared::Shared;
+use crate::shared::{Parts, Shared};
 use note::Catalogue;
 use ractor::ActorRuntime;
 use std::future::Future;
@@ -15,8 +15,8 @@
 use tokio_util::sync::DropGuard;
 use wire::proto::frame::Body;
 use wire::proto::{
-    Announcement, Command, MemberView, NodeInfo, Outcome, Propose, Quarantine, Query, QueryReply,
-    Unavailable, command, outcome, query,
+    AccountUse, Announcement, Command, MemberView, NodeInfo, Outcome, Propose, Quarantine, Query,
+    QueryReply, Unavailable, command, outcome, query,
 };
 use wire::{Error, Identity, Incoming, Link, Result, redial};
 
@@ -98,6 +98,18 @@
         self.shared.announce(|info| info.target = Some(target));
     }
 
+    /// Tells control what this entry's callers use of their accounts; it goes with each
+    /// renewal.
+    pub fn set_uses(&self, uses: Vec<AccountUse>) {
+        self.shared.set_uses(uses);
+    }
+
+    /// The parts of accounts' limits that this entry may give out.
+    #[must_use]
+    pub fn parts(&self) -> Arc<Parts> {
+        self.shared.parts()
+    }
+
     /// Name of the node that this one renews through, if it does.
     #[must_use]
     pub fn renews_through(&self) -> Option<String> {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,4 +23,5 @@
 pub use crate::follower::Follower;
 pub use crate::lease::Lease;
 pub use crate::settings::FollowerSettings;
+pub use crate::shared::Parts;
 pub use crate::view::merge;
--- a/crates/node/src/renewer.rs
+++ b/crates/node/src/renewer.rs
@@ -81,6 +81,7 @@
 pub(crate) async fn renew(shared: &Arc<Shared>) {
     shared.upstream.turn_to(shared, relay(shared));
     let request = renewal(shared);
+    let sequence = request.sequence;
     // The lease counts from when the renewal was sent that the leader answers.
     let mut sent = Instant::now();
     let mut renewed = shared.upstream.renew(shared, &request).await;
@@ -103,7 +104,7 @@
         }
         fetch(shared).await;
     }
-    shared.extend_lease(&renewed, sent);
+    shared.extend_lease(&renewed, sequence, sent);
 }
 
 /// The node that this one is to renew through, by the member view that it holds.
@@ -140,6 +141,7 @@
         view_version: view.version,
         quarantine_version: shared.quarantine().version,
         sequence: shared.next_sequence(),
+        uses: shared.uses(Instant::now()),
     }
 }
 
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -7,13 +7,14 @@
 use crate::upstream::Upstream;
 use crate::view::merge;
 use note::Catalogue;
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 use wire::Identity;
 use wire::proto::frame::Body;
-use wire::proto::{MemberView, NodeInfo, Notes, Quarantine, Renewed};
+use wire::proto::{AccountUse, MemberView, NodeInfo, Notes, Quarantine, Renewed};
 
 /// What a follower holds.
 pub(crate) struct Shared {
@@ -42,8 +43,15 @@
     next: Option<Duration>,
     /// Renewals so far.
     sequence: u64,
+    /// What this node tells of its use of accounts.
+    uses: Vec<AccountUse>,
+    parts: Arc<Parts>,
 }
 
+/// Parts of accounts' limits that this node may give out, by the account's number, and
+/// until when.
+pub type Parts = BTreeMap<u32, (u32, Instant)>;
+
 impl Shared {
     pub(crate) fn new(me: Identity, info: NodeInfo, cfg: FollowerSettings) -> Self {
         let held = Held {
@@ -54,6 +62,8 @@
             quarantine: Arc::new(Quarantine::default()),
             next: None,
             sequence: 0,
+            uses: Vec::new(),
+            parts: Arc::default(),
         };
         Shared {
             me,
@@ -121,6 +131,46 @@
         held.sequence
     }
 
+    pub(crate) fn parts(&self) -> Arc<Parts> {
+        Arc::clone(&self.held().parts)
+    }
+
+    pub(crate) fn set_uses(&self, uses: Vec<AccountUse>) {
+        self.held().uses = uses;
+    }
+
+    /// What is told of the use of accounts. A part that was granted counts as held even
+    /// if the node doesn't act on it yet: it will in a moment, and control must not
+    /// grant it elsewhere meanwhile.
+    pub(crate) fn uses(&self, now: Instant) -> Vec<AccountUse> {
+        let held = self.held();
+        let granted = |account: u32| {
+            let part = held.parts.get(&account).filter(|(_, until)| now < *until);
+            part.map_or(0, |(part, _)| *part)
+        };
+        let uses = held.uses.iter().map(|used| AccountUse {
+            held: used.held.max(granted(used.account)),
+            ..*used
+        });
+        uses.collect()
+    }
+
+    /// Takes in the parts that came with the answer to the renewal of that number.
+    ///
+    /// Only the answer to the last renewal counts: with a later one on its way, control
+    /// has counted, or will count, on what that one said is held.
+    fn take_parts(held: &mut Held, renewed: &Renewed, sequence: u64, until: Instant) {
+        if sequence != held.sequence || renewed.parts.is_empty() {
+            return;
+        }
+        let now = Instant::now();
+        let mut parts = (*held.parts).clone();
+        parts.retain(|_, (_, until)| now < *until);
+        let granted = renewed.parts.iter();
+        parts.extend(granted.map(|row| (row.account, (row.part, until))));
+        held.parts = Arc::new(parts);
+    }
+
     pub(crate) fn set_next(&self, next: Option<Duration>) {
         self.held().next = next;
     }
@@ -152,12 +202,13 @@
 
     /// Extends the lease, unless the node still lacks notes that the leader has: a
     /// grant says "the note in force here is the newest", which would not be true.
-    pub(crate) fn extend_lease(&self, renewed: &Renewed, sent: Instant) {
+    pub(crate) fn extend_lease(&self, renewed: &Renewed, sequence: u64, sent: Instant) {
         let mut held = self.held();
         if held.catalogue.number() < renewed.note {
             return;
         }
         let length = Duration::from_millis(u64::from(renewed.lease_ms));
+        Self::take_parts(&mut held, renewed, sequence, sent + length);
         let before = held.lease.holds(Instant::now());
         held.lease.extend(renewed.term, sent, length);
         drop(held);
--- a/crates/wire/src/gen/lovageramp.rs
+++ b/crates/wire/src/gen/lovageramp.rs
@@ -347,7 +347,7 @@
     #[prost(bool, tag = "13")]
     pub healthy: bool,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Renew {
     #[prost(message, optional, tag = "1")]
     pub node: ::core::option::Option<NodeInfo>,
@@ -365,6 +365,29 @@
     /// way through a relay says nothing new.
     #[prost(uint64, tag = "6")]
     pub sequence: u64,
+    /// An entry's use of accounts; those used most, if there are many.
+    #[prost(message, repeated, tag = "7")]
+    pub uses: ::prost::alloc::vec::Vec<AccountUse>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct AccountUse {
+    /// Hash of the account's name.
+    #[prost(fixed32, tag = "1")]
+    pub account: u32,
+    /// What callers ask for, and the most that the entry gives out by the grants it
+    /// has, in ten-thousandths of the account's limits.
+    #[prost(uint32, tag = "2")]
+    pub demand: u32,
+    #[prost(uint32, tag = "3")]
+    pub held: u32,
+}
+/// The part of an account's limits that an entry may give out for a lease.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct AccountPart {
+    #[prost(fixed32, tag = "1")]
+    pub account: u32,
+    #[prost(uint32, tag = "2")]
+    pub part: u32,
 }
 /// A lease counts from when the node sent the renewal.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -389,6 +412,8 @@
     /// Set by a relay: when to renew next, so that its nodes come together.
     #[prost(uint32, tag = "8")]
     pub next_ms: u32,
+    #[prost(message, repeated, tag = "9")]
+    pub parts: ::prost::alloc::vec::Vec<AccountPart>,
 }
 /// The renewals of nodes of one availability zone, sent by one that passes them on.
 #[derive(Clone, PartialEq, ::prost::Message)]
