Renew behind a relay as often as straight, look nodes up by key

A node's clock took the end of an earlier renewal for that of the present one, so it came a third too often and out of step with the others of its relay. And the leader looked through all nodes at each renewal for the one of that key.

Ruled out: relays that fail (their nodes are left alone for ten renewals, which makes a tenth more renewals at most).

Change: the clock waits for a count to change, from before it asks.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,6 +17,7 @@
 mod listeners;
 mod machine;
 mod metrics;
+mod node_info;
 mod peers;
 mod replica;
 mod reply;
--- /dev/null
+++ b/crates/control/src/node_info.rs
@@ -0,0 +1,110 @@
+//! Nodes between the messages and `member`.
+
+use member::{Announcement, Capability, Node, Role, Serves};
+use std::collections::BTreeSet;
+use wire::proto::{self, NodeInfo};
+
+/// A node as the view shows it.
+pub(crate) fn shown(node: &Node, drained: &BTreeSet<String>) -> NodeInfo {
+    let mut info = encode(node);
+    let target = info.target.as_ref().map(|t| t.target.as_str());
+    info.leaving |= target.is_some_and(|target| drained.contains(target));
+    info
+}
+
+pub(crate) fn parse(info: NodeInfo) -> Result<Node, &'static str> {
+    let role = match info.role() {
+        proto::Role::Entry => Role::Entry,
+        proto::Role::Agent => Role::Agent,
+        _ => return Err("only entries and agents hold a lease"),
+    };
+    if info.name.is_empty() {
+        return Err("a node without a name");
+    }
+    let mut node = Node::new(role, info.name, info.incarnation, info.zone);
+    node.link_address = parse_address(&info.link_address)?;
+    node.caller_address = parse_address(&info.caller_address)?;
+    node.leaving = info.leaving;
+    node.announcement = info.target.map(parse_target).transpose()?;
+    Ok(node)
+}
+
+fn parse_address(text: &str) -> Result<Option<std::net::SocketAddr>, &'static str> {
+    if text.is_empty() {
+        return Ok(None);
+    }
+    let parsed = text.parse().map(Some);
+    parsed.map_err(|_| "an address that is not ip:port")
+}
+
+fn parse_target(target: proto::Announcement) -> Result<Announcement, &'static str> {
+    let serves = match (target.group.is_empty(), target.service.is_empty()) {
+        (false, true) => Serves::Group(target.group),
+        (true, false) => Serves::Service(target.service),
+        _ => return Err("a target of neither or both a group and a service"),
+    };
+    let said = [
+        (target.can_resume, Capability::Resume),
+        (target.can_cancel, Capability::Cancel),
+        (target.has_priority, Capability::Priority),
+        (target.checks_fencing, Capability::ChecksFencing),
+        (target.exports_kv, Capability::ExportsKv),
+    ];
+    let able = said.into_iter().filter(|(can, _)| *can);
+    Ok(Announcement {
+        target: target.target,
+        serves,
+        ranks: target.ranks,
+        models: target.models,
+        adapters: target.adapters,
+        versions: target.versions,
+        capabilities: able.map(|(_, capability)| capability).collect(),
+        healthy: target.healthy,
+    })
+}
+
+pub(crate) fn encode_role(role: Role) -> proto::Role {
+    match role {
+        Role::Entry => proto::Role::Entry,
+        Role::Agent => proto::Role::Agent,
+    }
+}
+
+fn encode(node: &Node) -> NodeInfo {
+    let text = |address: Option<std::net::SocketAddr>| {
+        address.map_or_else(String::new, |address| address.to_string())
+    };
+    NodeInfo {
+        role: encode_role(node.key.role).into(),
+        name: node.key.name.clone(),
+        incarnation: node.incarnation,
+        zone: node.zone.clone(),
+        link_address: text(node.link_address),
+        caller_address: text(node.caller_address),
+        leaving: node.leaving,
+        target: node.announcement.as_ref().map(encode_target),
+    }
+}
+
+fn encode_target(target: &Announcement) -> proto::Announcement {
+    let (group, service) = match &target.serves {
+        Serves::Group(name) => (name.clone(), String::new()),
+        Serves::Service(name) => (String::new(), name.clone()),
+    };
+    let can = |capability| target.capabilities.contains(&capability);
+    proto::Announcement {
+        target: target.target.clone(),
+        group,
+        service,
+        ranks: target.ranks.clone(),
+        models: target.models.clone(),
+        adapters: target.adapters.clone(),
+        versions: target.versions.clone(),
+        can_resume: can(Capability::Resume),
+        can_cancel: can(Capability::Cancel),
+        has_priority: can(Capability::Priority),
+        checks_fencing: can(Capability::ChecksFencing),
+        exports_kv: can(Capability::ExportsKv),
+        healthy: target.healthy,
+    }
+}
--- a/crates/control/src/roster.rs
+++ b/crates/control/src/roster.rs
@@ -1,6 +1,7 @@
 //! The nodes that hold a lease, between the messages and `member`.
 
-use member::{Announcement, Capability, Member, Node, NodeKey, Registry, Renewal, Role, Serves};
+use crate::node_info::{encode_role, parse, shown};
+use member::{Member, NodeKey, Registry, Renewal};
 use route::{Exchange, Use, WHOLE};
 use std::collections::BTreeSet;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -121,7 +122,9 @@
         now: Instant,
     ) -> Result<(), &'static str> {
         let node = parse(info)?;
-        let before = self.registry.members().find(|m| m.node.key == node.key);
+        // Looked up by key: to look through all of a thousand nodes at each renewal
+        // was a good part of what the leader spent.
+        let before = self.registry.member(&node.key);
         let former = before.filter(|m| m.node.incarnation != node.incarnation);
         let former = former.map(|m| (m.node.key.clone(), m.note, m.expires));
         match self.registry.renew_in_order(node, number, sequence, now) {
@@ -302,108 +305,3 @@
         })
     }
 }
-
-/// A node as the view shows it.
-fn shown(node: &Node, drained: &BTreeSet<String>) -> NodeInfo {
-    let mut info = encode(node);
-    let target = info.target.as_ref().map(|t| t.target.as_str());
-    info.leaving |= target.is_some_and(|target| drained.contains(target));
-    info
-}
-
-fn parse(info: NodeInfo) -> Result<Node, &'static str> {
-    let role = match info.role() {
-        proto::Role::Entry => Role::Entry,
-        proto::Role::Agent => Role::Agent,
-        _ => return Err("only entries and agents hold a lease"),
-    };
-    if info.name.is_empty() {
-        return Err("a node without a name");
-    }
-    let mut node = Node::new(role, info.name, info.incarnation, info.zone);
-    node.link_address = parse_address(&info.link_address)?;
-    node.caller_address = parse_address(&info.caller_address)?;
-    node.leaving = info.leaving;
-    node.announcement = info.target.map(parse_target).transpose()?;
-    Ok(node)
-}
-
-fn parse_address(text: &str) -> Result<Option<std::net::SocketAddr>, &'static str> {
-    if text.is_empty() {
-        return Ok(None);
-    }
-    let parsed = text.parse().map(Some);
-    parsed.map_err(|_| "an address that is not ip:port")
-}
-
-fn parse_target(target: proto::Announcement) -> Result<Announcement, &'static str> {
-    let serves = match (target.group.is_empty(), target.service.is_empty()) {
-        (false, true) => Serves::Group(target.group),
-        (true, false) => Serves::Service(target.service),
-        _ => return Err("a target of neither or both a group and a service"),
-    };
-    let said = [
-        (target.can_resume, Capability::Resume),
-        (target.can_cancel, Capability::Cancel),
-        (target.has_priority, Capability::Priority),
-        (target.checks_fencing, Capability::ChecksFencing),
-        (target.exports_kv, Capability::ExportsKv),
-    ];
-    let able = said.into_iter().filter(|(can, _)| *can);
-    Ok(Announcement {
-        target: target.target,
-        serves,
-        ranks: target.ranks,
-        models: target.models,
-        adapters: target.adapters,
-        versions: target.versions,
-        capabilities: able.map(|(_, capability)| capability).collect(),
-        healthy: target.healthy,
-    })
-}
-
-fn encode_role(role: Role) -> proto::Role {
-    match role {
-        Role::Entry => proto::Role::Entry,
-        Role::Agent => proto::Role::Agent,
-    }
-}
-
-fn encode(node: &Node) -> NodeInfo {
-    let text = |address: Option<std::net::SocketAddr>| {
-        address.map_or_else(String::new, |address| address.to_string())
-    };
-    NodeInfo {
-        role: encode_role(node.key.role).into(),
-        name: node.key.name.clone(),
-        incarnation: node.incarnation,
-        zone: node.zone.clone(),
-        link_address: text(node.link_address),
-        caller_address: text(node.caller_address),
-        leaving: node.leaving,
-        target: node.announcement.as_ref().map(encode_target),
-    }
-}
-
-fn encode_target(target: &Announcement) -> proto::Announcement {
-    let (group, service) = match &target.serves {
-        Serves::Group(name) => (name.clone(), String::new()),
-        Serves::Service(name) => (String::new(), name.clone()),
-    };
-    let can = |capability| target.capabilities.contains(&capability);
-    proto::Announcement {
-        target: target.target.clone(),
-        group,
-        service,
-        ranks: target.ranks.clone(),
-        models: target.models.clone(),
-        adapters: target.adapters.clone(),
-        versions: target.versions.clone(),
-        can_resume: can(Capability::Resume),
-        can_cancel: can(Capability::Cancel),
-        has_priority: can(Capability::Priority),
-        checks_fencing: can(Capability::ChecksFencing),
-        exports_kv: can(Capability::ExportsKv),
-        healthy: target.healthy,
-    }
-}
--- a/crates/member/src/registry.rs
+++ b/crates/member/src/registry.rs
@@ -291,6 +291,24 @@
             .map(|slot| &slot.member)
     }
 
+    /// The node of this key, if it lives.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use member::{Node, Registry, Role};
+    ///
+    /// let now = Instant::now();
+    /// let mut registry = Registry::new(1, now, Duration::from_secs(3));
+    /// let node = Node::new(Role::Agent, "desk-01", 1, "ptuj");
+    /// registry.renew(node.clone(), 4, now);
+    /// assert_eq!(registry.member(&node.key).unwrap().note, 4);
+    /// ```
+    #[must_use]
+    pub fn member(&self, key: &NodeKey) -> Option<&Member> {
+        let slot = self.slots.get(key).filter(|slot| slot.live);
+        slot.map(|slot| &slot.member)
+    }
+
     /// Whether a note is in force everywhere: every node with a live lease
     /// acts on it or a later one, and every lease that a former leader granted
     /// has run out. A node without a lease takes no new work, so it doesn't
--- a/crates/node/src/renewer.rs
+++ b/crates/node/src/renewer.rs
@@ -51,7 +51,7 @@
         turn: &mut Turn,
     ) -> Result<(), ActorProcessingErr> {
         renew(&turn.shared).await;
-        turn.shared.renewed.notify_one();
+        turn.shared.renewed.send_modify(|count| *count += 1);
         Ok(())
     }
 
@@ -67,10 +67,16 @@
 
 /// Asks for a renewal each time one is due or somebody is in a hurry.
 async fn keep_time(renewer: ActorRef<RenewNow>, shared: Arc<Shared>) {
-    while renewer.send_message(RenewNow).is_ok() {
+    let mut ended = shared.renewed.subscribe();
+    loop {
+        ended.mark_unchanged();
+        if renewer.send_message(RenewNow).is_err() {
+            return;
+        }
         if shared.upstream.is_up() {
-            // A relay brings its nodes together, and each counts from its answer.
-            let _ = timeout(shared.cfg.renew, shared.renewed.notified()).await;
+            // A relay brings its nodes together, and each counts from its answer. Were
+            // an earlier renewal's end taken for this one's, they would come too soon.
+            let _ = timeout(shared.cfg.renew, ended.changed()).await;
         }
         // Either outcome means that the next renewal is due.
         let _ = timeout(shared.take_next(), shared.hurry.notified()).await;
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -23,8 +23,8 @@
     pub(crate) controls: Controls,
     /// Asks for a renewal before its time.
     pub(crate) hurry: Notify,
-    /// A renewal has ended.
-    pub(crate) renewed: Notify,
+    /// Counts the renewals that have ended.
+    pub(crate) renewed: watch::Sender<u64>,
     pub(crate) upstream: Upstream,
     pub(crate) relayed: Relayed,
     /// Ends all tasks.
@@ -70,7 +70,7 @@
             controls: Controls::default(),
             cfg,
             hurry: Notify::new(),
-            renewed: Notify::new(),
+            renewed: watch::Sender::new(0),
             upstream: Upstream::default(),
             relayed: Relayed::default(),
             stop: CancellationToken::new(),
