--- a/crates/entry/src/placement/inner.rs
+++ b/crates/entry/src/placement/inner.rs
@@ -41,7 +41,7 @@
     account_part: f64,
     /// The part that this entry gives out of an account that it was granted none of.
     own_part: f64,
-    queue: usize,
+    admission: AdmissionSettings,
 }
 
 /// For how long own crashes count: until the quarantine must have heard of
@@ -81,7 +81,12 @@
             zone: zone.to_owned(),
             zone_distance: timing.zone_distance,
             account_part: limits.account_part,
-            queue: limits.queue,
+            admission: AdmissionSettings {
+                queue: limits.queue,
+                standing_after: timing.standing_after,
+                standing_wait: timing.standing_wait,
+                ..AdmissionSettings::default()
+            },
         }
     }
 
@@ -106,13 +111,10 @@
             }
         }
         for (name, members) in &offered {
-            let state = self.pools.entry(name.clone()).or_insert_with(|| {
-                let settings = AdmissionSettings {
-                    queue: self.queue,
-                    ..AdmissionSettings::default()
-                };
-                PoolState::new(Tuning::default(), settings, now)
-            });
+            let state = self
+                .pools
+                .entry(name.clone())
+                .or_insert_with(|| PoolState::new(Tuning::default(), self.admission, now));
             let distance = |row: &Announced| distance(&self.zone, row, self.zone_distance);
             state.update(now, members, distance);
             state.advance(now);
