--- a/crates/lovageramp/tests/leaving.rs
+++ b/crates/lovageramp/tests/leaving.rs
@@ -2,9 +2,8 @@
 
 mod support;
 
-use http_body_util::BodyExt;
 use serde_json::json;
-use support::{Cluster, ClusterPlan, bearer, chat, get, open_stream, until};
+use support::{Cluster, ClusterPlan, assert_whole, chat, get, long_stream, until};
 
 fn plan() -> ClusterPlan {
     ClusterPlan {
@@ -16,39 +15,6 @@
     }
 }
 
-/// Begins a long stream and hands back a task that ends with its whole text.
-async fn long_stream(cluster: &Cluster, entry: &str) -> tokio::task::JoinHandle<Option<String>> {
-    let body = json!({"model": "burl-notes", "stream": true, "max_tokens": 1500,
-                      "messages": [{"role": "user", "content": "a long note"}]});
-    let bearer = bearer("huber");
-    let headers = [("authorization", bearer.as_str())];
-    let entry = cluster.http(entry);
-    let res = open_stream(
-        entry,
-        "POST",
-        "/v1/chat/completions",
-        &headers,
-        body.to_string(),
-    );
-    let res = res.await.unwrap();
-    assert_eq!(res.status(), 200);
-    let mut body = res.into_body();
-    let first = body.frame().await.unwrap().unwrap().into_data().unwrap();
-    tokio::spawn(async move {
-        let mut text = first.to_vec();
-        while let Some(frame) = body.frame().await {
-            text.extend(frame.ok()?.into_data().unwrap_or_default());
-        }
-        String::from_utf8(text).ok()
-    })
-}
-
-fn assert_whole(text: Option<String>) {
-    let text = text.expect("the stream broke off");
-    assert!(text.trim_end().ends_with("data: [DONE]"));
-    assert_eq!(text.matches("data: ").count(), 1502);
-}
-
 /// A target is withdrawn by a note while streams run on it. It gets nothing new after
 /// the note is in force everywhere, and what runs there ends whole.
 #[tokio::test(flavor = "multi_thread")]
--- /dev/null
+++ b/crates/lovageramp/tests/support/stream.rs
@@ -0,0 +1,115 @@
+//! Long streams, and callers who keep their connection.
+
+use super::cluster::{Cluster, bearer};
+use super::http::open_stream;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use serde_json::json;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+/// Begins a long stream and hands back a task that ends with its whole text.
+pub async fn long_stream(
+    cluster: &Cluster,
+    entry: &str,
+) -> tokio::task::JoinHandle<Option<String>> {
+    let body = json!({"model": "burl-notes", "stream": true, "max_tokens": 1500,
+                      "messages": [{"role": "user", "content": "a long note"}]});
+    let bearer = bearer("huber");
+    let headers = [("authorization", bearer.as_str())];
+    let entry = cluster.http(entry);
+    let res = open_stream(
+        entry,
+        "POST",
+        "/v1/chat/completions",
+        &headers,
+        body.to_string(),
+    );
+    let res = res.await.unwrap();
+    assert_eq!(res.status(), 200);
+    let mut body = res.into_body();
+    let first = body.frame().await.unwrap().unwrap().into_data().unwrap();
+    tokio::spawn(async move {
+        let mut text = first.to_vec();
+        while let Some(frame) = body.frame().await {
+            text.extend(frame.ok()?.into_data().unwrap_or_default());
+        }
+        String::from_utf8(text).ok()
+    })
+}
+
+/// Every event of a long stream has come, and its end.
+pub fn assert_whole(text: Option<String>) {
+    let text = text.expect("the stream broke off");
+    assert!(text.trim_end().ends_with("data: [DONE]"));
+    assert_eq!(text.matches("data: ").count(), 1502);
+}
+
+/// A caller who sends one request after the other on one connection that stays open.
+pub struct Caller {
+    answered: Arc<AtomicU64>,
+    stop: Arc<AtomicBool>,
+    task: JoinHandle<Vec<u16>>,
+}
+
+impl Caller {
+    pub async fn start(entry: SocketAddr) -> Caller {
+        let stream = TcpStream::connect(entry).await.unwrap();
+        let (mut tx, conn) = http1::handshake(TokioIo::new(stream)).await.unwrap();
+        tokio::spawn(conn);
+        let answered = Arc::new(AtomicU64::new(0));
+        let stop = Arc::new(AtomicBool::new(false));
+        let task = tokio::spawn({
+            let (answered, stop) = (Arc::clone(&answered), Arc::clone(&stop));
+            async move {
+                let mut statuses = Vec::new();
+                while !stop.load(Ordering::Relaxed) {
+                    tx.ready().await.unwrap();
+                    let res = tx.send_request(short_chat()).await.unwrap();
+                    statuses.push(res.status().as_u16());
+                    res.into_body().collect().await.unwrap();
+                    answered.fetch_add(1, Ordering::Relaxed);
+                }
+                statuses
+            }
+        });
+        Caller {
+            answered,
+            stop,
+            task,
+        }
+    }
+
+    /// Waits until so many more requests were answered.
+    pub async fn answered(&self, more: u64) {
+        let goal = self.answered.load(Ordering::Relaxed) + more;
+        super::until("requests are answered", || async {
+            (self.answered.load(Ordering::Relaxed) >= goal).then_some(())
+        })
+        .await;
+    }
+
+    /// Ends, and tells the statuses of all answers.
+    pub async fn finish(self) -> Vec<u16> {
+        self.stop.store(true, Ordering::Relaxed);
+        self.task.await.unwrap()
+    }
+}
+
+fn short_chat() -> Request<Full<Bytes>> {
+    let body = json!({"model": "burl-notes", "max_tokens": 4,
+                      "messages": [{"role": "user", "content": "short"}]});
+    Request::post("/v1/chat/completions")
+        .header("host", "test")
+        .header("authorization", bearer("maier"))
+        .header("x-request-timeout-ms", "2000")
+        .header("content-type", "application/json")
+        .body(Full::new(body.to_string().into()))
+        .unwrap()
+}
