Remember what was never recorded, and not what was acknowledged

Seen: two faults in what an agent remembers. (1) A non-repeatable attempt whose answer nobody recorded was forgotten after keep_ms and remember_ms (35 minutes). The ledger's time stands still while control has no leader, so for it the attempt still ran when the majority came back; the agent barred it as one that never started, and the key was free: the call would run twice. (2) Repeatable attempts were remembered for 5 minutes, so that an agent refused them as "full" above 660 calls a second.

Change: what was never recorded is remembered as long as the agent lives, bounded by limits.remembered, refused when full. A repeatable attempt that its entry acknowledged or cancelled isn't remembered at all: its only start was taken, and no entry sends one again under the same attempt.

All tests of agent and entry pass.

--- a/crates/agent/src/attempts.rs
+++ b/crates/agent/src/attempts.rs
@@ -11,10 +11,13 @@
 use crate::answer::{Answer, Stage};
 use crate::{Ending, Keep, Limits, Suspicion, Timing, Tombstone, Tombstones};
 
-/// How long a repeatable attempt is remembered once it is forgotten: longer
-/// than any start of it can be held up on a link.
+/// How long a repeatable attempt that nobody acknowledged is remembered once
+/// it is forgotten: longer than any start of it can be held up on a link.
 const REMEMBER_REPEATABLE: Duration = Duration::from_mins(5);
 
+/// For as long as the agent lives.
+const FOR_GOOD: Duration = Duration::MAX;
+
 /// One attempt that runs, or whose answer is held.
 pub(crate) struct Known {
     pub answer: Arc<Answer>,
@@ -26,6 +29,15 @@
     /// The target's instance when it started, as far as that was told.
     pub instance: String,
     unattached: Option<Instant>,
+    acknowledged: Acknowledged,
+}
+
+/// Whether the entry has said that it needs the answer no more: a repeatable
+/// one has arrived or isn't wanted, that of a non-repeatable call is recorded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Acknowledged {
+    Yes,
+    No,
 }
 
 /// How far an attempt has come.
@@ -56,6 +68,7 @@
             started: now,
             instance,
             unattached: None,
+            acknowledged: Acknowledged::No,
         }
     }
 
@@ -76,9 +89,14 @@
     suspects: usize,
     /// Bytes held of all answers at the last tick.
     held: usize,
-    /// Barred attempts, and non-repeatable ones that are forgotten.
+    /// Barred attempts, and non-repeatable ones whose answer is recorded.
     kept: Tombstones,
-    /// Repeatable attempts that are forgotten.
+    /// Non-repeatable attempts whose answer nobody recorded in time. The ledger
+    /// may take such a one for running at any later time, since its time stands
+    /// still while control has no leader. Were it forgotten, it would be barred
+    /// as one that never started, and its call run a second time.
+    unrecorded: Tombstones,
+    /// Repeatable attempts that nobody acknowledged.
     brief: Tombstones,
 }
 
@@ -90,6 +108,7 @@
             suspects: 0,
             held: 0,
             kept: Tombstones::new(limits.remembered, timing.remember),
+            unrecorded: Tombstones::new(limits.remembered, FOR_GOOD),
             brief: Tombstones::new(limits.remembered, REMEMBER_REPEATABLE),
         }
     }
@@ -99,12 +118,17 @@
     }
 
     pub fn tombstone(&self, attempt: Attempt) -> Option<Tombstone> {
-        self.kept.get(attempt).or_else(|| self.brief.get(attempt))
+        let all = [&self.kept, &self.unrecorded, &self.brief];
+        all.into_iter()
+            .find_map(|tombstones| tombstones.get(attempt))
     }
 
     /// Whether there is room to remember another attempt once it is over.
-    pub fn has_room(&self) -> bool {
-        !self.kept.is_full() && !self.brief.is_full()
+    pub fn has_room(&self, keep: Keep) -> bool {
+        match keep {
+            Keep::Whole => !self.kept.is_full() && !self.unrecorded.is_full(),
+            Keep::UntilPassed => !self.brief.is_full(),
+        }
     }
 
     /// Enters an attempt that begins to run and was not known before.
@@ -134,7 +158,7 @@
     }
 
     pub fn remembered(&self) -> usize {
-        self.kept.len() + self.brief.len()
+        self.kept.len() + self.unrecorded.len() + self.brief.len()
     }
 
     pub fn is_empty(&self) -> bool {
@@ -163,10 +187,11 @@
 
     /// Cancels a repeatable attempt. A non-repeatable call goes on: it may
     /// have run, and its answer is worth more than the time it takes.
-    pub fn cancel(&self, attempt: Attempt) {
-        if let Some(known) = self.known.get(&attempt)
+    pub fn cancel(&mut self, attempt: Attempt) {
+        if let Some(known) = self.known.get_mut(&attempt)
             && known.keep == Keep::UntilPassed
         {
+            known.acknowledged = Acknowledged::Yes;
             known.answer.cancel.cancel();
         }
     }
@@ -262,15 +287,29 @@
         }
     }
 
-    /// Forgets an attempt whose answer is recorded. One that still runs stays.
-    pub fn forget(&mut self, attempt: Attempt, now: Instant) {
+    /// Forgets an attempt whose answer has arrived or is recorded, as its
+    /// entry says. One that still runs stays until it ended.
+    pub fn acknowledge(&mut self, attempt: Attempt, now: Instant) {
+        if let Some(known) = self.known.get_mut(&attempt) {
+            known.acknowledged = Acknowledged::Yes;
+            self.forget(attempt, now);
+        }
+    }
+
+    fn forget(&mut self, attempt: Attempt, now: Instant) {
         let ended = self.known.get(&attempt).filter(|known| known.is_ended());
         let Some(known) = ended else {
             return;
         };
-        let tombstones = match known.keep {
-            Keep::Whole => &mut self.kept,
-            Keep::UntilPassed => &mut self.brief,
+        let tombstones = match (known.keep, known.acknowledged) {
+            (Keep::Whole, Acknowledged::Yes) => &mut self.kept,
+            (Keep::Whole, Acknowledged::No) => &mut self.unrecorded,
+            (Keep::UntilPassed, Acknowledged::No) => &mut self.brief,
+            // Its only start was taken, and who sent that wants no more of it.
+            (Keep::UntilPassed, Acknowledged::Yes) => {
+                self.known.remove(&attempt);
+                return;
+            }
         };
         // Without room it stays known, so that it can't start a second time.
         if tombstones.insert(attempt, Tombstone::Forgotten, now) {
--- a/crates/agent/src/desk.rs
+++ b/crates/agent/src/desk.rs
@@ -151,7 +151,7 @@
         };
         self.attempts.pass(attempt, progress.offset);
         if progress.done {
-            self.attempts.forget(attempt, now);
+            self.attempts.acknowledge(attempt, now);
         }
     }
 
--- a/crates/agent/src/take.rs
+++ b/crates/agent/src/take.rs
@@ -145,7 +145,7 @@
         tokio::spawn(async move { follower.refresh().await });
     }
     admitted?;
-    if !state.attempts.has_room() || state.attempts.held() >= cx.cfg.limits.buffers {
+    if !state.attempts.has_room(keep(start)) || state.attempts.held() >= cx.cfg.limits.buffers {
         return Err(Refusal::Full);
     }
     Ok(suspicion)
