Stop an entry between its claim and its start

Seen: nothing showed what an entry does that stands still after its claim for longer than the bar of its attempt is remembered.

Change: a process test: the claim is held, the entry is stopped, the claim goes on and is committed, the other entry bars the attempt and makes the reservation, the agents forget the bar (timing.remember_ms 500), the entry goes on. It runs once and the first caller is told the same or "unknown".

--- a/crates/lovageramp/tests/moments.rs
+++ b/crates/lovageramp/tests/moments.rs
@@ -4,7 +4,8 @@
 
 mod support;
 
-use support::{Answer, Cluster, ClusterPlan, Relay, reserve, until};
+use serde_json::json;
+use support::{Answer, Cluster, ClusterPlan, Relay, get, reserve, until};
 
 const KEY: &str = "lot-1";
 /// What the buyer sends; the answer repeats it.
@@ -12,15 +13,18 @@
 /// Bytes that only the answer has.
 const ANSWER: &str = r#""body":"burl-4711""#;
 
-async fn cluster() -> Cluster {
-    let cluster = Cluster::start(ClusterPlan {
+fn plan() -> ClusterPlan {
+    ClusterPlan {
         controls: 3,
         entries: 2,
         engines: 0,
         services: 2,
         ..ClusterPlan::default()
-    })
-    .await;
+    }
+}
+
+async fn cluster() -> Cluster {
+    let cluster = Cluster::start(plan()).await;
     cluster.offer().await;
     cluster
 }
@@ -159,3 +163,51 @@
     let answer = until_answered(&cluster).await;
     assert_once_after_release(&cluster, &held, &answer).await;
 }
+
+/// How many attempts an agent remembers.
+async fn remembered(cluster: &Cluster, agent: &str) -> Option<u64> {
+    let metrics = get(cluster.http(agent), "/metrics", &[]).await.ok()?.text();
+    let mut lines = metrics.lines();
+    let line = lines.find_map(|line| line.strip_prefix("agent_attempts_remembered "));
+    line?.trim().parse().ok()
+}
+
+/// An entry stands still between its claim and its start. Meanwhile the other entry has
+/// the attempt barred and makes the reservation, and the agent forgets the bar, as it does
+/// after its time. When the entry goes on it must not start its attempt.
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_stopped_before_start() {
+    let cluster = Cluster::start(ClusterPlan {
+        agent_timing: json!({"remember_ms": 500}),
+        ..plan()
+    })
+    .await;
+    cluster.offer().await;
+    let relays = before_controls(&cluster);
+    for relay in &relays {
+        cluster.relays[relay].hold_there(KEY);
+    }
+    let entry = cluster.http("entry-1");
+    let first = tokio::spawn(async move { reserve(entry, "huber", KEY, BODY).await });
+    cluster.until_held(&relays).await;
+    cluster.signal("entry-1", "STOP").await;
+    for relay in &relays {
+        cluster.relays[relay].release();
+    }
+    let answer = until_answered(&cluster).await;
+    for agent in cluster.agents() {
+        until("the bar is forgotten", || async {
+            let remembered = remembered(&cluster, &agent).await?;
+            (remembered == 0).then_some(())
+        })
+        .await;
+    }
+    cluster.signal("entry-1", "CONT").await;
+    let first = first.await.unwrap().unwrap();
+    if first.status == 200 {
+        assert_eq!(first.body, answer.body);
+    } else {
+        assert_eq!(first.json()["ran"], "unknown", "{}", first.text());
+    }
+    assert_eq!(cluster.ran(KEY).await, 1);
+}
--- a/crates/lovageramp/tests/support/cluster.rs
+++ b/crates/lovageramp/tests/support/cluster.rs
@@ -35,6 +35,8 @@
     pub limit: u32,
     /// Settings of the controls' ledger, where they differ from the defaults.
     pub ledger: Value,
+    /// Times of the agents, likewise.
+    pub agent_timing: Value,
 }
 
 impl Default for ClusterPlan {
@@ -47,6 +49,7 @@
             step_ms: 2,
             limit: 64,
             ledger: json!({}),
+            agent_timing: json!({}),
         }
     }
 }
@@ -272,6 +275,7 @@
         let mut settings = self.common(name, zone);
         settings["listen"] = "127.0.0.1:0".into();
         settings["advertise"] = json!(self.relay(name).to_string());
+        settings["timing"] = self.plan.agent_timing.clone();
         settings["controls"] = json!(self.controls_for(name));
         let address = self.relay(&format!("fake-{name}")).to_string();
         if name.starts_with("advisor") {
