--- a/crates/control/tests/machine.rs
+++ b/crates/control/tests/machine.rs
@@ -6,8 +6,8 @@
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use wire::proto::command::Body;
 use wire::proto::{
-    Answer, Batch, Claim, Command, Crashed, DecideMap, Drain, Finish, OpenCoordinator, Pardon,
-    Release, SubmitNote, Unknown, finish,
+    Answer, Batch, Claim, Command, Crashed, DecideMap, Drain, Finish, Forget, LedgerLimits,
+    OpenCoordinator, Pardon, Release, SubmitNote, Unknown, finish,
 };
 
 #[derive(Clone, Debug)]
@@ -47,7 +47,7 @@
 
 fn body(g: &mut Gen, depth: u8) -> Body {
     let (account, key, attempt) = (text(g), digest(g, 2), digest(g, 16));
-    match u8::arbitrary(g) % 10 {
+    match u8::arbitrary(g) % 12 {
         0 => Body::SubmitNote(SubmitNote {
             json: note(g),
             operator: text(g),
@@ -94,6 +94,12 @@
             target: text(g),
             draining: bool::arbitrary(g),
         }),
+        9 => Body::Forget(Forget { attempt }),
+        10 => Body::LedgerLimits(LedgerLimits {
+            keep_ms: u64::arbitrary(g),
+            running_ms: u64::arbitrary(g) % 50_000_000,
+            max_unproved: *g.choose(&[0, 1, 5, u64::MAX]).unwrap(),
+        }),
         _ if depth == 0 => Body::Batch(Batch::default()),
         _ => Body::Batch(Batch {
             commands: vec![command(g, depth - 1), command(g, depth - 1)],
