--- a/crates/lovageramp/tests/support/stream.rs
+++ b/crates/lovageramp/tests/support/stream.rs
@@ -71,7 +71,7 @@
                 let mut statuses = Vec::new();
                 while !stop.load(Ordering::Relaxed) {
                     tx.ready().await.unwrap();
-                    let res = tx.send_request(short_chat()).await.unwrap();
+                    let res = tx.send_request(short_chat(statuses.len())).await.unwrap();
                     statuses.push(res.status().as_u16());
                     res.into_body().collect().await.unwrap();
                     answered.fetch_add(1, Ordering::Relaxed);
@@ -102,9 +102,10 @@
     }
 }
 
-fn short_chat() -> Request<Full<Bytes>> {
+/// Each has a prompt of its own, or all would go where the first one is cached.
+fn short_chat(number: usize) -> Request<Full<Bytes>> {
     let body = json!({"model": "burl-notes", "max_tokens": 4,
-                      "messages": [{"role": "user", "content": "short"}]});
+                      "messages": [{"role": "user", "content": format!("{number}, short")}]});
     Request::post("/v1/chat/completions")
         .header("host", "test")
         .header("authorization", bearer("maier"))
