--- a/crates/lovageramp/tests/support/cluster.rs
+++ b/crates/lovageramp/tests/support/cluster.rs
@@ -45,6 +45,8 @@
     pub agent_settings: Value,
     /// Fields of the group's item in the first note that differ.
     pub group: Value,
+    /// Times of the agents, likewise.
+    pub agent_timing: Value,
 }
 
 impl Default for ClusterPlan {
@@ -62,6 +64,7 @@
             engine_args: Vec::new(),
             agent_settings: json!({}),
             group: json!({}),
+            agent_timing: json!({}),
         }
     }
 }
@@ -301,6 +304,7 @@
         let mut settings = self.common(name);
         settings["listen"] = "127.0.0.1:0".into();
         settings["advertise"] = json!(self.relay(name).to_string());
+        settings["timing"] = self.plan.agent_timing.clone();
         settings["controls"] = json!(self.controls_for(name));
         let address = self.relay(&format!("fake-{name}")).to_string();
         if name.starts_with("advisor") {
--- a/crates/lovageramp/tests/support/mod.rs
+++ b/crates/lovageramp/tests/support/mod.rs
@@ -17,6 +17,7 @@
 pub mod notes;
 mod process;
 mod relay;
+mod stream;
 mod until;
 pub mod zones;
 
@@ -26,4 +27,5 @@
 pub use map_group::{AGENTS, EXPERT_BYTES, MapGroup};
 pub use process::Process;
 pub use relay::Relay;
+pub use stream::{Caller, assert_whole, long_stream};
 pub use until::until;
