Force the moments at which a coordinator is killed

A wait for the decision to be kept back took a map that was still loading for a switch that was over.

Change: the last promise is held up by losing the answer to one engine's hold, so that the others' promises are seen for a second before the decision; loops end after 10 tries with a failure.

--- a/crates/lovageramp/tests/maps.rs
+++ b/crates/lovageramp/tests/maps.rs
@@ -5,7 +5,7 @@
 use serde_json::{Value, json};
 use std::collections::BTreeSet;
 use std::ops::Range;
-use support::{AGENTS, EXPERT_BYTES, MapGroup, until};
+use support::{AGENTS, EXPERT_BYTES, MapGroup, TRIES, until};
 
 const COORDINATOR: &str = AGENTS[0];
 /// After so many calls a restarted agent knows what its engine has promised.
@@ -47,6 +47,38 @@
     group.assert_one_map();
 }
 
+/// Keeps the coordinator from hearing of its decision; false if that came too early
+/// or not at all.
+async fn decided_unheard(group: &MapGroup) -> bool {
+    // The last promise takes as long as an order whose answer is lost.
+    let last = &group.cluster.relays["fake-advisor-03"];
+    group.until_staged().await;
+    last.lose_answers("POST /map/hold");
+    until("the other engines have promised", || async {
+        let maps = group.maps().await;
+        let held = |map: &Value| map["held"].is_u64();
+        maps[..2].iter().all(held).then_some(())
+    })
+    .await;
+    group.mute_control(COORDINATOR);
+    let decided = until("a decision, or none can get through", || async {
+        let maps = group.maps().await;
+        let version = &maps[0]["staged"];
+        if maps[0]["held"].is_null() {
+            return Some(false);
+        }
+        if maps[1]["next"] == *version || maps[1]["version"] == *version {
+            return Some(true);
+        }
+        let held = |map: &Value| map["held"].is_u64();
+        let undecided = maps.iter().all(held) && group.is_redialled(COORDINATOR);
+        undecided.then_some(false)
+    })
+    .await;
+    last.lose_answers("");
+    decided
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn switch_coordinator_killed_in_decision() {
     // The decision is committed, but the coordinator never learns it and
@@ -54,25 +86,11 @@
     // with the new map: if it went on with the former one, callers would get
     // nonsense.
     let mut group = MapGroup::start(&[]).await;
-    loop {
-        group.until_staged().await;
-        group.mute_control(COORDINATOR);
-        let decided = until("a decision, or none can get through", || async {
-            let maps = group.maps().await;
-            let undecided = maps[0]["held"].is_u64();
-            let waits =
-                |map: &Value| map["held"].as_u64() == map["step"].as_u64().map(|step| step + 1);
-            if undecided && maps[1]["next"].is_u64() {
-                return Some(true);
-            }
-            let stuck = maps.iter().all(waits) && group.is_redialled(COORDINATOR);
-            let over = maps.iter().all(|map| map["staged"].is_null());
-            (stuck || over).then_some(false)
-        })
-        .await;
-        if decided {
-            break;
-        }
+    let mut tries = 0..TRIES;
+    while !decided_unheard(&group).await {
+        tries
+            .next()
+            .expect("no decision was kept from the coordinator");
         group.heal_control(COORDINATOR);
         group.until_switches(1).await;
     }
@@ -90,12 +108,21 @@
     // all. An agent that was never told finds it in the durable state; until
     // then its engine waits at the barrier, and the group with it.
     let mut group = MapGroup::start(&[]).await;
+    let mut tries = 0..TRIES;
     loop {
+        tries.next().expect("nobody was kept from hearing");
         let deaf = AGENTS[2];
-        until("the third engine has promised", || async {
-            group.map(deaf).await["held"].is_u64().then_some(())
+        // The last promise takes as long as an order whose answer is lost.
+        let last = &group.cluster.relays["fake-advisor-02"];
+        group.until_staged().await;
+        last.lose_answers("POST /map/hold");
+        until("all engines have promised", || async {
+            let maps = group.maps().await;
+            let held = |map: &Value| map["held"].is_u64();
+            maps.iter().all(held).then_some(())
         })
         .await;
+        last.lose_answers("");
         group.cut_off(deaf);
         let told = until("the others are told, or all are", || async {
             let maps = group.maps().await;
--- a/crates/lovageramp/tests/support/map_group.rs
+++ b/crates/lovageramp/tests/support/map_group.rs
@@ -9,6 +9,8 @@
 pub const AGENTS: [&str; 3] = ["advisor-01", "advisor-02", "advisor-03"];
 /// Ranks of each engine.
 const RANKS_EACH: u32 = 2;
+/// How often a test tries to come at the right moment.
+pub const TRIES: usize = 10;
 /// Bytes of an expert.
 pub const EXPERT_BYTES: u64 = 64 << 10;
 /// Bytes that the weight store gives out in a second.
@@ -64,7 +66,7 @@
             step_ms: 3,
             ranks_each: 2,
             engine_args: args.into_iter().map(str::to_owned).collect(),
-            agent_settings: json!({"maps": settings}),
+            agent_settings: json!({"maps": settings, "timing": {"question_ms": 1000}}),
             group: json!({"spare_slots": 0, "weights": {"skew": skew, "moves": 1.0}}),
             ..ClusterPlan::default()
         };
@@ -212,7 +214,7 @@
     /// Waits until all engines stop before a barrier, while the coordinator can't
     /// reach control: the decision was not made. Returns the version.
     pub async fn until_undecided(&self) -> u64 {
-        loop {
+        for _ in 0..TRIES {
             self.until_staged().await;
             self.cut_off_control(AGENTS[0]);
             let stopped = until("all stop, or go on", || async {
@@ -223,7 +225,8 @@
                 if maps.iter().all(waits) {
                     return Some(staged);
                 }
-                let over = maps.iter().all(|map| map["staged"].is_null());
+                let idle = |map: &Value| map["staged"].is_null() && map["loading"].is_null();
+                let over = maps.iter().all(idle);
                 over.then_some(None)
             })
             .await;
@@ -233,5 +236,6 @@
             // It was decided before the cut.
             self.heal_control(AGENTS[0]);
         }
+        panic!("the decision was never kept back")
     }
 }
--- a/crates/lovageramp/tests/support/mod.rs
+++ b/crates/lovageramp/tests/support/mod.rs
@@ -19,7 +19,7 @@
 pub use calls::{account_item, bearer, chat, reserve};
 pub use cluster::{Cluster, ClusterPlan, TOKEN};
 pub use http::{Answer, get, open_stream, request};
-pub use map_group::{AGENTS, EXPERT_BYTES, MapGroup};
+pub use map_group::{AGENTS, EXPERT_BYTES, MapGroup, TRIES};
 pub use process::Process;
 pub use relay::Relay;
 pub use until::until;
