--- a/crates/lovageramp/tests/release_notes.rs
+++ b/crates/lovageramp/tests/release_notes.rs
@@ -5,10 +5,12 @@
 use serde_json::{Value, json};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use support::{Cluster, ClusterPlan, account_item, chat, request, until};
+use support::{Cluster, ClusterPlan, Relay, account_item, chat, request, until};
 use todc_utils::linearizability::WGLChecker;
 use todc_utils::linearizability::history::{Action, History};
 use todc_utils::specifications::Specification;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 /// Few processes: what is shown here is between controls, entries and agents.
 fn small() -> ClusterPlan {
@@ -288,3 +290,89 @@
         .unwrap();
     assert_eq!(healed.status, 401);
 }
+
+/// Sends a note to a host over a connection that is cut once the note is accepted, so
+/// that nothing of the answer arrives.
+async fn send_and_lose_answer(cluster: &Cluster, host: &str, note: &Value) {
+    let relay = Relay::start().await;
+    relay.set_target(cluster.http(host));
+    let mut stream = TcpStream::connect(relay.address).await.unwrap();
+    until("the connection is carried", || async {
+        (relay.connections() == 1).then_some(())
+    })
+    .await;
+    relay.swallow_back();
+    let (token, body) = (support::TOKEN, note.to_string());
+    let head = format!(
+        "POST /v1/operator/notes HTTP/1.1\r\nhost: control\r\nx-operator: anna\r\n\
+         authorization: Bearer {token}\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    until("the note is accepted", || async {
+        let status = cluster.status("entry-2").await?;
+        (status["notes"]["accepted"] == note["number"]).then_some(())
+    })
+    .await;
+    relay.cut();
+    let mut answer = Vec::new();
+    let ended = stream.read_to_end(&mut answer).await;
+    assert!(answer.is_empty(), "{ended:?}: {answer:?}");
+}
+
+/// An operator's connection is cut after the note went out and before the answer came
+/// back, at a control and at an entry. She sends the same note again, elsewhere, and
+/// must get the first answer; somebody else's note under that number is refused by name.
+#[tokio::test(flavor = "multi_thread")]
+async fn notes_resent_after_lost_answer() {
+    let cluster = Cluster::start(small()).await;
+    cluster.offer().await;
+    let leader = cluster.leader().await;
+    for (number, first) in [(2, leader.as_str()), (3, "entry-1")] {
+        let note = add_account(number, &format!("account-{number}"));
+        send_and_lose_answer(&cluster, first, &note).await;
+        for host in ["entry-2", "control-1", "control-2", "control-3", first] {
+            let again = cluster
+                .operator(host, "POST", "/v1/operator/notes", &note)
+                .await;
+            assert_eq!(again.status, 200, "{}", again.text());
+            assert_eq!(again.json()["outcome"], "repeated");
+            assert_eq!(again.json()["operator"], "anna");
+        }
+        let other = add_account(number, "somebody-else");
+        let refused = cluster
+            .operator("entry-2", "POST", "/v1/operator/notes", &other)
+            .await;
+        assert_eq!(refused.status, 409, "{}", refused.text());
+        assert_eq!(refused.json()["operator"], "anna");
+    }
+    let status = cluster.status("entry-2").await.unwrap();
+    assert_eq!(status["notes"]["accepted"], 3);
+}
+
+/// An entry's link to the leader swallows the answers to a note that the entry hands on,
+/// and is then found dead. The entry asks again over another way; its operator gets one
+/// true answer and the note holds one number.
+#[tokio::test(flavor = "multi_thread")]
+async fn notes_answer_lost_behind_entry() {
+    let cluster = Cluster::start(small()).await;
+    cluster.offer().await;
+    for number in 2..=4 {
+        let leader = cluster.leader().await;
+        cluster.relays[&format!("entry-1>{leader}")].swallow_back();
+        let note = add_account(number, &format!("account-{number}"));
+        let answer = cluster
+            .operator("entry-1", "POST", "/v1/operator/notes", &note)
+            .await;
+        assert!([200, 503].contains(&answer.status), "{}", answer.text());
+        if answer.status == 503 {
+            assert_eq!(answer.json()["ran"], "unknown", "{}", answer.text());
+        }
+        let again = cluster
+            .operator("entry-2", "POST", "/v1/operator/notes", &note)
+            .await;
+        assert_eq!(again.json()["outcome"], "repeated", "{}", again.text());
+    }
+    let status = cluster.status("entry-2").await.unwrap();
+    assert_eq!(status["notes"]["accepted"], 4);
+}
--- a/crates/lovageramp/tests/support/cluster.rs
+++ b/crates/lovageramp/tests/support/cluster.rs
@@ -33,6 +33,8 @@
     pub step_ms: u32,
     /// Requests that an engine runs at once.
     pub limit: u32,
+    /// Entries between two snapshots of a control.
+    pub snapshot_entries: u64,
     /// Controls run with disks that can be made to fail, see [`super::disks`].
     pub faulty_disks: bool,
 }
@@ -46,6 +48,7 @@
             services: 2,
             step_ms: 2,
             limit: 64,
+            snapshot_entries: 10_000,
             faulty_disks: false,
         }
     }
@@ -193,6 +196,7 @@
         settings["data"] = json!(data);
         settings["operator_token_file"] = json!(self.path("operator.token"));
         settings["replicas"] = replicas.into();
+        settings["snapshot_entries"] = self.plan.snapshot_entries.into();
         let file = self.write_settings(&name, &settings);
         let first_start = number == 1 && !self.path("began").exists();
         if first_start {
--- a/crates/lovageramp/tests/support/notes.rs
+++ b/crates/lovageramp/tests/support/notes.rs
@@ -7,7 +7,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use serde_json::{Value, json};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
@@ -231,6 +231,24 @@
         .await
     }
 
+    /// Reads the note after the newest that is known to be accepted at one host: there
+    /// is one, or there is none, and the history tells whether that is right.
+    pub async fn read_newest(&self, cluster: &Cluster, host: &str) {
+        let accepted = self.accepted();
+        read(&self.shared, cluster.http(host), accepted.max(1)).await;
+        read(&self.shared, cluster.http(host), accepted + 1).await;
+    }
+
+    /// The highest number of which somebody was told that it is accepted.
+    fn accepted(&self) -> usize {
+        let actions = self.shared.actions.lock().unwrap();
+        let numbers = actions.iter().map(|(_, action)| match action {
+            Action::Response(Operation::Send(number, _, Sent::Holds)) => *number,
+            _ => 0,
+        });
+        numbers.max().unwrap_or(0)
+    }
+
     /// Waits until they have done this much more.
     pub async fn until_tried_again(&self, times: usize) {
         let done = || *self.shared.operations.lock().unwrap();
@@ -280,18 +298,41 @@
     );
 }
 
-/// Ends the operations without an answer at the end of the history.
+/// Settles the operations without an answer. All notes were read at the end, and none is
+/// ever taken out: a note that was never read never held, so its sending is left out; one
+/// that was read held at some time before the end. Left open, each such sending would
+/// double what the checker has to try.
 fn complete(shared: &Shared) -> Actions {
     let mut actions = shared.actions.lock().unwrap().clone();
-    let ended = |id: usize| actions.iter().filter(|(of, _)| *of == id).count() == 2;
-    let open = actions.iter().filter(|(id, _)| !ended(*id)).cloned();
-    let ends: Vec<_> = open
-        .map(|(id, action)| match action {
-            Action::Call(operation) | Action::Response(operation) => {
-                (id, Action::Response(operation))
-            }
-        })
+    let read: BTreeSet<u32> = actions
+        .iter()
+        .filter_map(|(_, a)| content_read(a))
         .collect();
-    actions.extend(ends);
+    let ended: BTreeSet<usize> = actions.iter().filter_map(ended).collect();
+    let mut ends = Vec::new();
+    actions.retain(|(id, action)| {
+        let Action::Call(Operation::Send(number, content, _)) = action else {
+            return true;
+        };
+        if ended.contains(id) {
+            return true;
+        }
+        let operation = Operation::Send(*number, *content, Sent::Unknown);
+        ends.push((*id, Action::Response(operation)));
+        read.contains(content)
+    });
+    let kept: BTreeSet<usize> = actions.iter().map(|(id, _)| *id).collect();
+    actions.extend(ends.into_iter().filter(|(id, _)| kept.contains(id)));
     actions
 }
+
+fn content_read(action: &Action<Operation>) -> Option<u32> {
+    match action {
+        Action::Response(Operation::Read(_, content)) => *content,
+        _ => None,
+    }
+}
+
+fn ended((id, action): &(usize, Action<Operation>)) -> Option<usize> {
+    matches!(action, Action::Response(_)).then_some(*id)
+}
--- a/crates/lovageramp/tests/support/relay.rs
+++ b/crates/lovageramp/tests/support/relay.rs
@@ -36,6 +36,8 @@
     swallow: watch::Sender<(u64, u64)>,
     count: Mutex<u64>,
     bytes: AtomicU64,
+    /// Bytes that may still go towards the target.
+    left: AtomicU64,
 }
 
 impl Relay {
@@ -50,6 +52,7 @@
             swallow: watch::Sender::new((0, 0)),
             count: Mutex::new(0),
             bytes: AtomicU64::new(0),
+            left: AtomicU64::new(u64::MAX),
         });
         tokio::spawn(serve(listener, Arc::clone(&state)));
         Relay { address, state }
@@ -65,8 +68,19 @@
         self.state.mode.send_replace(Mode::Cut);
     }
 
+    /// Cuts the relay once this many more bytes have gone towards the target.
+    pub fn cut_after(&self, bytes: u64) {
+        self.state.left.store(bytes, Ordering::Relaxed);
+    }
+
+    /// Whether it was cut by [`Relay::cut_after`].
+    pub fn is_used_up(&self) -> bool {
+        self.state.left.load(Ordering::Relaxed) == 0
+    }
+
     /// Lets new connections through again.
     pub fn heal(&self) {
+        self.state.left.store(u64::MAX, Ordering::Relaxed);
         self.state.mode.send_replace(Mode::Open);
     }
 
@@ -135,7 +149,7 @@
     let mut barred = state.barred.subscribe();
     let passes = |bytes: &[u8]| {
         hello.get_or_init(|| bytes.to_vec());
-        !is_barred(&state.barred.borrow())
+        spend(&state.left, bytes.len()) && !is_barred(&state.barred.borrow())
     };
     let swallows = || number < state.swallow.borrow().0;
     let there = copy(near_rx, far_tx, bytes, swallows, passes);
@@ -148,6 +162,19 @@
     }
 }
 
+/// Takes bytes from what may still go through; false when it is not enough.
+fn spend(left: &AtomicU64, bytes: usize) -> bool {
+    let take = |left: u64| match left {
+        u64::MAX => Some(left),
+        left => left.checked_sub(bytes as u64),
+    };
+    let spent = left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take);
+    if spent.is_err() {
+        left.store(0, Ordering::Relaxed);
+    }
+    spent.is_ok()
+}
+
 /// Whether the first bytes of a connection hold this name, as a string of the codec.
 fn is_hello_of(hello: &[u8], name: &str) -> bool {
     let length = u8::try_from(name.len()).unwrap();
