--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -90,6 +90,7 @@
             key,
             cfg,
             replica: replica.clone(),
+            links_refused: metrics.links_refused.clone(),
             stop: stop.clone(),
         };
         tasks.spawn(acceptor.run(listeners.links));
--- a/crates/control/src/links.rs
+++ b/crates/control/src/links.rs
@@ -3,6 +3,7 @@
 use crate::codec;
 use crate::replica::{Ask, Msg};
 use crate::reply::Reply;
+use prometheus_client::metrics::counter::Counter;
 use quorum::DiskId;
 use ractor::ActorRef;
 use std::sync::Arc;
@@ -26,6 +27,7 @@
     pub(crate) key: ClusterKey,
     pub(crate) cfg: LinkSettings,
     pub(crate) replica: ActorRef<Msg>,
+    pub(crate) links_refused: Counter,
     pub(crate) stop: CancellationToken,
 }
 
@@ -54,7 +56,10 @@
         let from = stream.peer_addr();
         match wire::accept(stream, &self.me, &self.key, &self.cfg).await {
             Ok((link, rx)) => self.serve_link(link, rx).await,
-            Err(e) => log::warn!("connection from {from:?} refused: {e}"),
+            Err(e) => {
+                log::warn!("connection from {from:?} refused: {e}");
+                self.links_refused.inc();
+            }
         }
     }
 
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -19,6 +19,7 @@
     pub(crate) nodes: Gauge,
     pub(crate) commands: Counter,
     pub(crate) refused_commands: Counter,
+    pub(crate) links_refused: Counter,
 }
 
 impl Metrics {
@@ -59,6 +60,11 @@
                 "Commands not taken",
                 &self.refused_commands,
             ),
+            (
+                "links_refused",
+                "Connections of other processes that didn't prove the cluster key",
+                &self.links_refused,
+            ),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
--- a/crates/control/tests/replicas/main.rs
+++ b/crates/control/tests/replicas/main.rs
@@ -5,6 +5,7 @@
 mod http;
 mod leaders;
 mod leases;
+mod nonsense;
 mod operators;
 mod path;
 mod relay;
