--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -22,6 +22,7 @@
     pub(crate) refused_commands: Counter,
     pub(crate) renewals: Counter,
     pub(crate) renewal_messages: Counter,
+    pub(crate) links_refused: Counter,
 }
 
 impl Metrics {
@@ -73,6 +74,11 @@
                 "Messages that they came in",
                 &self.renewal_messages,
             ),
+            (
+                "links_refused",
+                "Connections of other processes that didn't prove the cluster key",
+                &self.links_refused,
+            ),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
--- a/crates/lovageramp/tests/support/stream.rs
+++ b/crates/lovageramp/tests/support/stream.rs
@@ -1,6 +1,7 @@
 //! Long streams, and callers who keep their connection.
 
-use super::cluster::{Cluster, bearer};
+use super::bearer;
+use super::cluster::Cluster;
 use super::http::open_stream;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
