Hold no more of one stream than its part of an agent's room

Seen: a new test lets 40 callers each go silent with half a head, half a body and an unread long stream before a real entry. Cause: an agent read ahead up to answer_bytes (4 MiB) of each stream, so 16 unread ones filled buffers_bytes (64 MiB), and it refused everybody until stall_ms (30 s by default) had passed.

Change: of an answer that is passed on while it comes the agent holds at most buffers_bytes / concurrent, never less than the window; 256 KiB by default.

Proof: with stall_ms taken a thousandfold in the pump the next caller gets 503.

--- a/crates/agent/src/limits.rs
+++ b/crates/agent/src/limits.rs
@@ -2,6 +2,8 @@
 
 use cfg::Reader;
 
+use crate::Keep;
+
 /// How much an agent takes on and holds.
 #[derive(Clone, Debug)]
 pub struct Limits {
@@ -22,6 +24,18 @@
 }
 
 impl Limits {
+    /// Bytes held of one answer. Of one that is read while it comes, no more
+    /// than its part of all: callers that stop reading would else fill the
+    /// room of all answers, and the agent take nothing from anybody.
+    pub(crate) fn held_of(&self, keep: Keep) -> usize {
+        match keep {
+            Keep::Whole => self.answer,
+            Keep::UntilPassed => self
+                .answer
+                .min(self.window.max(self.buffers / self.concurrent)),
+        }
+    }
+
     pub(crate) fn read(r: &mut Reader) -> Self {
         const MIB: usize = 1 << 20;
         Limits {
--- a/crates/agent/src/take.rs
+++ b/crates/agent/src/take.rs
@@ -83,7 +83,8 @@
     let suspicion = admit(state, start, from, now)?;
     let limits = &state.cx.cfg.limits;
     let keep = keep(start);
-    let answer = Arc::new(Answer::new(attempt, keep, limits.window, limits.answer));
+    let most = limits.held_of(keep);
+    let answer = Arc::new(Answer::new(attempt, keep, limits.window, most));
     let known = Known::new(
         Arc::clone(&answer),
         start.fingerprint.clone(),
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -193,6 +193,7 @@
 ) {
     let cfg = ServerSettings {
         connections: front.settings.limits.connections,
+        head_timeout: front.settings.timing.receive,
         drain: front.settings.timing.drain,
         half_close: HalfClose::Gone,
         ..ServerSettings::default()
--- a/crates/lovageramp/tests/support/cluster.rs
+++ b/crates/lovageramp/tests/support/cluster.rs
@@ -62,6 +62,8 @@
     pub lost_disks: Vec<String>,
     /// Further options of what is started from now on.
     pub options: Vec<&'static str>,
+    /// Further times of entries that are started from now on.
+    pub entry_timing: BTreeMap<&'static str, u64>,
     _turn: SemaphorePermit<'static>,
 }
 
@@ -79,6 +81,7 @@
             plan,
             lost_disks: Vec::new(),
             options: Vec::new(),
+            entry_timing: BTreeMap::new(),
             _turn: super::limit::turn().await,
         };
         cluster.lay_relays().await;
@@ -219,6 +222,9 @@
         settings["operator_token_file"] = json!(self.path("operator.token"));
         // A slow machine must not turn a wait for room into a refusal.
         settings["timing"] = json!({"address_ttl_ms": 2000, "queue_wait_ms": 30000});
+        for (key, ms) in &self.entry_timing {
+            settings["timing"][*key] = json!(ms);
+        }
         let file = self.write_settings(&name, &settings);
         self.launch(ENTRY, &name, &["--settings", &file]).await;
     }
--- a/crates/lovageramp/tests/support/faults.rs
+++ b/crates/lovageramp/tests/support/faults.rs
@@ -40,6 +40,13 @@
         }
     }
 
+    /// Requests that a stand-in runs now.
+    pub async fn open_at(&self, agent: &str) -> u64 {
+        let fake = self.http(&format!("fake-{agent}"));
+        let load = get(fake, "/load", &[]).await.unwrap().json();
+        load["running"].as_u64().unwrap()
+    }
+
     /// How often a stand-in ran requests of this key; an empty key counts all.
     pub async fn ran_at(&self, agent: &str, key: &str) -> u64 {
         let fake = self.http(&format!("fake-{agent}"));
