--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -113,7 +113,7 @@
     /// Name of the node that this one renews through, if it does.
     #[must_use]
     pub fn renews_through(&self) -> Option<String> {
-        self.shared.upstream.name()
+        self.shared.relay_link.name()
     }
 
     /// Passes on what another node of the availability zone sends: its renewals and
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,11 +13,11 @@
 mod controls;
 mod follower;
 mod lease;
+mod relay_link;
 mod relayed;
 mod renewer;
 mod settings;
 mod shared;
-mod upstream;
 mod view;
 
 pub use crate::follower::Follower;
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/relay_link.rs
@@ -14,7 +14,7 @@
 
 /// The link to the node that this one renews through, if there is one.
 #[derive(Default)]
-pub(crate) struct Upstream {
+pub(crate) struct RelayLink {
     held: Mutex<Option<Held>>,
 }
 
@@ -34,7 +34,7 @@
     pub(crate) address: std::net::SocketAddr,
 }
 
-impl Upstream {
+impl RelayLink {
     /// Turns to a relay, or to none, and lets go of another one.
     pub(crate) fn turn_to(&self, shared: &Arc<Shared>, relay: Option<Relay>) {
         let mut held = self.held();
--- a/crates/node/src/renewer.rs
+++ b/crates/node/src/renewer.rs
@@ -1,8 +1,8 @@
 //! The actor that renews the lease and fetches notes.
 
 use crate::ask::ask;
+use crate::relay_link::Relay;
 use crate::shared::Shared;
-use crate::upstream::Relay;
 use member::{RenewalPath, Renewer as Node, renewal_path};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use std::sync::Arc;
@@ -73,7 +73,7 @@
         if renewer.send_message(RenewNow).is_err() {
             return;
         }
-        if shared.upstream.is_up() {
+        if shared.relay_link.is_up() {
             // A relay brings its nodes together, and each counts from its answer. Were
             // an earlier renewal's end taken for this one's, they would come too soon.
             let _ = timeout(shared.cfg.renew, ended.changed()).await;
@@ -85,12 +85,12 @@
 
 /// Renews the lease once and fetches the notes that are missing.
 pub(crate) async fn renew(shared: &Arc<Shared>) {
-    shared.upstream.turn_to(shared, relay(shared));
+    shared.relay_link.turn_to(shared, relay(shared));
     let request = renewal(shared);
     let sequence = request.sequence;
     // The lease counts from when the renewal was sent that the leader answers.
     let mut sent = Instant::now();
-    let mut renewed = shared.upstream.renew(shared, &request).await;
+    let mut renewed = shared.relay_link.renew(shared, &request).await;
     if let Some(renewed) = &renewed {
         let next = Duration::from_millis(u64::from(renewed.next_ms));
         shared.set_next((!next.is_zero()).then_some(next));
@@ -161,7 +161,7 @@
 async fn fetch(shared: &Shared) {
     let after = shared.catalogue().number();
     let within = shared.cfg.renew;
-    let notes = match shared.upstream.fetch(after, within).await {
+    let notes = match shared.relay_link.fetch(after, within).await {
         Some(notes) => Some(notes),
         None => ask_notes(shared, after, within).await,
     };
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -2,9 +2,9 @@
 
 use crate::controls::Controls;
 use crate::lease::Lease;
+use crate::relay_link::RelayLink;
 use crate::relayed::Relayed;
 use crate::settings::FollowerSettings;
-use crate::upstream::Upstream;
 use crate::view::merge;
 use note::Catalogue;
 use std::collections::BTreeMap;
@@ -25,7 +25,7 @@
     pub(crate) hurry: Notify,
     /// Counts the renewals that have ended.
     pub(crate) renewed: watch::Sender<u64>,
-    pub(crate) upstream: Upstream,
+    pub(crate) relay_link: RelayLink,
     pub(crate) relayed: Relayed,
     /// Ends all tasks.
     pub(crate) stop: CancellationToken,
@@ -71,7 +71,7 @@
             cfg,
             hurry: Notify::new(),
             renewed: watch::Sender::new(0),
-            upstream: Upstream::default(),
+            relay_link: RelayLink::default(),
             relayed: Relayed::default(),
             stop: CancellationToken::new(),
             held: Mutex::new(held),
