--- a/crates/lovageramp/benches/path.rs
+++ b/crates/lovageramp/benches/path.rs
@@ -45,6 +45,7 @@
         services: 1,
         step_ms: 0,
         limit: 1_000,
+        ..ClusterPlan::default()
     })
     .await;
     cluster.offer().await;
