--- a/crates/lovageramp/tests/silent_callers.rs
+++ b/crates/lovageramp/tests/silent_callers.rs
@@ -65,6 +65,7 @@
         services: 0,
         step_ms: 0,
         limit: 1_000,
+        ..ClusterPlan::default()
     })
     .await;
     cluster.entry_timing.insert("receive_ms", 2_000);
