--- a/crates/control/benches/durable.rs
+++ b/crates/control/benches/durable.rs
@@ -7,9 +7,6 @@
 #[path = "../tests/replicas/cluster.rs"]
 #[allow(dead_code, reason = "the tests use the rest")]
 mod cluster;
-#[path = "../tests/replicas/relay.rs"]
-#[allow(dead_code, reason = "the tests use the rest")]
-mod relay;
 
 use cluster::{Cluster, propose_to};
 use std::fs::File;
--- a/crates/control/tests/replicas/cluster.rs
+++ b/crates/control/tests/replicas/cluster.rs
@@ -1,7 +1,7 @@
 //! A few replicas in one process, with real sockets and data folders.
 
-use crate::relay::Relay;
 use control::{Control, Listeners, Settings};
+use fake::Relay;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::fs;
@@ -63,7 +63,8 @@
         let mut relays = BTreeMap::new();
         for from in addresses.keys() {
             for (to, address) in addresses.iter().filter(|(to, _)| *to != from) {
-                let relay = Relay::start(relay_host, *address).await;
+                let relay = Relay::start_on(relay_host).await.unwrap();
+                relay.set_target(*address);
                 relays.insert((from.clone(), to.clone()), relay);
             }
         }
@@ -129,7 +130,11 @@
     /// Cuts the links between a replica and the others, both ways.
     pub async fn cut_off(&self, name: &str) {
         for relay in self.relays_of(name) {
-            relay.cut().await;
+            relay.cut();
+            wait_for("connections to break", async || {
+                (relay.open_connections() == 0).then_some(())
+            })
+            .await;
         }
     }
 
--- a/crates/control/tests/replicas/main.rs
+++ b/crates/control/tests/replicas/main.rs
@@ -8,5 +8,4 @@
 mod nonsense;
 mod operators;
 mod path;
-mod relay;
 mod repair;
--- a/crates/entry/tests/entry/standing.rs
+++ b/crates/entry/tests/entry/standing.rs
@@ -1,8 +1,9 @@
 //! Who is let in.
 
+use fake::Relay;
 use serde_json::json;
 
-use crate::support::{Caller, Cluster, Form, KEY, Relay, chat, eventually};
+use crate::support::{Caller, Cluster, Form, KEY, chat, eventually};
 
 async fn serving() -> (Cluster, fake::Engine, fake::Service, entry::Entry, Caller) {
     let mut cluster = Cluster::start().await;
@@ -57,14 +58,14 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn admit_cut_off_alone() {
     let (cluster, engine, _service, _entry, other) = serving().await;
-    let relay = Relay::start().await;
-    relay.lead_to(cluster.control.link_address());
+    let relay = Relay::start().await.unwrap();
+    relay.set_target(cluster.control.link_address());
     let entry = cluster.entry_through("entry-2", relay.address, json!({}), json!({}));
     let entry = entry.await;
     let caller = Caller::new(entry.http_address(), KEY);
     caller.until_ready().await;
     caller.until_served().await;
-    relay.cut();
+    relay.go_silent();
     eventually("the lease runs out", async || {
         (caller.get("/readyz").await.status == 503).then_some(())
     })
--- a/crates/entry/tests/entry/streams.rs
+++ b/crates/entry/tests/entry/streams.rs
@@ -1,5 +1,6 @@
 //! Answers of chat completions when something goes wrong on the way.
 
+use fake::Relay;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 
@@ -11,8 +12,8 @@
 use wire::proto::{AnswerChunk, AttachReply, AttemptState, BarReply, End, Refusal, Start};
 
 use crate::support::{
-    Caller, Cluster, Form, KEY, Relay, Script, StubAgent, accept, announcement, answer, chat,
-    chunk, events, eventually, finish, head, refuse, say,
+    Caller, Cluster, Form, KEY, Script, StubAgent, accept, announcement, answer, chat, chunk,
+    events, eventually, finish, head, refuse, say,
 };
 
 const SSE: &str = "text/event-stream";
@@ -177,7 +178,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_silent_connection() {
     let cluster = offered().await;
-    let relay = Relay::start().await;
+    let relay = Relay::start().await.unwrap();
     let text = events(0..6, DONE);
     let (script_text, script_relay) = (text.clone(), relay.clone());
     let script: Script = Arc::new(move |_, incoming| match &incoming.body {
@@ -188,7 +189,7 @@
             let relay = script_relay.clone();
             tokio::spawn(async move {
                 tokio::time::sleep(std::time::Duration::from_millis(300)).await;
-                relay.forget();
+                relay.swallow();
             });
         }
         Body::Attach(attach) => {
--- a/crates/entry/tests/entry/subsets.rs
+++ b/crates/entry/tests/entry/subsets.rs
@@ -1,5 +1,6 @@
 //! An entry that keeps links to some of the targets only.
 
+use fake::Relay;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,7 +14,7 @@
 
 use crate::calls::{accept_and, claimed_by_dead_entry};
 use crate::support::{
-    Caller, Cluster, KEY, Relay, Script, StubAgent, accept, announcement, answer, eventually, say,
+    Caller, Cluster, KEY, Script, StubAgent, accept, announcement, answer, eventually, say,
 };
 
 const ONE: SubsetSettings = SubsetSettings {
@@ -123,7 +124,7 @@
     let _others: Vec<Follower> = others.map(|n| announce_entry(&cluster, n)).collect();
     let mut desks = Vec::new();
     for name in DESKS {
-        let relay = Relay::start().await;
+        let relay = Relay::start().await.unwrap();
         let desk = start_desk(&cluster, name, Some(&relay), &answering()).await;
         desks.push((desk, relay));
     }
@@ -134,7 +135,7 @@
     caller.until_desk().await;
     for (desk, relay) in &desks {
         if own.contains(desk.name.as_str()) {
-            relay.cut();
+            relay.go_silent();
         }
     }
     // Once the silence is noticed; until then attempts may be under way.
--- a/crates/entry/tests/entry/support/mod.rs
+++ b/crates/entry/tests/entry/support/mod.rs
@@ -3,12 +3,10 @@
 
 mod caller;
 mod cluster;
-mod relay;
 mod stub;
 
 pub use caller::{Caller, Form, Reply, chat};
 pub use cluster::{Cluster, KEY, eventually, sha256_hex};
-pub use relay::Relay;
 pub use stub::{
     Script, StubAgent, accept, announcement, answer, chunk, events, finish, head, refuse, say,
 };
--- a/crates/entry/tests/entry/support/stub.rs
+++ b/crates/entry/tests/entry/support/stub.rs
@@ -14,7 +14,8 @@
 };
 use wire::{Identity, Incoming, LinkSettings, Role};
 
-use super::{Cluster, Relay};
+use super::Cluster;
+use fake::Relay;
 
 /// What the agent does with each message.
 pub type Script = Arc<dyn Fn(&StubAgent, &Incoming) + Send + Sync>;
@@ -58,7 +59,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let mut address = listener.local_addr().unwrap();
         if let Some(relay) = relay {
-            relay.lead_to(address);
+            relay.set_target(address);
             address = relay.address;
         }
         let name = target.target.clone();
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -1,5 +1,6 @@
 //! Small stand-ins for what lies outside lovageramp: model engines, plain
-//! services and the weight store.
+//! services and the weight store; and a relay for what lies between two
+//! processes.
 //!
 //! Each is an HTTP server on loopback. It remembers what reached it, so that
 //! a test can tell what ran, and its faults are switched on by call, from
@@ -29,6 +30,9 @@
 mod loading;
 mod orders;
 mod ran_step;
+mod relay;
+mod relay_carry;
+mod relay_state;
 mod seen;
 mod seen_log;
 mod service;
@@ -40,6 +44,7 @@
 pub use engine_settings::{EngineSettings, FencingCheck};
 pub use fault::Fault;
 pub use ran_step::RanStep;
+pub use relay::Relay;
 pub use seen::Seen;
 pub use service::Service;
 pub use service_settings::ServiceSettings;
--- a/crates/lovageramp/benches/capacity.rs
+++ b/crates/lovageramp/benches/capacity.rs
@@ -142,7 +142,7 @@
 async fn relays(cluster: &Cluster) -> Vec<Relay> {
     let mut relays = Vec::new();
     for control in 1..=3 {
-        let relay = Relay::start().await;
+        let relay = Relay::start().await.unwrap();
         relay.set_target(
             cluster.processes[&format!("control-{control}")]
                 .links
@@ -184,7 +184,7 @@
     let accepts = agent && path == Path::Relayed;
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let relay = if accepts {
-        let relay = Relay::start().await;
+        let relay = Relay::start().await.unwrap();
         relay.set_target(listener.local_addr().unwrap());
         Some(relay)
     } else {
--- a/crates/lovageramp/tests/release_notes.rs
+++ b/crates/lovageramp/tests/release_notes.rs
@@ -294,7 +294,7 @@
 /// Sends a note to a host over a connection that is cut once the note is accepted, so
 /// that nothing of the answer arrives.
 async fn send_and_lose_answer(cluster: &Cluster, host: &str, note: &Value) {
-    let relay = Relay::start().await;
+    let relay = Relay::start().await.unwrap();
     relay.set_target(cluster.http(host));
     let mut stream = TcpStream::connect(relay.address).await.unwrap();
     until("the connection is carried", || async {
--- a/crates/lovageramp/tests/support/cluster.rs
+++ b/crates/lovageramp/tests/support/cluster.rs
@@ -5,9 +5,9 @@
 //! that tests can cut, freeze and swallow what goes between any two of them.
 
 use super::process::Process;
-use super::relay::Relay;
 use super::until::until;
 use super::{Answer, account_item, bearer, chat, get, request};
+use fake::Relay;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -132,12 +132,12 @@
         dialers.extend(self.agents());
         for dialer in &dialers {
             for control in controls.iter().filter(|control| *control != dialer) {
-                let relay = Relay::start().await;
+                let relay = Relay::start().await.unwrap();
                 self.relays.insert(format!("{dialer}>{control}"), relay);
             }
         }
         for agent in self.agents() {
-            self.relays.insert(agent, Relay::start().await);
+            self.relays.insert(agent, Relay::start().await.unwrap());
         }
     }
 
@@ -280,7 +280,8 @@
             "service"
         };
         if !self.relays.contains_key(&fake) {
-            self.relays.insert(fake.clone(), Relay::start().await);
+            self.relays
+                .insert(fake.clone(), Relay::start().await.unwrap());
         }
         let number: usize = name.rsplit('-').next().unwrap().parse().unwrap();
         let each = self.plan.ranks_each;
--- a/crates/lovageramp/tests/support/mod.rs
+++ b/crates/lovageramp/tests/support/mod.rs
@@ -16,16 +16,15 @@
 mod map_group;
 pub mod notes;
 mod process;
-mod relay;
 mod stream;
 mod until;
 pub mod zones;
 
 pub use calls::{account_item, bearer, chat, reserve};
 pub use cluster::{Cluster, ClusterPlan, TOKEN};
+pub use fake::Relay;
 pub use http::{Answer, get, open_stream, request};
 pub use map_group::{AGENTS, EXPERT_BYTES, MapGroup, TRIES};
 pub use process::Process;
-pub use relay::Relay;
 pub use stream::{Caller, assert_whole, long_stream};
 pub use until::until;
--- a/crates/node/tests/relay/main.rs
+++ b/crates/node/tests/relay/main.rs
@@ -2,5 +2,4 @@
 
 mod batch;
 mod lost;
-mod proxy;
 mod zone;
--- a/crates/node/tests/relay/zone.rs
+++ b/crates/node/tests/relay/zone.rs
@@ -1,6 +1,6 @@
 //! A zone of many nodes before one control replica.
 
-use super::proxy::Proxy;
+use fake::Relay;
 use node::{Follower, FollowerSettings};
 use serde_json::json;
 use std::collections::BTreeSet;
@@ -32,7 +32,7 @@
     pub name: String,
     pub follower: Follower,
     pub mode: watch::Sender<Mode>,
-    pub proxy: Proxy,
+    pub proxy: Relay,
     _stop: DropGuard,
 }
 
@@ -164,7 +164,8 @@
 impl Node {
     pub async fn start(name: &str, control: SocketAddr) -> Node {
         let listener = bind().await;
-        let proxy = Proxy::before(control).await;
+        let proxy = Relay::start().await.unwrap();
+        proxy.set_target(control);
         let me = Identity::new(Role::Agent, name, u64::from(std::process::id()));
         let info = NodeInfo {
             role: Role::Agent.into(),
