--- a/crates/lovageramp/tests/support/stream.rs
+++ b/crates/lovageramp/tests/support/stream.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use serde_json::json;
@@ -52,6 +53,24 @@
     assert_eq!(text.matches("data: ").count(), 1502);
 }
 
+/// Reads until some bytes are here.
+pub async fn some(stream: &mut Incoming, bytes: usize) -> Vec<u8> {
+    let mut got = Vec::new();
+    while got.len() < bytes {
+        let frame = stream.frame().await.unwrap().unwrap();
+        got.extend(frame.into_data().unwrap());
+    }
+    got
+}
+
+/// Reads to the end, which must be whole; returns it behind what was read before.
+pub async fn rest(mut stream: Incoming, mut got: Vec<u8>) -> Vec<u8> {
+    while let Some(frame) = stream.frame().await {
+        got.extend(frame.expect("broken off").into_data().unwrap());
+    }
+    got
+}
+
 /// A caller who sends one request after the other on one connection that stays open.
 pub struct Caller {
     answered: Arc<AtomicU64>,
