Hash names for rendezvous in one place

Cause: read once more, the change had the hash of names twice, in member (relays of renewals) and in route (affinity, subsets), and member a third fold of the same kind.

Change: member has hash_bytes, hash_name and mix; route takes them from there. The values are the same, so no link and no relay moves.

Tests of member, route, entry and node pass.

--- a/crates/control/src/replica/backlog.rs
+++ b/crates/control/src/replica/backlog.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 /// The entries that were committed so long ago that a replica without them is
-/// behind.
+/// behind: between one and two lags, since only one commit is remembered.
 ///
 /// Were the newest commit asked for, a replica would be behind for a moment
 /// after each command, and under a steady load for ever: an operator who waits
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -41,6 +41,7 @@
 pub use announcement::Announcement;
 pub use capability::Capability;
 pub use changes::Changes;
+pub use hash::{hash_bytes, hash_name, mix};
 pub use in_force::InForce;
 pub use member::Member;
 pub use nearest_first::nearest_first;
--- a/crates/member/src/nearest_first.rs
+++ b/crates/member/src/nearest_first.rs
@@ -1,6 +1,6 @@
 //! The order of the address list for callers.
 
-use crate::hash::{FNV_BASIS, FNV_PRIME};
+use crate::hash_bytes;
 
 /// Orders entries for a caller, those at the least distance first.
 ///
@@ -20,15 +20,13 @@
     distance: impl Fn(&T) -> u32,
     name: impl Fn(&T) -> &str,
 ) {
-    entries.sort_by_cached_key(|entry| (distance(entry), mix(seed, name(entry))));
+    entries.sort_by_cached_key(|entry| (distance(entry), place(seed, name(entry))));
 }
 
-fn mix(seed: u64, name: &str) -> u64 {
+fn place(seed: u64, name: &str) -> u64 {
     let seeded = seed.to_le_bytes();
     let bytes = seeded.iter().copied().chain(name.bytes());
-    let hash = bytes.fold(FNV_BASIS, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
-    });
+    let hash = hash_bytes(bytes);
     // The last byte barely reaches the high bits; fold them in.
     hash ^ (hash >> 32)
 }
--- a/crates/member/src/renewal_path.rs
+++ b/crates/member/src/renewal_path.rs
@@ -1,6 +1,6 @@
 //! How a node's renewals get to the leader.
 
-use crate::hash::{hash, mix};
+use crate::{hash_name, mix};
 
 /// Nodes of an availability zone up to which each renews straight at the leader.
 pub const RELAY_ABOVE: usize = 32;
@@ -50,14 +50,15 @@
     }
     let count = zone.len().div_ceil(RELAY_GROUP);
     let able = zone.iter().filter(|node| node.accepts);
-    let mut able: Vec<(u64, &'a str)> = able.map(|node| (hash(node.name), node.name)).collect();
+    let mut able: Vec<(u64, &'a str)> =
+        able.map(|node| (hash_name(node.name), node.name)).collect();
     able.sort_unstable();
     able.dedup();
     able.truncate(count);
     if me.accepts && able.iter().any(|(_, name)| *name == me.name) {
         return RenewalPath::Relay;
     }
-    let own = hash(me.name);
+    let own = hash_name(me.name);
     let nearest = able
         .into_iter()
         .max_by_key(|(relay, _)| mix(own ^ relay.rotate_left(32)));
--- a/crates/route/src/affinity.rs
+++ b/crates/route/src/affinity.rs
@@ -1,5 +1,7 @@
 //! Prefix affinity by rendezvous hashing.
 
+use member::mix;
+
 use crate::TargetKey;
 
 /// Slots that prefixes are hashed to.
@@ -37,18 +39,3 @@
             .and_then(|slot| self.slots.get(slot).copied())
     }
 }
-
-/// FNV-1a over the bytes of a name.
-pub(crate) fn hash_name(name: &str) -> u64 {
-    let start = 0xcbf2_9ce4_8422_2325_u64;
-    let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-    name.bytes().fold(start, step)
-}
-
-/// The finalizer of `SplitMix64` (Steele, Lea and Flood, 2014).
-pub(crate) fn mix(value: u64) -> u64 {
-    let mut z = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    z ^ (z >> 31)
-}
--- a/crates/route/src/exchange.rs
+++ b/crates/route/src/exchange.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use crate::affinity::{hash_name, mix};
+use member::hash_name;
 
 /// The whole of an account's limits.
 pub const WHOLE: u32 = 10_000;
@@ -18,7 +18,7 @@
 /// ```
 #[must_use]
 pub fn account_number(name: &str) -> u32 {
-    let bytes = mix(hash_name(name)).to_le_bytes();
+    let bytes = hash_name(name).to_le_bytes();
     u32::from_le_bytes([bytes[0], bytes[1], bytes[2], bytes[3]])
 }
 
--- a/crates/route/src/subset.rs
+++ b/crates/route/src/subset.rs
@@ -1,6 +1,6 @@
 //! Which targets an entry keeps links to.
 
-use crate::affinity::{hash_name, mix};
+use member::{hash_name, mix};
 
 /// Fewest links of each entry and of each target.
 ///
@@ -210,7 +210,7 @@
 
 impl<'a> Graph<'a> {
     fn new(entries: &[Site<'a>], targets: &[Site<'a>]) -> Self {
-        let hashed = |site: &Site<'a>| (mix(hash_name(site.name)), site.zone);
+        let hashed = |site: &Site<'a>| (hash_name(site.name), site.zone);
         Graph {
             entries: entries.iter().map(hashed).collect(),
             // Turned, so that an entry and a target of one name differ.
--- a/crates/route/src/target.rs
+++ b/crates/route/src/target.rs
@@ -3,12 +3,12 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
-use crate::affinity::hash_name;
 use crate::cache::Cache;
 use crate::ejection::Ejection;
 use crate::place::Place;
 use crate::rank::Rank;
 use crate::{Arrival, AttemptKey, Demand, Limit, Report, Standing, Suspicion, Tuning};
+use member::hash_bytes;
 
 /// Weight of a new observation in a moving average.
 const SMOOTHING: f64 = 0.1;
@@ -59,7 +59,7 @@
     pub(crate) fn new(name: &str, distance: Duration, now: Instant, tuning: &Tuning) -> Self {
         Target {
             name: name.to_owned(),
-            name_hash: hash_name(name),
+            name_hash: hash_bytes(name.bytes()),
             standing: Standing::Absent,
             ejection: Ejection::default(),
             cache: Cache::default(),
