--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -59,7 +59,8 @@
         let mut registry = admin::Registry::default();
         let cx = context(cfg, me.incarnation, follower);
         cx.metrics.register(&mut registry);
-        cx.outlet.counts().register(&mut registry);
+        let counts = registry.sub_registry_with_prefix("agent");
+        cx.outlet.counts().register(counts);
         let (desk, _) = Actor::spawn(None, Desk, Arc::clone(&cx)).await?;
         let (monitor, _) = Actor::spawn(None, Monitor, Arc::clone(&cx)).await?;
         let orders = crate::order::start(Arc::clone(&cx)).await?;
--- a/crates/agent/src/engine/mod.rs
+++ b/crates/agent/src/engine/mod.rs
@@ -6,30 +6,23 @@
 
 mod cache;
 mod call;
-mod client;
 mod expert_counts;
-mod failure;
 mod load;
 mod map_document;
 mod order;
 mod outlet;
-mod pool;
-mod pool_counts;
 mod profile;
 mod reply;
-mod socket;
 mod whole;
 
+pub use ::outlet::{ClientSettings, Failure, PoolCounts};
 pub use cache::CacheChange;
 pub use call::{Call, Repeats};
-pub use client::ClientSettings;
 pub use expert_counts::{ExpertCounts, RankCounts};
-pub use failure::Failure;
 pub use load::{Load, RankLoad};
 pub use map_document::map_document;
 pub use order::{InForce, MapOrder, MapState, Obeyed, OrderFailure};
 pub use outlet::{Outlet, Stand};
-pub use pool_counts::PoolCounts;
 pub use profile::Profile;
 pub use reply::{Reply, Usage};
 pub use whole::Whole;
--- a/crates/agent/src/engine/outlet.rs
+++ b/crates/agent/src/engine/outlet.rs
@@ -12,8 +12,8 @@
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 
-use super::client::{Connection, Unanswered, ask};
-use super::pool::Pool;
+use ::outlet::{Connection, Pool, Unanswered, ask};
+
 use super::reply::HOP_HEADERS;
 use super::{
     CacheChange, Call, ClientSettings, ExpertCounts, Failure, InForce, Load, MapOrder, MapState,
--- a/crates/agent/src/engine/reply.rs
+++ b/crates/agent/src/engine/reply.rs
@@ -11,8 +11,8 @@
 use serde::Deserialize;
 use tokio::time::timeout;
 
-use super::client::Connection;
-use super::pool::Pool;
+use ::outlet::{Connection, Pool};
+
 use super::{ClientSettings, Failure, Whole};
 
 const EVENT_STREAM: &[u8] = b"text/event-stream";
--- a/crates/control/src/asker.rs
+++ b/crates/control/src/asker.rs
@@ -50,6 +50,12 @@
         }
     }
 
+    pub(crate) fn all(&self) -> Vec<Link> {
+        let links = self.links();
+        let up = links.values().filter(|link| !link.is_closed());
+        up.cloned().collect()
+    }
+
     fn get(&self, name: &str) -> Option<Link> {
         self.links().get(name).cloned()
     }
@@ -64,12 +70,17 @@
     /// Has an operator's command committed. Such commands are idempotent, so
     /// one is sent again after a lost answer.
     pub(crate) async fn propose(&self, body: CommandBody) -> Outcome {
+        self.propose_within(body, WITHIN).await
+    }
+
+    /// As [`Asker::propose`], with another longest wait.
+    pub(crate) async fn propose_within(&self, body: CommandBody, within: Duration) -> Outcome {
         let command = Command {
             now_ms: 0,
             body: Some(body),
         };
         let command = Some(command);
-        let asked = self.ask(Body::Propose(Propose { command }), WITHIN).await;
+        let asked = self.ask(Body::Propose(Propose { command }), within).await;
         match asked {
             Ok(Body::Outcome(outcome)) => outcome,
             Ok(_) => unavailable("unexpected answer".to_owned()),
@@ -83,8 +94,17 @@
         if matches!(body, QueryBody::Status(_)) {
             return self.status().await;
         }
+        self.query_within(body, WITHIN).await
+    }
+
+    /// Asks the leader, or this replica if it leads.
+    pub(crate) async fn query_within(
+        &self,
+        body: QueryBody,
+        within: Duration,
+    ) -> Result<QueryReply> {
         let body = Some(body);
-        match self.ask(Body::Query(Query { body }), WITHIN).await? {
+        match self.ask(Body::Query(Query { body }), within).await? {
             Body::QueryReply(reply) => Ok(reply),
             _ => bail!("unexpected answer"),
         }
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -2,6 +2,8 @@
 
 use crate::asker::{Asker, Directory};
 use crate::http;
+use crate::hub::Hub;
+use crate::init;
 use crate::links::{self, Acceptor};
 use crate::listeners::Listeners;
 use crate::metrics::Metrics;
@@ -15,10 +17,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 use store::{Disk, Ops};
-use tokio::sync::{Mutex, oneshot};
+use tokio::sync::{Mutex, oneshot, watch};
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::{MissedTickBehavior, interval, timeout};
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::AbortOnDropHandle;
 use wire::{ClusterKey, LinkSettings};
 
 /// Ticks in a heartbeat time; a tick late by this much is of no matter.
@@ -34,6 +37,9 @@
     link_address: SocketAddr,
     http_address: SocketAddr,
     replica: ActorRef<Msg>,
+    asker: Asker,
+    hub: Hub,
+    seeds: watch::Sender<Vec<SocketAddr>>,
     ended: CancellationToken,
     tasks: Arc<Mutex<JoinSet<()>>>,
 }
@@ -63,8 +69,10 @@
         settings.advertise.get_or_insert(link_address);
         let token = Token::from_file(&settings.operator_token_file)?;
         let disk_closed = CancellationToken::new();
+        found(&settings)?;
         let start = open(settings.clone(), ops, disk_closed.clone()).await?;
         let metrics = start.metrics.clone();
+        let (table, replicas) = (start.table.subscribe(), start.replicas.subscribe());
         let disk = start.recovered.identity.disk;
         let (_, me) = links::disk_identity(disk, &settings.name);
         let (replica, actor) = Actor::spawn(None, Replica, start)
@@ -80,16 +88,29 @@
             replica: replica.clone(),
             directory: Directory::default(),
         };
+        let hub = Hub::new(asker.directory.clone(), replicas.clone(), table);
+        tasks.spawn(until(stop.clone(), hub.clone().run()));
+        let keep = {
+            let (me, key, cfg, asker) = (me.clone(), key.clone(), cfg.clone(), asker.clone());
+            move |address| peers::keep(address, me.clone(), key.clone(), cfg.clone(), asker.clone())
+        };
         for other in settings.replicas.iter().filter(|r| r.name != settings.name) {
-            let (me, key) = (me.clone(), key.clone());
-            let keep = peers::keep(other.address, me, key, cfg.clone(), asker.clone());
-            tasks.spawn(until(stop.clone(), keep));
+            tasks.spawn(until(stop.clone(), keep(other.address)));
+        }
+        let forming = settings.forming.as_ref();
+        let seeds = watch::Sender::new(forming.map_or_else(Vec::new, |f| f.seeds.clone()));
+        if forming.is_some() {
+            let keep_one = move |address| AbortOnDropHandle::new(tokio::spawn(keep(address)));
+            let own = settings.advertised();
+            let keep_all = peers::keep_all(seeds.subscribe(), replicas, own, keep_one);
+            tasks.spawn(until(stop.clone(), keep_all));
         }
         let acceptor = Acceptor {
             me,
             key,
             cfg,
             replica: replica.clone(),
+            hub: hub.clone(),
             links_refused: metrics.links_refused.clone(),
             stop: stop.clone(),
         };
@@ -98,7 +119,7 @@
         let http = http::serve(
             listeners.http,
             token,
-            asker,
+            asker.clone(),
             metrics,
             registry,
             stop.clone(),
@@ -112,11 +133,26 @@
             link_address,
             http_address,
             replica,
+            asker,
+            hub,
+            seeds,
             ended,
             tasks: Arc::new(Mutex::new(tasks)),
         })
     }
 
+    pub(crate) fn asker(&self) -> &Asker {
+        &self.asker
+    }
+
+    pub(crate) fn hub(&self) -> &Hub {
+        &self.hub
+    }
+
+    pub(crate) fn seeds(&self) -> &watch::Sender<Vec<SocketAddr>> {
+        &self.seeds
+    }
+
     /// Where links are accepted.
     #[must_use]
     pub fn link_address(&self) -> SocketAddr {
@@ -160,6 +196,21 @@
     }
 }
 
+/// Makes the new cluster if that is for this replica to do.
+fn found(settings: &Settings) -> Result<()> {
+    let own = settings.advertised();
+    let founds = settings.forming.as_ref().is_some_and(|f| f.founds(own));
+    let identity = store::identity(&settings.data);
+    // One that crashed between its format and its first snapshot completes.
+    let begun = identity.is_ok_and(|_| !store::has_log(&settings.data).unwrap_or(true));
+    let blank = store::identity(&settings.data).is_err_and(|e| e.is_blank());
+    if founds && (blank || begun) {
+        log::info!("founding a new cluster at {own}");
+        init(settings)?;
+    }
+    Ok(())
+}
+
 /// Opens the data folder. A predecessor on it may still be ending.
 async fn open(settings: Settings, ops: Ops, disk_closed: CancellationToken) -> Result<Start> {
     const PAUSE: Duration = Duration::from_millis(50);
@@ -201,6 +252,8 @@
         disk,
         recovered,
         metrics: Metrics::default(),
+        table: watch::Sender::default(),
+        replicas: watch::Sender::default(),
         disk_closed: disk_closed.drop_guard(),
     })
 }
--- /dev/null
+++ b/crates/control/src/forming.rs
@@ -0,0 +1,55 @@
+//! How replicas find each other where no list of them is known.
+
+use cfg::Reader;
+use quorum::Replace;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How replicas find each other where no list of them is known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Forming {
+    /// Links of a few replicas; any of them may be down or another's by now.
+    pub seeds: Vec<SocketAddr>,
+    /// Whether the whole deployment starts for the first time.
+    pub bootstrap: bool,
+    /// Voters wanted.
+    pub voters: usize,
+    /// Silence after which a voter counts as lost for good.
+    pub replace_after: Duration,
+}
+
+/// Voters wanted unless the settings say otherwise: one may be lost.
+const VOTERS: usize = 3;
+/// Twice the longest stop that a host is expected to come back from by itself
+/// within the election of a new leader; a shorter time would replace replicas
+/// that only stand still.
+const REPLACE_AFTER: Duration = Duration::from_secs(4);
+
+impl Forming {
+    pub(crate) fn read(mut r: Reader) -> Forming {
+        let seeds: Option<Vec<SocketAddr>> = r.required("seeds");
+        let forming = Forming {
+            seeds: seeds.unwrap_or_default(),
+            bootstrap: r.or("bootstrap", false),
+            voters: r.within("voters", VOTERS, 1..=9),
+            replace_after: r.or("replace_after_ms", REPLACE_AFTER),
+        };
+        if forming.seeds.is_empty() {
+            r.finding("seeds", "must not be empty");
+        }
+        forming
+    }
+
+    pub(crate) fn replace(&self) -> Replace {
+        Replace {
+            voters: self.voters,
+            after: self.replace_after,
+        }
+    }
+
+    /// Whether the replica at this address makes the new cluster: one of
+    /// those that start together, and all of them find the same one.
+    pub(crate) fn founds(&self, own: SocketAddr) -> bool {
+        self.bootstrap && self.seeds.iter().min() == Some(&own)
+    }
+}
--- a/crates/control/src/links.rs
+++ b/crates/control/src/links.rs
@@ -1,6 +1,7 @@
 //! Links that others dial.
 
 use crate::codec;
+use crate::hub::Hub;
 use crate::replica::{Ask, Msg};
 use crate::reply::Reply;
 use prometheus_client::metrics::counter::Counter;
@@ -27,6 +28,7 @@
     pub(crate) key: ClusterKey,
     pub(crate) cfg: LinkSettings,
     pub(crate) replica: ActorRef<Msg>,
+    pub(crate) hub: Hub,
     pub(crate) links_refused: Counter,
     pub(crate) stop: CancellationToken,
 }
@@ -73,7 +75,18 @@
                 () = self.stop.cancelled() => break,
                 incoming = rx.recv() => incoming,
             };
-            let Some(msg) = incoming.map(take) else { break };
+            let Some(incoming) = incoming else { break };
+            let msg = match incoming.body {
+                Body::Report(report) => {
+                    self.hub.report(report, incoming.call, &link).await;
+                    continue;
+                }
+                Body::Sightings(told) => {
+                    self.hub.take(told, incoming.call, &link).await;
+                    continue;
+                }
+                _ => take(incoming),
+            };
             if let Some(msg) = msg
                 && self.replica.cast(msg).is_err()
             {
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -5,6 +5,7 @@
 mod maps;
 mod notes;
 mod snapshot;
+mod table;
 
 pub(crate) use calls::MOST_UNPROVED;
 use expert::Decisions;
@@ -13,10 +14,10 @@
 use route::Quarantine;
 use std::collections::BTreeSet;
 use wire::proto::command::Body;
-use wire::proto::{Command, Drain, DrainOutcome, Unavailable, outcome};
+use wire::proto::{Command, Drain, DrainOutcome, RouteTable, Unavailable, outcome};
 
 /// The durable state: release notes, the ledger of non-repeatable calls, the
-/// quarantine, expert-map decisions and drains.
+/// quarantine, expert-map decisions, drains and the route table.
 ///
 /// Replicas that apply the same commands in the same order are equal.
 ///
@@ -39,6 +40,7 @@
     quarantine: Quarantine,
     decisions: Decisions,
     drained: BTreeSet<String>,
+    route_table: RouteTable,
 }
 
 impl Default for Machine {
@@ -50,6 +52,7 @@
             quarantine: Quarantine::new(),
             decisions: Decisions::new(),
             drained: BTreeSet::new(),
+            route_table: RouteTable::default(),
         }
     }
 }
@@ -79,6 +82,9 @@
             Some(Body::Drain(drain)) => outcome::Body::Drain(self.drain(drain)),
             Some(Body::Forget(forget)) => self.forget(&forget),
             Some(Body::LedgerLimits(limits)) => self.set_ledger_limits(limits),
+            Some(Body::RouteTable(table)) => {
+                outcome::Body::RouteTable(self.take_route_table(table))
+            }
             Some(Body::Batch(batch)) => self.apply_all(batch.commands),
             None => malformed("command without a body"),
         }
--- a/crates/control/src/machine/snapshot.rs
+++ b/crates/control/src/machine/snapshot.rs
@@ -27,6 +27,7 @@
             quarantine: self.quarantine.to_json().into(),
             maps: self.decisions.to_bytes(),
             drained: self.drained.iter().cloned().collect(),
+            route_table: (self.route_table.number > 0).then(|| self.route_table.clone()),
         };
         state.encode_to_vec().into()
     }
@@ -52,6 +53,7 @@
             quarantine: Quarantine::from_json(&state.quarantine)?,
             decisions: Decisions::from_bytes(state.maps)?,
             drained: state.drained.into_iter().collect(),
+            route_table: state.route_table.unwrap_or_default(),
         })
     }
 }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -3,10 +3,12 @@
 use crate::asker::Asker;
 use crate::codec;
 use crate::replica::Msg;
+use crate::replicas::Replicas;
 use quorum::{DiskId, Message};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
+use tokio_util::task::AbortOnDropHandle;
 use wire::proto::frame::Body;
 use wire::{ClusterKey, Identity, Incoming, Link, LinkSettings, Role};
 
@@ -69,6 +71,32 @@
     .await;
 }
 
+/// Keeps links to the seeds and to all members, as both change.
+pub(crate) async fn keep_all(
+    mut seeds: watch::Receiver<Vec<SocketAddr>>,
+    mut replicas: watch::Receiver<Replicas>,
+    own: SocketAddr,
+    keep_one: impl Fn(SocketAddr) -> AbortOnDropHandle<()>,
+) {
+    let mut kept: BTreeMap<SocketAddr, AbortOnDropHandle<()>> = BTreeMap::new();
+    loop {
+        let mut wanted: BTreeSet<SocketAddr> = seeds.borrow_and_update().iter().copied().collect();
+        wanted.extend(replicas.borrow_and_update().addresses.iter());
+        wanted.remove(&own);
+        kept.retain(|address, _| wanted.contains(address));
+        for address in wanted {
+            kept.entry(address).or_insert_with(|| keep_one(address));
+        }
+        let changed = tokio::select! {
+            changed = seeds.changed() => changed,
+            changed = replicas.changed() => changed,
+        };
+        if changed.is_err() {
+            return;
+        }
+    }
+}
+
 async fn serve(link: Link, mut rx: mpsc::Receiver<Incoming>, asker: Asker) {
     let Asker { replica, directory } = asker;
     let peer = link.peer();
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -16,17 +16,18 @@
 use crate::machine::Machine;
 use crate::metrics::Metrics;
 use crate::peers::{PeerLink, Peers};
+use crate::replicas::Replicas;
 use crate::reply::Reply;
 use crate::roster::Roster;
 use crate::settings::Settings;
 use backlog::Backlog;
 use pending::{Commands, Reads};
-use quorum::{DiskId, Message, Node};
+use quorum::{DiskId, Members, Message, Node};
 use std::sync::mpsc::Sender;
 use std::time::Instant;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use wire::Link;
-use wire::proto::{FetchNotes, Propose, Query, Renew, RenewBatch};
+use wire::proto::{FetchNotes, Propose, Query, Renew, RenewBatch, RouteTable};
 
 /// What the actor is told.
 pub(crate) enum Msg {
@@ -91,6 +92,12 @@
     /// Term in which this leader ordered its settings of the ledger.
     limits_ordered: Option<u64>,
     metrics: Metrics,
+    /// The route table in force here, for those who follow it.
+    table: watch::Sender<RouteTable>,
+    /// The other replicas, for those who dial them.
+    replicas: watch::Sender<Replicas>,
+    /// The members that they were told last.
+    published: Members,
     /// Why the replica can't go on.
     failed: Option<String>,
 }
--- a/crates/control/src/replica/actor.rs
+++ b/crates/control/src/replica/actor.rs
@@ -4,16 +4,20 @@
 use super::{Ask, Commands, Msg, Reads, State};
 use crate::codec;
 use crate::disk::{self, Fullness, Report, SaveResult};
+use crate::forming::Forming;
 use crate::machine::Machine;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
+use crate::replicas::Replicas;
 use crate::reply::{Commit, unavailable};
 use crate::settings::Settings;
-use quorum::{Config, DiskId, Message, MessageBody, Node, Peer, Restored};
+use quorum::{Config, DiskId, Members, Message, MessageBody, Node, Peer, Restored};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use std::time::Instant;
 use store::{Disk, Recovered};
+use tokio::sync::watch;
 use tokio_util::sync::DropGuard;
+use wire::proto::RouteTable;
 
 /// Runs one replica.
 pub(crate) struct Replica;
@@ -24,6 +28,8 @@
     pub(crate) disk: Disk,
     pub(crate) recovered: Recovered,
     pub(crate) metrics: Metrics,
+    pub(crate) table: watch::Sender<RouteTable>,
+    pub(crate) replicas: watch::Sender<Replicas>,
     /// Dropped once the disk is closed.
     pub(crate) disk_closed: DropGuard,
 }
@@ -86,6 +92,8 @@
             disk,
             recovered,
             metrics,
+            table,
+            replicas,
             disk_closed,
         } = start;
         let id = DiskId(recovered.identity.disk);
@@ -100,6 +108,7 @@
         let cfg = Config {
             heartbeat: settings.timing.heartbeat,
             election: settings.timing.election,
+            replace: settings.forming.as_ref().map(Forming::replace),
             ..Config::default()
         };
         let node = Node::new(id, cfg, rand::random(), restored, now);
@@ -116,6 +125,9 @@
             backlog: None,
             clock: None,
             metrics,
+            table,
+            replicas,
+            published: Members::default(),
             commands: Commands::default(),
             reads: Reads::default(),
             saving: None,
--- a/crates/control/src/replica/answer.rs
+++ b/crates/control/src/replica/answer.rs
@@ -185,6 +185,7 @@
             }
             Question::Ledger(_) => Answer::Json(self.machine.unproved().to_string().into()),
             Question::Map(q) => Answer::Map(self.machine.map(&q.group)),
+            Question::RouteTable(_) => Answer::RouteTable(self.machine.route_table().clone()),
             Question::Note(q) if q.number == 0 => {
                 Answer::Json(self.machine.history().catalogue().to_json().into())
             }
--- a/crates/control/src/replica/output.rs
+++ b/crates/control/src/replica/output.rs
@@ -6,6 +6,7 @@
 use crate::codec;
 use crate::disk::{Fullness, Job};
 use crate::machine::Machine;
+use crate::replicas::Replicas;
 use crate::roster::Roster;
 use prometheus_client::metrics::gauge::Gauge;
 use prost::Message as _;
@@ -28,6 +29,7 @@
             self.carry_out(ready);
         }
         self.follow_leadership(now);
+        self.publish();
         self.answer_reads();
         self.begin_snapshot();
     }
@@ -120,6 +122,23 @@
         body
     }
 
+    /// Tells those who follow the route table and the replicas of changes.
+    fn publish(&mut self) {
+        let table = self.machine.route_table();
+        self.table.send_if_modified(|published| {
+            let news = published.number != table.number;
+            if news {
+                log::info!(table = table.number; "route table in force here");
+                published.clone_from(table);
+            }
+            news
+        });
+        if self.published != *self.node.members() {
+            self.published.clone_from(self.node.members());
+            self.replicas.send_replace(Replicas::of(&self.published));
+        }
+    }
+
     /// Hints at a change, so that nodes renew their lease at once and learn
     /// of it. A node that misses the hint learns of it at the next renewal.
     fn tell_nodes(&mut self, hint: &Body) {
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of a replica.
 
 use crate::Timing;
+use crate::forming::Forming;
 use crate::machine::MOST_UNPROVED;
 use cfg::{Findings, Reader};
 use std::net::SocketAddr;
@@ -37,8 +38,10 @@
     pub cluster_key_file: PathBuf,
     /// File with the operators' token.
     pub operator_token_file: PathBuf,
-    /// All replicas, this one included.
+    /// All replicas, this one included; with `forming` none are listed.
     pub replicas: Vec<ReplicaAddress>,
+    /// How the replicas find each other where no list of them is known.
+    pub forming: Option<Forming>,
     /// Entries applied between two snapshots.
     pub snapshot_entries: u64,
     /// Times.
@@ -71,7 +74,12 @@
         let data: Option<PathBuf> = r.required("data");
         let cluster_key_file: Option<PathBuf> = r.required("cluster_key_file");
         let operator_token_file: Option<PathBuf> = r.required("operator_token_file");
-        let replicas = read_replicas(&mut r, name.as_deref());
+        let formed = r.has("forming");
+        let forming = formed.then(|| Forming::read(r.section("forming")));
+        let replicas = match &forming {
+            None => read_replicas(&mut r, name.as_deref()),
+            Some(_) => Vec::new(),
+        };
         let snapshot_entries = r.within("snapshot_entries", SNAPSHOT_ENTRIES, 1..=u64::MAX);
         let timing = Timing::read(r.section("timing"));
         let ledger = read_ledger(&mut r.section("ledger"));
@@ -96,6 +104,7 @@
             cluster_key_file: key,
             operator_token_file: token,
             replicas,
+            forming,
             snapshot_entries,
             timing,
             ledger,
--- /dev/null
+++ b/crates/direct/src/course.rs
@@ -0,0 +1,322 @@
+//! The tries that one request is given.
+
+use crate::answer::Answer;
+use crate::ask::Ask;
+use crate::dialect::Dialect;
+use crate::director::Director;
+use crate::exchange::{Head, Miss, Reuse, Try};
+use crate::fleets::{Fleets, NoWay};
+use crate::metrics::Metrics;
+use crate::permit::Permit;
+use crate::refusal::{Reason, Refusal};
+use crate::stream;
+use crate::timing::Timing;
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::StatusCode;
+use route::{Outcome, TargetKey};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use table::{Kind, Resume, Route};
+use tokio::time::timeout;
+
+/// Bytes of an answer at most that are held until it is whole. A longer one
+/// is refused: it could neither be repeated nor told apart from half of one.
+const MOST_HELD: usize = 8 << 20;
+/// Tries that fail before anything is written, at most: they cost a target
+/// nothing, but each may cost the caller a time-out.
+const MOST_UNSENT: u32 = 3;
+
+/// The tries that one request is given.
+pub(crate) struct Course {
+    pub(crate) ask: Ask,
+    pub(crate) account: Option<String>,
+    pub(crate) service: String,
+    pub(crate) kind: Kind,
+    pub(crate) deadline: Instant,
+    /// Targets that may still run it.
+    pub(crate) attempts: u32,
+    pub(crate) fleets: Arc<Fleets>,
+    pub(crate) dialect: Dialect,
+    pub(crate) timing: Arc<Timing>,
+    pub(crate) metrics: Metrics,
+    tried: Vec<TargetKey>,
+    unsent: u32,
+    /// Why the last target did not answer it; the strongest doubt counts.
+    doubt: Option<Reason>,
+}
+
+/// What came of one try.
+enum Tried {
+    /// An answer to pass on, and the place that it still takes.
+    Answered(Box<Head>, Permit),
+    /// None; whether to go on is for the course to say.
+    Missed(Reason),
+    /// The target's own failure, which may be passed on if nothing is left.
+    Failed(Answer),
+}
+
+impl Course {
+    pub(crate) fn new(
+        account: Option<String>,
+        service: &str,
+        route: &Route,
+        deadline: Instant,
+        director: &Director,
+        ask: Ask,
+    ) -> Course {
+        Course {
+            account,
+            service: service.to_owned(),
+            kind: route.kind,
+            deadline,
+            attempts: route.attempts.max(1),
+            fleets: Arc::clone(director.fleets()),
+            dialect: director.dialect(),
+            timing: Arc::clone(director.timing()),
+            metrics: director.metrics().clone(),
+            ask,
+            tried: Vec::new(),
+            unsent: 0,
+            doubt: None,
+        }
+    }
+
+    /// Runs the request to its answer.
+    pub(crate) async fn run(mut self) -> Result<Answer, Refusal> {
+        self.fleets.deposit(&self.service);
+        let mut failed = None;
+        loop {
+            if self.left().is_zero() {
+                return self.give_up(failed, Reason::Expired);
+            }
+            let after = self.ask.after;
+            let permit = match self.place() {
+                Ok(permit) => permit,
+                Err(reason) => return self.give_up(failed, reason),
+            };
+            match self.attempt(permit, after).await {
+                Tried::Answered(head, permit) => {
+                    return match self.kind {
+                        Kind::Stream { .. } if head.status.is_success() => {
+                            Ok(stream::relay(self, *head, permit))
+                        }
+                        _ => match self.whole(*head, permit).await {
+                            Ok(answer) => Ok(answer),
+                            Err(reason) if self.may_repeat(reason) => continue,
+                            Err(reason) => self.give_up(failed, reason),
+                        },
+                    };
+                }
+                Tried::Failed(answer) => {
+                    failed = Some(answer);
+                    if !self.may_repeat(Reason::Lost) {
+                        return self.give_up(failed, Reason::Lost);
+                    }
+                }
+                Tried::Missed(reason) => {
+                    if !self.may_repeat(reason) {
+                        return self.give_up(failed, reason);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes a place at a target that wasn't tried yet.
+    pub(crate) fn place(&mut self) -> Result<Permit, Reason> {
+        let placed = self
+            .fleets
+            .place(&self.service, &self.tried, Instant::now());
+        let permit = placed.map_err(|none| match none {
+            NoWay::Absent => Reason::NoTarget,
+            NoWay::Full => Reason::Full,
+        })?;
+        self.tried.push(permit.key());
+        Ok(permit)
+    }
+
+    /// Sends it once and waits for the head of the answer.
+    async fn attempt(&mut self, mut permit: Permit, after: Option<u64>) -> Tried {
+        let reuse = match self.kind.repeats() {
+            true => Reuse::Kept,
+            false => Reuse::Fresh,
+        };
+        let silence = match self.kind {
+            Kind::Once => self.left(),
+            Kind::Stream {
+                resume: Resume::Never,
+                ..
+            } => self.left(),
+            Kind::Repeatable | Kind::Stream { .. } => self.timing.silence,
+        };
+        let sent = self.sending(reuse, silence, after).send(&permit).await;
+        let head = match sent {
+            Ok(head) => head,
+            Err(miss) => {
+                permit.set(Outcome::Failed);
+                return Tried::Missed(self.missed(&permit, &miss));
+            }
+        };
+        if let Some(load) = head.reading.load {
+            permit.told(load);
+        }
+        if head.reading.not_run {
+            self.log_miss(&permit, "declined", head.status.as_str());
+            permit.ended(Outcome::Declined);
+            return Tried::Missed(Reason::Declined);
+        }
+        self.attempts -= 1;
+        if head.status.is_server_error() && self.kind.repeats() && self.attempts > 0 {
+            self.log_miss(&permit, "failed", head.status.as_str());
+            return match self.whole(head, permit).await {
+                Ok(answer) => Tried::Failed(answer),
+                Err(reason) => Tried::Missed(reason),
+            };
+        }
+        Tried::Answered(Box::new(head), permit)
+    }
+
+    fn sending(&self, reuse: Reuse, silence: Duration, after: Option<u64>) -> Try<'_> {
+        Try {
+            ask: &self.ask,
+            account: self.account.as_deref(),
+            deadline: self.deadline,
+            silence,
+            after,
+            reuse,
+            dialect: &self.dialect,
+            timing: &self.timing,
+        }
+    }
+
+    /// Sends a stream again, to go on after the last event that is here.
+    pub(crate) async fn go_on(&mut self, after: Option<u64>) -> Option<(Head, Permit)> {
+        loop {
+            let reason = Reason::Lost;
+            if self.left().is_zero() || !self.may_repeat(reason) {
+                return None;
+            }
+            let permit = self.place().ok()?;
+            match self.attempt(permit, after).await {
+                Tried::Answered(head, permit) if head.status.is_success() => {
+                    return Some((*head, permit));
+                }
+                Tried::Answered(..) | Tried::Failed(_) | Tried::Missed(_) => {}
+            }
+        }
+    }
+
+    fn missed(&mut self, permit: &Permit, miss: &Miss) -> Reason {
+        match miss {
+            Miss::Unsent(why) => {
+                self.log_miss(permit, "unsent", why);
+                self.unsent += 1;
+                Reason::NoTarget
+            }
+            Miss::Lost(why) => {
+                self.log_miss(permit, "lost", why);
+                self.attempts = self.attempts.saturating_sub(1);
+                match self.left().is_zero() {
+                    true => Reason::TimedOut,
+                    false => Reason::Lost,
+                }
+            }
+        }
+    }
+
+    /// Whether it may be sent to another target after this.
+    pub(crate) fn may_repeat(&mut self, reason: Reason) -> bool {
+        if !reason.not_run() {
+            self.doubt = Some(reason);
+        }
+        if reason == Reason::NoTarget {
+            return self.unsent < MOST_UNSENT;
+        }
+        let allowed = reason.not_run() || self.kind.repeats();
+        let now = Instant::now();
+        allowed && self.attempts > 0 && self.fleets.withdraw(&self.service, now)
+    }
+
+    /// The final word where no target's answer can be had.
+    fn give_up(&self, failed: Option<Answer>, reason: Reason) -> Result<Answer, Refusal> {
+        if let Some(answer) = failed {
+            return Ok(answer);
+        }
+        // Once it may have run, nothing that came later makes it surely not.
+        let reason = match self.doubt {
+            Some(doubt) if reason.not_run() => doubt,
+            _ => reason,
+        };
+        let refusal = match reason {
+            Reason::Full | Reason::Declined => Refusal::after(reason, self.timing.retry_full),
+            Reason::NoTarget | Reason::NoTable => Refusal::after(reason, self.timing.retry_absent),
+            _ => Refusal::new(reason),
+        };
+        log::info!(
+            request = self.ask.id.as_str(), service = self.service.as_str(),
+            tried = self.tried.len(), left_ms:display = self.left().as_millis();
+            "refused: {reason}"
+        );
+        Err(refusal)
+    }
+
+    /// Reads an answer to its end: only then is it known to be whole.
+    async fn whole(&mut self, head: Head, mut permit: Permit) -> Result<Answer, Reason> {
+        let failed = head.status.is_server_error();
+        let mut held = BytesMut::new();
+        let mut body = head.body;
+        let broken = loop {
+            let wait = self.left();
+            match timeout(wait, body.frame()).await {
+                Ok(None) => break None,
+                Ok(Some(Ok(frame))) => {
+                    if let Ok(data) = frame.into_data() {
+                        held.extend_from_slice(&data);
+                    }
+                    if held.len() > MOST_HELD {
+                        break Some("longer than can be held".to_owned());
+                    }
+                }
+                Ok(Some(Err(e))) => break Some(e.to_string()),
+                Err(_) => break Some("the time was over".to_owned()),
+            }
+        };
+        permit.set(match failed || broken.is_some() {
+            true => Outcome::Failed,
+            false => Outcome::Answered,
+        });
+        if let Some(why) = broken {
+            self.log_miss(&permit, "broken off", &why);
+            return Err(match self.left().is_zero() {
+                true => Reason::TimedOut,
+                false => Reason::Lost,
+            });
+        }
+        let reading = head.reading;
+        crate::fleets::keep(permit.way(), head.conn, &reading, &self.timing);
+        Ok(answer(head.status, head.headers, held.freeze()))
+    }
+
+    pub(crate) fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    pub(crate) fn log_miss(&self, permit: &Permit, what: &str, why: &str) {
+        self.metrics.miss(what);
+        log::info!(
+            request = self.ask.id.as_str(), target_id = permit.way().id.as_str(),
+            service = self.service.as_str(), attempts_left = self.attempts,
+            left_ms:display = self.left().as_millis();
+            "attempt {what}: {why}"
+        );
+    }
+}
+
+fn answer(status: StatusCode, headers: hyper::HeaderMap, body: Bytes) -> Answer {
+    Answer {
+        status,
+        headers,
+        body: admin::full(body),
+    }
+}
--- /dev/null
+++ b/crates/direct/src/director.rs
@@ -0,0 +1,155 @@
+//! Finds the way of each request.
+
+use crate::answer::Answer;
+use crate::ask::Ask;
+use crate::course::Course;
+use crate::dialect::Dialect;
+use crate::fleets::Fleets;
+use crate::metrics::Metrics;
+use crate::refusal::{Reason, Refusal};
+use crate::timing::Timing;
+use node::Watcher;
+use prometheus_client::registry::Registry;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use table::{Access, Route, Table};
+
+/// How often connections that were kept for too long are closed, and targets
+/// that fell silent are noticed.
+const TIDY: Duration = Duration::from_millis(500);
+
+/// Settings of a director.
+#[derive(Clone, Debug)]
+pub struct DirectorSettings {
+    /// Availability zone of this entry.
+    pub zone: String,
+    /// Times.
+    pub timing: Timing,
+    /// How targets are spoken to.
+    pub dialect: Dialect,
+}
+
+/// Finds the way of each request; clones share everything.
+#[derive(Clone)]
+pub struct Director {
+    watcher: Watcher,
+    fleets: Arc<Fleets>,
+    timing: Arc<Timing>,
+    dialect: Dialect,
+    metrics: Metrics,
+}
+
+impl Director {
+    /// Begins to keep the fleets in line with what the watcher holds.
+    #[must_use]
+    pub fn spawn(watcher: Watcher, cfg: DirectorSettings, registry: &mut Registry) -> Director {
+        let metrics = Metrics::default();
+        metrics.register(registry);
+        let director = Director {
+            fleets: Arc::new(Fleets::new(&cfg.zone, cfg.timing.clone())),
+            timing: Arc::new(cfg.timing),
+            dialect: cfg.dialect,
+            metrics,
+            watcher,
+        };
+        tokio::spawn(follow(
+            director.watcher.clone(),
+            Arc::clone(&director.fleets),
+        ));
+        director
+    }
+
+    /// Runs one request.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] that says whether it ran.
+    pub async fn run(&self, ask: Ask) -> Result<Answer, Refusal> {
+        self.metrics.open.inc();
+        let _open = Open(&self.metrics);
+        let answered = self.direct(ask).await;
+        match &answered {
+            Ok(answer) => self.metrics.ended(answer.status.as_str()),
+            Err(refusal) => self.metrics.ended(&refusal.reason.to_string()),
+        }
+        answered
+    }
+
+    async fn direct(&self, ask: Ask) -> Result<Answer, Refusal> {
+        let Some(table) = self.watcher.table() else {
+            return Err(Refusal::after(Reason::NoTable, self.timing.retry_absent));
+        };
+        let route = table.route(&ask.host, ask.path_only());
+        let route = route.ok_or_else(|| refuse(&ask, &table, Reason::NoRoute))?;
+        let account = account(&table, route, &ask)?;
+        let waits = ask
+            .patience
+            .map_or(route.timeout, |waits| waits.min(route.timeout));
+        let course = Course::new(
+            account,
+            route.service(rand::random()),
+            route,
+            ask.arrived + waits,
+            self,
+            ask,
+        );
+        course.run().await
+    }
+
+    pub(crate) fn fleets(&self) -> &Arc<Fleets> {
+        &self.fleets
+    }
+
+    pub(crate) fn timing(&self) -> &Arc<Timing> {
+        &self.timing
+    }
+
+    pub(crate) fn dialect(&self) -> Dialect {
+        self.dialect
+    }
+
+    pub(crate) fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+}
+
+struct Open<'a>(&'a Metrics);
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        self.0.open.dec();
+    }
+}
+
+/// The client account of a caller who may use the route.
+fn account(table: &Table, route: &Route, ask: &Ask) -> Result<Option<String>, Refusal> {
+    let known = ask.key.as_deref().and_then(|key| table.account(key));
+    if known.is_none() && table.has_accounts() && route.access == Access::Accounts {
+        return Err(refuse(ask, table, Reason::UnknownKey));
+    }
+    Ok(known.map(|account| account.name.clone()))
+}
+
+fn refuse(ask: &Ask, table: &Table, reason: Reason) -> Refusal {
+    log::info!(
+        request = ask.id.as_str(), host = ask.host.as_str(), table = table.number();
+        "refused: {reason}"
+    );
+    Refusal::new(reason)
+}
+
+async fn follow(watcher: Watcher, fleets: Arc<Fleets>) {
+    let mut changed = watcher.watched().changed();
+    loop {
+        let now = Instant::now();
+        if let Some(table) = watcher.table() {
+            fleets.follow(&table, &watcher.watched().targets(), now);
+        }
+        fleets.tidy(now);
+        // An end of the wait means that it is time to look again.
+        match tokio::time::timeout(TIDY, changed.changed()).await {
+            Ok(Err(_)) => return,
+            Ok(Ok(())) | Err(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/direct/src/fleets.rs
@@ -0,0 +1,250 @@
+//! The fleets of all services, kept as table and board say.
+
+use crate::dialect::Reading;
+use crate::permit::Permit;
+use crate::timing::Timing;
+use member::Presence;
+use node::KnownTarget;
+use outlet::{ClientSettings, Connection, Pool};
+use rand::rngs::SmallRng;
+use route::{Distance, Fleet, FleetTuning, Outcome, RetryBudget, TargetKey, ToldLoad};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use table::Table;
+
+/// Retries for each request. Targets of a service bear a fifth more; the rest
+/// is for callers who come back by themselves.
+const RETRY_RATIO: f64 = 0.15;
+/// Retries beside those that requests pay for, so that a quiet service may
+/// retry at all. All entries together stay below what a service bears.
+const RETRY_RESERVE: u32 = 8;
+/// Connections to a target that are kept.
+const MOST_KEPT: usize = 16;
+/// Silence after which a target gets no new work: five check-ins of it.
+const SILENT: Duration = Duration::from_secs(6);
+
+/// The fleets of all services.
+#[derive(Debug)]
+pub(crate) struct Fleets {
+    zone: String,
+    timing: Timing,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    rng: SmallRng,
+    services: BTreeMap<String, Service>,
+}
+
+#[derive(Debug)]
+struct Service {
+    fleet: Fleet,
+    budget: RetryBudget,
+    ways: BTreeMap<String, (TargetKey, Way)>,
+}
+
+/// How a target is reached.
+#[derive(Clone, Debug)]
+pub(crate) struct Way {
+    pub(crate) id: String,
+    pub(crate) address: SocketAddr,
+    pub(crate) pool: Arc<Pool>,
+}
+
+/// Why no target is given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NoWay {
+    /// None takes work.
+    Absent,
+    /// All are full, or were tried.
+    Full,
+}
+
+impl Fleets {
+    pub(crate) fn new(zone: &str, timing: Timing) -> Fleets {
+        let inner = Inner {
+            rng: rand::make_rng(),
+            services: BTreeMap::new(),
+        };
+        Fleets {
+            zone: zone.to_owned(),
+            timing,
+            inner: Mutex::new(inner),
+        }
+    }
+
+    /// Brings the fleets in line with the table and what targets told.
+    pub(crate) fn follow(&self, table: &Table, known: &[KnownTarget], now: Instant) {
+        let mut inner = self.inner();
+        let named = |name: &str| table.service(name).is_some();
+        inner.services.retain(|name, _| named(name));
+        for service in table.services() {
+            let fresh = || Service::new(now);
+            let held = inner
+                .services
+                .entry(service.name.clone())
+                .or_insert_with(fresh);
+            let own = known
+                .iter()
+                .filter(|known| known.told.service == service.name);
+            held.follow(own, self, now);
+        }
+    }
+
+    /// Takes a place at the best target that wasn't tried.
+    pub(crate) fn place(
+        self: &Arc<Fleets>,
+        service: &str,
+        tried: &[TargetKey],
+        now: Instant,
+    ) -> Result<Permit, NoWay> {
+        let mut inner = self.inner();
+        let Inner { rng, services } = &mut *inner;
+        let held = services.get_mut(service).ok_or(NoWay::Absent)?;
+        let Some(key) = held.fleet.choose(tried, now, rng) else {
+            return Err(match held.fleet.has_open() {
+                true => NoWay::Full,
+                false => NoWay::Absent,
+            });
+        };
+        let mut ways = held.ways.values();
+        let way = ways.find(|(known, _)| *known == key).ok_or(NoWay::Absent)?;
+        let way = way.1.clone();
+        held.fleet.start(key);
+        drop(inner);
+        Ok(Permit::new(Arc::clone(self), service, key, way))
+    }
+
+    /// Counts a request towards the retries of its service.
+    pub(crate) fn deposit(&self, service: &str) {
+        if let Some(held) = self.inner().services.get_mut(service) {
+            held.budget.deposit();
+        }
+    }
+
+    /// Takes a retry, if the service bears one more.
+    pub(crate) fn withdraw(&self, service: &str, now: Instant) -> bool {
+        let mut inner = self.inner();
+        let held = inner.services.get_mut(service);
+        held.is_some_and(|held| held.budget.withdraw(now))
+    }
+
+    pub(crate) fn told(&self, service: &str, key: TargetKey, load: ToldLoad) {
+        if let Some(held) = self.inner().services.get_mut(service) {
+            held.fleet.told(key, load);
+        }
+    }
+
+    pub(crate) fn end(&self, service: &str, key: TargetKey, outcome: Outcome, now: Instant) {
+        if let Some(held) = self.inner().services.get_mut(service) {
+            held.fleet.end(key, outcome, now);
+        }
+    }
+
+    /// Closes connections that were kept for too long.
+    pub(crate) fn tidy(&self, now: Instant) {
+        let inner = self.inner();
+        let ways = inner.services.values().flat_map(|held| held.ways.values());
+        for (_, way) in ways {
+            way.pool.tidy(now);
+        }
+    }
+
+    fn inner(&self) -> MutexGuard<'_, Inner> {
+        // Nothing under the lock can panic half-way.
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Service {
+    fn new(now: Instant) -> Service {
+        Service {
+            fleet: Fleet::new(FleetTuning::default()),
+            budget: RetryBudget::new(RETRY_RATIO, RETRY_RESERVE, now),
+            ways: BTreeMap::new(),
+        }
+    }
+
+    fn follow<'a>(
+        &mut self,
+        known: impl Iterator<Item = &'a KnownTarget>,
+        fleets: &Fleets,
+        now: Instant,
+    ) {
+        let mut stays = BTreeSet::new();
+        let known: Vec<&KnownTarget> = known.collect();
+        let silence = |known: &KnownTarget| now.saturating_duration_since(known.heard);
+        // With control lost nothing is heard of any target, and that says
+        // nothing about them.
+        let heard_any = known.iter().any(|known| silence(known) < SILENT);
+        for known in known {
+            let told = &known.told;
+            let moved = |way: &Way| way.address != told.address;
+            if self.ways.get(&told.id).is_some_and(|(_, way)| moved(way)) {
+                self.remove(&told.id);
+            }
+            if !self.ways.contains_key(&told.id) {
+                self.insert(known, fleets);
+            }
+            let Some((key, _)) = self.ways.get(&told.id) else {
+                continue;
+            };
+            let silent = heard_any && silence(known) >= SILENT;
+            let open = told.presence == Presence::Ready && !silent;
+            self.fleet.set_open(*key, open);
+            stays.insert(told.id.clone());
+        }
+        let gone: Vec<String> = self
+            .ways
+            .keys()
+            .filter(|id| !stays.contains(*id))
+            .cloned()
+            .collect();
+        for id in gone {
+            self.remove(&id);
+        }
+    }
+
+    fn insert(&mut self, known: &KnownTarget, fleets: &Fleets) {
+        let told = &known.told;
+        let distance = match told.zone == fleets.zone {
+            true => Distance::Near,
+            false => Distance::Far,
+        };
+        let key = self.fleet.insert(told.slots, distance);
+        let way = Way {
+            id: told.id.clone(),
+            address: told.address,
+            pool: Arc::new(Pool::new(MOST_KEPT, fleets.timing.kept)),
+        };
+        self.ways.insert(told.id.clone(), (key, way));
+    }
+
+    fn remove(&mut self, id: &str) {
+        if let Some((key, way)) = self.ways.remove(id) {
+            self.fleet.remove(key);
+            way.pool.clear();
+        }
+    }
+}
+
+/// Keeps a connection whose answer was read to its end, if its target does.
+pub(crate) fn keep(way: &Way, mut conn: Connection, reading: &Reading, timing: &Timing) {
+    let lasts = reading.kept.is_none_or(|kept| kept >= timing.kept);
+    if reading.closes || !lasts {
+        return;
+    }
+    let cfg = ClientSettings {
+        connect: timing.connect,
+        head: timing.silence,
+        progress: timing.silence,
+        question: timing.silence,
+    };
+    match conn.keep(&cfg) {
+        Ok(()) => way.pool.put(conn, Instant::now()),
+        Err(e) => log::debug!("connection to {} isn't kept: {e}", way.address),
+    }
+}
--- /dev/null
+++ b/crates/direct/src/lib.rs
@@ -0,0 +1,30 @@
+//! Requests straight to targets, without an agent.
+//!
+//! A [`Director`] takes an [`Ask`], finds its route in the table in force,
+//! chooses a target, and gives back an [`Answer`]: the target's own, or a
+//! [`Refusal`] that says whether the request ran. How a target is spoken to
+//! beside plain HTTP is its deployment's [`Dialect`].
+//!
+//! A request that may not be repeated is sent once. It is sent again only if
+//! nothing of it was written, or its target says that it did not run it.
+
+mod answer;
+mod ask;
+mod course;
+mod dialect;
+mod director;
+mod events;
+mod exchange;
+mod fleets;
+mod metrics;
+mod permit;
+mod refusal;
+mod stream;
+mod timing;
+
+pub use answer::Answer;
+pub use ask::Ask;
+pub use dialect::{Dialect, Reading, Told};
+pub use director::{Director, DirectorSettings};
+pub use refusal::{Reason, Refusal};
+pub use timing::Timing;
--- /dev/null
+++ b/crates/direct/src/permit.rs
@@ -0,0 +1,57 @@
+//! One request at a target.
+
+use crate::fleets::{Fleets, Way};
+use route::{Outcome, TargetKey, ToldLoad};
+use std::sync::Arc;
+use std::time::Instant;
+
+/// One request at a target; its place is free again when this is dropped.
+#[derive(Debug)]
+pub(crate) struct Permit {
+    fleets: Arc<Fleets>,
+    service: String,
+    key: TargetKey,
+    way: Way,
+    outcome: Outcome,
+}
+
+impl Permit {
+    pub(crate) fn new(fleets: Arc<Fleets>, service: &str, key: TargetKey, way: Way) -> Permit {
+        Permit {
+            fleets,
+            service: service.to_owned(),
+            key,
+            way,
+            outcome: Outcome::Abandoned,
+        }
+    }
+
+    pub(crate) fn key(&self) -> TargetKey {
+        self.key
+    }
+
+    pub(crate) fn way(&self) -> &Way {
+        &self.way
+    }
+
+    /// The target told its load.
+    pub(crate) fn told(&self, load: ToldLoad) {
+        self.fleets.told(&self.service, self.key, load);
+    }
+
+    /// How it went; without a word it counts as abandoned by its caller.
+    pub(crate) fn ended(mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+
+    pub(crate) fn set(&mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let now = Instant::now();
+        self.fleets.end(&self.service, self.key, self.outcome, now);
+    }
+}
--- /dev/null
+++ b/crates/direct/src/stream.rs
@@ -0,0 +1,200 @@
+//! Passes a stream on, and goes on elsewhere when its target is lost.
+
+use crate::answer::Answer;
+use crate::course::Course;
+use crate::events::Events;
+use crate::exchange::Head;
+use crate::permit::Permit;
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use outlet::Connection;
+use route::Outcome;
+use std::io;
+use tokio::time::timeout;
+
+/// A stream on its way to the caller.
+struct Relay {
+    course: Course,
+    /// None once the target's part is over.
+    source: Option<Source>,
+    events: Events,
+    /// Last event that the caller has.
+    last: Option<u64>,
+}
+
+/// Where the events come from now. Dropping it closes the connection, and so
+/// tells the target to stop.
+struct Source {
+    body: Incoming,
+    conn: Connection,
+    reading: crate::Reading,
+    permit: Permit,
+}
+
+/// What comes next of a stream.
+enum Next {
+    Data(Bytes),
+    Ended,
+    Broken(String),
+}
+
+/// The answer whose body passes a target's events on as they come.
+pub(crate) fn relay(course: Course, head: Head, permit: Permit) -> Answer {
+    let (status, headers) = (head.status, head.headers);
+    let relay = Relay {
+        last: course.ask.after,
+        source: Some(Source {
+            body: head.body,
+            conn: head.conn,
+            reading: head.reading,
+            permit,
+        }),
+        events: Events::default(),
+        course,
+    };
+    let body = stream::unfold(Some(relay), |relay| async move {
+        let mut relay = relay?;
+        match relay.next().await {
+            Ok(Some(data)) => Some((Ok(Frame::data(data)), Some(relay))),
+            Ok(None) => None,
+            Err(e) => Some((Err(e), None)),
+        }
+    });
+    Answer {
+        status,
+        headers,
+        body: StreamBody::new(body).boxed_unsync(),
+    }
+}
+
+impl Relay {
+    /// The next events; none once the stream has ended as a whole.
+    async fn next(&mut self) -> io::Result<Option<Bytes>> {
+        loop {
+            if let Some(event) = self.event() {
+                return Ok(Some(event));
+            }
+            match self.read().await {
+                Next::Data(data) => {
+                    if !self.events.push(&data) {
+                        return Err(self.broken_off("an event is too long"));
+                    }
+                }
+                Next::Ended => return self.finish(),
+                Next::Broken(why) => self.go_on(&why).await?,
+            }
+        }
+    }
+
+    /// All whole events that are here, in one piece.
+    fn event(&mut self) -> Option<Bytes> {
+        let mut all: Option<Vec<u8>> = None;
+        let mut first = None;
+        while let Some(event) = self.events.next() {
+            if let (Some(id), Some(last)) = (event.id, self.last)
+                && id <= last
+            {
+                // The caller has it from the target before.
+                continue;
+            }
+            self.last = event.id.or(self.last);
+            match (&mut all, first.take()) {
+                (Some(all), _) => all.extend_from_slice(&event.bytes),
+                (None, None) => first = Some(event.bytes),
+                (None, Some(before)) => {
+                    let mut joined = Vec::from(before);
+                    joined.extend_from_slice(&event.bytes);
+                    all = Some(joined);
+                }
+            }
+        }
+        all.map(Bytes::from).or(first)
+    }
+
+    async fn read(&mut self) -> Next {
+        let left = self.course.left();
+        let silence = match self.can_go_on() {
+            true => self.course.timing.silence.min(left),
+            false => left,
+        };
+        let Some(source) = &mut self.source else {
+            return Next::Ended;
+        };
+        loop {
+            match timeout(silence, source.body.frame()).await {
+                Ok(None) => return Next::Ended,
+                Ok(Some(Err(e))) => return Next::Broken(e.to_string()),
+                Ok(Some(Ok(frame))) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Next::Data(data);
+                    }
+                }
+                Err(_) => return Next::Broken("silent for too long".to_owned()),
+            }
+        }
+    }
+
+    /// The target has ended the stream.
+    fn finish(&mut self) -> io::Result<Option<Bytes>> {
+        let Some(source) = self.source.take() else {
+            return Ok(None);
+        };
+        let Source {
+            conn,
+            reading,
+            permit,
+            ..
+        } = source;
+        crate::fleets::keep(permit.way(), conn, &reading, &self.course.timing);
+        permit.ended(Outcome::Answered);
+        if self.events.is_between() {
+            return Ok(None);
+        }
+        // What is no event ends the stream as the target ended it.
+        Ok(Some(self.events.rest()))
+    }
+
+    fn can_go_on(&self) -> bool {
+        self.course.kind.repeats()
+    }
+
+    /// Goes on at another target after the last event that the caller has.
+    async fn go_on(&mut self, why: &str) -> io::Result<()> {
+        if let Some(source) = self.source.take() {
+            self.course.log_miss(&source.permit, "stream broken", why);
+            source.permit.ended(Outcome::Failed);
+        }
+        if !self.can_go_on() {
+            return Err(self.broken_off(why));
+        }
+        self.events.clear();
+        let Some((head, permit)) = self.course.go_on(self.last).await else {
+            return Err(self.broken_off(why));
+        };
+        log::info!(
+            request = self.course.ask.id.as_str(), target_id = permit.way().id.as_str(),
+            after = self.last.unwrap_or(0);
+            "stream goes on at another target"
+        );
+        self.source = Some(Source {
+            body: head.body,
+            conn: head.conn,
+            reading: head.reading,
+            permit,
+        });
+        Ok(())
+    }
+
+    /// The caller's connection ends without the mark of a whole answer.
+    fn broken_off(&self, why: &str) -> io::Error {
+        self.course.metrics.miss("stream cut");
+        log::warn!(
+            request = self.course.ask.id.as_str(), after = self.last.unwrap_or(0),
+            left_ms:display = self.course.left().as_millis();
+            "stream broken off: {why}"
+        );
+        io::Error::other(why.to_owned())
+    }
+}
--- /dev/null
+++ b/crates/direct/src/timing.rs
@@ -0,0 +1,36 @@
+//! Times of requests.
+
+use std::time::Duration;
+
+/// Times of requests straight to targets.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Timing {
+    /// Time to connect at most. Targets are a few milliseconds away, so a
+    /// connection that isn't there by then waits for a packet to be sent
+    /// again, a second later.
+    pub connect: Duration,
+    /// Silence of a target after which a request that may be repeated is sent
+    /// to another one.
+    pub silence: Duration,
+    /// How long a connection is kept without use. Shorter than targets keep
+    /// theirs, so that no request meets the target's close.
+    pub kept: Duration,
+    /// When a caller who finds all targets full may come back: about the time
+    /// in which a place at one of them becomes free.
+    pub retry_full: Duration,
+    /// When a caller who finds no target or no table may come back: about the
+    /// time in which a target or entry that starts is known.
+    pub retry_absent: Duration,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Timing {
+            connect: Duration::from_millis(400),
+            silence: Duration::from_millis(1_500),
+            kept: Duration::from_secs(2),
+            retry_full: Duration::from_millis(250),
+            retry_absent: Duration::from_millis(500),
+        }
+    }
+}
--- /dev/null
+++ b/crates/member/tests/board.rs
@@ -0,0 +1,107 @@
+//! What stands on a board after words came late, twice or from elsewhere.
+
+use member::{Board, Heard, Presence, Sighting};
+use std::time::{Duration, Instant};
+
+fn told(id: &str, address: &str, born: u64, sequence: u64) -> Sighting {
+    Sighting {
+        id: id.to_owned(),
+        service: "order-desk".to_owned(),
+        address: address.parse().unwrap(),
+        zone: "celje".to_owned(),
+        slots: 6,
+        presence: Presence::Ready,
+        born,
+        sequence,
+    }
+}
+
+fn presence(board: &Board, id: &str) -> Option<Presence> {
+    board.target(id).map(|told| told.presence)
+}
+
+#[test]
+fn hear_again() {
+    let now = Instant::now();
+    let mut board = Board::default();
+    assert_eq!(board.hear(told("a", "127.0.0.1:1", 5, 1), now), Heard::News);
+    assert_eq!(
+        board.hear(told("a", "127.0.0.1:1", 5, 2), now),
+        Heard::Again
+    );
+    let mut draining = told("a", "127.0.0.1:1", 5, 3);
+    draining.presence = Presence::Draining;
+    assert_eq!(board.hear(draining, now), Heard::News);
+}
+
+/// A check-in that says "ready" is held up and arrives after one that says
+/// "draining". Were it believed, the leaving target would get new work.
+#[test]
+fn hear_older_sequence() {
+    let now = Instant::now();
+    let mut board = Board::default();
+    let mut draining = told("a", "127.0.0.1:1", 5, 3);
+    draining.presence = Presence::Draining;
+    board.hear(draining, now);
+    assert_eq!(
+        board.hear(told("a", "127.0.0.1:1", 5, 2), now),
+        Heard::Stale
+    );
+    assert_eq!(presence(&board, "a"), Some(Presence::Draining));
+}
+
+/// A target starts again under its id and counts from 1 once more. Were only
+/// the count compared, it would stay away for as long as it ran before.
+#[test]
+fn hear_same_id_born_later() {
+    let now = Instant::now();
+    let mut board = Board::default();
+    board.hear(told("a", "127.0.0.1:1", 5, 90), now);
+    board.leave("a", None, now);
+    assert_eq!(board.hear(told("a", "127.0.0.1:1", 6, 1), now), Heard::News);
+    assert_eq!(presence(&board, "a"), Some(Presence::Ready));
+}
+
+/// The address of a target that crashed is given to another service, and a
+/// check-in that the first had sent arrives after that. Were it believed,
+/// requests of one service would go to the other.
+#[test]
+fn hear_late_at_reused_address() {
+    let now = Instant::now();
+    let mut board = Board::default();
+    board.hear(told("old", "127.0.0.1:1", 5, 1), now);
+    board.hear(told("new", "127.0.0.1:1", 9, 1), now);
+    assert_eq!(presence(&board, "old"), Some(Presence::Gone));
+    assert_eq!(
+        board.hear(told("old", "127.0.0.1:1", 5, 2), now),
+        Heard::Stale
+    );
+    assert_eq!(presence(&board, "new"), Some(Presence::Ready));
+}
+
+/// A target signs off and an earlier check-in of it comes after. It must not
+/// be back: its process has ended.
+#[test]
+fn leave_then_late_word() {
+    let now = Instant::now();
+    let mut board = Board::default();
+    board.hear(told("a", "127.0.0.1:1", 5, 1), now);
+    assert!(board.leave("a", None, now).is_some());
+    let later = now + Duration::from_secs(60);
+    board.forget(Duration::from_secs(6), later);
+    assert_eq!(
+        board.hear(told("a", "127.0.0.1:1", 5, 2), later),
+        Heard::Stale
+    );
+}
+
+#[test]
+fn forget_silent() {
+    let now = Instant::now();
+    let mut board = Board::default();
+    board.hear(told("a", "127.0.0.1:1", 5, 1), now);
+    board.hear(told("b", "127.0.0.1:2", 5, 1), now + Duration::from_secs(4));
+    board.forget(Duration::from_secs(6), now + Duration::from_secs(7));
+    assert_eq!(presence(&board, "a"), None);
+    assert_eq!(presence(&board, "b"), Some(Presence::Ready));
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,9 +19,13 @@
 mod settings;
 mod shared;
 mod view;
+mod watched;
+mod watcher;
 
 pub use crate::follower::Follower;
 pub use crate::lease::Lease;
 pub use crate::settings::FollowerSettings;
 pub use crate::shared::Parts;
 pub use crate::view::merge;
+pub use watched::{KnownTarget, Watched};
+pub use watcher::{Decode, Watcher, WatcherSettings};
--- a/crates/agent/src/engine/client.rs
+++ b/crates/outlet/src/client.rs
@@ -15,8 +15,8 @@
 use tokio::time::timeout;
 use tokio_util::task::AbortOnDropHandle;
 
-use super::Failure;
-use super::socket::Socket;
+use crate::Failure;
+use crate::socket::Socket;
 
 /// Bytes of an answer to an order or a question at most.
 const MAX_DOCUMENT: usize = 16 << 20;
@@ -36,7 +36,7 @@
 
 /// A connection to the target.
 #[derive(Debug)]
-pub(crate) struct Connection {
+pub struct Connection {
     tx: SendRequest<Full<Bytes>>,
     socket: Socket,
     used: Use,
@@ -53,7 +53,7 @@
 
 /// How sending a request fails.
 #[derive(Debug)]
-pub(crate) enum Unanswered {
+pub enum Unanswered {
     /// Nothing of it was written; here it is again.
     Unwritten(Box<Request<Full<Bytes>>>),
     /// It may have been written.
@@ -62,6 +62,10 @@
 
 impl Connection {
     /// Connects; nothing is written yet.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure::NotRun`], whatever went wrong.
     pub async fn open(address: SocketAddr, cfg: &ClientSettings) -> Result<Self, Failure> {
         let opened = timeout(cfg.connect, connect(address, cfg)).await;
         match opened {
@@ -72,6 +76,10 @@
     }
 
     /// Writes a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// The request may have run.
     pub async fn send(
         &mut self,
         req: Request<Full<Bytes>>,
@@ -90,6 +98,10 @@
     ///
     /// The request waits in a queue of one until the task of the connection
     /// takes it out to write it, and comes back only from that queue.
+    ///
+    /// # Errors
+    ///
+    /// [`Unanswered::Unwritten`] proves that the request never ran here.
     pub async fn try_send(
         &mut self,
         req: Request<Full<Bytes>>,
@@ -123,6 +135,10 @@
     /// Makes the connection fit to be kept. One that goes silent while nobody
     /// uses it fails as soon as its next call isn't acknowledged for as long
     /// as a fresh one may take to be made.
+    ///
+    /// # Errors
+    ///
+    /// The kernel refuses to watch the connection; it had better be dropped.
     pub fn keep(&mut self, cfg: &ClientSettings) -> io::Result<()> {
         if self.used == Use::First {
             self.socket.set_silence(cfg.connect)?;
@@ -165,7 +181,11 @@
 }
 
 /// Asks a question or gives an order, and reads the whole answer.
-pub(crate) async fn ask(
+///
+/// # Errors
+///
+/// [`Failure::NotRun`] only if nothing was written.
+pub async fn ask(
     address: SocketAddr,
     cfg: &ClientSettings,
     req: Request<Full<Bytes>>,
--- a/crates/agent/src/engine/pool.rs
+++ b/crates/outlet/src/pool.rs
@@ -3,12 +3,11 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use super::client::Connection;
-use super::pool_counts::PoolCounts;
+use crate::{Connection, PoolCounts};
 
 /// Connections that are kept between two calls, the latest used last.
 #[derive(Debug)]
-pub(crate) struct Pool {
+pub struct Pool {
     most: usize,
     idle: Duration,
     kept: Mutex<Vec<Kept>>,
@@ -23,6 +22,7 @@
 
 impl Pool {
     /// Keeps at most `most` connections, each for at most `idle` unused.
+    #[must_use]
     pub fn new(most: usize, idle: Duration) -> Self {
         Pool {
             most,
@@ -32,11 +32,14 @@
         }
     }
 
+    /// Counts of its connections.
+    #[must_use]
     pub fn counts(&self) -> &PoolCounts {
         &self.counts
     }
 
     /// The connection that was used last; whether it still stands isn't known.
+    #[must_use]
     pub fn take(&self, now: Instant) -> Option<Connection> {
         let mut kept = self.kept();
         let last = kept.pop().filter(|last| self.is_fresh(last, now));
--- a/crates/agent/src/engine/pool_counts.rs
+++ b/crates/outlet/src/pool_counts.rs
@@ -18,30 +18,30 @@
 }
 
 impl PoolCounts {
-    /// Registers the counts under their names.
+    /// Registers the counts under their names; the registry gives the prefix.
     ///
     /// ```
     /// let mut registry = prometheus_client::registry::Registry::default();
-    /// agent::engine::PoolCounts::default().register(&mut registry);
+    /// outlet::PoolCounts::default().register(&mut registry);
     /// ```
     pub fn register(&self, registry: &mut Registry) {
         registry.register(
-            "agent_connections_opened",
+            "connections_opened",
             "Connections opened for a call of the target",
             self.opened.clone(),
         );
         registry.register(
-            "agent_connections_reused",
+            "connections_reused",
             "Calls of the target over a connection that was kept",
             self.reused.clone(),
         );
         registry.register(
-            "agent_connections_dropped",
+            "connections_dropped",
             "Kept connections that were closed without a further call",
             self.dropped.clone(),
         );
         registry.register(
-            "agent_connections_kept",
+            "connections_kept",
             "Connections to the target that are kept now",
             self.kept.clone(),
         );
--- a/crates/quorum/src/config.rs
+++ b/crates/quorum/src/config.rs
@@ -25,6 +25,20 @@
     /// Entries kept in memory before the newest snapshot, so that a replica
     /// that lags a little is served from the log.
     pub trailing: u64,
+    /// Whether a replica of another host may take a lost voter's place.
+    pub replace: Option<Replace>,
+}
+
+/// When a caught-up replica of a new host takes the place of a lost voter.
+///
+/// A host that is gone for good never comes back under its name. Were nobody
+/// to take its place, the next loss would cost the majority.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Replace {
+    /// Voters wanted; a replica beyond them waits as a learner.
+    pub voters: usize,
+    /// Silence after which a voter counts as lost.
+    pub after: Duration,
 }
 
 /// Share of the election timeout, in percent, that a leader lease lasts. The
@@ -50,6 +64,7 @@
             max_inflight: 16,
             chunk_bytes: 256 * 1024,
             trailing: 512,
+            replace: None,
         }
     }
 }
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -45,7 +45,7 @@
 mod status;
 mod write;
 
-pub use config::Config;
+pub use config::{Config, Replace};
 pub use disk_id::DiskId;
 pub use entry::{Entry, EntryBody};
 pub use hard_state::HardState;
--- a/crates/quorum/src/node/inspect.rs
+++ b/crates/quorum/src/node/inspect.rs
@@ -5,6 +5,10 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
+/// Elections that a voter waits through before it takes itself for replaced.
+/// It goes on to vote meanwhile; to ask costs one message an election.
+const ELECTIONS_UNTIL_REPLACED: u32 = 3;
+
 impl Node {
     /// Own disk.
     ///
@@ -127,8 +131,9 @@
         self.members.last().map_or(NONE, |(_, members)| members)
     }
 
-    /// Whether this replica should ask to be taken in: it is no voter and
-    /// hears no leader.
+    /// Whether this replica should ask to be taken in: it hears no leader
+    /// and is no voter, or was one for so long without a leader that its
+    /// place may be another's by now.
     ///
     /// A blank one is so. One that was being taken in may be so as well: the
     /// change that made it a learner can be lost with the leader that ordered
@@ -142,8 +147,12 @@
     /// ```
     #[must_use]
     pub fn wants_in(&self, now: Instant) -> bool {
-        let silent = now.saturating_duration_since(self.heard) >= self.cfg.election;
-        !self.is_voter() && (self.leader.is_none() || silent)
+        let silence = now.saturating_duration_since(self.heard);
+        let silent = silence >= self.cfg.election;
+        let replaced = self.cfg.replace.is_some()
+            && !self.is_leader()
+            && silence >= self.cfg.election * ELECTIONS_UNTIL_REPLACED;
+        replaced || !self.is_voter() && (self.leader.is_none() || silent)
     }
 
     /// Last entry handed out to be applied, and its term.
--- a/crates/quorum/src/node/membership.rs
+++ b/crates/quorum/src/node/membership.rs
@@ -95,6 +95,9 @@
                 return None;
             }
             next.voters.remove(&former);
+        } else if self.has_all_voters() {
+            let lost = self.lost_voter(now)?;
+            next.voters.remove(&lost);
         } else {
             let peer = next.learners.remove(&id)?;
             next.voters.insert(id, peer);
@@ -102,6 +105,26 @@
         self.has_live_majority(&next, now).then_some(next)
     }
 
+    fn has_all_voters(&self) -> bool {
+        let wanted = self.cfg.replace.map(|replace| replace.voters);
+        wanted.is_some_and(|wanted| self.members().voters.len() >= wanted)
+    }
+
+    /// A voter that has been silent for so long that it counts as lost.
+    fn lost_voter(&self, now: Instant) -> Option<DiskId> {
+        let after = self.cfg.replace?.after;
+        let Role::Leader(leader) = &self.role else {
+            return None;
+        };
+        let silent = |id: &DiskId| {
+            let heard = leader.peers.get(id).and_then(|peer| peer.heard);
+            let since = heard.unwrap_or(leader.since);
+            now.saturating_duration_since(since) >= after
+        };
+        let mut others = self.members().voters.keys().filter(|id| **id != self.id);
+        others.find(|id| silent(id)).copied()
+    }
+
     /// A change that its new majority can't commit would stop the cluster.
     fn has_live_majority(&self, members: &Members, now: Instant) -> bool {
         let live = |id: &&DiskId| self.is_active(**id, now);
--- a/crates/quorum/tests/rules.rs
+++ b/crates/quorum/tests/rules.rs
@@ -2,7 +2,7 @@
 
 use quorum::{
     Config, DiskId, Entry, EntryBody, HardState, Members, Message, MessageBody, Node, Peer, Ready,
-    Refused, Restored, Snapshot,
+    Refused, Replace, Restored, Snapshot,
 };
 use std::time::{Duration, Instant};
 
@@ -33,6 +33,19 @@
         Bench { node, now, cfg }
     }
 
+    /// Starts anew with the settings as they were changed.
+    fn rebuild(&mut self) {
+        let mut members = Members::default();
+        for id in [ME, SECOND, THIRD] {
+            members.voters.insert(id, Peer::new(&id.to_string(), ""));
+        }
+        let restored = Restored {
+            snapshot: Some(Snapshot::initial(members)),
+            ..Restored::default()
+        };
+        self.node = Node::new(ME, self.cfg.clone(), 7, restored, self.now);
+    }
+
     fn pass(&mut self, time: Duration) {
         self.now += time;
         self.node.tick(self.now);
@@ -350,3 +363,88 @@
     bench.node.step(message, bench.now);
     assert!(bench.node.ready().write.is_none());
 }
+
+fn join(bench: &mut Bench, from: DiskId, name: &str) {
+    let peer = Peer::new(name, "");
+    bench.hear(from, 0, MessageBody::Join { peer });
+}
+
+/// Lets the two other voters, or those of them that live, answer a round.
+fn answered_rounds(bench: &mut Bench, live: &[DiskId], rounds: u32) {
+    for _ in 0..rounds {
+        bench.pass(bench.cfg.heartbeat);
+        let readies = bench.sync();
+        for message in readies.into_iter().flat_map(|ready| ready.messages) {
+            let MessageBody::Append {
+                previous_index,
+                entries,
+                round,
+                ..
+            } = message.body
+            else {
+                continue;
+            };
+            if live.contains(&message.to) {
+                let index = previous_index + entries.len() as u64;
+                bench.accept(message.to, index, round);
+            }
+        }
+        bench.sync();
+    }
+}
+
+/// A host is lost for good and a new one comes under another name. Were it
+/// only added, four voters would stand with one of them dead, and the next
+/// loss would stop the cluster.
+#[test]
+fn promote_in_place_of_lost_voter() {
+    let after = Duration::from_secs(5);
+    let mut bench = Bench::new(HardState::default(), Vec::new());
+    bench.cfg.replace = Some(Replace { voters: 3, after });
+    bench.rebuild();
+    bench.lead();
+    let new = DiskId(9);
+    answered_rounds(&mut bench, &[SECOND], 5);
+    join(&mut bench, new, "host-9");
+    answered_rounds(&mut bench, &[SECOND, new], 20);
+    let members = bench.node.members().clone();
+    assert!(
+        members.voters.contains_key(&THIRD),
+        "not silent for long yet"
+    );
+    assert!(members.learners.contains_key(&new));
+    answered_rounds(&mut bench, &[SECOND, new], 60);
+    let voters: Vec<DiskId> = bench.node.members().voters.keys().copied().collect();
+    assert_eq!(voters, [ME, SECOND, new]);
+}
+
+/// With all voters up a further replica waits as a learner, so that a host
+/// that is exchanged on purpose finds its successor ready.
+#[test]
+fn promote_none_beyond_wanted() {
+    let after = Duration::from_secs(5);
+    let mut bench = Bench::new(HardState::default(), Vec::new());
+    bench.cfg.replace = Some(Replace { voters: 3, after });
+    bench.rebuild();
+    bench.lead();
+    let new = DiskId(9);
+    answered_rounds(&mut bench, &[SECOND, THIRD], 5);
+    join(&mut bench, new, "host-9");
+    answered_rounds(&mut bench, &[SECOND, THIRD, new], 80);
+    assert_eq!(bench.node.members().voters.len(), 3);
+    assert!(bench.node.members().learners.contains_key(&new));
+}
+
+/// A voter stands still for so long that another takes its place. It was told
+/// nothing of that, and would ask for votes for ever that nobody gives.
+#[test]
+fn wants_in_after_long_silence() {
+    let after = Duration::from_secs(5);
+    let mut bench = Bench::new(HardState::default(), Vec::new());
+    bench.cfg.replace = Some(Replace { voters: 3, after });
+    bench.rebuild();
+    bench.pass(bench.cfg.election);
+    assert!(!bench.node.wants_in(bench.now));
+    bench.pass(bench.cfg.election * 3);
+    assert!(bench.node.wants_in(bench.now));
+}
--- /dev/null
+++ b/crates/route/src/fleet.rs
@@ -0,0 +1,200 @@
+//! The targets of one service that all entries reach straight.
+
+use std::time::{Duration, Instant};
+
+use rand::{Rng, RngExt};
+use slotmap::SlotMap;
+
+use crate::TargetKey;
+use crate::berth::Berth;
+
+/// What a target says of its load in an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ToldLoad {
+    /// Requests that run there.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+}
+
+/// How an attempt at a target of a fleet went.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It was answered.
+    Answered,
+    /// The target said that it did not run it: it is full, or another one.
+    Declined,
+    /// The target failed it, or could not be reached.
+    Failed,
+    /// Nobody waits for it any more.
+    Abandoned,
+}
+
+/// Limits of a fleet.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FleetTuning {
+    /// Requests that may wait at a target for each of its slots. A request
+    /// that waits there begins as soon as another one ends, a whole round trip
+    /// sooner than one that is held here; more than one slot's worth would
+    /// only wait longer than its caller does.
+    pub waiting: f64,
+    /// Slots that a target in another availability zone must have more free
+    /// than one near by to be preferred.
+    pub far: f64,
+    /// How long a target that could not be reached is passed over at first;
+    /// each further failure doubles it.
+    pub shun: Duration,
+    /// Longest time that it is passed over.
+    pub shun_most: Duration,
+}
+
+impl Default for FleetTuning {
+    fn default() -> Self {
+        FleetTuning {
+            waiting: 1.0,
+            far: 0.0,
+            shun: Duration::from_millis(500),
+            shun_most: Duration::from_secs(8),
+        }
+    }
+}
+
+/// How far a target is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Distance {
+    /// In the entry's own availability zone.
+    Near,
+    /// In another one.
+    Far,
+}
+
+/// The targets of one service that all entries reach straight, and the choice
+/// among them.
+///
+/// No entry sees what the others send. What a target tells of its load with
+/// each answer stands in for it: what runs there less this entry's own part
+/// was sent by others.
+///
+/// ```
+/// use rand::{SeedableRng, rngs::SmallRng};
+/// use route::{Distance, Fleet, FleetTuning, Outcome};
+/// use std::time::Instant;
+///
+/// let now = Instant::now();
+/// let mut fleet = Fleet::new(FleetTuning::default());
+/// let key = fleet.insert(6, Distance::Near);
+/// let mut rng = SmallRng::seed_from_u64(1);
+/// assert_eq!(fleet.choose(&[], now, &mut rng), Some(key));
+/// fleet.start(key);
+/// fleet.end(key, Outcome::Answered, now);
+/// assert_eq!(fleet.choose(&[key], now, &mut rng), None);
+/// ```
+#[derive(Debug)]
+pub struct Fleet {
+    tuning: FleetTuning,
+    targets: SlotMap<TargetKey, Berth>,
+}
+
+impl Fleet {
+    /// A fleet without targets.
+    #[must_use]
+    pub fn new(tuning: FleetTuning) -> Fleet {
+        Fleet {
+            tuning,
+            targets: SlotMap::with_key(),
+        }
+    }
+
+    /// Adds a target that takes work.
+    pub fn insert(&mut self, slots: u32, distance: Distance) -> TargetKey {
+        self.targets.insert(Berth::new(slots, distance))
+    }
+
+    /// Takes a target out; what runs there ends by itself.
+    pub fn remove(&mut self, key: TargetKey) {
+        self.targets.remove(key);
+    }
+
+    /// Changes whether a target may be given new work.
+    pub fn set_open(&mut self, key: TargetKey, open: bool) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.open = open;
+        }
+    }
+
+    /// Chooses the target with the most free places, for its size, among
+    /// those that weren't tried. One that failed lately is taken only if
+    /// there is no other. `None` if all are full.
+    pub fn choose(
+        &self,
+        tried: &[TargetKey],
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Option<TargetKey> {
+        let untried = |(key, target): &(TargetKey, &Berth)| target.open && !tried.contains(key);
+        let open = || self.targets.iter().filter(untried);
+        let sound = open().filter(|(_, target)| !target.is_shunned(now));
+        self.least_loaded(sound, rng).or_else(|| {
+            let mut any = open().filter(|(_, target)| target.is_shunned(now));
+            let soonest = any.by_ref().min_by_key(|(_, target)| target.shunned_until);
+            soonest
+                .filter(|(_, target)| target.has_room(&self.tuning))
+                .map(|(key, _)| key)
+        })
+    }
+
+    fn least_loaded<'a>(
+        &self,
+        targets: impl Iterator<Item = (TargetKey, &'a Berth)>,
+        rng: &mut impl Rng,
+    ) -> Option<TargetKey> {
+        let mut best: Option<(f64, TargetKey)> = None;
+        for (key, target) in targets.filter(|(_, target)| target.has_room(&self.tuning)) {
+            // Entries that know the same would all choose the same one.
+            let jitter = rng.random_range(0.0..TIE);
+            let cost = target.cost(&self.tuning) + jitter;
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, key));
+            }
+        }
+        best.map(|(_, key)| key)
+    }
+
+    /// Whether any target may be given new work, full or not.
+    #[must_use]
+    pub fn has_open(&self) -> bool {
+        self.targets.values().any(|target| target.open)
+    }
+
+    /// A request is sent to a target.
+    pub fn start(&mut self, key: TargetKey) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.own += 1;
+        }
+    }
+
+    /// A target tells its load, which counts requests of all entries.
+    pub fn told(&mut self, key: TargetKey, load: ToldLoad) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.take(load);
+        }
+    }
+
+    /// A request is over.
+    pub fn end(&mut self, key: TargetKey, outcome: Outcome, now: Instant) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.own = target.own.saturating_sub(1);
+            target.learn(outcome, now, &self.tuning);
+        }
+    }
+
+    /// Requests of this entry at a target.
+    #[must_use]
+    pub fn running(&self, key: TargetKey) -> u32 {
+        self.targets.get(key).map_or(0, |target| target.own)
+    }
+}
+
+/// Costs that differ by less than this are taken for equal: a tenth of what
+/// one request more makes at a target of ten slots.
+const TIE: f64 = 0.01;
--- a/crates/store/src/identity.rs
+++ b/crates/store/src/identity.rs
@@ -75,6 +75,16 @@
         .ok_or_else(|| Error::damaged(&path, 0, "not an identity"))
 }
 
-fn has_log(folder: &Path) -> Result<bool> {
+/// Whether a folder holds anything of a log.
+///
+/// # Errors
+///
+/// The folder can't be read.
+///
+/// ```
+/// let folder = tempfile::tempdir().unwrap();
+/// assert!(!store::has_log(folder.path()).unwrap());
+/// ```
+pub fn has_log(folder: &Path) -> Result<bool> {
     Ok(!crate::segment::numbers(folder)?.is_empty() || snapshot::newest(folder)?.is_some())
 }
--- /dev/null
+++ b/crates/table/src/lib.rs
@@ -0,0 +1,52 @@
+//! Route tables: which host and path goes to which service, and how.
+//!
+//! A [`Table`] is the whole of what an operator offers to callers: routes,
+//! services, client accounts with their keys, and what callers may send. It
+//! has a number; of two tables the one with the higher number holds.
+//! [`Table::new`] checks it and reports all findings at once.
+//!
+//! ```
+//! use std::time::Duration;
+//! use table::{Access, CallerLimits, Draft, Kind, Route, Service, Share, Table};
+//!
+//! let draft = Draft {
+//!     number: 7,
+//!     routes: vec![Route {
+//!         name: "stock".into(),
+//!         host: "desk.example".into(),
+//!         prefix: "/stock/".into(),
+//!         split: vec![Share { service: "order-desk".into(), weight: 1 }],
+//!         kind: Kind::Repeatable,
+//!         timeout: Duration::from_secs(2),
+//!         objective: Duration::from_millis(150),
+//!         priority: 2,
+//!         attempts: 2,
+//!         access: Access::Anyone,
+//!     }],
+//!     services: vec![Service::new("order-desk", 96)],
+//!     accounts: Vec::new(),
+//!     limits: CallerLimits::default(),
+//! };
+//! let table = Table::new(draft).unwrap();
+//! assert_eq!(table.route("desk.example", "/stock/burl").unwrap().name, "stock");
+//! assert!(table.route("desk.example", "/orders/").is_none());
+//! ```
+
+mod caller_limits;
+mod check;
+mod client_account;
+mod draft;
+mod engine;
+mod kind;
+mod route;
+mod service;
+mod table;
+
+pub use caller_limits::CallerLimits;
+pub use client_account::ClientAccount;
+pub use draft::Draft;
+pub use engine::Engine;
+pub use kind::{Access, Kind, Resume};
+pub use route::{Route, Share};
+pub use service::Service;
+pub use table::Table;
--- a/crates/wire/src/gen/lovageramp.rs
+++ b/crates/wire/src/gen/lovageramp.rs
@@ -7,7 +7,7 @@
     pub reply: bool,
     #[prost(
         oneof = "frame::Body",
-        tags = "10, 11, 12, 13, 20, 30, 31, 32, 33, 34, 35, 36, 37, 38, 39, 40, 50, 51, 52, 53, 54, 55, 56, 57, 58, 59, 60, 61, 62, 63, 70, 71, 72, 73, 74, 75, 76"
+        tags = "10, 11, 12, 13, 20, 30, 31, 32, 33, 34, 35, 36, 37, 38, 39, 40, 41, 42, 43, 44, 45, 50, 51, 52, 53, 54, 55, 56, 57, 58, 59, 60, 61, 62, 63, 70, 71, 72, 73, 74, 75, 76"
     )]
     pub body: ::core::option::Option<frame::Body>,
 }
@@ -50,6 +50,17 @@
         RenewBatch(super::RenewBatch),
         #[prost(message, tag = "40")]
         RenewedBatch(super::RenewedBatch),
+        /// Entry to every replica, and back; replica to replica.
+        #[prost(message, tag = "41")]
+        Report(super::Report),
+        #[prost(message, tag = "42")]
+        Reported(super::Reported),
+        #[prost(message, tag = "43")]
+        Sightings(super::Sightings),
+        #[prost(message, tag = "44")]
+        SightingsTaken(super::SightingsTaken),
+        #[prost(message, tag = "45")]
+        RouteTable(super::RouteTable),
         /// Entry to agent, and back.
         #[prost(message, tag = "50")]
         Start(super::Start),
@@ -292,7 +303,91 @@
     pub maps: ::prost::bytes::Bytes,
     #[prost(string, repeated, tag = "6")]
     pub drained: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    #[prost(message, optional, tag = "7")]
+    pub route_table: ::core::option::Option<RouteTable>,
 }
+/// A whole route table as its operator wrote it; the highest number holds.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RouteTable {
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    #[prost(bytes = "bytes", tag = "2")]
+    pub source: ::prost::bytes::Bytes,
+}
+/// What became of a route table that was handed in: the number held now.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RouteTableOutcome {
+    #[prost(uint64, tag = "1")]
+    pub newest: u64,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RouteTableQuery {}
+/// An entry tells where callers reach it and which route table it goes by.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Report {
+    #[prost(message, optional, tag = "1")]
+    pub entrance: ::core::option::Option<Entrance>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Reported {
+    /// Addresses of the links of all replicas, as far as this one knows.
+    #[prost(string, repeated, tag = "1")]
+    pub replicas: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Entrance {
+    #[prost(string, tag = "1")]
+    pub name: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Counts the reports of this incarnation.
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
+    #[prost(string, tag = "4")]
+    pub zone: ::prost::alloc::string::String,
+    #[prost(string, tag = "5")]
+    pub region: ::prost::alloc::string::String,
+    /// Address for callers, "ip:port".
+    #[prost(string, tag = "6")]
+    pub address: ::prost::alloc::string::String,
+    /// False while it takes no new callers.
+    #[prost(bool, tag = "7")]
+    pub open: bool,
+    /// Number of the route table in force there; 0 for none.
+    #[prost(uint64, tag = "8")]
+    pub table: u64,
+}
+/// What a target has told of itself.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Sighting {
+    #[prost(string, tag = "1")]
+    pub id: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub address: ::prost::alloc::string::String,
+    #[prost(string, tag = "4")]
+    pub zone: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "5")]
+    pub slots: u32,
+    #[prost(enumeration = "Presence", tag = "6")]
+    pub presence: i32,
+    /// Milliseconds since 1970 of the target's start, by its own clock.
+    #[prost(uint64, tag = "7")]
+    pub born: u64,
+    /// Counts what this incarnation tells.
+    #[prost(uint64, tag = "8")]
+    pub sequence: u64,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Sightings {
+    #[prost(message, repeated, tag = "1")]
+    pub targets: ::prost::alloc::vec::Vec<Sighting>,
+    #[prost(message, repeated, tag = "2")]
+    pub entrances: ::prost::alloc::vec::Vec<Entrance>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct SightingsTaken {}
 /// What a node tells of itself with each lease renewal.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct NodeInfo {
@@ -503,7 +598,7 @@
     pub now_ms: u64,
     #[prost(
         oneof = "command::Body",
-        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22"
     )]
     pub body: ::core::option::Option<command::Body>,
 }
@@ -535,6 +630,8 @@
         Forget(super::Forget),
         #[prost(message, tag = "21")]
         LedgerLimits(super::LedgerLimits),
+        #[prost(message, tag = "22")]
+        RouteTable(super::RouteTable),
     }
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -691,7 +788,7 @@
     pub index: u64,
     #[prost(
         oneof = "outcome::Body",
-        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22"
     )]
     pub body: ::core::option::Option<outcome::Body>,
 }
@@ -724,6 +821,8 @@
         Forget(super::ForgetOutcome),
         #[prost(message, tag = "21")]
         LedgerLimits(super::LedgerLimits),
+        #[prost(message, tag = "22")]
+        RouteTable(super::RouteTableOutcome),
     }
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -964,7 +1063,7 @@
 /// Linearizable reads, by read-index at the leader.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Query {
-    #[prost(oneof = "query::Body", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "query::Body", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub body: ::core::option::Option<query::Body>,
 }
 /// Nested message and enum types in `Query`.
@@ -983,6 +1082,8 @@
         Note(super::NoteQuery),
         #[prost(message, tag = "6")]
         Ledger(super::LedgerQuery),
+        #[prost(message, tag = "7")]
+        RouteTable(super::RouteTableQuery),
     }
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -1012,7 +1113,7 @@
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct QueryReply {
-    #[prost(oneof = "query_reply::Body", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "query_reply::Body", tags = "1, 2, 3, 4, 5")]
     pub body: ::core::option::Option<query_reply::Body>,
 }
 /// Nested message and enum types in `QueryReply`.
@@ -1028,6 +1129,8 @@
         Record(super::ClaimOutcome),
         #[prost(message, tag = "4")]
         Map(super::CoordinatorOutcome),
+        #[prost(message, tag = "5")]
+        RouteTable(super::RouteTable),
     }
 }
 /// Asks an agent to run one attempt. The agent answers with StartReply at
@@ -1377,6 +1480,38 @@
 }
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
+pub enum Presence {
+    Unspecified = 0,
+    Ready = 1,
+    Draining = 2,
+    Gone = 3,
+}
+impl Presence {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Unspecified => "PRESENCE_UNSPECIFIED",
+            Self::Ready => "PRESENCE_READY",
+            Self::Draining => "PRESENCE_DRAINING",
+            Self::Gone => "PRESENCE_GONE",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "PRESENCE_UNSPECIFIED" => Some(Self::Unspecified),
+            "PRESENCE_READY" => Some(Self::Ready),
+            "PRESENCE_DRAINING" => Some(Self::Draining),
+            "PRESENCE_GONE" => Some(Self::Gone),
+            _ => None,
+        }
+    }
+}
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
 pub enum Refusal {
     Unspecified = 0,
     Incarnation = 1,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -57,6 +57,7 @@
 mod piece;
 mod redial;
 mod settings;
+mod told;
 
 /// The generated message types; see `proto/lovageramp.proto`.
 #[allow(
@@ -79,3 +80,4 @@
 pub use crate::proto::Role;
 pub use crate::redial::redial;
 pub use crate::settings::LinkSettings;
+pub use crate::told::{entrance, entrance_message, sighting, sighting_message};
