Say what a target's answer is worth in one word each

Cause: Clippy's pedantic group flags four bools in a struct and matches on bools. Change: Word and Keeps in their place, ifs.

--- a/crates/direct/src/course.rs
+++ b/crates/direct/src/course.rs
@@ -2,7 +2,7 @@
 
 use crate::answer::Answer;
 use crate::ask::Ask;
-use crate::dialect::Dialect;
+use crate::dialect::{Dialect, Word};
 use crate::director::Director;
 use crate::exchange::{Head, Miss, Reuse, Try};
 use crate::fleets::{Fleets, NoWay};
@@ -17,7 +17,7 @@
 use route::{Outcome, TargetKey};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use table::{Kind, Resume, Route};
+use table::{Kind, Route};
 use tokio::time::timeout;
 
 /// Bytes of an answer at most that are held until it is whole. A longer one
@@ -97,16 +97,14 @@
             };
             match self.attempt(permit, after).await {
                 Tried::Answered(head, permit) => {
-                    return match self.kind {
-                        Kind::Stream { .. } if head.status.is_success() => {
-                            Ok(stream::relay(self, *head, permit))
-                        }
-                        _ => match self.whole(*head, permit).await {
-                            Ok(answer) => Ok(answer),
-                            Err(reason) if self.may_repeat(reason) => continue,
-                            Err(reason) => self.give_up(failed, reason),
-                        },
-                    };
+                    if head.status.is_success() && self.is_stream() {
+                        return Ok(stream::relay(self, *head, permit));
+                    }
+                    match self.whole(*head, permit).await {
+                        Ok(answer) => return Ok(answer),
+                        Err(reason) if self.may_repeat(reason) => {}
+                        Err(reason) => return self.give_up(failed, reason),
+                    }
                 }
                 Tried::Failed(answer) => {
                     failed = Some(answer);
@@ -123,6 +121,10 @@
         }
     }
 
+    fn is_stream(&self) -> bool {
+        matches!(self.kind, Kind::Stream { .. })
+    }
+
     /// Takes a place at a target that wasn't tried yet.
     pub(crate) fn place(&mut self) -> Result<Permit, Reason> {
         let placed = self
@@ -138,17 +140,12 @@
 
     /// Sends it once and waits for the head of the answer.
     async fn attempt(&mut self, mut permit: Permit, after: Option<u64>) -> Tried {
-        let reuse = match self.kind.repeats() {
-            true => Reuse::Kept,
-            false => Reuse::Fresh,
-        };
-        let silence = match self.kind {
-            Kind::Once => self.left(),
-            Kind::Stream {
-                resume: Resume::Never,
-                ..
-            } => self.left(),
-            Kind::Repeatable | Kind::Stream { .. } => self.timing.silence,
+        // A request that runs once at most is waited for to its end: to give
+        // it up sooner wins nothing, for nobody could send it again.
+        let (reuse, silence) = if self.kind.repeats() {
+            (Reuse::Kept, self.timing.silence)
+        } else {
+            (Reuse::Fresh, self.left())
         };
         let sent = self.sending(reuse, silence, after).send(&permit).await;
         let head = match sent {
@@ -161,7 +158,7 @@
         if let Some(load) = head.reading.load {
             permit.told(load);
         }
-        if head.reading.not_run {
+        if head.reading.word == Word::NotRun {
             self.log_miss(&permit, "declined", head.status.as_str());
             permit.ended(Outcome::Declined);
             return Tried::Missed(Reason::Declined);
@@ -207,24 +204,30 @@
         }
     }
 
-    fn missed(&mut self, permit: &Permit, miss: &Miss) -> Reason {
-        match miss {
-            Miss::Unsent(why) => {
-                self.log_miss(permit, "unsent", why);
+    fn missed(&mut self, permit: &Permit, why: &Miss) -> Reason {
+        match why {
+            Miss::Unsent(text) => {
+                self.log_miss(permit, "unsent", text);
                 self.unsent += 1;
                 Reason::NoTarget
             }
-            Miss::Lost(why) => {
-                self.log_miss(permit, "lost", why);
+            Miss::Lost(text) => {
+                self.log_miss(permit, "lost", text);
                 self.attempts = self.attempts.saturating_sub(1);
-                match self.left().is_zero() {
-                    true => Reason::TimedOut,
-                    false => Reason::Lost,
-                }
+                self.doubtful()
             }
         }
     }
 
+    /// Why there is no answer to what was sent.
+    fn doubtful(&self) -> Reason {
+        if self.left().is_zero() {
+            Reason::TimedOut
+        } else {
+            Reason::Lost
+        }
+    }
+
     /// Whether it may be sent to another target after this.
     pub(crate) fn may_repeat(&mut self, reason: Reason) -> bool {
         if !reason.not_run() {
@@ -264,38 +267,34 @@
     /// Reads an answer to its end: only then is it known to be whole.
     async fn whole(&mut self, head: Head, mut permit: Permit) -> Result<Answer, Reason> {
         let failed = head.status.is_server_error();
-        let mut held = BytesMut::new();
+        let mut buf = BytesMut::new();
         let mut body = head.body;
         let broken = loop {
-            let wait = self.left();
-            match timeout(wait, body.frame()).await {
+            match timeout(self.left(), body.frame()).await {
                 Ok(None) => break None,
                 Ok(Some(Ok(frame))) => {
                     if let Ok(data) = frame.into_data() {
-                        held.extend_from_slice(&data);
+                        buf.extend_from_slice(&data);
                     }
-                    if held.len() > MOST_HELD {
-                        break Some("longer than can be held".to_owned());
+                    if buf.len() > MOST_HELD {
+                        break Some("longer than can be buf".to_owned());
                     }
                 }
                 Ok(Some(Err(e))) => break Some(e.to_string()),
                 Err(_) => break Some("the time was over".to_owned()),
             }
         };
-        permit.set(match failed || broken.is_some() {
-            true => Outcome::Failed,
-            false => Outcome::Answered,
+        permit.set(if failed || broken.is_some() {
+            Outcome::Failed
+        } else {
+            Outcome::Answered
         });
         if let Some(why) = broken {
             self.log_miss(&permit, "broken off", &why);
-            return Err(match self.left().is_zero() {
-                true => Reason::TimedOut,
-                false => Reason::Lost,
-            });
+            return Err(self.doubtful());
         }
-        let reading = head.reading;
-        crate::fleets::keep(permit.way(), head.conn, &reading, &self.timing);
-        Ok(answer(head.status, head.headers, held.freeze()))
+        crate::fleets::keep(permit.way(), head.conn, &head.reading, &self.timing);
+        Ok(answer(head.status, head.headers, buf.freeze()))
     }
 
     pub(crate) fn left(&self) -> Duration {
--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -20,21 +20,39 @@
 /// What the head of an answer says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Reading {
-    /// Whether it answers the request that was sent.
-    pub is_own: bool,
-    /// Whether the target says that it did not run the request.
-    pub not_run: bool,
-    /// Whether the target vouches for the answer; a success without that is
-    /// none.
-    pub is_vouched: bool,
-    /// Whether the target sends no more answers on this connection.
-    pub closes: bool,
-    /// How long the target keeps the connection, if it says so.
-    pub kept: Option<Duration>,
+    /// What is known of the answer and of the request's run.
+    pub word: Word,
+    /// How long the target keeps the connection.
+    pub keeps: Keeps,
     /// Its load, if it tells.
     pub load: Option<ToldLoad>,
 }
 
+/// What is known of an answer and of the request's run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Word {
+    /// It answers the request, and the target vouches for it.
+    Vouched,
+    /// It answers the request, and the target doesn't vouch for it: a success
+    /// is none.
+    Unvouched,
+    /// The target says that it did not run the request.
+    NotRun,
+    /// It answers another request.
+    Foreign,
+}
+
+/// How long a target keeps a connection after an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Keeps {
+    /// It closes it.
+    Not,
+    /// It keeps it for so long.
+    For(Duration),
+    /// It doesn't say.
+    Untold,
+}
+
 /// How a deployment's targets are spoken to beside plain HTTP.
 #[derive(Clone, Copy, Debug)]
 pub struct Dialect {
--- a/crates/direct/src/director.rs
+++ b/crates/direct/src/director.rs
@@ -147,9 +147,8 @@
         }
         fleets.tidy(now);
         // An end of the wait means that it is time to look again.
-        match tokio::time::timeout(TIDY, changed.changed()).await {
-            Ok(Err(_)) => return,
-            Ok(Ok(())) | Err(_) => {}
+        if let Ok(Err(_)) = tokio::time::timeout(TIDY, changed.changed()).await {
+            return;
         }
     }
 }
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -1,7 +1,7 @@
 //! One request to one target, up to the head of its answer.
 
 use crate::ask::Ask;
-use crate::dialect::{Dialect, Reading, Told};
+use crate::dialect::{Dialect, Reading, Told, Word};
 use crate::permit::Permit;
 use crate::timing::Timing;
 use bytes::Bytes;
@@ -80,13 +80,15 @@
     fn read(&self, response: hyper::Response<Incoming>, conn: Connection) -> Result<Head, Miss> {
         let (head, body) = response.into_parts();
         let reading = (self.dialect.read)(&self.ask.id, head.status, &head.headers);
-        if !reading.is_own {
-            return Err(Miss::Lost("the answer to another request came".to_owned()));
-        }
-        if head.status.is_success() && !reading.is_vouched {
-            return Err(Miss::Lost(
-                "the target doesn't vouch for its answer".to_owned(),
-            ));
+        match reading.word {
+            Word::Foreign => {
+                return Err(Miss::Lost("the answer to another request came".to_owned()));
+            }
+            Word::Unvouched if head.status.is_success() => {
+                let why = "the target doesn't vouch for its answer";
+                return Err(Miss::Lost(why.to_owned()));
+            }
+            Word::Vouched | Word::Unvouched | Word::NotRun => {}
         }
         Ok(Head {
             status: head.status,
--- a/crates/direct/src/fleets.rs
+++ b/crates/direct/src/fleets.rs
@@ -1,6 +1,6 @@
 //! The fleets of all services, kept as table and board say.
 
-use crate::dialect::Reading;
+use crate::dialect::{Keeps, Reading};
 use crate::permit::Permit;
 use crate::timing::Timing;
 use member::Presence;
@@ -105,9 +105,11 @@
         let Inner { rng, services } = &mut *inner;
         let held = services.get_mut(service).ok_or(NoWay::Absent)?;
         let Some(key) = held.fleet.choose(tried, now, rng) else {
-            return Err(match held.fleet.has_open() {
-                true => NoWay::Full,
-                false => NoWay::Absent,
+            let none_open = !held.fleet.has_open();
+            return Err(if none_open {
+                NoWay::Absent
+            } else {
+                NoWay::Full
             });
         };
         let mut ways = held.ways.values();
@@ -210,9 +212,10 @@
 
     fn insert(&mut self, known: &KnownTarget, fleets: &Fleets) {
         let told = &known.told;
-        let distance = match told.zone == fleets.zone {
-            true => Distance::Near,
-            false => Distance::Far,
+        let distance = if told.zone == fleets.zone {
+            Distance::Near
+        } else {
+            Distance::Far
         };
         let key = self.fleet.insert(told.slots, distance);
         let way = Way {
@@ -233,9 +236,10 @@
 
 /// Keeps a connection whose answer was read to its end, if its target does.
 pub(crate) fn keep(way: &Way, mut conn: Connection, reading: &Reading, timing: &Timing) {
-    let lasts = reading.kept.is_none_or(|kept| kept >= timing.kept);
-    if reading.closes || !lasts {
-        return;
+    match reading.keeps {
+        Keeps::Not => return,
+        Keeps::For(time) if time < timing.kept => return,
+        Keeps::For(_) | Keeps::Untold => {}
     }
     let cfg = ClientSettings {
         connect: timing.connect,
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -24,7 +24,7 @@
 
 pub use answer::Answer;
 pub use ask::Ask;
-pub use dialect::{Dialect, Reading, Told};
+pub use dialect::{Dialect, Keeps, Reading, Told, Word};
 pub use director::{Director, DirectorSettings};
 pub use refusal::{Reason, Refusal};
 pub use timing::Timing;
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -82,7 +82,7 @@
                         return Err(self.broken_off("an event is too long"));
                     }
                 }
-                Next::Ended => return self.finish(),
+                Next::Ended => return Ok(self.finish()),
                 Next::Broken(why) => self.go_on(&why).await?,
             }
         }
@@ -115,9 +115,10 @@
 
     async fn read(&mut self) -> Next {
         let left = self.course.left();
-        let silence = match self.can_go_on() {
-            true => self.course.timing.silence.min(left),
-            false => left,
+        let silence = if self.can_go_on() {
+            self.course.timing.silence.min(left)
+        } else {
+            left
         };
         let Some(source) = &mut self.source else {
             return Next::Ended;
@@ -137,23 +138,20 @@
     }
 
     /// The target has ended the stream.
-    fn finish(&mut self) -> io::Result<Option<Bytes>> {
-        let Some(source) = self.source.take() else {
-            return Ok(None);
-        };
+    fn finish(&mut self) -> Option<Bytes> {
         let Source {
             conn,
             reading,
             permit,
             ..
-        } = source;
+        } = self.source.take()?;
         crate::fleets::keep(permit.way(), conn, &reading, &self.course.timing);
         permit.ended(Outcome::Answered);
         if self.events.is_between() {
-            return Ok(None);
+            return None;
         }
         // What is no event ends the stream as the target ended it.
-        Ok(Some(self.events.rest()))
+        Some(self.events.rest())
     }
 
     fn can_go_on(&self) -> bool {
--- a/crates/member/tests/board.rs
+++ b/crates/member/tests/board.rs
@@ -87,7 +87,7 @@
     let mut board = Board::default();
     board.hear(told("a", "127.0.0.1:1", 5, 1), now);
     assert!(board.leave("a", None, now).is_some());
-    let later = now + Duration::from_secs(60);
+    let later = now + Duration::from_mins(1);
     board.forget(Duration::from_secs(6), later);
     assert_eq!(
         board.hear(told("a", "127.0.0.1:1", 5, 2), later),
--- a/crates/node/src/watched.rs
+++ b/crates/node/src/watched.rs
@@ -13,7 +13,7 @@
 
 /// How long the word of a silent target is kept. It takes no work by then; its
 /// last word may still be news to nobody else.
-const FORGOTTEN: Duration = Duration::from_secs(60);
+const FORGOTTEN: Duration = Duration::from_mins(1);
 
 /// What a watcher holds of control.
 pub struct Watched {
--- a/crates/outlet/src/client.rs
+++ b/crates/outlet/src/client.rs
@@ -122,12 +122,14 @@
 
     /// Waits until the connection has done with the former call; false if it
     /// has ended.
+    #[must_use]
     pub async fn is_ready(&mut self, cfg: &ClientSettings) -> bool {
         matches!(timeout(cfg.connect, self.tx.ready()).await, Ok(Ok(())))
     }
 
     /// Whether the target has neither ended the connection nor sent anything
     /// that no call asked for.
+    #[must_use]
     pub fn is_quiet(&self) -> bool {
         !self.tx.is_closed() && self.socket.is_quiet()
     }
