Switch the expert maps of groups whose ranks are armed and held

Change: the product's agents, planner and switch protocol take engines that are armed apart from being held and start each formation on a bare map; a map agent without a way for requests; roles for side machines.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -16,8 +16,9 @@
 
 use crate::context::Context;
 use crate::desk::{Desk, DeskMsg, Idle};
-use crate::engine::Outlet;
+use crate::engine::{Outlet, Stand};
 use crate::links::{Links, MAX_ASKED};
+use crate::map::{MapContext, Maps, Offers};
 use crate::metrics::Metrics;
 use crate::monitor::Monitor;
 use crate::order::Orders;
@@ -63,8 +64,12 @@
         cx.outlet.counts().register(counts);
         let (desk, _) = Actor::spawn(None, Desk, Arc::clone(&cx)).await?;
         let (monitor, _) = Actor::spawn(None, Monitor, Arc::clone(&cx)).await?;
-        let orders = crate::order::start(Arc::clone(&cx)).await?;
-        let maps = crate::map::start(&cx, &orders, &me, &key, &link).await?;
+        let map_cx = Arc::new(map_context(&cx));
+        let orders = crate::order::start(Arc::clone(&map_cx)).await?;
+        let maps = match cx.cfg.stand {
+            Stand::Engine => crate::map::start(&map_cx, &orders, &me, &key, &link).await?,
+            Stand::Service => Maps::none(),
+        };
         let accept = Arc::new(Links {
             cx: Arc::clone(&cx),
             desk: desk.clone(),
@@ -188,6 +193,20 @@
     })
 }
 
+fn map_context(cx: &Context) -> MapContext {
+    MapContext {
+        name: cx.cfg.name.clone(),
+        group: cx.cfg.serves.clone(),
+        incarnation: cx.incarnation,
+        cfg: cx.cfg.maps.clone(),
+        poll: cx.cfg.timing.poll,
+        follower: cx.follower.clone(),
+        outlet: cx.outlet.clone(),
+        offers: Offers::Note,
+        stop: cx.stop.clone(),
+    }
+}
+
 async fn serve_pages(
     cx: Arc<Context>,
     registry: admin::Registry,
--- /dev/null
+++ b/crates/agent/src/engine/arming.rs
@@ -0,0 +1,384 @@
+//! Engines whose ranks are armed and held by orders of their own.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant, SystemTime};
+
+use bytes::Bytes;
+use expert::Arming;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use outlet::{ClientSettings, Connection, Failure, Pool, Unanswered};
+use serde::Deserialize;
+use tokio::time::timeout;
+
+use super::{ExpertCounts, MapOrder, MapState, Obeyed, OrderFailure, RankCounts};
+
+/// How often an order is sent before its outcome counts as unknown. With every
+/// second answer lost, one order in a million stays unknown.
+const TRIES: u32 = 20;
+/// Refused connections in a row after which nobody is there to obey.
+const ABSENT: u32 = 3;
+/// Time of one try: many times what an engine on the same host needs, and
+/// short enough for all tries to fit into the time of a switch.
+const TRY_WITHIN: Duration = Duration::from_millis(100);
+/// Connections that are kept: one for questions, one for orders.
+const MOST_KEPT: usize = 2;
+/// How long one is kept unused: several times the pause between questions.
+const KEPT: Duration = Duration::from_secs(2);
+/// Bytes of an answer at most.
+const MOST_ANSWER: usize = 16 << 20;
+/// Part of a fencing number that counts the orders under one number of control.
+const SERIAL_BITS: u32 = 30;
+/// Left free in it for orders in one second.
+const ORDER_BITS: u32 = 10;
+
+/// How an engine whose ranks are armed and held by orders of their own is
+/// spoken to.
+#[derive(Clone, Copy, Debug)]
+pub struct ArmingDialect {
+    /// Path of its state.
+    pub state_path: &'static str,
+    /// Reads its state.
+    pub state: fn(&[u8]) -> Option<ArmingState>,
+    /// Path of its counts.
+    pub counts_path: &'static str,
+    /// Reads how often each expert was chosen, layer by layer, since its start.
+    pub counts: fn(&[u8]) -> Option<Vec<u64>>,
+    /// Path of orders.
+    pub order_path: &'static str,
+    /// Writes an order.
+    pub order: fn(&ArmingOrder) -> Vec<u8>,
+}
+
+/// Where one rank stands with its maps.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ArmingState {
+    /// Name of its group.
+    pub group: String,
+    /// Its number in the group.
+    pub rank: u32,
+    /// Ranks of the group.
+    pub ranks: u32,
+    /// Number of the formation in which it steps; `None` between two.
+    pub formation: Option<u64>,
+    /// The last step that was begun.
+    pub step: u64,
+    /// Version in use.
+    pub version: u64,
+    /// Version that is loaded.
+    pub prepared: Option<u64>,
+    /// Version that comes into use, and the first step that uses it.
+    pub armed: Option<(u64, u64)>,
+    /// The step that isn't begun.
+    pub held: Option<u64>,
+}
+
+/// An order to one rank.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ArmingOrder {
+    /// What it is to do.
+    pub body: ArmingBody,
+    /// Higher than that of any order sent before; the rank refuses lower ones.
+    pub fencing: u64,
+    /// The rank refuses it in any other formation.
+    pub formation: u64,
+}
+
+/// What a rank is to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ArmingBody {
+    /// Load a map, by layer and rank the experts.
+    Prepare {
+        /// Its version.
+        version: u64,
+        /// The experts.
+        map: Vec<Vec<Vec<u16>>>,
+    },
+    /// Use a loaded map from a step on.
+    Arm {
+        /// Its version.
+        version: u64,
+        /// The step.
+        step: u64,
+    },
+    /// Don't use it after all.
+    Disarm {
+        /// Its version.
+        version: u64,
+    },
+    /// Don't begin a step.
+    Hold {
+        /// The step.
+        step: u64,
+    },
+    /// Begin it after all.
+    Go {
+        /// The step.
+        step: u64,
+    },
+}
+
+/// One rank, as its agent speaks to it.
+#[derive(Debug)]
+pub(crate) struct ArmingEngine {
+    address: SocketAddr,
+    dialect: ArmingDialect,
+    cfg: ClientSettings,
+    /// Connections are dear to some engines, and questions come several times
+    /// a second.
+    pool: Pool,
+    /// Version that it was last told to load.
+    told: AtomicU64,
+    serial: AtomicU64,
+}
+
+/// The document of a map, as far as it is needed here.
+#[derive(Deserialize)]
+struct Document {
+    layers: Vec<Vec<Vec<Option<u16>>>>,
+}
+
+impl ArmingEngine {
+    pub fn new(address: SocketAddr, dialect: ArmingDialect, cfg: ClientSettings) -> Self {
+        // Orders of a former life of this agent must count as older.
+        let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        let seconds = since.map_or(0, |since| since.as_secs());
+        let serial = (seconds << ORDER_BITS) & ((1 << SERIAL_BITS) - 1);
+        ArmingEngine {
+            address,
+            dialect,
+            cfg,
+            pool: Pool::new(MOST_KEPT, KEPT),
+            told: AtomicU64::new(0),
+            serial: AtomicU64::new(serial),
+        }
+    }
+
+    pub async fn state(&self) -> Result<ArmingState, Failure> {
+        let body = self.get(self.dialect.state_path).await?;
+        (self.dialect.state)(&body).ok_or_else(|| unreadable("state"))
+    }
+
+    pub async fn map(&self) -> Result<MapState, Failure> {
+        let state = self.state().await?;
+        let told = Some(self.told.load(Ordering::Relaxed));
+        // A rank doesn't say that it loads; what it was told and doesn't have
+        // yet it is taken to load.
+        let loading = told.filter(|told| *told > state.prepared.unwrap_or(state.version));
+        let next = state.armed.map(|(version, _)| version);
+        Ok(MapState {
+            step: state.step,
+            version: state.version,
+            loading,
+            staged: state.prepared,
+            next: next.filter(|_| state.held.is_none()),
+            held: state.held,
+            waits: true,
+            waiting: false,
+            formation: Some(state.formation.unwrap_or(0)),
+            ranks: (0..state.ranks).collect(),
+            fencing: 0,
+            arming: Some(match state.armed {
+                Some(_) => Arming::Armed,
+                None => Arming::Unarmed,
+            }),
+        })
+    }
+
+    pub async fn experts(&self, step_us: u32) -> Result<ExpertCounts, Failure> {
+        let state = self.state().await?;
+        let body = self.get(self.dialect.counts_path).await?;
+        let counts = (self.dialect.counts)(&body).ok_or_else(|| unreadable("counts"))?;
+        Ok(ExpertCounts {
+            step: state.step,
+            map_version: state.version,
+            ranks: vec![RankCounts {
+                rank: state.rank,
+                step_us,
+                tokens: vec![counts],
+            }],
+        })
+    }
+
+    pub async fn order(&self, fencing: u64, order: &MapOrder) -> Result<Obeyed, OrderFailure> {
+        let state = self.state().await.map_err(OrderFailure::Failed)?;
+        let formation = state.formation.unwrap_or(0);
+        for body in bodies(order, &state)? {
+            self.give(fencing, formation, body).await?;
+        }
+        if let MapOrder::Stage { version, .. } = order {
+            self.told.store(*version, Ordering::Relaxed);
+        }
+        Ok(Obeyed {
+            step: state.step,
+            ready: true,
+            held: true,
+            known: true,
+        })
+    }
+
+    /// Sends an order until it is answered, each time under a higher number:
+    /// of the former ones, which may still be obeyed late, the rank then
+    /// refuses each.
+    async fn give(
+        &self,
+        fencing: u64,
+        formation: u64,
+        body: ArmingBody,
+    ) -> Result<(), OrderFailure> {
+        let mut failure = Failure::NotRun("not tried".to_owned());
+        let mut absent = 0;
+        for _ in 0..TRIES {
+            let order = ArmingOrder {
+                body: body.clone(),
+                fencing: self.number(fencing),
+                formation,
+            };
+            match self.send(&order).await {
+                Ok(StatusCode::PRECONDITION_FAILED) => {
+                    // A former life of this agent was further on.
+                    self.serial.fetch_add(1 << ORDER_BITS, Ordering::Relaxed);
+                }
+                Ok(status) if status.is_success() => return Ok(()),
+                Ok(status) if status.is_client_error() => {
+                    let refused = format!("{:?} answered {status}", order.body);
+                    return Err(OrderFailure::Refused(refused));
+                }
+                Ok(status) => failure = Failure::Broken(format!("order answered {status}")),
+                Err(e @ Failure::NotRun(_)) if absent < ABSENT => {
+                    absent += 1;
+                    failure = e;
+                }
+                Err(e @ Failure::NotRun(_)) => return Err(OrderFailure::Failed(e)),
+                Err(e) => failure = e,
+            }
+        }
+        Err(OrderFailure::Failed(failure))
+    }
+
+    fn number(&self, fencing: u64) -> u64 {
+        let serial = self.serial.fetch_add(1, Ordering::Relaxed);
+        (fencing << SERIAL_BITS) + (serial & ((1 << SERIAL_BITS) - 1))
+    }
+
+    async fn send(&self, order: &ArmingOrder) -> Result<StatusCode, Failure> {
+        let body = (self.dialect.order)(order);
+        let req = self.request(Method::POST, self.dialect.order_path, body.into())?;
+        let cfg = ClientSettings {
+            connect: TRY_WITHIN,
+            head: TRY_WITHIN,
+            question: TRY_WITHIN,
+            ..self.cfg.clone()
+        };
+        let (status, _) = self.ask(&cfg, req).await?;
+        Ok(status)
+    }
+
+    async fn get(&self, path: &str) -> Result<Bytes, Failure> {
+        let req = self.request(Method::GET, path, Bytes::new())?;
+        let (status, body) = self.ask(&self.cfg, req).await?;
+        if !status.is_success() {
+            return Err(Failure::Broken(format!("{path} answered {status}")));
+        }
+        Ok(body)
+    }
+
+    /// Asks on a kept connection, or on a fresh one. Whatever is asked here may
+    /// be asked twice.
+    async fn ask(
+        &self,
+        cfg: &ClientSettings,
+        mut req: Request<Full<Bytes>>,
+    ) -> Result<(StatusCode, Bytes), Failure> {
+        while let Some(mut conn) = self.pool.take(Instant::now()) {
+            if !conn.is_ready(cfg).await || !conn.is_quiet() {
+                continue;
+            }
+            match conn.try_send(req, cfg.question).await {
+                Ok(response) => return self.read(cfg, response, conn).await,
+                Err(Unanswered::Failed(failure)) => return Err(failure),
+                Err(Unanswered::Unwritten(unwritten)) => req = *unwritten,
+            }
+        }
+        let mut conn = Connection::open(self.address, cfg).await?;
+        let response = conn.send(req, cfg.question).await?;
+        self.read(cfg, response, conn).await
+    }
+
+    async fn read(
+        &self,
+        cfg: &ClientSettings,
+        response: Response<Incoming>,
+        mut conn: Connection,
+    ) -> Result<(StatusCode, Bytes), Failure> {
+        let status = response.status();
+        let closes = response.headers().contains_key(CONNECTION);
+        let body = Limited::new(response.into_body(), MOST_ANSWER).collect();
+        let body = match timeout(cfg.question, body).await {
+            Ok(body) => body.map_err(|e| Failure::Broken(e.to_string()))?,
+            Err(_) => return Err(Failure::Silent("no whole answer in time".to_owned())),
+        };
+        if !closes && conn.keep(cfg).is_ok() {
+            self.pool.put(conn, Instant::now());
+        }
+        Ok((status, body.to_bytes()))
+    }
+
+    fn request(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Request<Full<Bytes>>, Failure> {
+        let json = HeaderValue::from_static("application/json");
+        Request::builder()
+            .method(method)
+            .uri(path)
+            .header(HOST, self.address.to_string())
+            .header(CONTENT_TYPE, json)
+            .body(Full::new(body))
+            .map_err(|e| Failure::NotRun(e.to_string()))
+    }
+}
+
+fn unreadable(what: &str) -> Failure {
+    Failure::Broken(format!("the {what} can't be read"))
+}
+
+/// The rank's own orders that make up one order of a switch.
+fn bodies(order: &MapOrder, state: &ArmingState) -> Result<Vec<ArmingBody>, OrderFailure> {
+    Ok(match order {
+        MapOrder::Stage { version, map } => vec![ArmingBody::Prepare {
+            version: *version,
+            map: lists(map)?,
+        }],
+        // Held first: once it is, no step begins on another map than the
+        // others use, however long arming takes.
+        MapOrder::Hold { version, step } => vec![
+            ArmingBody::Hold { step: *step },
+            ArmingBody::Arm {
+                version: *version,
+                step: *step,
+            },
+        ],
+        MapOrder::Commit { step, .. } => vec![ArmingBody::Go { step: *step }],
+        MapOrder::Abort { version, .. } => {
+            let mut bodies = vec![ArmingBody::Disarm { version: *version }];
+            bodies.extend(state.held.map(|step| ArmingBody::Go { step }));
+            bodies
+        }
+        // Such an engine starts each formation on its start map by itself.
+        MapOrder::Join { .. } => Vec::new(),
+    })
+}
+
+fn lists(map: &[u8]) -> Result<Vec<Vec<Vec<u16>>>, OrderFailure> {
+    let document: Document = serde_json::from_slice(map)
+        .map_err(|e| OrderFailure::Failed(Failure::NotRun(e.to_string())))?;
+    let rank = |slots: Vec<Option<u16>>| slots.into_iter().flatten().collect();
+    let layer = |ranks: Vec<Vec<Option<u16>>>| ranks.into_iter().map(rank).collect();
+    Ok(document.layers.into_iter().map(layer).collect())
+}
--- a/crates/agent/src/engine/mod.rs
+++ b/crates/agent/src/engine/mod.rs
@@ -4,6 +4,7 @@
 //! engine or a plain service: the rest of the agent sees [`Call`], [`Reply`],
 //! [`Load`], [`Profile`] and their kin.
 
+mod arming;
 mod cache;
 mod call;
 mod expert_counts;
@@ -16,6 +17,8 @@
 mod whole;
 
 pub use ::outlet::{ClientSettings, Failure, PoolCounts};
+pub(crate) use arming::ArmingEngine;
+pub use arming::{ArmingBody, ArmingDialect, ArmingOrder, ArmingState};
 pub use cache::CacheChange;
 pub use call::{Call, Repeats};
 pub use expert_counts::{ExpertCounts, RankCounts};
--- a/crates/agent/src/engine/order.rs
+++ b/crates/agent/src/engine/order.rs
@@ -1,6 +1,7 @@
 //! Orders that switch an engine's expert map.
 
 use bytes::Bytes;
+use expert::Arming;
 use serde::Deserialize;
 
 use super::Failure;
@@ -101,6 +102,9 @@
     pub ranks: Vec<u32>,
     /// The highest fencing number that the engine has seen.
     pub fencing: u64,
+    /// Whether an engine that is armed by an order of its own is armed.
+    #[serde(skip)]
+    pub arming: Option<Arming>,
 }
 
 /// Why an order isn't known to be obeyed.
--- a/crates/agent/src/engine/outlet.rs
+++ b/crates/agent/src/engine/outlet.rs
@@ -16,8 +16,9 @@
 
 use super::reply::HOP_HEADERS;
 use super::{
-    CacheChange, Call, ClientSettings, ExpertCounts, Failure, InForce, Load, MapOrder, MapState,
-    Obeyed, OrderFailure, PoolCounts, Profile, Repeats, Reply,
+    ArmingDialect, ArmingEngine, ArmingState, CacheChange, Call, ClientSettings, ExpertCounts,
+    Failure, InForce, Load, MapOrder, MapState, Obeyed, OrderFailure, PoolCounts, Profile, Repeats,
+    Reply,
 };
 
 /// Bytes of a body at most that is written to a connection that was kept. More
@@ -43,8 +44,15 @@
     stand: Stand,
     cfg: ClientSettings,
     pool: Arc<Pool>,
+    /// Set for an engine whose ranks are armed and held by orders of their own.
+    arming: Option<Arc<ArmingEngine>>,
 }
 
+/// Microseconds of a window that a layer of a busy rank is taken to need
+/// where the rank doesn't say: six layers share six sevenths of half a second.
+/// All ranks of such a group step together, so no rank is told apart by it.
+const EQUAL_STEP_US: u32 = 70_000;
+
 impl Outlet {
     /// The way to the target at an address; keeps no connections.
     #[must_use]
@@ -54,9 +62,20 @@
             stand,
             cfg,
             pool: Arc::new(Pool::new(0, Duration::ZERO)),
+            arming: None,
         }
     }
 
+    /// The way to an engine whose ranks are armed and held by orders of their
+    /// own; it is only asked about maps.
+    #[must_use]
+    pub fn arming(address: SocketAddr, dialect: ArmingDialect, cfg: ClientSettings) -> Self {
+        let engine = ArmingEngine::new(address, dialect, cfg.clone());
+        let mut outlet = Outlet::new(address, Stand::Engine, cfg);
+        outlet.arming = Some(Arc::new(engine));
+        outlet
+    }
+
     /// Keeps at most `most` connections between two calls, each for at most
     /// `idle` unused.
     #[must_use]
@@ -171,7 +190,10 @@
     ///
     /// Fails when the target doesn't answer or answers something else.
     pub async fn experts(&self) -> Result<ExpertCounts, Failure> {
-        self.get("/experts").await
+        match &self.arming {
+            Some(engine) => engine.experts(EQUAL_STEP_US).await,
+            None => self.get("/experts").await,
+        }
     }
 
     /// Asks where the engine stands with its maps.
@@ -180,7 +202,23 @@
     ///
     /// Fails when the target doesn't answer or answers something else.
     pub async fn map(&self) -> Result<MapState, Failure> {
-        self.get("/map").await
+        match &self.arming {
+            Some(engine) => engine.map().await,
+            None => self.get("/map").await,
+        }
+    }
+
+    /// Asks a rank that is armed and held by orders of its own where it stands.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the engine doesn't answer, answers something else, or is no
+    /// such engine.
+    pub async fn arming_state(&self) -> Result<ArmingState, Failure> {
+        match &self.arming {
+            Some(engine) => engine.state().await,
+            None => Err(Failure::NotRun("not such an engine".to_owned())),
+        }
     }
 
     /// Tells the engine to stop a request.
@@ -200,6 +238,9 @@
     /// See [`OrderFailure`]; a call that failed otherwise than as not run may
     /// have been obeyed.
     pub async fn order(&self, fencing: u64, order: &MapOrder) -> Result<Obeyed, OrderFailure> {
+        if let Some(engine) = &self.arming {
+            return engine.order(fencing, order).await;
+        }
         let (path, body) = spell(fencing, order)?;
         let answer = self.post(path, body).await;
         let (status, body) = answer.map_err(OrderFailure::Failed)?;
--- a/crates/agent/src/links.rs
+++ b/crates/agent/src/links.rs
@@ -200,7 +200,7 @@
 }
 
 /// Whether another node wants it passed on to control.
-fn is_relayed(body: &Body) -> bool {
+pub(crate) fn is_relayed(body: &Body) -> bool {
     matches!(body, Body::Renew(_) | Body::FetchNotes(_))
 }
 
--- a/crates/agent/src/map/chooser.rs
+++ b/crates/agent/src/map/chooser.rs
@@ -10,8 +10,8 @@
 use note::Group;
 use wire::proto::RankWindow;
 
-use crate::map::MapSettings;
 use crate::map::party::PartyRanks;
+use crate::map::{MapSettings, StartMap};
 
 /// Seconds for a token of a layer before any is known.
 const FIRST_SECONDS_PER_TOKEN: f64 = 1e-6;
@@ -64,6 +64,13 @@
         self.hopeless = None;
     }
 
+    /// Version of the map on which the ranks counted, if all did on one.
+    pub fn version(&self) -> Option<u64> {
+        let mut versions = self.windows.values().map(|window| window.map_version);
+        let first = versions.next()?;
+        versions.all(|version| version == first).then_some(first)
+    }
+
     /// Whether it is for a group of this size.
     pub fn is_for(&self, group: &Group) -> bool {
         let layers = usize::try_from(group.layers) == Ok(self.shape.layers());
@@ -91,7 +98,7 @@
         group: &Group,
         cfg: &MapSettings,
     ) -> Option<Plan> {
-        let present = self.present(present);
+        let present = self.present(present, cfg.start);
         let mut live = self.speeds.live().iter().zip(0..);
         if live.any(|(live, rank)| *live && !self.windows.contains_key(&rank)) {
             return None;
@@ -117,7 +124,7 @@
     /// Nothing else is moved: the weight store gives out so many bytes a
     /// second and no more, and without these experts answers are wrong.
     pub fn repair(&mut self, present: Option<&Map>, cfg: &MapSettings) -> Option<Plan> {
-        let present = self.present(present);
+        let present = self.present(present, cfg.start);
         let faults = present.check(self.speeds.live());
         let mut missing = faults
             .iter()
@@ -138,12 +145,15 @@
         plan
     }
 
-    fn present(&self, present: Option<&Map>) -> Map {
+    fn present(&self, present: Option<&Map>, start: StartMap) -> Map {
         let hosts = self.shape.hosts().to_vec();
         present
             .and_then(|map| map.on_hosts(hosts))
             .filter(|map| *map.shape() == self.shape)
-            .unwrap_or_else(|| Map::uniform(self.shape.clone()))
+            .unwrap_or_else(|| match start {
+                StartMap::Copies => Map::uniform(self.shape.clone()),
+                StartMap::Bare => Map::in_turn(self.shape.clone()),
+            })
     }
 
     fn planned(&self, present: &Map, weights: Weights, cfg: &MapSettings) -> Option<Plan> {
@@ -152,7 +162,8 @@
             cost: cfg.cost,
             horizon: f64::from(cfg.horizon),
         };
-        let plan = planner.plan(present, &self.estimate.forecast(), &self.speeds);
+        let load = self.estimate.forecast();
+        let plan = planner.plan_within(present, &load, &self.speeds, cfg.most_new);
         plan.is_change.then_some(plan)
     }
 }
--- a/crates/agent/src/map/control_calls.rs
+++ b/crates/agent/src/map/control_calls.rs
@@ -7,7 +7,7 @@
 use ractor::ActorRef;
 use wire::proto::{MapQuery, OpenCoordinator, command, outcome, query, query_reply};
 
-use crate::context::Context;
+use crate::map::map_context::MapContext;
 use crate::map::msg::MapMsg;
 use crate::map::translate;
 
@@ -15,13 +15,13 @@
 const WITHIN: Duration = Duration::from_secs(5);
 
 /// Opens a coordinator and reports what stands.
-pub(crate) async fn open(cx: Arc<Context>, inbox: ActorRef<MapMsg>) {
+pub(crate) async fn open(cx: Arc<MapContext>, inbox: ActorRef<MapMsg>) {
     let standing = opened(&cx).await;
     let _ = inbox.send_message(MapMsg::Opened(standing));
 }
 
 /// Opens a number so that the engine can join, and reports what stands.
-pub(crate) async fn open_to_join(cx: Arc<Context>, formation: u64, inbox: ActorRef<MapMsg>) {
+pub(crate) async fn open_to_join(cx: Arc<MapContext>, formation: u64, inbox: ActorRef<MapMsg>) {
     let standing = opened(&cx).await;
     let _ = inbox.send_message(MapMsg::JoinOpened {
         formation,
@@ -29,10 +29,10 @@
     });
 }
 
-async fn opened(cx: &Context) -> Option<Standing> {
+async fn opened(cx: &MapContext) -> Option<Standing> {
     let open = command::Body::OpenCoordinator(OpenCoordinator {
-        group: cx.cfg.serves.clone(),
-        agent: cx.cfg.name.clone(),
+        group: cx.group.clone(),
+        agent: cx.name.clone(),
         incarnation: cx.incarnation,
     });
     let outcome = cx.follower.propose(open, WITHIN).await;
@@ -43,8 +43,8 @@
 }
 
 /// Has a decision committed and reports the answer.
-pub(crate) async fn decide(cx: Arc<Context>, decision: Decision, inbox: ActorRef<MapMsg>) {
-    let decide = translate::decide(&cx.cfg.serves, decision);
+pub(crate) async fn decide(cx: Arc<MapContext>, decision: Decision, inbox: ActorRef<MapMsg>) {
+    let decide = translate::decide(&cx.group, decision);
     let outcome = cx
         .follower
         .propose(command::Body::DecideMap(decide), WITHIN)
@@ -57,14 +57,14 @@
 }
 
 /// Reads what stands for the group.
-pub(crate) async fn ask(cx: Arc<Context>, inbox: ActorRef<MapMsg>) {
+pub(crate) async fn ask(cx: Arc<MapContext>, inbox: ActorRef<MapMsg>) {
     let standing = read(&cx).await;
     let _ = inbox.send_message(MapMsg::Standing(standing));
 }
 
-async fn read(cx: &Context) -> Option<Standing> {
+async fn read(cx: &MapContext) -> Option<Standing> {
     let query = query::Body::Map(MapQuery {
-        group: cx.cfg.serves.clone(),
+        group: cx.group.clone(),
     });
     let reply = cx.follower.query(query, WITHIN).await.ok()?;
     match reply.body {
--- a/crates/agent/src/map/engine_calls.rs
+++ b/crates/agent/src/map/engine_calls.rs
@@ -5,14 +5,14 @@
 use expert::{Decision, EngineOrder, EngineState, Map, Verdict};
 use ractor::ActorRef;
 
-use crate::context::Context;
 use crate::engine::{InForce, MapOrder, MapState, map_document};
+use crate::map::map_context::MapContext;
 use crate::map::msg::MapMsg;
 use crate::order::Orders;
 
 /// Gives an order and reports the state that it left, which is read back.
 pub(crate) async fn order(
-    cx: Arc<Context>,
+    cx: Arc<MapContext>,
     orders: Orders,
     serial: u64,
     order: EngineOrder,
@@ -90,5 +90,6 @@
             Some(0) => None,
             told => Some(told.unwrap_or_default()),
         },
+        arming: map.arming,
     }
 }
--- a/crates/agent/src/map/loads.rs
+++ b/crates/agent/src/map/loads.rs
@@ -18,7 +18,7 @@
         }
         for name in self.members.names() {
             let load = GroupLoad {
-                group: self.cx.cfg.serves.clone(),
+                group: self.cx.group.clone(),
                 about_formation: true,
                 ..GroupLoad::default()
             };
@@ -28,7 +28,7 @@
 
     /// Asks for this agent's counts or formation, or answers that.
     pub fn group_load(&mut self, from: &str, load: GroupLoad) {
-        if load.group != self.cx.cfg.serves {
+        if load.group != self.cx.group {
             return;
         }
         if load.is_answer {
@@ -55,8 +55,7 @@
             }
             return;
         }
-        let catalogue = self.cx.follower.catalogue();
-        let group = catalogue.group(&self.cx.cfg.serves);
+        let group = self.cx.offered();
         let all = 0..group.map_or(0, |group| group.ranks);
         let ranks = match load.formation {
             0 => all.collect(),
@@ -75,7 +74,7 @@
             return;
         }
         let load = GroupLoad {
-            group: self.cx.cfg.serves.clone(),
+            group: self.cx.group.clone(),
             about_formation: true,
             is_answer: true,
             formation: map.formation.unwrap_or_default(),
@@ -91,7 +90,7 @@
         let ranks = self.windows.next(counts);
         if !ranks.is_empty() && map.waits {
             let load = GroupLoad {
-                group: self.cx.cfg.serves.clone(),
+                group: self.cx.group.clone(),
                 is_answer: true,
                 ranks,
                 ..GroupLoad::default()
--- a/crates/agent/src/map/maps.rs
+++ b/crates/agent/src/map/maps.rs
@@ -5,8 +5,7 @@
 use ractor::{Actor, ActorRef};
 use wire::{ClusterKey, Identity, Incoming, LinkSettings};
 
-use crate::context::Context;
-use crate::engine::Stand;
+use crate::map::map_context::MapContext;
 use crate::map::msg::MapMsg;
 use crate::map::peers::Peers;
 use crate::map::switcher::{Start, Switcher};
@@ -19,6 +18,11 @@
 }
 
 impl Maps {
+    /// Before a plain service there is nothing to do.
+    pub fn none() -> Self {
+        Maps { actor: None }
+    }
+
     /// Takes one message.
     pub fn take(&self, incoming: Incoming) {
         if let Some(actor) = &self.actor {
@@ -27,17 +31,14 @@
     }
 }
 
-/// Starts the actor; before a plain service there is nothing to do.
+/// Starts the actor.
 pub(crate) async fn start(
-    cx: &Arc<Context>,
+    cx: &Arc<MapContext>,
     orders: &Orders,
     me: &Identity,
     key: &ClusterKey,
     link: &LinkSettings,
 ) -> eyre::Result<Maps> {
-    if cx.cfg.stand == Stand::Service {
-        return Ok(Maps { actor: None });
-    }
     let peers = Peers::new(me.clone(), key.clone(), link.clone(), cx.stop.clone());
     let start = Start {
         cx: Arc::clone(cx),
--- a/crates/agent/src/map/mod.rs
+++ b/crates/agent/src/map/mod.rs
@@ -13,6 +13,7 @@
 mod engine_calls;
 mod formations;
 mod loads;
+mod map_context;
 mod maps;
 mod members;
 mod msg;
@@ -24,5 +25,6 @@
 mod translate;
 mod windows;
 
+pub(crate) use map_context::{MapContext, Offers};
 pub(crate) use maps::{Maps, start};
-pub use settings::MapSettings;
+pub use settings::{MapSettings, StartMap};
--- a/crates/agent/src/map/settings.rs
+++ b/crates/agent/src/map/settings.rs
@@ -18,6 +18,19 @@
     pub cost: MoveCost,
     /// Times of a switch.
     pub timing: SwitchTiming,
+    /// Experts new to one rank in one layer that a switch may bring at most.
+    pub most_new: usize,
+    /// The map that engines start with.
+    pub start: StartMap,
+}
+
+/// The map that engines start with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartMap {
+    /// Experts in order, spare slots with further copies.
+    Copies,
+    /// Experts in turn, spare slots empty; each formation starts with it.
+    Bare,
 }
 
 impl MapSettings {
@@ -47,6 +60,8 @@
                 ghost: time(r, "ghost_ms", defaults.ghost),
                 lead_steps: r.within("lead_steps", defaults.lead_steps, 1..=1_000_000),
             },
+            most_new: usize::MAX,
+            start: StartMap::Copies,
         }
     }
 }
--- a/crates/agent/src/map/state.rs
+++ b/crates/agent/src/map/state.rs
@@ -14,10 +14,10 @@
 use wire::proto::GroupLoad;
 use wire::proto::frame::Body;
 
-use crate::context::Context;
 use crate::map::chooser::{self, Chooser};
 use crate::map::control_call::ControlCall;
 use crate::map::formations::Formations;
+use crate::map::map_context::MapContext;
 use crate::map::members::Members;
 use crate::map::msg::MapMsg;
 use crate::map::party::Party;
@@ -25,12 +25,12 @@
 use crate::map::switcher::Start;
 use crate::map::translate::{self, Received};
 use crate::map::windows::Windows;
-use crate::map::{control_calls, engine_calls};
+use crate::map::{StartMap, control_calls, engine_calls};
 use crate::order::Orders;
 
 /// Participant and coordinator of one agent, and what they want done.
 pub(crate) struct State {
-    pub cx: Arc<Context>,
+    pub cx: Arc<MapContext>,
     orders: Orders,
     peers: Peers,
     pub inbox: ActorRef<MapMsg>,
@@ -48,6 +48,8 @@
     window_ends: Instant,
     /// Number of the last order to the engine.
     serial: u64,
+    /// A switch was begun since the ranks were last asked for their counts.
+    switched: bool,
     /// Calls to control that are on their way.
     calls: BTreeSet<ControlCall>,
 }
@@ -55,7 +57,7 @@
 impl State {
     pub fn new(start: Start, inbox: ActorRef<MapMsg>) -> Self {
         let now = Instant::now();
-        let maps = &start.cx.cfg.maps;
+        let maps = &start.cx.cfg;
         State {
             participant: Participant::new(maps.timing, now),
             window_ends: now + maps.window,
@@ -72,6 +74,7 @@
             present: None,
             windows: Windows::default(),
             serial: 0,
+            switched: false,
             calls: BTreeSet::new(),
         }
     }
@@ -86,7 +89,7 @@
                 self.receive(&from, body, now);
             }
             MapMsg::Own(body) => {
-                let me = self.cx.cfg.name.clone();
+                let me = self.cx.name.clone();
                 self.receive(&me, *body, now);
             }
             MapMsg::Tick => self.tick(now),
@@ -128,7 +131,7 @@
             }
             body => body,
         };
-        match translate::from_body(&self.cx.cfg.serves, body) {
+        match translate::from_body(&self.cx.group, body) {
             Some(Received::Participant(message)) => {
                 let outputs = self.participant.on_message(from, message, now);
                 self.participate(outputs);
@@ -151,13 +154,13 @@
             let outputs = coordinator.tick(now);
             self.coordinate(outputs);
         }
-        if now >= self.formation_asked + self.cx.cfg.maps.formation {
+        if now >= self.formation_asked + self.cx.cfg.formation {
             self.formation_asked = now;
             self.ask_formation();
         }
         self.repair(now);
         if now >= self.window_ends {
-            self.window_ends = now + self.cx.cfg.maps.window;
+            self.window_ends = now + self.cx.cfg.window;
             self.plan(now);
         }
     }
@@ -168,8 +171,8 @@
         if !view.settled {
             return;
         }
-        let members = Members::new(&view, &self.cx.cfg.serves);
-        if members.lowest() != Some(&self.cx.cfg.name) {
+        let members = Members::new(&view, &self.cx.group);
+        if members.lowest() != Some(&self.cx.name) {
             self.coordinator = None;
             self.chooser = None;
             return;
@@ -179,19 +182,18 @@
             .as_ref()
             .is_none_or(Coordinator::is_deposed);
         self.formations.keep(&members.addresses);
-        let catalogue = self.cx.follower.catalogue();
-        let group = catalogue.group(&self.cx.cfg.serves);
-        let ranks = group.map_or(0, |group| group.ranks);
+        let group = self.cx.offered();
+        let ranks = group.as_ref().map_or(0, |group| group.ranks);
         let party = Party::new(&members, self.formations.newest(), ranks);
         self.members = members;
         if deposed || party != self.party {
-            log::info!("coordinates the expert maps of {}", self.cx.cfg.serves);
-            let timing = self.cx.cfg.maps.timing;
+            log::info!("coordinates the expert maps of {}", self.cx.group);
+            let timing = self.cx.cfg.timing;
             let agents = party.agents.clone();
             let coordinator = Coordinator::new(agents, party.formation, timing, now);
             self.coordinator = Some(coordinator);
             self.party = party;
-            self.choose_for(group);
+            self.choose_for(group.as_ref());
         }
     }
 
@@ -220,16 +222,22 @@
         if !coordinator.is_idle() {
             return;
         }
-        if let Some(plan) = chooser.repair(self.present.as_ref(), &self.cx.cfg.maps) {
-            let (repairs, group) = (plan.repairs, &self.cx.cfg.serves);
+        if let Some(plan) = chooser.repair(self.present.as_ref(), &self.cx.cfg) {
+            let (repairs, group) = (plan.repairs, &self.cx.group);
             log::warn!("places {repairs} experts of {group} that lost ranks held");
             self.begin(&plan, now);
         }
     }
 
     fn begin(&mut self, plan: &Plan, now: Instant) {
-        log::info!("switches the expert map of {}", self.cx.cfg.serves);
-        let loading = chooser::loading(plan, &self.cx.cfg.maps);
+        self.switched = true;
+        log::info!(
+            group = self.cx.group.as_str(), loads = plan.loads,
+            before_us:display = micros(plan.before), after_us:display = micros(plan.after),
+            even_us:display = micros(plan.even);
+            "switches the expert map"
+        );
+        let loading = chooser::loading(plan, &self.cx.cfg);
         if let Some(coordinator) = &mut self.coordinator {
             let outputs = coordinator.begin(plan.map.to_bytes(), loading, now);
             self.coordinate(outputs);
@@ -241,25 +249,38 @@
         let Some(coordinator) = &self.coordinator else {
             return;
         };
-        let catalogue = self.cx.follower.catalogue();
-        let Some(group) = catalogue.group(&self.cx.cfg.serves) else {
+        let Some(group) = self.cx.offered() else {
             return;
         };
+        let idle = coordinator.is_idle();
+        if idle {
+            self.heed_start_map();
+        }
         if let Some(chooser) = &mut self.chooser
-            && coordinator.is_idle()
-            && let Some(plan) = chooser.plan(self.present.as_ref(), group, &self.cx.cfg.maps)
+            && idle
+            && let Some(plan) = chooser.plan(self.present.as_ref(), &group, &self.cx.cfg)
         {
             self.begin(&plan, now);
         }
         for name in self.members.names() {
             let load = GroupLoad {
-                group: self.cx.cfg.serves.clone(),
+                group: self.cx.group.clone(),
                 ..GroupLoad::default()
             };
             self.send(&name, Body::GroupLoad(load));
         }
     }
 
+    /// Engines that start each formation on their start map are on it again,
+    /// whatever was committed before.
+    fn heed_start_map(&mut self) {
+        let version = self.chooser.as_ref().and_then(Chooser::version);
+        let asked_before = std::mem::take(&mut self.switched);
+        if self.cx.cfg.start == StartMap::Bare && version == Some(0) && !asked_before {
+            self.present = None;
+        }
+    }
+
     fn opened(&mut self, standing: Option<Standing>, now: Instant) {
         self.calls.remove(&ControlCall::Open);
         let (Some(standing), Some(coordinator)) = (standing, &mut self.coordinator) else {
@@ -302,7 +323,7 @@
                     tokio::spawn(control_calls::decide(cx, decision, inbox));
                 }
                 CoordinatorOutput::Send { to, message } => {
-                    let body = translate::to_participant(&self.cx.cfg.serves, message);
+                    let body = translate::to_participant(&self.cx.group, message);
                     self.send(&to, body);
                 }
                 CoordinatorOutput::Deposed => log::info!("another agent coordinates"),
@@ -333,7 +354,7 @@
                     tokio::spawn(order);
                 }
                 ParticipantOutput::Send { to, message } => {
-                    let body = translate::to_coordinator(&self.cx.cfg.serves, message);
+                    let body = translate::to_coordinator(&self.cx.group, message);
                     self.send(&to, body);
                 }
             }
@@ -341,7 +362,7 @@
     }
 
     pub fn send(&self, to: &str, body: Body) {
-        if to == self.cx.cfg.name {
+        if to == self.cx.name {
             let _ = self.inbox.send_message(MapMsg::Own(Box::new(body)));
             return;
         }
@@ -349,3 +370,8 @@
         self.peers.send(to, address, body, &self.inbox);
     }
 }
+
+/// Seconds as whole microseconds, for a log line.
+fn micros(seconds: f64) -> u128 {
+    std::time::Duration::try_from_secs_f64(seconds).map_or(0, |time| time.as_micros())
+}
--- a/crates/agent/src/map/switcher.rs
+++ b/crates/agent/src/map/switcher.rs
@@ -5,7 +5,7 @@
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::task::JoinHandle;
 
-use crate::context::Context;
+use crate::map::map_context::MapContext;
 use crate::map::msg::MapMsg;
 use crate::map::peers::Peers;
 use crate::map::state::State;
@@ -16,7 +16,7 @@
 
 /// What the actor is started with.
 pub(crate) struct Start {
-    pub cx: Arc<Context>,
+    pub cx: Arc<MapContext>,
     pub orders: Orders,
     pub peers: Peers,
 }
@@ -62,8 +62,8 @@
     }
 }
 
-async fn keep_time(switcher: ActorRef<MapMsg>, cx: Arc<Context>) {
-    let mut ticks = tokio::time::interval(cx.cfg.timing.poll);
+async fn keep_time(switcher: ActorRef<MapMsg>, cx: Arc<MapContext>) {
+    let mut ticks = tokio::time::interval(cx.poll);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
--- a/crates/agent/src/order/orders.rs
+++ b/crates/agent/src/order/orders.rs
@@ -7,8 +7,8 @@
 use tokio::time::sleep;
 use wire::proto::{MapQuery, query, query_reply};
 
-use crate::context::Context;
 use crate::engine::{Failure, MapOrder, Obeyed, OrderFailure};
+use crate::map::MapContext;
 use crate::order::{Fence, Reading, read_back};
 
 /// How often an order is given, and its outcome read back, before its outcome
@@ -51,7 +51,7 @@
 }
 
 /// Starts the actor.
-pub(crate) async fn start(cx: Arc<Context>) -> eyre::Result<Orders> {
+pub(crate) async fn start(cx: Arc<MapContext>) -> eyre::Result<Orders> {
     let stop = cx.stop.clone();
     let (queue, _) = Actor::spawn(None, Giver, cx).await?;
     let ended = queue.clone();
@@ -73,19 +73,19 @@
 }
 
 struct State {
-    cx: Arc<Context>,
+    cx: Arc<MapContext>,
     fence: Fence,
 }
 
 impl Actor for Giver {
     type Msg = OrderMsg;
     type State = State;
-    type Arguments = Arc<Context>;
+    type Arguments = Arc<MapContext>;
 
     async fn pre_start(
         &self,
         _myself: ActorRef<OrderMsg>,
-        cx: Arc<Context>,
+        cx: Arc<MapContext>,
     ) -> Result<State, ActorProcessingErr> {
         Ok(State {
             cx,
@@ -143,7 +143,7 @@
     /// any: the current one comes from a majority of control.
     async fn learn(&mut self) -> Result<(), OrderFailure> {
         let query = query::Body::Map(MapQuery {
-            group: self.cx.cfg.serves.clone(),
+            group: self.cx.group.clone(),
         });
         let reply = self.cx.follower.query(query, LEARN).await;
         let body = reply.ok().and_then(|reply| reply.body);
--- a/crates/agent/src/order/read_back.rs
+++ b/crates/agent/src/order/read_back.rs
@@ -1,5 +1,7 @@
 //! What an order with a lost answer did.
 
+use expert::Arming;
+
 use crate::engine::{MapOrder, MapState, Obeyed};
 
 /// What an engine's state says of an order.
@@ -36,6 +38,13 @@
     let staged = |version: &u64| state.staged == Some(*version);
     let loading = |version: &u64| state.loading == Some(*version);
     let used = |version: &u64| state.version == *version || state.next == Some(*version);
+    if state.arming.is_some() {
+        return if armed_as_ordered(order, state) {
+            obeyed
+        } else {
+            Reading::NotObeyed
+        };
+    }
     match order {
         MapOrder::Join { .. } if state.waiting => Reading::NotObeyed,
         MapOrder::Join { .. } => obeyed,
@@ -54,3 +63,20 @@
         }
     }
 }
+
+/// The same for an engine that is armed by an order of its own.
+fn armed_as_ordered(order: &MapOrder, state: &MapState) -> bool {
+    let armed = state.arming == Some(Arming::Armed);
+    match order {
+        MapOrder::Join { .. } => true,
+        MapOrder::Stage { version, .. } => {
+            state.staged == Some(*version) || state.loading == Some(*version)
+        }
+        MapOrder::Hold { step, .. } => armed && state.held == Some(*step),
+        MapOrder::Commit { version, .. } => {
+            state.version == *version || state.next == Some(*version)
+        }
+        // Whether an earlier order may still come can't be read from it.
+        MapOrder::Abort { .. } => false,
+    }
+}
--- a/crates/expert/src/lib.rs
+++ b/crates/expert/src/lib.rs
@@ -69,7 +69,7 @@
 pub use crate::decision::Decision;
 pub use crate::decisions::Decisions;
 pub use crate::engine_order::EngineOrder;
-pub use crate::engine_state::EngineState;
+pub use crate::engine_state::{Arming, EngineState};
 pub use crate::error::{Error, Result};
 pub use crate::estimate::Estimate;
 pub use crate::estimate_settings::EstimateSettings;
--- a/crates/expert/src/map.rs
+++ b/crates/expert/src/map.rs
@@ -63,6 +63,32 @@
         map
     }
 
+    /// The map with one copy of each expert, given to the ranks in turn, and
+    /// all spare slots empty.
+    ///
+    /// ```
+    /// use expert::{Map, Shape};
+    ///
+    /// let map = Map::in_turn(Shape::with_spare(1, 4, 2, 1, 1));
+    /// let rank: Vec<_> = map.rank_slots(0, 1).iter().flatten().map(|e| e.0).collect();
+    /// assert_eq!(rank, [1, 3]);
+    /// ```
+    #[must_use]
+    pub fn in_turn(shape: Shape) -> Map {
+        let mut map = Map::empty(shape);
+        let ranks = map.shape.ranks().max(1);
+        for layer in 0..map.shape.layers() {
+            for place in 0..map.shape.experts() {
+                let (round, rank) = (place / ranks, place % ranks);
+                if round < map.shape.slots() {
+                    let expert = ExpertId::from_index(place);
+                    map.rank_slots_mut(layer, rank)[round] = Some(expert);
+                }
+            }
+        }
+        map
+    }
+
     /// Dimensions of the map.
     #[must_use]
     pub fn shape(&self) -> &Shape {
--- a/crates/expert/src/participant.rs
+++ b/crates/expert/src/participant.rs
@@ -40,6 +40,11 @@
     pub(crate) join_in: Option<u64>,
     /// When it is asked for again.
     pub(crate) open_at: Instant,
+    /// The last order, reads apart, got no answer.
+    pub(crate) unanswered: bool,
+    /// Formation of the engine when it was asked for a promise, or when a
+    /// promise of a former life was found.
+    pub(crate) promised_in: Option<u64>,
 }
 
 impl Participant {
@@ -71,6 +76,8 @@
             read_at: now,
             join_in: None,
             open_at: now,
+            unanswered: false,
+            promised_in: None,
         }
     }
 
@@ -290,8 +297,10 @@
             return Vec::new();
         }
         self.engine = state;
-        if state.is_none() {
-            self.lost(now);
+        match state {
+            None => self.lost(now),
+            Some(_) if !self.is_read => self.unanswered = false,
+            Some(_) => {}
         }
         self.tick(now)
     }
@@ -305,6 +314,7 @@
         if self.is_read {
             return;
         }
+        self.unanswered = true;
         self.quiet_until = Some(now + self.timing.ghost);
         // It may have been refused for a number that is higher than any seen
         // here; the durable state knows it.
--- a/crates/expert/src/participant_standing.rs
+++ b/crates/expert/src/participant_standing.rs
@@ -10,6 +10,7 @@
         let Some(engine) = self.engine else {
             return;
         };
+        self.promised_in = engine.formation;
         match (engine.staged, engine.held) {
             (Some(version), _) if version <= latest => self.decided(version, standing),
             // A promise of the former life binds this one.
@@ -48,7 +49,10 @@
         let known = self
             .engine
             .map(|engine| engine.next.unwrap_or(engine.version));
+        // What it was told in a former formation is of no matter any more.
+        let resets = self.engine.is_some_and(|engine| engine.arming.is_some());
         if let (Some(newest), Some(known)) = (standing.committed.first(), known)
+            && !resets
             && newest.version > known
         {
             self.commit(newest);
--- a/crates/expert/src/participant_steps.rs
+++ b/crates/expert/src/participant_steps.rs
@@ -47,6 +47,16 @@
         }
     }
 
+    /// Whether the engine has begun another formation since it promised, with
+    /// which it went back to its start map.
+    fn has_reset(&self, engine: EngineState) -> bool {
+        engine.arming.is_some() && engine.formation != self.promised_in
+    }
+
+    fn unsettled(&self, engine: EngineState) -> bool {
+        engine.arming.is_some() && self.unanswered
+    }
+
     fn order(&mut self, order: EngineOrder, now: Instant, outputs: &mut Vec<ParticipantOutput>) {
         self.engine = None;
         self.is_read = order == EngineOrder::Read;
@@ -166,7 +176,7 @@
             self.tell(attempt, ParticipantMessage::Refused { version }, outputs);
             return None;
         }
-        if engine.staged == Some(version) && engine.held == Some(barrier_step) {
+        if engine.promises(version, barrier_step) {
             self.tell(attempt, ParticipantMessage::Held { version }, outputs);
             return None;
         }
@@ -174,6 +184,7 @@
             self.tell(attempt, ParticipantMessage::Refused { version }, outputs);
             return None;
         }
+        self.promised_in = engine.formation;
         Some(EngineOrder::Hold {
             fencing: attempt.fencing,
             version,
@@ -192,11 +203,10 @@
     ) -> Option<EngineOrder> {
         let version = attempt.version;
         let done = match verdict {
-            Verdict::Commit => engine.version >= version,
-            Verdict::Abort => {
-                let is_there = [engine.staged, engine.loading].contains(&Some(version));
-                !is_there && engine.held.is_none()
-            }
+            Verdict::Commit => engine.version >= version || self.has_reset(engine),
+            // An order whose answer was lost may still be obeyed, until a
+            // later one has been answered.
+            Verdict::Abort => engine.has_dropped(version) && !self.unsettled(engine),
         };
         if done {
             self.tell(attempt, ParticipantMessage::Applied { version }, outputs);
@@ -224,7 +234,7 @@
             return None;
         }
         let is_there = [engine.staged, engine.loading].contains(&Some(version));
-        if !is_there {
+        if !is_there && engine.arming.is_none() {
             return Some(stage_order(&attempt));
         }
         Some(EngineOrder::Outcome {
--- a/crates/expert/src/planner.rs
+++ b/crates/expert/src/planner.rs
@@ -25,6 +25,35 @@
     taken: usize,
 }
 
+impl LayerPlan<'_> {
+    /// Takes fewer moves, until no rank gets more new experts than it takes.
+    fn shorten(&mut self, map: &Map, layer: usize, most_new: usize, delta: &mut Delta) {
+        let mut ends: Vec<usize> = self.chain.segments().iter().map(|s| s.end).collect();
+        while self.taken > 0 && self.most_new(map, layer, delta) > most_new {
+            ends.retain(|end| *end < self.taken);
+            self.taken = ends.pop().unwrap_or(self.taken - 1);
+        }
+    }
+
+    /// Most experts that are new to one rank.
+    fn most_new(&self, map: &Map, layer: usize, delta: &mut Delta) -> usize {
+        let mut state = self.state.clone();
+        for &candidate in &self.chain.moves[..self.taken] {
+            state.apply(candidate, delta);
+        }
+        let mut next = map.clone();
+        state.store(&mut next, layer);
+        let new = |rank| {
+            let before = map.rank_slots(layer, rank);
+            let after = next.rank_slots(layer, rank).iter().flatten();
+            after
+                .filter(|expert| !before.contains(&Some(**expert)))
+                .count()
+        };
+        (0..map.shape().ranks()).map(new).max().unwrap_or_default()
+    }
+}
+
 impl Planner {
     /// Plans the next map for the load expected and the ranks that run.
     ///
@@ -55,6 +84,13 @@
     /// ```
     #[must_use]
     pub fn plan(&self, map: &Map, load: &Load, speeds: &Speeds) -> Plan {
+        self.plan_within(map, load, speeds, usize::MAX)
+    }
+
+    /// As [`Planner::plan`], with at most `most_new` experts new to a rank in
+    /// each layer, as some engines take no more at a time.
+    #[must_use]
+    pub fn plan_within(&self, map: &Map, load: &Load, speeds: &Speeds, most_new: usize) -> Plan {
         let shape = map.shape();
         let fits = (load.layers(), load.experts()) == (shape.layers(), shape.experts());
         if !fits || speeds.live().len() != shape.ranks() {
@@ -82,6 +118,7 @@
         let mut next = map.clone();
         let mut after = 0.0;
         for (index, layer) in layers.iter_mut().enumerate() {
+            layer.shorten(map, index, most_new, &mut delta);
             for &candidate in &layer.chain.moves[..layer.taken] {
                 layer.state.apply(candidate, &mut delta);
             }
--- a/crates/table/src/engine.rs
+++ b/crates/table/src/engine.rs
@@ -17,4 +17,23 @@
     pub read_per_second: f64,
     /// How old load reports are.
     pub report_lag: Duration,
+    /// Its experts, where it is a rank of a group that runs on expert maps.
+    pub experts: Option<Experts>,
+}
+
+/// The experts of a group's engines.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Experts {
+    /// Layers with experts.
+    pub layers: u32,
+    /// Experts in each of them.
+    pub experts: u32,
+    /// Experts that one rank holds in each layer at most.
+    pub slots: u32,
+    /// Experts new to a rank in one layer that a map may bring at most.
+    pub most_new: u32,
+    /// Bytes of one expert.
+    pub bytes: u64,
+    /// Bytes that a rank loads in a second.
+    pub bytes_per_second: f64,
 }
--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -45,7 +45,7 @@
 pub use caller_limits::CallerLimits;
 pub use client_account::ClientAccount;
 pub use draft::Draft;
-pub use engine::Engine;
+pub use engine::{Engine, Experts};
 pub use kind::{Access, Kind, Resume};
 pub use route::{Route, Share};
 pub use service::Service;
