Let an agent follow control once, and know targets and table at once after a loss

Entries refused all for about 2 s after each loss: the table came with the next leader, targets with their next check-ins. Change: one follower for an agent; a replica tells the table that its disk holds before a leader is known, and keeps the known targets in a file; process tests are one binary, so that they run side by side.

--- a/crates/agent/src/map/chooser.rs
+++ b/crates/agent/src/map/chooser.rs
@@ -64,6 +64,11 @@
         self.hopeless = None;
     }
 
+    /// Ranks that have counted since the last plan.
+    pub fn counted(&self) -> usize {
+        self.windows.len()
+    }
+
     /// Version of the map on which the ranks counted, if all did on one.
     pub fn version(&self) -> Option<u64> {
         let mut versions = self.windows.values().map(|window| window.map_version);
--- a/crates/agent/src/map/state.rs
+++ b/crates/agent/src/map/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use expert::{
     Coordinator, CoordinatorOutput, DecideOutcome, Map, Participant, ParticipantOutput, Plan,
@@ -28,6 +28,10 @@
 use crate::map::{StartMap, control_calls, engine_calls};
 use crate::order::Orders;
 
+/// Between two lines about what a switch waits for: a switch that goes well is
+/// over by then.
+const LOG_WAITING: Duration = Duration::from_secs(1);
+
 /// Participant and coordinator of one agent, and what they want done.
 pub(crate) struct State {
     pub cx: Arc<MapContext>,
@@ -48,6 +52,8 @@
     window_ends: Instant,
     /// Number of the last order to the engine.
     serial: u64,
+    /// When it is logged again what the coordinator waits for.
+    log_at: Instant,
     /// A switch was begun since the ranks were last asked for their counts.
     switched: bool,
     /// Calls to control that are on their way.
@@ -75,6 +81,7 @@
             windows: Windows::default(),
             serial: 0,
             switched: false,
+            log_at: now,
             calls: BTreeSet::new(),
         }
     }
@@ -154,6 +161,7 @@
             let outputs = coordinator.tick(now);
             self.coordinate(outputs);
         }
+        self.log_waiting(now);
         if now >= self.formation_asked + self.cx.cfg.formation {
             self.formation_asked = now;
             self.ask_formation();
@@ -165,6 +173,27 @@
         }
     }
 
+    /// Says from time to time what a switch waits for.
+    fn log_waiting(&mut self, now: Instant) {
+        if now < self.log_at {
+            return;
+        }
+        self.log_at = now + LOG_WAITING;
+        let Some(coordinator) = &self.coordinator else {
+            return;
+        };
+        let (phase, waiting) = coordinator.standing();
+        let counted = self.chooser.as_ref().map_or(0, Chooser::counted);
+        let known = self.party.ranks.is_some();
+        if phase != "idle" || !known || self.chooser.is_none() {
+            log::info!(
+                group = self.cx.group.as_str(), phase = phase, waiting:? = waiting,
+                formation = self.party.formation, ranks_known = known, counted = counted;
+                "expert map waits"
+            );
+        }
+    }
+
     /// Takes up or gives up the coordinator's part.
     fn elect(&mut self, now: Instant) {
         let view = self.cx.follower.view();
@@ -318,6 +347,11 @@
                 }
                 CoordinatorOutput::Decide(_) if self.calls.contains(&ControlCall::Decide) => {}
                 CoordinatorOutput::Decide(decision) => {
+                    log::info!(
+                        group = self.cx.group.as_str(), version = decision.version,
+                        step = decision.barrier_step, fencing = decision.fencing;
+                        "asks for the decision to {:?} the expert map", decision.verdict
+                    );
                     self.calls.insert(ControlCall::Decide);
                     let (cx, inbox) = (Arc::clone(&self.cx), self.inbox.clone());
                     tokio::spawn(control_calls::decide(cx, decision, inbox));
@@ -373,5 +407,5 @@
 
 /// Seconds as whole microseconds, for a log line.
 fn micros(seconds: f64) -> u128 {
-    std::time::Duration::try_from_secs_f64(seconds).map_or(0, |time| time.as_micros())
+    Duration::try_from_secs_f64(seconds).map_or(0, |time| time.as_micros())
 }
--- a/crates/agent/src/map_agent.rs
+++ b/crates/agent/src/map_agent.rs
@@ -4,23 +4,21 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use node::{Follower, FollowerSettings};
+use node::Follower;
 use note::Group;
 use tokio::net::TcpListener;
 use tokio_util::sync::{CancellationToken, DropGuard};
-use wire::proto::{Announcement, NodeInfo};
-use wire::{ClusterKey, Identity, LinkSettings, Role};
+use wire::proto::Announcement;
+use wire::{ClusterKey, Identity, LinkSettings};
 
 use crate::engine::{ArmingDialect, ClientSettings, Outlet};
 use crate::map::{MapContext, MapSettings, Maps, Offers};
 
 /// Settings of an agent that only switches maps.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct MapAgentSettings {
-    /// Name of the host's agent.
-    pub name: String,
-    /// Availability zone.
-    pub zone: String,
+    /// Who the agent is on links.
+    pub me: Identity,
     /// Name of the group.
     pub group: String,
     /// Number of the rank.
@@ -29,10 +27,9 @@
     pub engine: SocketAddr,
     /// How it is spoken to.
     pub dialect: ArmingDialect,
-    /// Links of the control replicas.
-    pub controls: Vec<SocketAddr>,
-    /// Between two renewals of the lease.
-    pub renew: Duration,
+    /// The way to control, under the same identity: a second one would pass for
+    /// another process of that name.
+    pub follower: Follower,
     /// Between two looks at what is due.
     pub poll: Duration,
     /// The cluster key.
@@ -48,7 +45,6 @@
 /// An agent that only takes its rank through switches of the expert map:
 /// requests go to the engine without it. It ends when it is dropped.
 pub struct MapAgent {
-    follower: Follower,
     group: Arc<Mutex<Option<Group>>>,
     _stop: DropGuard,
 }
@@ -60,49 +56,31 @@
     ///
     /// Fails when the listener has no address.
     pub async fn start(cfg: MapAgentSettings, links: TcpListener) -> eyre::Result<MapAgent> {
-        let me = Identity::new(Role::Agent, cfg.name.clone(), rand::random());
-        let announcement = Announcement {
-            target: cfg.name.clone(),
+        cfg.follower.set_announcement(Announcement {
+            target: cfg.me.name.clone(),
             group: cfg.group.clone(),
             ranks: vec![cfg.rank],
             healthy: true,
             ..Announcement::default()
-        };
-        let info = NodeInfo {
-            role: Role::Agent.into(),
-            name: cfg.name.clone(),
-            incarnation: me.incarnation,
-            zone: cfg.zone.clone(),
-            link_address: links.local_addr()?.to_string(),
-            target: Some(announcement),
-            ..NodeInfo::default()
-        };
-        let following = FollowerSettings {
-            controls: cfg.controls.clone(),
-            renew: cfg.renew,
-            key: cfg.key.clone(),
-            link: cfg.link.clone(),
-        };
-        let follower = Follower::spawn(me.clone(), info, following);
+        });
         let group = Arc::default();
         let stop = CancellationToken::new();
         let cx = Arc::new(MapContext {
-            name: cfg.name,
+            name: cfg.me.name.clone(),
             group: cfg.group,
-            incarnation: me.incarnation,
+            incarnation: cfg.me.incarnation,
             cfg: cfg.maps,
             poll: cfg.poll,
-            follower: follower.clone(),
+            follower: cfg.follower.clone(),
             outlet: Outlet::arming(cfg.engine, cfg.dialect, cfg.client),
             offers: Offers::Told(Arc::clone(&group)),
             stop: stop.clone(),
         });
         let orders = crate::order::start(Arc::clone(&cx)).await?;
-        let maps = crate::map::start(&cx, &orders, &me, &cfg.key, &cfg.link).await?;
-        let accepting = accept(links, me, cfg.key, cfg.link, maps, follower.clone());
+        let maps = crate::map::start(&cx, &orders, &cfg.me, &cfg.key, &cfg.link).await?;
+        let accepting = accept(links, cfg.me, cfg.key, cfg.link, maps, cfg.follower);
         tokio::spawn(stop.clone().run_until_cancelled_owned(accepting));
         Ok(MapAgent {
-            follower,
             group,
             _stop: stop.drop_guard(),
         })
@@ -113,12 +91,6 @@
         let mut known = self.group.lock().unwrap_or_else(PoisonError::into_inner);
         *known = Some(group);
     }
-
-    /// The way to control.
-    #[must_use]
-    pub fn follower(&self) -> &Follower {
-        &self.follower
-    }
 }
 
 async fn accept(
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -10,6 +10,7 @@
 use crate::peers;
 use crate::replica::{Msg, Replica, Start};
 use crate::settings::Settings;
+use crate::target_cache::TargetCache;
 use admin::Token;
 use eyre::{Result, WrapErr, eyre};
 use ractor::{Actor, ActorRef};
@@ -88,7 +89,12 @@
             replica: replica.clone(),
             directory: Directory::default(),
         };
-        let hub = Hub::new(asker.directory.clone(), replicas.clone(), table);
+        let hub = Hub::new(
+            asker.directory.clone(),
+            replicas.clone(),
+            table,
+            TargetCache::new(&settings.data),
+        );
         tasks.spawn(until(stop.clone(), hub.clone().run()));
         let keep = {
             let (me, key, cfg, asker) = (me.clone(), key.clone(), cfg.clone(), asker.clone());
--- a/crates/control/src/hub.rs
+++ b/crates/control/src/hub.rs
@@ -2,8 +2,9 @@
 
 use crate::asker::Directory;
 use crate::replicas::Replicas;
+use crate::target_cache::TargetCache;
 use futures_util::future::join_all;
-use member::{Board, Entrance, Heard, Sighting};
+use member::{Board, Entrance, Heard, Presence, Sighting};
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -43,6 +44,9 @@
     directory: Directory,
     replicas: watch::Receiver<Replicas>,
     table: watch::Receiver<RouteTable>,
+    /// The targets on disk, and whether a write is due or under way.
+    cache: TargetCache,
+    caching: Mutex<Caching>,
     /// Ticks at each report of an entry.
     reported: watch::Sender<u64>,
 }
@@ -52,14 +56,23 @@
         directory: Directory,
         replicas: watch::Receiver<Replicas>,
         table: watch::Receiver<RouteTable>,
+        cache: TargetCache,
     ) -> Hub {
+        let mut board = Board::default();
+        let now = Instant::now();
+        for told in cache.read().into_iter().filter_map(sighting) {
+            log::info!(target_id = told.id.as_str(); "target known from before the start");
+            board.hear(told, now);
+        }
         let shared = Shared {
-            board: Mutex::default(),
+            board: Mutex::new(board),
             entries: Mutex::default(),
             again: Mutex::default(),
             directory,
             replicas,
             table,
+            cache,
+            caching: Mutex::default(),
             reported: watch::Sender::new(0),
         };
         Hub {
@@ -134,7 +147,10 @@
         let mut news = Vec::new();
         for told in told.targets.into_iter().filter_map(sighting) {
             match self.board().hear(told.clone(), now) {
-                Heard::News => news.push(sighting_message(&told)),
+                Heard::News => {
+                    *lock(&self.shared.caching) = Caching::Due;
+                    news.push(sighting_message(&told));
+                }
                 Heard::Again => drop(lock(&self.shared.again).insert(told.id)),
                 Heard::Stale => {}
             }
@@ -173,6 +189,7 @@
     }
 
     async fn spread(&self, told: &Sighting) -> bool {
+        *lock(&self.shared.caching) = Caching::Due;
         log::info!(
             target_id = told.id.as_str(), service = told.service.as_str(),
             address:display = told.address, born = told.born;
@@ -215,6 +232,7 @@
             let entrances = board.entrances().map(|(told, _)| entrance_message(told));
             (rows, entrances.collect())
         };
+        self.cache_targets();
         if !rows.is_empty() {
             send_all(&self.entries(), &targets(rows.clone())).await;
         }
@@ -225,6 +243,36 @@
         send_all(&self.shared.directory.all(), &all).await;
     }
 
+    /// Brings the file of targets up to date, on a thread of its own: a disk
+    /// that hangs must not keep this replica from answering.
+    fn cache_targets(&self) {
+        {
+            let mut caching = lock(&self.shared.caching);
+            if *caching != Caching::Due {
+                return;
+            }
+            *caching = Caching::Underway;
+        }
+        let here = |told: &Sighting| told.presence != Presence::Gone;
+        let board = self.board();
+        let targets = board.targets().map(|(told, _)| told);
+        let rows = targets
+            .filter(|told| here(told))
+            .map(sighting_message)
+            .collect();
+        drop(board);
+        let hub = self.clone();
+        tokio::task::spawn_blocking(move || {
+            if let Err(e) = hub.shared.cache.write(rows) {
+                log::warn!("targets aren't kept on disk: {e}");
+            }
+            let mut caching = lock(&hub.shared.caching);
+            if *caching == Caching::Underway {
+                *caching = Caching::Done;
+            }
+        });
+    }
+
     /// Resolves once every entry that reports goes by this table or a later
     /// one, or the wait is over.
     pub(crate) async fn in_force(&self, number: u64) {
@@ -268,6 +316,15 @@
     }
 }
 
+/// Whether the targets on disk are those on the board.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Caching {
+    #[default]
+    Done,
+    Underway,
+    Due,
+}
+
 fn is_live(heard: Instant, now: Instant) -> bool {
     now.saturating_duration_since(heard) < ENTRANCE_SILENT
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -22,11 +22,13 @@
 mod node_info;
 mod peers;
 mod port;
+mod recovered_table;
 mod replica;
 mod replicas;
 mod reply;
 mod roster;
 mod settings;
+mod target_cache;
 mod timing;
 
 pub use clock::Clock;
--- a/crates/control/src/replica/actor.rs
+++ b/crates/control/src/replica/actor.rs
@@ -8,6 +8,7 @@
 use crate::machine::Machine;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
+use crate::recovered_table;
 use crate::replicas::Replicas;
 use crate::reply::{Commit, unavailable};
 use crate::settings::Settings;
@@ -105,6 +106,10 @@
             snapshot: stored,
             entries: entries.collect::<eyre::Result<_>>()?,
         };
+        if let Some(known) = recovered_table::newest(&restored) {
+            log::info!(table = known.number; "route table found on the disk");
+            table.send_replace(known);
+        }
         let cfg = Config {
             heartbeat: settings.timing.heartbeat,
             election: settings.timing.election,
--- a/crates/control/src/replica/output.rs
+++ b/crates/control/src/replica/output.rs
@@ -126,7 +126,7 @@
     fn publish(&mut self) {
         let table = self.machine.route_table();
         self.table.send_if_modified(|published| {
-            let news = published.number != table.number;
+            let news = published.number < table.number;
             if news {
                 log::info!(table = table.number; "route table in force here");
                 published.clone_from(table);
--- a/crates/direct/src/timing.rs
+++ b/crates/direct/src/timing.rs
@@ -30,7 +30,7 @@
             silence: Duration::from_millis(1_500),
             kept: Duration::from_secs(2),
             retry_full: Duration::from_millis(250),
-            retry_absent: Duration::from_millis(500),
+            retry_absent: Duration::from_secs(1),
         }
     }
 }
--- a/crates/expert/src/coordinator.rs
+++ b/crates/expert/src/coordinator.rs
@@ -101,6 +101,22 @@
         self.formation
     }
 
+    /// What it is at, and the agents that it waits for.
+    #[must_use]
+    pub fn standing(&self) -> (&'static str, Vec<&str>) {
+        let (phase, waiting) = match &self.phase {
+            Phase::Opening => ("opening", None),
+            Phase::Idle => ("idle", None),
+            Phase::Staging { waiting, .. } => ("staging", Some(waiting)),
+            Phase::Holding { waiting, .. } => ("holding", Some(waiting)),
+            Phase::Deciding(_) => ("deciding", None),
+            Phase::Telling { waiting, .. } => ("telling", Some(waiting)),
+            Phase::Deposed => ("deposed", None),
+        };
+        let waiting = waiting.into_iter().flatten().map(String::as_str);
+        (phase, waiting.collect())
+    }
+
     /// Agents that take part.
     #[must_use]
     pub fn members(&self) -> &BTreeSet<String> {
--- a/crates/lovageramp/benches/path.rs
+++ b/crates/lovageramp/benches/path.rs
@@ -9,7 +9,7 @@
     reason = "the counts and times of a bench are far below 2^52"
 )]
 
-#[path = "../tests/support/mod.rs"]
+#[path = "../tests/processes/support/mod.rs"]
 mod support;
 
 use bytes::Bytes;
--- a/crates/lovageramp/benches/users.rs
+++ b/crates/lovageramp/benches/users.rs
@@ -7,7 +7,7 @@
 //! `cargo bench -p lovageramp --bench users`; `LOAD_SECONDS` and `LOAD_RATE` change
 //! the load, `LOAD_PLOTS` names a folder for plots.
 
-#[path = "../tests/support/mod.rs"]
+#[path = "../tests/processes/support/mod.rs"]
 mod support;
 
 use std::process::Stdio;
--- a/crates/lovageramp/tests/at_most_once.rs
+++ b/crates/lovageramp/tests/processes/at_most_once.rs
@@ -1,10 +1,8 @@
 //! A call that may not be repeated runs at most once, and whoever resends it is told
 //! the truth.
 
-mod support;
-
+use crate::support::{Cluster, ClusterPlan, reserve, until};
 use std::time::Duration;
-use support::{Cluster, ClusterPlan, reserve, until};
 
 fn plan(entries: usize) -> ClusterPlan {
     ClusterPlan {
--- a/crates/lovageramp/tests/bench.rs
+++ b/crates/lovageramp/tests/processes/bench.rs
@@ -1,20 +1,17 @@
 //! The plan of the load, the cutting of streams, and whether it finds what went wrong.
-#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 #![allow(
     clippy::needless_pass_by_value,
     reason = "quickcheck gives its arguments by value"
 )]
 
-mod support;
-
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::support::{Cluster, ClusterPlan, Process};
 use lovageramp::bench::{Call, Events, Mix, Plan, Resend};
 use quickcheck::{Gen, QuickCheck};
 use serde_json::{Value, json};
-use support::{Cluster, ClusterPlan, Process};
 
 #[test]
 fn plan_keeps_its_shares() {
@@ -131,7 +128,8 @@
     for number in 0..120 {
         let key = format!("association-4-{number}");
         let headers = [("idempotency-key", key.as_str())];
-        let sent = support::request(service, "POST", "/reservations", &headers, String::new());
+        let sent =
+            crate::support::request(service, "POST", "/reservations", &headers, String::new());
         assert_eq!(sent.await.unwrap().status, 200);
     }
     let (figures, code) = play(&cluster, service, "4").await;
--- a/crates/lovageramp/tests/claim_history.rs
+++ b/crates/lovageramp/tests/processes/claim_history.rs
@@ -1,8 +1,7 @@
 //! Histories of buyers who send few reservations through all entries at once while
 //! entries, agents, services and controls fail, checked for linearizability.
 
-mod support;
-
+use crate::support::{Answer, Cluster, ClusterPlan, bearer, request, until};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::BTreeMap;
@@ -10,7 +9,6 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use support::{Answer, Cluster, ClusterPlan, bearer, request, until};
 use todc_utils::{Action, History, Specification, WGLChecker};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
--- a/crates/lovageramp/tests/cli.rs
+++ b/crates/lovageramp/tests/processes/cli.rs
@@ -1,12 +1,9 @@
 //! The operators' client and the daemons' options against real processes.
-#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
-
-mod support;
 
 use std::process::{Command, Output};
 
+use crate::support::{Cluster, ClusterPlan, bearer, get, until};
 use serde_json::{Value, json};
-use support::{Cluster, ClusterPlan, bearer, get, until};
 
 async fn small() -> Cluster {
     let cluster = Cluster::start(ClusterPlan {
--- a/crates/lovageramp/tests/durable.rs
+++ b/crates/lovageramp/tests/processes/durable.rs
@@ -1,9 +1,7 @@
 //! What was acknowledged survives lost processes and lost disks.
 
-mod support;
-
+use crate::support::{Cluster, ClusterPlan, account_item, reserve, until};
 use serde_json::json;
-use support::{Cluster, ClusterPlan, account_item, reserve, until};
 
 fn plan() -> ClusterPlan {
     ClusterPlan {
--- a/crates/lovageramp/tests/durable_alarms.rs
+++ b/crates/lovageramp/tests/processes/durable_alarms.rs
@@ -1,19 +1,11 @@
 //! The alarms of the operators' page that concern controls, disks, notes and leases, each
 //! provoked and read where the page says to look.
 
-mod support;
-
+use crate::support::disks::{self, DiskFault};
+use crate::support::{Cluster, ClusterPlan, Process, account_item, bearer, get, reserve, until};
 use serde_json::json;
-use support::disks::{self, DiskFault};
-use support::{Cluster, ClusterPlan, Process, account_item, bearer, get, reserve, until};
 use wire::{ClusterKey, Identity, LinkSettings, Role};
 
-/// The control that the other tests of this file start: this executable once more.
-#[test]
-fn control_process_with_faults() {
-    disks::be_control();
-}
-
 fn plan() -> ClusterPlan {
     ClusterPlan {
         controls: 3,
--- a/crates/lovageramp/tests/durable_disk.rs
+++ b/crates/lovageramp/tests/processes/durable_disk.rs
@@ -1,11 +1,9 @@
 //! Controls whose disks are full or fail their syncs, as processes of their own.
 
-mod support;
-
+use crate::support::disks::{self, DiskFault};
+use crate::support::notes::Operators;
+use crate::support::{Answer, Cluster, ClusterPlan, account_item, bearer, get, reserve, until};
 use serde_json::{Value, json};
-use support::disks::{self, DiskFault};
-use support::notes::Operators;
-use support::{Answer, Cluster, ClusterPlan, account_item, bearer, get, reserve, until};
 
 const REFUSED: &str = "lovageramp_control_refused_commands_total";
 const FULL: &str = "lovageramp_control_disk_full";
--- a/crates/lovageramp/tests/durable_history.rs
+++ b/crates/lovageramp/tests/processes/durable_history.rs
@@ -1,13 +1,11 @@
 //! Histories of operators who send and read notes while controls are killed, frozen,
 //! cut off and lose their disks, checked for linearizability.
 
-mod support;
-
+use crate::support::notes::{Operators, Shared};
+use crate::support::{Cluster, ClusterPlan, until};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::time::Duration;
-use support::notes::{Operators, Shared};
-use support::{Cluster, ClusterPlan, until};
 use tokio::time::sleep;
 
 const CONTROLS: usize = 3;
--- a/crates/lovageramp/tests/durable_lag.rs
+++ b/crates/lovageramp/tests/processes/durable_lag.rs
@@ -1,11 +1,9 @@
 //! Controls that lag: killed while they catch up, frozen for long, with operators who
 //! talk to them.
 
-mod support;
-
+use crate::support::notes::Operators;
+use crate::support::{Cluster, ClusterPlan, account_item, chat, until};
 use serde_json::{Value, json};
-use support::notes::Operators;
-use support::{Cluster, ClusterPlan, account_item, chat, until};
 
 const NOTES: u64 = 300;
 /// What comes before the link is cut: more than one message, far from all.
--- a/crates/lovageramp/tests/durable_zones.rs
+++ b/crates/lovageramp/tests/processes/durable_zones.rs
@@ -1,12 +1,10 @@
 //! Five controls in three availability zones: a whole zone is lost, a region is cut off.
 
-mod support;
-
+use crate::support::callers::Callers;
+use crate::support::notes::Operators;
+use crate::support::zones::zone_of;
+use crate::support::{Cluster, ClusterPlan, account_item, bearer, get, reserve, until};
 use serde_json::json;
-use support::callers::Callers;
-use support::notes::Operators;
-use support::zones::zone_of;
-use support::{Cluster, ClusterPlan, account_item, bearer, get, reserve, until};
 
 fn plan() -> ClusterPlan {
     ClusterPlan {
--- a/crates/lovageramp/tests/export.rs
+++ b/crates/lovageramp/tests/processes/export.rs
@@ -1,7 +1,6 @@
 //! Spans of real processes, exported to a collector.
 
-mod support;
-
+use crate::support::{Cluster, ClusterPlan, bearer, request, until};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Bytes, Incoming};
 use hyper::service::service_fn;
@@ -14,7 +13,6 @@
 use std::collections::BTreeSet;
 use std::convert::Infallible;
 use std::sync::{Arc, Mutex};
-use support::{Cluster, ClusterPlan, bearer, request, until};
 use tokio::net::{TcpListener, TcpStream};
 
 const TRACE: [u8; 16] = [
--- a/crates/lovageramp/tests/leaving.rs
+++ b/crates/lovageramp/tests/processes/leaving.rs
@@ -1,9 +1,7 @@
 //! Leaving targets and graceful shutdown.
 
-mod support;
-
+use crate::support::{Cluster, ClusterPlan, assert_whole, chat, get, long_stream, until};
 use serde_json::json;
-use support::{Cluster, ClusterPlan, assert_whole, chat, get, long_stream, until};
 
 fn plan() -> ClusterPlan {
     ClusterPlan {
--- a/crates/lovageramp/tests/leaving_cut_off.rs
+++ b/crates/lovageramp/tests/processes/leaving_cut_off.rs
@@ -1,9 +1,7 @@
 //! Targets that leave while an entry is cut off from control and still has its callers.
 
-mod support;
-
+use crate::support::{Caller, Cluster, ClusterPlan, assert_whole, chat, get, long_stream, until};
 use serde_json::json;
-use support::{Caller, Cluster, ClusterPlan, assert_whole, chat, get, long_stream, until};
 
 /// Requests of each caller that are watched once the target has left.
 const WATCHED: u64 = 15;
--- a/crates/lovageramp/tests/ledger.rs
+++ b/crates/lovageramp/tests/processes/ledger.rs
@@ -1,9 +1,7 @@
 //! Records of non-repeatable calls: how long they stand, and what frees them.
 
-mod support;
-
+use crate::support::{Answer, Cluster, ClusterPlan, reserve, until};
 use serde_json::{Value, json};
-use support::{Answer, Cluster, ClusterPlan, reserve, until};
 
 const RUNNING_MS: u64 = 1500;
 /// Long enough for a slow machine to ask again within it.
--- a/crates/lovageramp/tests/logs.rs
+++ b/crates/lovageramp/tests/processes/logs.rs
@@ -1,9 +1,7 @@
 //! Log lines of one request, from entry to agent.
 
-mod support;
-
+use crate::support::{Cluster, ClusterPlan, bearer, request, until};
 use serde_json::{Map, Value};
-use support::{Cluster, ClusterPlan, bearer, request, until};
 
 /// A caller complains and names the id that its answer carried. Whoever is on call
 /// looks for it in the logs of all hosts: each line must have it in a field of its own,
--- a/crates/lovageramp/tests/maps.rs
+++ b/crates/lovageramp/tests/processes/maps.rs
@@ -1,11 +1,9 @@
 //! One expert map in every step, through separate processes.
 
-mod support;
-
+use crate::support::{AGENTS, EXPERT_BYTES, MapGroup, TRIES, until};
 use serde_json::{Value, json};
 use std::collections::BTreeSet;
 use std::ops::Range;
-use support::{AGENTS, EXPERT_BYTES, MapGroup, TRIES, until};
 
 const COORDINATOR: &str = AGENTS[0];
 /// After so many calls a restarted agent knows what its engine has promised.
--- a/crates/lovageramp/tests/moments.rs
+++ b/crates/lovageramp/tests/processes/moments.rs
@@ -2,10 +2,8 @@
 //! bytes between two processes. Whatever the moment, the reservation runs at most once,
 //! and the buyer who sends it again through another entry learns what came of it.
 
-mod support;
-
+use crate::support::{Answer, Cluster, ClusterPlan, Relay, get, reserve, until};
 use serde_json::json;
-use support::{Answer, Cluster, ClusterPlan, Relay, get, reserve, until};
 
 const KEY: &str = "lot-1";
 /// What the buyer sends; the answer repeats it.
--- a/crates/lovageramp/tests/not_run.rs
+++ b/crates/lovageramp/tests/processes/not_run.rs
@@ -1,13 +1,11 @@
 //! "Not run" told to callers, compared with what the targets saw.
 
-mod support;
-
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use support::{Cluster, ClusterPlan, bearer, request, reserve, until};
+use crate::support::{Cluster, ClusterPlan, bearer, request, reserve, until};
 
 /// What a caller was told of one call.
 struct Told {
@@ -138,7 +136,7 @@
     }
     let first = cluster.http("entry-1");
     until("entry-1 has no lease", || async move {
-        let ready = support::get(first, "/readyz", &[]).await.ok()?;
+        let ready = crate::support::get(first, "/readyz", &[]).await.ok()?;
         (ready.status == 503).then_some(())
     })
     .await;
--- a/crates/lovageramp/tests/overload.rs
+++ b/crates/lovageramp/tests/processes/overload.rs
@@ -1,12 +1,10 @@
 //! More requests than the targets can do.
 
-mod support;
-
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use support::{Cluster, ClusterPlan, chat, get, until};
+use crate::support::{Cluster, ClusterPlan, chat, get, until};
 
 /// Pause of a caller that was refused.
 const PAUSE: Duration = Duration::from_millis(100);
--- a/crates/lovageramp/tests/quarantine.rs
+++ b/crates/lovageramp/tests/processes/quarantine.rs
@@ -1,8 +1,6 @@
 //! A request that crashes targets stops doing so; its neighbours go on.
 
-mod support;
-
-use support::{Cluster, ClusterPlan, chat, until};
+use crate::support::{Cluster, ClusterPlan, chat, until};
 
 /// One request crashes each target that runs it, and its caller sends it again through
 /// every entry. After the second crash it must be refused everywhere, and what ran
@@ -31,7 +29,7 @@
         }
         for agent in cluster.agents() {
             let fake = format!("fake-{agent}");
-            let alive = support::get(cluster.http(&fake), "/seen", &[])
+            let alive = crate::support::get(cluster.http(&fake), "/seen", &[])
                 .await
                 .is_ok();
             if !alive {
--- a/crates/lovageramp/tests/release_notes.rs
+++ b/crates/lovageramp/tests/processes/release_notes.rs
@@ -1,11 +1,9 @@
 //! An accepted release note is in force everywhere within seconds and never reverts.
 
-mod support;
-
+use crate::support::{Cluster, ClusterPlan, Relay, account_item, chat, request, until};
 use serde_json::{Value, json};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use support::{Cluster, ClusterPlan, Relay, account_item, chat, request, until};
 use todc_utils::linearizability::WGLChecker;
 use todc_utils::linearizability::history::{Action, History};
 use todc_utils::specifications::Specification;
@@ -154,9 +152,9 @@
         .unwrap()
         .push((process, Action::Call(Op::Newest(None))));
     let newest = until("the newest number", || async {
-        let bearer = format!("Bearer {}", support::TOKEN);
+        let bearer = format!("Bearer {}", crate::support::TOKEN);
         let headers = [("authorization", bearer.as_str())];
-        let answer = support::get(host, "/v1/operator/notes/status", &headers)
+        let answer = crate::support::get(host, "/v1/operator/notes/status", &headers)
             .await
             .ok()?;
         if answer.status != 200 {
@@ -173,7 +171,7 @@
 }
 
 async fn submit(host: std::net::SocketAddr, number: u64, content: u64) -> Submitted {
-    let bearer = format!("Bearer {}", support::TOKEN);
+    let bearer = format!("Bearer {}", crate::support::TOKEN);
     let headers = [("authorization", bearer.as_str())];
     let note = add_account(number, &format!("account-{number}-{content}")).to_string();
     let Ok(answer) = request(host, "POST", "/v1/operator/notes", &headers, note).await else {
@@ -302,7 +300,7 @@
     })
     .await;
     relay.swallow_back();
-    let (token, body) = (support::TOKEN, note.to_string());
+    let (token, body) = (crate::support::TOKEN, note.to_string());
     let head = format!(
         "POST /v1/operator/notes HTTP/1.1\r\nhost: control\r\nx-operator: anna\r\n\
          authorization: Bearer {token}\r\ncontent-length: {}\r\n\r\n{body}",
--- a/crates/lovageramp/tests/silent.rs
+++ b/crates/lovageramp/tests/processes/silent.rs
@@ -1,13 +1,11 @@
 //! Connections that go silent for good while new ones work.
 
-mod support;
-
+use crate::support::{
+    Cluster, ClusterPlan, Relay, bearer, chat, open_stream, request, reserve, rest, some, until,
+};
 use hyper::body::Incoming;
 use serde_json::json;
 use std::net::SocketAddr;
-use support::{
-    Cluster, ClusterPlan, Relay, bearer, chat, open_stream, request, reserve, rest, some, until,
-};
 
 /// Which bytes a connection loses.
 #[derive(Clone, Copy)]
--- a/crates/lovageramp/tests/silent_callers.rs
+++ b/crates/lovageramp/tests/processes/silent_callers.rs
@@ -1,9 +1,7 @@
 //! Callers that go silent in the middle of a request, before a real entry.
 
-mod support;
-
+use crate::support::{Cluster, ClusterPlan, bearer, chat, until};
 use std::net::SocketAddr;
-use support::{Cluster, ClusterPlan, bearer, chat, until};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
--- a/crates/lovageramp/tests/standalone.rs
+++ b/crates/lovageramp/tests/processes/standalone.rs
@@ -1,9 +1,7 @@
 //! `lovageramp standalone`, as a new user runs it.
 
-mod support;
-
+use crate::support::until;
 use std::process::Stdio;
-use support::until;
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::Command;
 
--- a/crates/lovageramp/tests/streams.rs
+++ b/crates/lovageramp/tests/processes/streams.rs
@@ -1,11 +1,11 @@
 //! Streams through the real processes: whole, and nobody else's.
 
-mod support;
-
+use crate::support::{
+    Answer, Cluster, ClusterPlan, bearer, open_stream, request, rest, some, until,
+};
 use hyper::body::Incoming;
 use serde_json::json;
 use std::net::SocketAddr;
-use support::{Answer, Cluster, ClusterPlan, bearer, open_stream, request, rest, some, until};
 
 const TOKENS: u32 = 400;
 
--- a/crates/lovageramp/tests/support/disks.rs
+++ b/crates/lovageramp/tests/processes/support/disks.rs
@@ -13,8 +13,8 @@
 
 /// Path of the settings file, for the process that is a control.
 const SETTINGS: &str = "LOVAGERAMP_TEST_CONTROL_SETTINGS";
-/// The test that becomes the control. Each file that uses such controls has it.
-const TEST: &str = "control_process_with_faults";
+/// The test that becomes the control.
+const TEST: &str = "durable_disk::control_process_with_faults";
 
 /// A way in which a disk fails.
 #[derive(Clone, Copy, Debug)]
--- a/crates/lovageramp/tests/support/limit.rs
+++ b/crates/lovageramp/tests/processes/support/limit.rs
@@ -4,7 +4,7 @@
 use tokio::sync::{Semaphore, SemaphorePermit};
 
 /// Each has up to two dozen processes; more at once only slow each other down.
-const AT_ONCE: usize = 3;
+const AT_ONCE: usize = 8;
 
 /// Waits for a turn.
 pub async fn turn() -> SemaphorePermit<'static> {
--- a/crates/lovageramp/tests/whole_path.rs
+++ b/crates/lovageramp/tests/processes/whole_path.rs
@@ -1,10 +1,8 @@
 //! One whole session through the real processes, compared with a golden file.
 
-mod support;
-
+use crate::support::{Answer, Cluster, ClusterPlan, bearer, chat, get, request, reserve};
 use serde_json::{Value, json};
 use std::fmt::Write;
-use support::{Answer, Cluster, ClusterPlan, bearer, chat, get, request, reserve};
 
 /// The log of a session, with what differs from run to run taken out.
 #[derive(Default)]
--- a/crates/lovageramp/tests/spans.rs
+++ b/crates/lovageramp/tests/spans.rs
@@ -1,5 +1,6 @@
 //! One request's spans, from the caller to the target.
 
+#[path = "processes/support/mod.rs"]
 mod support;
 
 use lovageramp::standalone::{DEMO_KEY, Deployment, Size};
--- a/crates/store/src/snapshot.rs
+++ b/crates/store/src/snapshot.rs
@@ -50,7 +50,18 @@
 
 /// Writes a file so that it is there whole or not at all: a temporary one is
 /// written, synced and renamed, and then the folder is synced.
-pub(crate) fn write_whole(path: &Path, bytes: &[u8], ops: &Ops) -> Result<()> {
+///
+/// # Errors
+///
+/// The file can't be written; what was there before still is.
+///
+/// ```
+/// let folder = tempfile::tempdir().unwrap();
+/// let path = folder.path().join("targets.cache");
+/// store::write_whole(&path, b"whole", &store::Ops::default()).unwrap();
+/// assert_eq!(std::fs::read(path).unwrap(), b"whole");
+/// ```
+pub fn write_whole(path: &Path, bytes: &[u8], ops: &Ops) -> Result<()> {
     let temporary = path.with_extension(TEMPORARY);
     let written = write_temporary(&temporary, bytes, ops);
     if let Err(e) = written {
