Plan expert maps as soon as all ranks have counted

Cause: a plan used counts that were a window old, and a rank was looked at five times a second, so that a change of popularity was followed after two seconds out of the 3.4 that it lasts.

--- a/crates/agent/src/map/chooser.rs
+++ b/crates/agent/src/map/chooser.rs
@@ -92,22 +92,15 @@
         }
     }
 
-    /// The next map, if every rank has counted and a change pays.
-    ///
-    /// It starts from the newest committed map, `present`; before the first,
-    /// or if that is for a group of another size, from the one that engines
-    /// start with.
-    pub fn plan(
-        &mut self,
-        present: Option<&Map>,
-        group: &Group,
-        cfg: &MapSettings,
-    ) -> Option<Plan> {
-        let present = self.present(present, cfg.start);
-        let mut live = self.speeds.live().iter().zip(0..);
-        if live.any(|(live, rank)| *live && !self.windows.contains_key(&rank)) {
-            return None;
-        }
+    /// Whether every rank that steps has counted since the last look.
+    pub fn is_complete(&self) -> bool {
+        let mut ranks = self.speeds.live().iter().zip(0..);
+        ranks.all(|(live, rank)| !*live || self.windows.contains_key(&rank))
+    }
+
+    /// Learns from the windows of all ranks, counted on `present`.
+    pub fn observe(&mut self, present: Option<&Map>, start: StartMap) {
+        let present = self.present(present, start);
         let windows = std::mem::take(&mut self.windows);
         let mut load = Load::new(self.shape.layers(), self.shape.experts());
         for window in windows.values() {
@@ -116,11 +109,22 @@
         self.estimate.observe(&load);
         let (tokens, seconds) = by_rank(&present, &load, &windows);
         self.speeds.observe(&tokens, &seconds);
+    }
+
+    /// The next map, if a change pays.
+    ///
+    /// It starts from the newest committed map, `present`; before the first,
+    /// or if that is for a group of another size, from the one that engines
+    /// start with.
+    pub fn plan(&self, present: Option<&Map>, group: &Group, cfg: &MapSettings) -> Option<Plan> {
+        if self.estimate.windows() == 0 {
+            return None;
+        }
         let weights = Weights {
             skew: group.weights.skew,
             moves: group.weights.moves,
         };
-        self.planned(&present, weights, cfg)
+        self.planned(&self.present(present, cfg.start), weights, cfg)
     }
 
     /// The map that has a copy again of every expert that only lost ranks
--- a/crates/agent/src/map/loads.rs
+++ b/crates/agent/src/map/loads.rs
@@ -1,6 +1,7 @@
 //! What the agents of a group tell its coordinator of their engines.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use wire::proto::GroupLoad;
 use wire::proto::frame::Body;
@@ -53,6 +54,7 @@
             if let Some(chooser) = &mut self.chooser {
                 chooser.take(load.ranks);
             }
+            self.counted_by_all(Instant::now());
             return;
         }
         let group = self.cx.offered();
--- a/crates/agent/src/map/state.rs
+++ b/crates/agent/src/map/state.rs
@@ -54,8 +54,9 @@
     serial: u64,
     /// When it is logged again what the coordinator waits for.
     log_at: Instant,
-    /// A switch was begun since the ranks were last asked for their counts.
-    switched: bool,
+    /// No switch was under way when the ranks were last asked for their counts,
+    /// so that they counted on the map that is in use.
+    asked_idle: bool,
     /// Calls to control that are on their way.
     calls: BTreeSet<ControlCall>,
 }
@@ -80,7 +81,7 @@
             present: None,
             windows: Windows::default(),
             serial: 0,
-            switched: false,
+            asked_idle: false,
             log_at: now,
             calls: BTreeSet::new(),
         }
@@ -168,8 +169,7 @@
         }
         self.repair(now);
         if now >= self.window_ends {
-            self.window_ends = now + self.cx.cfg.window;
-            self.plan(now);
+            self.ask_counts(now);
         }
     }
 
@@ -259,7 +259,6 @@
     }
 
     fn begin(&mut self, plan: &Plan, now: Instant) {
-        self.switched = true;
         log::info!(
             group = self.cx.group.as_str(), loads = plan.loads,
             before_us:display = micros(plan.before), after_us:display = micros(plan.after),
@@ -273,24 +272,13 @@
         }
     }
 
-    /// Begins a switch if one pays, and has the next window counted.
-    fn plan(&mut self, now: Instant) {
+    /// Asks all ranks what they have counted since they were asked last.
+    fn ask_counts(&mut self, now: Instant) {
+        self.window_ends = now + self.cx.cfg.window;
         let Some(coordinator) = &self.coordinator else {
             return;
         };
-        let Some(group) = self.cx.offered() else {
-            return;
-        };
-        let idle = coordinator.is_idle();
-        if idle {
-            self.heed_start_map();
-        }
-        if let Some(chooser) = &mut self.chooser
-            && idle
-            && let Some(plan) = chooser.plan(self.present.as_ref(), &group, &self.cx.cfg)
-        {
-            self.begin(&plan, now);
-        }
+        self.asked_idle = coordinator.is_idle();
         for name in self.members.names() {
             let load = GroupLoad {
                 group: self.cx.group.clone(),
@@ -300,12 +288,34 @@
         }
     }
 
+    /// Learns from the counts once all ranks have told theirs, and begins a
+    /// switch if one pays.
+    pub fn counted_by_all(&mut self, now: Instant) {
+        let complete = self.chooser.as_ref().is_some_and(Chooser::is_complete);
+        let (true, Some(coordinator), Some(group)) =
+            (complete, &self.coordinator, self.cx.offered())
+        else {
+            return;
+        };
+        let idle = coordinator.is_idle();
+        self.heed_start_map();
+        let Some(chooser) = &mut self.chooser else {
+            return;
+        };
+        chooser.observe(self.present.as_ref(), self.cx.cfg.start);
+        if !idle {
+            return;
+        }
+        if let Some(plan) = chooser.plan(self.present.as_ref(), &group, &self.cx.cfg) {
+            self.begin(&plan, now);
+        }
+    }
+
     /// Engines that start each formation on their start map are on it again,
     /// whatever was committed before.
     fn heed_start_map(&mut self) {
         let version = self.chooser.as_ref().and_then(Chooser::version);
-        let asked_before = std::mem::take(&mut self.switched);
-        if self.cx.cfg.start == StartMap::Bare && version == Some(0) && !asked_before {
+        if self.cx.cfg.start == StartMap::Bare && version == Some(0) && self.asked_idle {
             self.present = None;
         }
     }
--- a/crates/lovageramp/tests/processes/durable_alarms.rs
+++ b/crates/lovageramp/tests/processes/durable_alarms.rs
@@ -1,7 +1,7 @@
 //! The alarms of the operators' page that concern controls, disks, notes and leases, each
 //! provoked and read where the page says to look.
 
-use crate::support::disks::{self, DiskFault};
+use crate::support::disks::DiskFault;
 use crate::support::{Cluster, ClusterPlan, Process, account_item, bearer, get, reserve, until};
 use serde_json::json;
 use wire::{ClusterKey, Identity, LinkSettings, Role};
