Let in only what engines serve without long pauses

Ruled out: queueing at the engine (it makes all that follow late too). Change: Fleet learns each target's pauses and lets in what fits into nine tenths of the longest that is on time, half of the slots at least; two wait at an engine of twelve slots.

--- a/crates/direct/src/fleets.rs
+++ b/crates/direct/src/fleets.rs
@@ -7,7 +7,7 @@
 use node::KnownTarget;
 use outlet::{ClientSettings, Connection, Pool};
 use rand::rngs::SmallRng;
-use route::{Distance, Fleet, FleetTuning, Outcome, RetryBudget, TargetKey, ToldLoad};
+use route::{Distance, Fleet, FleetTuning, Outcome, Pace, RetryBudget, TargetKey, ToldLoad};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -20,6 +20,10 @@
 /// Retries beside those that requests pay for, so that a quiet service may
 /// retry at all. All entries together stay below what a service bears.
 const RETRY_RESERVE: u32 = 8;
+/// Requests that may wait at a model engine for each of its slots: with a
+/// dozen slots one becomes free every hundred milliseconds or so, and two such
+/// times are left of an objective of 400 ms.
+const ENGINE_WAITING: f64 = 0.15;
 /// Connections to a target that are kept.
 const MOST_KEPT: usize = 16;
 /// Silence after which a target gets no new work: five check-ins of it.
@@ -82,7 +86,7 @@
         let named = |name: &str| table.service(name).is_some();
         inner.services.retain(|name, _| named(name));
         for service in table.services() {
-            let fresh = || Service::new(now);
+            let fresh = || Service::new(service, now);
             let held = inner
                 .services
                 .entry(service.name.clone())
@@ -140,6 +144,19 @@
         }
     }
 
+    /// A stream paused, and is late if it pauses for longer than the second.
+    pub(crate) fn paused(
+        &self,
+        service: &str,
+        key: TargetKey,
+        (pause, most): (Duration, Duration),
+        now: Instant,
+    ) {
+        if let Some(held) = self.inner().services.get_mut(service) {
+            held.fleet.paused(key, pause, most, now);
+        }
+    }
+
     pub(crate) fn end(&self, service: &str, key: TargetKey, outcome: Outcome, now: Instant) {
         if let Some(held) = self.inner().services.get_mut(service) {
             held.fleet.end(key, outcome, now);
@@ -162,9 +179,9 @@
 }
 
 impl Service {
-    fn new(now: Instant) -> Service {
+    fn new(service: &table::Service, now: Instant) -> Service {
         Service {
-            fleet: Fleet::new(FleetTuning::default()),
+            fleet: Fleet::new(tuning(service)),
             budget: RetryBudget::new(RETRY_RATIO, RETRY_RESERVE, now),
             ways: BTreeMap::new(),
         }
@@ -234,6 +251,19 @@
     }
 }
 
+/// A plain service's requests take a fifth of their objective, so that one
+/// round may wait; a stream takes several times its objective.
+fn tuning(service: &table::Service) -> FleetTuning {
+    let Some(engine) = service.engine else {
+        return FleetTuning::default();
+    };
+    FleetTuning {
+        waiting: ENGINE_WAITING,
+        pace: Some(Pace::new(engine.step, engine.step_per_request)),
+        ..FleetTuning::default()
+    }
+}
+
 /// Keeps a connection whose answer was read to its end, if its target does.
 pub(crate) fn keep(way: &Way, mut conn: Connection, reading: &Reading, timing: &Timing) {
     match reading.keeps {
--- a/crates/direct/src/permit.rs
+++ b/crates/direct/src/permit.rs
@@ -3,7 +3,7 @@
 use crate::fleets::{Fleets, Way};
 use route::{Outcome, TargetKey, ToldLoad};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// One request at a target; its place is free again when this is dropped.
 #[derive(Debug)]
@@ -39,6 +39,12 @@
         self.fleets.told(&self.service, self.key, load);
     }
 
+    /// Its stream paused for so long between two events.
+    pub(crate) fn paused(&self, pause: Duration, most: Duration, now: Instant) {
+        self.fleets
+            .paused(&self.service, self.key, (pause, most), now);
+    }
+
     /// How it went; without a word it counts as abandoned by its caller.
     pub(crate) fn ended(mut self, outcome: Outcome) {
         self.outcome = outcome;
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -12,6 +12,8 @@
 use outlet::Connection;
 use route::Outcome;
 use std::io;
+use std::time::Instant;
+use table::Kind;
 use tokio::time::timeout;
 
 /// A stream on its way to the caller.
@@ -31,6 +33,25 @@
     conn: Connection,
     reading: crate::Reading,
     permit: Permit,
+    /// When its last events came.
+    heard: Option<Instant>,
+}
+
+impl Source {
+    /// Learns from the pause before the events that have come.
+    fn heard(&mut self, kind: Kind) {
+        let now = Instant::now();
+        let before = self.heard.replace(now);
+        if let (
+            Some(before),
+            Kind::Stream {
+                pause: Some(most), ..
+            },
+        ) = (before, kind)
+        {
+            self.permit.paused(now - before, most, now);
+        }
+    }
 }
 
 /// What comes next of a stream.
@@ -50,6 +71,7 @@
             conn: head.conn,
             reading: head.reading,
             permit,
+            heard: None,
         }),
         events: Events::default(),
         course,
@@ -129,6 +151,7 @@
                 Ok(Some(Err(e))) => return Next::Broken(e.to_string()),
                 Ok(Some(Ok(frame))) => {
                     if let Ok(data) = frame.into_data() {
+                        source.heard(self.course.kind);
                         return Next::Data(data);
                     }
                 }
@@ -181,6 +204,7 @@
             conn: head.conn,
             reading: head.reading,
             permit,
+            heard: None,
         });
         Ok(())
     }
--- a/crates/route/src/berth.rs
+++ b/crates/route/src/berth.rs
@@ -1,9 +1,27 @@
 //! One target of a fleet.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::fleet::{Distance, FleetTuning, Outcome, ToldLoad};
 
+/// Pauses that are older than this say nothing about the next ones: by then
+/// a group has switched to another expert map.
+const PAUSES_LAST: Duration = Duration::from_millis(1_500);
+/// Weight of the newest pause. A stream pauses some ten times a second, so
+/// that the usual pause follows within half a second.
+const WEIGHT: f64 = 0.2;
+/// Part of the slots that is used whatever the pauses: to refuse with half of
+/// them free would cost more than late answers do.
+const LEAST_USED: f64 = 0.5;
+
+/// The pauses of a target's streams.
+#[derive(Clone, Copy, Debug)]
+struct Pauses {
+    usual: Duration,
+    most: Duration,
+    at: Instant,
+}
+
 /// One target of a fleet.
 #[derive(Clone, Debug)]
 pub(crate) struct Berth {
@@ -14,6 +32,9 @@
     pub(crate) own: u32,
     /// Requests of all other entries, by the target's last word.
     others: u32,
+    /// Usual pause of its streams, the longest that is on time, and when a
+    /// stream last paused.
+    pauses: Option<Pauses>,
     failures: u32,
     pub(crate) shunned_until: Option<Instant>,
 }
@@ -26,6 +47,7 @@
             open: true,
             own: 0,
             others: 0,
+            pauses: None,
             failures: 0,
             shunned_until: None,
         }
@@ -35,8 +57,33 @@
         self.shunned_until.is_some_and(|until| now < until)
     }
 
-    pub(crate) fn has_room(&self, tuning: &FleetTuning) -> bool {
-        self.occupied() < self.slots * (1.0 + tuning.waiting)
+    pub(crate) fn has_room(&self, tuning: &FleetTuning, now: Instant) -> bool {
+        let most = self.slots * (1.0 + tuning.waiting);
+        self.occupied() < most.min(self.on_time(tuning, now))
+    }
+
+    /// Requests with which its streams don't pause for too long.
+    fn on_time(&self, tuning: &FleetTuning, now: Instant) -> f64 {
+        let pauses = self
+            .pauses
+            .filter(|p| now.saturating_duration_since(p.at) < PAUSES_LAST);
+        let Some((pace, pauses)) = tuning.pace.zip(pauses) else {
+            return f64::INFINITY;
+        };
+        let fits = pace.fits(self.occupied(), pauses.usual, pauses.most);
+        fits.max(self.slots * LEAST_USED)
+    }
+
+    /// A stream paused for so long between two events.
+    pub(crate) fn paused(&mut self, pause: Duration, most: Duration, now: Instant) {
+        let usual = match self.pauses {
+            Some(p) if now.saturating_duration_since(p.at) < PAUSES_LAST => {
+                p.usual.mul_f64(1.0 - WEIGHT) + pause.mul_f64(WEIGHT)
+            }
+            _ => pause,
+        };
+        let at = now;
+        self.pauses = Some(Pauses { usual, most, at });
     }
 
     /// Part of the slots that one request more would take.
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -5,6 +5,7 @@
 use rand::{Rng, RngExt};
 use slotmap::SlotMap;
 
+use crate::Pace;
 use crate::TargetKey;
 use crate::berth::Berth;
 
@@ -35,9 +36,12 @@
 pub struct FleetTuning {
     /// Requests that may wait at a target for each of its slots. A request
     /// that waits there begins as soon as another one ends, a whole round trip
-    /// sooner than one that is held here; more than one slot's worth would
-    /// only wait longer than its caller does.
+    /// sooner than one that is sent then. Those that wait longer than their
+    /// objective allows only make all that come after them late too.
     pub waiting: f64,
+    /// How the pauses of a target's streams grow with what it runs, where it
+    /// is a model engine.
+    pub pace: Option<Pace>,
     /// Slots that a target in another availability zone must have more free
     /// than one near by to be preferred.
     pub far: f64,
@@ -52,6 +56,7 @@
     fn default() -> Self {
         FleetTuning {
             waiting: 1.0,
+            pace: None,
             far: 0.0,
             shun: Duration::from_millis(500),
             shun_most: Duration::from_secs(8),
@@ -134,11 +139,11 @@
         let untried = |(key, target): &(TargetKey, &Berth)| target.open && !tried.contains(key);
         let open = || self.targets.iter().filter(untried);
         let sound = open().filter(|(_, target)| !target.is_shunned(now));
-        self.least_loaded(sound, rng).or_else(|| {
+        self.least_loaded(sound, now, rng).or_else(|| {
             let mut any = open().filter(|(_, target)| target.is_shunned(now));
             let soonest = any.by_ref().min_by_key(|(_, target)| target.shunned_until);
             soonest
-                .filter(|(_, target)| target.has_room(&self.tuning))
+                .filter(|(_, target)| target.has_room(&self.tuning, now))
                 .map(|(key, _)| key)
         })
     }
@@ -146,10 +151,11 @@
     fn least_loaded<'a>(
         &self,
         targets: impl Iterator<Item = (TargetKey, &'a Berth)>,
+        now: Instant,
         rng: &mut impl Rng,
     ) -> Option<TargetKey> {
         let mut best: Option<(f64, TargetKey)> = None;
-        for (key, target) in targets.filter(|(_, target)| target.has_room(&self.tuning)) {
+        for (key, target) in targets.filter(|(_, target)| target.has_room(&self.tuning, now)) {
             // Entries that know the same would all choose the same one.
             let jitter = rng.random_range(0.0..TIE);
             let cost = target.cost(&self.tuning) + jitter;
@@ -180,6 +186,14 @@
         }
     }
 
+    /// A stream of a target paused for so long between two events, and is late
+    /// if it pauses for longer than `most`.
+    pub fn paused(&mut self, key: TargetKey, pause: Duration, most: Duration, now: Instant) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.paused(pause, most, now);
+        }
+    }
+
     /// A request is over.
     pub fn end(&mut self, key: TargetKey, outcome: Outcome, now: Instant) {
         if let Some(target) = self.targets.get_mut(key) {
--- /dev/null
+++ b/crates/route/tests/fleet.rs
@@ -0,0 +1,142 @@
+//! Loads under which work must be turned away or spread.
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use route::{Distance, Fleet, FleetTuning, Outcome, Pace, TargetKey, ToldLoad};
+use std::time::{Duration, Instant};
+
+const SLOTS: u32 = 12;
+const LATE: Duration = Duration::from_millis(120);
+
+fn engines(count: usize) -> (Fleet, Vec<TargetKey>) {
+    let pace = Pace::new(Duration::from_micros(5_850), Duration::from_micros(355));
+    let mut fleet = Fleet::new(FleetTuning {
+        waiting: 0.15,
+        pace: Some(pace),
+        ..FleetTuning::default()
+    });
+    let keys = (0..count).map(|_| fleet.insert(SLOTS, Distance::Near));
+    let keys = keys.collect();
+    (fleet, keys)
+}
+
+fn rng() -> SmallRng {
+    SmallRng::seed_from_u64(7)
+}
+
+/// Sends requests until all targets are full; how many each got.
+fn fill(fleet: &mut Fleet, keys: &[TargetKey], now: Instant) -> Vec<u32> {
+    let mut rng = rng();
+    while let Some(key) = fleet.choose(&[], now, &mut rng) {
+        fleet.start(key);
+    }
+    keys.iter().map(|key| fleet.running(*key)).collect()
+}
+
+/// A burst asks for more than all slots. Were the excess sent on, each that
+/// waits would begin after its objective, and so would all that come later
+/// until the queues have emptied.
+#[test]
+fn choose_burst_beyond_slots() {
+    let (mut fleet, keys) = engines(4);
+    let sent = fill(&mut fleet, &keys, Instant::now());
+    assert_eq!(sent, [14, 14, 14, 14]);
+}
+
+/// The experts in demand change, and passes take two and a half times as long
+/// until the next map. With all slots in use every stream would pause for
+/// longer than is on time; with fewer, those that are let in are on time.
+#[test]
+fn choose_while_streams_pause() {
+    let (mut fleet, keys) = engines(1);
+    let now = Instant::now();
+    for _ in 0..12 {
+        fleet.start(keys[0]);
+    }
+    for event in 0..20 {
+        let at = now + Duration::from_millis(140) * event;
+        fleet.paused(keys[0], Duration::from_millis(140), LATE, at);
+    }
+    let now = now + Duration::from_millis(140) * 20;
+    assert_eq!(fleet.choose(&[], now, &mut rng()), None);
+    for _ in 0..7 {
+        fleet.end(keys[0], Outcome::Answered, now);
+    }
+    assert_eq!(fleet.choose(&[], now, &mut rng()), Some(keys[0]));
+}
+
+/// The next map has come and pauses are short again. What was measured before
+/// must not keep callers out.
+#[test]
+fn choose_after_pauses_of_long_ago() {
+    let (mut fleet, keys) = engines(1);
+    let now = Instant::now();
+    for _ in 0..12 {
+        fleet.start(keys[0]);
+    }
+    fleet.paused(keys[0], Duration::from_millis(300), LATE, now);
+    assert_eq!(fleet.choose(&[], now, &mut rng()), None);
+    let later = now + Duration::from_secs(2);
+    assert_eq!(fleet.choose(&[], later, &mut rng()), Some(keys[0]));
+}
+
+/// Half of the slots stay in use however long the pauses are: late answers
+/// are worth more than none.
+#[test]
+fn choose_with_hopeless_pauses() {
+    let (mut fleet, keys) = engines(1);
+    let now = Instant::now();
+    fleet.paused(keys[0], Duration::from_secs(1), LATE, now);
+    assert_eq!(fill(&mut fleet, &keys, now), [6]);
+}
+
+/// Other entries send to the same targets. An entry that counted only its own
+/// requests would fill a target that is full already.
+#[test]
+fn choose_by_what_others_send() {
+    let (mut fleet, keys) = engines(2);
+    let now = Instant::now();
+    fleet.start(keys[0]);
+    let busy = ToldLoad {
+        running: 12,
+        waiting: 2,
+    };
+    fleet.told(keys[0], busy);
+    let mut rng = rng();
+    for _ in 0..5 {
+        let key = fleet.choose(&[], now, &mut rng).unwrap();
+        assert_eq!(key, keys[1]);
+        fleet.start(key);
+    }
+}
+
+/// A target refuses connections. Without a pause each request would try it
+/// first, since it runs nothing and looks free.
+#[test]
+fn choose_not_the_failing_one() {
+    let (mut fleet, keys) = engines(2);
+    let now = Instant::now();
+    fleet.start(keys[0]);
+    fleet.end(keys[0], Outcome::Failed, now);
+    let mut rng = rng();
+    for _ in 0..10 {
+        let key = fleet.choose(&[], now, &mut rng).unwrap();
+        assert_eq!(key, keys[1]);
+        fleet.start(key);
+    }
+    let later = now + Duration::from_secs(1);
+    assert_eq!(fleet.choose(&[], later, &mut rng), Some(keys[0]));
+}
+
+/// All targets failed lately, as when the network was cut for a moment. One
+/// of them is tried all the same, or nobody would notice that they are back.
+#[test]
+fn choose_among_failed_only() {
+    let (mut fleet, keys) = engines(2);
+    let now = Instant::now();
+    for key in &keys {
+        fleet.start(*key);
+        fleet.end(*key, Outcome::Failed, now);
+    }
+    assert!(fleet.choose(&[], now, &mut rng()).is_some());
+}
