--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -51,7 +51,7 @@
 pub use crate::gate::{Arrival, Gate, Health, Lease, Offered, Phase, Suspicion};
 pub use crate::limits::Limits;
 pub use crate::listeners::Listeners;
-pub use crate::map::{MapSettings, StartMap};
+pub use crate::map::{MapSettings, Need, StartMap};
 pub use crate::map_agent::{MapAgent, MapAgentSettings};
 pub use crate::refusal::Refusal;
 pub use crate::settings::Settings;
--- a/crates/agent/src/map/chooser.rs
+++ b/crates/agent/src/map/chooser.rs
@@ -69,6 +69,11 @@
         self.windows.len()
     }
 
+    /// The last step that any rank told of.
+    pub fn step(&self) -> Option<u64> {
+        self.windows.values().map(|window| window.step).max()
+    }
+
     /// Version of the map on which the ranks counted, if all did on one.
     pub fn version(&self) -> Option<u64> {
         let mut versions = self.windows.values().map(|window| window.map_version);
--- a/crates/agent/src/map/mod.rs
+++ b/crates/agent/src/map/mod.rs
@@ -27,4 +27,4 @@
 
 pub(crate) use map_context::{MapContext, Offers};
 pub(crate) use maps::{Maps, start};
-pub use settings::{MapSettings, StartMap};
+pub use settings::{MapSettings, Need, StartMap};
--- a/crates/agent/src/map/settings.rs
+++ b/crates/agent/src/map/settings.rs
@@ -22,6 +22,22 @@
     pub most_new: usize,
     /// The map that engines start with.
     pub start: StartMap,
+    /// When a switch is worth its price beside what moves cost; always, if
+    /// none is given.
+    pub need: Option<Need>,
+}
+
+/// When a switch is needed.
+///
+/// Moving experts costs as much whether or not anybody notices that passes
+/// are slow. Nobody does while they stay well below the pauses that streams
+/// may make.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Need {
+    /// Passes that are shorter are fast enough.
+    pub pass: Duration,
+    /// Part of the time of the experts' work that a switch must save.
+    pub gain: f64,
 }
 
 /// The map that engines start with.
@@ -62,6 +78,7 @@
             },
             most_new: usize::MAX,
             start: StartMap::Copies,
+            need: None,
         }
     }
 }
--- a/crates/agent/src/map/state.rs
+++ b/crates/agent/src/map/state.rs
@@ -54,6 +54,8 @@
     serial: u64,
     /// When it is logged again what the coordinator waits for.
     log_at: Instant,
+    /// When the ranks were last all counted, and the step of that time.
+    counted: Option<(Instant, u64)>,
     /// No switch was under way when the ranks were last asked for their counts,
     /// so that they counted on the map that is in use.
     asked_idle: bool,
@@ -82,6 +84,7 @@
             windows: Windows::default(),
             serial: 0,
             asked_idle: false,
+            counted: None,
             log_at: now,
             calls: BTreeSet::new(),
         }
@@ -299,6 +302,7 @@
         };
         let idle = coordinator.is_idle();
         self.heed_start_map();
+        let pass = self.usual_pass(now);
         let Some(chooser) = &mut self.chooser else {
             return;
         };
@@ -306,11 +310,31 @@
         if !idle {
             return;
         }
-        if let Some(plan) = chooser.plan(self.present.as_ref(), &group, &self.cx.cfg) {
+        let plan = chooser.plan(self.present.as_ref(), &group, &self.cx.cfg);
+        if let Some(plan) = plan.filter(|plan| self.is_needed(plan, pass)) {
             self.begin(&plan, now);
         }
     }
 
+    /// Usual time of a pass since the ranks were counted before.
+    fn usual_pass(&mut self, now: Instant) -> Option<Duration> {
+        let step = self.chooser.as_ref()?.step()?;
+        let before = self.counted.replace((now, step));
+        let (at, from) = before?;
+        let passes = u32::try_from(step.checked_sub(from)?).ok()?;
+        (now - at).checked_div(passes)
+    }
+
+    /// Whether a switch is worth its price: passes are slow, and it makes them
+    /// faster by enough.
+    fn is_needed(&self, plan: &Plan, pass: Option<Duration>) -> bool {
+        let Some(need) = self.cx.cfg.need else {
+            return true;
+        };
+        let slow = pass.is_none_or(|pass| pass >= need.pass);
+        slow && plan.after <= plan.before * (1.0 - need.gain)
+    }
+
     /// Engines that start each formation on their start map are on it again,
     /// whatever was committed before.
     fn heed_start_map(&mut self) {
