--- a/crates/agent/src/map/windows.rs
+++ b/crates/agent/src/map/windows.rs
@@ -13,7 +13,10 @@
 }
 
 impl Windows {
-    /// What was counted since the last call; nothing at the first.
+    /// What was counted since the last call. At the first it is nothing, or on
+    /// the start map all that was counted so far: most ranks that are on it
+    /// were started just now, and a map for what was asked since the start is
+    /// better than none.
     pub fn next(&mut self, counts: ExpertCounts) -> Vec<RankWindow> {
         let mut windows = Vec::new();
         for rank in counts.ranks {
@@ -25,7 +28,11 @@
                 step: counts.step,
                 map_version: counts.map_version,
             };
-            windows.extend(self.before.get(&rank.rank).map(window));
+            let nothing = Vec::new();
+            let fresh = counts.map_version == 0;
+            let before = self.before.get(&rank.rank);
+            let before = before.or(fresh.then_some(&nothing));
+            windows.extend(before.map(window));
             self.before.insert(rank.rank, tokens);
         }
         windows
@@ -35,6 +42,7 @@
 /// An engine that restarted counts from zero again.
 fn difference(tokens: &[u64], before: &[u64]) -> Vec<u32> {
     let since = |(now, before): (&u64, &u64)| now.checked_sub(*before).unwrap_or(*now);
+    let before = before.iter().chain(std::iter::repeat(&0));
     let counts = tokens.iter().zip(before).map(since);
     counts
         .map(|count| u32::try_from(count).unwrap_or(u32::MAX))
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -81,6 +81,10 @@
             .map_err(|e| eyre!("replica can't start: {e}"))?;
         let cfg = LinkSettings {
             beat: settings.timing.link_beat,
+            redial_pause: (
+                shortest_pause(settings.timing.redial_most),
+                settings.timing.redial_most,
+            ),
             ..LinkSettings::default()
         };
         let stop = CancellationToken::new();
@@ -264,6 +268,11 @@
     })
 }
 
+/// The first pause before a link is dialled again; each further one doubles.
+fn shortest_pause(longest: Duration) -> Duration {
+    LinkSettings::default().redial_pause.0.min(longest)
+}
+
 async fn until(stop: CancellationToken, work: impl Future<Output = ()>) {
     tokio::select! {
         () = stop.cancelled() => {}
--- a/crates/control/src/hub.rs
+++ b/crates/control/src/hub.rs
@@ -170,6 +170,12 @@
     pub(crate) async fn hear(&self, told: Sighting) -> bool {
         let heard = self.board().hear(told.clone(), Instant::now());
         match heard {
+            // That a target takes work may reach the others when it will.
+            Heard::News if told.presence == Presence::Ready => {
+                let hub = self.clone();
+                tokio::spawn(async move { hub.spread(&told).await });
+                true
+            }
             Heard::News => self.spread(&told).await,
             Heard::Again => {
                 lock(&self.shared.again).insert(told.id);
@@ -213,7 +219,7 @@
         let majority = self.shared.replicas.borrow().majority();
         let (all_entries, replicas) = tokio::join!(by_entries, by_replicas);
         let held = all_entries || replicas >= majority;
-        if !held {
+        if !held && told.presence != Presence::Ready {
             log::warn!(
                 target_id = told.id.as_str(), replicas = replicas, majority = majority;
                 "word of a target isn't confirmed, and not acknowledged"
--- a/crates/control/src/timing.rs
+++ b/crates/control/src/timing.rs
@@ -14,6 +14,8 @@
     pub lease: Duration,
     /// Heartbeat of a link; three without a byte close it.
     pub link_beat: Duration,
+    /// Longest pause before another replica is dialled again.
+    pub redial_most: Duration,
     /// After this a command that isn't committed is answered as unknown.
     pub commit: Duration,
     /// A replica that lacks what was committed so long ago is behind.
@@ -27,6 +29,7 @@
             election: Duration::from_secs(1),
             lease: Duration::from_secs(3),
             link_beat: Duration::from_millis(500),
+            redial_most: Duration::from_secs(1),
             commit: Duration::from_secs(5),
             lag: Duration::from_secs(2),
         }
@@ -41,6 +44,7 @@
             election: r.or("election_ms", default.election),
             lease: r.or("lease_ms", default.lease),
             link_beat: r.or("link_beat_ms", default.link_beat),
+            redial_most: r.or("redial_most_ms", default.redial_most),
             commit: r.or("commit_ms", default.commit),
             lag: r.or("lag_ms", default.lag),
         };
--- a/crates/direct/src/course.rs
+++ b/crates/direct/src/course.rs
@@ -252,8 +252,12 @@
             _ => reason,
         };
         let refusal = match reason {
-            Reason::Full | Reason::Declined => Refusal::after(reason, self.timing.retry_full),
-            Reason::NoTarget | Reason::NoTable => Refusal::after(reason, self.timing.retry_absent),
+            Reason::Full | Reason::Declined => {
+                Refusal::after(reason, spread(self.timing.retry_full))
+            }
+            Reason::NoTarget | Reason::NoTable => {
+                Refusal::after(reason, spread(self.timing.retry_absent))
+            }
             _ => Refusal::new(reason),
         };
         log::info!(
@@ -312,6 +316,14 @@
     }
 }
 
+/// Part of a time by which callers are spread who are all told to come back.
+const SPREAD: std::ops::Range<f64> = 0.75..1.5;
+
+/// Callers who were refused together would come back together.
+fn spread(time: Duration) -> Duration {
+    time.mul_f64(rand::random_range(SPREAD))
+}
+
 fn answer(status: StatusCode, headers: hyper::HeaderMap, body: Bytes) -> Answer {
     Answer {
         status,
--- a/crates/direct/src/director.rs
+++ b/crates/direct/src/director.rs
@@ -85,14 +85,9 @@
         let waits = ask
             .patience
             .map_or(route.timeout, |waits| waits.min(route.timeout));
-        let course = Course::new(
-            account,
-            route.service(rand::random()),
-            route,
-            ask.arrived + waits,
-            self,
-            ask,
-        );
+        let service = route.service(rand::random());
+        self.targets(service, ask.arrived).await;
+        let course = Course::new(account, service, route, ask.arrived + waits, self, ask);
         course.run().await
     }
 
--- a/crates/direct/src/timing.rs
+++ b/crates/direct/src/timing.rs
@@ -15,8 +15,10 @@
     /// How long a connection is kept without use. Shorter than targets keep
     /// theirs, so that no request meets the target's close.
     pub kept: Duration,
-    /// When a caller who finds all targets full may come back: about the time
-    /// in which a place at one of them becomes free.
+    /// When a caller who finds all targets full, or is declined by them, may
+    /// come back: about the time that bursts of demand, switches of expert maps
+    /// and groups that form anew last. Its objective is missed by then, so that
+    /// to come back sooner wins nothing and fails more often.
     pub retry_full: Duration,
     /// When a caller who finds no target or no table may come back: about the
     /// time in which a target or entry that starts is known.
@@ -29,7 +31,7 @@
             connect: Duration::from_millis(400),
             silence: Duration::from_millis(1_500),
             kept: Duration::from_secs(2),
-            retry_full: Duration::from_millis(250),
+            retry_full: Duration::from_secs(1),
             retry_absent: Duration::from_secs(1),
         }
     }
--- a/crates/route/src/berth.rs
+++ b/crates/route/src/berth.rs
@@ -115,7 +115,11 @@
                 self.failures += 1;
                 self.shunned_until = Some(now + doubled.min(tuning.shun_most));
             }
-            Outcome::Declined | Outcome::Abandoned => {}
+            Outcome::Declined => {
+                let until = now + tuning.declined;
+                self.shunned_until = self.shunned_until.max(Some(until));
+            }
+            Outcome::Abandoned => {}
         }
     }
 }
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -50,6 +50,9 @@
     pub shun: Duration,
     /// Longest time that it is passed over.
     pub shun_most: Duration,
+    /// How long a target that said that it did not run a request is passed
+    /// over: a group that forms anew declines all for half a second or so.
+    pub declined: Duration,
 }
 
 impl Default for FleetTuning {
@@ -60,6 +63,7 @@
             far: 0.0,
             shun: Duration::from_millis(500),
             shun_most: Duration::from_secs(8),
+            declined: Duration::from_millis(200),
         }
     }
 }
