--- a/crates/direct/src/director.rs
+++ b/crates/direct/src/director.rs
@@ -86,7 +86,6 @@
             .patience
             .map_or(route.timeout, |waits| waits.min(route.timeout));
         let service = route.service(rand::random());
-        self.targets(service, ask.arrived).await;
         let course = Course::new(account, service, route, ask.arrived + waits, self, ask);
         course.run().await
     }
