Let ranks go in the place of agents that stand still

Ruled out: holding one rank only (an abort must then wait for all others to be disarmed, and the frozen coordinator remains).

--- a/crates/agent/src/engine/arming.rs
+++ b/crates/agent/src/engine/arming.rs
@@ -1,5 +1,6 @@
 //! Engines whose ranks are armed and held by orders of their own.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant, SystemTime};
@@ -18,12 +19,15 @@
 
 /// How often an order is sent before its outcome counts as unknown. With every
 /// second answer lost, one order in a million stays unknown.
-const TRIES: u32 = 20;
+const TRIES: u32 = 40;
 /// Refused connections in a row after which nobody is there to obey.
 const ABSENT: u32 = 3;
-/// Time of one try: many times what an engine on the same host needs, and
-/// short enough for all tries to fit into the time of a switch.
-const TRY_WITHIN: Duration = Duration::from_millis(100);
+/// Time of one try: several times what an engine on the same host needs. Until
+/// an order is answered its whole group may wait, and to give it again is
+/// harmless.
+const TRY_WITHIN: Duration = Duration::from_millis(25);
+/// Time of a try at the engine of another host.
+const TRY_FAR_WITHIN: Duration = Duration::from_millis(60);
 /// Connections that are kept: one for questions, one for orders.
 const MOST_KEPT: usize = 2;
 /// How long one is kept unused: several times the pause between questions.
@@ -32,6 +36,8 @@
 const MOST_ANSWER: usize = 16 << 20;
 /// Part of a fencing number that counts the orders under one number of control.
 const SERIAL_BITS: u32 = 30;
+/// The upper half of it is for those who give orders in an agent's place.
+const TOP_SERIAL: u64 = 1 << (SERIAL_BITS - 1);
 /// Left free in it for orders in one second.
 const ORDER_BITS: u32 = 10;
 
@@ -133,6 +139,20 @@
     /// Version that it was last told to load.
     told: AtomicU64,
     serial: AtomicU64,
+    /// Time of one try of an order.
+    within: Duration,
+}
+
+/// What is decided about switches, for ranks that are let go in their agents'
+/// place.
+#[derive(Clone, Debug)]
+pub(crate) struct Release {
+    /// Number of the coordinator that lets them go; its next one must be higher.
+    pub fencing: u64,
+    /// Newest version that is decided.
+    pub decided: u64,
+    /// Versions that are committed; all other decided ones are given up.
+    pub committed: BTreeSet<u64>,
 }
 
 /// The document of a map, as far as it is needed here.
@@ -146,7 +166,7 @@
         // Orders of a former life of this agent must count as older.
         let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
         let seconds = since.map_or(0, |since| since.as_secs());
-        let serial = (seconds << ORDER_BITS) & ((1 << SERIAL_BITS) - 1);
+        let serial = (seconds << ORDER_BITS) & (TOP_SERIAL - 1);
         ArmingEngine {
             address,
             dialect,
@@ -154,6 +174,7 @@
             pool: Pool::new(MOST_KEPT, KEPT),
             told: AtomicU64::new(0),
             serial: AtomicU64::new(serial),
+            within: TRY_WITHIN,
         }
     }
 
@@ -162,6 +183,44 @@
         (self.dialect.state)(&body).ok_or_else(|| unreadable("state"))
     }
 
+    /// The same engine's kind at another address.
+    pub fn beside(&self, address: SocketAddr) -> ArmingEngine {
+        let mut engine = ArmingEngine::new(address, self.dialect, self.cfg.clone());
+        engine.within = TRY_FAR_WITHIN;
+        // Higher than any number that the rank's own agent has used.
+        engine.serial = AtomicU64::new(TOP_SERIAL);
+        engine
+    }
+
+    /// Tells a rank in its agent's place what is decided about the switch that
+    /// it has promised to wait for; whether it waited.
+    pub async fn let_go(&self, release: &Release) -> Result<bool, Failure> {
+        let state = self.state().await?;
+        let (Some(step), Some(formation)) = (state.held, state.formation) else {
+            return Ok(false);
+        };
+        let version = state.armed.map(|(version, _)| version).or(state.prepared);
+        let Some(version) = version.filter(|version| *version <= release.decided) else {
+            // Nobody may say yet what becomes of it.
+            return Ok(false);
+        };
+        let order = if release.committed.contains(&version) {
+            MapOrder::Commit { version, step }
+        } else {
+            MapOrder::Abort { version, step }
+        };
+        let bodies = bodies(&order, &state).map_err(|e| Failure::Broken(format!("{e:?}")))?;
+        for body in bodies {
+            let given = self.give(release.fencing, formation, body).await;
+            given.map_err(|e| Failure::Broken(format!("{e:?}")))?;
+        }
+        log::warn!(
+            group = state.group.as_str(), rank = state.rank, version = version, step = step;
+            "rank let go in its agent's place"
+        );
+        Ok(true)
+    }
+
     pub async fn map(&self) -> Result<MapState, Failure> {
         let state = self.state().await?;
         let told = Some(self.told.load(Ordering::Relaxed));
@@ -261,16 +320,17 @@
 
     fn number(&self, fencing: u64) -> u64 {
         let serial = self.serial.fetch_add(1, Ordering::Relaxed);
-        (fencing << SERIAL_BITS) + (serial & ((1 << SERIAL_BITS) - 1))
+        let serial = serial.min((1 << SERIAL_BITS) - 1);
+        (fencing << SERIAL_BITS) + serial
     }
 
     async fn send(&self, order: &ArmingOrder) -> Result<StatusCode, Failure> {
         let body = (self.dialect.order)(order);
         let req = self.request(Method::POST, self.dialect.order_path, body.into())?;
         let cfg = ClientSettings {
-            connect: TRY_WITHIN,
-            head: TRY_WITHIN,
-            question: TRY_WITHIN,
+            connect: self.within,
+            head: self.within,
+            question: self.within,
             ..self.cfg.clone()
         };
         let (status, _) = self.ask(&cfg, req).await?;
--- a/crates/agent/src/engine/mod.rs
+++ b/crates/agent/src/engine/mod.rs
@@ -17,8 +17,8 @@
 mod whole;
 
 pub use ::outlet::{ClientSettings, Failure, PoolCounts};
-pub(crate) use arming::ArmingEngine;
 pub use arming::{ArmingBody, ArmingDialect, ArmingOrder, ArmingState};
+pub(crate) use arming::{ArmingEngine, Release};
 pub use cache::CacheChange;
 pub use call::{Call, Repeats};
 pub use expert_counts::{ExpertCounts, RankCounts};
--- a/crates/agent/src/engine/outlet.rs
+++ b/crates/agent/src/engine/outlet.rs
@@ -221,6 +221,11 @@
         }
     }
 
+    /// The engine of another rank, if this one is armed by orders of its own.
+    pub(crate) fn beside(&self, address: SocketAddr) -> Option<ArmingEngine> {
+        self.arming.as_ref().map(|engine| engine.beside(address))
+    }
+
     /// Tells the engine to stop a request.
     ///
     /// # Errors
--- a/crates/agent/src/map/members.rs
+++ b/crates/agent/src/map/members.rs
@@ -10,6 +10,8 @@
 pub(crate) struct Members {
     /// Where each accepts links.
     pub addresses: BTreeMap<String, SocketAddr>,
+    /// Where the engine of each answers, if others may give it orders.
+    pub engines: BTreeMap<String, SocketAddr>,
     /// The agent that each rank is with.
     ranks: BTreeMap<u32, String>,
 }
@@ -27,6 +29,9 @@
             let ranks = target.ranks.iter().map(|rank| (*rank, node.name.clone()));
             members.ranks.extend(ranks);
             members.addresses.insert(node.name.clone(), address);
+            if let Ok(engine) = node.caller_address.parse() {
+                members.engines.insert(node.name.clone(), engine);
+            }
         }
         members
     }
--- a/crates/agent/src/map/mod.rs
+++ b/crates/agent/src/map/mod.rs
@@ -20,6 +20,7 @@
 mod party;
 mod peers;
 mod settings;
+mod stand_in;
 mod state;
 mod switcher;
 mod translate;
--- a/crates/agent/src/map/msg.rs
+++ b/crates/agent/src/map/msg.rs
@@ -12,6 +12,8 @@
 pub(crate) enum MapMsg {
     /// A message of another agent.
     Incoming(Box<Incoming>),
+    /// A rank was let go in the place of the agent of that name.
+    LetGo(String),
     /// A message of this agent to itself.
     Own(Box<Body>),
     /// Look what is due.
--- a/crates/agent/src/map/state.rs
+++ b/crates/agent/src/map/state.rs
@@ -22,6 +22,7 @@
 use crate::map::msg::MapMsg;
 use crate::map::party::Party;
 use crate::map::peers::Peers;
+use crate::map::stand_in::{StandIn, let_go};
 use crate::map::switcher::Start;
 use crate::map::translate::{self, Received};
 use crate::map::windows::Windows;
@@ -52,6 +53,7 @@
     window_ends: Instant,
     /// Number of the last order to the engine.
     serial: u64,
+    stand_in: StandIn,
     /// When it is logged again what the coordinator waits for.
     log_at: Instant,
     /// When the ranks were last all counted, and the step of that time.
@@ -86,6 +88,7 @@
             asked_idle: false,
             counted: None,
             log_at: now,
+            stand_in: StandIn::default(),
             calls: BTreeSet::new(),
         }
     }
@@ -129,6 +132,7 @@
                     self.participate(outputs);
                 }
             }
+            MapMsg::LetGo(name) => self.let_go(&name, now),
             MapMsg::Formed { to, map } => self.formed(&to, map),
             MapMsg::Counted { to, counts, map } => self.counted(&to, counts, &map),
         }
@@ -165,6 +169,7 @@
             let outputs = coordinator.tick(now);
             self.coordinate(outputs);
         }
+        self.let_ranks_go(now);
         self.log_waiting(now);
         if now >= self.formation_asked + self.cx.cfg.formation {
             self.formation_asked = now;
@@ -176,6 +181,37 @@
         }
     }
 
+    /// Lets ranks go whose agents stand still or have gone.
+    fn let_ranks_go(&mut self, now: Instant) {
+        let Some(coordinator) = &self.coordinator else {
+            return;
+        };
+        let (phase, waiting) = coordinator.standing();
+        let telling = phase == "telling";
+        if !telling && phase != "idle" {
+            return;
+        }
+        let fencing = coordinator.fencing();
+        let live = &self.members.addresses;
+        for (name, address) in self.stand_in.due(telling, &waiting, live, now) {
+            let release = self.stand_in.release(fencing);
+            let (cx, inbox) = (Arc::clone(&self.cx), self.inbox.clone());
+            tokio::spawn(async move {
+                if let_go(cx, address, release).await {
+                    let _ = inbox.send_message(MapMsg::LetGo(name));
+                }
+            });
+        }
+    }
+
+    /// A rank was let go in its agent's place, under the highest number that
+    /// there is for this coordinator. The next switch needs a higher one, which
+    /// the agent has to learn of.
+    fn let_go(&mut self, name: &str, now: Instant) {
+        log::info!(agent = name; "coordinates anew after a rank was let go");
+        self.begin_coordination(now);
+    }
+
     /// Says from time to time what a switch waits for.
     fn log_waiting(&mut self, now: Instant) {
         if now < self.log_at {
@@ -204,6 +240,7 @@
             return;
         }
         let members = Members::new(&view, &self.cx.group);
+        self.stand_in.know(&members.engines);
         if members.lowest() != Some(&self.cx.name) {
             self.coordinator = None;
             self.chooser = None;
@@ -220,15 +257,19 @@
         self.members = members;
         if deposed || party != self.party {
             log::info!("coordinates the expert maps of {}", self.cx.group);
-            let timing = self.cx.cfg.timing;
-            let agents = party.agents.clone();
-            let coordinator = Coordinator::new(agents, party.formation, timing, now);
-            self.coordinator = Some(coordinator);
             self.party = party;
+            self.begin_coordination(now);
             self.choose_for(group.as_ref());
         }
     }
 
+    /// Begins the coordinator's part anew, under a new number.
+    fn begin_coordination(&mut self, now: Instant) {
+        let agents = self.party.agents.clone();
+        let (formation, timing) = (self.party.formation, self.cx.cfg.timing);
+        self.coordinator = Some(Coordinator::new(agents, formation, timing, now));
+    }
+
     /// Takes the chooser to the ranks that step now. Without all of them
     /// there is none, and no switch begins.
     fn choose_for(&mut self, group: Option<&Group>) {
@@ -350,6 +391,7 @@
             return;
         };
         let outputs = coordinator.on_opened(&standing, now);
+        self.stand_in.opened(&standing);
         let newest = standing.committed.first();
         self.present = newest.and_then(|decision| Map::from_bytes(decision.map.clone()).ok());
         self.coordinate(outputs);
@@ -366,6 +408,9 @@
         {
             self.present = Some(map);
         }
+        if let DecideOutcome::Accepted(decision) = &outcome {
+            self.stand_in.decided(decision);
+        }
         let outputs = coordinator.on_decided(outcome, now);
         self.coordinate(outputs);
     }
--- a/crates/expert/src/coordinator.rs
+++ b/crates/expert/src/coordinator.rs
@@ -101,6 +101,12 @@
         self.formation
     }
 
+    /// Its fencing number; 0 before it is opened.
+    #[must_use]
+    pub fn fencing(&self) -> u64 {
+        self.fencing
+    }
+
     /// What it is at, and the agents that it waits for.
     #[must_use]
     pub fn standing(&self) -> (&'static str, Vec<&str>) {
