--- a/crates/agent/src/engine/arming.rs
+++ b/crates/agent/src/engine/arming.rs
@@ -15,6 +15,7 @@
 use serde::Deserialize;
 use tokio::time::timeout;
 
+use super::{ArmingBody, ArmingDialect, ArmingOrder, ArmingState};
 use super::{ExpertCounts, MapOrder, MapState, Obeyed, OrderFailure, RankCounts};
 
 /// How often an order is sent before its outcome counts as unknown. With every
@@ -41,92 +42,6 @@
 /// Left free in it for orders in one second.
 const ORDER_BITS: u32 = 10;
 
-/// How an engine whose ranks are armed and held by orders of their own is
-/// spoken to.
-#[derive(Clone, Copy, Debug)]
-pub struct ArmingDialect {
-    /// Path of its state.
-    pub state_path: &'static str,
-    /// Reads its state.
-    pub state: fn(&[u8]) -> Option<ArmingState>,
-    /// Path of its counts.
-    pub counts_path: &'static str,
-    /// Reads how often each expert was chosen, layer by layer, since its start.
-    pub counts: fn(&[u8]) -> Option<Vec<u64>>,
-    /// Path of orders.
-    pub order_path: &'static str,
-    /// Writes an order.
-    pub order: fn(&ArmingOrder) -> Vec<u8>,
-}
-
-/// Where one rank stands with its maps.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ArmingState {
-    /// Name of its group.
-    pub group: String,
-    /// Its number in the group.
-    pub rank: u32,
-    /// Ranks of the group.
-    pub ranks: u32,
-    /// Number of the formation in which it steps; `None` between two.
-    pub formation: Option<u64>,
-    /// The last step that was begun.
-    pub step: u64,
-    /// Version in use.
-    pub version: u64,
-    /// Version that is loaded.
-    pub prepared: Option<u64>,
-    /// Version that comes into use, and the first step that uses it.
-    pub armed: Option<(u64, u64)>,
-    /// The step that isn't begun.
-    pub held: Option<u64>,
-}
-
-/// An order to one rank.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ArmingOrder {
-    /// What it is to do.
-    pub body: ArmingBody,
-    /// Higher than that of any order sent before; the rank refuses lower ones.
-    pub fencing: u64,
-    /// The rank refuses it in any other formation.
-    pub formation: u64,
-}
-
-/// What a rank is to do.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ArmingBody {
-    /// Load a map, by layer and rank the experts.
-    Prepare {
-        /// Its version.
-        version: u64,
-        /// The experts.
-        map: Vec<Vec<Vec<u16>>>,
-    },
-    /// Use a loaded map from a step on.
-    Arm {
-        /// Its version.
-        version: u64,
-        /// The step.
-        step: u64,
-    },
-    /// Don't use it after all.
-    Disarm {
-        /// Its version.
-        version: u64,
-    },
-    /// Don't begin a step.
-    Hold {
-        /// The step.
-        step: u64,
-    },
-    /// Begin it after all.
-    Go {
-        /// The step.
-        step: u64,
-    },
-}
-
 /// One rank, as its agent speaks to it.
 #[derive(Debug)]
 pub(crate) struct ArmingEngine {
--- a/crates/agent/src/engine/mod.rs
+++ b/crates/agent/src/engine/mod.rs
@@ -5,6 +5,7 @@
 //! [`Load`], [`Profile`] and their kin.
 
 mod arming;
+mod arming_dialect;
 mod cache;
 mod call;
 mod expert_counts;
@@ -17,8 +18,8 @@
 mod whole;
 
 pub use ::outlet::{ClientSettings, Failure, PoolCounts};
-pub use arming::{ArmingBody, ArmingDialect, ArmingOrder, ArmingState};
 pub(crate) use arming::{ArmingEngine, Release};
+pub use arming_dialect::{ArmingBody, ArmingDialect, ArmingOrder, ArmingState};
 pub use cache::CacheChange;
 pub use call::{Call, Repeats};
 pub use expert_counts::{ExpertCounts, RankCounts};
--- a/crates/agent/src/map/mod.rs
+++ b/crates/agent/src/map/mod.rs
@@ -19,6 +19,7 @@
 mod msg;
 mod party;
 mod peers;
+mod planning;
 mod settings;
 mod stand_in;
 mod state;
--- /dev/null
+++ b/crates/agent/src/map/planning.rs
@@ -0,0 +1,117 @@
+//! When a coordinator begins a switch, and to which map.
+
+use std::time::{Duration, Instant};
+
+use expert::Plan;
+use wire::proto::GroupLoad;
+use wire::proto::frame::Body;
+
+use crate::map::StartMap;
+use crate::map::chooser::{self, Chooser};
+use crate::map::state::State;
+
+impl State {
+    /// Puts experts that only lost ranks held where they can be used, at once:
+    /// until then the group computes without them.
+    pub fn repair(&mut self, now: Instant) {
+        let (Some(coordinator), Some(chooser)) = (&self.coordinator, &mut self.chooser) else {
+            return;
+        };
+        if !coordinator.is_idle() {
+            return;
+        }
+        if let Some(plan) = chooser.repair(self.present.as_ref(), &self.cx.cfg) {
+            let (repairs, group) = (plan.repairs, &self.cx.group);
+            log::warn!("places {repairs} experts of {group} that lost ranks held");
+            self.begin(&plan, now);
+        }
+    }
+
+    fn begin(&mut self, plan: &Plan, now: Instant) {
+        log::info!(
+            group = self.cx.group.as_str(), loads = plan.loads,
+            before_us:display = micros(plan.before), after_us:display = micros(plan.after),
+            even_us:display = micros(plan.even);
+            "switches the expert map"
+        );
+        let loading = chooser::loading(plan, &self.cx.cfg);
+        if let Some(coordinator) = &mut self.coordinator {
+            let outputs = coordinator.begin(plan.map.to_bytes(), loading, now);
+            self.coordinate(outputs);
+        }
+    }
+
+    /// Asks all ranks what they have counted since they were asked last.
+    pub fn ask_counts(&mut self, now: Instant) {
+        self.window_ends = now + self.cx.cfg.window;
+        let Some(coordinator) = &self.coordinator else {
+            return;
+        };
+        self.asked_idle = coordinator.is_idle();
+        for name in self.members.names() {
+            let load = GroupLoad {
+                group: self.cx.group.clone(),
+                ..GroupLoad::default()
+            };
+            self.send(&name, Body::GroupLoad(load));
+        }
+    }
+
+    /// Learns from the counts once all ranks have told theirs, and begins a
+    /// switch if one pays.
+    pub fn counted_by_all(&mut self, now: Instant) {
+        let complete = self.chooser.as_ref().is_some_and(Chooser::is_complete);
+        let (true, Some(coordinator), Some(group)) =
+            (complete, &self.coordinator, self.cx.offered())
+        else {
+            return;
+        };
+        let idle = coordinator.is_idle();
+        self.heed_start_map();
+        let pass = self.usual_pass(now);
+        let Some(chooser) = &mut self.chooser else {
+            return;
+        };
+        chooser.observe(self.present.as_ref(), self.cx.cfg.start);
+        if !idle {
+            return;
+        }
+        let plan = chooser.plan(self.present.as_ref(), &group, &self.cx.cfg);
+        if let Some(plan) = plan.filter(|plan| self.is_needed(plan, pass)) {
+            self.begin(&plan, now);
+        }
+    }
+
+    /// Usual time of a pass since the ranks were counted before.
+    fn usual_pass(&mut self, now: Instant) -> Option<Duration> {
+        let step = self.chooser.as_ref()?.step()?;
+        let before = self.counted.replace((now, step));
+        let (at, from) = before?;
+        let passes = u32::try_from(step.checked_sub(from)?).ok()?;
+        (now - at).checked_div(passes)
+    }
+
+    /// Whether a switch is worth its price: passes are slow, and it makes them
+    /// faster by enough.
+    fn is_needed(&self, plan: &Plan, pass: Option<Duration>) -> bool {
+        let Some(need) = self.cx.cfg.need else {
+            return true;
+        };
+        let slow = pass.is_none_or(|pass| pass >= need.pass);
+        slow && plan.after <= plan.before * (1.0 - need.gain)
+    }
+
+    /// Engines that start each formation on their start map are on it again,
+    /// whatever was committed before.
+    fn heed_start_map(&mut self) {
+        let version = self.chooser.as_ref().and_then(Chooser::version);
+        if self.cx.cfg.start == StartMap::Bare && version == Some(0) && self.asked_idle {
+            self.present = None;
+        }
+    }
+}
+
+/// Seconds as whole microseconds, for a log line.
+fn micros(seconds: f64) -> u128 {
+    Duration::try_from_secs_f64(seconds).map_or(0, |time| time.as_micros())
+}
--- a/crates/agent/src/map/stand_in.rs
+++ b/crates/agent/src/map/stand_in.rs
@@ -87,10 +87,10 @@
             if !gone && !stands {
                 continue;
             }
-            let (at, tries) = tried.entry(name.clone()).or_insert((now, 0));
-            if now >= *at && *tries < TRIES {
-                *at = now + AGAIN;
-                *tries += 1;
+            let (due_at, count) = tried.entry(name.clone()).or_insert((now, 0));
+            if now >= *due_at && *count < TRIES {
+                *due_at = now + AGAIN;
+                *count += 1;
                 due.push((name.clone(), *address));
             }
         }
--- a/crates/agent/src/map/state.rs
+++ b/crates/agent/src/map/state.rs
@@ -5,16 +5,15 @@
 use std::time::{Duration, Instant};
 
 use expert::{
-    Coordinator, CoordinatorOutput, DecideOutcome, Map, Participant, ParticipantOutput, Plan,
-    Standing, Verdict,
+    Coordinator, CoordinatorOutput, DecideOutcome, Map, Participant, ParticipantOutput, Standing,
+    Verdict,
 };
 use note::Group;
 use ractor::ActorRef;
 use wire::Incoming;
-use wire::proto::GroupLoad;
 use wire::proto::frame::Body;
 
-use crate::map::chooser::{self, Chooser};
+use crate::map::chooser::Chooser;
 use crate::map::control_call::ControlCall;
 use crate::map::formations::Formations;
 use crate::map::map_context::MapContext;
@@ -26,7 +25,7 @@
 use crate::map::switcher::Start;
 use crate::map::translate::{self, Received};
 use crate::map::windows::Windows;
-use crate::map::{StartMap, control_calls, engine_calls};
+use crate::map::{control_calls, engine_calls};
 use crate::order::Orders;
 
 /// Between two lines about what a switch waits for: a switch that goes well is
@@ -48,19 +47,19 @@
     pub chooser: Option<Chooser>,
     /// The newest committed map, as the coordinator knows it; `None` before
     /// the first.
-    present: Option<Map>,
+    pub present: Option<Map>,
     pub windows: Windows,
-    window_ends: Instant,
+    pub window_ends: Instant,
     /// Number of the last order to the engine.
     serial: u64,
     stand_in: StandIn,
     /// When it is logged again what the coordinator waits for.
     log_at: Instant,
     /// When the ranks were last all counted, and the step of that time.
-    counted: Option<(Instant, u64)>,
+    pub counted: Option<(Instant, u64)>,
     /// No switch was under way when the ranks were last asked for their counts,
     /// so that they counted on the map that is in use.
-    asked_idle: bool,
+    pub asked_idle: bool,
     /// Calls to control that are on their way.
     calls: BTreeSet<ControlCall>,
 }
@@ -286,105 +285,6 @@
         };
     }
 
-    /// Puts experts that only lost ranks held where they can be used, at once:
-    /// until then the group computes without them.
-    fn repair(&mut self, now: Instant) {
-        let (Some(coordinator), Some(chooser)) = (&self.coordinator, &mut self.chooser) else {
-            return;
-        };
-        if !coordinator.is_idle() {
-            return;
-        }
-        if let Some(plan) = chooser.repair(self.present.as_ref(), &self.cx.cfg) {
-            let (repairs, group) = (plan.repairs, &self.cx.group);
-            log::warn!("places {repairs} experts of {group} that lost ranks held");
-            self.begin(&plan, now);
-        }
-    }
-
-    fn begin(&mut self, plan: &Plan, now: Instant) {
-        log::info!(
-            group = self.cx.group.as_str(), loads = plan.loads,
-            before_us:display = micros(plan.before), after_us:display = micros(plan.after),
-            even_us:display = micros(plan.even);
-            "switches the expert map"
-        );
-        let loading = chooser::loading(plan, &self.cx.cfg);
-        if let Some(coordinator) = &mut self.coordinator {
-            let outputs = coordinator.begin(plan.map.to_bytes(), loading, now);
-            self.coordinate(outputs);
-        }
-    }
-
-    /// Asks all ranks what they have counted since they were asked last.
-    fn ask_counts(&mut self, now: Instant) {
-        self.window_ends = now + self.cx.cfg.window;
-        let Some(coordinator) = &self.coordinator else {
-            return;
-        };
-        self.asked_idle = coordinator.is_idle();
-        for name in self.members.names() {
-            let load = GroupLoad {
-                group: self.cx.group.clone(),
-                ..GroupLoad::default()
-            };
-            self.send(&name, Body::GroupLoad(load));
-        }
-    }
-
-    /// Learns from the counts once all ranks have told theirs, and begins a
-    /// switch if one pays.
-    pub fn counted_by_all(&mut self, now: Instant) {
-        let complete = self.chooser.as_ref().is_some_and(Chooser::is_complete);
-        let (true, Some(coordinator), Some(group)) =
-            (complete, &self.coordinator, self.cx.offered())
-        else {
-            return;
-        };
-        let idle = coordinator.is_idle();
-        self.heed_start_map();
-        let pass = self.usual_pass(now);
-        let Some(chooser) = &mut self.chooser else {
-            return;
-        };
-        chooser.observe(self.present.as_ref(), self.cx.cfg.start);
-        if !idle {
-            return;
-        }
-        let plan = chooser.plan(self.present.as_ref(), &group, &self.cx.cfg);
-        if let Some(plan) = plan.filter(|plan| self.is_needed(plan, pass)) {
-            self.begin(&plan, now);
-        }
-    }
-
-    /// Usual time of a pass since the ranks were counted before.
-    fn usual_pass(&mut self, now: Instant) -> Option<Duration> {
-        let step = self.chooser.as_ref()?.step()?;
-        let before = self.counted.replace((now, step));
-        let (at, from) = before?;
-        let passes = u32::try_from(step.checked_sub(from)?).ok()?;
-        (now - at).checked_div(passes)
-    }
-
-    /// Whether a switch is worth its price: passes are slow, and it makes them
-    /// faster by enough.
-    fn is_needed(&self, plan: &Plan, pass: Option<Duration>) -> bool {
-        let Some(need) = self.cx.cfg.need else {
-            return true;
-        };
-        let slow = pass.is_none_or(|pass| pass >= need.pass);
-        slow && plan.after <= plan.before * (1.0 - need.gain)
-    }
-
-    /// Engines that start each formation on their start map are on it again,
-    /// whatever was committed before.
-    fn heed_start_map(&mut self) {
-        let version = self.chooser.as_ref().and_then(Chooser::version);
-        if self.cx.cfg.start == StartMap::Bare && version == Some(0) && self.asked_idle {
-            self.present = None;
-        }
-    }
-
     fn opened(&mut self, standing: Option<Standing>, now: Instant) {
         self.calls.remove(&ControlCall::Open);
         let (Some(standing), Some(coordinator)) = (standing, &mut self.coordinator) else {
@@ -415,7 +315,7 @@
         self.coordinate(outputs);
     }
 
-    fn coordinate(&mut self, outputs: Vec<CoordinatorOutput>) {
+    pub fn coordinate(&mut self, outputs: Vec<CoordinatorOutput>) {
         for output in outputs {
             match output {
                 CoordinatorOutput::Open if self.calls.contains(&ControlCall::Open) => {}
@@ -483,8 +383,3 @@
         self.peers.send(to, address, body, &self.inbox);
     }
 }
-
-/// Seconds as whole microseconds, for a log line.
-fn micros(seconds: f64) -> u128 {
-    Duration::try_from_secs_f64(seconds).map_or(0, |time| time.as_micros())
-}
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -43,7 +43,8 @@
     /// is a model engine.
     pub pace: Option<Pace>,
     /// Slots that a target in another availability zone must have more free
-    /// than one near by to be preferred.
+    /// than one near by to be preferred. One such slot saves a third of the
+    /// bytes between zones; the loads of targets differ by as much anyway.
     pub far: f64,
     /// How long a target that could not be reached is passed over at first;
     /// each further failure doubles it.
@@ -60,7 +61,7 @@
         FleetTuning {
             waiting: 1.0,
             pace: None,
-            far: 0.0,
+            far: 1.0,
             shun: Duration::from_millis(500),
             shun_most: Duration::from_secs(8),
             declined: Duration::from_millis(200),
--- a/crates/route/tests/fleet.rs
+++ b/crates/route/tests/fleet.rs
@@ -140,3 +140,21 @@
     }
     assert!(fleet.choose(&[], now, &mut rng()).is_some());
 }
+
+/// Bytes between availability zones are dear. With loads alike the near target
+/// is taken; once it runs more, distance must not let it fill up alone.
+#[test]
+fn choose_near_while_loads_are_alike() {
+    let mut fleet = Fleet::new(FleetTuning::default());
+    let near = fleet.insert(SLOTS, Distance::Near);
+    let far = fleet.insert(SLOTS, Distance::Far);
+    let now = Instant::now();
+    let mut rng = rng();
+    for _ in 0..20 {
+        let key = fleet.choose(&[], now, &mut rng).unwrap();
+        fleet.start(key);
+    }
+    let running = (fleet.running(near), fleet.running(far));
+    assert!([(10, 10), (11, 9)].contains(&running), "{running:?}");
+    assert_eq!(fleet.choose(&[near], now, &mut rng), Some(far));
+}
