--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -19,5 +19,5 @@
 
 pub use crate::context::{adopt, context, is_valid};
 pub use crate::line::{json_line, text_line};
-pub use crate::logs::{LogFormat, start_logs};
+pub use crate::logs::{LogFormat, LogStream, start_logs, start_logs_on};
 pub use crate::spans::{Spans, start_spans};
--- a/crates/trace/src/logs.rs
+++ b/crates/trace/src/logs.rs
@@ -1,4 +1,4 @@
-//! Log lines on standard error.
+//! Log lines on standard error or output.
 
 use eyre::WrapErr;
 use flexi_logger::{Logger, LoggerHandle};
@@ -25,6 +25,15 @@
     }
 }
 
+/// Where log lines go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogStream {
+    /// Standard error.
+    Error,
+    /// Standard output, where that is what is collected.
+    Output,
+}
+
 /// Begins to log to standard error. `spec` is a level, or levels by module, as in
 /// `info, wire=debug`. Keep the handle for as long as lines are to be written.
 ///
@@ -32,11 +41,28 @@
 ///
 /// Fails for a `spec` that can't be read, and when logging was begun before.
 pub fn start_logs(spec: &str, format: LogFormat) -> eyre::Result<LoggerHandle> {
+    start_logs_on(LogStream::Error, spec, format)
+}
+
+/// As [`start_logs`], on either stream.
+///
+/// # Errors
+///
+/// As [`start_logs`].
+pub fn start_logs_on(
+    stream: LogStream,
+    spec: &str,
+    format: LogFormat,
+) -> eyre::Result<LoggerHandle> {
     let logger = Logger::try_with_str(spec).wrap_err("log level")?;
     let format = match format {
         LogFormat::Json => crate::json_line,
         LogFormat::Text => crate::text_line,
     };
-    let started = logger.log_to_stderr().format(format).start();
+    let logger = match stream {
+        LogStream::Error => logger.log_to_stderr(),
+        LogStream::Output => logger.log_to_stdout(),
+    };
+    let started = logger.format(format).start();
     started.wrap_err("can't begin to log")
 }
