Keep no retries of quiet times for one burst at all entries

Each entry kept up to a hundred earned retries for later, four hundred in all. Change: budgets bounded to 5 earned ones, 3 in reserve, one back in 2 s.

--- a/crates/direct/src/fleets.rs
+++ b/crates/direct/src/fleets.rs
@@ -18,8 +18,14 @@
 /// is for callers who come back by themselves.
 const RETRY_RATIO: f64 = 0.15;
 /// Retries beside those that requests pay for, so that a quiet service may
-/// retry at all. All entries together stay below what a service bears.
-const RETRY_RESERVE: u32 = 8;
+/// retry at all.
+const RETRY_RESERVE: u32 = 3;
+/// Retries that requests have paid for and that are kept for later. With the
+/// reserve and what comes back of it in ten seconds they make 13 at an entry:
+/// 52 at four entries, 208 at sixteen. A service bears 88 and 212.
+const RETRY_EARNED: f64 = 5.0;
+/// Time in which one retry of the reserve comes back.
+const RETRY_REFILL: Duration = Duration::from_secs(2);
 /// Requests that may wait at a model engine for each of its slots: with a
 /// dozen slots one becomes free every hundred milliseconds or so, and two such
 /// times are left of an objective of 400 ms.
@@ -182,7 +188,8 @@
     fn new(service: &table::Service, now: Instant) -> Service {
         Service {
             fleet: Fleet::new(tuning(service)),
-            budget: RetryBudget::new(RETRY_RATIO, RETRY_RESERVE, now),
+            budget: RetryBudget::new(RETRY_RATIO, RETRY_RESERVE, now)
+                .bounded(RETRY_EARNED, RETRY_REFILL),
             ways: BTreeMap::new(),
         }
     }
--- a/crates/route/src/budget.rs
+++ b/crates/route/src/budget.rs
@@ -27,6 +27,8 @@
 pub struct RetryBudget {
     ratio: f64,
     earned: f64,
+    earned_max: f64,
+    refill: Duration,
     reserve: f64,
     reserve_max: f64,
     refilled: Instant,
@@ -45,21 +47,35 @@
         RetryBudget {
             ratio,
             earned: 0.0,
+            earned_max: MAX_EARNED,
+            refill: REFILL,
             reserve,
             reserve_max: reserve,
             refilled: now,
         }
     }
 
+    /// The same with at most `earned` retries kept for later, and one of the
+    /// reserve back in each `refill`.
+    ///
+    /// Where targets bear so many retries in any ten seconds, those that quiet
+    /// times have earned at all entries must not come in one burst.
+    #[must_use]
+    pub fn bounded(mut self, earned: f64, refill: Duration) -> Self {
+        self.earned_max = earned;
+        self.refill = refill;
+        self
+    }
+
     /// Counts a request.
     pub fn deposit(&mut self) {
-        self.earned = (self.earned + self.ratio).min(MAX_EARNED);
+        self.earned = (self.earned + self.ratio).min(self.earned_max);
     }
 
     /// Takes one retry, if there is one.
     pub fn withdraw(&mut self, now: Instant) -> bool {
         let elapsed = now.saturating_duration_since(self.refilled);
-        let refill = elapsed.as_secs_f64() / REFILL.as_secs_f64();
+        let refill = elapsed.as_secs_f64() / self.refill.as_secs_f64();
         self.reserve = (self.reserve + refill).min(self.reserve_max);
         self.refilled = now;
         // Sums of tenths fall short of a whole by rounding.
