--- a/crates/route/tests/budget.rs
+++ b/crates/route/tests/budget.rs
@@ -24,7 +24,7 @@
     }
     let mut retries = 0;
     for request in 0..REQUESTS {
-        let now = start + Duration::from_secs(60) + Duration::from_secs(10) * request / REQUESTS;
+        let now = start + Duration::from_mins(1) + Duration::from_secs(10) * request / REQUESTS;
         for (entry, budget) in (0..).zip(&mut budgets) {
             if request % ENTRIES == entry {
                 budget.deposit();
