Acknowledge that a target leaves only when others have confirmed it

Cause: two words of a target that leaves were acknowledged though nobody else knew. Said again after it was not confirmed, that it drains counted as heard before; and the sign-off of a target that this replica doesn't know was taken as done. The target stops soon after, under work that all others send to it. Change: each word that a target takes no more work is passed on, the repeated and the late one too, and is acknowledged when the linked entries or a majority of replicas have confirmed it. A sign-off that is unknown here is not acknowledged. Before: server_draining_said_again_unheard got 200 for the second check-in with all others stopped, server_signs_off_unknown 200. After: 503 for both, and 200 once the others go on. A draining target costs one call a second to each entry and replica.

--- a/crates/control/src/hub.rs
+++ b/crates/control/src/hub.rs
@@ -166,41 +166,54 @@
 
     /// Takes what a target tells of itself. Returns false if it must not be
     /// acknowledged: neither all entries here nor a majority of replicas have
-    /// confirmed the news.
+    /// confirmed that it takes no more work.
     pub(crate) async fn hear(&self, told: Sighting) -> bool {
         let heard = self.board().hear(told.clone(), Instant::now());
         match heard {
-            // That a target takes work may reach the others when it will.
-            Heard::News if told.presence == Presence::Ready => {
-                let hub = self.clone();
-                tokio::spawn(async move { hub.spread(&told).await });
-                true
-            }
-            Heard::News => self.spread(&told).await,
-            Heard::Again => {
-                lock(&self.shared.again).insert(told.id);
-                true
-            }
-            Heard::Stale => true,
+            Heard::News => self.note(&told),
+            Heard::Again => drop(lock(&self.shared.again).insert(told.id.clone())),
+            Heard::Stale => {}
+        }
+        if told.presence != Presence::Ready {
+            // Said again, too: that it is known here says nothing of whether
+            // the others confirmed it.
+            return self.spread(&told).await;
         }
+        // That a target takes work may reach the others when it will.
+        if heard == Heard::News {
+            let hub = self.clone();
+            tokio::spawn(async move { hub.spread(&told).await });
+        }
+        true
     }
 
-    /// Takes the word that a target has left; as [`Hub::hear`].
+    /// Takes the word that a target has left; as [`Hub::hear`]. One that isn't
+    /// known here is not acknowledged, so that it asks a replica that can tell
+    /// the others.
     pub(crate) async fn leave(&self, id: &str, born: Option<u64>) -> bool {
-        let told = self.board().leave(id, born, Instant::now());
-        match told {
-            Some(told) => self.spread(&told).await,
-            None => true,
-        }
+        let (told, is_known) = {
+            let mut board = self.board();
+            let told = board.leave(id, born, Instant::now());
+            (told, board.target(id).is_some())
+        };
+        let Some(told) = told else {
+            log::info!(target_id = id, known = is_known; "target that left is not the one known");
+            return is_known;
+        };
+        self.note(&told);
+        self.spread(&told).await
     }
 
-    async fn spread(&self, told: &Sighting) -> bool {
+    fn note(&self, told: &Sighting) {
         *lock(&self.shared.caching) = Caching::Due;
         log::info!(
             target_id = told.id.as_str(), service = told.service.as_str(),
             address:display = told.address, born = told.born;
             "target told that it is {:?}", told.presence
         );
+    }
+
+    async fn spread(&self, told: &Sighting) -> bool {
         let news = targets(vec![sighting_message(told)]);
         let entries = self.entries();
         let replicas = self.shared.directory.all();
