Keep one list of the headers that belong to one connection

Found by reading. Change: `admin::HOP_HEADERS`, `end_to_end` and `named_by_connection` are the one copy.

--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -18,6 +18,7 @@
 
 mod body;
 mod hex;
+mod hop;
 mod linger;
 mod operators;
 mod outcomes;
@@ -30,6 +31,7 @@
 mod token;
 
 pub use body::{Body, Response, empty, full, json, read_body};
+pub use hop::{HOP_HEADERS, end_to_end, named_by_connection};
 pub use hyper::Method;
 pub use operators::{Operators, Propose, Query};
 pub use pages::Pages;
--- a/crates/agent/src/engine/outlet.rs
+++ b/crates/agent/src/engine/outlet.rs
@@ -13,8 +13,8 @@
 use serde_json::{Value, json};
 
 use ::outlet::{Connection, Pool, Unanswered, ask};
+use admin::HOP_HEADERS;
 
-use super::reply::HOP_HEADERS;
 use super::{
     ArmingDialect, ArmingEngine, ArmingState, CacheChange, Call, ClientSettings, ExpertCounts,
     Failure, InForce, Load, MapOrder, MapState, Obeyed, OrderFailure, PoolCounts, Profile, Repeats,
--- a/crates/agent/src/engine/reply.rs
+++ b/crates/agent/src/engine/reply.rs
@@ -12,25 +12,12 @@
 use tokio::time::timeout;
 
 use ::outlet::{Connection, Pool};
+use admin::HOP_HEADERS;
 
 use super::{ClientSettings, Failure, Whole};
 
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 
-/// Headers that belong to one connection and aren't passed on (RFC 9110,
-/// section 7.6.1), and the length, which follows from the body.
-pub(crate) const HOP_HEADERS: [&str; 9] = [
-    "connection",
-    "content-length",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
 /// Tokens that an answer took.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(default)]
--- a/crates/entry/src/http/headers.rs
+++ b/crates/entry/src/http/headers.rs
@@ -2,27 +2,18 @@
 
 use std::time::{Duration, Instant};
 
-use admin::Problem;
+use admin::{HOP_HEADERS, Problem, named_by_connection};
 use bytes::Bytes;
 use hyper::{HeaderMap, StatusCode};
 use wire::proto::Header;
 
-/// Headers of one connection (RFC 9110, section 7.6.1), and those that the
-/// entry or the agent sets itself.
-const NOT_PASSED: [&str; 18] = [
+/// Headers that the entry or the agent sets itself.
+const OWN: [&str; 10] = [
     "authorization",
-    "connection",
-    "content-length",
     "expect",
     "host",
-    "keep-alive",
-    "proxy-authenticate",
     "proxy-authorization",
-    "te",
     "traceparent",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
     "x-priority",
     "x-rank",
     "x-request-id",
@@ -34,7 +25,7 @@
 pub(super) fn passed(headers: &HeaderMap) -> Vec<Header> {
     let named = named_by_connection(headers);
     let passed = headers.iter().filter(|(name, _)| {
-        !NOT_PASSED.contains(&name.as_str()) && !named.iter().any(|other| other == name.as_str())
+        is_passed(name.as_str()) && !named.iter().any(|other| other == name.as_str())
     });
     let passed = passed.map(|(name, value)| Header {
         name: name.as_str().to_owned(),
@@ -45,7 +36,11 @@
 
 /// Whether a header of a target's answer goes to the caller.
 pub(super) fn is_answered(name: &str) -> bool {
-    !NOT_PASSED.contains(&name.to_ascii_lowercase().as_str())
+    is_passed(&name.to_ascii_lowercase())
+}
+
+fn is_passed(name: &str) -> bool {
+    !HOP_HEADERS.contains(&name) && !OWN.contains(&name)
 }
 
 /// The deadline that the caller asks for, or the default.
@@ -79,10 +74,3 @@
         .unwrap_or_default()
         .to_owned()
 }
-
-fn named_by_connection(headers: &HeaderMap) -> Vec<String> {
-    let values = headers.get_all("connection").into_iter();
-    let values = values.filter_map(|value| value.to_str().ok());
-    let names = values.flat_map(|value| value.split(','));
-    names.map(|name| name.trim().to_ascii_lowercase()).collect()
-}
