Move what platform/ still decided into the product

Cause: platform/ held the loop and the limits of an agent for one rank, when an entry opens and closes, how seeds are followed and how many voters are wanted.

--- a/crates/control/src/forming.rs
+++ b/crates/control/src/forming.rs
@@ -18,7 +18,8 @@
     pub replace_after: Duration,
 }
 
-/// Voters wanted unless the settings say otherwise: one may be lost.
+/// Voters wanted unless the settings say otherwise, where that many replicas
+/// are named: one may be lost.
 const VOTERS: usize = 3;
 /// Twice the longest stop that a host is expected to come back from by itself
 /// within the election of a new leader; a shorter time would replace replicas
@@ -28,10 +29,12 @@
 impl Forming {
     pub(crate) fn read(mut r: Reader) -> Forming {
         let seeds: Option<Vec<SocketAddr>> = r.required("seeds");
+        let seeds = seeds.unwrap_or_default();
+        let voters = seeds.len().clamp(1, VOTERS);
         let forming = Forming {
-            seeds: seeds.unwrap_or_default(),
+            seeds,
             bootstrap: r.or("bootstrap", false),
-            voters: r.within("voters", VOTERS, 1..=9),
+            voters: r.within("voters", voters, 1..=9),
             replace_after: r.or("replace_after_ms", REPLACE_AFTER),
         };
         if forming.seeds.is_empty() {
--- a/crates/control/src/port.rs
+++ b/crates/control/src/port.rs
@@ -13,6 +13,11 @@
 /// Longest wait for the newest table.
 const READ_WITHIN: Duration = Duration::from_millis(900);
 
+/// How long callers may keep the entries that they are told. Some keep them
+/// three times as long; with two seconds an entry that leaves is free of nearly
+/// all callers well within its time to end.
+pub const ENTRANCES_KEPT: Duration = Duration::from_secs(2);
+
 /// What became of a route table that was handed in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Replaced {
--- /dev/null
+++ b/crates/control/tests/settings.rs
@@ -0,0 +1,29 @@
+//! What settings mean where they leave something out.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use control::Settings;
+use serde_json::{Value, json};
+
+fn voters(forming: &Value) -> usize {
+    let settings = json!({
+        "name": "control-0", "zone": "celje", "listen": "127.0.0.1:1", "http": "127.0.0.1:2",
+        "data": "data", "cluster_key_file": "key", "operator_token_file": "token",
+        "forming": forming,
+    });
+    let settings = Settings::from_slice(settings.to_string().as_bytes()).unwrap();
+    settings.forming.unwrap().voters
+}
+
+/// A deployment of one replica would wait for two more for ever.
+#[test]
+fn forming_voters_by_default() {
+    let seeds = |count: usize| {
+        let seeds: Vec<String> = (1..=count).map(|n| format!("127.0.0.{n}:7000")).collect();
+        json!({ "seeds": seeds })
+    };
+    assert_eq!([1, 2, 3, 5].map(|n| voters(&seeds(n))), [1, 2, 3, 3]);
+    assert_eq!(
+        voters(&json!({"seeds": ["127.0.0.1:7000"], "voters": 5})),
+        5
+    );
+}
--- a/crates/direct/src/course.rs
+++ b/crates/direct/src/course.rs
@@ -281,7 +281,7 @@
                         buf.extend_from_slice(&data);
                     }
                     if buf.len() > MOST_HELD {
-                        break Some("longer than can be buf".to_owned());
+                        break Some("longer than can be held".to_owned());
                     }
                 }
                 Ok(Some(Err(e))) => break Some(e.to_string()),
--- /dev/null
+++ b/crates/direct/src/doors.rs
@@ -0,0 +1,75 @@
+//! Whether an entry takes callers.
+
+use node::Watcher;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Part of the time to end during which new callers are still taken: by then
+/// nearly all have asked the directory again. A request that is taken later
+/// may still run when the process is killed.
+const TAKES_CALLERS: f64 = 0.3;
+/// Part of the time to end after which what is left is cut off.
+const ENDS: f64 = 0.95;
+
+/// Whether an entry takes callers: from its first route table on, until it is
+/// asked to end. Clones share one state.
+#[derive(Clone)]
+pub struct Doors {
+    watcher: Watcher,
+    closing: Arc<AtomicBool>,
+}
+
+impl Doors {
+    /// Opens as soon as the watcher holds a route table.
+    #[must_use]
+    pub fn spawn(watcher: Watcher) -> Doors {
+        let doors = Doors {
+            watcher,
+            closing: Arc::default(),
+        };
+        tokio::spawn(doors.clone().open_with_table());
+        doors
+    }
+
+    /// Whether callers may be sent here.
+    #[must_use]
+    pub fn are_open(&self) -> bool {
+        self.watcher.table().is_some() && !self.are_closing()
+    }
+
+    /// Whether the entry is about to end, so that callers should go elsewhere
+    /// with their next request.
+    #[must_use]
+    pub fn are_closing(&self) -> bool {
+        self.closing.load(Ordering::Relaxed)
+    }
+
+    /// Of the time that is given to end, the part for requests that run once
+    /// [`Doors::close`] has returned.
+    #[must_use]
+    pub fn drain(grace: Duration) -> Duration {
+        grace.mul_f64(ENDS - TAKES_CALLERS)
+    }
+
+    /// Has callers sent elsewhere, and returns once they had time to learn of
+    /// it. Requests that come until then are still run.
+    pub async fn close(&self, grace: Duration) {
+        self.closing.store(true, Ordering::Relaxed);
+        self.watcher.set_open(false);
+        sleep(grace.mul_f64(TAKES_CALLERS)).await;
+    }
+
+    async fn open_with_table(self) {
+        let mut changed = self.watcher.watched().changed();
+        while self.watcher.table().is_none() {
+            if changed.changed().await.is_err() {
+                return;
+            }
+        }
+        if !self.are_closing() {
+            self.watcher.set_open(true);
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,6 +16,7 @@
 mod relay_link;
 mod relayed;
 mod renewer;
+mod seeds;
 mod settings;
 mod shared;
 mod view;
@@ -24,6 +25,7 @@
 
 pub use crate::follower::Follower;
 pub use crate::lease::Lease;
+pub use crate::seeds::follow_seeds;
 pub use crate::settings::FollowerSettings;
 pub use crate::shared::Parts;
 pub use crate::view::merge;
--- a/crates/table/src/table.rs
+++ b/crates/table/src/table.rs
@@ -1,8 +1,9 @@
 //! A table that was checked.
 
-use crate::{CallerLimits, ClientAccount, Draft, Route, Service, check};
+use crate::{CallerLimits, ClientAccount, Draft, Kind, Route, Service, check};
 use cfg::Findings;
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// A route table that was checked, with what is needed to look things up.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -94,6 +95,22 @@
         self.draft.services.get(*self.services.get(name)?)
     }
 
+    /// The shortest pause that any route to the service lets its streams make.
+    ///
+    /// ```
+    /// assert!(table::Table::default().shortest_pause("order-desk").is_none());
+    /// ```
+    #[must_use]
+    pub fn shortest_pause(&self, service: &str) -> Option<Duration> {
+        let leads = |route: &&Route| route.split.iter().any(|share| share.service == service);
+        let routes = self.draft.routes.iter().filter(leads);
+        let pauses = routes.filter_map(|route| match route.kind {
+            Kind::Stream { pause, .. } => pause,
+            Kind::Repeatable | Kind::Once => None,
+        });
+        pauses.min()
+    }
+
     /// All services, in the order in which they were written.
     ///
     /// ```
--- a/crates/table/tests/table.rs
+++ b/crates/table/tests/table.rs
@@ -1,7 +1,7 @@
 //! Which route a request takes, and what is wrong with a table.
 
 use std::time::Duration;
-use table::{Access, ClientAccount, Draft, Kind, Route, Service, Share, Table};
+use table::{Access, ClientAccount, Draft, Kind, Resume, Route, Service, Share, Table};
 
 fn share(service: &str, weight: u32) -> Share {
     Share {
@@ -66,6 +66,35 @@
     assert_eq!(named("c.example", "/lots/"), None);
 }
 
+#[test]
+fn shortest_pause_of_any_route() {
+    let stream = |prefix: &str, service: &str, pause: Option<u64>| Route {
+        kind: Kind::Stream {
+            resume: Resume::Anywhere,
+            pause: pause.map(Duration::from_millis),
+        },
+        split: vec![share("other", 9), share(service, 1)],
+        ..route(prefix, "a.example", prefix)
+    };
+    let routes = vec![
+        stream("/slow/", "desk", Some(200)),
+        stream("/fast/", "desk", Some(120)),
+        stream("/any/", "desk", None),
+        stream("/faster/", "press", Some(80)),
+        route("plain", "a.example", "/plain/"),
+    ];
+    let services = ["desk", "press", "other"].map(|name| Service::new(name, 96));
+    let draft = Draft {
+        services: services.to_vec(),
+        ..draft(routes)
+    };
+    let table = Table::new(draft).unwrap();
+    let pause = |service| table.shortest_pause(service);
+    assert_eq!(pause("desk"), Some(Duration::from_millis(120)));
+    assert_eq!(pause("press"), Some(Duration::from_millis(80)));
+    assert_eq!(pause("absent"), None);
+}
+
 #[test]
 fn service_split_by_weight() {
     let mut split = route("split", "a.example", "/");
