Dial a host that doesn't answer again after 0.2 s

Cause: after a loss of all power entries and agents start 0.4 s before control replicas do. Meanwhile entries knew no table; 144 requests ended there. Ruled out: the pause between two tries, 0.15 s at most. Change: the connection alone may take `connect_timeout`, 0.2 s. Test: dial_unanswered; with the former bound it waits for the whole dial.

--- a/crates/wire/src/connect.rs
+++ b/crates/wire/src/connect.rs
@@ -28,7 +28,8 @@
     cfg: &LinkSettings,
 ) -> Result<(Link, mpsc::Receiver<Incoming>)> {
     let dialled = async {
-        let stream = TcpStream::connect(address).await?;
+        let connected = timeout(cfg.connect_timeout, TcpStream::connect(address)).await;
+        let stream = connected.map_err(|_| Error::TimedOut)??;
         shake_on(stream, Side::Dialer, me, key, cfg).await
     };
     timeout(cfg.dial_timeout, dialled)
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -10,6 +10,8 @@
 pub struct LinkSettings {
     /// Time between two heartbeats; three without a byte close the link.
     pub beat: Duration,
+    /// Longest time for the connection alone.
+    pub connect_timeout: Duration,
     /// Longest time for the connection and its handshake.
     pub dial_timeout: Duration,
     /// Shortest and longest pause before dialling again.
@@ -36,10 +38,17 @@
     }
 }
 
+/// Eight round trips between distant regions. The kernel sends the packet that
+/// opens a connection again after a second (RFC 6298, section 2.1): whoever
+/// dials a host that is just starting would wait for that second, though the
+/// host answers long before.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+
 impl Default for LinkSettings {
     fn default() -> Self {
         LinkSettings {
             beat: Duration::from_millis(500),
+            connect_timeout: CONNECT_TIMEOUT,
             dial_timeout: Duration::from_secs(2),
             redial_pause: (Duration::from_millis(50), Duration::from_secs(1)),
             max_frame: 64 << 20,
--- a/crates/wire/tests/link.rs
+++ b/crates/wire/tests/link.rs
@@ -8,8 +8,9 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc;
+use tokio::time::timeout;
 use tokio_util::codec::Decoder;
 use wire::proto::frame::Body;
 use wire::proto::{FetchNotes, Notes};
@@ -117,6 +118,31 @@
     assert!(matches!(dialled, Err(Error::WrongKey)));
 }
 
+/// A host that is just starting answers nothing yet. The kernel asks it again only
+/// after a second, and until then nobody would learn that it is up.
+#[tokio::test]
+async fn dial_unanswered() {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind((Ipv4Addr::LOCALHOST, 0).into()).unwrap();
+    let address = socket.local_addr().unwrap();
+    // Beyond those that wait to be accepted, connections aren't answered.
+    let listener = socket.listen(1).unwrap();
+    let mut waiting = Vec::new();
+    while let Ok(Ok(stream)) =
+        timeout(Duration::from_millis(300), TcpStream::connect(address)).await
+    {
+        waiting.push(stream);
+    }
+    let cfg = LinkSettings {
+        connect_timeout: Duration::from_millis(50),
+        dial_timeout: Duration::from_hours(1),
+        ..quick()
+    };
+    let dialled = timeout(WITHIN, wire::dial(address, &entry(), &key(), &cfg)).await;
+    assert!(matches!(dialled, Ok(Err(Error::TimedOut))));
+    drop(listener);
+}
+
 /// Copies bytes between two ends until told to swallow them.
 async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, swallow: Arc<AtomicBool>) {
     let mut buf = [0; 4096];
