Wait for targets that are about to be known, and pass over replaced ones

Change: a target whose address another one has is out until it is heard of again. A request that finds no table after a start, or no target that takes work, waits up to 1.3 s of that absence and a third of its time, 64 at an entry at most (`route::Absence`). A silent target is given up only where another one could take the request: 38 tries that waited in a busy engine's queue had ended as 502.

--- a/crates/direct/src/course.rs
+++ b/crates/direct/src/course.rs
@@ -15,6 +15,7 @@
 use http_body_util::BodyExt;
 use hyper::StatusCode;
 use route::{Outcome, TargetKey};
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use table::{Kind, Route};
@@ -91,7 +92,7 @@
                 return self.give_up(failed, Reason::Expired);
             }
             let after = self.ask.after;
-            let permit = match self.place() {
+            let permit = match self.placed().await {
                 Ok(permit) => permit,
                 Err(reason) => return self.give_up(failed, reason),
             };
@@ -125,6 +126,32 @@
         matches!(self.kind, Kind::Stream { .. })
     }
 
+    /// Takes a place, and waits for a target to come while the service has none.
+    async fn placed(&mut self) -> Result<Permit, Reason> {
+        loop {
+            let mut news = self.fleets.news();
+            let reason = match self.place() {
+                Ok(permit) => return Ok(permit),
+                Err(reason) => reason,
+            };
+            let now = Instant::now();
+            let until = match reason {
+                Reason::NoTarget => self.fleets.waits_until(&self.service, self.deadline, now),
+                _ => None,
+            };
+            let Some((until, _waiter)) = until.zip(self.fleets.waiter()) else {
+                return Err(reason);
+            };
+            log::info!(
+                request = self.ask.id.as_str(), service = self.service.as_str(),
+                most_ms:display = (until - now).as_millis();
+                "waits for a target"
+            );
+            // Either outcome means that it is time to look again.
+            let _ = timeout(until - now, news.changed()).await;
+        }
+    }
+
     /// Takes a place at a target that wasn't tried yet.
     pub(crate) fn place(&mut self) -> Result<Permit, Reason> {
         let placed = self
@@ -140,14 +167,12 @@
 
     /// Sends it once and waits for the head of the answer.
     async fn attempt(&mut self, mut permit: Permit, after: Option<u64>) -> Tried {
-        // A request that runs once at most is waited for to its end: to give
-        // it up sooner wins nothing, for nobody could send it again.
-        let (reuse, silence) = if self.kind.repeats() {
-            (Reuse::Kept, self.timing.silence)
+        let reuse = if self.kind.repeats() {
+            Reuse::Kept
         } else {
-            (Reuse::Fresh, self.left())
+            Reuse::Fresh
         };
-        let sent = self.sending(reuse, silence, after).send(&permit).await;
+        let sent = self.answered(reuse, after, &permit).await;
         let head = match sent {
             Ok(head) => head,
             Err(miss) => {
@@ -158,9 +183,9 @@
         if let Some(load) = head.reading.load {
             permit.told(load);
         }
-        if head.reading.word == Word::NotRun {
-            self.log_miss(&permit, "declined", head.status.as_str());
-            permit.ended(Outcome::Declined);
+        if let Some((what, outcome)) = declined(head.reading.word) {
+            self.log_miss(&permit, what, head.status.as_str());
+            permit.ended(outcome);
             return Tried::Missed(Reason::Declined);
         }
         self.attempts -= 1;
@@ -174,12 +199,41 @@
         Tried::Answered(Box::new(head), permit)
     }
 
-    fn sending(&self, reuse: Reuse, silence: Duration, after: Option<u64>) -> Try<'_> {
+    /// Sends it and waits for the answer, until it had better go elsewhere.
+    ///
+    /// To give up a silent target wins nothing where nobody else could take the
+    /// request: it may have many before it, and answer yet.
+    async fn answered(
+        &self,
+        reuse: Reuse,
+        after: Option<u64>,
+        permit: &Permit,
+    ) -> Result<Head, Miss> {
+        let sending = self.sending(reuse, after);
+        let mut sent = pin!(sending.send(permit));
+        loop {
+            match timeout(self.timing.silence, &mut sent).await {
+                Ok(answered) => return answered,
+                Err(_) if self.may_move() => {
+                    return Err(Miss::Lost("silent for too long".to_owned()));
+                }
+                Err(_) => {}
+            }
+        }
+    }
+
+    /// Whether another target would take it now.
+    fn may_move(&self) -> bool {
+        let now = Instant::now();
+        let allowed = self.kind.repeats() && self.attempts > 1;
+        allowed && self.fleets.bears_retry(&self.service, &self.tried, now)
+    }
+
+    fn sending(&self, reuse: Reuse, after: Option<u64>) -> Try<'_> {
         Try {
             ask: &self.ask,
             account: self.account.as_deref(),
             deadline: self.deadline,
-            silence,
             after,
             reuse,
             dialect: &self.dialect,
@@ -316,6 +370,15 @@
     }
 }
 
+/// How an answer that says that the request did not run is counted.
+fn declined(word: Word) -> Option<(&'static str, Outcome)> {
+    match word {
+        Word::NotRun => Some(("declined", Outcome::Declined)),
+        Word::Replaced => Some(("replaced", Outcome::Replaced)),
+        Word::Vouched | Word::Unvouched | Word::Foreign => None,
+    }
+}
+
 /// Part of a time by which callers are spread who are all told to come back.
 const SPREAD: std::ops::Range<f64> = 0.75..1.5;
 
--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -38,6 +38,8 @@
     Unvouched,
     /// The target says that it did not run the request.
     NotRun,
+    /// Another target has the address, and did not run the request.
+    Replaced,
     /// It answers another request.
     Foreign,
 }
--- a/crates/direct/src/director.rs
+++ b/crates/direct/src/director.rs
@@ -13,6 +13,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use table::{Access, Route, Table};
+use tokio::time::timeout;
 
 /// How often connections that were kept for too long are closed, and targets
 /// that fell silent are noticed.
@@ -37,6 +38,7 @@
     timing: Arc<Timing>,
     dialect: Dialect,
     metrics: Metrics,
+    began: Instant,
 }
 
 impl Director {
@@ -51,6 +53,7 @@
             dialect: cfg.dialect,
             metrics,
             watcher,
+            began: Instant::now(),
         };
         tokio::spawn(follow(
             director.watcher.clone(),
@@ -76,9 +79,7 @@
     }
 
     async fn direct(&self, ask: Ask) -> Result<Answer, Refusal> {
-        let Some(table) = self.watcher.table() else {
-            return Err(Refusal::after(Reason::NoTable, self.timing.retry_absent));
-        };
+        let table = self.known_table(&ask).await?;
         let route = table.route(&ask.host, ask.path_only());
         let route = route.ok_or_else(|| refuse(&ask, &table, Reason::NoRoute))?;
         let account = account(&table, route, &ask)?;
@@ -90,6 +91,27 @@
         course.run().await
     }
 
+    /// The table in force; soon after the start it is waited for.
+    async fn known_table(&self, ask: &Ask) -> Result<Arc<Table>, Refusal> {
+        let mut changed = self.watcher.watched().changed();
+        loop {
+            if let Some(table) = self.watcher.table() {
+                return Ok(table);
+            }
+            let now = Instant::now();
+            let patience = ask.patience.unwrap_or(self.timing.silence);
+            let deadline = ask.arrived + patience;
+            let absence = &self.timing.absence;
+            let until = absence.waits_until(self.began, deadline, now);
+            let Some((until, _waiter)) = until.zip(self.fleets.waiter()) else {
+                log::info!(request = ask.id.as_str(); "refused: {}", Reason::NoTable);
+                return Err(Refusal::after(Reason::NoTable, self.timing.retry_absent));
+            };
+            // Either outcome means that it is time to look again.
+            let _ = timeout(until - now, changed.changed()).await;
+        }
+    }
+
     pub(crate) fn fleets(&self) -> &Arc<Fleets> {
         &self.fleets
     }
@@ -141,7 +163,7 @@
         }
         fleets.tidy(now);
         // An end of the wait means that it is time to look again.
-        if let Ok(Err(_)) = tokio::time::timeout(TIDY, changed.changed()).await {
+        if let Ok(Err(_)) = timeout(TIDY, changed.changed()).await {
             return;
         }
     }
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -26,8 +26,6 @@
     pub(crate) ask: &'a Ask,
     pub(crate) account: Option<&'a str>,
     pub(crate) deadline: Instant,
-    /// Silence after which it is given up.
-    pub(crate) silence: Duration,
     pub(crate) after: Option<u64>,
     pub(crate) reuse: Reuse,
     pub(crate) dialect: &'a Dialect,
@@ -88,7 +86,7 @@
                 let why = "the target doesn't vouch for its answer";
                 return Err(Miss::Lost(why.to_owned()));
             }
-            Word::Vouched | Word::Unvouched | Word::NotRun => {}
+            Word::Vouched | Word::Unvouched | Word::NotRun | Word::Replaced => {}
         }
         Ok(Head {
             status: head.status,
@@ -103,8 +101,13 @@
         let left = self.left();
         ClientSettings {
             connect: self.timing.connect.min(left),
-            head: self.silence.min(left),
-            progress: self.silence,
+            head: left,
+            // Bytes that nobody acknowledges are a matter of the connection,
+            // however long the answer may take.
+            progress: match self.reuse {
+                Reuse::Kept => self.timing.silence,
+                Reuse::Fresh => left,
+            },
             question: left,
         }
     }
--- a/crates/direct/src/fleets.rs
+++ b/crates/direct/src/fleets.rs
@@ -13,6 +13,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use table::Table;
+use tokio::sync::{Semaphore, SemaphorePermit, watch};
 
 /// Retries for each request. Targets of a service bear a fifth more; the rest
 /// is for callers who come back by themselves.
@@ -35,12 +36,19 @@
 /// Silence after which a target gets no new work: five check-ins of it.
 const SILENT: Duration = Duration::from_secs(6);
 
+/// Requests that wait for a table or a target at most: with four entries about
+/// what the targets of a service can begin at once when they are back.
+const MOST_WAITING: usize = 64;
+
 /// The fleets of all services.
 #[derive(Debug)]
 pub(crate) struct Fleets {
     zone: String,
     timing: Timing,
     inner: Mutex<Inner>,
+    /// Ticks each time targets or tables may have changed.
+    news: watch::Sender<()>,
+    waiters: Semaphore,
 }
 
 #[derive(Debug)]
@@ -54,6 +62,8 @@
     fleet: Fleet,
     budget: RetryBudget,
     ways: BTreeMap<String, (TargetKey, Way)>,
+    /// Since when requests have found no target that takes work.
+    absent: Option<Instant>,
 }
 
 /// How a target is reached.
@@ -83,6 +93,8 @@
             zone: zone.to_owned(),
             timing,
             inner: Mutex::new(inner),
+            news: watch::Sender::default(),
+            waiters: Semaphore::new(MOST_WAITING),
         }
     }
 
@@ -102,6 +114,30 @@
                 .filter(|known| known.told.service == service.name);
             held.follow(own, self, now);
         }
+        drop(inner);
+        self.news.send_replace(());
+    }
+
+    /// Ticks each time targets may have changed.
+    pub(crate) fn news(&self) -> watch::Receiver<()> {
+        self.news.subscribe()
+    }
+
+    /// Room for one more request that waits.
+    pub(crate) fn waiter(&self) -> Option<SemaphorePermit<'_>> {
+        self.waiters.try_acquire().ok()
+    }
+
+    /// When a request stops waiting for a target of a service that has none;
+    /// none if it is to be refused at once.
+    pub(crate) fn waits_until(
+        &self,
+        service: &str,
+        deadline: Instant,
+        now: Instant,
+    ) -> Option<Instant> {
+        let since = self.inner().services.get(service)?.absent?;
+        self.timing.absence.waits_until(since, deadline, now)
     }
 
     /// Takes a place at the best target that wasn't tried.
@@ -115,13 +151,13 @@
         let Inner { rng, services } = &mut *inner;
         let held = services.get_mut(service).ok_or(NoWay::Absent)?;
         let Some(key) = held.fleet.choose(tried, now, rng) else {
-            let none_open = !held.fleet.has_open();
-            return Err(if none_open {
-                NoWay::Absent
-            } else {
-                NoWay::Full
-            });
+            if held.fleet.has_open() {
+                return Err(NoWay::Full);
+            }
+            held.absent.get_or_insert(now);
+            return Err(NoWay::Absent);
         };
+        held.absent = None;
         let mut ways = held.ways.values();
         let way = ways.find(|(known, _)| *known == key).ok_or(NoWay::Absent)?;
         let way = way.1.clone();
@@ -144,6 +180,15 @@
         held.is_some_and(|held| held.budget.withdraw(now))
     }
 
+    /// Whether another target could take a request that is sent again.
+    pub(crate) fn bears_retry(&self, service: &str, tried: &[TargetKey], now: Instant) -> bool {
+        let mut inner = self.inner();
+        let Inner { rng, services } = &mut *inner;
+        services.get_mut(service).is_some_and(|held| {
+            held.budget.has_one(now) && held.fleet.choose(tried, now, rng).is_some()
+        })
+    }
+
     pub(crate) fn told(&self, service: &str, key: TargetKey, load: ToldLoad) {
         if let Some(held) = self.inner().services.get_mut(service) {
             held.fleet.told(key, load);
@@ -191,6 +236,7 @@
             budget: RetryBudget::new(RETRY_RATIO, RETRY_RESERVE, now)
                 .bounded(RETRY_EARNED, RETRY_REFILL),
             ways: BTreeMap::new(),
+            absent: None,
         }
     }
 
@@ -221,6 +267,7 @@
             let silent = heard_any && silence(known) >= SILENT;
             let open = told.presence == Presence::Ready && !silent;
             self.fleet.set_open(*key, open);
+            self.fleet.heard(*key, known.heard);
             stays.insert(told.id.clone());
         }
         let gone: Vec<String> = self
--- a/crates/direct/src/timing.rs
+++ b/crates/direct/src/timing.rs
@@ -1,9 +1,10 @@
 //! Times of requests.
 
+use route::Absence;
 use std::time::Duration;
 
 /// Times of requests straight to targets.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Timing {
     /// Time to connect at most. Targets are a few milliseconds away, so a
     /// connection that isn't there by then waits for a packet to be sent
@@ -23,6 +24,8 @@
     /// When a caller who finds no target or no table may come back: about the
     /// time in which a target or entry that starts is known.
     pub retry_absent: Duration,
+    /// How long requests wait for a table or target of which none is known.
+    pub absence: Absence,
 }
 
 impl Default for Timing {
@@ -33,6 +36,7 @@
             kept: Duration::from_secs(2),
             retry_full: Duration::from_secs(1),
             retry_absent: Duration::from_secs(1),
+            absence: Absence::default(),
         }
     }
 }
--- a/crates/route/src/berth.rs
+++ b/crates/route/src/berth.rs
@@ -28,6 +28,8 @@
     slots: f64,
     distance: Distance,
     pub(crate) open: bool,
+    /// When another target answered at its address, until it is heard of again.
+    replaced: Option<Instant>,
     /// Requests of this entry.
     pub(crate) own: u32,
     /// Requests of all other entries, by the target's last word.
@@ -45,6 +47,7 @@
             slots: f64::from(slots.max(1)),
             distance,
             open: true,
+            replaced: None,
             own: 0,
             others: 0,
             pauses: None,
@@ -53,6 +56,16 @@
         }
     }
 
+    /// Whether it may be given new work.
+    pub(crate) fn is_open(&self) -> bool {
+        self.open && self.replaced.is_none()
+    }
+
+    /// It told of itself.
+    pub(crate) fn heard(&mut self, at: Instant) {
+        self.replaced = self.replaced.filter(|replaced| at <= *replaced);
+    }
+
     pub(crate) fn is_shunned(&self, now: Instant) -> bool {
         self.shunned_until.is_some_and(|until| now < until)
     }
@@ -119,6 +132,9 @@
                 let until = now + tuning.declined;
                 self.shunned_until = self.shunned_until.max(Some(until));
             }
+            // Its process has ended. Were more sent there, each request would
+            // spend one of its tries on an address that declines them all.
+            Outcome::Replaced => self.replaced = Some(now),
             Outcome::Abandoned => {}
         }
     }
--- a/crates/route/src/budget.rs
+++ b/crates/route/src/budget.rs
@@ -74,18 +74,32 @@
 
     /// Takes one retry, if there is one.
     pub fn withdraw(&mut self, now: Instant) -> bool {
-        let elapsed = now.saturating_duration_since(self.refilled);
-        let refill = elapsed.as_secs_f64() / self.refill.as_secs_f64();
-        self.reserve = (self.reserve + refill).min(self.reserve_max);
-        self.refilled = now;
-        // Sums of tenths fall short of a whole by rounding.
-        let rounding = 1e-9;
+        self.refill(now);
         for purse in [&mut self.earned, &mut self.reserve] {
-            if *purse + rounding >= 1.0 {
+            if is_whole(*purse) {
                 *purse = (*purse - 1.0).max(0.0);
                 return true;
             }
         }
         false
     }
+
+    /// Whether there is a retry to be taken.
+    pub fn has_one(&mut self, now: Instant) -> bool {
+        self.refill(now);
+        is_whole(self.earned) || is_whole(self.reserve)
+    }
+
+    fn refill(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.refilled);
+        let refill = elapsed.as_secs_f64() / self.refill.as_secs_f64();
+        self.reserve = (self.reserve + refill).min(self.reserve_max);
+        self.refilled = now;
+    }
+}
+
+/// Sums of tenths fall short of a whole by rounding.
+fn is_whole(purse: f64) -> bool {
+    let rounding = 1e-9;
+    purse + rounding >= 1.0
 }
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -25,6 +25,8 @@
     Answered,
     /// The target said that it did not run it: it is full, or another one.
     Declined,
+    /// Another target answered at its address.
+    Replaced,
     /// The target failed it, or could not be reached.
     Failed,
     /// Nobody waits for it any more.
@@ -132,6 +134,14 @@
         }
     }
 
+    /// A target was heard of. Its address was another one's for a while if it
+    /// was replaced before.
+    pub fn heard(&mut self, key: TargetKey, at: Instant) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.heard(at);
+        }
+    }
+
     /// Chooses the target with the most free places, for its size, among
     /// those that weren't tried. One that failed lately is taken only if
     /// there is no other. `None` if all are full.
@@ -141,7 +151,8 @@
         now: Instant,
         rng: &mut impl Rng,
     ) -> Option<TargetKey> {
-        let untried = |(key, target): &(TargetKey, &Berth)| target.open && !tried.contains(key);
+        let untried =
+            |(key, target): &(TargetKey, &Berth)| target.is_open() && !tried.contains(key);
         let open = || self.targets.iter().filter(untried);
         let sound = open().filter(|(_, target)| !target.is_shunned(now));
         self.least_loaded(sound, now, rng).or_else(|| {
@@ -174,7 +185,7 @@
     /// Whether any target may be given new work, full or not.
     #[must_use]
     pub fn has_open(&self) -> bool {
-        self.targets.values().any(|target| target.open)
+        self.targets.values().any(Berth::is_open)
     }
 
     /// A request is sent to a target.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -18,6 +18,7 @@
 //! assert!(quarantine.is_convicted(&poison));
 //! ```
 
+mod absence;
 mod account;
 mod account_limits;
 mod admission;
@@ -57,6 +58,7 @@
 mod usage;
 mod verdict;
 
+pub use crate::absence::Absence;
 pub use crate::account_limits::AccountLimits;
 pub use crate::admission::Admission;
 pub use crate::admission_settings::AdmissionSettings;
--- a/crates/route/tests/fleet.rs
+++ b/crates/route/tests/fleet.rs
@@ -158,3 +158,23 @@
     assert!([(10, 10), (11, 9)].contains(&running), "{running:?}");
     assert_eq!(fleet.choose(&[near], now, &mut rng), Some(far));
 }
+
+/// All targets of a service have been started anew, and their old names are still
+/// known. Each request would spend its tries on addresses that decline it.
+#[test]
+fn choose_replaced_targets() {
+    let (mut fleet, keys) = engines(2);
+    let mut now = Instant::now();
+    for _ in &keys {
+        let key = fleet.choose(&[], now, &mut rng()).unwrap();
+        fleet.start(key);
+        fleet.end(key, Outcome::Replaced, now);
+        // What was told before says nothing of its end.
+        fleet.heard(key, now);
+        now += Duration::from_secs(30);
+    }
+    assert!(!fleet.has_open());
+    assert_eq!(fleet.choose(&[], now, &mut rng()), None);
+    fleet.heard(keys[0], now);
+    assert_eq!(fleet.choose(&[], now, &mut rng()), Some(keys[0]));
+}
