--- a/crates/agent/tests/maps.rs
+++ b/crates/agent/tests/maps.rs
@@ -20,8 +20,13 @@
 
 impl Group {
     async fn start(control: Control, fencing: FencingCheck) -> Self {
-        control.notes(vec![note()]);
         control.show_agents();
+        Group::start_as_shown(control, fencing).await
+    }
+
+    /// With the view that control shows already.
+    async fn start_as_shown(control: Control, fencing: FencingCheck) -> Self {
+        control.notes(vec![note()]);
         let collective = Collective::start(0..3).await.unwrap();
         let mut engines = Vec::new();
         for rank in 0..3 {
@@ -117,8 +122,8 @@
     // the time of a lease has passed, and until then all streams would be slow
     // on the start map, though the agent of each rank has long been heard.
     let control = Control::start().await;
-    control.unsettle();
-    let group = Group::start(control, FencingCheck::Refuse).await;
+    control.show_agents_unsettled();
+    let group = Group::start_as_shown(control, FencingCheck::Refuse).await;
     group.switched().await;
     group.assert_one_map();
 }
--- a/crates/agent/tests/support/control.rs
+++ b/crates/agent/tests/support/control.rs
@@ -25,6 +25,14 @@
     inner: Arc<Mutex<Inner>>,
 }
 
+/// Whether the view is made of all agents that renewed.
+#[derive(Clone, Copy, PartialEq)]
+enum LiveView {
+    Off,
+    Settled,
+    Unsettled,
+}
+
 struct Inner {
     notes: Vec<String>,
     lease_ms: u32,
@@ -35,10 +43,7 @@
     /// Whether proposals to commit a map are kept from the durable state.
     deaf_to_commits: bool,
     commits_asked: u64,
-    /// Whether the view is made of all agents that renewed.
-    live_view: bool,
-    /// Whether that view counts as whole.
-    settled: bool,
+    live_view: LiveView,
     agents: BTreeMap<String, NodeInfo>,
     last: Option<NodeInfo>,
     renewals: u64,
@@ -59,8 +64,7 @@
                 decisions: Decisions::new(),
                 deaf_to_commits: false,
                 commits_asked: 0,
-                live_view: false,
-                settled: true,
+                live_view: LiveView::Off,
                 agents: BTreeMap::new(),
                 last: None,
                 renewals: 0,
@@ -119,13 +123,12 @@
 
     /// From now on the view is made of all agents that renew.
     pub fn show_agents(&self) {
-        self.inner.lock().unwrap().live_view = true;
+        self.inner.lock().unwrap().live_view = LiveView::Settled;
     }
 
-    /// From now on the view counts as one of a leader that has not heard of all
-    /// nodes yet.
-    pub fn unsettle(&self) {
-        self.inner.lock().unwrap().settled = false;
+    /// The same under a leader that may not have heard of all of them yet.
+    pub fn show_agents_unsettled(&self) {
+        self.inner.lock().unwrap().live_view = LiveView::Unsettled;
     }
 
     /// Takes an agent out of the view until it renews again.
@@ -295,11 +298,14 @@
     }
 
     fn see_agents(&mut self) {
-        if let Some(node) = self.last.clone().filter(|_| self.live_view) {
+        if self.live_view == LiveView::Off {
+            return;
+        }
+        if let Some(node) = self.last.clone() {
             self.agents.insert(node.name.clone(), node);
             self.view.term = 1;
             self.view.version += 1;
-            self.view.settled = self.settled;
+            self.view.settled = self.live_view == LiveView::Settled;
             self.view.nodes = self.agents.values().cloned().collect();
         }
     }
