Wait while all targets decline with places free, and try one at a time

Ruled out: targets that are full decline too, but tell a load of all their slots; those are refused at once as before. Change: a target that declines with places free is unable until one request at a time, every 0.2 s, is not declined for 50 ms; then all are tried. While none is able, requests wait as for an absent target.

--- a/crates/direct/src/course.rs
+++ b/crates/direct/src/course.rs
@@ -43,6 +43,8 @@
     pub(crate) metrics: Metrics,
     tried: Vec<TargetKey>,
     unsent: u32,
+    /// It has waited for a target.
+    waits: bool,
     /// Why the last target did not answer it; the strongest doubt counts.
     doubt: Option<Reason>,
 }
@@ -79,6 +81,7 @@
             ask,
             tried: Vec::new(),
             unsent: 0,
+            waits: false,
             doubt: None,
         }
     }
@@ -136,19 +139,24 @@
             };
             let now = Instant::now();
             let until = match reason {
-                Reason::NoTarget => self.fleets.waits_until(&self.service, self.deadline, now),
+                Reason::NoTarget => self.fleets.looks_again(&self.service, self.deadline, now),
                 _ => None,
             };
             let Some((until, _waiter)) = until.zip(self.fleets.waiter()) else {
                 return Err(reason);
             };
-            log::info!(
-                request = self.ask.id.as_str(), service = self.service.as_str(),
-                most_ms:display = (until - now).as_millis();
-                "waits for a target"
-            );
+            if !self.waits {
+                self.waits = true;
+                log::info!(
+                    request = self.ask.id.as_str(), service = self.service.as_str(),
+                    left_ms:display = self.left().as_millis();
+                    "waits for a target"
+                );
+            }
             // Either outcome means that it is time to look again.
             let _ = timeout(until - now, news.changed()).await;
+            // Those that declined before may be able by now.
+            self.tried.clear();
         }
     }
 
--- a/crates/direct/src/fleets.rs
+++ b/crates/direct/src/fleets.rs
@@ -128,16 +128,20 @@
         self.waiters.try_acquire().ok()
     }
 
-    /// When a request stops waiting for a target of a service that has none;
-    /// none if it is to be refused at once.
-    pub(crate) fn waits_until(
+    /// When a request that waits for a target of a service that has none looks
+    /// again; none if it is to be refused at once.
+    pub(crate) fn looks_again(
         &self,
         service: &str,
         deadline: Instant,
         now: Instant,
     ) -> Option<Instant> {
-        let since = self.inner().services.get(service)?.absent?;
-        self.timing.absence.waits_until(since, deadline, now)
+        let inner = self.inner();
+        let held = inner.services.get(service)?;
+        let absence = &self.timing.absence;
+        let until = absence.waits_until(held.absent?, deadline, now)?;
+        let trial = held.fleet.next_trial().filter(|at| *at > now);
+        Some(trial.map_or(until, |at| at.min(until)))
     }
 
     /// Takes a place at the best target that wasn't tried.
@@ -151,13 +155,15 @@
         let Inner { rng, services } = &mut *inner;
         let held = services.get_mut(service).ok_or(NoWay::Absent)?;
         let Some(key) = held.fleet.choose(tried, now, rng) else {
-            if held.fleet.has_open() {
+            if held.fleet.has_able() {
                 return Err(NoWay::Full);
             }
             held.absent.get_or_insert(now);
             return Err(NoWay::Absent);
         };
-        held.absent = None;
+        if held.fleet.has_able() {
+            held.absent = None;
+        }
         let mut ways = held.ways.values();
         let way = ways.find(|(known, _)| *known == key).ok_or(NoWay::Absent)?;
         let way = way.1.clone();
@@ -212,6 +218,10 @@
         if let Some(held) = self.inner().services.get_mut(service) {
             held.fleet.end(key, outcome, now);
         }
+        if outcome == Outcome::Declined {
+            // Others wait for the end of its trial.
+            self.news.send_replace(());
+        }
     }
 
     /// Closes connections that were kept for too long.
--- a/crates/route/src/berth.rs
+++ b/crates/route/src/berth.rs
@@ -34,6 +34,10 @@
     pub(crate) own: u32,
     /// Requests of all other entries, by the target's last word.
     others: u32,
+    /// Requests of all entries, by its last word.
+    told: Option<u32>,
+    /// Until when it isn't tried again after it declined with places free.
+    pub(crate) unable_until: Option<Instant>,
     /// Usual pause of its streams, the longest that is on time, and when a
     /// stream last paused.
     pauses: Option<Pauses>,
@@ -50,6 +54,8 @@
             replaced: None,
             own: 0,
             others: 0,
+            told: None,
+            unable_until: None,
             pauses: None,
             failures: 0,
             shunned_until: None,
@@ -108,6 +114,15 @@
         (self.occupied() + 1.0 + far) / self.slots
     }
 
+    fn tells_places_free(&self) -> bool {
+        self.told.is_some_and(|all| f64::from(all) < self.slots)
+    }
+
+    /// Whether it may be given work like any other.
+    pub(crate) fn is_able(&self) -> bool {
+        self.is_open() && self.unable_until.is_none()
+    }
+
     fn occupied(&self) -> f64 {
         f64::from(self.own + self.others)
     }
@@ -115,6 +130,7 @@
     pub(crate) fn take(&mut self, load: ToldLoad) {
         let all = load.running.saturating_add(load.waiting);
         self.others = all.saturating_sub(self.own);
+        self.told = Some(all);
     }
 
     pub(crate) fn learn(&mut self, outcome: Outcome, now: Instant, tuning: &FleetTuning) {
@@ -122,6 +138,7 @@
             Outcome::Answered => {
                 self.failures = 0;
                 self.shunned_until = None;
+                self.unable_until = None;
             }
             Outcome::Failed => {
                 let doubled = tuning.shun * (1 << self.failures.min(8));
@@ -129,8 +146,12 @@
                 self.shunned_until = Some(now + doubled.min(tuning.shun_most));
             }
             Outcome::Declined => {
-                let until = now + tuning.declined;
-                self.shunned_until = self.shunned_until.max(Some(until));
+                let until = Some(now + tuning.declined);
+                if self.tells_places_free() {
+                    self.unable_until = until;
+                } else {
+                    self.shunned_until = self.shunned_until.max(until);
+                }
             }
             // Its process has ended. Were more sent there, each request would
             // spend one of its tries on an address that declines them all.
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -105,8 +105,14 @@
 pub struct Fleet {
     tuning: FleetTuning,
     targets: SlotMap<TargetKey, Berth>,
+    /// The target that is tried again, and since when.
+    trial: Option<(TargetKey, Instant)>,
 }
 
+/// Time of a trial: a target that can't run a request declines it within a few
+/// milliseconds, and begins to answer some hundred later if it can.
+const TRIAL: Duration = Duration::from_millis(50);
+
 impl Fleet {
     /// A fleet without targets.
     #[must_use]
@@ -114,6 +120,7 @@
         Fleet {
             tuning,
             targets: SlotMap::with_key(),
+            trial: None,
         }
     }
 
@@ -145,23 +152,58 @@
     /// Chooses the target with the most free places, for its size, among
     /// those that weren't tried. One that failed lately is taken only if
     /// there is no other. `None` if all are full.
+    ///
+    /// Of the targets that declined with places free, as all ranks of a group
+    /// do that forms anew, one is tried at a time. Were each request sent to
+    /// each of them, the retries that the service bears would be spent before
+    /// the group is there again.
     pub fn choose(
-        &self,
+        &mut self,
         tried: &[TargetKey],
         now: Instant,
         rng: &mut impl Rng,
     ) -> Option<TargetKey> {
+        self.end_trial(now);
         let untried =
             |(key, target): &(TargetKey, &Berth)| target.is_open() && !tried.contains(key);
         let open = || self.targets.iter().filter(untried);
-        let sound = open().filter(|(_, target)| !target.is_shunned(now));
-        self.least_loaded(sound, now, rng).or_else(|| {
-            let mut any = open().filter(|(_, target)| target.is_shunned(now));
+        let able = || open().filter(|(_, target)| target.is_able());
+        let sound = able().filter(|(_, target)| !target.is_shunned(now));
+        let chosen = self.least_loaded(sound, now, rng).or_else(|| {
+            let mut any = able().filter(|(_, target)| target.is_shunned(now));
             let soonest = any.by_ref().min_by_key(|(_, target)| target.shunned_until);
             soonest
                 .filter(|(_, target)| target.has_room(&self.tuning, now))
                 .map(|(key, _)| key)
-        })
+        });
+        if chosen.is_some() || self.trial.is_some() {
+            return chosen;
+        }
+        let due = open().filter(|(_, target)| target.unable_until.is_some_and(|at| now >= at));
+        let chosen = self.least_loaded(due, now, rng)?;
+        self.trial = Some((chosen, now));
+        Some(chosen)
+    }
+
+    /// A target that hasn't declined by the end of its trial runs the request,
+    /// and then its group is there again.
+    fn end_trial(&mut self, now: Instant) {
+        if self.trial.is_some_and(|(_, since)| now >= since + TRIAL) {
+            self.trial = None;
+            for target in self.targets.values_mut() {
+                target.unable_until = None;
+            }
+        }
+    }
+
+    /// When a target that declined may be tried again.
+    #[must_use]
+    pub fn next_trial(&self) -> Option<Instant> {
+        if let Some((_, since)) = self.trial {
+            return Some(since + TRIAL);
+        }
+        let open = self.targets.values().filter(|target| target.is_open());
+        open.filter_map(|target| target.unable_until).min()
     }
 
     fn least_loaded<'a>(
@@ -182,10 +224,10 @@
         best.map(|(_, key)| key)
     }
 
-    /// Whether any target may be given new work, full or not.
+    /// Whether any target takes new work when it has room.
     #[must_use]
-    pub fn has_open(&self) -> bool {
-        self.targets.values().any(Berth::is_open)
+    pub fn has_able(&self) -> bool {
+        self.targets.values().any(Berth::is_able)
     }
 
     /// A request is sent to a target.
@@ -212,6 +254,7 @@
 
     /// A request is over.
     pub fn end(&mut self, key: TargetKey, outcome: Outcome, now: Instant) {
+        self.trial = self.trial.filter(|(tried, _)| *tried != key);
         if let Some(target) = self.targets.get_mut(key) {
             target.own = target.own.saturating_sub(1);
             target.learn(outcome, now, &self.tuning);
--- a/crates/route/tests/fleet.rs
+++ b/crates/route/tests/fleet.rs
@@ -173,8 +173,71 @@
         fleet.heard(key, now);
         now += Duration::from_secs(30);
     }
-    assert!(!fleet.has_open());
+    assert!(!fleet.has_able());
     assert_eq!(fleet.choose(&[], now, &mut rng()), None);
     fleet.heard(keys[0], now);
     assert_eq!(fleet.choose(&[], now, &mut rng()), Some(keys[0]));
 }
+
+/// A group forms anew and declines everything for 1.4 s, while a request comes
+/// every 5 ms and again whenever it was declined. Each one that is sent costs the
+/// service a retry; were all sent, none would be left when the group is back.
+#[test]
+fn choose_while_all_decline() {
+    let (mut fleet, keys) = engines(8);
+    let mut rng = rng();
+    let began = Instant::now();
+    let back = began + Duration::from_millis(1_400);
+    let mut now = began;
+    let mut declined = 0;
+    while now < back {
+        while let Some(key) = fleet.choose(&[], now, &mut rng) {
+            fleet.start(key);
+            fleet.told(
+                key,
+                ToldLoad {
+                    running: 0,
+                    waiting: 0,
+                },
+            );
+            fleet.end(key, Outcome::Declined, now);
+            declined += 1;
+        }
+        assert!(!fleet.has_able());
+        now += Duration::from_millis(5);
+    }
+    // Each once at first, and then one of them at a time.
+    assert!((8..=8 + 56).contains(&declined), "{declined}");
+    let due = fleet.next_trial().unwrap();
+    let trial = fleet.choose(&[], due, &mut rng).unwrap();
+    fleet.start(trial);
+    assert_eq!(fleet.choose(&[], due, &mut rng), None);
+    // It runs, so the others of its group do too.
+    let later = fleet.next_trial().unwrap();
+    let sent = (0..40).filter_map(|_| {
+        let key = fleet.choose(&[], later, &mut rng)?;
+        fleet.start(key);
+        Some(key)
+    });
+    assert_eq!(sent.count(), 40);
+    assert!(keys.iter().all(|key| fleet.running(*key) >= 5));
+}
+
+/// A target is full and says so. Nobody waits for it to be able again; what comes
+/// goes to the other one, and is refused when that is full too.
+#[test]
+fn choose_declined_by_full_target() {
+    let (mut fleet, keys) = engines(1);
+    let now = Instant::now();
+    fleet.start(keys[0]);
+    fleet.told(
+        keys[0],
+        ToldLoad {
+            running: SLOTS,
+            waiting: 3,
+        },
+    );
+    fleet.end(keys[0], Outcome::Declined, now);
+    assert!(fleet.has_able());
+    assert_eq!(fleet.choose(&[], now, &mut rng()), None);
+}
