Put barriers fewer passes ahead while passes are slow

Cause: a switch lies five passes ahead, 0.3 s on a good map. Change: five passes or as many as fit into 0.3 s, two at least; three where no pass was timed yet.

--- a/crates/agent/src/map/planning.rs
+++ b/crates/agent/src/map/planning.rs
@@ -77,6 +77,9 @@
         if !idle {
             return;
         }
+        if let Some(coordinator) = &mut self.coordinator {
+            coordinator.set_step_time(pass);
+        }
         let plan = chooser.plan(self.present.as_ref(), &group, &self.cx.cfg);
         if let Some(plan) = plan.filter(|plan| self.is_needed(plan, pass)) {
             self.begin(&plan, now);
--- a/crates/agent/src/map/settings.rs
+++ b/crates/agent/src/map/settings.rs
@@ -75,6 +75,7 @@
                 order: time(r, "order_ms", defaults.order),
                 ghost: time(r, "ghost_ms", defaults.ghost),
                 lead_steps: r.within("lead_steps", defaults.lead_steps, 1..=1_000_000),
+                lead_time: defaults.lead_time,
             },
             most_new: usize::MAX,
             start: StartMap::Copies,
--- a/crates/agent/src/rank_agent.rs
+++ b/crates/agent/src/rank_agent.rs
@@ -38,6 +38,9 @@
 /// 0.2 s, in which holding, arming and the decision take place, so that the
 /// group need not wait.
 const LEAD: u64 = 5;
+/// Time of these passes at most: to hold, to arm and to decide takes as long
+/// however slow passes are.
+const LEAD_TIME: Duration = Duration::from_millis(300);
 /// Times of a switch. An order reaches an engine within a few milliseconds and
 /// copying experts takes up to a second; an attempt that takes longer is given
 /// up, since the popularity that it was planned for is over soon.
@@ -47,6 +50,7 @@
     order: Duration::from_millis(2_500),
     ghost: Duration::from_millis(200),
     lead_steps: LEAD,
+    lead_time: LEAD_TIME,
 };
 /// Part of the shortest pause that streams may make below which passes are
 /// fast enough: the rest is for prompts that are read in between, and for the
--- a/crates/expert/src/coordinator.rs
+++ b/crates/expert/src/coordinator.rs
@@ -23,6 +23,8 @@
     fencing: u64,
     next_version: u64,
     phase: Phase,
+    /// Usual time of a step, if it is known.
+    step_time: Option<Duration>,
     /// When what the phase waits for is sent again.
     resend_at: Instant,
 }
@@ -79,6 +81,7 @@
             fencing: 0,
             next_version: 0,
             phase: Phase::Opening,
+            step_time: None,
             resend_at: now,
         }
     }
@@ -129,6 +132,13 @@
         &self.members
     }
 
+    /// Takes in how long a step takes at present. On a start map steps may take
+    /// four times as long as on a good one; a barrier as many of them ahead as
+    /// usual would put relief off by a second.
+    pub fn set_step_time(&mut self, step: Option<Duration>) {
+        self.step_time = step;
+    }
+
     /// Begins a switch to `map`, which takes `loading` to load at the rate of
     /// the weight store; does nothing unless idle.
     pub fn begin(&mut self, map: Bytes, loading: Duration, now: Instant) -> Vec<CoordinatorOutput> {
@@ -251,7 +261,7 @@
         }
         self.phase = Phase::Holding {
             map: std::mem::take(map),
-            barrier_step: *step + self.timing.lead_steps,
+            barrier_step: *step + self.timing.lead(self.step_time),
             waiting: self.members.clone(),
             until: *until + self.timing.attempt,
         };
--- a/crates/expert/src/switch_timing.rs
+++ b/crates/expert/src/switch_timing.rs
@@ -16,6 +16,43 @@
     pub ghost: Duration,
     /// Steps between the newest that is known to have run and the barrier.
     pub lead_steps: u64,
+    /// Time that these steps may take; with slow steps they are fewer.
+    pub lead_time: Duration,
+}
+
+/// With fewer steps the barrier may be past before all ranks have promised.
+const LEAST_LEAD: u64 = 2;
+/// Steps of a formation that were not timed yet: most likely they are slow, as
+/// it runs on its start map.
+const UNTIMED_LEAD: u64 = 3;
+
+impl SwitchTiming {
+    /// Steps between the newest that is known to have run and the barrier, where
+    /// a step takes `step`.
+    ///
+    /// ```
+    /// use expert::SwitchTiming;
+    /// use std::time::Duration;
+    ///
+    /// let timing = SwitchTiming {
+    ///     lead_steps: 5,
+    ///     lead_time: Duration::from_millis(300),
+    ///     ..SwitchTiming::default()
+    /// };
+    /// assert_eq!(timing.lead(Some(Duration::from_millis(50))), 5);
+    /// assert_eq!(timing.lead(Some(Duration::from_millis(140))), 2);
+    /// ```
+    #[must_use]
+    pub fn lead(&self, step: Option<Duration>) -> u64 {
+        if self.lead_time == Duration::MAX {
+            return self.lead_steps;
+        }
+        let fits = step.map_or(UNTIMED_LEAD, |step| {
+            let steps = self.lead_time.as_micros() / step.as_micros().max(1);
+            u64::try_from(steps).unwrap_or(self.lead_steps)
+        });
+        fits.max(LEAST_LEAD).min(self.lead_steps)
+    }
 }
 
 impl Default for SwitchTiming {
@@ -26,6 +63,7 @@
             order: Duration::from_secs(30),
             ghost: Duration::from_secs(2),
             lead_steps: 100,
+            lead_time: Duration::MAX,
         }
     }
 }
--- a/crates/expert/tests/participant.rs
+++ b/crates/expert/tests/participant.rs
@@ -13,6 +13,7 @@
     order: Duration::from_millis(50),
     ghost: Duration::from_millis(50),
     lead_steps: 10,
+    lead_time: Duration::MAX,
 };
 
 /// An engine that runs steps.
--- a/crates/expert/tests/switch/world.rs
+++ b/crates/expert/tests/switch/world.rs
@@ -70,6 +70,7 @@
         order: Duration::from_millis(10),
         ghost: Duration::from_millis(10),
         lead_steps: 12,
+        lead_time: Duration::MAX,
     }
 }
 
