Bound the lines of each kind of event, and never wait for their reader

Cause: lines on standard output were unlimited, and a collector that stops reading would stop the process at its next line, with all its callers. Found by reading. Standard error of the product's own daemons stays as it was.

--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -12,12 +12,16 @@
 //! assert_eq!(trace::context(&span, parent), parent);
 //! ```
 
+mod bounded_lines;
 mod context;
 mod line;
+mod line_budget;
 mod logs;
 mod spans;
 
+pub use crate::bounded_lines::{BoundedLines, lines_left_out};
 pub use crate::context::{adopt, context, is_valid};
 pub use crate::line::{json_line, text_line};
+pub use crate::line_budget::{EventKey, LineBudget};
 pub use crate::logs::{LogFormat, LogStream, start_logs, start_logs_on};
 pub use crate::spans::{Spans, start_spans};
--- a/crates/trace/src/line.rs
+++ b/crates/trace/src/line.rs
@@ -32,7 +32,20 @@
 ///
 /// Fails when the line can't be written.
 pub fn json_line(w: &mut dyn Write, now: &mut DeferredNow, record: &Record) -> io::Result<()> {
+    json_line_after(w, now, record, 0)
+}
+
+/// As [`json_line`], after some lines of its kind that were left out.
+pub(crate) fn json_line_after(
+    w: &mut dyn Write,
+    now: &mut DeferredNow,
+    record: &Record,
+    left_out: u64,
+) -> io::Result<()> {
     let mut fields = Fields::of(record);
+    if left_out > 0 {
+        fields.0.insert("left_out".to_owned(), json!(left_out));
+    }
     let mut add = |name: &str, value| fields.0.insert(name.to_owned(), value);
     add("level", json!(record.level().as_str()));
     add("timestamp", json!(now.format(TIME).to_string()));
@@ -42,6 +55,28 @@
     serde_json::to_writer(w, &fields.0).map_err(io::Error::from)
 }
 
+/// Bytes of text that are kept of a line that is too long.
+const KEPT: usize = 1_000;
+
+/// Writes the beginning of a record's text alone, of one that is too long.
+pub(crate) fn cut_json_line(
+    w: &mut dyn Write,
+    now: &mut DeferredNow,
+    record: &Record,
+) -> io::Result<()> {
+    let text = record.args().to_string();
+    let kept = text.floor_char_boundary(KEPT);
+    let line = json!({
+        "level": record.level().as_str(),
+        "timestamp": now.format(TIME).to_string(),
+        "module_path": record.module_path(),
+        "line": record.line(),
+        "text": &text[..kept],
+        "cut": true,
+    });
+    serde_json::to_writer(w, &line).map_err(io::Error::from)
+}
+
 /// Writes a record as a line of text, what it is about behind it.
 ///
 /// ```
--- a/crates/trace/src/logs.rs
+++ b/crates/trace/src/logs.rs
@@ -2,8 +2,11 @@
 
 use eyre::WrapErr;
 use flexi_logger::{Logger, LoggerHandle};
+use std::os::fd::AsFd;
 use std::str::FromStr;
 
+use crate::BoundedLines;
+
 /// How log lines look.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LogFormat {
@@ -30,7 +33,9 @@
 pub enum LogStream {
     /// Standard error.
     Error,
-    /// Standard output, where that is what is collected.
+    /// Standard output, where that is what is collected: as JSON, no more lines
+    /// than a [`LineBudget`](crate::LineBudget) admits, and none while nobody
+    /// reads them.
     Output,
 }
 
@@ -55,14 +60,16 @@
     format: LogFormat,
 ) -> eyre::Result<LoggerHandle> {
     let logger = Logger::try_with_str(spec).wrap_err("log level")?;
-    let format = match format {
+    let line = match format {
         LogFormat::Json => crate::json_line,
         LogFormat::Text => crate::text_line,
     };
     let logger = match stream {
-        LogStream::Error => logger.log_to_stderr(),
-        LogStream::Output => logger.log_to_stdout(),
+        LogStream::Error => logger.log_to_stderr().format(line),
+        LogStream::Output => {
+            let out = std::io::stdout().as_fd().try_clone_to_owned()?;
+            logger.log_to_writer(Box::new(BoundedLines::new(out)))
+        }
     };
-    let started = logger.format(format).start();
-    started.wrap_err("can't begin to log")
+    logger.start().wrap_err("can't begin to log")
 }
