--- a/crates/direct/src/course.rs
+++ b/crates/direct/src/course.rs
@@ -155,6 +155,7 @@
             }
             // Either outcome means that it is time to look again.
             let _ = timeout(until - now, news.changed()).await;
+            self.metrics.waited(&self.service, now.elapsed());
             // Those that declined before may be able by now.
             self.tried.clear();
         }
@@ -300,7 +301,11 @@
         }
         let allowed = reason.not_run() || self.kind.repeats();
         let now = Instant::now();
-        allowed && self.attempts > 0 && self.fleets.withdraw(&self.service, now)
+        let again = allowed && self.attempts > 0 && self.fleets.withdraw(&self.service, now);
+        if again {
+            self.metrics.retried(&self.service);
+        }
+        again
     }
 
     /// The final word where no target's answer can be had.
--- a/crates/direct/src/director.rs
+++ b/crates/direct/src/director.rs
@@ -58,6 +58,7 @@
         tokio::spawn(follow(
             director.watcher.clone(),
             Arc::clone(&director.fleets),
+            director.metrics.clone(),
         ));
         director
     }
@@ -70,15 +71,21 @@
     pub async fn run(&self, ask: Ask) -> Result<Answer, Refusal> {
         self.metrics.open.inc();
         let _open = Open(&self.metrics);
-        let answered = self.direct(ask).await;
+        let arrived = ask.arrived;
+        let mut service = String::new();
+        let answered = self.direct(ask, &mut service).await;
         match &answered {
-            Ok(answer) => self.metrics.ended(answer.status.as_str()),
-            Err(refusal) => self.metrics.ended(&refusal.reason.to_string()),
+            Ok(answer) => {
+                self.metrics.ended(&service, answer.status.as_str());
+                self.metrics.began(&service, arrived.elapsed());
+            }
+            Err(refusal) => self.metrics.ended(&service, &refusal.reason.to_string()),
         }
         answered
     }
 
-    async fn direct(&self, ask: Ask) -> Result<Answer, Refusal> {
+    /// Runs it, and tells the service once that is known.
+    async fn direct(&self, ask: Ask, led_to: &mut String) -> Result<Answer, Refusal> {
         let table = self.known_table(&ask).await?;
         let route = table.route(&ask.host, ask.path_only());
         let route = route.ok_or_else(|| refuse(&ask, &table, Reason::NoRoute))?;
@@ -87,6 +94,7 @@
             .patience
             .map_or(route.timeout, |waits| waits.min(route.timeout));
         let service = route.service(rand::random());
+        service.clone_into(led_to);
         let course = Course::new(account, service, route, ask.arrived + waits, self, ask);
         course.run().await
     }
@@ -154,12 +162,16 @@
     Refusal::new(reason)
 }
 
-async fn follow(watcher: Watcher, fleets: Arc<Fleets>) {
+async fn follow(watcher: Watcher, fleets: Arc<Fleets>, metrics: Metrics) {
     let mut changed = watcher.watched().changed();
     loop {
         let now = Instant::now();
         if let Some(table) = watcher.table() {
             fleets.follow(&table, &watcher.watched().targets(), now);
+            metrics.set_table(table.number());
+            for (service, able, all) in fleets.counts() {
+                metrics.set_targets(&service, able, all);
+            }
         }
         fleets.tidy(now);
         // An end of the wait means that it is time to look again.
--- a/crates/direct/src/fleets.rs
+++ b/crates/direct/src/fleets.rs
@@ -118,6 +118,17 @@
         self.news.send_replace(());
     }
 
+    /// Of each service the targets that take work, and all.
+    pub(crate) fn counts(&self) -> Vec<(String, usize, usize)> {
+        let inner = self.inner();
+        let services = inner.services.iter();
+        let counted = services.map(|(name, held)| {
+            let able = held.fleet.able();
+            (name.clone(), able, held.ways.len())
+        });
+        counted.collect()
+    }
+
     /// Ticks each time targets may have changed.
     pub(crate) fn news(&self) -> watch::Receiver<()> {
         self.news.subscribe()
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -230,6 +230,13 @@
         self.targets.values().any(Berth::is_able)
     }
 
+    /// Targets that take new work when they have room.
+    #[must_use]
+    pub fn able(&self) -> usize {
+        let able = |target: &&Berth| target.is_able();
+        self.targets.values().filter(able).count()
+    }
+
     /// A request is sent to a target.
     pub fn start(&mut self, key: TargetKey) {
         if let Some(target) = self.targets.get_mut(key) {
