--- a/crates/agent/src/map/mod.rs
+++ b/crates/agent/src/map/mod.rs
@@ -25,6 +25,7 @@
 mod state;
 mod switcher;
 mod translate;
+mod waiting;
 mod windows;
 
 pub(crate) use map_context::{MapContext, Offers};
--- a/crates/agent/src/map/state.rs
+++ b/crates/agent/src/map/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use expert::{
     Coordinator, CoordinatorOutput, DecideOutcome, Map, Participant, ParticipantOutput, Standing,
@@ -28,10 +28,6 @@
 use crate::map::{control_calls, engine_calls};
 use crate::order::Orders;
 
-/// Between two lines about what a switch waits for: a switch that goes well is
-/// over by then.
-const LOG_WAITING: Duration = Duration::from_secs(1);
-
 /// Participant and coordinator of one agent, and what they want done.
 pub(crate) struct State {
     pub cx: Arc<MapContext>,
@@ -42,7 +38,7 @@
     pub coordinator: Option<Coordinator>,
     pub members: Members,
     pub formations: Formations,
-    party: Party,
+    pub party: Party,
     formation_due: Instant,
     pub chooser: Option<Chooser>,
     /// The newest committed map, as the coordinator knows it; `None` before
@@ -54,7 +50,7 @@
     serial: u64,
     stand_in: StandIn,
     /// When it is logged again what the coordinator waits for.
-    log_at: Instant,
+    pub log_at: Instant,
     /// When the ranks were last all counted, and the step of that time.
     pub counted: Option<(Instant, u64)>,
     /// The coordinator has not asked for counts yet since it began.
@@ -221,27 +217,6 @@
         self.begin_coordination(now);
     }
 
-    /// Says from time to time what a switch waits for.
-    fn log_waiting(&mut self, now: Instant) {
-        if now < self.log_at {
-            return;
-        }
-        self.log_at = now + LOG_WAITING;
-        let Some(coordinator) = &self.coordinator else {
-            return;
-        };
-        let (phase, waiting) = coordinator.standing();
-        let counted = self.chooser.as_ref().map_or(0, Chooser::counted);
-        let known = self.party.ranks.is_some();
-        if phase != "idle" || !known || self.chooser.is_none() {
-            log::info!(
-                group = self.cx.group.as_str(), phase = phase, waiting:? = waiting,
-                formation = self.party.formation, ranks_known = known, counted = counted;
-                "expert map waits"
-            );
-        }
-    }
-
     /// Takes up or gives up the coordinator's part.
     fn elect(&mut self, now: Instant) {
         let view = self.cx.follower.view();
--- a/crates/direct/src/course.rs
+++ b/crates/direct/src/course.rs
@@ -372,30 +372,6 @@
     pub(crate) fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
-
-    fn log_sent(&self, permit: &Permit) {
-        let seen = permit.seen();
-        let age = seen.and_then(|seen| seen.age);
-        let age = age.map_or_else(|| "never".to_owned(), |age| age.as_millis().to_string());
-        log::info!(
-            request = self.ask.id.as_str(), target_id = permit.way().id.as_str(),
-            service = self.service.as_str(), attempts_left = self.attempts,
-            own = seen.map_or(0, |seen| seen.own), others = seen.map_or(0, |seen| seen.others),
-            told_ms_ago = age.as_str(),
-            left_ms:display = self.left().as_millis();
-            "sent to a target"
-        );
-    }
-
-    pub(crate) fn log_miss(&self, permit: &Permit, what: &str, why: &str) {
-        self.metrics.miss(what);
-        log::info!(
-            request = self.ask.id.as_str(), target_id = permit.way().id.as_str(),
-            service = self.service.as_str(), attempts_left = self.attempts,
-            left_ms:display = self.left().as_millis();
-            "attempt {what}: {why}"
-        );
-    }
 }
 
 /// How an answer that says that the request did not run is counted.
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -11,6 +11,7 @@
 mod answer;
 mod ask;
 mod course;
+mod course_lines;
 mod dialect;
 mod director;
 mod doors;
