Keep as many voters as the disks that may be lost at once need

Ruled out: the leader's part; one replica with a disk was left of three, and no majority. Change: `forming.losses`, from the deployment's settings; voters are twice as many and one. Test: forming_voters_by_default asks for 5 with two losses (3 before). Open: where fewer replicas run than voters are wanted, no config is ever taken.

--- a/crates/control/src/forming.rs
+++ b/crates/control/src/forming.rs
@@ -18,9 +18,8 @@
     pub replace_after: Duration,
 }
 
-/// Voters wanted unless the settings say otherwise, where that many replicas
-/// are named: one may be lost.
-const VOTERS: usize = 3;
+/// Seeds that are named where at least as many hosts run a replica.
+const SEEDS: usize = 3;
 /// Twice the longest stop that a host is expected to come back from by itself
 /// within the election of a new leader; a shorter time would replace replicas
 /// that only stand still.
@@ -30,7 +29,15 @@
     pub(crate) fn read(mut r: Reader) -> Forming {
         let seeds: Option<Vec<SocketAddr>> = r.required("seeds");
         let seeds = seeds.unwrap_or_default();
-        let voters = seeds.len().clamp(1, VOTERS);
+        let losses = r.within("losses", 1, 0..=4_usize);
+        // A majority must be left, and with it a replica that holds what was
+        // acknowledged: with fewer voters the loss of that many disks at once
+        // would lose it.
+        let voters = if seeds.len() < SEEDS {
+            seeds.len().max(1)
+        } else {
+            2 * losses.max(1) + 1
+        };
         let forming = Forming {
             seeds,
             bootstrap: r.or("bootstrap", false),
--- a/crates/control/tests/settings.rs
+++ b/crates/control/tests/settings.rs
@@ -22,6 +22,15 @@
         json!({ "seeds": seeds })
     };
     assert_eq!([1, 2, 3, 5].map(|n| voters(&seeds(n))), [1, 2, 3, 3]);
+    let with_losses = |count: usize, losses: usize| {
+        let mut forming = seeds(count);
+        forming["losses"] = json!(losses);
+        voters(&forming)
+    };
+    // Two disks may be lost at once: of three voters one would be left, which may
+    // not hold what the other two have acknowledged.
+    assert_eq!([0, 1, 2].map(|losses| with_losses(3, losses)), [3, 3, 5]);
+    assert_eq!(with_losses(1, 2), 1);
     assert_eq!(
         voters(&json!({"seeds": ["127.0.0.1:7000"], "voters": 5})),
         5
