Find the leader where the settings don't name it

Cause: agents dialled the three replicas of their settings alone. Ruled out: control itself, which served under term 2 all the while; entries follow every replica that is named to them. Change: a replica that doesn't lead tells where the leader answers, and a follower dials it, nine such at most. Test: propose_finds_leader_beside_settings (no outcome before).

--- a/crates/node/src/ask.rs
+++ b/crates/node/src/ask.rs
@@ -56,6 +56,7 @@
 ) -> Result<Option<Body>> {
     match link.call(body, within).await {
         Ok(Body::NotLeader(other)) => {
+            shared.controls.find(&other.leader, &other.address);
             let name = Some(other.leader).filter(|name| *name != link.peer().name);
             shared.controls.set_leader(name);
             Ok(None)
--- a/crates/node/src/controls.rs
+++ b/crates/node/src/controls.rs
@@ -1,6 +1,6 @@
 //! The links to the control replicas, and which of them leads.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -16,8 +16,14 @@
     state: Mutex<State>,
     up: Notify,
     wanted: watch::Sender<bool>,
+    /// Where replicas answer that the settings don't name, as others told.
+    found: watch::Sender<BTreeSet<SocketAddr>>,
 }
 
+/// Replicas that are dialled beside those of the settings, at most: as many as a
+/// cluster may have.
+const MOST_FOUND: usize = 9;
+
 #[derive(Default)]
 struct State {
     links: BTreeMap<SocketAddr, Link>,
@@ -46,6 +52,7 @@
             state: Mutex::default(),
             up: Notify::new(),
             wanted: watch::Sender::new(true),
+            found: watch::Sender::default(),
         }
     }
 }
@@ -91,6 +98,36 @@
         self.state().links.remove(&address);
     }
 
+    /// Where replicas answer that the settings don't name, as that grows.
+    pub(crate) fn found(&self) -> watch::Receiver<BTreeSet<SocketAddr>> {
+        self.found.subscribe()
+    }
+
+    /// Takes in where the leader answers. One that has a link already may be known
+    /// under another address.
+    ///
+    /// Settings name a few replicas only. While another one leads, a node that
+    /// didn't dial it could have nothing decided: a group whose ranks wait for a
+    /// decision would stand still for as long.
+    pub(crate) fn find(&self, leader: &str, address: &str) {
+        let Ok(address) = address.parse() else {
+            return;
+        };
+        let state = self.state();
+        let linked = state.links.values().any(|link| link.peer().name == leader);
+        drop(state);
+        if linked {
+            return;
+        }
+        self.found.send_if_modified(|found| {
+            let news = found.len() < MOST_FOUND && found.insert(address);
+            if news {
+                log::info!(replica = leader, address:display = address; "the leader is one more replica");
+            }
+            news
+        });
+    }
+
     /// Remembers who leads, by name: the address that a replica advertises need not
     /// be the one that this node dials.
     pub(crate) fn set_leader(&self, name: Option<String>) {
--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -7,6 +7,7 @@
 use crate::shared::{Parts, Shared};
 use note::Catalogue;
 use ractor::ActorRuntime;
+use std::collections::BTreeSet;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -42,6 +43,8 @@
             let keep = keep_link(Arc::clone(&shared), address);
             tokio::spawn(stop.clone().run_until_cancelled_owned(keep));
         }
+        let found = keep_found(Arc::clone(&shared));
+        tokio::spawn(stop.clone().run_until_cancelled_owned(found));
         match ActorRuntime::spawn_instant(None, Renewer, Arc::clone(&shared)) {
             Ok((renewer, _)) => {
                 let stopped = stop.clone();
@@ -216,6 +219,24 @@
     }
 }
 
+/// Keeps links to replicas that were found beside those of the settings.
+async fn keep_found(shared: Arc<Shared>) {
+    let mut found = shared.controls.found();
+    let mut kept: BTreeSet<SocketAddr> = shared.cfg.controls.iter().copied().collect();
+    loop {
+        let all = found.borrow_and_update().clone();
+        for address in all {
+            if kept.insert(address) {
+                let keep = keep_link(Arc::clone(&shared), address);
+                tokio::spawn(shared.stop.clone().run_until_cancelled_owned(keep));
+            }
+        }
+        if found.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 async fn keep_link(shared: Arc<Shared>, address: SocketAddr) {
     let mut wanted = shared.controls.wanted();
     while wanted.wait_for(|wanted| *wanted).await.is_ok() {
--- a/crates/node/tests/follower.rs
+++ b/crates/node/tests/follower.rs
@@ -182,6 +182,30 @@
     assert_eq!(outcome.index, 7);
 }
 
+/// The settings name three replicas of five, and one of the other two leads. Were it
+/// not found, nothing that this node asks for would ever be decided.
+#[tokio::test]
+async fn propose_finds_leader_beside_settings() {
+    let leads = answers(|body| match body {
+        Body::Propose(_) => Some(Body::Outcome(Outcome {
+            index: 8,
+            body: None,
+        })),
+        _ => None,
+    });
+    let leader = replica("control-4", leads).await;
+    let follows = answers(move |_| {
+        Some(Body::NotLeader(NotLeader {
+            leader: "control-4".to_owned(),
+            address: leader.to_string(),
+        }))
+    });
+    let named = replica("control-1", follows).await;
+    let follower = follow(vec![named]);
+    let outcome = follower.propose(drain(), WITHIN).await;
+    assert_eq!(outcome.index, 8);
+}
+
 fn drain() -> command::Body {
     command::Body::Drain(wire::proto::Drain {
         target: "t".to_owned(),
