Find the leader only where the settings name some of the replicas

Cause: durable_zones::region_cut_off failed in a whole run of the check. Its nodes reach replicas through relays that are cut; with the address that a leader advertises they went around the cut. Where settings name all replicas, only their addresses are to be dialled. Change: `Follower::spawn_from_seeds` finds leaders, `Follower::spawn` doesn't; agents that know seeds alone use the former. Tests: region_cut_off and zone_lost pass again, propose_finds_leader_beside_settings as before.

--- a/crates/agent/src/rank_agent.rs
+++ b/crates/agent/src/rank_agent.rs
@@ -150,7 +150,7 @@
         key: cfg.key.clone(),
         link: cfg.link.clone(),
     };
-    Follower::spawn(me.clone(), info, following)
+    Follower::spawn_from_seeds(me.clone(), info, following)
 }
 
 /// Waits until the engine tells its rank.
--- a/crates/node/src/controls.rs
+++ b/crates/node/src/controls.rs
@@ -113,6 +113,10 @@
         let Ok(address) = address.parse() else {
             return;
         };
+        if self.found.receiver_count() == 0 {
+            // The settings name all replicas.
+            return;
+        }
         let state = self.state();
         let linked = state.links.values().any(|link| link.peer().name == leader);
         drop(state);
--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -43,8 +43,6 @@
             let keep = keep_link(Arc::clone(&shared), address);
             tokio::spawn(stop.clone().run_until_cancelled_owned(keep));
         }
-        let found = keep_found(Arc::clone(&shared));
-        tokio::spawn(stop.clone().run_until_cancelled_owned(found));
         match ActorRuntime::spawn_instant(None, Renewer, Arc::clone(&shared)) {
             Ok((renewer, _)) => {
                 let stopped = stop.clone();
@@ -61,6 +59,20 @@
         }
     }
 
+    /// As [`Follower::spawn`], where the settings name a few replicas only: the
+    /// leader is dialled where they tell that it answers, if it is another one.
+    ///
+    /// Where all are named, the addresses of the settings are the only ones that
+    /// are dialled: those that replicas advertise may lead another way.
+    #[must_use]
+    pub fn spawn_from_seeds(me: Identity, info: NodeInfo, cfg: FollowerSettings) -> Follower {
+        let follower = Follower::spawn(me, info, cfg);
+        let shared = &follower.shared;
+        let found = keep_found(Arc::clone(shared), shared.controls.found());
+        tokio::spawn(shared.stop.clone().run_until_cancelled_owned(found));
+        follower
+    }
+
     /// All that is offered by the note in force at this node.
     #[must_use]
     pub fn catalogue(&self) -> Arc<Catalogue> {
@@ -220,8 +232,7 @@
 }
 
 /// Keeps links to replicas that were found beside those of the settings.
-async fn keep_found(shared: Arc<Shared>) {
-    let mut found = shared.controls.found();
+async fn keep_found(shared: Arc<Shared>, mut found: watch::Receiver<BTreeSet<SocketAddr>>) {
     let mut kept: BTreeSet<SocketAddr> = shared.cfg.controls.iter().copied().collect();
     loop {
         let all = found.borrow_and_update().clone();
--- a/crates/node/tests/follower.rs
+++ b/crates/node/tests/follower.rs
@@ -51,6 +51,13 @@
 }
 
 fn follow(controls: Vec<SocketAddr>) -> Follower {
+    follow_by(Follower::spawn, controls)
+}
+
+fn follow_by(
+    spawn: fn(Identity, NodeInfo, FollowerSettings) -> Follower,
+    controls: Vec<SocketAddr>,
+) -> Follower {
     let cfg = FollowerSettings {
         controls,
         renew: Duration::from_millis(100),
@@ -58,7 +65,7 @@
         link: LinkSettings::default(),
     };
     let me = Identity::new(Role::Entry, "entry-1", 1);
-    Follower::spawn(me, node_info("entry-1"), cfg)
+    spawn(me, node_info("entry-1"), cfg)
 }
 
 fn node_info(name: &str) -> NodeInfo {
@@ -201,7 +208,7 @@
         }))
     });
     let named = replica("control-1", follows).await;
-    let follower = follow(vec![named]);
+    let follower = follow_by(Follower::spawn_from_seeds, vec![named]);
     let outcome = follower.propose(drain(), WITHIN).await;
     assert_eq!(outcome.index, 8);
 }
