Reset a connection to a target whose request is not answered

A stream is written to a target whose host stands still, sent elsewhere after 1.5 s, and its caller leaves; our orderly close delivers the request when the host wakes, and the target runs it. Ruled out: requests dialled to the host while it stands still (they are never written). Change: while a request on a connection is unanswered, closing the connection discards what is still on its way. A connection whose answer was read in full is closed in the orderly way.

--- a/crates/outlet/src/client.rs
+++ b/crates/outlet/src/client.rs
@@ -16,7 +16,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::Failure;
-use crate::socket::Socket;
+use crate::socket::{Close, Socket};
 
 /// Bytes of an answer to an order or a question at most.
 const MAX_DOCUMENT: usize = 16 << 20;
@@ -107,6 +107,11 @@
         req: Request<Full<Bytes>>,
         within: Duration,
     ) -> Result<Response<Incoming>, Unanswered> {
+        // A target that stands still would read the request after its caller
+        // has left, if an orderly close delivered it.
+        if let Err(e) = self.socket.set_close(Close::Reset) {
+            log::debug!("a close of the connection will not reset it: {e}");
+        }
         match timeout(within, self.tx.try_send_request(req)).await {
             Ok(Ok(response)) => Ok(response),
             Ok(Err(mut e)) => Err(match e.take_message() {
@@ -142,6 +147,7 @@
     ///
     /// The kernel refuses to watch the connection; it had better be dropped.
     pub fn keep(&mut self, cfg: &ClientSettings) -> io::Result<()> {
+        self.socket.set_close(Close::Deliver)?;
         if self.used == Use::First {
             self.socket.set_silence(cfg.connect)?;
             self.used = Use::Further;
--- a/crates/outlet/src/socket.rs
+++ b/crates/outlet/src/socket.rs
@@ -12,6 +12,15 @@
 #[derive(Debug)]
 pub(crate) struct Socket(socket2::Socket);
 
+/// What closing a connection does with bytes that are still on their way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Close {
+    /// They are delivered, and the end after them.
+    Deliver,
+    /// They are discarded, and the peer sees a reset.
+    Reset,
+}
+
 impl Socket {
     /// A handle of its own, which keeps the connection open like the first.
     pub fn of(stream: &TcpStream) -> io::Result<Self> {
@@ -34,4 +43,12 @@
     pub fn set_silence(&self, silence: Duration) -> io::Result<()> {
         self.0.set_tcp_user_timeout(Some(silence))
     }
+
+    /// What closing the connection does with bytes that are still on their way.
+    pub fn set_close(&self, close: Close) -> io::Result<()> {
+        self.0.set_linger(match close {
+            Close::Deliver => None,
+            Close::Reset => Some(Duration::ZERO),
+        })
+    }
 }
