Relieve slow ranks of experts, requests and streams

The rank tells its slowdown; nobody read it. Ruled out: the planner alone. Change: agents read the slowdown and report it through any replica to the entries; the coordinator's planner counts with it; entries give a slow rank the requests with which its own part of a step takes no longer than a full one's, none beyond a slowdown of 1.7 here, and move streams away from one that is much slower. Slowdowns are relative to the fastest.

--- a/crates/agent/src/engine/arming.rs
+++ b/crates/agent/src/engine/arming.rs
@@ -172,6 +172,7 @@
             ranks: vec![RankCounts {
                 rank: state.rank,
                 step_us,
+                slowdown: Some(state.slowdown),
                 tokens: vec![counts],
             }],
         })
--- a/crates/agent/src/engine/arming_dialect.rs
+++ b/crates/agent/src/engine/arming_dialect.rs
@@ -19,7 +19,7 @@
 }
 
 /// Where one rank stands with its maps.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ArmingState {
     /// Name of its group.
     pub group: String,
@@ -39,6 +39,8 @@
     pub armed: Option<(u64, u64)>,
     /// The step that isn't begun.
     pub held: Option<u64>,
+    /// How many times longer than usual it takes for its work.
+    pub slowdown: f64,
 }
 
 /// An order to one rank.
--- a/crates/agent/src/engine/expert_counts.rs
+++ b/crates/agent/src/engine/expert_counts.rs
@@ -3,7 +3,7 @@
 use serde::Deserialize;
 
 /// What an engine counts of its experts, from its start on.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
 #[serde(default)]
 pub struct ExpertCounts {
     /// The last step that ran.
@@ -15,13 +15,15 @@
 }
 
 /// What one rank counts.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
 #[serde(default)]
 pub struct RankCounts {
     /// Number of the rank.
     pub rank: u32,
     /// Time of a step, in microseconds.
     pub step_us: u32,
+    /// How many times longer than usual it takes for its work, if it tells.
+    pub slowdown: Option<f64>,
     /// Tokens by layer and expert.
     pub tokens: Vec<Vec<u64>>,
 }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -41,6 +41,7 @@
 mod run;
 mod sender;
 mod settings;
+mod speed_reports;
 mod status;
 mod take;
 mod timing;
--- a/crates/agent/src/map/chooser.rs
+++ b/crates/agent/src/map/chooser.rs
@@ -114,6 +114,12 @@
         self.estimate.observe(&load);
         let (tokens, seconds) = by_rank(&present, &load, &windows);
         self.speeds.observe(&tokens, &seconds);
+        for window in windows.values() {
+            let slowdown = window.slowdown_permille.map(|told| f64::from(told) / 1e3);
+            if let (Some(slowdown), Ok(rank)) = (slowdown, usize::try_from(window.rank)) {
+                self.speeds.report_slowdown(rank, slowdown);
+            }
+        }
     }
 
     /// The next map, if a change pays.
--- a/crates/agent/src/map/windows.rs
+++ b/crates/agent/src/map/windows.rs
@@ -27,6 +27,7 @@
                 tokens: difference(&tokens, before),
                 step: counts.step,
                 map_version: counts.map_version,
+                slowdown_permille: rank.slowdown.map(permille),
             };
             let nothing = Vec::new();
             let fresh = counts.map_version == 0;
@@ -39,6 +40,15 @@
     }
 }
 
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the cast saturates, and far greater slowdowns are no different"
+)]
+fn permille(ratio: f64) -> u32 {
+    (ratio * 1_000.0) as u32
+}
+
 /// An engine that restarted counts from zero again.
 fn difference(tokens: &[u64], before: &[u64]) -> Vec<u32> {
     let since = |(now, before): (&u64, &u64)| now.checked_sub(*before).unwrap_or(*now);
--- a/crates/agent/src/rank_agent.rs
+++ b/crates/agent/src/rank_agent.rs
@@ -1,10 +1,11 @@
 //! Keeps an agent for the rank that an engine is, whichever that is.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use expert::{MoveCost, SwitchTiming};
 use eyre::WrapErr;
+use member::TargetSpeed;
 use node::{Decode, Follower, FollowerSettings};
 use note::{Group, Weights};
 use table::{Experts, Table};
@@ -14,6 +15,7 @@
 use wire::{ClusterKey, Identity, LinkSettings, Role};
 
 use crate::engine::{ArmingDialect, ArmingState, ClientSettings, Outlet};
+use crate::speed_reports::SpeedReports;
 use crate::{MapAgent, MapAgentSettings, MapSettings, Need, StartMap};
 
 /// Between two renewals of the lease, a third of it.
@@ -23,8 +25,8 @@
 const POLL: Duration = Duration::from_millis(25);
 /// Between two tries while engine or control don't answer yet.
 const AGAIN: Duration = Duration::from_millis(150);
-/// Between two looks at which rank the engine is; a move takes a new group.
-const LOOK: Duration = Duration::from_secs(1);
+/// Between two looks at which rank the engine is, and how fast.
+const LOOK: Duration = Duration::from_millis(200);
 /// Wait for control's answer.
 const ANSWER: Duration = Duration::from_secs(2);
 /// Length of a window: popularity changes every few seconds, and a map that
@@ -127,7 +129,7 @@
         let agent = MapAgent::start(settings, listener).await?;
         agent.set_group(group(&state, experts));
         log::info!(group = state.group.as_str(), rank = state.rank; "agent serves its rank");
-        moved(&outlet, &state).await;
+        moved(&outlet, &state, cfg.engine, &follower).await;
         log::info!("the engine is a rank elsewhere now");
     }
 }
@@ -164,16 +166,28 @@
     }
 }
 
-/// Waits until the engine belongs to another group or is another rank.
-async fn moved(outlet: &Outlet, known: &ArmingState) {
+/// Waits until the engine belongs to another group or is another rank, and
+/// reports meanwhile how fast it is.
+async fn moved(outlet: &Outlet, known: &ArmingState, engine: SocketAddr, follower: &Follower) {
     let place = |state: &ArmingState| (state.group.clone(), state.rank, state.ranks);
+    let mut reports = SpeedReports::default();
     loop {
         sleep(LOOK).await;
-        if let Ok(state) = outlet.arming_state().await
-            && place(&state) != place(known)
-        {
+        let Ok(state) = outlet.arming_state().await else {
+            continue;
+        };
+        if place(&state) != place(known) {
             return;
         }
+        if reports.is_due(state.slowdown, Instant::now()) {
+            let speed = TargetSpeed {
+                address: engine,
+                slowdown: state.slowdown,
+            };
+            if follower.report_speed(speed, LOOK).await {
+                reports.confirmed(state.slowdown, Instant::now());
+            }
+        }
     }
 }
 
--- a/crates/control/src/hub.rs
+++ b/crates/control/src/hub.rs
@@ -130,10 +130,7 @@
             .targets()
             .map(|(told, _)| sighting_message(told))
             .collect();
-        let board = Body::Sightings(Sightings {
-            targets,
-            entrances: Vec::new(),
-        });
+        let board = self::targets(targets);
         for body in [Body::RouteTable(table), board] {
             if let Err(e) = link.send(body).await {
                 log::debug!("entry {} is gone again: {e}", link.peer().name);
@@ -141,7 +138,8 @@
         }
     }
 
-    /// Takes what another replica tells, and passes on what is new of it.
+    /// Takes what another replica or an agent tells, and passes on what is new
+    /// of it.
     pub(crate) async fn take(&self, told: Sightings, call: u64, link: &Link) {
         let now = Instant::now();
         let mut news = Vec::new();
@@ -161,6 +159,14 @@
         if !news.is_empty() {
             send_all(&self.entries(), &targets(news)).await;
         }
+        if !told.speeds.is_empty() {
+            // Entries hear of them from each replica that an agent reaches.
+            let speeds = Body::Sightings(Sightings {
+                speeds: told.speeds,
+                ..Sightings::default()
+            });
+            send_all(&self.entries(), &speeds).await;
+        }
         reply(link, call, Body::SightingsTaken(SightingsTaken {})).await;
     }
 
@@ -258,6 +264,7 @@
         let all = Body::Sightings(Sightings {
             targets: rows,
             entrances,
+            ..Sightings::default()
         });
         send_all(&self.shared.directory.all(), &all).await;
     }
@@ -351,7 +358,7 @@
 fn targets(targets: Vec<wire::proto::Sighting>) -> Body {
     Body::Sightings(Sightings {
         targets,
-        entrances: Vec::new(),
+        ..Sightings::default()
     })
 }
 
--- a/crates/control/src/target_cache.rs
+++ b/crates/control/src/target_cache.rs
@@ -49,7 +49,7 @@
     pub(crate) fn write(&self, targets: Vec<Sighting>) -> store::Result<()> {
         let sightings = Sightings {
             targets,
-            entrances: Vec::new(),
+            ..Sightings::default()
         };
         let data = sightings.encode_to_vec();
         let mut bytes = crc32c::crc32c(&data).to_be_bytes().to_vec();
--- a/crates/direct/src/course.rs
+++ b/crates/direct/src/course.rs
@@ -19,7 +19,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use table::{Kind, Route};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Bytes of an answer at most that are held until it is whole. A longer one
 /// is refused: it could neither be repeated nor told apart from half of one.
@@ -221,13 +221,23 @@
     ) -> Result<Head, Miss> {
         let sending = self.sending(reuse, after);
         let mut sent = pin!(sending.send(permit));
+        let mut news = self.fleets.news();
+        let mut silent = pin!(sleep(self.timing.silence));
         loop {
-            match timeout(self.timing.silence, &mut sent).await {
-                Ok(answered) => return answered,
-                Err(_) if self.may_move() => {
-                    return Err(Miss::Lost("silent for too long".to_owned()));
+            tokio::select! {
+                answered = &mut sent => return answered,
+                () = &mut silent => {
+                    if self.may_move() {
+                        return Err(Miss::Lost("silent for too long".to_owned()));
+                    }
+                    silent.set(sleep(self.timing.silence));
+                }
+                // The sender lives as long as the fleets.
+                _ = news.changed() => {
+                    if permit.sheds(Instant::now()) && self.may_move() {
+                        return Err(Miss::Lost("the target is slow".to_owned()));
+                    }
                 }
-                Err(_) => {}
             }
         }
     }
@@ -251,23 +261,44 @@
         }
     }
 
+    /// A place where the stream that runs at the target of `permit` had better
+    /// go on, if that one is too slow.
+    pub(crate) fn place_to_move(&mut self, permit: &Permit) -> Option<Permit> {
+        let now = Instant::now();
+        let movable = self.kind.repeats() && self.attempts > 0 && permit.sheds(now);
+        if !movable || !self.may_repeat(Reason::Lost) {
+            return None;
+        }
+        let permit = self.fleets.place_to_move(&self.service, &self.tried, now)?;
+        self.tried.push(permit.key());
+        Some(permit)
+    }
+
     /// Sends a stream again, to go on after the last event that is here.
     pub(crate) async fn go_on(&mut self, after: Option<u64>) -> Option<(Head, Permit)> {
         loop {
-            let reason = Reason::Lost;
-            if self.left().is_zero() || !self.may_repeat(reason) {
+            if self.left().is_zero() || !self.may_repeat(Reason::Lost) {
                 return None;
             }
             let permit = self.place().ok()?;
-            match self.attempt(permit, after).await {
-                Tried::Answered(head, permit) if head.status.is_success() => {
-                    return Some((*head, permit));
-                }
-                Tried::Answered(..) | Tried::Failed(_) | Tried::Missed(_) => {}
+            if let Some(resumed) = self.resume(permit, after).await {
+                return Some(resumed);
             }
         }
     }
 
+    /// Sends a stream again to one target.
+    pub(crate) async fn resume(
+        &mut self,
+        permit: Permit,
+        after: Option<u64>,
+    ) -> Option<(Head, Permit)> {
+        match self.attempt(permit, after).await {
+            Tried::Answered(head, permit) if head.status.is_success() => Some((*head, permit)),
+            Tried::Answered(..) | Tried::Failed(_) | Tried::Missed(_) => None,
+        }
+    }
+
     fn missed(&mut self, permit: &Permit, why: &Miss) -> Reason {
         match why {
             Miss::Unsent(text) => {
--- a/crates/direct/src/director.rs
+++ b/crates/direct/src/director.rs
@@ -167,7 +167,7 @@
     loop {
         let now = Instant::now();
         if let Some(table) = watcher.table() {
-            fleets.follow(&table, &watcher.watched().targets(), now);
+            fleets.follow(&table, &watcher.watched().targets(now), now);
             metrics.set_table(table.number());
             for (service, able, all) in fleets.counts() {
                 metrics.set_targets(&service, able, all);
--- a/crates/direct/src/fleets.rs
+++ b/crates/direct/src/fleets.rs
@@ -7,7 +7,9 @@
 use node::KnownTarget;
 use outlet::{ClientSettings, Connection, Pool};
 use rand::rngs::SmallRng;
-use route::{Distance, Fleet, FleetTuning, Outcome, Pace, RetryBudget, TargetKey, ToldLoad};
+use route::{
+    Distance, Fleet, FleetTuning, Outcome, Pace, RetryBudget, SeenLoad, TargetKey, ToldLoad,
+};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -175,15 +177,27 @@
         if held.fleet.has_able() {
             held.absent = None;
         }
-        let mut ways = held.ways.values();
-        let way = ways.find(|(known, _)| *known == key).ok_or(NoWay::Absent)?;
-        let way = way.1.clone();
-        let seen = held.fleet.seen(key, now);
-        held.fleet.start(key);
+        let (way, seen) = held.start(key, now).ok_or(NoWay::Absent)?;
         drop(inner);
         Ok(Permit::new(Arc::clone(self), service, key, way, seen))
     }
 
+    /// Takes a place for a stream that leaves a slow target.
+    pub(crate) fn place_to_move(
+        self: &Arc<Fleets>,
+        service: &str,
+        tried: &[TargetKey],
+        now: Instant,
+    ) -> Option<Permit> {
+        let mut inner = self.inner();
+        let Inner { rng, services } = &mut *inner;
+        let held = services.get_mut(service)?;
+        let key = held.fleet.choose_to_move(tried, now, rng)?;
+        let (way, seen) = held.start(key, now)?;
+        drop(inner);
+        Some(Permit::new(Arc::clone(self), service, key, way, seen))
+    }
+
     /// Counts a request towards the retries of its service.
     pub(crate) fn deposit(&self, service: &str) {
         if let Some(held) = self.inner().services.get_mut(service) {
@@ -207,6 +221,17 @@
         })
     }
 
+    /// Whether a stream should leave its target for one that has room.
+    pub(crate) fn sheds(&self, service: &str, key: TargetKey, now: Instant) -> bool {
+        let mut inner = self.inner();
+        let Inner { rng, services } = &mut *inner;
+        services.get_mut(service).is_some_and(|held| {
+            held.fleet.sheds(key)
+                && held.budget.has_one(now)
+                && held.fleet.choose_to_move(&[key], now, rng).is_some()
+        })
+    }
+
     pub(crate) fn told(&self, service: &str, key: TargetKey, load: ToldLoad, now: Instant) {
         if let Some(held) = self.inner().services.get_mut(service) {
             held.fleet.told(key, load, now);
@@ -262,6 +287,15 @@
         }
     }
 
+    /// Begins a request at a target.
+    fn start(&mut self, key: TargetKey, now: Instant) -> Option<(Way, Option<SeenLoad>)> {
+        let mut ways = self.ways.values();
+        let (_, way) = ways.find(|(known, _)| *known == key)?;
+        let seen = self.fleet.seen(key, now);
+        self.fleet.start(key);
+        Some((way.clone(), seen))
+    }
+
     fn follow<'a>(
         &mut self,
         known: impl Iterator<Item = &'a KnownTarget>,
@@ -269,6 +303,7 @@
         now: Instant,
     ) {
         let mut stays = BTreeSet::new();
+        let mut slowdowns = Vec::new();
         let known: Vec<&KnownTarget> = known.collect();
         let silence = |known: &KnownTarget| now.saturating_duration_since(known.heard);
         // With control lost nothing is heard of any target, and that says
@@ -290,8 +325,10 @@
             let open = told.presence == Presence::Ready && !silent;
             self.fleet.set_open(*key, open);
             self.fleet.heard(*key, known.heard);
+            slowdowns.push((*key, known.slowdown));
             stays.insert(told.id.clone());
         }
+        self.fleet.set_slowdowns(&slowdowns);
         let gone: Vec<String> = self
             .ways
             .keys()
--- a/crates/direct/src/permit.rs
+++ b/crates/direct/src/permit.rs
@@ -43,6 +43,11 @@
         self.seen
     }
 
+    /// Whether its stream should go on elsewhere.
+    pub(crate) fn sheds(&self, now: Instant) -> bool {
+        self.fleets.sheds(&self.service, self.key, now)
+    }
+
     pub(crate) fn way(&self) -> &Way {
         &self.way
     }
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -98,6 +98,7 @@
             if let Some(event) = self.event() {
                 return Ok(Some(event));
             }
+            self.leave_slow_target().await?;
             match self.read().await {
                 Next::Data(data) => {
                     if !self.events.push(&data) {
@@ -181,6 +182,28 @@
         self.course.kind.repeats()
     }
 
+    /// Moves to another target if that of the stream is so slow that it delays
+    /// the streams of all.
+    async fn leave_slow_target(&mut self) -> io::Result<()> {
+        let Some(source) = &self.source else {
+            return Ok(());
+        };
+        let Some(place) = self.course.place_to_move(&source.permit) else {
+            return Ok(());
+        };
+        let why = "the target is slow";
+        self.course.log_miss(&source.permit, "stream moved", why);
+        self.source = None;
+        self.events.clear();
+        match self.course.resume(place, self.last).await {
+            Some((head, permit)) => {
+                self.resumed(head, permit);
+                Ok(())
+            }
+            None => self.go_on(why).await,
+        }
+    }
+
     /// Goes on at another target after the last event that the caller has.
     async fn go_on(&mut self, why: &str) -> io::Result<()> {
         if let Some(source) = self.source.take() {
@@ -194,6 +217,11 @@
         let Some((head, permit)) = self.course.go_on(self.last).await else {
             return Err(self.broken_off(why));
         };
+        self.resumed(head, permit);
+        Ok(())
+    }
+
+    fn resumed(&mut self, head: Head, permit: Permit) {
         log::info!(
             request = self.course.ask.id.as_str(), target_id = permit.way().id.as_str(),
             after = self.last.unwrap_or(0);
@@ -206,7 +234,6 @@
             permit,
             heard: None,
         });
-        Ok(())
     }
 
     /// The caller's connection ends without the mark of a whole answer.
--- a/crates/expert/src/speeds.rs
+++ b/crates/expert/src/speeds.rs
@@ -15,6 +15,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Speeds {
     raw: Vec<f64>,
+    /// What ranks report themselves, which goes before what is measured.
+    reported: Vec<Option<f64>>,
     live: Vec<bool>,
     seconds_per_token: f64,
 }
@@ -30,6 +32,7 @@
     pub fn new(ranks: usize, seconds_per_token: f64) -> Speeds {
         Speeds {
             raw: vec![1.0; ranks],
+            reported: vec![None; ranks],
             live: vec![true; ranks],
             seconds_per_token,
         }
@@ -68,6 +71,22 @@
         }
     }
 
+    /// Takes in that a rank reports to take `slowdown` times longer than usual
+    /// for its work.
+    ///
+    /// ```
+    /// let mut speeds = expert::Speeds::new(2, 1e-6);
+    /// speeds.report_slowdown(1, 4.0);
+    /// assert_eq!(speeds.relative(1), 0.25);
+    /// speeds.report_slowdown(1, 1.0);
+    /// assert_eq!(speeds.relative(1), 1.0);
+    /// ```
+    pub fn report_slowdown(&mut self, rank: usize, slowdown: f64) {
+        if let Some(reported) = self.reported.get_mut(rank) {
+            *reported = (slowdown > 0.0).then(|| 1.0 / slowdown);
+        }
+    }
+
     fn is_unusual(&self, rank: usize) -> bool {
         (self.raw[rank] - 1.0).abs() > DEAD_ZONE
     }
@@ -97,6 +116,7 @@
         if let Some(live) = self.live.get_mut(rank).filter(|live| !**live) {
             *live = true;
             self.raw[rank] = 1.0;
+            self.reported[rank] = None;
         }
     }
 
@@ -113,8 +133,9 @@
     /// Panics if there is no such rank.
     #[must_use]
     pub fn relative(&self, rank: usize) -> f64 {
-        if self.is_unusual(rank) {
-            self.raw[rank].max(SLOWEST)
+        let speed = self.reported[rank].unwrap_or(self.raw[rank]);
+        if (speed - 1.0).abs() > DEAD_ZONE {
+            speed.max(SLOWEST)
         } else {
             1.0
         }
--- a/crates/expert/tests/planner.rs
+++ b/crates/expert/tests/planner.rs
@@ -191,6 +191,19 @@
     assert!(plan.after < 0.8 * plan.before);
 }
 
+/// Guards against a rank twelve times slower that keeps its experts, for which
+/// all others wait in every step.
+#[test]
+fn plan_slow_rank_relieved() {
+    let mut load = Load::new(1, 96);
+    load.add(&[10_000; 96]);
+    let mut speeds = Speeds::new(12, 1e-6);
+    let map = Map::in_turn(Shape::new(1, 96, 11, (0..12).collect()));
+    speeds.report_slowdown(5, 12.0);
+    let plan = planner(1.0, 0.01).plan_within(&map, &load, &speeds, 4);
+    assert!(plan.after < 1.1 * plan.even);
+}
+
 #[test]
 fn observe_same_time_for_all() {
     // An engine tells the time of the slowest rank for all. The rank with
--- a/crates/member/src/board.rs
+++ b/crates/member/src/board.rs
@@ -1,7 +1,8 @@
 //! What targets and entries tell of themselves, newest first.
 
-use crate::{Entrance, Heard, Presence, Sighting};
+use crate::{Entrance, Heard, Presence, Sighting, TargetSpeed};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// How long the word of a target that has left is kept. A check-in of it that
@@ -39,6 +40,8 @@
 pub struct Board {
     targets: BTreeMap<String, Row<Sighting>>,
     entrances: BTreeMap<String, Row<Entrance>>,
+    /// What agents report of targets that are slow.
+    slow: BTreeMap<SocketAddr, Row<TargetSpeed>>,
 }
 
 /// What was told, and when it was heard here.
@@ -94,6 +97,38 @@
         heard
     }
 
+    /// Takes what an agent reports of its target's speed.
+    ///
+    /// ```
+    /// use member::{Board, TargetSpeed};
+    /// use std::time::Instant;
+    ///
+    /// let now = Instant::now();
+    /// let address = "127.0.0.1:8080".parse().unwrap();
+    /// let mut board = Board::default();
+    /// assert_eq!(board.slowdown(address, now), 1.0);
+    /// board.hear_speed(TargetSpeed { address, slowdown: 4.0 }, now);
+    /// assert_eq!(board.slowdown(address, now), 4.0);
+    /// assert_eq!(board.slowdown(address, now + TargetSpeed::HOLDS), 1.0);
+    /// ```
+    pub fn hear_speed(&mut self, told: TargetSpeed, now: Instant) {
+        self.slow
+            .retain(|_, row| now.saturating_duration_since(row.heard) < TargetSpeed::HOLDS);
+        if told.slowdown > 1.0 {
+            self.slow.insert(told.address, Row { told, heard: now });
+        } else {
+            self.slow.remove(&told.address);
+        }
+    }
+
+    /// How many times longer than usual the target at an address takes.
+    #[must_use]
+    pub fn slowdown(&self, address: SocketAddr, now: Instant) -> f64 {
+        let row = self.slow.get(&address);
+        let row = row.filter(|row| now.saturating_duration_since(row.heard) < TargetSpeed::HOLDS);
+        row.map_or(1.0, |row| row.told.slowdown)
+    }
+
     /// All targets that were ever heard and not forgotten, and when they were.
     pub fn targets(&self) -> impl Iterator<Item = (&Sighting, Instant)> {
         self.targets.values().map(|row| (&row.told, row.heard))
--- a/crates/node/src/ask.rs
+++ b/crates/node/src/ask.rs
@@ -2,7 +2,7 @@
 
 use crate::shared::Shared;
 use std::time::Duration;
-use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 use wire::proto::frame::Body;
 use wire::{Link, Result};
 
@@ -12,6 +12,9 @@
 /// in which another one could have answered.
 const ONE_TRY: Duration = Duration::from_millis(1500);
 
+/// Longest wait for a replica of which any may be told.
+const ONE_TELL: Duration = Duration::from_millis(250);
+
 /// No answer in time.
 pub(crate) struct Unanswered {
     /// True when the request may have reached a leader.
@@ -47,6 +50,26 @@
     Err(Unanswered { maybe })
 }
 
+/// Tells the replicas in turn until one confirms it or `within` is over.
+pub(crate) async fn tell_any(shared: &Shared, body: &Body, within: Duration) -> bool {
+    let deadline = Instant::now() + within;
+    let _asking = shared.controls.asking();
+    while Instant::now() < deadline {
+        let left = deadline - Instant::now();
+        match shared.controls.next() {
+            Some(link) => match link.call(body.clone(), left.min(ONE_TELL)).await {
+                Ok(_) => return true,
+                Err(e) => log::debug!("{} doesn't confirm: {e}", link.peer().name),
+            },
+            None => {
+                // Either outcome means that it is time to look again.
+                let _ = timeout(left.min(PAUSE), shared.controls.more()).await;
+            }
+        }
+    }
+    false
+}
+
 /// Asks one replica; `None` when it does not lead.
 async fn try_one(
     shared: &Shared,
--- a/crates/node/src/controls.rs
+++ b/crates/node/src/controls.rs
@@ -35,6 +35,17 @@
     used: Option<Instant>,
 }
 
+impl State {
+    fn next(&mut self) -> Option<Link> {
+        let count = self.links.len();
+        if count == 0 {
+            return None;
+        }
+        self.turn = (self.turn + 1) % count;
+        self.links.values().nth(self.turn).cloned()
+    }
+}
+
 /// Somebody asks; the links are held until this is dropped.
 pub(crate) struct Asking<'a>(&'a Controls);
 
@@ -150,12 +161,14 @@
         if let Some(link) = known {
             return Some(link.clone());
         }
-        let count = state.links.len();
-        if count == 0 {
-            return None;
-        }
-        state.turn = (state.turn + 1) % count;
-        state.links.values().nth(state.turn).cloned()
+        state.next()
+    }
+
+    /// The replicas in turn, whoever leads.
+    pub(crate) fn next(&self) -> Option<Link> {
+        let mut state = self.state();
+        state.links.retain(|_, link| !link.is_closed());
+        state.next()
     }
 
     /// Resolves when another link is up.
--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -1,10 +1,11 @@
 //! The handle on all that a node knows from control.
 
-use crate::ask::{Unanswered, ask, pause};
+use crate::ask::{Unanswered, ask, pause, tell_any};
 use crate::relayed;
 use crate::renewer::{Renewer, renew};
 use crate::settings::FollowerSettings;
 use crate::shared::{Parts, Shared};
+use member::TargetSpeed;
 use note::Catalogue;
 use ractor::ActorRuntime;
 use std::collections::BTreeSet;
@@ -17,9 +18,9 @@
 use wire::proto::frame::Body;
 use wire::proto::{
     AccountUse, Announcement, Command, MemberView, NodeInfo, Outcome, Propose, Quarantine, Query,
-    QueryReply, Unavailable, command, outcome, query,
+    QueryReply, Sightings, Unavailable, command, outcome, query,
 };
-use wire::{Error, Identity, Incoming, Link, Result, redial};
+use wire::{Error, Identity, Incoming, Link, Result, redial, target_speed_message};
 
 /// When to come back after control could not be asked.
 const RETRY_AFTER: Duration = Duration::from_secs(2);
@@ -198,6 +199,16 @@
         }
     }
 
+    /// Reports how fast the target beside this node is; any replica passes it
+    /// on to the entries. Whether one has taken it.
+    pub async fn report_speed(&self, speed: TargetSpeed, within: Duration) -> bool {
+        let report = Body::Sightings(Sightings {
+            speeds: vec![target_speed_message(&speed)],
+            ..Sightings::default()
+        });
+        tell_any(&self.shared, &report, within).await
+    }
+
     /// Reads the durable state, as of now or later.
     ///
     /// # Errors
--- a/crates/node/src/watched.rs
+++ b/crates/node/src/watched.rs
@@ -1,7 +1,7 @@
 //! What a watcher holds.
 
 use crate::watcher::Decode;
-use member::{Board, Entrance, Heard, Presence};
+use member::{Board, Entrance, Heard, Presence, TargetSpeed};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -9,7 +9,7 @@
 use table::Table;
 use tokio::sync::watch;
 use wire::proto::{RouteTable, Sightings};
-use wire::sighting;
+use wire::{sighting, target_speed};
 
 /// How long the word of a silent target is kept. It takes no work by then; its
 /// last word may still be news to nobody else.
@@ -27,10 +27,13 @@
 }
 
 /// A target that was heard of, as far as its own words go.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct KnownTarget {
     /// What it told.
     pub told: member::Sighting,
+    /// How many times longer than usual it takes for its work, as the agent
+    /// beside it reports.
+    pub slowdown: f64,
     /// When this was heard here.
     pub heard: Instant,
 }
@@ -59,13 +62,14 @@
 
     /// The targets that haven't left, and when they were heard.
     #[must_use]
-    pub fn targets(&self) -> Vec<KnownTarget> {
+    pub fn targets(&self, now: Instant) -> Vec<KnownTarget> {
         let board = lock(&self.board);
         let here = board
             .targets()
             .filter(|(told, _)| told.presence != Presence::Gone);
         let known = here.map(|(told, heard)| KnownTarget {
             told: told.clone(),
+            slowdown: board.slowdown(told.address, now),
             heard,
         });
         known.collect()
@@ -111,6 +115,9 @@
             }
             news |= heard != Heard::Stale;
         }
+        for told in told.speeds.iter().filter_map(target_speed) {
+            news |= self.take_speed(&mut board, told, now);
+        }
         board.forget(FORGOTTEN, now);
         drop(board);
         if news {
@@ -118,6 +125,21 @@
         }
     }
 
+    /// Whether a target's speed is another one now.
+    fn take_speed(&self, board: &mut Board, told: TargetSpeed, now: Instant) -> bool {
+        let before = board.slowdown(told.address, now);
+        board.hear_speed(told, now);
+        let slowdown = board.slowdown(told.address, now);
+        let news = (slowdown - before).abs() > f64::EPSILON;
+        if news {
+            log::info!(
+                address:display = told.address, before = before, slowdown = slowdown;
+                "speed of a target changed"
+            );
+        }
+        news
+    }
+
     pub(crate) fn take_replicas(&self, named: &[String]) {
         let named: BTreeSet<SocketAddr> = named.iter().filter_map(|a| a.parse().ok()).collect();
         if named.is_empty() {
--- a/crates/route/src/berth.rs
+++ b/crates/route/src/berth.rs
@@ -14,6 +14,10 @@
 /// them free would cost more than late answers do.
 const LEAST_USED: f64 = 0.5;
 
+/// Part of the slots by which requests may exceed what a slow target carries.
+/// Fewer are left to end there: to move a stream has its prompt read again.
+const MOST_EXCESS: f64 = 0.5;
+
 /// The pauses of a target's streams.
 #[derive(Clone, Copy, Debug)]
 struct Pauses {
@@ -27,6 +31,8 @@
 pub(crate) struct Berth {
     slots: f64,
     distance: Distance,
+    /// Requests with which it keeps up with the others.
+    capacity: f64,
     pub(crate) open: bool,
     /// When another target answered at its address, until it is heard of again.
     replaced: Option<Instant>,
@@ -50,6 +56,7 @@
         Berth {
             slots: f64::from(slots.max(1)),
             distance,
+            capacity: f64::from(slots.max(1)),
             open: true,
             replaced: None,
             own: 0,
@@ -77,8 +84,12 @@
     }
 
     pub(crate) fn has_room(&self, tuning: &FleetTuning, now: Instant) -> bool {
-        let most = self.slots * (1.0 + tuning.waiting);
-        self.occupied() < most.min(self.on_time(tuning, now))
+        self.has_slot(tuning) && self.occupied() < self.on_time(tuning, now)
+    }
+
+    /// Whether a request could run or wait there, however late its events.
+    pub(crate) fn has_slot(&self, tuning: &FleetTuning) -> bool {
+        self.occupied() < self.capacity * (1.0 + tuning.waiting)
     }
 
     /// Requests with which its streams don't pause for too long.
@@ -90,7 +101,7 @@
             return f64::INFINITY;
         };
         let fits = pace.fits(self.occupied(), pauses.usual, pauses.most);
-        fits.max(self.slots * LEAST_USED)
+        fits.max(self.capacity * LEAST_USED)
     }
 
     /// A stream paused for so long between two events.
@@ -111,7 +122,22 @@
             Distance::Near => 0.0,
             Distance::Far => tuning.far,
         };
-        (self.occupied() + 1.0 + far) / self.slots
+        (self.occupied() + 1.0 + far) / self.capacity
+    }
+
+    /// It takes so many times longer for its work than the fastest target.
+    pub(crate) fn set_slowdown(&mut self, slowdown: f64, tuning: &FleetTuning) {
+        self.capacity = match tuning.pace {
+            Some(pace) => pace.keeps_up(self.slots, slowdown),
+            None => self.slots / slowdown,
+        };
+    }
+
+    /// Whether it is so slow that the requests which it has should go on
+    /// elsewhere.
+    pub(crate) fn sheds(&self) -> bool {
+        let excess = self.occupied().min(self.slots) - self.capacity;
+        excess > self.slots * MOST_EXCESS
     }
 
     fn tells_places_free(&self) -> bool {
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -152,6 +152,46 @@
         }
     }
 
+    /// Takes in how many times longer than usual each target takes for its
+    /// work.
+    ///
+    /// The ranks of a group begin each step together, so one that is slow
+    /// delays the streams of all. It is given the requests with which it keeps
+    /// up with the fastest.
+    pub fn set_slowdowns(&mut self, slowdowns: &[(TargetKey, f64)]) {
+        let fastest = slowdowns.iter().map(|(_, slowdown)| *slowdown);
+        let fastest = fastest.fold(f64::INFINITY, f64::min);
+        for (key, slowdown) in slowdowns {
+            if let Some(target) = self.targets.get_mut(*key) {
+                target.set_slowdown(slowdown / fastest, &self.tuning);
+            }
+        }
+    }
+
+    /// Whether a target is so slow that the streams which it runs should go on
+    /// at others.
+    #[must_use]
+    pub fn sheds(&self, key: TargetKey) -> bool {
+        self.targets.get(key).is_some_and(Berth::sheds)
+    }
+
+    /// The target at which a stream of a slow one goes on. Pauses that are too
+    /// long are no reason against it: the slow target causes them.
+    pub fn choose_to_move(
+        &self,
+        tried: &[TargetKey],
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Option<TargetKey> {
+        let fit = self.targets.iter().filter(|(key, target)| {
+            target.is_able()
+                && !target.is_shunned(now)
+                && target.has_slot(&self.tuning)
+                && !tried.contains(key)
+        });
+        self.cheapest(fit, rng)
+    }
+
     /// A target was heard of. Its address was another one's for a while if it
     /// was replaced before.
     pub fn heard(&mut self, key: TargetKey, at: Instant) {
@@ -222,9 +262,18 @@
         targets: impl Iterator<Item = (TargetKey, &'a Berth)>,
         now: Instant,
         rng: &mut impl Rng,
+    ) -> Option<TargetKey> {
+        let fit = targets.filter(|(_, target)| target.has_room(&self.tuning, now));
+        self.cheapest(fit, rng)
+    }
+
+    fn cheapest<'a>(
+        &self,
+        targets: impl Iterator<Item = (TargetKey, &'a Berth)>,
+        rng: &mut impl Rng,
     ) -> Option<TargetKey> {
         let mut best: Option<(f64, TargetKey)> = None;
-        for (key, target) in targets.filter(|(_, target)| target.has_room(&self.tuning, now)) {
+        for (key, target) in targets {
             // Entries that know the same would all choose the same one.
             let jitter = rng.random_range(0.0..TIE);
             let cost = target.cost(&self.tuning) + jitter;
--- a/crates/route/src/pace.rs
+++ b/crates/route/src/pace.rs
@@ -39,6 +39,25 @@
         }
     }
 
+    /// Requests with which an engine that is `slowdown` times slower needs no
+    /// longer for a step than one that runs `slots` of them. 0 if even a single
+    /// one takes it longer.
+    ///
+    /// ```
+    /// use route::Pace;
+    /// use std::time::Duration;
+    ///
+    /// let pace = Pace::new(Duration::from_millis(6), Duration::from_millis(1));
+    /// assert_eq!(pace.keeps_up(12.0, 1.0), 12.0);
+    /// assert_eq!(pace.keeps_up(12.0, 1.5), 6.0);
+    /// assert_eq!(pace.keeps_up(12.0, 4.0), 0.0);
+    /// ```
+    #[must_use]
+    pub fn keeps_up(&self, slots: f64, slowdown: f64) -> f64 {
+        let full = self.step + self.for_each * slots;
+        ((full / slowdown - self.step) / self.for_each).max(0.0)
+    }
+
     /// Requests with which pauses stay below `most`, if `running` of them make
     /// pauses of `pause`.
     #[must_use]
--- a/crates/route/tests/fleet.rs
+++ b/crates/route/tests/fleet.rs
@@ -243,3 +243,54 @@
     assert!(fleet.has_able());
     assert_eq!(fleet.choose(&[], now, &mut rng()), None);
 }
+
+/// Guards against requests at a slow rank, which delay the streams of its
+/// whole group.
+#[test]
+fn choose_slow_rank() {
+    let (mut fleet, keys) = engines(3);
+    fleet.set_slowdowns(&[(keys[0], 12.0), (keys[1], 1.0), (keys[2], 1.0)]);
+    let sent = fill(&mut fleet, &keys, Instant::now());
+    assert_eq!(sent, [0, 14, 14]);
+}
+
+/// Guards against refusing everything while all ranks are equally slow.
+#[test]
+fn choose_all_slow() {
+    let (mut fleet, keys) = engines(2);
+    fleet.set_slowdowns(&[(keys[0], 4.0), (keys[1], 4.0)]);
+    let sent = fill(&mut fleet, &keys, Instant::now());
+    assert_eq!(sent, [14, 14]);
+}
+
+/// Guards against streams that stay at a rank which has turned slow: they
+/// would end in several times the usual time, and delay all others until then.
+#[test]
+fn sheds_rank_turned_slow() {
+    let (mut fleet, keys) = engines(3);
+    let now = Instant::now();
+    for _ in 0..8 {
+        fleet.start(keys[0]);
+    }
+    assert!(!fleet.sheds(keys[0]));
+    fleet.set_slowdowns(&[(keys[0], 12.0), (keys[1], 1.0), (keys[2], 1.0)]);
+    assert!(fleet.sheds(keys[0]));
+    assert!(!fleet.sheds(keys[1]));
+    let moved = fleet.choose_to_move(&[keys[0]], now, &mut rng());
+    assert!(moved.is_some_and(|key| key != keys[0]));
+}
+
+/// Guards against streams that can't leave a slow rank since the pauses that
+/// it causes make all others count as full.
+#[test]
+fn choose_to_move_while_streams_pause() {
+    let (mut fleet, keys) = engines(2);
+    let now = Instant::now();
+    for _ in 0..8 {
+        fleet.start(keys[1]);
+    }
+    fleet.paused(keys[1], LATE * 5, LATE, now);
+    assert_eq!(fleet.choose(&[keys[0]], now, &mut rng()), None);
+    let moved = fleet.choose_to_move(&[keys[0]], now, &mut rng());
+    assert_eq!(moved, Some(keys[1]));
+}
--- a/crates/wire/src/gen/lovageramp.rs
+++ b/crates/wire/src/gen/lovageramp.rs
@@ -385,6 +385,18 @@
     pub targets: ::prost::alloc::vec::Vec<Sighting>,
     #[prost(message, repeated, tag = "2")]
     pub entrances: ::prost::alloc::vec::Vec<Entrance>,
+    #[prost(message, repeated, tag = "3")]
+    pub speeds: ::prost::alloc::vec::Vec<TargetSpeed>,
+}
+/// What an agent reports of the target beside it.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TargetSpeed {
+    /// Where the target accepts requests, "ip:port".
+    #[prost(string, tag = "1")]
+    pub address: ::prost::alloc::string::String,
+    /// How many times longer than usual it takes for its work, in thousandths.
+    #[prost(uint32, tag = "2")]
+    pub slowdown_permille: u32,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct SightingsTaken {}
@@ -1368,6 +1380,10 @@
     pub step: u64,
     #[prost(uint64, tag = "5")]
     pub map_version: u64,
+    /// How many times longer than usual the rank takes for its work, in
+    /// thousandths; not set where the engine doesn't tell.
+    #[prost(uint32, optional, tag = "6")]
+    pub slowdown_permille: ::core::option::Option<u32>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct StageMap {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -80,4 +80,6 @@
 pub use crate::proto::Role;
 pub use crate::redial::redial;
 pub use crate::settings::LinkSettings;
-pub use crate::told::{entrance, entrance_message, sighting, sighting_message};
+pub use crate::told::{
+    entrance, entrance_message, sighting, sighting_message, target_speed, target_speed_message,
+};
--- a/crates/wire/src/told.rs
+++ b/crates/wire/src/told.rs
@@ -2,7 +2,7 @@
 //! type.
 
 use crate::proto;
-use member::{Entrance, Presence, Sighting};
+use member::{Entrance, Presence, Sighting, TargetSpeed};
 
 /// The message of what a target tells.
 #[must_use]
@@ -46,6 +46,29 @@
     })
 }
 
+/// The message of what an agent reports of its target's speed.
+#[must_use]
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the cast saturates, and far greater slowdowns are no different"
+)]
+pub fn target_speed_message(told: &TargetSpeed) -> proto::TargetSpeed {
+    proto::TargetSpeed {
+        address: told.address.to_string(),
+        slowdown_permille: (told.slowdown * 1e3) as u32,
+    }
+}
+
+/// What an agent reports; none where the message can't be understood.
+#[must_use]
+pub fn target_speed(told: &proto::TargetSpeed) -> Option<TargetSpeed> {
+    Some(TargetSpeed {
+        address: told.address.parse().ok()?,
+        slowdown: f64::from(told.slowdown_permille) / 1e3,
+    })
+}
+
 /// The message of what an entry tells.
 #[must_use]
 pub fn entrance_message(told: &Entrance) -> proto::Entrance {
