Ask other replicas while the leader is silent

Another replica leads 0.6 s later, but the coordinator waited 1.5 s for the frozen one, and the ranks were held meanwhile ('--log all': asked at 2.52 s, new leader at 3.13 s, decided at 4.03 s). Ruled out: to hold only while the leader has answered lately; it had answered 20 ms before. Change: while a replica is silent for 150 ms the others are asked in turn; those that don't lead answer without a write.

--- a/crates/node/src/ask.rs
+++ b/crates/node/src/ask.rs
@@ -1,10 +1,12 @@
 //! Asks the leader, wherever it is.
 
 use crate::shared::Shared;
+use std::pin::pin;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
+use wire::proto::NotLeader;
 use wire::proto::frame::Body;
-use wire::{Link, Result};
+use wire::{Error, Link, Result};
 
 /// Pause before the next replica is tried.
 const PAUSE: Duration = Duration::from_millis(50);
@@ -12,6 +14,9 @@
 /// in which another one could have answered.
 const ONE_TRY: Duration = Duration::from_millis(1500);
 
+/// Silence of the leader after which others are asked who leads: several times what
+/// a commit takes. They answer without a write of their own.
+const SILENT: Duration = Duration::from_millis(150);
 /// Longest wait for a replica of which any may be told.
 const ONE_TELL: Duration = Duration::from_millis(250);
 
@@ -40,7 +45,7 @@
             continue;
         };
         let left = deadline - Instant::now();
-        match try_one(shared, &link, body.clone(), left.min(ONE_TRY)).await {
+        match try_hedged(shared, &link, body, left.min(ONE_TRY)).await {
             Ok(Some(answer)) => return Ok(answer),
             Ok(None) => {}
             Err(err) => maybe |= !err.is_not_sent(),
@@ -50,6 +55,50 @@
     Err(Unanswered { maybe })
 }
 
+/// Asks one replica, and others too while it is silent: the leader may have been
+/// replaced, and one that is frozen can't tell.
+async fn try_hedged(
+    shared: &Shared,
+    link: &Link,
+    body: &Body,
+    within: Duration,
+) -> Result<Option<Body>> {
+    let mut first = pin!(try_one(shared, link, body.clone(), within));
+    loop {
+        if let Ok(answer) = timeout(SILENT, &mut first).await {
+            return answer;
+        }
+        let Some(other) = shared
+            .controls
+            .next()
+            .filter(|other| other.peer() != link.peer())
+        else {
+            continue;
+        };
+        tokio::select! {
+            answer = &mut first => return answer,
+            answer = other.call(body.clone(), SILENT) => match answer {
+                Ok(Body::NotLeader(known)) if is_news(&known, link) => {
+                    shared.controls.find(&known.leader, &known.address);
+                    shared.controls.set_leader(Some(known.leader));
+                    // The first may have taken the request all the same.
+                    return Err(Error::TimedOut);
+                }
+                Ok(Body::NotLeader(_)) | Err(_) => {}
+                Ok(answer) => {
+                    shared.controls.set_leader(Some(other.peer().name.clone()));
+                    return Ok(Some(answer));
+                }
+            },
+        }
+    }
+}
+
+/// Whether another replica than the one that is asked is said to lead.
+fn is_news(known: &NotLeader, asked: &Link) -> bool {
+    !known.leader.is_empty() && known.leader != asked.peer().name
+}
+
 /// Tells the replicas in turn until one confirms it or `within` is over.
 pub(crate) async fn tell_any(shared: &Shared, body: &Body, within: Duration) -> bool {
     let deadline = Instant::now() + within;
--- a/crates/node/tests/follower.rs
+++ b/crates/node/tests/follower.rs
@@ -235,3 +235,33 @@
     })
     .await;
 }
+
+/// Guards against a group that is held for as long as a frozen leader is waited for,
+/// though another replica leads by then.
+#[tokio::test]
+async fn propose_leader_frozen() {
+    let frozen = answers(|body| match body {
+        Body::Renew(_) => Some(Body::Renewed(renewed(1, 0))),
+        _ => None,
+    });
+    let next = answers(|body| match body {
+        Body::Propose(_) => Some(Body::Outcome(Outcome {
+            index: 7,
+            body: None,
+        })),
+        _ => Some(Body::NotLeader(NotLeader {
+            leader: "control-1".to_owned(),
+            ..NotLeader::default()
+        })),
+    });
+    let controls = vec![
+        replica("control-1", frozen).await,
+        replica("control-2", next).await,
+    ];
+    let follower = follow(controls);
+    until(|| async { follower.leased(Instant::now()) }).await;
+    let open = command::Body::OpenCoordinator(wire::proto::OpenCoordinator::default());
+    // Less than the frozen one is waited for.
+    let within = Duration::from_millis(1_400);
+    assert_eq!(follower.propose(open, within).await.index, 7);
+}
