Begin a switch when steps are about to be slow

Ruled out: counts that are too noisy to plan on. Change: a switch is needed also when passes are about to take three quarters of the shortest pause, by what the plan saves.

--- a/crates/agent/src/map/planning.rs
+++ b/crates/agent/src/map/planning.rs
@@ -101,8 +101,12 @@
         let Some(need) = self.cx.cfg.need else {
             return true;
         };
-        let slow = pass.is_none_or(|pass| pass >= need.pass);
-        slow && plan.after <= plan.before * (1.0 - need.gain)
+        if plan.after > plan.before * (1.0 - need.gain) {
+            return false;
+        }
+        // Most of the passes may have been on the demand of before.
+        let soon = |pass: Duration| pass.mul_f64(plan.before / plan.after.max(f64::MIN_POSITIVE));
+        pass.is_none_or(|pass| pass >= need.pass || soon(pass) >= need.soon)
     }
 
     /// Engines that start each formation on their start map are on it again,
--- a/crates/agent/src/map/settings.rs
+++ b/crates/agent/src/map/settings.rs
@@ -36,6 +36,9 @@
 pub struct Need {
     /// Passes that are shorter are fast enough.
     pub pass: Duration,
+    /// Passes become too slow if they would take as long on the map in use,
+    /// were they as fast on the planned one as they have been until now.
+    pub soon: Duration,
     /// Part of the time of the experts' work that a switch must save.
     pub gain: f64,
 }
--- a/crates/agent/src/rank_agent.rs
+++ b/crates/agent/src/rank_agent.rs
@@ -58,6 +58,8 @@
 /// fast enough: the rest is for prompts that are read in between, and for the
 /// time until a switch takes effect.
 const FAST_PASS: f64 = 0.55;
+/// Part of that pause at which passes are about to be too slow.
+const SLOW_PASS: f64 = 0.75;
 /// Part of the experts' work that a switch must save, about what is lost while
 /// experts are copied.
 const LEAST_GAIN: f64 = 0.08;
@@ -229,6 +231,7 @@
         start: StartMap::Bare,
         need: Some(Need {
             pass: pause.mul_f64(FAST_PASS),
+            soon: pause.mul_f64(SLOW_PASS),
             gain: LEAST_GAIN,
         }),
     }
