Count experts every 0.25 s, and average steps over 0.5 s

Cause: half a window passes on average before a shift of demand is seen, of 3.9 s that it lasts. Ruled out: shorter windows alone; in so few passes one more or less makes steps look slow or fast, so their time is averaged over two windows.

--- a/crates/agent/src/map/mod.rs
+++ b/crates/agent/src/map/mod.rs
@@ -23,6 +23,7 @@
 mod settings;
 mod stand_in;
 mod state;
+mod step_clock;
 mod switcher;
 mod translate;
 mod waiting;
--- a/crates/agent/src/map/planning.rs
+++ b/crates/agent/src/map/planning.rs
@@ -89,10 +89,7 @@
     /// Usual time of a pass since the ranks were counted before.
     fn usual_pass(&mut self, now: Instant) -> Option<Duration> {
         let step = self.chooser.as_ref()?.step()?;
-        let before = self.counted.replace((now, step));
-        let (at, from) = before?;
-        let passes = u32::try_from(step.checked_sub(from)?).ok()?;
-        (now - at).checked_div(passes)
+        self.steps.observe(step, now)
     }
 
     /// Whether a switch is worth its price: passes are slow, and it makes them
--- a/crates/agent/src/map/state.rs
+++ b/crates/agent/src/map/state.rs
@@ -22,6 +22,7 @@
 use crate::map::party::Party;
 use crate::map::peers::Peers;
 use crate::map::stand_in::{StandIn, let_go};
+use crate::map::step_clock::StepClock;
 use crate::map::switcher::Start;
 use crate::map::translate::{self, Received};
 use crate::map::windows::Windows;
@@ -51,8 +52,8 @@
     stand_in: StandIn,
     /// When it is logged again what the coordinator waits for.
     pub log_at: Instant,
-    /// When the ranks were last all counted, and the step of that time.
-    pub counted: Option<(Instant, u64)>,
+    /// How long steps take.
+    pub steps: StepClock,
     /// The coordinator has not asked for counts yet since it began.
     pub begins: bool,
     /// No switch was under way when the ranks were last asked for their counts,
@@ -84,7 +85,7 @@
             serial: 0,
             begins: false,
             asked_idle: false,
-            counted: None,
+            steps: StepClock::default(),
             log_at: now,
             stand_in: StandIn::default(),
             calls: BTreeSet::new(),
--- a/crates/agent/src/rank_agent.rs
+++ b/crates/agent/src/rank_agent.rs
@@ -31,9 +31,9 @@
 const ANSWER: Duration = Duration::from_secs(2);
 /// Length of a window: popularity changes every few seconds, and a map that
 /// comes later than a fraction of that is of little use.
-const WINDOW: Duration = Duration::from_millis(500);
+const WINDOW: Duration = Duration::from_millis(250);
 /// Windows in three seconds, about as long as popularity stays.
-const HORIZON: u32 = 6;
+const HORIZON: u32 = 12;
 /// Time in which a group forms anew.
 const FORMATION: Duration = Duration::from_millis(300);
 /// Passes between the newest that is known to be begun and the switch: about
