--- a/crates/agent/src/map/settings.rs
+++ b/crates/agent/src/map/settings.rs
@@ -74,7 +74,6 @@
             },
             timing: SwitchTiming {
                 resend: time(r, "resend_ms", defaults.resend),
-                look: defaults.look,
                 attempt: time(r, "attempt_ms", defaults.attempt),
                 order: time(r, "order_ms", defaults.order),
                 ghost: time(r, "ghost_ms", defaults.ghost),
--- a/crates/agent/src/rank_agent.rs
+++ b/crates/agent/src/rank_agent.rs
@@ -48,7 +48,6 @@
 /// up, since the popularity that it was planned for is over soon.
 const SWITCH: SwitchTiming = SwitchTiming {
     resend: Duration::from_millis(100),
-    look: POLL,
     attempt: Duration::from_millis(1_500),
     order: Duration::from_millis(2_500),
     ghost: Duration::from_millis(200),
--- a/crates/expert/src/participant_steps.rs
+++ b/crates/expert/src/participant_steps.rs
@@ -5,7 +5,7 @@
 use crate::{
     EngineOrder, EngineState, Participant, ParticipantMessage, ParticipantOutput, Standing, Verdict,
 };
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 impl Participant {
     /// Gives the next order, or tells the coordinator that there is none.
@@ -41,22 +41,12 @@
             && self.quiet_until.is_none()
         {
             self.order(order, now, outputs);
-        } else if self.engine.is_some() && now >= self.read_at + self.pause(engine) {
+        } else if self.engine.is_some() && now >= self.read_at + self.timing.resend {
             // The engine may restart at any time, whatever was asked of it.
             self.order(EngineOrder::Read, now, outputs);
         }
     }
 
-    /// Between two reads of the engine. All ranks are waited for while one
-    /// loads, so that is noticed soon.
-    fn pause(&self, engine: EngineState) -> Duration {
-        if engine.loading.is_some() {
-            self.timing.look
-        } else {
-            self.timing.resend
-        }
-    }
-
     /// Whether the engine has begun another formation since it promised, with
     /// which it went back to its start map.
     fn has_reset(&self, engine: EngineState) -> bool {
--- a/crates/expert/src/switch_timing.rs
+++ b/crates/expert/src/switch_timing.rs
@@ -7,8 +7,6 @@
 pub struct SwitchTiming {
     /// Before an unanswered message or question is sent again.
     pub resend: Duration,
-    /// Between two looks at an engine that loads a map.
-    pub look: Duration,
     /// Time for staging or for holding before the switch is aborted.
     pub attempt: Duration,
     /// Time without an answer after which an order to an engine is given up.
@@ -61,7 +59,6 @@
     fn default() -> SwitchTiming {
         SwitchTiming {
             resend: Duration::from_millis(500),
-            look: Duration::from_millis(500),
             attempt: Duration::from_mins(1),
             order: Duration::from_secs(30),
             ghost: Duration::from_secs(2),
--- a/crates/expert/tests/participant.rs
+++ b/crates/expert/tests/participant.rs
@@ -9,7 +9,6 @@
 
 const TIMING: SwitchTiming = SwitchTiming {
     resend: Duration::from_millis(10),
-    look: Duration::from_millis(10),
     attempt: Duration::from_secs(1),
     order: Duration::from_millis(50),
     ghost: Duration::from_millis(50),
--- a/crates/expert/tests/switch/world.rs
+++ b/crates/expert/tests/switch/world.rs
@@ -66,7 +66,6 @@
 fn timing() -> SwitchTiming {
     SwitchTiming {
         resend: Duration::from_millis(15),
-        look: Duration::from_millis(15),
         attempt: Duration::from_millis(150),
         order: Duration::from_millis(10),
         ghost: Duration::from_millis(10),
