--- a/crates/agent/src/map/mod.rs
+++ b/crates/agent/src/map/mod.rs
@@ -23,7 +23,6 @@
 mod settings;
 mod stand_in;
 mod state;
-mod step_clock;
 mod switcher;
 mod translate;
 mod waiting;
@@ -31,4 +30,4 @@
 
 pub(crate) use map_context::{MapContext, Offers};
 pub(crate) use maps::{Maps, start};
-pub use settings::{MapSettings, Need, StartMap};
+pub use settings::{MapSettings, StartMap};
--- a/crates/agent/src/map/planning.rs
+++ b/crates/agent/src/map/planning.rs
@@ -81,7 +81,9 @@
             coordinator.set_step_time(pass);
         }
         let plan = chooser.plan(self.present.as_ref(), &group, &self.cx.cfg);
-        if let Some(plan) = plan.filter(|plan| self.is_needed(plan, pass)) {
+        let need = self.cx.cfg.need;
+        let is_needed = |plan: &Plan| need.is_none_or(|need| need.is_met(plan, pass));
+        if let Some(plan) = plan.filter(is_needed) {
             self.begin(&plan, now);
         }
     }
@@ -92,20 +94,6 @@
         self.steps.observe(step, now)
     }
 
-    /// Whether a switch is worth its price: passes are slow, and it makes them
-    /// faster by enough.
-    fn is_needed(&self, plan: &Plan, pass: Option<Duration>) -> bool {
-        let Some(need) = self.cx.cfg.need else {
-            return true;
-        };
-        if plan.after > plan.before * (1.0 - need.gain) {
-            return false;
-        }
-        // Most of the passes may have been on the demand of before.
-        let soon = |pass: Duration| pass.mul_f64(plan.before / plan.after.max(f64::MIN_POSITIVE));
-        pass.is_none_or(|pass| pass >= need.pass || soon(pass) >= need.soon)
-    }
-
     /// Engines that start each formation on their start map are on it again,
     /// whatever was committed before.
     fn heed_start_map(&mut self) {
--- a/crates/agent/src/map/settings.rs
+++ b/crates/agent/src/map/settings.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cfg::Reader;
-use expert::{MoveCost, SwitchTiming};
+use expert::{MoveCost, SwitchNeed, SwitchTiming};
 
 /// When expert maps are planned, and how they are switched.
 #[derive(Clone, Debug)]
@@ -24,23 +24,7 @@
     pub start: StartMap,
     /// When a switch is worth its price beside what moves cost; always, if
     /// none is given.
-    pub need: Option<Need>,
-}
-
-/// When a switch is needed.
-///
-/// Moving experts costs as much whether or not anybody notices that passes
-/// are slow. Nobody does while they stay well below the pauses that streams
-/// may make.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Need {
-    /// Passes that are shorter are fast enough.
-    pub pass: Duration,
-    /// Passes become too slow if they would take as long on the map in use,
-    /// were they as fast on the planned one as they have been until now.
-    pub soon: Duration,
-    /// Part of the time of the experts' work that a switch must save.
-    pub gain: f64,
+    pub need: Option<SwitchNeed>,
 }
 
 /// The map that engines start with.
--- a/crates/agent/src/map/state.rs
+++ b/crates/agent/src/map/state.rs
@@ -6,7 +6,7 @@
 
 use expert::{
     Coordinator, CoordinatorOutput, DecideOutcome, Map, Participant, ParticipantOutput, Standing,
-    Verdict,
+    StepClock, Verdict,
 };
 use note::Group;
 use ractor::ActorRef;
@@ -22,7 +22,6 @@
 use crate::map::party::Party;
 use crate::map::peers::Peers;
 use crate::map::stand_in::{StandIn, let_go};
-use crate::map::step_clock::StepClock;
 use crate::map::switcher::Start;
 use crate::map::translate::{self, Received};
 use crate::map::windows::Windows;
--- a/crates/agent/src/rank_agent.rs
+++ b/crates/agent/src/rank_agent.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use expert::{MoveCost, SwitchTiming};
+use expert::{MoveCost, SwitchNeed, SwitchTiming};
 use eyre::WrapErr;
-use member::TargetSpeed;
+use member::{SpeedReports, TargetSpeed};
 use node::{Decode, Follower, FollowerSettings};
 use note::{Group, Weights};
 use table::{Experts, Table};
@@ -15,8 +15,7 @@
 use wire::{ClusterKey, Identity, LinkSettings, Role};
 
 use crate::engine::{ArmingDialect, ArmingState, ClientSettings, Outlet};
-use crate::speed_reports::SpeedReports;
-use crate::{MapAgent, MapAgentSettings, MapSettings, Need, StartMap};
+use crate::{MapAgent, MapAgentSettings, MapSettings, StartMap};
 
 /// Between two renewals of the lease, a third of it.
 const RENEW: Duration = Duration::from_millis(200);
@@ -229,8 +228,8 @@
         timing: SWITCH,
         most_new: usize::try_from(experts.most_new).unwrap_or(usize::MAX),
         start: StartMap::Bare,
-        need: Some(Need {
-            pass: pause.mul_f64(FAST_PASS),
+        need: Some(SwitchNeed {
+            step: pause.mul_f64(FAST_PASS),
             soon: pause.mul_f64(SLOW_PASS),
             gain: LEAST_GAIN,
         }),
--- a/crates/agent/src/map/step_clock.rs
+++ b/crates/expert/src/step_clock.rs
@@ -8,14 +8,25 @@
 const SPAN: Duration = Duration::from_millis(500);
 
 /// How long the steps of a group take, by the last step that ranks told of.
-#[derive(Debug, Default)]
-pub(crate) struct StepClock {
+///
+/// ```
+/// use expert::StepClock;
+/// use std::time::{Duration, Instant};
+///
+/// let now = Instant::now();
+/// let mut clock = StepClock::default();
+/// assert_eq!(clock.observe(10, now), None);
+/// let time = clock.observe(20, now + Duration::from_millis(600));
+/// assert_eq!(time, Some(Duration::from_millis(60)));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct StepClock {
     seen: VecDeque<(Instant, u64)>,
 }
 
 impl StepClock {
-    /// Takes in the last step that was begun; the usual time of a step since
-    /// [`SPAN`] ago, if that is known.
+    /// Takes in the last step that was begun; the usual time of a step for half
+    /// a second or more, if that is known.
     pub fn observe(&mut self, step: u64, now: Instant) -> Option<Duration> {
         if self.seen.back().is_some_and(|(_, last)| *last > step) {
             // The group was formed anew.
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -44,6 +44,7 @@
 mod serves;
 mod sighting;
 mod slot;
+mod speed_reports;
 mod target_speed;
 mod view;
 
@@ -67,5 +68,6 @@
 pub use role::Role;
 pub use serves::Serves;
 pub use sighting::Sighting;
+pub use speed_reports::SpeedReports;
 pub use target_speed::TargetSpeed;
 pub use view::View;
--- a/crates/agent/src/speed_reports.rs
+++ b/crates/member/src/speed_reports.rs
@@ -10,14 +10,31 @@
 
 /// When an agent reports how fast its target is: at each change, and again
 /// while it is slow.
-#[derive(Debug, Default)]
-pub(crate) struct SpeedReports {
+///
+/// ```
+/// use member::SpeedReports;
+/// use std::time::{Duration, Instant};
+///
+/// let now = Instant::now();
+/// let mut reports = SpeedReports::default();
+/// assert!(!reports.is_due(1.0, now));
+/// assert!(reports.is_due(4.0, now));
+/// reports.confirmed(4.0, now);
+/// assert!(!reports.is_due(4.0, now));
+/// assert!(reports.is_due(4.0, now + Duration::from_secs(1)));
+/// assert!(reports.is_due(1.0, now));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct SpeedReports {
     /// What was confirmed last, and when.
     last: Option<(f64, Instant)>,
 }
 
 impl SpeedReports {
-    pub(crate) fn is_due(&self, slowdown: f64, now: Instant) -> bool {
+    /// Whether a target that is `slowdown` times slower than usual is to be
+    /// reported.
+    #[must_use]
+    pub fn is_due(&self, slowdown: f64, now: Instant) -> bool {
         let is_slow = slowdown > 1.0 + DIFFERS;
         match self.last {
             None => is_slow,
@@ -29,7 +46,8 @@
         }
     }
 
-    pub(crate) fn confirmed(&mut self, slowdown: f64, now: Instant) {
+    /// Takes in that a report was confirmed.
+    pub fn confirmed(&mut self, slowdown: f64, now: Instant) {
         self.last = Some((slowdown, now));
     }
 }
