Let in late requests up to three quarters of an engine's slots

Callers who had been refused came back after their objective and took the places of those who would have been on time. Change: the time that a caller has used is seen by how long it still waits, against the longest patience on its route; a request whose objective has passed gets a place while slots are left for others. Ruled out: to serve late ones first; as many are served either way.

--- a/crates/direct/src/course.rs
+++ b/crates/direct/src/course.rs
@@ -14,7 +14,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::StatusCode;
-use route::{Outcome, TargetKey};
+use route::{Objective, Outcome, TargetKey};
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -35,6 +35,8 @@
     pub(crate) service: String,
     pub(crate) kind: Kind,
     pub(crate) deadline: Instant,
+    /// When it is no longer on time, and perhaps was not when it came.
+    on_time_until: Option<Instant>,
     /// Targets that may still run it.
     pub(crate) attempts: u32,
     pub(crate) fleets: Arc<Fleets>,
@@ -43,6 +45,8 @@
     pub(crate) metrics: Metrics,
     tried: Vec<TargetKey>,
     unsent: u32,
+    /// The caller has the head of an answer.
+    has_begun: bool,
     /// It has waited for a target.
     waits: bool,
     /// Why the last target did not answer it; the strongest doubt counts.
@@ -73,6 +77,7 @@
             service: service.to_owned(),
             kind: route.kind,
             deadline,
+            on_time_until: on_time_until(route, &ask, director.fleets()),
             attempts: route.attempts.max(1),
             fleets: Arc::clone(director.fleets()),
             dialect: director.dialect(),
@@ -81,6 +86,7 @@
             ask,
             tried: Vec::new(),
             unsent: 0,
+            has_begun: false,
             waits: false,
             doubt: None,
         }
@@ -102,6 +108,7 @@
             match self.attempt(permit, after).await {
                 Tried::Answered(head, permit) => {
                     if head.status.is_success() && self.is_stream() {
+                        self.has_begun = true;
                         return Ok(stream::relay(self, *head, permit));
                     }
                     match self.whole(*head, permit).await {
@@ -163,9 +170,10 @@
 
     /// Takes a place at a target that wasn't tried yet.
     pub(crate) fn place(&mut self) -> Result<Permit, Reason> {
+        let now = Instant::now();
         let placed = self
             .fleets
-            .place(&self.service, &self.tried, Instant::now());
+            .place(&self.service, self.objective(now), &self.tried, now);
         let permit = placed.map_err(|none| match none {
             NoWay::Absent => Reason::NoTarget,
             NoWay::Full => Reason::Full,
@@ -174,6 +182,17 @@
         Ok(permit)
     }
 
+    /// A stream of which the caller has events is not late by its first one.
+    fn objective(&self, now: Instant) -> Objective {
+        let is_begun = self.ask.after.is_some() || self.has_begun;
+        let in_time = self.on_time_until.is_some_and(|until| now < until);
+        if is_begun || in_time {
+            Objective::Open
+        } else {
+            Objective::Missed
+        }
+    }
+
     /// Sends it once and waits for the head of the answer.
     async fn attempt(&mut self, mut permit: Permit, after: Option<u64>) -> Tried {
         let reuse = if self.kind.repeats() {
@@ -246,7 +265,11 @@
     fn may_move(&self) -> bool {
         let now = Instant::now();
         let allowed = self.kind.repeats() && self.attempts > 1;
-        allowed && self.fleets.bears_retry(&self.service, &self.tried, now)
+        let objective = self.objective(now);
+        allowed
+            && self
+                .fleets
+                .bears_retry(&self.service, objective, &self.tried, now)
     }
 
     fn sending(&self, reuse: Reuse, after: Option<u64>) -> Try<'_> {
@@ -405,6 +428,15 @@
     }
 }
 
+/// When a request is no longer on time; none if it wasn't when it came.
+fn on_time_until(route: &Route, ask: &Ask, fleets: &Fleets) -> Option<Instant> {
+    let used = ask.patience.map_or(Duration::ZERO, |patience| {
+        fleets.time_used(&route.name, patience, ask.arrived)
+    });
+    let left = route.objective.checked_sub(used)?;
+    Some(ask.arrived + left)
+}
+
 /// How an answer that says that the request did not run is counted.
 fn declined(word: Word) -> Option<(&'static str, Outcome)> {
     match word {
--- a/crates/direct/src/fleets.rs
+++ b/crates/direct/src/fleets.rs
@@ -8,7 +8,8 @@
 use outlet::{ClientSettings, Connection, Pool};
 use rand::rngs::SmallRng;
 use route::{
-    Distance, Fleet, FleetTuning, Outcome, Pace, RetryBudget, SeenLoad, TargetKey, ToldLoad,
+    Distance, Fleet, FleetTuning, Objective, Outcome, Pace, RetryBudget, SeenLoad, TargetKey,
+    TimeUsed, ToldLoad,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -57,6 +58,8 @@
 struct Inner {
     rng: SmallRng,
     services: BTreeMap<String, Service>,
+    /// Time that callers of each route have used before they come.
+    used: BTreeMap<String, TimeUsed>,
 }
 
 #[derive(Debug)]
@@ -90,6 +93,7 @@
         let inner = Inner {
             rng: rand::make_rng(),
             services: BTreeMap::new(),
+            used: BTreeMap::new(),
         };
         Fleets {
             zone: zone.to_owned(),
@@ -105,6 +109,8 @@
         let mut inner = self.inner();
         let named = |name: &str| table.service(name).is_some();
         inner.services.retain(|name, _| named(name));
+        let routes: BTreeSet<&str> = table.routes().iter().map(|r| r.name.as_str()).collect();
+        inner.used.retain(|name, _| routes.contains(name.as_str()));
         for service in table.services() {
             let fresh = || Service::new(service, now);
             let held = inner
@@ -161,13 +167,14 @@
     pub(crate) fn place(
         self: &Arc<Fleets>,
         service: &str,
+        objective: Objective,
         tried: &[TargetKey],
         now: Instant,
     ) -> Result<Permit, NoWay> {
         let mut inner = self.inner();
-        let Inner { rng, services } = &mut *inner;
+        let Inner { rng, services, .. } = &mut *inner;
         let held = services.get_mut(service).ok_or(NoWay::Absent)?;
-        let Some(key) = held.fleet.choose(tried, now, rng) else {
+        let Some(key) = held.fleet.choose_for(objective, tried, now, rng) else {
             if held.fleet.has_able() {
                 return Err(NoWay::Full);
             }
@@ -190,7 +197,7 @@
         now: Instant,
     ) -> Option<Permit> {
         let mut inner = self.inner();
-        let Inner { rng, services } = &mut *inner;
+        let Inner { rng, services, .. } = &mut *inner;
         let held = services.get_mut(service)?;
         let key = held.fleet.choose_to_move(tried, now, rng)?;
         let (way, seen) = held.start(key, now)?;
@@ -198,6 +205,17 @@
         Some(Permit::new(Arc::clone(self), service, key, way, seen))
     }
 
+    /// How much of their time a caller of a route has used who still waits for
+    /// `patience`.
+    pub(crate) fn time_used(&self, route: &str, patience: Duration, now: Instant) -> Duration {
+        let mut inner = self.inner();
+        if !inner.used.contains_key(route) {
+            inner.used.insert(route.to_owned(), TimeUsed::new(now));
+        }
+        let used = inner.used.get_mut(route);
+        used.map_or(Duration::ZERO, |used| used.observe(patience, now))
+    }
+
     /// Counts a request towards the retries of its service.
     pub(crate) fn deposit(&self, service: &str) {
         if let Some(held) = self.inner().services.get_mut(service) {
@@ -213,18 +231,24 @@
     }
 
     /// Whether another target could take a request that is sent again.
-    pub(crate) fn bears_retry(&self, service: &str, tried: &[TargetKey], now: Instant) -> bool {
+    pub(crate) fn bears_retry(
+        &self,
+        service: &str,
+        objective: Objective,
+        tried: &[TargetKey],
+        now: Instant,
+    ) -> bool {
         let mut inner = self.inner();
-        let Inner { rng, services } = &mut *inner;
+        let Inner { rng, services, .. } = &mut *inner;
         services.get_mut(service).is_some_and(|held| {
-            held.budget.has_one(now) && held.fleet.choose(tried, now, rng).is_some()
+            held.budget.has_one(now) && held.fleet.choose_for(objective, tried, now, rng).is_some()
         })
     }
 
     /// Whether a stream should leave its target for one that has room.
     pub(crate) fn sheds(&self, service: &str, key: TargetKey, now: Instant) -> bool {
         let mut inner = self.inner();
-        let Inner { rng, services } = &mut *inner;
+        let Inner { rng, services, .. } = &mut *inner;
         services.get_mut(service).is_some_and(|held| {
             held.fleet.sheds(key)
                 && held.budget.has_one(now)
--- a/crates/route/src/berth.rs
+++ b/crates/route/src/berth.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use crate::Objective;
 use crate::fleet::{Distance, FleetTuning, Outcome, SeenLoad, ToldLoad};
 
 /// Pauses that are older than this say nothing about the next ones: by then
@@ -14,6 +15,11 @@
 /// them free would cost more than late answers do.
 const LEAST_USED: f64 = 0.5;
 
+/// Part of the slots up to which requests are let in that can't be on time any
+/// more. The rest is for those that can: with more demand than slots the same
+/// number is served, but on time.
+const LATE_USE: f64 = 0.75;
+
 /// Part of the slots by which requests may exceed what a slow target carries.
 /// Fewer are left to end there: to move a stream has its prompt read again.
 const MOST_EXCESS: f64 = 0.5;
@@ -83,8 +89,16 @@
         self.shunned_until.is_some_and(|until| now < until)
     }
 
-    pub(crate) fn has_room(&self, tuning: &FleetTuning, now: Instant) -> bool {
-        self.has_slot(tuning) && self.occupied() < self.on_time(tuning, now)
+    pub(crate) fn has_room(
+        &self,
+        objective: Objective,
+        tuning: &FleetTuning,
+        now: Instant,
+    ) -> bool {
+        let yields = objective == Objective::Missed
+            && tuning.pace.is_some()
+            && self.occupied() >= self.capacity * LATE_USE;
+        !yields && self.has_slot(tuning) && self.occupied() < self.on_time(tuning, now)
     }
 
     /// Whether a request could run or wait there, however late its events.
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -5,6 +5,7 @@
 use rand::{Rng, RngExt};
 use slotmap::SlotMap;
 
+use crate::Objective;
 use crate::Pace;
 use crate::TargetKey;
 use crate::berth::Berth;
@@ -213,6 +214,19 @@
         tried: &[TargetKey],
         now: Instant,
         rng: &mut impl Rng,
+    ) -> Option<TargetKey> {
+        self.choose_for(Objective::Open, tried, now, rng)
+    }
+
+    /// As [`Fleet::choose`], for a request that may have missed its objective.
+    /// It gets a place at a model engine only while there are places left for
+    /// those that can be on time.
+    pub fn choose_for(
+        &mut self,
+        objective: Objective,
+        tried: &[TargetKey],
+        now: Instant,
+        rng: &mut impl Rng,
     ) -> Option<TargetKey> {
         self.end_trial(now);
         let untried =
@@ -220,18 +234,18 @@
         let open = || self.targets.iter().filter(untried);
         let able = || open().filter(|(_, target)| target.is_able());
         let sound = able().filter(|(_, target)| !target.is_shunned(now));
-        let chosen = self.least_loaded(sound, now, rng).or_else(|| {
+        let chosen = self.least_loaded(objective, sound, now, rng).or_else(|| {
             let mut any = able().filter(|(_, target)| target.is_shunned(now));
             let soonest = any.by_ref().min_by_key(|(_, target)| target.shunned_until);
             soonest
-                .filter(|(_, target)| target.has_room(&self.tuning, now))
+                .filter(|(_, target)| target.has_room(objective, &self.tuning, now))
                 .map(|(key, _)| key)
         });
         if chosen.is_some() || self.trial.is_some() {
             return chosen;
         }
         let due = open().filter(|(_, target)| target.unable_until.is_some_and(|at| now >= at));
-        let chosen = self.least_loaded(due, now, rng)?;
+        let chosen = self.least_loaded(objective, due, now, rng)?;
         self.trial = Some((chosen, now));
         Some(chosen)
     }
@@ -259,11 +273,12 @@
 
     fn least_loaded<'a>(
         &self,
+        objective: Objective,
         targets: impl Iterator<Item = (TargetKey, &'a Berth)>,
         now: Instant,
         rng: &mut impl Rng,
     ) -> Option<TargetKey> {
-        let fit = targets.filter(|(_, target)| target.has_room(&self.tuning, now));
+        let fit = targets.filter(|(_, target)| target.has_room(objective, &self.tuning, now));
         self.cheapest(fit, rng)
     }
 
--- a/crates/route/tests/fleet.rs
+++ b/crates/route/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use route::{Distance, Fleet, FleetTuning, Outcome, Pace, TargetKey, ToldLoad};
+use route::{Distance, Fleet, FleetTuning, Objective, Outcome, Pace, TargetKey, ToldLoad};
 use std::time::{Duration, Instant};
 
 const SLOTS: u32 = 12;
@@ -294,3 +294,17 @@
     let moved = fleet.choose_to_move(&[keys[0]], now, &mut rng());
     assert_eq!(moved, Some(keys[1]));
 }
+
+/// Guards against callers who come back too late for their objective taking
+/// the places of those who would still be on time.
+#[test]
+fn choose_for_missed_objective() {
+    let (mut fleet, keys) = engines(2);
+    let (now, mut rng) = (Instant::now(), rng());
+    while let Some(key) = fleet.choose_for(Objective::Missed, &[], now, &mut rng) {
+        fleet.start(key);
+    }
+    assert_eq!(keys.iter().map(|key| fleet.running(*key)).sum::<u32>(), 18);
+    let sent = fill(&mut fleet, &keys, now);
+    assert_eq!(sent, [14, 14]);
+}
--- /dev/null
+++ b/crates/route/tests/overload.rs
@@ -0,0 +1,116 @@
+//! More demand than a group of engines carries, replayed on the choice of
+//! targets with a model of the engines.
+
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use route::{Distance, Fleet, FleetTuning, Objective, Outcome, Pace, TargetKey};
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+const ENGINES: u32 = 12;
+const SLOTS: u32 = 12;
+const TICK: Duration = Duration::from_millis(10);
+/// Time that a stream has a slot.
+const RUNS: Duration = Duration::from_millis(2_300);
+/// Time from a slot to the first event.
+const FIRST_EVENT: Duration = Duration::from_millis(150);
+const OBJECTIVE: Duration = Duration::from_millis(400);
+/// When a caller who was refused comes back, once.
+const COMES_BACK: Duration = Duration::from_millis(1_100);
+const LASTS: Duration = Duration::from_secs(30);
+
+/// Requests a second that the slots carry.
+fn carried() -> f64 {
+    f64::from(ENGINES * SLOTS) / RUNS.as_secs_f64()
+}
+
+/// A request, by when its caller came first.
+#[derive(Clone, Copy)]
+struct Request {
+    came: Instant,
+    objective: Objective,
+}
+
+/// One engine: requests take slots in the order in which they came.
+#[derive(Default)]
+struct Engine {
+    runs: VecDeque<Instant>,
+    waits: VecDeque<Request>,
+}
+
+impl Engine {
+    /// Ends what is over and begins what waits; the requests that were begun.
+    fn step(&mut self, now: Instant) -> (usize, Vec<Request>) {
+        let before = self.runs.len();
+        self.runs.retain(|until| now < *until);
+        let ended = before - self.runs.len();
+        let mut begun = Vec::new();
+        while self.runs.len() < SLOTS as usize
+            && let Some(request) = self.waits.pop_front()
+        {
+            self.runs.push_back(now + RUNS);
+            begun.push(request);
+        }
+        (ended, begun)
+    }
+}
+
+/// Requests a second that are on time under `load` times what the slots carry.
+fn on_time(load: f64) -> f64 {
+    let pace = Pace::new(Duration::from_micros(5_850), Duration::from_micros(355));
+    let mut fleet = Fleet::new(FleetTuning {
+        waiting: 0.0,
+        pace: Some(pace),
+        ..FleetTuning::default()
+    });
+    let keys = (0..ENGINES).map(|_| fleet.insert(SLOTS, Distance::Near));
+    let mut engines: BTreeMap<TargetKey, Engine> =
+        keys.map(|key| (key, Engine::default())).collect();
+    let mut rng = SmallRng::seed_from_u64(3);
+    let began = Instant::now();
+    let (mut now, mut served) = (began, 0.0);
+    let mut back: VecDeque<Request> = VecDeque::new();
+    while now < began + LASTS {
+        for (key, engine) in &mut engines {
+            let (ended, begun) = engine.step(now);
+            for _ in 0..ended {
+                fleet.end(*key, Outcome::Answered, now);
+            }
+            let early = |r: &&Request| now + FIRST_EVENT <= r.came + OBJECTIVE;
+            served += begun.iter().filter(early).map(|_| 1.0).sum::<f64>();
+        }
+        let mut comes = Vec::new();
+        while back.front().is_some_and(|r| r.came + COMES_BACK <= now) {
+            comes.extend(back.pop_front());
+        }
+        if rng.random_bool((load * carried() * TICK.as_secs_f64()).min(1.0)) {
+            let objective = Objective::Open;
+            comes.push(Request { came: now, objective });
+        }
+        for request in comes {
+            let chosen = fleet.choose_for(request.objective, &[], now, &mut rng);
+            if let Some(key) = chosen {
+                fleet.start(key);
+                engines.entry(key).or_default().waits.push_back(request);
+            } else if request.objective == Objective::Open {
+                let objective = Objective::Missed;
+                back.push_back(Request { objective, ..request });
+            }
+        }
+        now += TICK;
+    }
+    served / LASTS.as_secs_f64()
+}
+
+/// Guards against a collapse under overload: what is served would be late
+/// while those who could be on time are refused.
+#[test]
+fn on_time_never_collapses() {
+    let loads = [0.5, 0.9, 1.1, 1.5];
+    let served: Vec<f64> = loads.iter().map(|load| on_time(*load)).collect();
+    let mut best: f64 = 0.0;
+    for (load, served) in loads.iter().zip(&served) {
+        best = best.max(*served);
+        assert!(*served >= 0.9 * best, "at {load}: {served} of {best}");
+    }
+}
