Tell callers to come back when room is predicted

Hypothesis: callers come back before there is room, and most don't come a third time. Change: Retry-After follows from the requests that end and the callers that were told before, a third of the time left at most. Tried with it: late requests use all free slots.

--- a/crates/direct/src/course.rs
+++ b/crates/direct/src/course.rs
@@ -374,7 +374,9 @@
         };
         let refusal = match reason {
             Reason::Full | Reason::Declined => {
-                Refusal::after(reason, spread(self.timing.retry_full))
+                let most = self.left().mul_f64(RETURN_WITHIN / SPREAD.end);
+                let after = self.fleets.come_back(&self.service, most, Instant::now());
+                Refusal::after(reason, spread(after))
             }
             Reason::NoTarget | Reason::NoTable => {
                 Refusal::after(reason, spread(self.timing.retry_absent))
@@ -445,6 +447,9 @@
     }
 }
 
+/// Part of its time left after which a caller comes back at the latest: the rest
+/// is for its answer.
+const RETURN_WITHIN: f64 = 1.0 / 3.0;
 /// Part of a time by which callers are spread who are all told to come back.
 const SPREAD: std::ops::Range<f64> = 0.75..1.5;
 
--- a/crates/direct/src/fleets.rs
+++ b/crates/direct/src/fleets.rs
@@ -8,8 +8,8 @@
 use outlet::{ClientSettings, Connection, Pool};
 use rand::rngs::SmallRng;
 use route::{
-    Distance, Fleet, FleetTuning, Outcome, Pace, RetryBudget, SeenLoad, TargetKey, TimeUsed,
-    ToldLoad,
+    Distance, Fleet, FleetTuning, Outcome, Pace, RetryBudget, ReturnSchedule, SeenLoad, TargetKey,
+    TimeUsed, ToldLoad,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -66,6 +66,7 @@
 struct Service {
     fleet: Fleet,
     budget: RetryBudget,
+    returns: ReturnSchedule,
     ways: BTreeMap<String, (TargetKey, Way)>,
     /// Since when requests have found no target that takes work.
     absent: Option<Instant>,
@@ -112,7 +113,7 @@
         let routes: BTreeSet<&str> = table.routes().iter().map(|r| r.name.as_str()).collect();
         inner.used.retain(|name, _| routes.contains(name.as_str()));
         for service in table.services() {
-            let fresh = || Service::new(service, now);
+            let fresh = || Service::new(service, self.timing.retry_full, now);
             let held = inner
                 .services
                 .entry(service.name.clone())
@@ -230,6 +231,13 @@
         held.is_some_and(|held| held.budget.withdraw(now))
     }
 
+    /// When a caller who is refused may come back, after `most` at the latest.
+    pub(crate) fn come_back(&self, service: &str, most: Duration, now: Instant) -> Duration {
+        let mut inner = self.inner();
+        let held = inner.services.get_mut(service);
+        held.map_or(self.timing.retry_full, |held| held.returns.next(most, now))
+    }
+
     /// Whether another target could take a request that is sent again.
     pub(crate) fn bears_retry(
         &self,
@@ -285,6 +293,9 @@
     ) {
         if let Some(held) = self.inner().services.get_mut(service) {
             held.fleet.end(key, outcome, now);
+            if !matches!(outcome, Outcome::Declined | Outcome::Replaced) {
+                held.returns.ended(now);
+            }
             if outcome == Outcome::Answered {
                 held.fleet.ran(time);
             }
@@ -311,11 +322,12 @@
 }
 
 impl Service {
-    fn new(service: &table::Service, now: Instant) -> Service {
+    fn new(service: &table::Service, retry_full: Duration, now: Instant) -> Service {
         Service {
             fleet: Fleet::new(tuning(service)),
             budget: RetryBudget::new(RETRY_RATIO, RETRY_RESERVE, now)
                 .bounded(RETRY_EARNED, RETRY_REFILL),
+            returns: ReturnSchedule::new(retry_full),
             ways: BTreeMap::new(),
             absent: None,
         }
--- a/crates/route/src/berth.rs
+++ b/crates/route/src/berth.rs
@@ -17,11 +17,6 @@
 /// Part of the time that a request has left to be on time that it may wait for
 /// a slot; the rest is for its prompt to be read.
 const WAIT_SHARE: f64 = 0.5;
-/// Part of the slots up to which requests are let in that can't be on time any
-/// more. The rest is for those that can: with more demand than slots the same
-/// number is served, but on time.
-const LATE_USE: f64 = 0.75;
-
 /// Part of the slots by which requests may exceed what a slow target carries.
 /// Fewer are left to end there: to move a stream has its prompt read again.
 const MOST_EXCESS: f64 = 0.5;
@@ -102,11 +97,9 @@
     }
 
     /// Whether a request would begin in time. One that can't be on time any
-    /// more has no such limit, and yields to those that can.
+    /// more needs a free slot: were it to wait for one, it would take it from
+    /// a request that can.
     fn begins_in_time(&self, demand: &FleetDemand) -> bool {
-        if demand.left.is_zero() {
-            return self.occupied() < self.capacity * LATE_USE;
-        }
         let before = (self.occupied() + 1.0 - self.capacity).max(0.0);
         let wait = demand.runs.as_secs_f64() * before / self.capacity;
         wait <= demand.left.as_secs_f64() * WAIT_SHARE
