--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -1,7 +1,7 @@
 //! How a deployment's targets are spoken to beside plain HTTP.
 
 use hyper::{HeaderMap, StatusCode};
-use route::ToldLoad;
+use route::ReportedLoad;
 use std::time::Duration;
 
 /// What a target is told with a request.
@@ -21,16 +21,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Reading {
     /// What is known of the answer and of the request's run.
-    pub word: Word,
+    pub word: Verdict,
     /// How long the target keeps the connection.
     pub keeps: Keeps,
     /// Its load, if it tells.
-    pub load: Option<ToldLoad>,
+    pub load: Option<ReportedLoad>,
 }
 
 /// What is known of an answer and of the request's run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Word {
+pub enum Verdict {
     /// It answers the request, and the target vouches for it.
     Vouched,
     /// It answers the request, and the target doesn't vouch for it: a success
--- a/crates/direct/src/director.rs
+++ b/crates/direct/src/director.rs
@@ -1,11 +1,11 @@
-//! Finds the way of each request.
+//! Finds the endpoint of each request.
 
 use crate::answer::Answer;
-use crate::ask::Ask;
-use crate::course::Course;
 use crate::dialect::Dialect;
+use crate::dispatch::Dispatch;
 use crate::fleets::Fleets;
 use crate::metrics::Metrics;
+use crate::proxy_request::ProxyRequest;
 use crate::refusal::{Reason, Refusal};
 use crate::timing::Timing;
 use node::Watcher;
@@ -30,7 +30,7 @@
     pub dialect: Dialect,
 }
 
-/// Finds the way of each request; clones share everything.
+/// Finds the endpoint of each request; clones share everything.
 #[derive(Clone)]
 pub struct Director {
     watcher: Watcher,
@@ -68,7 +68,7 @@
     /// # Errors
     ///
     /// A [`Refusal`] that says whether it ran.
-    pub async fn run(&self, ask: Ask) -> Result<Answer, Refusal> {
+    pub async fn run(&self, ask: ProxyRequest) -> Result<Answer, Refusal> {
         self.metrics.open.inc();
         let _open = Open(&self.metrics);
         let arrived = ask.arrived;
@@ -85,7 +85,7 @@
     }
 
     /// Runs it, and tells the service once that is known.
-    async fn direct(&self, ask: Ask, led_to: &mut String) -> Result<Answer, Refusal> {
+    async fn direct(&self, ask: ProxyRequest, led_to: &mut String) -> Result<Answer, Refusal> {
         let table = self.known_table(&ask).await?;
         let route = table.route(&ask.host, ask.path_only());
         let route = route.ok_or_else(|| refuse(&ask, &table, Reason::NoRoute))?;
@@ -95,12 +95,12 @@
             .map_or(route.timeout, |waits| waits.min(route.timeout));
         let service = route.service(rand::random());
         service.clone_into(led_to);
-        let course = Course::new(account, service, route, ask.arrived + waits, self, ask);
-        course.run().await
+        let dispatch = Dispatch::new(account, service, route, ask.arrived + waits, self, ask);
+        dispatch.run().await
     }
 
     /// The table in force; soon after the start it is waited for.
-    async fn known_table(&self, ask: &Ask) -> Result<Arc<Table>, Refusal> {
+    async fn known_table(&self, ask: &ProxyRequest) -> Result<Arc<Table>, Refusal> {
         let mut changed = self.watcher.watched().changed();
         loop {
             if let Some(table) = self.watcher.table() {
@@ -146,7 +146,7 @@
 }
 
 /// The client account of a caller who may use the route.
-fn account(table: &Table, route: &Route, ask: &Ask) -> Result<Option<String>, Refusal> {
+fn account(table: &Table, route: &Route, ask: &ProxyRequest) -> Result<Option<String>, Refusal> {
     let known = ask.key.as_deref().and_then(|key| table.account(key));
     if known.is_none() && table.has_accounts() && route.access == Access::Accounts {
         return Err(refuse(ask, table, Reason::UnknownKey));
@@ -154,7 +154,7 @@
     Ok(known.map(|account| account.name.clone()))
 }
 
-fn refuse(ask: &Ask, table: &Table, reason: Reason) -> Refusal {
+fn refuse(ask: &ProxyRequest, table: &Table, reason: Reason) -> Refusal {
     log::info!(
         request = ask.id.as_str(), host = ask.host.as_str(), table = table.number();
         "refused: {reason}"
--- a/crates/direct/src/course.rs
+++ b/crates/direct/src/dispatch.rs
@@ -1,13 +1,13 @@
 //! The tries that one request is given.
 
 use crate::answer::Answer;
-use crate::ask::Ask;
-use crate::dialect::{Dialect, Word};
+use crate::dialect::{Dialect, Verdict};
 use crate::director::Director;
-use crate::exchange::{Head, Miss, Reuse, Try};
-use crate::fleets::{Fleets, NoWay};
+use crate::exchange::{Attempt, AttemptError, Head, Reuse};
+use crate::fleets::{Fleets, PlacementError};
 use crate::metrics::Metrics;
 use crate::permit::Permit;
+use crate::proxy_request::ProxyRequest;
 use crate::refusal::{Reason, Refusal};
 use crate::stream;
 use crate::timing::Timing;
@@ -29,8 +29,8 @@
 const MOST_UNSENT: u32 = 3;
 
 /// The tries that one request is given.
-pub(crate) struct Course {
-    pub(crate) ask: Ask,
+pub(crate) struct Dispatch {
+    pub(crate) ask: ProxyRequest,
     pub(crate) account: Option<String>,
     pub(crate) service: String,
     pub(crate) kind: Kind,
@@ -54,25 +54,25 @@
 }
 
 /// What came of one try.
-enum Tried {
+enum AttemptOutcome {
     /// An answer to pass on, and the place that it still takes.
     Answered(Box<Head>, Permit),
-    /// None; whether to go on is for the course to say.
+    /// None; whether to go on is for the dispatch to say.
     Missed(Reason),
     /// The target's own failure, which may be passed on if nothing is left.
     Failed(Answer),
 }
 
-impl Course {
+impl Dispatch {
     pub(crate) fn new(
         account: Option<String>,
         service: &str,
         route: &Route,
         deadline: Instant,
         director: &Director,
-        ask: Ask,
-    ) -> Course {
-        Course {
+        ask: ProxyRequest,
+    ) -> Dispatch {
+        Dispatch {
             account,
             service: service.to_owned(),
             kind: route.kind,
@@ -106,7 +106,7 @@
                 Err(reason) => return self.give_up(failed, reason),
             };
             match self.attempt(permit, after).await {
-                Tried::Answered(head, permit) => {
+                AttemptOutcome::Answered(head, permit) => {
                     if head.status.is_success() && self.is_stream() {
                         self.has_begun = true;
                         return Ok(stream::relay(self, *head, permit));
@@ -117,13 +117,13 @@
                         Err(reason) => return self.give_up(failed, reason),
                     }
                 }
-                Tried::Failed(answer) => {
+                AttemptOutcome::Failed(answer) => {
                     failed = Some(answer);
                     if !self.may_repeat(Reason::Lost) {
                         return self.give_up(failed, Reason::Lost);
                     }
                 }
-                Tried::Missed(reason) => {
+                AttemptOutcome::Missed(reason) => {
                     if !self.may_repeat(reason) {
                         return self.give_up(failed, reason);
                     }
@@ -175,8 +175,8 @@
             .fleets
             .place(&self.service, self.left_on_time(now), &self.tried, now);
         let permit = placed.map_err(|none| match none {
-            NoWay::Absent => Reason::NoTarget,
-            NoWay::Full => Reason::Full,
+            PlacementError::Absent => Reason::NoTarget,
+            PlacementError::Full => Reason::Full,
         })?;
         self.tried.push(permit.key());
         Ok(permit)
@@ -193,7 +193,7 @@
     }
 
     /// Sends it once and waits for the head of the answer.
-    async fn attempt(&mut self, mut permit: Permit, after: Option<u64>) -> Tried {
+    async fn attempt(&mut self, mut permit: Permit, after: Option<u64>) -> AttemptOutcome {
         let reuse = if self.kind.repeats() {
             Reuse::Kept
         } else {
@@ -205,7 +205,7 @@
             Ok(head) => head,
             Err(miss) => {
                 permit.set(Outcome::Failed);
-                return Tried::Missed(self.missed(&permit, &miss));
+                return AttemptOutcome::Missed(self.failed_attempt(&permit, &miss));
             }
         };
         if let Some(load) = head.reading.load {
@@ -214,17 +214,17 @@
         if let Some((what, outcome)) = declined(head.reading.word) {
             self.log_miss(&permit, what, head.status.as_str());
             permit.ended(outcome);
-            return Tried::Missed(Reason::Declined);
+            return AttemptOutcome::Missed(Reason::Declined);
         }
         self.attempts -= 1;
         if head.status.is_server_error() && self.kind.repeats() && self.attempts > 0 {
             self.log_miss(&permit, "failed", head.status.as_str());
             return match self.whole(head, permit).await {
-                Ok(answer) => Tried::Failed(answer),
-                Err(reason) => Tried::Missed(reason),
+                Ok(answer) => AttemptOutcome::Failed(answer),
+                Err(reason) => AttemptOutcome::Missed(reason),
             };
         }
-        Tried::Answered(Box::new(head), permit)
+        AttemptOutcome::Answered(Box::new(head), permit)
     }
 
     /// Sends it and waits for the answer, until it had better go elsewhere.
@@ -236,7 +236,7 @@
         reuse: Reuse,
         after: Option<u64>,
         permit: &Permit,
-    ) -> Result<Head, Miss> {
+    ) -> Result<Head, AttemptError> {
         let sending = self.sending(reuse, after);
         let mut sent = pin!(sending.send(permit));
         let mut news = self.fleets.news();
@@ -246,14 +246,14 @@
                 answered = &mut sent => return answered,
                 () = &mut silent => {
                     if self.may_move() {
-                        return Err(Miss::Lost("silent for too long".to_owned()));
+                        return Err(AttemptError::Lost("silent for too long".to_owned()));
                     }
                     silent.set(sleep(self.timing.silence));
                 }
                 // The sender lives as long as the fleets.
                 _ = news.changed() => {
                     if permit.sheds(Instant::now()) && self.may_move() {
-                        return Err(Miss::Lost("the target is slow".to_owned()));
+                        return Err(AttemptError::Lost("the target is slow".to_owned()));
                     }
                 }
             }
@@ -271,8 +271,8 @@
                 .bears_retry(&self.service, left, &self.tried, now)
     }
 
-    fn sending(&self, reuse: Reuse, after: Option<u64>) -> Try<'_> {
-        Try {
+    fn sending(&self, reuse: Reuse, after: Option<u64>) -> Attempt<'_> {
+        Attempt {
             ask: &self.ask,
             account: self.account.as_deref(),
             deadline: self.deadline,
@@ -316,19 +316,23 @@
         after: Option<u64>,
     ) -> Option<(Head, Permit)> {
         match self.attempt(permit, after).await {
-            Tried::Answered(head, permit) if head.status.is_success() => Some((*head, permit)),
-            Tried::Answered(..) | Tried::Failed(_) | Tried::Missed(_) => None,
+            AttemptOutcome::Answered(head, permit) if head.status.is_success() => {
+                Some((*head, permit))
+            }
+            AttemptOutcome::Answered(..)
+            | AttemptOutcome::Failed(_)
+            | AttemptOutcome::Missed(_) => None,
         }
     }
 
-    fn missed(&mut self, permit: &Permit, why: &Miss) -> Reason {
+    fn failed_attempt(&mut self, permit: &Permit, why: &AttemptError) -> Reason {
         match why {
-            Miss::Unsent(text) => {
+            AttemptError::Unsent(text) => {
                 self.log_miss(permit, "unsent", text);
                 self.unsent += 1;
                 Reason::NoTarget
             }
-            Miss::Lost(text) => {
+            AttemptError::Lost(text) => {
                 self.log_miss(permit, "lost", text);
                 self.attempts = self.attempts.saturating_sub(1);
                 self.doubtful()
@@ -420,7 +424,7 @@
             self.log_miss(&permit, "broken off", &why);
             return Err(self.doubtful());
         }
-        crate::fleets::keep(permit.way(), head.conn, &head.reading, &self.timing);
+        crate::fleets::keep(permit.endpoint(), head.conn, &head.reading, &self.timing);
         Ok(answer(head.status, head.headers, buf.freeze()))
     }
 
@@ -430,7 +434,7 @@
 }
 
 /// When a request is no longer on time; none if it wasn't when it came.
-fn on_time_until(route: &Route, ask: &Ask, fleets: &Fleets) -> Option<Instant> {
+fn on_time_until(route: &Route, ask: &ProxyRequest, fleets: &Fleets) -> Option<Instant> {
     let used = ask.patience.map_or(Duration::ZERO, |patience| {
         fleets.time_used(&route.name, patience, ask.arrived)
     });
@@ -439,11 +443,11 @@
 }
 
 /// How an answer that says that the request did not run is counted.
-fn declined(word: Word) -> Option<(&'static str, Outcome)> {
+fn declined(word: Verdict) -> Option<(&'static str, Outcome)> {
     match word {
-        Word::NotRun => Some(("declined", Outcome::Declined)),
-        Word::Replaced => Some(("replaced", Outcome::Replaced)),
-        Word::Vouched | Word::Unvouched | Word::Foreign => None,
+        Verdict::NotRun => Some(("declined", Outcome::Declined)),
+        Verdict::Replaced => Some(("replaced", Outcome::Replaced)),
+        Verdict::Vouched | Verdict::Unvouched | Verdict::Foreign => None,
     }
 }
 
--- a/crates/direct/src/course_lines.rs
+++ b/crates/direct/src/dispatch_log.rs
@@ -1,16 +1,16 @@
 //! What is logged of a request's attempts.
 
-use crate::course::Course;
+use crate::dispatch::Dispatch;
 use crate::permit::Permit;
 
-impl Course {
+impl Dispatch {
     /// Which target was chosen, and what was known of its load.
     pub(crate) fn log_sent(&self, permit: &Permit) {
         let seen = permit.seen();
         let age = seen.and_then(|seen| seen.age);
         let age = age.map_or_else(|| "never".to_owned(), |age| age.as_millis().to_string());
         log::info!(
-            request = self.ask.id.as_str(), target_id = permit.way().id.as_str(),
+            request = self.ask.id.as_str(), target_id = permit.endpoint().id.as_str(),
             service = self.service.as_str(), attempts_left = self.attempts,
             own = seen.map_or(0, |seen| seen.own), others = seen.map_or(0, |seen| seen.others),
             told_ms_ago = age.as_str(),
@@ -23,7 +23,7 @@
     pub(crate) fn log_miss(&self, permit: &Permit, what: &str, why: &str) {
         self.metrics.miss(what);
         log::info!(
-            request = self.ask.id.as_str(), target_id = permit.way().id.as_str(),
+            request = self.ask.id.as_str(), target_id = permit.endpoint().id.as_str(),
             service = self.service.as_str(), attempts_left = self.attempts,
             left_ms:display = self.left().as_millis();
             "attempt {what}: {why}"
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -1,8 +1,8 @@
 //! One request to one target, up to the head of its answer.
 
-use crate::ask::Ask;
-use crate::dialect::{Dialect, Reading, Told, Word};
+use crate::dialect::{Dialect, Reading, Told, Verdict};
 use crate::permit::Permit;
+use crate::proxy_request::ProxyRequest;
 use crate::timing::Timing;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -22,8 +22,8 @@
 
 /// What one try to send a request is about.
 #[derive(Clone, Copy)]
-pub(crate) struct Try<'a> {
-    pub(crate) ask: &'a Ask,
+pub(crate) struct Attempt<'a> {
+    pub(crate) ask: &'a ProxyRequest,
     pub(crate) account: Option<&'a str>,
     pub(crate) deadline: Instant,
     pub(crate) after: Option<u64>,
@@ -43,16 +43,16 @@
 
 /// Why there is no answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Miss {
+pub(crate) enum AttemptError {
     /// Nothing was written: it did not run.
     Unsent(String),
     /// It was written, and nobody can say whether it ran.
     Lost(String),
 }
 
-impl Try<'_> {
+impl Attempt<'_> {
     /// Sends the request to the target that the permit is for.
-    pub(crate) async fn send(&self, permit: &Permit) -> Result<Head, Miss> {
+    pub(crate) async fn send(&self, permit: &Permit) -> Result<Head, AttemptError> {
         let cfg = self.client_settings();
         let mut req = self.request(permit)?;
         if self.reuse == Reuse::Kept
@@ -64,29 +64,35 @@
                 Err(Unanswered::Unwritten(unwritten)) => req = *unwritten,
             }
         }
-        let opened = Connection::open(permit.way().address, &cfg).await;
-        let mut conn = opened.map_err(|failure| Miss::Unsent(failure.to_string()))?;
+        let opened = Connection::open(permit.endpoint().address, &cfg).await;
+        let mut conn = opened.map_err(|failure| AttemptError::Unsent(failure.to_string()))?;
         match conn.try_send(req, cfg.head).await {
             Ok(response) => self.read(response, conn),
             Err(Unanswered::Failed(failure)) => Err(lost(&failure)),
-            Err(Unanswered::Unwritten(_)) => {
-                Err(Miss::Unsent("closed before it was written".to_owned()))
-            }
+            Err(Unanswered::Unwritten(_)) => Err(AttemptError::Unsent(
+                "closed before it was written".to_owned(),
+            )),
         }
     }
 
-    fn read(&self, response: hyper::Response<Incoming>, conn: Connection) -> Result<Head, Miss> {
+    fn read(
+        &self,
+        response: hyper::Response<Incoming>,
+        conn: Connection,
+    ) -> Result<Head, AttemptError> {
         let (head, body) = response.into_parts();
         let reading = (self.dialect.read)(&self.ask.id, head.status, &head.headers);
         match reading.word {
-            Word::Foreign => {
-                return Err(Miss::Lost("the answer to another request came".to_owned()));
+            Verdict::Foreign => {
+                return Err(AttemptError::Lost(
+                    "the answer to another request came".to_owned(),
+                ));
             }
-            Word::Unvouched if head.status.is_success() => {
+            Verdict::Unvouched if head.status.is_success() => {
                 let why = "the target doesn't vouch for its answer";
-                return Err(Miss::Lost(why.to_owned()));
+                return Err(AttemptError::Lost(why.to_owned()));
             }
-            Word::Vouched | Word::Unvouched | Word::NotRun | Word::Replaced => {}
+            Verdict::Vouched | Verdict::Unvouched | Verdict::NotRun | Verdict::Replaced => {}
         }
         Ok(Head {
             status: head.status,
@@ -116,15 +122,15 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    fn request(&self, permit: &Permit) -> Result<Request<Full<Bytes>>, Miss> {
+    fn request(&self, permit: &Permit) -> Result<Request<Full<Bytes>>, AttemptError> {
         let mut req = Request::builder()
             .method(self.ask.method.clone())
             .uri(self.ask.path.as_str())
             .body(Full::new(self.ask.body.clone()))
-            .map_err(|e| Miss::Unsent(e.to_string()))?;
+            .map_err(|e| AttemptError::Unsent(e.to_string()))?;
         let mut headers = self.ask.headers.clone();
         let told = Told {
-            target: &permit.way().id,
+            target: &permit.endpoint().id,
             account: self.account,
             left: self.left(),
             after: self.after,
@@ -137,16 +143,16 @@
 
 /// A kept connection on which the target has said nothing since.
 async fn kept(permit: &Permit, cfg: &ClientSettings) -> Option<Connection> {
-    while let Some(mut conn) = permit.way().pool.take(Instant::now()) {
+    while let Some(mut conn) = permit.endpoint().pool.take(Instant::now()) {
         if conn.is_ready(cfg).await && conn.is_quiet() {
-            permit.way().pool.counts().reused.inc();
+            permit.endpoint().pool.counts().reused.inc();
             return Some(conn);
         }
-        permit.way().pool.counts().dropped.inc();
+        permit.endpoint().pool.counts().dropped.inc();
     }
     None
 }
 
-fn lost(failure: &Failure) -> Miss {
-    Miss::Lost(failure.to_string())
+fn lost(failure: &Failure) -> AttemptError {
+    AttemptError::Lost(failure.to_string())
 }
--- a/crates/direct/src/fleets.rs
+++ b/crates/direct/src/fleets.rs
@@ -8,8 +8,8 @@
 use outlet::{ClientSettings, Connection, Pool};
 use rand::rngs::SmallRng;
 use route::{
-    Distance, Fleet, FleetTuning, Outcome, Pace, RetryBudget, ReturnSchedule, SeenLoad, TargetKey,
-    TimeUsed, ToldLoad,
+    Distance, LoadEstimate, Outcome, Pace, ReportedLoad, RetryBudget, ReturnSchedule, TargetKey,
+    TargetSet, TargetSetTuning, TimeUsed,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -64,17 +64,17 @@
 
 #[derive(Debug)]
 struct Service {
-    fleet: Fleet,
+    fleet: TargetSet,
     budget: RetryBudget,
     returns: ReturnSchedule,
-    ways: BTreeMap<String, (TargetKey, Way)>,
+    endpoints: BTreeMap<String, (TargetKey, Endpoint)>,
     /// Since when requests have found no target that takes work.
     absent: Option<Instant>,
 }
 
 /// How a target is reached.
 #[derive(Clone, Debug)]
-pub(crate) struct Way {
+pub(crate) struct Endpoint {
     pub(crate) id: String,
     pub(crate) address: SocketAddr,
     pub(crate) pool: Arc<Pool>,
@@ -82,7 +82,7 @@
 
 /// Why no target is given.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum NoWay {
+pub(crate) enum PlacementError {
     /// None takes work.
     Absent,
     /// All are full, or were tried.
@@ -132,8 +132,8 @@
         let inner = self.inner();
         let services = inner.services.iter();
         let counted = services.map(|(name, held)| {
-            let able = held.fleet.able();
-            (name.clone(), able, held.ways.len())
+            let able = held.fleet.available();
+            (name.clone(), able, held.endpoints.len())
         });
         counted.collect()
     }
@@ -171,23 +171,23 @@
         left: Duration,
         tried: &[TargetKey],
         now: Instant,
-    ) -> Result<Permit, NoWay> {
+    ) -> Result<Permit, PlacementError> {
         let mut inner = self.inner();
         let Inner { rng, services, .. } = &mut *inner;
-        let held = services.get_mut(service).ok_or(NoWay::Absent)?;
+        let held = services.get_mut(service).ok_or(PlacementError::Absent)?;
         let Some(key) = held.fleet.choose_in(left, tried, now, rng) else {
-            if held.fleet.has_able() {
-                return Err(NoWay::Full);
+            if held.fleet.has_available() {
+                return Err(PlacementError::Full);
             }
             held.absent.get_or_insert(now);
-            return Err(NoWay::Absent);
+            return Err(PlacementError::Absent);
         };
-        if held.fleet.has_able() {
+        if held.fleet.has_available() {
             held.absent = None;
         }
-        let (way, seen) = held.start(key, now).ok_or(NoWay::Absent)?;
+        let (endpoint, seen) = held.start(key, now).ok_or(PlacementError::Absent)?;
         drop(inner);
-        Ok(Permit::new(Arc::clone(self), service, key, way, seen))
+        Ok(Permit::new(Arc::clone(self), service, key, endpoint, seen))
     }
 
     /// Takes a place for a stream that leaves a slow target.
@@ -201,9 +201,9 @@
         let Inner { rng, services, .. } = &mut *inner;
         let held = services.get_mut(service)?;
         let key = held.fleet.choose_to_move(tried, now, rng)?;
-        let (way, seen) = held.start(key, now)?;
+        let (endpoint, seen) = held.start(key, now)?;
         drop(inner);
-        Some(Permit::new(Arc::clone(self), service, key, way, seen))
+        Some(Permit::new(Arc::clone(self), service, key, endpoint, seen))
     }
 
     /// How much of their time a caller of a route has used who still waits for
@@ -264,7 +264,7 @@
         })
     }
 
-    pub(crate) fn told(&self, service: &str, key: TargetKey, load: ToldLoad, now: Instant) {
+    pub(crate) fn told(&self, service: &str, key: TargetKey, load: ReportedLoad, now: Instant) {
         if let Some(held) = self.inner().services.get_mut(service) {
             held.fleet.told(key, load, now);
         }
@@ -309,14 +309,17 @@
     /// Closes connections that were kept for too long.
     pub(crate) fn tidy(&self, now: Instant) {
         let inner = self.inner();
-        let ways = inner.services.values().flat_map(|held| held.ways.values());
-        for (_, way) in ways {
-            way.pool.tidy(now);
+        let endpoints = inner
+            .services
+            .values()
+            .flat_map(|held| held.endpoints.values());
+        for (_, endpoint) in endpoints {
+            endpoint.pool.tidy(now);
         }
     }
 
     fn inner(&self) -> MutexGuard<'_, Inner> {
-        // Nothing under the lock can panic half-way.
+        // Nothing under the lock can panic half-endpoint.
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -324,22 +327,22 @@
 impl Service {
     fn new(service: &table::Service, retry_full: Duration, now: Instant) -> Service {
         Service {
-            fleet: Fleet::new(tuning(service)),
+            fleet: TargetSet::new(tuning(service)),
             budget: RetryBudget::new(RETRY_RATIO, RETRY_RESERVE, now)
                 .bounded(RETRY_EARNED, RETRY_REFILL),
             returns: ReturnSchedule::new(retry_full),
-            ways: BTreeMap::new(),
+            endpoints: BTreeMap::new(),
             absent: None,
         }
     }
 
     /// Begins a request at a target.
-    fn start(&mut self, key: TargetKey, now: Instant) -> Option<(Way, Option<SeenLoad>)> {
-        let mut ways = self.ways.values();
-        let (_, way) = ways.find(|(known, _)| *known == key)?;
+    fn start(&mut self, key: TargetKey, now: Instant) -> Option<(Endpoint, Option<LoadEstimate>)> {
+        let mut endpoints = self.endpoints.values();
+        let (_, endpoint) = endpoints.find(|(known, _)| *known == key)?;
         let seen = self.fleet.seen(key, now);
         self.fleet.start(key);
-        Some((way.clone(), seen))
+        Some((endpoint.clone(), seen))
     }
 
     fn follow<'a>(
@@ -357,14 +360,18 @@
         let heard_any = known.iter().any(|known| silence(known) < SILENT);
         for known in known {
             let told = &known.told;
-            let moved = |way: &Way| way.address != told.address;
-            if self.ways.get(&told.id).is_some_and(|(_, way)| moved(way)) {
+            let moved = |endpoint: &Endpoint| endpoint.address != told.address;
+            if self
+                .endpoints
+                .get(&told.id)
+                .is_some_and(|(_, endpoint)| moved(endpoint))
+            {
                 self.remove(&told.id);
             }
-            if !self.ways.contains_key(&told.id) {
+            if !self.endpoints.contains_key(&told.id) {
                 self.insert(known, fleets);
             }
-            let Some((key, _)) = self.ways.get(&told.id) else {
+            let Some((key, _)) = self.endpoints.get(&told.id) else {
                 continue;
             };
             let silent = heard_any && silence(known) >= SILENT;
@@ -376,7 +383,7 @@
         }
         self.fleet.set_slowdowns(&slowdowns);
         let gone: Vec<String> = self
-            .ways
+            .endpoints
             .keys()
             .filter(|id| !stays.contains(*id))
             .cloned()
@@ -394,37 +401,37 @@
             Distance::Far
         };
         let key = self.fleet.insert(told.slots, distance);
-        let way = Way {
+        let endpoint = Endpoint {
             id: told.id.clone(),
             address: told.address,
             pool: Arc::new(Pool::new(MOST_KEPT, fleets.timing.kept)),
         };
-        self.ways.insert(told.id.clone(), (key, way));
+        self.endpoints.insert(told.id.clone(), (key, endpoint));
     }
 
     fn remove(&mut self, id: &str) {
-        if let Some((key, way)) = self.ways.remove(id) {
+        if let Some((key, endpoint)) = self.endpoints.remove(id) {
             self.fleet.remove(key);
-            way.pool.clear();
+            endpoint.pool.clear();
         }
     }
 }
 
 /// A plain service's requests take a fifth of their objective, so that one
 /// round may wait; a stream takes several times its objective.
-fn tuning(service: &table::Service) -> FleetTuning {
+fn tuning(service: &table::Service) -> TargetSetTuning {
     let Some(engine) = service.engine else {
-        return FleetTuning::default();
+        return TargetSetTuning::default();
     };
-    FleetTuning {
+    TargetSetTuning {
         waiting: ENGINE_WAITING,
         pace: Some(Pace::new(engine.step, engine.step_per_request)),
-        ..FleetTuning::default()
+        ..TargetSetTuning::default()
     }
 }
 
 /// Keeps a connection whose answer was read to its end, if its target does.
-pub(crate) fn keep(way: &Way, mut conn: Connection, reading: &Reading, timing: &Timing) {
+pub(crate) fn keep(endpoint: &Endpoint, mut conn: Connection, reading: &Reading, timing: &Timing) {
     match reading.keeps {
         Keeps::Not => return,
         Keeps::For(time) if time < timing.kept => return,
@@ -437,7 +444,7 @@
         question: timing.silence,
     };
     match conn.keep(&cfg) {
-        Ok(()) => way.pool.put(conn, Instant::now()),
-        Err(e) => log::debug!("connection to {} isn't kept: {e}", way.address),
+        Ok(()) => endpoint.pool.put(conn, Instant::now()),
+        Err(e) => log::debug!("connection to {} isn't kept: {e}", endpoint.address),
     }
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -1,6 +1,6 @@
 //! Requests straight to targets, without an agent.
 //!
-//! A [`Director`] takes an [`Ask`], finds its route in the table in force,
+//! A [`Director`] takes an [`ProxyRequest`], finds its route in the table in force,
 //! chooses a target, and gives back an [`Answer`]: the target's own, or a
 //! [`Refusal`] that says whether the request ran. How a target is spoken to
 //! beside plain HTTP is its deployment's [`Dialect`].
@@ -9,25 +9,25 @@
 //! nothing of it was written, or its target says that it did not run it.
 
 mod answer;
-mod ask;
-mod course;
-mod course_lines;
 mod dialect;
 mod director;
+mod dispatch;
+mod dispatch_log;
 mod doors;
 mod events;
 mod exchange;
 mod fleets;
 mod metrics;
 mod permit;
+mod proxy_request;
 mod refusal;
 mod stream;
 mod timing;
 
 pub use answer::Answer;
-pub use ask::Ask;
-pub use dialect::{Dialect, Keeps, Reading, Told, Word};
+pub use dialect::{Dialect, Keeps, Reading, Told, Verdict};
 pub use director::{Director, DirectorSettings};
 pub use doors::Doors;
+pub use proxy_request::ProxyRequest;
 pub use refusal::{Reason, Refusal};
 pub use timing::Timing;
--- a/crates/direct/src/permit.rs
+++ b/crates/direct/src/permit.rs
@@ -1,7 +1,7 @@
 //! One request at a target.
 
-use crate::fleets::{Fleets, Way};
-use route::{Outcome, SeenLoad, TargetKey, ToldLoad};
+use crate::fleets::{Endpoint, Fleets};
+use route::{LoadEstimate, Outcome, ReportedLoad, TargetKey};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -11,12 +11,12 @@
     fleets: Arc<Fleets>,
     service: String,
     key: TargetKey,
-    way: Way,
+    endpoint: Endpoint,
     outcome: Outcome,
     /// When its place was taken.
     since: Instant,
     /// The target's load as it was known when it was chosen.
-    seen: Option<SeenLoad>,
+    seen: Option<LoadEstimate>,
 }
 
 impl Permit {
@@ -24,14 +24,14 @@
         fleets: Arc<Fleets>,
         service: &str,
         key: TargetKey,
-        way: Way,
-        seen: Option<SeenLoad>,
+        endpoint: Endpoint,
+        seen: Option<LoadEstimate>,
     ) -> Permit {
         Permit {
             fleets,
             service: service.to_owned(),
             key,
-            way,
+            endpoint,
             outcome: Outcome::Abandoned,
             since: Instant::now(),
             seen,
@@ -42,7 +42,7 @@
         self.key
     }
 
-    pub(crate) fn seen(&self) -> Option<SeenLoad> {
+    pub(crate) fn seen(&self) -> Option<LoadEstimate> {
         self.seen
     }
 
@@ -51,12 +51,12 @@
         self.fleets.sheds(&self.service, self.key, now)
     }
 
-    pub(crate) fn way(&self) -> &Way {
-        &self.way
+    pub(crate) fn endpoint(&self) -> &Endpoint {
+        &self.endpoint
     }
 
     /// The target told its load.
-    pub(crate) fn told(&self, load: ToldLoad) {
+    pub(crate) fn told(&self, load: ReportedLoad) {
         let now = Instant::now();
         self.fleets.told(&self.service, self.key, load, now);
     }
--- a/crates/direct/src/ask.rs
+++ b/crates/direct/src/proxy_request.rs
@@ -6,7 +6,7 @@
 
 /// One request of a caller, read whole.
 #[derive(Clone, Debug)]
-pub struct Ask {
+pub struct ProxyRequest {
     /// Names this try of the caller in logs and at targets.
     pub id: String,
     /// When its head was read.
@@ -29,7 +29,7 @@
     pub body: Bytes,
 }
 
-impl Ask {
+impl ProxyRequest {
     /// The path without its query.
     pub(crate) fn path_only(&self) -> &str {
         self.path
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -1,7 +1,7 @@
 //! Passes a stream on, and goes on elsewhere when its target is lost.
 
 use crate::answer::Answer;
-use crate::course::Course;
+use crate::dispatch::Dispatch;
 use crate::events::Events;
 use crate::exchange::Head;
 use crate::permit::Permit;
@@ -16,9 +16,9 @@
 use table::Kind;
 use tokio::time::timeout;
 
-/// A stream on its way to the caller.
+/// A stream on its endpoint to the caller.
 struct Relay {
-    course: Course,
+    dispatch: Dispatch,
     /// None once the target's part is over.
     source: Option<Source>,
     events: Events,
@@ -62,10 +62,10 @@
 }
 
 /// The answer whose body passes a target's events on as they come.
-pub(crate) fn relay(course: Course, head: Head, permit: Permit) -> Answer {
+pub(crate) fn relay(dispatch: Dispatch, head: Head, permit: Permit) -> Answer {
     let (status, headers) = (head.status, head.headers);
     let relay = Relay {
-        last: course.ask.after,
+        last: dispatch.ask.after,
         source: Some(Source {
             body: head.body,
             conn: head.conn,
@@ -74,7 +74,7 @@
             heard: None,
         }),
         events: Events::default(),
-        course,
+        dispatch,
     };
     let body = stream::unfold(Some(relay), |relay| async move {
         let mut relay = relay?;
@@ -137,9 +137,9 @@
     }
 
     async fn read(&mut self) -> Next {
-        let left = self.course.left();
+        let left = self.dispatch.left();
         let silence = if self.can_go_on() {
-            self.course.timing.silence.min(left)
+            self.dispatch.timing.silence.min(left)
         } else {
             left
         };
@@ -152,7 +152,7 @@
                 Ok(Some(Err(e))) => return Next::Broken(e.to_string()),
                 Ok(Some(Ok(frame))) => {
                     if let Ok(data) = frame.into_data() {
-                        source.heard(self.course.kind);
+                        source.heard(self.dispatch.kind);
                         return Next::Data(data);
                     }
                 }
@@ -169,7 +169,7 @@
             permit,
             ..
         } = self.source.take()?;
-        crate::fleets::keep(permit.way(), conn, &reading, &self.course.timing);
+        crate::fleets::keep(permit.endpoint(), conn, &reading, &self.dispatch.timing);
         permit.ended(Outcome::Answered);
         if self.events.is_between() {
             return None;
@@ -179,7 +179,7 @@
     }
 
     fn can_go_on(&self) -> bool {
-        self.course.kind.repeats()
+        self.dispatch.kind.repeats()
     }
 
     /// Moves to another target if that of the stream is so slow that it delays
@@ -188,14 +188,14 @@
         let Some(source) = &self.source else {
             return Ok(());
         };
-        let Some(place) = self.course.place_to_move(&source.permit) else {
+        let Some(place) = self.dispatch.place_to_move(&source.permit) else {
             return Ok(());
         };
         let why = "the target is slow";
-        self.course.log_miss(&source.permit, "stream moved", why);
+        self.dispatch.log_miss(&source.permit, "stream moved", why);
         self.source = None;
         self.events.clear();
-        match self.course.resume(place, self.last).await {
+        match self.dispatch.resume(place, self.last).await {
             Some((head, permit)) => {
                 self.resumed(head, permit);
                 Ok(())
@@ -207,14 +207,14 @@
     /// Goes on at another target after the last event that the caller has.
     async fn go_on(&mut self, why: &str) -> io::Result<()> {
         if let Some(source) = self.source.take() {
-            self.course.log_miss(&source.permit, "stream broken", why);
+            self.dispatch.log_miss(&source.permit, "stream broken", why);
             source.permit.ended(Outcome::Failed);
         }
         if !self.can_go_on() {
             return Err(self.broken_off(why));
         }
         self.events.clear();
-        let Some((head, permit)) = self.course.go_on(self.last).await else {
+        let Some((head, permit)) = self.dispatch.go_on(self.last).await else {
             return Err(self.broken_off(why));
         };
         self.resumed(head, permit);
@@ -223,7 +223,7 @@
 
     fn resumed(&mut self, head: Head, permit: Permit) {
         log::info!(
-            request = self.course.ask.id.as_str(), target_id = permit.way().id.as_str(),
+            request = self.dispatch.ask.id.as_str(), target_id = permit.endpoint().id.as_str(),
             after = self.last.unwrap_or(0);
             "stream goes on at another target"
         );
@@ -238,10 +238,10 @@
 
     /// The caller's connection ends without the mark of a whole answer.
     fn broken_off(&self, why: &str) -> io::Error {
-        self.course.metrics.miss("stream cut");
+        self.dispatch.metrics.miss("stream cut");
         log::warn!(
-            request = self.course.ask.id.as_str(), after = self.last.unwrap_or(0),
-            left_ms:display = self.course.left().as_millis();
+            request = self.dispatch.ask.id.as_str(), after = self.last.unwrap_or(0),
+            left_ms:display = self.dispatch.left().as_millis();
             "stream broken off: {why}"
         );
         io::Error::other(why.to_owned())
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/target_set.rs
@@ -7,11 +7,11 @@
 
 use crate::Pace;
 use crate::TargetKey;
-use crate::berth::Berth;
+use crate::target_state::TargetState;
 
 /// What a target says of its load in an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ToldLoad {
+pub struct ReportedLoad {
     /// Requests that run there.
     pub running: u32,
     /// Requests that wait there.
@@ -20,7 +20,7 @@
 
 /// What is known of a target's load when a request is sent there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct SeenLoad {
+pub struct LoadEstimate {
     /// Requests of this entry.
     pub own: u32,
     /// Requests of all other entries, by the target's last word.
@@ -29,7 +29,7 @@
     pub age: Option<Duration>,
 }
 
-/// How an attempt at a target of a fleet went.
+/// How an attempt at a target of a target_set went.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
     /// It was answered.
@@ -44,9 +44,9 @@
     Abandoned,
 }
 
-/// Limits of a fleet.
+/// Limits of a target_set.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct FleetTuning {
+pub struct TargetSetTuning {
     /// Requests that may wait at a target for each of its slots. A request
     /// that waits there begins as soon as another one ends, a whole round trip
     /// sooner than one that is sent then. Those that wait longer than their
@@ -61,22 +61,22 @@
     pub far: f64,
     /// How long a target that could not be reached is passed over at first;
     /// each further failure doubles it.
-    pub shun: Duration,
+    pub eject: Duration,
     /// Longest time that it is passed over.
-    pub shun_most: Duration,
+    pub eject_most: Duration,
     /// How long a target that said that it did not run a request is passed
     /// over: a group that forms anew declines all for half a second or so.
     pub declined: Duration,
 }
 
-impl Default for FleetTuning {
+impl Default for TargetSetTuning {
     fn default() -> Self {
-        FleetTuning {
+        TargetSetTuning {
             waiting: 1.0,
             pace: None,
             far: 1.0,
-            shun: Duration::from_millis(500),
-            shun_most: Duration::from_secs(8),
+            eject: Duration::from_millis(500),
+            eject_most: Duration::from_secs(8),
             declined: Duration::from_millis(200),
         }
     }
@@ -100,22 +100,22 @@
 ///
 /// ```
 /// use rand::{SeedableRng, rngs::SmallRng};
-/// use route::{Distance, Fleet, FleetTuning, Outcome};
+/// use route::{Distance, TargetSet, TargetSetTuning, Outcome};
 /// use std::time::Instant;
 ///
 /// let now = Instant::now();
-/// let mut fleet = Fleet::new(FleetTuning::default());
-/// let key = fleet.insert(6, Distance::Near);
+/// let mut target_set = TargetSet::new(TargetSetTuning::default());
+/// let key = target_set.insert(6, Distance::Near);
 /// let mut rng = SmallRng::seed_from_u64(1);
-/// assert_eq!(fleet.choose(&[], now, &mut rng), Some(key));
-/// fleet.start(key);
-/// fleet.end(key, Outcome::Answered, now);
-/// assert_eq!(fleet.choose(&[key], now, &mut rng), None);
+/// assert_eq!(target_set.choose(&[], now, &mut rng), Some(key));
+/// target_set.start(key);
+/// target_set.end(key, Outcome::Answered, now);
+/// assert_eq!(target_set.choose(&[key], now, &mut rng), None);
 /// ```
 #[derive(Debug)]
-pub struct Fleet {
-    tuning: FleetTuning,
-    targets: SlotMap<TargetKey, Berth>,
+pub struct TargetSet {
+    tuning: TargetSetTuning,
+    targets: SlotMap<TargetKey, TargetState>,
     /// The target that is tried again, and since when.
     trial: Option<(TargetKey, Instant)>,
     /// Usual time that a request runs, once one has ended.
@@ -124,7 +124,7 @@
 
 /// What a request asks of a target.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct FleetDemand {
+pub(crate) struct PlacementDemand {
     /// Time in which it must begin to be answered to be on time.
     pub(crate) left: Duration,
     /// Usual time that a request runs.
@@ -138,11 +138,11 @@
 /// milliseconds, and begins to answer some hundred later if it can.
 const TRIAL: Duration = Duration::from_millis(50);
 
-impl Fleet {
-    /// A fleet without targets.
+impl TargetSet {
+    /// A target_set without targets.
     #[must_use]
-    pub fn new(tuning: FleetTuning) -> Fleet {
-        Fleet {
+    pub fn new(tuning: TargetSetTuning) -> TargetSet {
+        TargetSet {
             tuning,
             targets: SlotMap::with_key(),
             trial: None,
@@ -152,7 +152,7 @@
 
     /// Adds a target that takes work.
     pub fn insert(&mut self, slots: u32, distance: Distance) -> TargetKey {
-        self.targets.insert(Berth::new(slots, distance))
+        self.targets.insert(TargetState::new(slots, distance))
     }
 
     /// Takes a target out; what runs there ends by itself.
@@ -187,7 +187,7 @@
     /// at others.
     #[must_use]
     pub fn sheds(&self, key: TargetKey) -> bool {
-        self.targets.get(key).is_some_and(Berth::sheds)
+        self.targets.get(key).is_some_and(TargetState::sheds)
     }
 
     /// The target at which a stream of a slow one goes on. Pauses that are too
@@ -199,8 +199,8 @@
         rng: &mut impl Rng,
     ) -> Option<TargetKey> {
         let fit = self.targets.iter().filter(|(key, target)| {
-            target.is_able()
-                && !target.is_shunned(now)
+            target.is_available()
+                && !target.is_ejected(now)
                 && target.has_slot(&self.tuning)
                 && !tried.contains(key)
         });
@@ -232,7 +232,7 @@
         self.choose_in(Duration::MAX, tried, now, rng)
     }
 
-    /// As [`Fleet::choose`], for a request that is on time if it begins to be
+    /// As [`TargetSet::choose`], for a request that is on time if it begins to be
     /// answered in the time `left`.
     ///
     /// At a model engine it gets a place if it is about to have a slot by then:
@@ -247,18 +247,18 @@
         rng: &mut impl Rng,
     ) -> Option<TargetKey> {
         self.end_trial(now);
-        let demand = FleetDemand {
+        let demand = PlacementDemand {
             left,
             runs: self.runs.unwrap_or_default(),
         };
         let untried =
-            |(key, target): &(TargetKey, &Berth)| target.is_open() && !tried.contains(key);
+            |(key, target): &(TargetKey, &TargetState)| target.is_open() && !tried.contains(key);
         let open = || self.targets.iter().filter(untried);
-        let able = || open().filter(|(_, target)| target.is_able());
-        let sound = able().filter(|(_, target)| !target.is_shunned(now));
+        let available = || open().filter(|(_, target)| target.is_available());
+        let sound = available().filter(|(_, target)| !target.is_ejected(now));
         let chosen = self.least_loaded(&demand, sound, now, rng).or_else(|| {
-            let mut any = able().filter(|(_, target)| target.is_shunned(now));
-            let soonest = any.by_ref().min_by_key(|(_, target)| target.shunned_until);
+            let mut any = available().filter(|(_, target)| target.is_ejected(now));
+            let soonest = any.by_ref().min_by_key(|(_, target)| target.ejected_until);
             soonest
                 .filter(|(_, target)| target.has_room(&demand, &self.tuning, now))
                 .map(|(key, _)| key)
@@ -295,8 +295,8 @@
 
     fn least_loaded<'a>(
         &self,
-        demand: &FleetDemand,
-        targets: impl Iterator<Item = (TargetKey, &'a Berth)>,
+        demand: &PlacementDemand,
+        targets: impl Iterator<Item = (TargetKey, &'a TargetState)>,
         now: Instant,
         rng: &mut impl Rng,
     ) -> Option<TargetKey> {
@@ -306,7 +306,7 @@
 
     fn cheapest<'a>(
         &self,
-        targets: impl Iterator<Item = (TargetKey, &'a Berth)>,
+        targets: impl Iterator<Item = (TargetKey, &'a TargetState)>,
         rng: &mut impl Rng,
     ) -> Option<TargetKey> {
         let mut best: Option<(f64, TargetKey)> = None;
@@ -323,15 +323,15 @@
 
     /// Whether any target takes new work when it has room.
     #[must_use]
-    pub fn has_able(&self) -> bool {
-        self.targets.values().any(Berth::is_able)
+    pub fn has_available(&self) -> bool {
+        self.targets.values().any(TargetState::is_available)
     }
 
     /// Targets that take new work when they have room.
     #[must_use]
-    pub fn able(&self) -> usize {
-        let able = |target: &&Berth| target.is_able();
-        self.targets.values().filter(able).count()
+    pub fn available(&self) -> usize {
+        let available = |target: &&TargetState| target.is_available();
+        self.targets.values().filter(available).count()
     }
 
     /// A request is sent to a target.
@@ -342,15 +342,15 @@
     }
 
     /// A target tells its load, which counts requests of all entries.
-    pub fn told(&mut self, key: TargetKey, load: ToldLoad, now: Instant) {
+    pub fn told(&mut self, key: TargetKey, load: ReportedLoad, now: Instant) {
         if let Some(target) = self.targets.get_mut(key) {
             target.take(load, now);
         }
     }
 
-    /// What is known of a target's load, if it is in the fleet.
+    /// What is known of a target's load, if it is in the target_set.
     #[must_use]
-    pub fn seen(&self, key: TargetKey, now: Instant) -> Option<SeenLoad> {
+    pub fn seen(&self, key: TargetKey, now: Instant) -> Option<LoadEstimate> {
         self.targets.get(key).map(|target| target.seen(now))
     }
 
--- a/crates/route/src/berth.rs
+++ b/crates/route/src/target_state.rs
@@ -1,8 +1,10 @@
-//! One target of a fleet.
+//! One target of a target_set.
 
 use std::time::{Duration, Instant};
 
-use crate::fleet::{Distance, FleetDemand, FleetTuning, Outcome, SeenLoad, ToldLoad};
+use crate::target_set::{
+    Distance, LoadEstimate, Outcome, PlacementDemand, ReportedLoad, TargetSetTuning,
+};
 
 /// Pauses that are older than this say nothing about the next ones: by then
 /// a group has switched to another expert map.
@@ -29,9 +31,9 @@
     at: Instant,
 }
 
-/// One target of a fleet.
+/// One target of a target_set.
 #[derive(Clone, Debug)]
-pub(crate) struct Berth {
+pub(crate) struct TargetState {
     slots: f64,
     distance: Distance,
     /// Requests with which it keeps up with the others.
@@ -51,12 +53,12 @@
     /// stream last paused.
     pauses: Option<Pauses>,
     failures: u32,
-    pub(crate) shunned_until: Option<Instant>,
+    pub(crate) ejected_until: Option<Instant>,
 }
 
-impl Berth {
-    pub(crate) fn new(slots: u32, distance: Distance) -> Berth {
-        Berth {
+impl TargetState {
+    pub(crate) fn new(slots: u32, distance: Distance) -> TargetState {
+        TargetState {
             slots: f64::from(slots.max(1)),
             distance,
             capacity: f64::from(slots.max(1)),
@@ -68,7 +70,7 @@
             unable_until: None,
             pauses: None,
             failures: 0,
-            shunned_until: None,
+            ejected_until: None,
         }
     }
 
@@ -82,14 +84,14 @@
         self.replaced = self.replaced.filter(|replaced| at <= *replaced);
     }
 
-    pub(crate) fn is_shunned(&self, now: Instant) -> bool {
-        self.shunned_until.is_some_and(|until| now < until)
+    pub(crate) fn is_ejected(&self, now: Instant) -> bool {
+        self.ejected_until.is_some_and(|until| now < until)
     }
 
     pub(crate) fn has_room(
         &self,
-        demand: &FleetDemand,
-        tuning: &FleetTuning,
+        demand: &PlacementDemand,
+        tuning: &TargetSetTuning,
         now: Instant,
     ) -> bool {
         let begins = tuning.pace.is_none() || self.begins_in_time(demand);
@@ -99,19 +101,19 @@
     /// Whether a request would begin in time. One that can't be on time any
     /// more needs a free slot: were it to wait for one, it would take it from
     /// a request that can.
-    fn begins_in_time(&self, demand: &FleetDemand) -> bool {
+    fn begins_in_time(&self, demand: &PlacementDemand) -> bool {
         let before = (self.occupied() + 1.0 - self.capacity).max(0.0);
         let wait = demand.runs.as_secs_f64() * before / self.capacity;
         wait <= demand.left.as_secs_f64() * WAIT_SHARE
     }
 
     /// Whether a request could run or wait there, however late its events.
-    pub(crate) fn has_slot(&self, tuning: &FleetTuning) -> bool {
+    pub(crate) fn has_slot(&self, tuning: &TargetSetTuning) -> bool {
         self.occupied() < self.capacity * (1.0 + tuning.waiting)
     }
 
     /// Requests with which its streams don't pause for too long.
-    fn on_time(&self, tuning: &FleetTuning, now: Instant) -> f64 {
+    fn on_time(&self, tuning: &TargetSetTuning, now: Instant) -> f64 {
         let pauses = self
             .pauses
             .filter(|p| now.saturating_duration_since(p.at) < PAUSES_LAST);
@@ -135,7 +137,7 @@
     }
 
     /// Part of the slots that one request more would take.
-    pub(crate) fn cost(&self, tuning: &FleetTuning) -> f64 {
+    pub(crate) fn cost(&self, tuning: &TargetSetTuning) -> f64 {
         let far = match self.distance {
             Distance::Near => 0.0,
             Distance::Far => tuning.far,
@@ -144,7 +146,7 @@
     }
 
     /// It takes so many times longer for its work than the fastest target.
-    pub(crate) fn set_slowdown(&mut self, slowdown: f64, tuning: &FleetTuning) {
+    pub(crate) fn set_slowdown(&mut self, slowdown: f64, tuning: &TargetSetTuning) {
         self.capacity = match tuning.pace {
             Some(pace) => pace.keeps_up(self.slots, slowdown),
             None => self.slots / slowdown,
@@ -164,7 +166,7 @@
     }
 
     /// Whether it may be given work like any other.
-    pub(crate) fn is_able(&self) -> bool {
+    pub(crate) fn is_available(&self) -> bool {
         self.is_open() && self.unable_until.is_none()
     }
 
@@ -172,39 +174,39 @@
         f64::from(self.own + self.others)
     }
 
-    pub(crate) fn take(&mut self, load: ToldLoad, now: Instant) {
+    pub(crate) fn take(&mut self, load: ReportedLoad, now: Instant) {
         let all = load.running.saturating_add(load.waiting);
         self.others = all.saturating_sub(self.own);
         self.told = Some((all, now));
     }
 
-    pub(crate) fn seen(&self, now: Instant) -> SeenLoad {
+    pub(crate) fn seen(&self, now: Instant) -> LoadEstimate {
         let age = |(_, at)| now.saturating_duration_since(at);
-        SeenLoad {
+        LoadEstimate {
             own: self.own,
             others: self.others,
             age: self.told.map(age),
         }
     }
 
-    pub(crate) fn learn(&mut self, outcome: Outcome, now: Instant, tuning: &FleetTuning) {
+    pub(crate) fn learn(&mut self, outcome: Outcome, now: Instant, tuning: &TargetSetTuning) {
         match outcome {
             Outcome::Answered => {
                 self.failures = 0;
-                self.shunned_until = None;
+                self.ejected_until = None;
                 self.unable_until = None;
             }
             Outcome::Failed => {
-                let doubled = tuning.shun * (1 << self.failures.min(8));
+                let doubled = tuning.eject * (1 << self.failures.min(8));
                 self.failures += 1;
-                self.shunned_until = Some(now + doubled.min(tuning.shun_most));
+                self.ejected_until = Some(now + doubled.min(tuning.eject_most));
             }
             Outcome::Declined => {
                 let until = Some(now + tuning.declined);
                 if self.tells_places_free() {
                     self.unable_until = until;
                 } else {
-                    self.shunned_until = self.shunned_until.max(until);
+                    self.ejected_until = self.ejected_until.max(until);
                 }
             }
             // Its process has ended. Were more sent there, each request would
--- a/crates/route/tests/overload.rs
+++ b/crates/route/tests/overload.rs
@@ -3,7 +3,7 @@
 
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use route::{Distance, Fleet, FleetTuning, Outcome, Pace, TargetKey};
+use route::{Distance, Outcome, Pace, TargetKey, TargetSet, TargetSetTuning};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
@@ -58,12 +58,12 @@
 /// Requests a second that are on time under `load` times what the slots carry.
 fn on_time(load: f64) -> f64 {
     let pace = Pace::new(Duration::from_micros(5_850), Duration::from_micros(355));
-    let mut fleet = Fleet::new(FleetTuning {
+    let mut target_set = TargetSet::new(TargetSetTuning {
         waiting: 0.15,
         pace: Some(pace),
-        ..FleetTuning::default()
+        ..TargetSetTuning::default()
     });
-    let keys = (0..ENGINES).map(|_| fleet.insert(SLOTS, Distance::Near));
+    let keys = (0..ENGINES).map(|_| target_set.insert(SLOTS, Distance::Near));
     let mut engines: BTreeMap<TargetKey, Engine> =
         keys.map(|key| (key, Engine::default())).collect();
     let mut rng = SmallRng::seed_from_u64(3);
@@ -74,8 +74,8 @@
         for (key, engine) in &mut engines {
             let (ended, started) = engine.step(now);
             for _ in 0..ended {
-                fleet.end(*key, Outcome::Answered, now);
-                fleet.ran(RUNS);
+                target_set.end(*key, Outcome::Answered, now);
+                target_set.ran(RUNS);
             }
             let early = |r: &&Request| now + FIRST_EVENT <= r.came + OBJECTIVE;
             served += started.iter().filter(early).map(|_| 1.0).sum::<f64>();
@@ -92,8 +92,8 @@
         }
         for request in comes {
             let left = (request.came + OBJECTIVE).saturating_duration_since(now);
-            if let Some(key) = fleet.choose_in(left, &[], now, &mut rng) {
-                fleet.start(key);
+            if let Some(key) = target_set.choose_in(left, &[], now, &mut rng) {
+                target_set.start(key);
                 engines.entry(key).or_default().waits.push_back(request);
             } else if !request.is_back {
                 let is_back = true;
--- a/crates/route/tests/fleet.rs
+++ b/crates/route/tests/target_set.rs
@@ -2,22 +2,22 @@
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use route::{Distance, Fleet, FleetTuning, Outcome, Pace, TargetKey, ToldLoad};
+use route::{Distance, Outcome, Pace, ReportedLoad, TargetKey, TargetSet, TargetSetTuning};
 use std::time::{Duration, Instant};
 
 const SLOTS: u32 = 12;
 const LATE: Duration = Duration::from_millis(120);
 
-fn engines(count: usize) -> (Fleet, Vec<TargetKey>) {
+fn engines(count: usize) -> (TargetSet, Vec<TargetKey>) {
     let pace = Pace::new(Duration::from_micros(5_850), Duration::from_micros(355));
-    let mut fleet = Fleet::new(FleetTuning {
+    let mut target_set = TargetSet::new(TargetSetTuning {
         waiting: 0.15,
         pace: Some(pace),
-        ..FleetTuning::default()
+        ..TargetSetTuning::default()
     });
-    let keys = (0..count).map(|_| fleet.insert(SLOTS, Distance::Near));
+    let keys = (0..count).map(|_| target_set.insert(SLOTS, Distance::Near));
     let keys = keys.collect();
-    (fleet, keys)
+    (target_set, keys)
 }
 
 fn rng() -> SmallRng {
@@ -25,12 +25,12 @@
 }
 
 /// Sends requests until all targets are full; how many each got.
-fn fill(fleet: &mut Fleet, keys: &[TargetKey], now: Instant) -> Vec<u32> {
+fn fill(target_set: &mut TargetSet, keys: &[TargetKey], now: Instant) -> Vec<u32> {
     let mut rng = rng();
-    while let Some(key) = fleet.choose(&[], now, &mut rng) {
-        fleet.start(key);
+    while let Some(key) = target_set.choose(&[], now, &mut rng) {
+        target_set.start(key);
     }
-    keys.iter().map(|key| fleet.running(*key)).collect()
+    keys.iter().map(|key| target_set.running(*key)).collect()
 }
 
 /// A burst asks for more than all slots. Were the excess sent on, each that
@@ -38,8 +38,8 @@
 /// until the queues have emptied.
 #[test]
 fn choose_burst_beyond_slots() {
-    let (mut fleet, keys) = engines(4);
-    let sent = fill(&mut fleet, &keys, Instant::now());
+    let (mut target_set, keys) = engines(4);
+    let sent = fill(&mut target_set, &keys, Instant::now());
     assert_eq!(sent, [14, 14, 14, 14]);
 }
 
@@ -48,65 +48,65 @@
 /// longer than is on time; with fewer, those that are let in are on time.
 #[test]
 fn choose_while_streams_pause() {
-    let (mut fleet, keys) = engines(1);
+    let (mut target_set, keys) = engines(1);
     let now = Instant::now();
     for _ in 0..12 {
-        fleet.start(keys[0]);
+        target_set.start(keys[0]);
     }
     for event in 0..20 {
         let at = now + Duration::from_millis(140) * event;
-        fleet.paused(keys[0], Duration::from_millis(140), LATE, at);
+        target_set.paused(keys[0], Duration::from_millis(140), LATE, at);
     }
     let now = now + Duration::from_millis(140) * 20;
-    assert_eq!(fleet.choose(&[], now, &mut rng()), None);
+    assert_eq!(target_set.choose(&[], now, &mut rng()), None);
     for _ in 0..7 {
-        fleet.end(keys[0], Outcome::Answered, now);
+        target_set.end(keys[0], Outcome::Answered, now);
     }
-    assert_eq!(fleet.choose(&[], now, &mut rng()), Some(keys[0]));
+    assert_eq!(target_set.choose(&[], now, &mut rng()), Some(keys[0]));
 }
 
 /// The next map has come and pauses are short again. What was measured before
 /// must not keep callers out.
 #[test]
 fn choose_after_pauses_of_long_ago() {
-    let (mut fleet, keys) = engines(1);
+    let (mut target_set, keys) = engines(1);
     let now = Instant::now();
     for _ in 0..12 {
-        fleet.start(keys[0]);
+        target_set.start(keys[0]);
     }
-    fleet.paused(keys[0], Duration::from_millis(300), LATE, now);
-    assert_eq!(fleet.choose(&[], now, &mut rng()), None);
+    target_set.paused(keys[0], Duration::from_millis(300), LATE, now);
+    assert_eq!(target_set.choose(&[], now, &mut rng()), None);
     let later = now + Duration::from_secs(2);
-    assert_eq!(fleet.choose(&[], later, &mut rng()), Some(keys[0]));
+    assert_eq!(target_set.choose(&[], later, &mut rng()), Some(keys[0]));
 }
 
 /// Half of the slots stay in use however long the pauses are: late answers
 /// are worth more than none.
 #[test]
 fn choose_with_hopeless_pauses() {
-    let (mut fleet, keys) = engines(1);
+    let (mut target_set, keys) = engines(1);
     let now = Instant::now();
-    fleet.paused(keys[0], Duration::from_secs(1), LATE, now);
-    assert_eq!(fill(&mut fleet, &keys, now), [6]);
+    target_set.paused(keys[0], Duration::from_secs(1), LATE, now);
+    assert_eq!(fill(&mut target_set, &keys, now), [6]);
 }
 
 /// Other entries send to the same targets. An entry that counted only its own
 /// requests would fill a target that is full already.
 #[test]
 fn choose_by_what_others_send() {
-    let (mut fleet, keys) = engines(2);
+    let (mut target_set, keys) = engines(2);
     let now = Instant::now();
-    fleet.start(keys[0]);
-    let busy = ToldLoad {
+    target_set.start(keys[0]);
+    let busy = ReportedLoad {
         running: 12,
         waiting: 2,
     };
-    fleet.told(keys[0], busy, now);
+    target_set.told(keys[0], busy, now);
     let mut rng = rng();
     for _ in 0..5 {
-        let key = fleet.choose(&[], now, &mut rng).unwrap();
+        let key = target_set.choose(&[], now, &mut rng).unwrap();
         assert_eq!(key, keys[1]);
-        fleet.start(key);
+        target_set.start(key);
     }
 }
 
@@ -114,69 +114,69 @@
 /// first, since it runs nothing and looks free.
 #[test]
 fn choose_not_the_failing_one() {
-    let (mut fleet, keys) = engines(2);
+    let (mut target_set, keys) = engines(2);
     let now = Instant::now();
-    fleet.start(keys[0]);
-    fleet.end(keys[0], Outcome::Failed, now);
+    target_set.start(keys[0]);
+    target_set.end(keys[0], Outcome::Failed, now);
     let mut rng = rng();
     for _ in 0..10 {
-        let key = fleet.choose(&[], now, &mut rng).unwrap();
+        let key = target_set.choose(&[], now, &mut rng).unwrap();
         assert_eq!(key, keys[1]);
-        fleet.start(key);
+        target_set.start(key);
     }
     let later = now + Duration::from_secs(1);
-    assert_eq!(fleet.choose(&[], later, &mut rng), Some(keys[0]));
+    assert_eq!(target_set.choose(&[], later, &mut rng), Some(keys[0]));
 }
 
 /// All targets failed lately, as when the network was cut for a moment. One
 /// of them is tried all the same, or nobody would notice that they are back.
 #[test]
 fn choose_among_failed_only() {
-    let (mut fleet, keys) = engines(2);
+    let (mut target_set, keys) = engines(2);
     let now = Instant::now();
     for key in &keys {
-        fleet.start(*key);
-        fleet.end(*key, Outcome::Failed, now);
+        target_set.start(*key);
+        target_set.end(*key, Outcome::Failed, now);
     }
-    assert!(fleet.choose(&[], now, &mut rng()).is_some());
+    assert!(target_set.choose(&[], now, &mut rng()).is_some());
 }
 
 /// Bytes between availability zones are dear. With loads alike the near target
 /// is taken; once it runs more, distance must not let it fill up alone.
 #[test]
 fn choose_near_while_loads_are_alike() {
-    let mut fleet = Fleet::new(FleetTuning::default());
-    let near = fleet.insert(SLOTS, Distance::Near);
-    let far = fleet.insert(SLOTS, Distance::Far);
+    let mut target_set = TargetSet::new(TargetSetTuning::default());
+    let near = target_set.insert(SLOTS, Distance::Near);
+    let far = target_set.insert(SLOTS, Distance::Far);
     let now = Instant::now();
     let mut rng = rng();
     for _ in 0..20 {
-        let key = fleet.choose(&[], now, &mut rng).unwrap();
-        fleet.start(key);
+        let key = target_set.choose(&[], now, &mut rng).unwrap();
+        target_set.start(key);
     }
-    let running = (fleet.running(near), fleet.running(far));
+    let running = (target_set.running(near), target_set.running(far));
     assert!([(10, 10), (11, 9)].contains(&running), "{running:?}");
-    assert_eq!(fleet.choose(&[near], now, &mut rng), Some(far));
+    assert_eq!(target_set.choose(&[near], now, &mut rng), Some(far));
 }
 
 /// All targets of a service have been started anew, and their old names are still
 /// known. Each request would spend its tries on addresses that decline it.
 #[test]
 fn choose_replaced_targets() {
-    let (mut fleet, keys) = engines(2);
+    let (mut target_set, keys) = engines(2);
     let mut now = Instant::now();
     for _ in &keys {
-        let key = fleet.choose(&[], now, &mut rng()).unwrap();
-        fleet.start(key);
-        fleet.end(key, Outcome::Replaced, now);
+        let key = target_set.choose(&[], now, &mut rng()).unwrap();
+        target_set.start(key);
+        target_set.end(key, Outcome::Replaced, now);
         // What was told before says nothing of its end.
-        fleet.heard(key, now);
+        target_set.heard(key, now);
         now += Duration::from_secs(30);
     }
-    assert!(!fleet.has_able());
-    assert_eq!(fleet.choose(&[], now, &mut rng()), None);
-    fleet.heard(keys[0], now);
-    assert_eq!(fleet.choose(&[], now, &mut rng()), Some(keys[0]));
+    assert!(!target_set.has_available());
+    assert_eq!(target_set.choose(&[], now, &mut rng()), None);
+    target_set.heard(keys[0], now);
+    assert_eq!(target_set.choose(&[], now, &mut rng()), Some(keys[0]));
 }
 
 /// A group forms anew and declines everything for 1.4 s, while a request comes
@@ -184,82 +184,82 @@
 /// service a retry; were all sent, none would be left when the group is back.
 #[test]
 fn choose_while_all_decline() {
-    let (mut fleet, keys) = engines(8);
+    let (mut target_set, keys) = engines(8);
     let mut rng = rng();
     let began = Instant::now();
     let back = began + Duration::from_millis(1_400);
     let mut now = began;
     let mut declined = 0;
     while now < back {
-        while let Some(key) = fleet.choose(&[], now, &mut rng) {
-            fleet.start(key);
-            fleet.told(
+        while let Some(key) = target_set.choose(&[], now, &mut rng) {
+            target_set.start(key);
+            target_set.told(
                 key,
-                ToldLoad {
+                ReportedLoad {
                     running: 0,
                     waiting: 0,
                 },
                 now,
             );
-            fleet.end(key, Outcome::Declined, now);
+            target_set.end(key, Outcome::Declined, now);
             declined += 1;
         }
-        assert!(!fleet.has_able());
+        assert!(!target_set.has_available());
         now += Duration::from_millis(5);
     }
     // Each once at first, and then one of them at a time.
     assert!((8..=8 + 56).contains(&declined), "{declined}");
-    let due = fleet.next_trial().unwrap();
-    let trial = fleet.choose(&[], due, &mut rng).unwrap();
-    fleet.start(trial);
-    assert_eq!(fleet.choose(&[], due, &mut rng), None);
+    let due = target_set.next_trial().unwrap();
+    let trial = target_set.choose(&[], due, &mut rng).unwrap();
+    target_set.start(trial);
+    assert_eq!(target_set.choose(&[], due, &mut rng), None);
     // It runs, so the others of its group do too.
-    let later = fleet.next_trial().unwrap();
+    let later = target_set.next_trial().unwrap();
     let sent = (0..40).filter_map(|_| {
-        let key = fleet.choose(&[], later, &mut rng)?;
-        fleet.start(key);
+        let key = target_set.choose(&[], later, &mut rng)?;
+        target_set.start(key);
         Some(key)
     });
     assert_eq!(sent.count(), 40);
-    assert!(keys.iter().all(|key| fleet.running(*key) >= 5));
+    assert!(keys.iter().all(|key| target_set.running(*key) >= 5));
 }
 
-/// A target is full and says so. Nobody waits for it to be able again; what comes
+/// A target is full and says so. Nobody waits for it to be available again; what comes
 /// goes to the other one, and is refused when that is full too.
 #[test]
 fn choose_declined_by_full_target() {
-    let (mut fleet, keys) = engines(1);
+    let (mut target_set, keys) = engines(1);
     let now = Instant::now();
-    fleet.start(keys[0]);
-    fleet.told(
+    target_set.start(keys[0]);
+    target_set.told(
         keys[0],
-        ToldLoad {
+        ReportedLoad {
             running: SLOTS,
             waiting: 3,
         },
         now,
     );
-    fleet.end(keys[0], Outcome::Declined, now);
-    assert!(fleet.has_able());
-    assert_eq!(fleet.choose(&[], now, &mut rng()), None);
+    target_set.end(keys[0], Outcome::Declined, now);
+    assert!(target_set.has_available());
+    assert_eq!(target_set.choose(&[], now, &mut rng()), None);
 }
 
 /// Guards against requests at a slow rank, which delay the streams of its
 /// whole group.
 #[test]
 fn choose_slow_rank() {
-    let (mut fleet, keys) = engines(3);
-    fleet.set_slowdowns(&[(keys[0], 12.0), (keys[1], 1.0), (keys[2], 1.0)]);
-    let sent = fill(&mut fleet, &keys, Instant::now());
+    let (mut target_set, keys) = engines(3);
+    target_set.set_slowdowns(&[(keys[0], 12.0), (keys[1], 1.0), (keys[2], 1.0)]);
+    let sent = fill(&mut target_set, &keys, Instant::now());
     assert_eq!(sent, [0, 14, 14]);
 }
 
 /// Guards against refusing everything while all ranks are equally slow.
 #[test]
 fn choose_all_slow() {
-    let (mut fleet, keys) = engines(2);
-    fleet.set_slowdowns(&[(keys[0], 4.0), (keys[1], 4.0)]);
-    let sent = fill(&mut fleet, &keys, Instant::now());
+    let (mut target_set, keys) = engines(2);
+    target_set.set_slowdowns(&[(keys[0], 4.0), (keys[1], 4.0)]);
+    let sent = fill(&mut target_set, &keys, Instant::now());
     assert_eq!(sent, [14, 14]);
 }
 
@@ -267,16 +267,16 @@
 /// would end in several times the usual time, and delay all others until then.
 #[test]
 fn sheds_rank_turned_slow() {
-    let (mut fleet, keys) = engines(3);
+    let (mut target_set, keys) = engines(3);
     let now = Instant::now();
     for _ in 0..8 {
-        fleet.start(keys[0]);
+        target_set.start(keys[0]);
     }
-    assert!(!fleet.sheds(keys[0]));
-    fleet.set_slowdowns(&[(keys[0], 12.0), (keys[1], 1.0), (keys[2], 1.0)]);
-    assert!(fleet.sheds(keys[0]));
-    assert!(!fleet.sheds(keys[1]));
-    let moved = fleet.choose_to_move(&[keys[0]], now, &mut rng());
+    assert!(!target_set.sheds(keys[0]));
+    target_set.set_slowdowns(&[(keys[0], 12.0), (keys[1], 1.0), (keys[2], 1.0)]);
+    assert!(target_set.sheds(keys[0]));
+    assert!(!target_set.sheds(keys[1]));
+    let moved = target_set.choose_to_move(&[keys[0]], now, &mut rng());
     assert!(moved.is_some_and(|key| key != keys[0]));
 }
 
@@ -284,14 +284,14 @@
 /// it causes make all others count as full.
 #[test]
 fn choose_to_move_while_streams_pause() {
-    let (mut fleet, keys) = engines(2);
+    let (mut target_set, keys) = engines(2);
     let now = Instant::now();
     for _ in 0..8 {
-        fleet.start(keys[1]);
+        target_set.start(keys[1]);
     }
-    fleet.paused(keys[1], LATE * 5, LATE, now);
-    assert_eq!(fleet.choose(&[keys[0]], now, &mut rng()), None);
-    let moved = fleet.choose_to_move(&[keys[0]], now, &mut rng());
+    target_set.paused(keys[1], LATE * 5, LATE, now);
+    assert_eq!(target_set.choose(&[keys[0]], now, &mut rng()), None);
+    let moved = target_set.choose_to_move(&[keys[0]], now, &mut rng());
     assert_eq!(moved, Some(keys[1]));
 }
 
@@ -299,14 +299,17 @@
 /// the places of those who would still be on time.
 #[test]
 fn choose_for_missed_objective() {
-    let (mut fleet, keys) = engines(2);
+    let (mut target_set, keys) = engines(2);
     let (now, mut rng) = (Instant::now(), rng());
-    fleet.ran(Duration::from_secs(2));
-    while let Some(key) = fleet.choose_in(Duration::ZERO, &[], now, &mut rng) {
-        fleet.start(key);
+    target_set.ran(Duration::from_secs(2));
+    while let Some(key) = target_set.choose_in(Duration::ZERO, &[], now, &mut rng) {
+        target_set.start(key);
     }
-    assert_eq!(keys.iter().map(|key| fleet.running(*key)).sum::<u32>(), 24);
-    let sent = fill(&mut fleet, &keys, now);
+    assert_eq!(
+        keys.iter().map(|key| target_set.running(*key)).sum::<u32>(),
+        24
+    );
+    let sent = fill(&mut target_set, &keys, now);
     assert_eq!(sent, [14, 14]);
 }
 
@@ -314,12 +317,12 @@
 /// all that come while the engines are full would be late.
 #[test]
 fn choose_in_time_for_a_slot() {
-    let (mut fleet, keys) = engines(1);
+    let (mut target_set, keys) = engines(1);
     let (now, mut rng) = (Instant::now(), rng());
-    fleet.ran(Duration::from_millis(2_400));
+    target_set.ran(Duration::from_millis(2_400));
     let objective = Duration::from_millis(400);
-    while let Some(key) = fleet.choose_in(objective, &[], now, &mut rng) {
-        fleet.start(key);
+    while let Some(key) = target_set.choose_in(objective, &[], now, &mut rng) {
+        target_set.start(key);
     }
-    assert_eq!(fleet.running(keys[0]), SLOTS + 1);
+    assert_eq!(target_set.running(keys[0]), SLOTS + 1);
 }
