--- a/crates/route/src/target_state.rs
+++ b/crates/route/src/target_state.rs
@@ -1,4 +1,4 @@
-//! One target of a target_set.
+//! One target of a set.
 
 use std::time::{Duration, Instant};
 
@@ -19,6 +19,11 @@
 /// Part of the time that a request has left to be on time that it may wait for
 /// a slot; the rest is for its prompt to be read.
 const WAIT_SHARE: f64 = 0.5;
+/// Part of the slots up to which requests that can't be on time any more are
+/// let in while others find no place. Entries don't see what the others send,
+/// so the last slots are seldom as free as they seem.
+const LATE_USE: f64 = 0.75;
+
 /// Part of the slots by which requests may exceed what a slow target carries.
 /// Fewer are left to end there: to move a stream has its prompt read again.
 const MOST_EXCESS: f64 = 0.5;
@@ -31,7 +36,7 @@
     at: Instant,
 }
 
-/// One target of a target_set.
+/// One target of a set.
 #[derive(Clone, Debug)]
 pub(crate) struct TargetState {
     slots: f64,
@@ -99,9 +104,11 @@
     }
 
     /// Whether a request would begin in time. One that can't be on time any
-    /// more needs a free slot: were it to wait for one, it would take it from
-    /// a request that can.
+    /// more yields to those that can while they find no place.
     fn begins_in_time(&self, demand: &PlacementDemand) -> bool {
+        if demand.left.is_zero() {
+            return !demand.yields || self.occupied() < self.capacity * LATE_USE;
+        }
         let before = (self.occupied() + 1.0 - self.capacity).max(0.0);
         let wait = demand.runs.as_secs_f64() * before / self.capacity;
         wait <= demand.left.as_secs_f64() * WAIT_SHARE
