--- a/crates/direct/src/fleets.rs
+++ b/crates/direct/src/fleets.rs
@@ -1,44 +1,17 @@
 //! The fleets of all services, kept as table and board say.
 
-use crate::dialect::{Keeps, Reading};
 use crate::permit::Permit;
+use crate::service_targets::ServiceTargets;
 use crate::timing::Timing;
-use member::Presence;
 use node::KnownTarget;
-use outlet::{ClientSettings, Connection, Pool};
 use rand::rngs::SmallRng;
-use route::{
-    Distance, LoadEstimate, Outcome, Pace, ReportedLoad, RetryBudget, ReturnSchedule, TargetKey,
-    TargetSet, TargetSetTuning, TimeUsed,
-};
+use route::{Outcome, ReportedLoad, TargetKey, TimeUsed};
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use table::Table;
 use tokio::sync::{Semaphore, SemaphorePermit, watch};
 
-/// Retries for each request. Targets of a service bear a fifth more; the rest
-/// is for callers who come back by themselves.
-const RETRY_RATIO: f64 = 0.15;
-/// Retries beside those that requests pay for, so that a quiet service may
-/// retry at all.
-const RETRY_RESERVE: u32 = 3;
-/// Retries that requests have paid for and that are kept for later. With the
-/// reserve and what comes back of it in ten seconds they make 13 at an entry:
-/// 52 at four entries, 208 at sixteen. A service bears 88 and 212.
-const RETRY_EARNED: f64 = 5.0;
-/// Time in which one retry of the reserve comes back.
-const RETRY_REFILL: Duration = Duration::from_secs(2);
-/// Requests that may wait at a model engine for each of its slots: with a
-/// dozen slots one becomes free every hundred milliseconds or so, and two such
-/// times are left of an objective of 400 ms.
-const ENGINE_WAITING: f64 = 0.15;
-/// Connections to a target that are kept.
-const MOST_KEPT: usize = 16;
-/// Silence after which a target gets no new work: five check-ins of it.
-const SILENT: Duration = Duration::from_secs(6);
-
 /// Requests that wait for a table or a target at most: with four entries about
 /// what the targets of a service can begin at once when they are back.
 const MOST_WAITING: usize = 64;
@@ -57,29 +30,11 @@
 #[derive(Debug)]
 struct Inner {
     rng: SmallRng,
-    services: BTreeMap<String, Service>,
+    services: BTreeMap<String, ServiceTargets>,
     /// Time that callers of each route have used before they come.
     used: BTreeMap<String, TimeUsed>,
 }
 
-#[derive(Debug)]
-struct Service {
-    fleet: TargetSet,
-    budget: RetryBudget,
-    returns: ReturnSchedule,
-    endpoints: BTreeMap<String, (TargetKey, Endpoint)>,
-    /// Since when requests have found no target that takes work.
-    absent: Option<Instant>,
-}
-
-/// How a target is reached.
-#[derive(Clone, Debug)]
-pub(crate) struct Endpoint {
-    pub(crate) id: String,
-    pub(crate) address: SocketAddr,
-    pub(crate) pool: Arc<Pool>,
-}
-
 /// Why no target is given.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum PlacementError {
@@ -113,7 +68,7 @@
         let routes: BTreeSet<&str> = table.routes().iter().map(|r| r.name.as_str()).collect();
         inner.used.retain(|name, _| routes.contains(name.as_str()));
         for service in table.services() {
-            let fresh = || Service::new(service, self.timing.retry_full, now);
+            let fresh = || ServiceTargets::new(service, self.timing.retry_full, now);
             let held = inner
                 .services
                 .entry(service.name.clone())
@@ -121,7 +76,7 @@
             let own = known
                 .iter()
                 .filter(|known| known.told.service == service.name);
-            held.follow(own, self, now);
+            held.follow(own, &self.zone, self.timing.kept, now);
         }
         drop(inner);
         self.news.send_replace(());
@@ -132,7 +87,7 @@
         let inner = self.inner();
         let services = inner.services.iter();
         let counted = services.map(|(name, held)| {
-            let able = held.fleet.available();
+            let able = held.set.available();
             (name.clone(), able, held.endpoints.len())
         });
         counted.collect()
@@ -160,7 +115,7 @@
         let held = inner.services.get(service)?;
         let absence = &self.timing.absence;
         let until = absence.waits_until(held.absent?, deadline, now)?;
-        let trial = held.fleet.next_trial().filter(|at| *at > now);
+        let trial = held.set.next_trial().filter(|at| *at > now);
         Some(trial.map_or(until, |at| at.min(until)))
     }
 
@@ -175,14 +130,14 @@
         let mut inner = self.inner();
         let Inner { rng, services, .. } = &mut *inner;
         let held = services.get_mut(service).ok_or(PlacementError::Absent)?;
-        let Some(key) = held.fleet.choose_in(left, tried, now, rng) else {
-            if held.fleet.has_available() {
+        let Some(key) = held.set.choose_in(left, tried, now, rng) else {
+            if held.set.has_available() {
                 return Err(PlacementError::Full);
             }
             held.absent.get_or_insert(now);
             return Err(PlacementError::Absent);
         };
-        if held.fleet.has_available() {
+        if held.set.has_available() {
             held.absent = None;
         }
         let (endpoint, seen) = held.start(key, now).ok_or(PlacementError::Absent)?;
@@ -200,7 +155,7 @@
         let mut inner = self.inner();
         let Inner { rng, services, .. } = &mut *inner;
         let held = services.get_mut(service)?;
-        let key = held.fleet.choose_to_move(tried, now, rng)?;
+        let key = held.set.choose_to_move(tried, now, rng)?;
         let (endpoint, seen) = held.start(key, now)?;
         drop(inner);
         Some(Permit::new(Arc::clone(self), service, key, endpoint, seen))
@@ -249,7 +204,7 @@
         let mut inner = self.inner();
         let Inner { rng, services, .. } = &mut *inner;
         services.get_mut(service).is_some_and(|held| {
-            held.budget.has_one(now) && held.fleet.choose_in(left, tried, now, rng).is_some()
+            held.budget.has_one(now) && held.set.choose_in(left, tried, now, rng).is_some()
         })
     }
 
@@ -258,15 +213,15 @@
         let mut inner = self.inner();
         let Inner { rng, services, .. } = &mut *inner;
         services.get_mut(service).is_some_and(|held| {
-            held.fleet.sheds(key)
+            held.set.sheds(key)
                 && held.budget.has_one(now)
-                && held.fleet.choose_to_move(&[key], now, rng).is_some()
+                && held.set.choose_to_move(&[key], now, rng).is_some()
         })
     }
 
     pub(crate) fn told(&self, service: &str, key: TargetKey, load: ReportedLoad, now: Instant) {
         if let Some(held) = self.inner().services.get_mut(service) {
-            held.fleet.told(key, load, now);
+            held.set.told(key, load, now);
         }
     }
 
@@ -279,7 +234,7 @@
         now: Instant,
     ) {
         if let Some(held) = self.inner().services.get_mut(service) {
-            held.fleet.paused(key, pause, most, now);
+            held.set.paused(key, pause, most, now);
         }
     }
 
@@ -292,12 +247,12 @@
         now: Instant,
     ) {
         if let Some(held) = self.inner().services.get_mut(service) {
-            held.fleet.end(key, outcome, now);
+            held.set.end(key, outcome, now);
             if !matches!(outcome, Outcome::Declined | Outcome::Replaced) {
                 held.returns.ended(now);
             }
             if outcome == Outcome::Answered {
-                held.fleet.ran(time);
+                held.set.ran(time);
             }
         }
         if outcome == Outcome::Declined {
@@ -323,128 +278,3 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-impl Service {
-    fn new(service: &table::Service, retry_full: Duration, now: Instant) -> Service {
-        Service {
-            fleet: TargetSet::new(tuning(service)),
-            budget: RetryBudget::new(RETRY_RATIO, RETRY_RESERVE, now)
-                .bounded(RETRY_EARNED, RETRY_REFILL),
-            returns: ReturnSchedule::new(retry_full),
-            endpoints: BTreeMap::new(),
-            absent: None,
-        }
-    }
-
-    /// Begins a request at a target.
-    fn start(&mut self, key: TargetKey, now: Instant) -> Option<(Endpoint, Option<LoadEstimate>)> {
-        let mut endpoints = self.endpoints.values();
-        let (_, endpoint) = endpoints.find(|(known, _)| *known == key)?;
-        let seen = self.fleet.seen(key, now);
-        self.fleet.start(key);
-        Some((endpoint.clone(), seen))
-    }
-
-    fn follow<'a>(
-        &mut self,
-        known: impl Iterator<Item = &'a KnownTarget>,
-        fleets: &Fleets,
-        now: Instant,
-    ) {
-        let mut stays = BTreeSet::new();
-        let mut slowdowns = Vec::new();
-        let known: Vec<&KnownTarget> = known.collect();
-        let silence = |known: &KnownTarget| now.saturating_duration_since(known.heard);
-        // With control lost nothing is heard of any target, and that says
-        // nothing about them.
-        let heard_any = known.iter().any(|known| silence(known) < SILENT);
-        for known in known {
-            let told = &known.told;
-            let moved = |endpoint: &Endpoint| endpoint.address != told.address;
-            if self
-                .endpoints
-                .get(&told.id)
-                .is_some_and(|(_, endpoint)| moved(endpoint))
-            {
-                self.remove(&told.id);
-            }
-            if !self.endpoints.contains_key(&told.id) {
-                self.insert(known, fleets);
-            }
-            let Some((key, _)) = self.endpoints.get(&told.id) else {
-                continue;
-            };
-            let silent = heard_any && silence(known) >= SILENT;
-            let open = told.presence == Presence::Ready && !silent;
-            self.fleet.set_open(*key, open);
-            self.fleet.heard(*key, known.heard);
-            slowdowns.push((*key, known.slowdown));
-            stays.insert(told.id.clone());
-        }
-        self.fleet.set_slowdowns(&slowdowns);
-        let gone: Vec<String> = self
-            .endpoints
-            .keys()
-            .filter(|id| !stays.contains(*id))
-            .cloned()
-            .collect();
-        for id in gone {
-            self.remove(&id);
-        }
-    }
-
-    fn insert(&mut self, known: &KnownTarget, fleets: &Fleets) {
-        let told = &known.told;
-        let distance = if told.zone == fleets.zone {
-            Distance::Near
-        } else {
-            Distance::Far
-        };
-        let key = self.fleet.insert(told.slots, distance);
-        let endpoint = Endpoint {
-            id: told.id.clone(),
-            address: told.address,
-            pool: Arc::new(Pool::new(MOST_KEPT, fleets.timing.kept)),
-        };
-        self.endpoints.insert(told.id.clone(), (key, endpoint));
-    }
-
-    fn remove(&mut self, id: &str) {
-        if let Some((key, endpoint)) = self.endpoints.remove(id) {
-            self.fleet.remove(key);
-            endpoint.pool.clear();
-        }
-    }
-}
-
-/// A plain service's requests take a fifth of their objective, so that one
-/// round may wait; a stream takes several times its objective.
-fn tuning(service: &table::Service) -> TargetSetTuning {
-    let Some(engine) = service.engine else {
-        return TargetSetTuning::default();
-    };
-    TargetSetTuning {
-        waiting: ENGINE_WAITING,
-        pace: Some(Pace::new(engine.step, engine.step_per_request)),
-        ..TargetSetTuning::default()
-    }
-}
-
-/// Keeps a connection whose answer was read to its end, if its target does.
-pub(crate) fn keep(endpoint: &Endpoint, mut conn: Connection, reading: &Reading, timing: &Timing) {
-    match reading.keeps {
-        Keeps::Not => return,
-        Keeps::For(time) if time < timing.kept => return,
-        Keeps::For(_) | Keeps::Untold => {}
-    }
-    let cfg = ClientSettings {
-        connect: timing.connect,
-        head: timing.silence,
-        progress: timing.silence,
-        question: timing.silence,
-    };
-    match conn.keep(&cfg) {
-        Ok(()) => endpoint.pool.put(conn, Instant::now()),
-        Err(e) => log::debug!("connection to {} isn't kept: {e}", endpoint.address),
-    }
-}
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -12,6 +12,7 @@
 mod dialect;
 mod director;
 mod dispatch;
+mod dispatch_attempts;
 mod dispatch_log;
 mod doors;
 mod events;
@@ -21,6 +22,7 @@
 mod permit;
 mod proxy_request;
 mod refusal;
+mod service_targets;
 mod stream;
 mod timing;
 
--- a/crates/direct/src/permit.rs
+++ b/crates/direct/src/permit.rs
@@ -1,6 +1,7 @@
 //! One request at a target.
 
-use crate::fleets::{Endpoint, Fleets};
+use crate::fleets::Fleets;
+use crate::service_targets::Endpoint;
 use route::{LoadEstimate, Outcome, ReportedLoad, TargetKey};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -169,7 +169,7 @@
             permit,
             ..
         } = self.source.take()?;
-        crate::fleets::keep(permit.endpoint(), conn, &reading, &self.dispatch.timing);
+        crate::service_targets::keep(permit.endpoint(), conn, &reading, &self.dispatch.timing);
         permit.ended(Outcome::Answered);
         if self.events.is_between() {
             return None;
