--- a/crates/direct/src/director.rs
+++ b/crates/direct/src/director.rs
@@ -1,4 +1,4 @@
-//! Finds the endpoint of each request.
+//! Takes each request to its targets.
 
 use crate::answer::Answer;
 use crate::dialect::Dialect;
@@ -30,7 +30,7 @@
     pub dialect: Dialect,
 }
 
-/// Finds the endpoint of each request; clones share everything.
+/// Takes each request to its targets; clones share everything.
 #[derive(Clone)]
 pub struct Director {
     watcher: Watcher,
--- a/crates/direct/src/dispatch_attempts.rs
+++ b/crates/direct/src/dispatch_attempts.rs
@@ -21,7 +21,7 @@
 pub(crate) enum AttemptOutcome {
     /// An answer to pass on, and the place that it still takes.
     Answered(Box<Head>, Permit),
-    /// None; whether to go on is for the dispatch to say.
+    /// None; the caller says whether to go on.
     Missed(Reason),
     /// The target's own failure, which may be passed on if nothing is left.
     Failed(Answer),
--- a/crates/direct/src/fleets.rs
+++ b/crates/direct/src/fleets.rs
@@ -274,7 +274,7 @@
     }
 
     fn inner(&self) -> MutexGuard<'_, Inner> {
-        // Nothing under the lock can panic half-endpoint.
+        // Nothing under the lock can panic half-way.
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -1,6 +1,6 @@
 //! Requests straight to targets, without an agent.
 //!
-//! A [`Director`] takes an [`ProxyRequest`], finds its route in the table in force,
+//! A [`Director`] takes a [`ProxyRequest`], finds its route in the table in force,
 //! chooses a target, and gives back an [`Answer`]: the target's own, or a
 //! [`Refusal`] that says whether the request ran. How a target is spoken to
 //! beside plain HTTP is its deployment's [`Dialect`].
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -16,7 +16,7 @@
 use table::Kind;
 use tokio::time::timeout;
 
-/// A stream on its endpoint to the caller.
+/// A stream on its way to the caller.
 struct Relay {
     dispatch: Dispatch,
     /// None once the target's part is over.
--- a/crates/direct/src/timing.rs
+++ b/crates/direct/src/timing.rs
@@ -18,7 +18,7 @@
     pub kept: Duration,
     /// When a caller who finds all targets full, or is declined by them, may
     /// come back: about the time that bursts of demand, switches of expert maps
-    /// and groups that form anew last. Its objective is failed_attempt by then, so that
+    /// and groups that form anew last. Its objective is missed by then, so that
     /// to come back sooner wins nothing and fails more often.
     pub retry_full: Duration,
     /// When a caller who finds no target or no table may come back: about the
