--- a/crates/route/src/target_set.rs
+++ b/crates/route/src/target_set.rs
@@ -120,8 +120,6 @@
     trial: Option<(TargetKey, Instant)>,
     /// Usual time that a request runs, once one has ended.
     runs: Option<Duration>,
-    /// When a request that could have been on time last found no place.
-    contended: Option<Instant>,
 }
 
 /// What a request asks of a target.
@@ -131,13 +129,8 @@
     pub(crate) left: Duration,
     /// Usual time that a request runs.
     pub(crate) runs: Duration,
-    /// Requests that could be on time find no place.
-    pub(crate) yields: bool,
 }
 
-/// How long requests that can't be on time yield after one that could have been
-/// found no place.
-const CONTENDED: Duration = Duration::from_millis(500);
 /// Weight of the newest request in the usual time that one runs.
 const RUNS_WEIGHT: f64 = 0.1;
 
@@ -154,7 +147,6 @@
             targets: SlotMap::with_key(),
             trial: None,
             runs: None,
-            contended: None,
         }
     }
 
@@ -245,8 +237,8 @@
     ///
     /// At a model engine it gets a place if it is about to have a slot by then:
     /// by Little's law one becomes free each time that a request runs, divided
-    /// by the slots. One whose time is over yields while those that can be on
-    /// time find no place.
+    /// by the slots. One whose time is over gets a place only while some are
+    /// left for those that can be on time.
     pub fn choose_in(
         &mut self,
         left: Duration,
@@ -258,45 +250,24 @@
         let demand = PlacementDemand {
             left,
             runs: self.runs.unwrap_or_default(),
-            yields: self.is_contended(now),
         };
-        let chosen = self.choose_by(&demand, tried, now, rng);
-        if chosen.is_none() && tried.is_empty() && !left.is_zero() {
-            self.contended = Some(now);
-        }
-        chosen
-    }
-
-    /// Whether requests that could have been on time found no place lately.
-    fn is_contended(&self, now: Instant) -> bool {
-        let since = |at| now.saturating_duration_since(at);
-        self.contended.is_some_and(|at| since(at) < CONTENDED)
-    }
-
-    fn choose_by(
-        &mut self,
-        demand: &PlacementDemand,
-        tried: &[TargetKey],
-        now: Instant,
-        rng: &mut impl Rng,
-    ) -> Option<TargetKey> {
         let untried =
             |(key, target): &(TargetKey, &TargetState)| target.is_open() && !tried.contains(key);
         let open = || self.targets.iter().filter(untried);
         let available = || open().filter(|(_, target)| target.is_available());
         let sound = available().filter(|(_, target)| !target.is_ejected(now));
-        let chosen = self.least_loaded(demand, sound, now, rng).or_else(|| {
+        let chosen = self.least_loaded(&demand, sound, now, rng).or_else(|| {
             let mut any = available().filter(|(_, target)| target.is_ejected(now));
             let soonest = any.by_ref().min_by_key(|(_, target)| target.ejected_until);
             soonest
-                .filter(|(_, target)| target.has_room(demand, &self.tuning, now))
+                .filter(|(_, target)| target.has_room(&demand, &self.tuning, now))
                 .map(|(key, _)| key)
         });
         if chosen.is_some() || self.trial.is_some() {
             return chosen;
         }
         let due = open().filter(|(_, target)| target.unable_until.is_some_and(|at| now >= at));
-        let chosen = self.least_loaded(demand, due, now, rng)?;
+        let chosen = self.least_loaded(&demand, due, now, rng)?;
         self.trial = Some((chosen, now));
         Some(chosen)
     }
--- a/crates/route/src/target_state.rs
+++ b/crates/route/src/target_state.rs
@@ -19,9 +19,9 @@
 /// Part of the time that a request has left to be on time that it may wait for
 /// a slot; the rest is for its prompt to be read.
 const WAIT_SHARE: f64 = 0.5;
-/// Part of the slots up to which requests that can't be on time any more are
-/// let in while others find no place. Entries don't see what the others send,
-/// so the last slots are seldom as free as they seem.
+/// Part of the slots up to which requests are let in that can't be on time any
+/// more. Entries don't see what the others send, so the last slots are seldom
+/// as free as they seem.
 const LATE_USE: f64 = 0.75;
 
 /// Part of the slots by which requests may exceed what a slow target carries.
@@ -104,10 +104,10 @@
     }
 
     /// Whether a request would begin in time. One that can't be on time any
-    /// more yields to those that can while they find no place.
+    /// more yields to those that can.
     fn begins_in_time(&self, demand: &PlacementDemand) -> bool {
         if demand.left.is_zero() {
-            return !demand.yields || self.occupied() < self.capacity * LATE_USE;
+            return self.occupied() < self.capacity * LATE_USE;
         }
         let before = (self.occupied() + 1.0 - self.capacity).max(0.0);
         let wait = demand.runs.as_secs_f64() * before / self.capacity;
