--- a/crates/direct/src/director.rs
+++ b/crates/direct/src/director.rs
@@ -3,8 +3,8 @@
 use crate::answer::Answer;
 use crate::dialect::Dialect;
 use crate::dispatch::Dispatch;
-use crate::fleets::Fleets;
 use crate::metrics::Metrics;
+use crate::placer::Placer;
 use crate::proxy_request::ProxyRequest;
 use crate::refusal::{Reason, Refusal};
 use crate::timing::Timing;
@@ -34,7 +34,7 @@
 #[derive(Clone)]
 pub struct Director {
     watcher: Watcher,
-    fleets: Arc<Fleets>,
+    placer: Arc<Placer>,
     timing: Arc<Timing>,
     dialect: Dialect,
     metrics: Metrics,
@@ -42,13 +42,13 @@
 }
 
 impl Director {
-    /// Begins to keep the fleets in line with what the watcher holds.
+    /// Begins to keep services and targets in line with what the watcher holds.
     #[must_use]
     pub fn spawn(watcher: Watcher, cfg: DirectorSettings, registry: &mut Registry) -> Director {
         let metrics = Metrics::default();
         metrics.register(registry);
         let director = Director {
-            fleets: Arc::new(Fleets::new(&cfg.zone, cfg.timing.clone())),
+            placer: Arc::new(Placer::new(&cfg.zone, cfg.timing.clone())),
             timing: Arc::new(cfg.timing),
             dialect: cfg.dialect,
             metrics,
@@ -57,7 +57,7 @@
         };
         tokio::spawn(follow(
             director.watcher.clone(),
-            Arc::clone(&director.fleets),
+            Arc::clone(&director.placer),
             director.metrics.clone(),
         ));
         director
@@ -68,12 +68,12 @@
     /// # Errors
     ///
     /// A [`Refusal`] that says whether it ran.
-    pub async fn run(&self, ask: ProxyRequest) -> Result<Answer, Refusal> {
+    pub async fn run(&self, req: ProxyRequest) -> Result<Answer, Refusal> {
         self.metrics.open.inc();
         let _open = Open(&self.metrics);
-        let arrived = ask.arrived;
+        let arrived = req.arrived;
         let mut service = String::new();
-        let answered = self.direct(ask, &mut service).await;
+        let answered = self.direct(req, &mut service).await;
         match &answered {
             Ok(answer) => {
                 self.metrics.ended(&service, answer.status.as_str());
@@ -85,34 +85,34 @@
     }
 
     /// Runs it, and tells the service once that is known.
-    async fn direct(&self, ask: ProxyRequest, led_to: &mut String) -> Result<Answer, Refusal> {
-        let table = self.known_table(&ask).await?;
-        let route = table.route(&ask.host, ask.path_only());
-        let route = route.ok_or_else(|| refuse(&ask, &table, Reason::NoRoute))?;
-        let account = account(&table, route, &ask)?;
-        let waits = ask
+    async fn direct(&self, req: ProxyRequest, led_to: &mut String) -> Result<Answer, Refusal> {
+        let table = self.known_table(&req).await?;
+        let route = table.route(&req.host, req.path_only());
+        let route = route.ok_or_else(|| refuse(&req, &table, Reason::NoRoute))?;
+        let account = account(&table, route, &req)?;
+        let waits = req
             .patience
             .map_or(route.timeout, |waits| waits.min(route.timeout));
         let service = route.service(rand::random());
         service.clone_into(led_to);
-        let dispatch = Dispatch::new(account, service, route, ask.arrived + waits, self, ask);
+        let dispatch = Dispatch::new(account, service, route, req.arrived + waits, self, req);
         dispatch.run().await
     }
 
     /// The table in force; soon after the start it is waited for.
-    async fn known_table(&self, ask: &ProxyRequest) -> Result<Arc<Table>, Refusal> {
+    async fn known_table(&self, req: &ProxyRequest) -> Result<Arc<Table>, Refusal> {
         let mut changed = self.watcher.watched().changed();
         loop {
             if let Some(table) = self.watcher.table() {
                 return Ok(table);
             }
             let now = Instant::now();
-            let patience = ask.patience.unwrap_or(self.timing.silence);
-            let deadline = ask.arrived + patience;
+            let patience = req.patience.unwrap_or(self.timing.silence);
+            let deadline = req.arrived + patience;
             let absence = &self.timing.absence;
             let until = absence.waits_until(self.began, deadline, now);
-            let Some((until, _waiter)) = until.zip(self.fleets.waiter()) else {
-                log::info!(request = ask.id.as_str(); "refused: {}", Reason::NoTable);
+            let Some((until, _waiter)) = until.zip(self.placer.waiter()) else {
+                log::info!(request = req.id.as_str(); "refused: {}", Reason::NoTable);
                 return Err(Refusal::after(Reason::NoTable, self.timing.retry_absent));
             };
             // Either outcome means that it is time to look again.
@@ -120,8 +120,8 @@
         }
     }
 
-    pub(crate) fn fleets(&self) -> &Arc<Fleets> {
-        &self.fleets
+    pub(crate) fn placer(&self) -> &Arc<Placer> {
+        &self.placer
     }
 
     pub(crate) fn timing(&self) -> &Arc<Timing> {
@@ -146,34 +146,34 @@
 }
 
 /// The client account of a caller who may use the route.
-fn account(table: &Table, route: &Route, ask: &ProxyRequest) -> Result<Option<String>, Refusal> {
-    let known = ask.key.as_deref().and_then(|key| table.account(key));
+fn account(table: &Table, route: &Route, req: &ProxyRequest) -> Result<Option<String>, Refusal> {
+    let known = req.key.as_deref().and_then(|key| table.account(key));
     if known.is_none() && table.has_accounts() && route.access == Access::Accounts {
-        return Err(refuse(ask, table, Reason::UnknownKey));
+        return Err(refuse(req, table, Reason::UnknownKey));
     }
     Ok(known.map(|account| account.name.clone()))
 }
 
-fn refuse(ask: &ProxyRequest, table: &Table, reason: Reason) -> Refusal {
+fn refuse(req: &ProxyRequest, table: &Table, reason: Reason) -> Refusal {
     log::info!(
-        request = ask.id.as_str(), host = ask.host.as_str(), table = table.number();
+        request = req.id.as_str(), host = req.host.as_str(), table = table.number();
         "refused: {reason}"
     );
     Refusal::new(reason)
 }
 
-async fn follow(watcher: Watcher, fleets: Arc<Fleets>, metrics: Metrics) {
+async fn follow(watcher: Watcher, placer: Arc<Placer>, metrics: Metrics) {
     let mut changed = watcher.watched().changed();
     loop {
         let now = Instant::now();
         if let Some(table) = watcher.table() {
-            fleets.follow(&table, &watcher.watched().targets(now), now);
+            placer.follow(&table, &watcher.watched().targets(now), now);
             metrics.set_table(table.number());
-            for (service, able, all) in fleets.counts() {
+            for (service, able, all) in placer.counts() {
                 metrics.set_targets(&service, able, all);
             }
         }
-        fleets.tidy(now);
+        placer.tidy(now);
         // An end of the wait means that it is time to look again.
         if let Ok(Err(_)) = timeout(TIDY, changed.changed()).await {
             return;
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -5,9 +5,9 @@
 use crate::director::Director;
 use crate::dispatch_attempts::AttemptOutcome;
 use crate::exchange::Head;
-use crate::fleets::{Fleets, PlacementError};
 use crate::metrics::Metrics;
 use crate::permit::Permit;
+use crate::placer::{PlacementError, Placer};
 use crate::proxy_request::ProxyRequest;
 use crate::refusal::{Reason, Refusal};
 use crate::stream;
@@ -24,16 +24,16 @@
 
 /// One request on its way to an answer or a refusal.
 pub(crate) struct Dispatch {
-    pub(crate) ask: ProxyRequest,
+    pub(crate) req: ProxyRequest,
     pub(crate) account: Option<String>,
     pub(crate) service: String,
     pub(crate) kind: Kind,
     pub(crate) deadline: Instant,
-    /// When it is no longer on time, and perhaps was not when it came.
+    /// Until when its first answer is on time; none if it came too late for that.
     on_time_until: Option<Instant>,
     /// Targets that may still run it.
     pub(crate) attempts: u32,
-    pub(crate) fleets: Arc<Fleets>,
+    pub(crate) placer: Arc<Placer>,
     pub(crate) dialect: Dialect,
     pub(crate) timing: Arc<Timing>,
     pub(crate) metrics: Metrics,
@@ -54,20 +54,20 @@
         route: &Route,
         deadline: Instant,
         director: &Director,
-        ask: ProxyRequest,
+        req: ProxyRequest,
     ) -> Dispatch {
         Dispatch {
             account,
             service: service.to_owned(),
             kind: route.kind,
             deadline,
-            on_time_until: on_time_until(route, &ask, director.fleets()),
+            on_time_until: on_time_until(route, &req, director.placer()),
             attempts: route.attempts.max(1),
-            fleets: Arc::clone(director.fleets()),
+            placer: Arc::clone(director.placer()),
             dialect: director.dialect(),
             timing: Arc::clone(director.timing()),
             metrics: director.metrics().clone(),
-            ask,
+            req,
             tried: Vec::new(),
             unsent: 0,
             has_begun: false,
@@ -78,13 +78,13 @@
 
     /// Runs the request to its answer.
     pub(crate) async fn run(mut self) -> Result<Answer, Refusal> {
-        self.fleets.deposit(&self.service);
+        self.placer.deposit(&self.service);
         let mut failed = None;
         loop {
             if self.left().is_zero() {
                 return self.give_up(failed, Reason::Expired);
             }
-            let after = self.ask.after;
+            let after = self.req.after;
             let permit = match self.placed().await {
                 Ok(permit) => permit,
                 Err(reason) => return self.give_up(failed, reason),
@@ -123,23 +123,23 @@
     /// Takes a place, and waits for a target to come while the service has none.
     async fn placed(&mut self) -> Result<Permit, Reason> {
         loop {
-            let mut news = self.fleets.news();
+            let mut news = self.placer.news();
             let reason = match self.place() {
                 Ok(permit) => return Ok(permit),
                 Err(reason) => reason,
             };
             let now = Instant::now();
             let until = match reason {
-                Reason::NoTarget => self.fleets.looks_again(&self.service, self.deadline, now),
+                Reason::NoTarget => self.placer.looks_again(&self.service, self.deadline, now),
                 _ => None,
             };
-            let Some((until, _waiter)) = until.zip(self.fleets.waiter()) else {
+            let Some((until, _waiter)) = until.zip(self.placer.waiter()) else {
                 return Err(reason);
             };
             if !self.waits {
                 self.waits = true;
                 log::info!(
-                    request = self.ask.id.as_str(), service = self.service.as_str(),
+                    request = self.req.id.as_str(), service = self.service.as_str(),
                     left_ms:display = self.left().as_millis();
                     "waits for a target"
                 );
@@ -156,7 +156,7 @@
     pub(crate) fn place(&mut self) -> Result<Permit, Reason> {
         let now = Instant::now();
         let placed = self
-            .fleets
+            .placer
             .place(&self.service, self.left_on_time(now), &self.tried, now);
         let permit = placed.map_err(|none| match none {
             PlacementError::Absent => Reason::NoTarget,
@@ -169,7 +169,7 @@
     /// Time in which it must begin to be answered to be on time. A stream of
     /// which the caller has events already is not late by its first one.
     pub(crate) fn left_on_time(&self, now: Instant) -> Duration {
-        if self.ask.after.is_some() || self.has_begun {
+        if self.req.after.is_some() || self.has_begun {
             return Duration::MAX;
         }
         let until = self.on_time_until;
@@ -184,7 +184,7 @@
         if !movable {
             return None;
         }
-        let place = self.fleets.place_to_move(&self.service, &self.tried, now)?;
+        let place = self.placer.place_to_move(&self.service, &self.tried, now)?;
         if !self.may_repeat(Reason::Lost) {
             return None;
         }
@@ -231,7 +231,7 @@
         }
         let allowed = reason.not_run() || self.kind.repeats();
         let now = Instant::now();
-        let again = allowed && self.attempts > 0 && self.fleets.withdraw(&self.service, now);
+        let again = allowed && self.attempts > 0 && self.placer.withdraw(&self.service, now);
         if again {
             self.metrics.retried(&self.service);
         }
@@ -251,7 +251,7 @@
         let refusal = match reason {
             Reason::Full | Reason::Declined => {
                 let most = self.left().mul_f64(RETURN_WITHIN / SPREAD.end);
-                let after = self.fleets.come_back(&self.service, most, Instant::now());
+                let after = self.placer.come_back(&self.service, most, Instant::now());
                 Refusal::after(reason, spread(after))
             }
             Reason::NoTarget | Reason::NoTable => {
@@ -260,8 +260,9 @@
             _ => Refusal::new(reason),
         };
         log::info!(
-            request = self.ask.id.as_str(), service = self.service.as_str(),
-            tried = self.tried.len(), left_ms:display = self.left().as_millis();
+            request = self.req.id.as_str(), service = self.service.as_str(),
+            tried = self.tried.len(), left_ms:display = self.left().as_millis(),
+            retry_after_ms:display = refusal.retry_after.unwrap_or_default().as_millis();
             "refused: {reason}"
         );
         Err(refusal)
@@ -272,13 +273,13 @@
     }
 }
 
-/// When a request is no longer on time; none if it wasn't when it came.
-fn on_time_until(route: &Route, ask: &ProxyRequest, fleets: &Fleets) -> Option<Instant> {
-    let used = ask.patience.map_or(Duration::ZERO, |patience| {
-        fleets.time_used(&route.name, patience, ask.arrived)
+/// Until when a request's first answer is on time; none if it came too late.
+fn on_time_until(route: &Route, req: &ProxyRequest, placer: &Placer) -> Option<Instant> {
+    let used = req.patience.map_or(Duration::ZERO, |patience| {
+        placer.time_used(&route.name, patience, req.arrived)
     });
     let left = route.objective.checked_sub(used)?;
-    Some(ask.arrived + left)
+    Some(req.arrived + left)
 }
 
 /// Part of its time left after which a caller comes back at the latest: the rest
--- a/crates/direct/src/dispatch_attempts.rs
+++ b/crates/direct/src/dispatch_attempts.rs
@@ -79,7 +79,7 @@
     ) -> Result<Head, AttemptError> {
         let sending = self.sending(reuse, after);
         let mut sent = pin!(sending.send(permit));
-        let mut news = self.fleets.news();
+        let mut news = self.placer.news();
         let mut silent = pin!(sleep(self.timing.silence));
         loop {
             tokio::select! {
@@ -90,7 +90,7 @@
                     }
                     silent.set(sleep(self.timing.silence));
                 }
-                // The sender lives as long as the fleets.
+                // The placer sends until it is dropped.
                 _ = news.changed() => {
                     if permit.sheds(Instant::now()) && self.may_move() {
                         return Err(AttemptError::Lost("the target is slow".to_owned()));
@@ -107,13 +107,13 @@
         let left = self.left_on_time(now);
         allowed
             && self
-                .fleets
+                .placer
                 .bears_retry(&self.service, left, &self.tried, now)
     }
 
     fn sending(&self, reuse: Reuse, after: Option<u64>) -> Attempt<'_> {
         Attempt {
-            ask: &self.ask,
+            req: &self.req,
             account: self.account.as_deref(),
             deadline: self.deadline,
             after,
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -23,7 +23,7 @@
 /// What one try to send a request is about.
 #[derive(Clone, Copy)]
 pub(crate) struct Attempt<'a> {
-    pub(crate) ask: &'a ProxyRequest,
+    pub(crate) req: &'a ProxyRequest,
     pub(crate) account: Option<&'a str>,
     pub(crate) deadline: Instant,
     pub(crate) after: Option<u64>,
@@ -81,7 +81,7 @@
         conn: Connection,
     ) -> Result<Head, AttemptError> {
         let (head, body) = response.into_parts();
-        let reading = (self.dialect.read)(&self.ask.id, head.status, &head.headers);
+        let reading = (self.dialect.read)(&self.req.id, head.status, &head.headers);
         match reading.word {
             Verdict::Foreign => {
                 return Err(AttemptError::Lost(
@@ -124,11 +124,11 @@
 
     fn request(&self, permit: &Permit) -> Result<Request<Full<Bytes>>, AttemptError> {
         let mut req = Request::builder()
-            .method(self.ask.method.clone())
-            .uri(self.ask.path.as_str())
-            .body(Full::new(self.ask.body.clone()))
+            .method(self.req.method.clone())
+            .uri(self.req.path.as_str())
+            .body(Full::new(self.req.body.clone()))
             .map_err(|e| AttemptError::Unsent(e.to_string()))?;
-        let mut headers = self.ask.headers.clone();
+        let mut headers = self.req.headers.clone();
         let told = Told {
             target: &permit.endpoint().id,
             account: self.account,
--- a/crates/direct/src/permit.rs
+++ b/crates/direct/src/permit.rs
@@ -1,6 +1,6 @@
 //! One request at a target.
 
-use crate::fleets::Fleets;
+use crate::placer::Placer;
 use crate::service_targets::Endpoint;
 use route::{LoadEstimate, Outcome, ReportedLoad, TargetKey};
 use std::sync::Arc;
@@ -9,7 +9,7 @@
 /// One request at a target; its place is free again when this is dropped.
 #[derive(Debug)]
 pub(crate) struct Permit {
-    fleets: Arc<Fleets>,
+    placer: Arc<Placer>,
     service: String,
     key: TargetKey,
     endpoint: Endpoint,
@@ -22,14 +22,14 @@
 
 impl Permit {
     pub(crate) fn new(
-        fleets: Arc<Fleets>,
+        placer: Arc<Placer>,
         service: &str,
         key: TargetKey,
         endpoint: Endpoint,
         seen: Option<LoadEstimate>,
     ) -> Permit {
         Permit {
-            fleets,
+            placer,
             service: service.to_owned(),
             key,
             endpoint,
@@ -49,7 +49,7 @@
 
     /// Whether its stream should go on elsewhere.
     pub(crate) fn sheds(&self, now: Instant) -> bool {
-        self.fleets.sheds(&self.service, self.key, now)
+        self.placer.sheds(&self.service, self.key, now)
     }
 
     pub(crate) fn endpoint(&self) -> &Endpoint {
@@ -59,12 +59,12 @@
     /// The target told its load.
     pub(crate) fn told(&self, load: ReportedLoad) {
         let now = Instant::now();
-        self.fleets.told(&self.service, self.key, load, now);
+        self.placer.told(&self.service, self.key, load, now);
     }
 
     /// Its stream paused for so long between two events.
     pub(crate) fn paused(&self, pause: Duration, most: Duration, now: Instant) {
-        self.fleets
+        self.placer
             .paused(&self.service, self.key, (pause, most), now);
     }
 
@@ -82,6 +82,6 @@
     fn drop(&mut self) {
         let now = Instant::now();
         let ended = (self.outcome, now - self.since);
-        self.fleets.end(&self.service, self.key, ended, now);
+        self.placer.end(&self.service, self.key, ended, now);
     }
 }
--- a/crates/direct/src/fleets.rs
+++ b/crates/direct/src/placer.rs
@@ -1,4 +1,4 @@
-//! The fleets of all services, kept as table and board say.
+//! Places requests at the targets of all services.
 
 use crate::permit::Permit;
 use crate::service_targets::ServiceTargets;
@@ -16,9 +16,9 @@
 /// what the targets of a service can begin at once when they are back.
 const MOST_WAITING: usize = 64;
 
-/// The fleets of all services.
+/// Places requests at the targets of all services, kept as table and board say.
 #[derive(Debug)]
-pub(crate) struct Fleets {
+pub(crate) struct Placer {
     zone: String,
     timing: Timing,
     inner: Mutex<Inner>,
@@ -44,14 +44,14 @@
     Full,
 }
 
-impl Fleets {
-    pub(crate) fn new(zone: &str, timing: Timing) -> Fleets {
+impl Placer {
+    pub(crate) fn new(zone: &str, timing: Timing) -> Placer {
         let inner = Inner {
             rng: rand::make_rng(),
             services: BTreeMap::new(),
             used: BTreeMap::new(),
         };
-        Fleets {
+        Placer {
             zone: zone.to_owned(),
             timing,
             inner: Mutex::new(inner),
@@ -60,7 +60,8 @@
         }
     }
 
-    /// Brings the fleets in line with the table and what targets told.
+    /// Brings the services and their targets in line with the table and what
+    /// targets told.
     pub(crate) fn follow(&self, table: &Table, known: &[KnownTarget], now: Instant) {
         let mut inner = self.inner();
         let named = |name: &str| table.service(name).is_some();
@@ -121,7 +122,7 @@
 
     /// Takes a place at the best target that wasn't tried.
     pub(crate) fn place(
-        self: &Arc<Fleets>,
+        self: &Arc<Placer>,
         service: &str,
         left: Duration,
         tried: &[TargetKey],
@@ -147,7 +148,7 @@
 
     /// Takes a place for a stream that leaves a slow target.
     pub(crate) fn place_to_move(
-        self: &Arc<Fleets>,
+        self: &Arc<Placer>,
         service: &str,
         tried: &[TargetKey],
         now: Instant,
--- a/crates/direct/src/service_targets.rs
+++ b/crates/direct/src/service_targets.rs
@@ -26,9 +26,8 @@
 const RETRY_EARNED: f64 = 5.0;
 /// Time in which one retry of the reserve comes back.
 const RETRY_REFILL: Duration = Duration::from_secs(2);
-/// Requests that may wait at a model engine for each of its slots: with a
-/// dozen slots one becomes free every hundred milliseconds or so, and two such
-/// times are left of an objective of 400 ms.
+/// Requests that may wait at a model engine for each of its slots, however much
+/// time they have.
 const ENGINE_WAITING: f64 = 0.15;
 /// Connections to a target that are kept.
 const MOST_KEPT: usize = 16;
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -65,7 +65,7 @@
 pub(crate) fn relay(dispatch: Dispatch, head: Head, permit: Permit) -> Answer {
     let (status, headers) = (head.status, head.headers);
     let relay = Relay {
-        last: dispatch.ask.after,
+        last: dispatch.req.after,
         source: Some(Source {
             body: head.body,
             conn: head.conn,
@@ -223,7 +223,7 @@
 
     fn resumed(&mut self, head: Head, permit: Permit) {
         log::info!(
-            request = self.dispatch.ask.id.as_str(), target_id = permit.endpoint().id.as_str(),
+            request = self.dispatch.req.id.as_str(), target_id = permit.endpoint().id.as_str(),
             after = self.last.unwrap_or(0);
             "stream goes on at another target"
         );
@@ -240,7 +240,7 @@
     fn broken_off(&self, why: &str) -> io::Error {
         self.dispatch.metrics.miss("stream cut");
         log::warn!(
-            request = self.dispatch.ask.id.as_str(), after = self.last.unwrap_or(0),
+            request = self.dispatch.req.id.as_str(), after = self.last.unwrap_or(0),
             left_ms:display = self.dispatch.left().as_millis();
             "stream broken off: {why}"
         );
