--- a/crates/agent/src/rank_agent.rs
+++ b/crates/agent/src/rank_agent.rs
@@ -130,7 +130,7 @@
         let agent = MapAgent::start(settings, listener).await?;
         agent.set_group(group(&state, experts));
         log::info!(group = state.group.as_str(), rank = state.rank; "agent serves its rank");
-        moved(&outlet, &state, cfg.engine, &follower).await;
+        watch_engine(&outlet, &state, cfg.engine, &follower).await;
         log::info!("the engine is a rank elsewhere now");
     }
 }
@@ -167,9 +167,14 @@
     }
 }
 
-/// Waits until the engine belongs to another group or is another rank, and
-/// reports meanwhile how fast it is.
-async fn moved(outlet: &Outlet, known: &ArmingState, engine: SocketAddr, follower: &Follower) {
+/// Reports how fast the engine is, until it belongs to another group or is
+/// another rank.
+async fn watch_engine(
+    outlet: &Outlet,
+    known: &ArmingState,
+    engine: SocketAddr,
+    follower: &Follower,
+) {
     let place = |state: &ArmingState| (state.group.clone(), state.rank, state.ranks);
     let mut reports = SpeedReports::default();
     loop {
--- a/crates/route/src/target_set.rs
+++ b/crates/route/src/target_set.rs
@@ -139,7 +139,7 @@
 const TRIAL: Duration = Duration::from_millis(50);
 
 impl TargetSet {
-    /// a set without targets.
+    /// A set without targets.
     #[must_use]
     pub fn new(tuning: TargetSetTuning) -> TargetSet {
         TargetSet {
