Reset a connection only until its answer begins

The reset was set from the request on until the connection is kept. Ruled out: the machine's load; the order of the calls shows it. Change: from the head of the answer on the target surely has the request, and the connection closes in the orderly way again. Before: keep_bounded fails; after: it passes, as do drop_unanswered and drop_kept.

--- a/crates/outlet/src/client.rs
+++ b/crates/outlet/src/client.rs
@@ -109,11 +109,12 @@
     ) -> Result<Response<Incoming>, Unanswered> {
         // A target that stands still would read the request after its caller
         // has left, if an orderly close delivered it.
-        if let Err(e) = self.socket.set_close(Close::Reset) {
-            log::debug!("a close of the connection will not reset it: {e}");
-        }
+        self.set_close(Close::Reset);
         match timeout(within, self.tx.try_send_request(req)).await {
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(response)) => {
+                self.set_close(Close::Deliver);
+                Ok(response)
+            }
             Ok(Err(mut e)) => Err(match e.take_message() {
                 Some(req) => Unanswered::Unwritten(Box::new(req)),
                 None => Unanswered::Failed(Failure::Broken(e.error().to_string())),
@@ -125,6 +126,12 @@
         }
     }
 
+    fn set_close(&self, close: Close) {
+        if let Err(e) = self.socket.set_close(close) {
+            log::debug!("a close of the connection stays as it was: {e}");
+        }
+    }
+
     /// Waits until the connection has done with the former call; false if it
     /// has ended.
     #[must_use]
@@ -147,7 +154,6 @@
     ///
     /// The kernel refuses to watch the connection; it had better be dropped.
     pub fn keep(&mut self, cfg: &ClientSettings) -> io::Result<()> {
-        self.socket.set_close(Close::Deliver)?;
         if self.used == Use::First {
             self.socket.set_silence(cfg.connect)?;
             self.used = Use::Further;
