Add replicas on new disks whose settings name no leader

A replica on a new disk asked only the seeds to let it join, only the leader acted on that, and replicas that are no seeds led. Two more lost disks cost the majority.

Ruled out: the log itself; the schedules with lost disks passed, but let every host reach every other. With links only between hosts of which one knows the other's address, two spare hosts and voters that are replaced, schedule_lost_minorities failed at once ("did not recover within 6000 steps").

Change: a follower forwards a join request to its leader, once, and messages of the log use a link whichever end opened it, as the new replica learns the leader's address only from the log. The leader reports how many more lost disks the log tolerates: status, metric, a log line on a change.

--- a/crates/control/src/codec.rs
+++ b/crates/control/src/codec.rs
@@ -91,8 +91,8 @@
             done,
             round,
         }),
-        MessageBody::Join { peer } => Body::Join(Join {
-            disk: 0,
+        MessageBody::Join { id, peer } => Body::Join(Join {
+            disk: id.0,
             name: peer.name,
             address: peer.address,
         }),
@@ -108,11 +108,11 @@
         from: DiskId(message.from),
         to: DiskId(message.to),
         term: message.term,
-        body: decode_body(body)?,
+        body: decode_body(DiskId(message.from), body)?,
     })
 }
 
-fn decode_body(body: Body) -> Result<MessageBody> {
+fn decode_body(from: DiskId, body: Body) -> Result<MessageBody> {
     Ok(match body {
         Body::VoteRequest(m) => MessageBody::VoteRequest {
             pre_vote: m.pre,
@@ -151,6 +151,8 @@
             round: m.round,
         },
         Body::Join(m) => MessageBody::Join {
+            // Absent in requests of earlier versions, which are not forwarded.
+            id: if m.disk == 0 { from } else { DiskId(m.disk) },
             peer: Peer::new(&m.name, &m.address),
         },
     })
--- a/crates/control/src/links.rs
+++ b/crates/control/src/links.rs
@@ -2,6 +2,7 @@
 
 use crate::codec;
 use crate::gossip::Gossip;
+use crate::peers::{Direction, PeerLink};
 use crate::replica::{Msg, Request};
 use crate::reply::Reply;
 use prometheus_client::metrics::counter::Counter;
@@ -110,6 +111,11 @@
         mut rx: mpsc::Receiver<Incoming>,
         sightings: mpsc::Sender<Incoming>,
     ) {
+        let id = DiskId(link.peer().incarnation);
+        let (peer_link, sender) = PeerLink::spawn(link.clone(), &self.log_runtime);
+        let connected = Msg::PeerConnected(id, Direction::Accepted, peer_link);
+        // If the replica has stopped, the loop ends.
+        let _ = self.replica.cast(connected);
         loop {
             let incoming = tokio::select! {
                 () = self.stop.cancelled() => break,
@@ -129,7 +135,9 @@
                 break;
             }
         }
+        drop(sender);
         link.close();
+        let _ = self.replica.cast(Msg::PeerDisconnected(id));
     }
 
     /// Starts a task on the current runtime that merges the sightings of a replica.
@@ -236,7 +244,7 @@
 
 /// Accepts a replica's message only if it comes from the replica's own disk: otherwise
 /// a vote could be counted for a disk that did not cast it.
-fn quorum_msg(message: QuorumMessage, link: &Link) -> Option<Msg> {
+pub(crate) fn quorum_msg(message: QuorumMessage, link: &Link) -> Option<Msg> {
     let peer = link.peer();
     let is_sender = peer.role == Role::Control && message.from == peer.incarnation;
     match codec::decode(message) {
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -18,6 +18,7 @@
     pub(crate) ledger_bytes: Gauge,
     pub(crate) ledger_unproved: Gauge,
     pub(crate) nodes: Gauge,
+    pub(crate) tolerated_losses: Gauge,
     pub(crate) commands: Counter,
     pub(crate) refused_commands: Counter,
     pub(crate) renewals: Counter,
@@ -57,6 +58,11 @@
                 "Nodes that hold a lease from this leader",
                 &self.nodes,
             ),
+            (
+                "tolerated_losses",
+                "Disks that may still be lost at once; -1 unless this replica leads",
+                &self.tolerated_losses,
+            ),
         ];
         for (name, help, gauge) in gauges {
             registry.register(name, help, gauge.clone());
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -2,11 +2,13 @@
 
 use crate::codec;
 use crate::leader_client::LeaderClient;
+use crate::links;
 use crate::replica::Msg;
 use crate::replicas::Replicas;
 use quorum::{DiskId, Message};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use tokio::runtime::Handle;
 use tokio::sync::{mpsc, watch};
 use tokio_util::task::AbortOnDropHandle;
 use wire::proto::frame::Body;
@@ -16,10 +18,19 @@
 /// lossy network; the log protocol sends them again.
 const LINK_QUEUE_LEN: usize = 1024;
 
+/// Which of the two ends opened a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Direction {
+    /// This replica.
+    Dialed,
+    /// The other replica, whose address this one need not know.
+    Accepted,
+}
+
 /// Open links, by the disk of the peer replica.
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
-    links: BTreeMap<DiskId, PeerLink>,
+    links: BTreeMap<(DiskId, Direction), PeerLink>,
 }
 
 /// An open link.
@@ -28,33 +39,58 @@
     tx: mpsc::Sender<Message>,
 }
 
+impl PeerLink {
+    /// Starts to send messages over a link, until the returned task is dropped.
+    pub(crate) fn spawn(link: Link, runtime: &Handle) -> (PeerLink, AbortOnDropHandle<()>) {
+        let (tx, mut messages) = mpsc::channel(LINK_QUEUE_LEN);
+        let send = async move {
+            while let Some(message) = messages.recv().await {
+                let body = Body::Quorum(codec::encode(message));
+                if link.send(body).await.is_err() {
+                    break;
+                }
+            }
+            link.close();
+        };
+        let sender = AbortOnDropHandle::new(runtime.spawn(send));
+        (PeerLink { tx }, sender)
+    }
+}
+
 impl Peers {
-    pub(crate) fn insert(&mut self, id: DiskId, link: PeerLink) {
-        self.links.insert(id, link);
+    pub(crate) fn insert(&mut self, id: DiskId, direction: Direction, link: PeerLink) {
+        self.links.insert((id, direction), link);
     }
 
-    /// Removes a closed link, unless a newer one has replaced it.
+    /// Removes the closed links to a replica.
     pub(crate) fn remove_closed(&mut self, id: DiskId) {
-        if self.links.get(&id).is_some_and(|link| link.tx.is_closed()) {
-            self.links.remove(&id);
-        }
+        self.links
+            .retain(|(other, _), link| *other != id || !link.tx.is_closed());
     }
 
     pub(crate) fn send(&self, message: Message) {
-        if let Some(link) = self.links.get(&message.to) {
+        if let Some(link) = self.open(message.to) {
             // The queue is full or the link was just closed. The log protocol resends
             // messages that are not answered.
             let _ = link.tx.try_send(message);
         }
     }
 
-    /// Returns whether the link to a replica is open.
+    /// Returns whether a link to a replica is open.
     pub(crate) fn is_connected(&self, id: DiskId) -> bool {
-        self.links.get(&id).is_some_and(|link| !link.tx.is_closed())
+        self.open(id).is_some()
+    }
+
+    /// Returns the replicas to which a link is open.
+    pub(crate) fn ids(&self) -> BTreeSet<DiskId> {
+        let open = self.links.iter().filter(|(_, link)| !link.tx.is_closed());
+        open.map(|((id, _), _)| *id).collect()
     }
 
-    pub(crate) fn ids(&self) -> impl Iterator<Item = DiskId> {
-        self.links.keys().copied()
+    fn open(&self, id: DiskId) -> Option<&PeerLink> {
+        let links = [Direction::Dialed, Direction::Accepted].map(|direction| (id, direction));
+        let mut links = links.iter().filter_map(|key| self.links.get(key));
+        links.find(|link| !link.tx.is_closed())
     }
 }
 
@@ -109,29 +145,22 @@
         return;
     }
     let id = DiskId(peer.incarnation);
-    let (tx, mut outgoing) = mpsc::channel(LINK_QUEUE_LEN);
-    if replica
-        .cast(Msg::PeerConnected(id, PeerLink { tx }))
-        .is_err()
-    {
+    let (peer_link, sender) = PeerLink::spawn(link.clone(), &Handle::current());
+    let connected = Msg::PeerConnected(id, Direction::Dialed, peer_link);
+    if replica.cast(connected).is_err() {
         return;
     }
     replica_links.insert(link.clone());
-    loop {
-        let message = tokio::select! {
-            message = outgoing.recv() => message,
-            incoming = rx.recv() => match incoming {
-                Some(_) => continue,
-                None => None,
-            },
-        };
-        let Some(message) = message else { break };
-        let body = Body::Quorum(codec::encode(message));
-        if link.send(body).await.is_err() {
+    while let Some(incoming) = rx.recv().await {
+        // Only a replica that does not know this one's address sends messages here.
+        if let Body::Quorum(message) = incoming.body
+            && let Some(msg) = links::quorum_msg(message, &link)
+            && replica.cast(msg).is_err()
+        {
             break;
         }
     }
-    drop(outgoing);
+    drop(sender);
     link.close();
     replica_links.remove_closed(&link.peer().name);
     // The replica may have stopped already.
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -15,7 +15,7 @@
 use crate::disk::{Fullness, Job, Report};
 use crate::metrics::Metrics;
 use crate::node_leases::NodeLeases;
-use crate::peers::{PeerLink, Peers};
+use crate::peers::{Direction, PeerLink, Peers};
 use crate::replicas::Replicas;
 use crate::reply::Reply;
 use crate::settings::Settings;
@@ -37,8 +37,8 @@
     ProcessReady,
     /// A message from another replica.
     Peer(Box<Message>),
-    /// A link to another replica was opened.
-    PeerConnected(DiskId, PeerLink),
+    /// A link to another replica was opened, by it or by this one.
+    PeerConnected(DiskId, Direction, PeerLink),
     /// A link to another replica was closed.
     PeerDisconnected(DiskId),
     /// A report from the disk thread.
--- a/crates/control/src/replica/actor.rs
+++ b/crates/control/src/replica/actor.rs
@@ -161,8 +161,8 @@
             Msg::ProcessReady => {}
             Msg::Tick => self.tick(now),
             Msg::Peer(message) => self.node.step(*message, now),
-            Msg::PeerConnected(id, link) => {
-                self.peers.insert(id, link);
+            Msg::PeerConnected(id, direction, link) => {
+                self.peers.insert(id, direction, link);
                 self.join_at = now;
             }
             Msg::PeerDisconnected(id) => self.peers.remove_closed(id),
@@ -191,25 +191,27 @@
             lag_tracker.record_commit(status.commit_index, now);
         }
         self.update_metrics(&status, now);
+        self.report_tolerated_losses(&status);
         self.propose_ledger_limits(now);
         if now >= self.join_at && self.node.should_join(now) {
             self.join_at = now + self.settings.timing.election_timeout;
-            let ids: Vec<DiskId> = self.peers.ids().collect();
+            let ids = self.peers.ids();
             for id in ids {
                 self.send_join(id);
             }
         }
     }
 
-    /// Sends a request to join the cluster. Only the leader acts on it.
+    /// Sends a request to join the cluster.
     fn send_join(&mut self, to: DiskId) {
         let address = self.settings.advertised().to_string();
         let peer = Peer::new(&self.settings.name, &address);
+        let id = self.node.id();
         self.peers.send(Message {
-            from: self.node.id(),
+            from: id,
             to,
             term: 0,
-            body: MessageBody::Join { peer },
+            body: MessageBody::Join { id, peer },
         });
     }
 
--- a/crates/control/src/replica/output.rs
+++ b/crates/control/src/replica/output.rs
@@ -216,6 +216,23 @@
         set(&metrics.nodes, nodes as u64);
     }
 
+    /// Publishes how many more lost disks the log tolerates, and logs a change.
+    pub(super) fn report_tolerated_losses(&mut self, status: &Status) {
+        let tolerated = self.tolerated_losses(status);
+        let gauge = tolerated.map_or(-1, |losses| i64::try_from(losses).unwrap_or(i64::MAX));
+        if self.metrics.tolerated_losses.set(gauge) == gauge {
+            return;
+        }
+        let Some(losses) = tolerated else { return };
+        let voters = self.node.members().voters.len();
+        let repair = self.repair(status);
+        if losses < voters.saturating_sub(1) / 2 {
+            log::warn!(losses, voters; "the log tolerates {losses} more lost disks; {repair}");
+        } else {
+            log::info!(losses, voters; "the log tolerates {losses} lost disks again");
+        }
+    }
+
     fn start_snapshot(&mut self) {
         let entries = self.applied - self.node.snapshot().index.min(self.applied);
         if entries < self.settings.snapshot_entries || self.saving.is_some() {
--- a/crates/control/src/replica/status.rs
+++ b/crates/control/src/replica/status.rs
@@ -12,7 +12,7 @@
 /// State of a repair that is complete.
 const COMPLETE: &str = "complete";
 /// Fields of the status that only the leader knows.
-const LEADER_FIELDS: [&str; 4] = ["replicas", "repair", "nodes", "targets"];
+const LEADER_FIELDS: [&str; 5] = ["replicas", "repair", "tolerated_losses", "nodes", "targets"];
 /// Fields of `notes` in the status that only the leader knows.
 const LEADER_NOTE_FIELDS: [&str; 2] = ["in_force_everywhere", "lagging"];
 
@@ -49,6 +49,7 @@
             "snapshot": self.node.snapshot().index,
             "replicas": self.replicas(&status),
             "repair": self.repair(&status),
+            "tolerated_losses": self.tolerated_losses(&status),
             "notes": self.notes(now),
             "nodes": self.nodes(),
             "targets": self.targets(),
@@ -66,7 +67,7 @@
     }
 
     /// Returns the state of the repair of the whole cluster; only the leader knows it.
-    fn repair(&self, status: &Status) -> Value {
+    pub(super) fn repair(&self, status: &Status) -> Value {
         if !self.node.has_committed_in_term() {
             return json!("unknown");
         }
@@ -105,6 +106,17 @@
         }
     }
 
+    /// Returns how many more disks may be lost at once without losing an accepted
+    /// change; only the leader knows it.
+    pub(super) fn tolerated_losses(&self, status: &Status) -> Option<usize> {
+        if !self.node.has_committed_in_term() {
+            return None;
+        }
+        let complete = |row: &&ReplicaStatus| row.voter && self.repair_of(row, status) == COMPLETE;
+        let complete = status.replicas.iter().filter(complete).count();
+        Some(complete.saturating_sub(self.node.members().majority()))
+    }
+
     fn replicas(&self, status: &Status) -> Vec<Value> {
         let row = |row: &ReplicaStatus| {
             json!({
--- a/crates/control/tests/replicas/cluster.rs
+++ b/crates/control/tests/replicas/cluster.rs
@@ -30,6 +30,8 @@
     relays: BTreeMap<(String, String), Relay>,
     pub snapshot_entries: u64,
     pub lag_ms: u64,
+    /// Replicas named in the settings; all if empty.
+    seeds: BTreeMap<String, Vec<String>>,
 }
 
 impl Cluster {
@@ -75,9 +77,15 @@
             running: BTreeMap::new(),
             snapshot_entries: 10_000,
             lag_ms: 2000,
+            seeds: BTreeMap::new(),
         }
     }
 
+    /// Lets the settings of a replica name only these others, from its next start on.
+    pub fn set_seeds(&mut self, name: &str, seeds: &[String]) {
+        self.seeds.insert(name.to_owned(), seeds.to_vec());
+    }
+
     pub fn names(&self) -> Vec<String> {
         self.addresses.keys().cloned().collect()
     }
@@ -92,7 +100,12 @@
             json!({"name": to, "address": relay.map_or(*address, |relay| relay.address)})
         };
         let replicas: Vec<Value> = self.addresses.iter().map(replica).collect();
-        let settings = json!({
+        let seeds = self.seeds.get(name);
+        let address = |name: &String| self.addresses[name].to_string();
+        let forming = seeds.map(
+            |seeds| json!({"voters": 3, "seeds": seeds.iter().map(address).collect::<Vec<_>>()}),
+        );
+        let mut settings = json!({
             "name": name,
             "zone": "celje",
             "listen": self.addresses[name],
@@ -104,6 +117,10 @@
             "snapshot_entries": self.snapshot_entries,
             "timing": {"heartbeat_ms": 50, "election_ms": 500, "lease_ms": 1000, "lag_ms": self.lag_ms},
         });
+        if let Some(forming) = forming {
+            settings.as_object_mut().unwrap().remove("replicas");
+            settings["forming"] = forming;
+        }
         Settings::from_slice(settings.to_string().as_bytes()).unwrap()
     }
 
--- a/crates/control/tests/replicas/repair.rs
+++ b/crates/control/tests/replicas/repair.rs
@@ -29,6 +29,28 @@
     cluster.wait_for_note(&others[0], 6).await;
 }
 
+/// Guards against a replica on a new disk that is never added, because its settings
+/// name only a replica that does not lead, until two more lost disks cost the majority.
+#[tokio::test(flavor = "multi_thread")]
+async fn blank_disk_seed_follows() {
+    let mut cluster = Cluster::start(3).await;
+    cluster.submit_up_to(3).await;
+    let leader = cluster.leader().await;
+    let mut others = cluster.names();
+    others.retain(|name| *name != leader);
+    let before = cluster.leader_status().await;
+    assert_eq!(before["tolerated_losses"], 1);
+
+    cluster.stop_replica(&others[0]).await;
+    cluster.wipe_disk(&others[0]);
+    cluster.submit_up_to(5).await;
+    cluster.set_seeds(&others[0], &others[1..]);
+    cluster.start_replica(&others[0]).await;
+    cluster.wait_repaired_on_new_disk(&others[0], &before).await;
+    assert_eq!(cluster.leader_status().await["tolerated_losses"], 1);
+    cluster.wait_for_note(&others[0], 5).await;
+}
+
 /// A replica was stopped while 300 notes were accepted. It must catch up with all of them
 /// from the log, and must not present an intermediate state as the newest.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -87,8 +87,11 @@
         /// Heartbeat round of the chunk.
         round: u64,
     },
-    /// A replica without state requests to join the cluster.
+    /// A replica without state requests to join the cluster. Another replica
+    /// may forward the request to the leader.
     Join {
+        /// Disk of the replica.
+        id: DiskId,
         /// Name and address of the replica.
         peer: Peer,
     },
--- a/crates/quorum/src/node.rs
+++ b/crates/quorum/src/node.rs
@@ -176,8 +176,8 @@
         if message.to != self.id || !message.is_plausible() {
             return;
         }
-        if let MessageBody::Join { peer } = message.body {
-            return self.handle_join(message.from, peer, now);
+        if let MessageBody::Join { id, peer } = message.body {
+            return self.handle_join(message.from, id, peer, now);
         }
         if !self.check_term(&message, now) {
             return;
--- a/crates/quorum/src/node/membership.rs
+++ b/crates/quorum/src/node/membership.rs
@@ -2,12 +2,22 @@
 
 use super::{Node, Role};
 use crate::progress::Progress;
-use crate::{DiskId, EntryBody, Members, Peer};
+use crate::{DiskId, EntryBody, Members, MessageBody, Peer};
 use std::time::Instant;
 
 impl Node {
-    /// Processes a join request: the replica becomes a learner.
-    pub(super) fn handle_join(&mut self, id: DiskId, peer: Peer, now: Instant) {
+    /// Processes a join request: the leader adds the replica as a learner, and
+    /// another replica forwards the request. The new replica may know no address
+    /// of the leader.
+    pub(super) fn handle_join(&mut self, from: DiskId, id: DiskId, peer: Peer, now: Instant) {
+        if !self.is_leader() {
+            // A request that was forwarded already is dropped: two replicas
+            // that each take the other for the leader would send it for ever.
+            if let Some(leader) = self.leader.filter(|_| from == id) {
+                self.send_in_term(leader, 0, MessageBody::Join { id, peer });
+            }
+            return;
+        }
         if !self.can_change_membership(now) || self.members().contains(id) {
             return;
         }
--- a/crates/quorum/tests/messages.rs
+++ b/crates/quorum/tests/messages.rs
@@ -94,6 +94,7 @@
                 round,
             },
             _ => MessageBody::Join {
+                id: disk(g),
                 peer: Peer::new("c", ""),
             },
         };
--- a/crates/quorum/tests/rules.rs
+++ b/crates/quorum/tests/rules.rs
@@ -315,7 +315,8 @@
     fixture.sync();
     let term = fixture.node.term();
     let peer = Peer::new("newcomer", "");
-    fixture.receive(newcomer, 0, MessageBody::Join { peer });
+    let id = newcomer;
+    fixture.receive(newcomer, 0, MessageBody::Join { id, peer });
     fixture.ack_append(SECOND, 2, 1);
     for round in 2..6 {
         fixture.advance(fixture.cfg.heartbeat_interval);
@@ -389,7 +390,36 @@
 
 fn join(fixture: &mut Fixture, from: DiskId, name: &str) {
     let peer = Peer::new(name, "");
-    fixture.receive(from, 0, MessageBody::Join { peer });
+    let id = from;
+    fixture.receive(from, 0, MessageBody::Join { id, peer });
+}
+
+/// Guards against a replica on a new disk that is never added because it knows
+/// no address of the leader: a follower forwards the request, once.
+#[test]
+fn join_forwarded_to_leader() {
+    let mut fixture = Fixture::new(HardState::default(), Vec::new());
+    let heartbeat = MessageBody::Append {
+        previous_index: 0,
+        previous_term: 0,
+        commit: 0,
+        round: 1,
+        entries: Vec::new(),
+    };
+    fixture.receive(SECOND, 1, heartbeat);
+    fixture.sync();
+    let id = DiskId(9);
+    let peer = Peer::new("host-9", "127.0.0.1:9");
+    let body = MessageBody::Join { id, peer };
+    let forwarded = |fixture: &mut Fixture, from| {
+        fixture.receive(from, 0, body.clone());
+        let readies = fixture.sync().into_iter();
+        let messages = readies.flat_map(|ready| ready.messages);
+        let joins = messages.filter(|message| message.body == body);
+        joins.map(|message| message.to).collect::<Vec<_>>()
+    };
+    assert_eq!(forwarded(&mut fixture, id), [SECOND]);
+    assert!(forwarded(&mut fixture, THIRD).is_empty());
 }
 
 /// Runs heartbeat rounds that the given live replicas answer.
--- a/crates/quorum/tests/schedules/faults.rs
+++ b/crates/quorum/tests/schedules/faults.rs
@@ -13,6 +13,10 @@
     pub partitions: u32,
     pub kills: u32,
     pub lost_disks: u32,
+    /// Losses of as many disks at once as the cluster must survive.
+    pub lost_minorities: u32,
+    /// Hosts beyond the voters, which replace lost ones.
+    pub spare_hosts: usize,
     pub clock_steps: u32,
     /// Syncs that are slow, in percent.
     pub slow_sync_percent: u32,
@@ -49,6 +53,19 @@
         }
     }
 
+    pub fn lost_minorities() -> Faults {
+        Faults {
+            loss_percent: 1,
+            max_delay_steps: 2,
+            partitions: 40,
+            kills: 60,
+            lost_minorities: 2_000,
+            spare_hosts: 2,
+            slow_sync_percent: 3,
+            ..Faults::default()
+        }
+    }
+
     pub fn clock_steps() -> Faults {
         Faults {
             partitions: 80,
@@ -65,8 +82,8 @@
             partitions: 30,
             kills: 80,
             lost_disks: 500,
-            clock_steps: 0,
             slow_sync_percent: 3,
+            ..Faults::default()
         }
     }
 }
--- a/crates/quorum/tests/schedules/host.rs
+++ b/crates/quorum/tests/schedules/host.rs
@@ -2,16 +2,19 @@
 
 use bytes::Bytes;
 use quorum::{
-    Config, DiskId, Entry, EntryBody, HardState, Message, Node, PersistedState, Snapshot, Write,
+    Config, DiskId, Entry, EntryBody, HardState, Members, Message, Node, Peer, PersistedState,
+    Snapshot, VoterReplacement, Write,
 };
 use rand::RngExt;
 use rand::rngs::StdRng;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
 pub const STEP: Duration = Duration::from_millis(10);
 const HEARTBEAT: Duration = Duration::from_millis(40);
 const ELECTION: Duration = Duration::from_millis(400);
+/// Silence after which another host replaces a voter.
+const LOST_AFTER: Duration = Duration::from_millis(600);
 /// Number of applied entries between two snapshots.
 const SNAPSHOT_EVERY: u64 = 12;
 
@@ -89,6 +92,10 @@
     pub name: String,
     pub disk: Disk,
     pub running: Option<Running>,
+    /// Hosts whose addresses are in the settings.
+    seeds: BTreeSet<usize>,
+    /// Desired number of voters, if others replace the lost ones.
+    pub desired_voters: Option<usize>,
     /// Clock rate in percent of real time.
     clock_rate_percent: u32,
     /// Sum of all forward steps of the clock.
@@ -104,11 +111,13 @@
 }
 
 impl Host {
-    pub fn new(name: String, disk: Disk, rng: &mut StdRng) -> Host {
+    pub fn new(name: String, disk: Disk, seeds: BTreeSet<usize>, rng: &mut StdRng) -> Host {
         Host {
             name,
             disk,
             running: None,
+            seeds,
+            desired_voters: None,
             clock_rate_percent: rng.random_range(97..=103),
             clock_offset: Duration::ZERO,
         }
@@ -119,8 +128,25 @@
         start + real * self.clock_rate_percent / 100 + self.clock_offset
     }
 
+    /// Returns whether this host runs and knows the address of another one,
+    /// from its settings or from the members of the cluster.
+    pub fn knows_address(&self, index: usize, other: &Host) -> bool {
+        let is_other = |peer: &Peer| peer.address == other.name;
+        let Some(Running { node, .. }) = &self.running else {
+            return false;
+        };
+        let Members { voters, learners } = node.members();
+        let mut members = voters.values().chain(learners.values());
+        self.seeds.contains(&index) || members.any(is_other)
+    }
+
     pub fn start(&mut self, now: Instant, rng: &mut StdRng) {
+        let voter_replacement = self.desired_voters.map(|voters| VoterReplacement {
+            voters,
+            lost_after: LOST_AFTER,
+        });
         let cfg = Config {
+            voter_replacement,
             heartbeat_interval: HEARTBEAT,
             election_timeout: ELECTION,
             max_append_entries: 4,
--- a/crates/quorum/tests/schedules/main.rs
+++ b/crates/quorum/tests/schedules/main.rs
@@ -62,6 +62,14 @@
     check(|s| run(&s, &Faults::lost_disks()), 3);
 }
 
+/// Guards against a replica on a new disk that is never added, because its
+/// settings name only replicas that do not lead, until further lost disks
+/// cost the majority.
+#[test]
+fn schedule_lost_minorities() {
+    check(|s| run(&s, &Faults::lost_minorities()), 6);
+}
+
 /// The clock of a replica steps forward, so that it considers a live leader
 /// dead and leases do not hold. Reads must still be linearizable, because a
 /// majority confirms them, not a clock.
--- a/crates/quorum/tests/schedules/schedule.rs
+++ b/crates/quorum/tests/schedules/schedule.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, Debug)]
 pub struct Schedule {
     pub seed: u64,
-    pub hosts: usize,
+    pub voters: usize,
     pub steps: u64,
     /// Proposals per 10,000 steps of a leader.
     pub proposals: u32,
@@ -18,7 +18,7 @@
     fn arbitrary(g: &mut Gen) -> Schedule {
         Schedule {
             seed: u64::arbitrary(g),
-            hosts: *g.choose(&[3, 3, 5]).unwrap(),
+            voters: *g.choose(&[3, 3, 5]).unwrap(),
             steps: 500 + u64::arbitrary(g) % 800,
             proposals: *g.choose(&[100, 500, 2_500]).unwrap(),
             reads: *g.choose(&[500, 3_000]).unwrap(),
--- a/crates/quorum/tests/schedules/simulation.rs
+++ b/crates/quorum/tests/schedules/simulation.rs
@@ -34,6 +34,18 @@
     acknowledged: BTreeMap<u64, u64>,
 }
 
+/// Number of seeds in the settings of a host. It may be one of them.
+const SEEDS: usize = 3;
+
+/// Returns distinct hosts.
+fn sample(hosts: usize, count: usize, rng: &mut StdRng) -> BTreeSet<usize> {
+    let mut chosen = BTreeSet::new();
+    while chosen.len() < count {
+        chosen.insert(rng.random_range(0..hosts));
+    }
+    chosen
+}
+
 /// Runs a schedule. The error describes the violated invariant.
 pub fn run(schedule: &Schedule, faults: &Faults) -> Check {
     let mut simulation = Simulation::new(schedule, faults);
@@ -50,16 +62,25 @@
         let mut rng = StdRng::seed_from_u64(schedule.seed);
         let mut hosts = Vec::new();
         let mut members = Members::default();
-        for host_index in 0..schedule.hosts {
+        let count = schedule.voters + faults.spare_hosts;
+        for host_index in 0..count {
             let name = format!("host-{host_index}");
             let id = DiskId(host_index as u64 + 1);
-            members.voters.insert(id, Peer::new(&name, ""));
+            if host_index < schedule.voters {
+                members.voters.insert(id, Peer::new(&name, &name));
+            }
             let disk = Disk::new(id);
-            hosts.push(Host::new(name, disk, &mut rng));
+            let seeds = sample(count, SEEDS, &mut rng);
+            hosts.push(Host::new(name, disk, seeds, &mut rng));
+        }
+        for host in &mut hosts[..schedule.voters] {
+            host.disk.snapshot = Some(Snapshot::initial(members.clone()));
         }
         let start = Instant::now();
         for host in &mut hosts {
-            host.disk.snapshot = Some(Snapshot::initial(members.clone()));
+            if faults.spare_hosts > 0 {
+                host.desired_voters = Some(schedule.voters);
+            }
             host.start(start, &mut rng);
         }
         Simulation {
@@ -102,10 +123,13 @@
         }
         if self.chance(self.faults.lost_disks) && self.is_fully_replicated() {
             let host = self.any_host();
-            self.hosts[host].lose_disk(DiskId(self.next_disk));
-            self.next_disk += 1;
-            let restart = self.step + self.rng.random_range(1..40);
-            self.restarts.insert(host, restart);
+            self.lose_disk(host);
+        }
+        if self.chance(self.faults.lost_minorities) && self.is_fully_replicated() {
+            let minority = (self.schedule.voters - 1) / 2;
+            for host in sample(self.hosts.len(), minority, &mut self.rng) {
+                self.lose_disk(host);
+            }
         }
         if self.chance(self.faults.clock_steps) {
             let host = self.any_host();
@@ -114,6 +138,13 @@
         }
     }
 
+    fn lose_disk(&mut self, host: usize) {
+        self.hosts[host].lose_disk(DiskId(self.next_disk));
+        self.next_disk += 1;
+        let restart = self.step + self.rng.random_range(1..40);
+        self.restarts.insert(host, restart);
+    }
+
     /// Partitions some hosts from the others, often only the leader.
     fn partition(&mut self) {
         let mut isolated = BTreeSet::from([self.any_host()]);
@@ -142,8 +173,8 @@
     }
 
     /// Returns whether a leader with a lease reports all current disks as
-    /// active voters that hold all committed entries, which is what an operator
-    /// waits for.
+    /// active members that hold all committed entries, and as many voters as
+    /// desired, which is what an operator waits for.
     fn is_fully_replicated(&self) -> bool {
         let disks: BTreeSet<DiskId> = self.hosts.iter().map(|h| h.disk.id).collect();
         let reports = |host: &Host| {
@@ -153,13 +184,15 @@
             let rows = &status.replicas;
             let caught_up = rows
                 .iter()
-                .all(|r| r.voter && r.active && r.match_index >= Some(status.commit_index));
+                .all(|r| r.active && r.match_index >= Some(status.commit_index));
+            let voters = rows.iter().filter(|r| r.voter).count();
             let same = rows.iter().map(|r| r.id).collect::<BTreeSet<_>>() == disks;
             Some(
                 node.has_lease(now)
                     && node.has_committed_in_term()
                     && status.membership_committed
                     && caught_up
+                    && voters == self.schedule.voters
                     && same,
             )
         };
@@ -244,11 +277,21 @@
         let Some(to) = self.hosts.iter().position(|h| h.disk.id == message.to) else {
             return;
         };
+        if !self.is_linked(from, to) {
+            return;
+        }
         let rng = &mut self.rng;
         self.network
             .send(from, to, message, self.step, self.faults, rng);
     }
 
+    /// Returns whether there is a link between two hosts: one of them knows
+    /// the address of the other and has dialled it.
+    fn is_linked(&self, from: usize, to: usize) -> bool {
+        let dials = |from: usize, to: usize| self.hosts[from].knows_address(to, &self.hosts[to]);
+        dials(from, to) || dials(to, from)
+    }
+
     /// Sends join requests of a replica that should join, at regular intervals.
     fn join(&mut self, host_index: usize) {
         const EVERY: u64 = 10;
@@ -264,8 +307,8 @@
         );
         let others: Vec<DiskId> = self.hosts.iter().map(|h| h.disk.id).collect();
         for to in others.into_iter().filter(|to| *to != from) {
-            let peer = Peer::new(&name, "");
-            let body = MessageBody::Join { peer };
+            let peer = Peer::new(&name, &name);
+            let body = MessageBody::Join { id: from, peer };
             let term = 0;
             self.send(
                 host_index,
--- a/crates/wire/src/gen/lovageramp.rs
+++ b/crates/wire/src/gen/lovageramp.rs
@@ -169,7 +169,7 @@
         InstallSnapshot(super::InstallSnapshot),
         #[prost(message, tag = "15")]
         SnapshotReply(super::SnapshotReply),
-        /// A replica without data asks the leader to add it as a learner.
+        /// A replica without data asks to be added as a learner.
         #[prost(message, tag = "16")]
         Join(super::Join),
     }
@@ -256,6 +256,7 @@
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Join {
+    /// The replica that asks; another one may forward its request.
     #[prost(uint64, tag = "1")]
     pub disk: u64,
     #[prost(string, tag = "2")]
