Take the time of a slow step from the step that still runs

While a rank is 12 times slower a step takes 0.85 s, no step begins within the half second that the timer averages over, and it knew no step time at all. The lead of a barrier was then the one for an unknown time, three steps.

Ruled out: a longer span; it would report the time of steps before the fault.

Change: if no step has begun within the span, the step takes at least that long.

--- a/crates/expert/src/step_timer.rs
+++ b/crates/expert/src/step_timer.rs
@@ -27,7 +27,19 @@
 
 impl StepTimer {
     /// Records the newest step that has begun, and returns the mean step time
-    /// over the last half second or more. `None` if no step has run in between.
+    /// over the last half second or more. If no step has begun in between, the
+    /// current one takes at least that long. `None` after a shorter time.
+    ///
+    /// ```
+    /// use expert::StepTimer;
+    /// use std::time::{Duration, Instant};
+    ///
+    /// let now = Instant::now();
+    /// let mut timer = StepTimer::default();
+    /// timer.observe(10, now);
+    /// let slow = timer.observe(10, now + Duration::from_millis(700));
+    /// assert_eq!(slow, Some(Duration::from_millis(700)));
+    /// ```
     pub fn observe(&mut self, step: u64, now: Instant) -> Option<Duration> {
         if self.samples.back().is_some_and(|(_, last)| *last > step) {
             // A lower step number means that the group has formed again.
@@ -40,7 +52,10 @@
             self.samples.pop_front();
         }
         let (at, from) = *self.samples.front()?;
-        let steps = u32::try_from(step - from).ok()?;
-        now.saturating_duration_since(at).checked_div(steps)
+        let span = now.saturating_duration_since(at);
+        match u32::try_from(step - from).ok()? {
+            0 => (span >= AVERAGING_SPAN).then_some(span),
+            steps => Some(span / steps),
+        }
     }
 }
