Switch at the next step while steps are slow

Cause: at least two steps lay between the newest known step and a barrier, 1.7 s while a rank is 12 times slower, and three in a group that has just formed and runs steps of 0.4 s on its initial map.

Ruled out: a risk for the group. The first rank that promises to stop at the barrier stops all, and one that is asked too late refuses, which aborts the switch.

Change: from steps of 150 ms on, and in a group whose step time is unknown, the barrier is the next step; an exchange may be a quarter of a step longer than the time to the barrier.

--- a/crates/expert/src/switch_timing.rs
+++ b/crates/expert/src/switch_timing.rs
@@ -27,16 +27,22 @@
     pub lead_time: Duration,
 }
 
-/// With a shorter lead, ranks could pass the barrier before all have promised
-/// to stop there.
+/// Minimum lead while steps are fast: the next step could begin before the first
+/// rank has promised to stop there.
 const MIN_LEAD_STEPS: u64 = 2;
+/// Step time from which on that is unlikely. The first promise stops the whole group,
+/// and the rank beside the coordinator gives it within a few milliseconds.
+const LONG_STEP: Duration = Duration::from_millis(150);
 /// The interval grows by its usual value for each further so many agents.
 const AGENTS_PER_INTERVAL: usize = 16;
 /// Maximum lead in a large group.
 const MAX_LEAD_STEPS: u64 = 16;
 /// Lead while the step time is unknown. Steps are probably slow then, since a
 /// new formation runs on its initial map.
-const UNKNOWN_STEP_TIME_LEAD_STEPS: u64 = 3;
+const UNKNOWN_STEP_TIME_LEAD_STEPS: u64 = 1;
+/// Ranks may wait at the barrier for a step time divided by this. A further step on
+/// the former map would cost more.
+const MAX_WAIT_DIVISOR: u32 = 4;
 
 impl SwitchTiming {
     /// Interval after which a map that has not been staged by all of `agents` agents
@@ -89,6 +95,7 @@
             return lead;
         };
         let steps = exchange_time
+            .saturating_sub(step_time / MAX_WAIT_DIVISOR)
             .as_micros()
             .div_ceil(step_time.as_micros().max(1));
         let steps = u64::try_from(steps).unwrap_or(MAX_LEAD_STEPS);
@@ -109,6 +116,7 @@
     /// };
     /// assert_eq!(timing.barrier_lead(Some(Duration::from_millis(50))), 5);
     /// assert_eq!(timing.barrier_lead(Some(Duration::from_millis(140))), 2);
+    /// assert_eq!(timing.barrier_lead(Some(Duration::from_millis(800))), 1);
     /// ```
     #[must_use]
     pub fn barrier_lead(&self, step_time: Option<Duration>) -> u64 {
@@ -119,7 +127,11 @@
             let steps = self.lead_time.as_micros() / step_time.as_micros().max(1);
             u64::try_from(steps).unwrap_or(self.lead_steps)
         });
-        fits.max(MIN_LEAD_STEPS).min(self.lead_steps)
+        let min = match step_time {
+            Some(step_time) if step_time < LONG_STEP => MIN_LEAD_STEPS,
+            _ => 1,
+        };
+        fits.max(min).min(self.lead_steps)
     }
 }
 
