--- a/crates/expert/tests/switch/main.rs
+++ b/crates/expert/tests/switch/main.rs
@@ -45,6 +45,20 @@
     check(property);
 }
 
+/// Guards against a step on two maps when a barrier is so near that some ranks promise
+/// to stop there while the step before it ends.
+#[test]
+fn switch_one_map_per_step_short_lead() {
+    fn property(seed: u64) -> bool {
+        let mut simulation = short_lead_simulation(seed);
+        for _ in 0..1500 {
+            simulation.advance();
+        }
+        simulation.maps_by_step.values().all(|maps| maps.len() == 1)
+    }
+    check(property);
+}
+
 #[test]
 fn switch_completes_after_faults() {
     // Once the faults end, a coordinator completes a switch and no rank is
@@ -77,9 +91,29 @@
 fn schedules_commit_and_abort() {
     // The properties above would hold trivially if no switch was ever
     // committed under faults, or none was ever aborted.
+    let (commits, aborts) = count_versions(Simulation::new);
+    assert!(commits > 100 && aborts > 100, "{commits} {aborts}");
+}
+
+/// Guards against short leads with which every switch is aborted.
+#[test]
+fn schedules_commit_and_abort_short_lead() {
+    let (commits, aborts) = count_versions(short_lead_simulation);
+    assert!(commits > 0 && aborts > 0, "{commits} {aborts}");
+}
+
+/// A group whose barriers may be so near that they have passed when a rank is asked to
+/// promise.
+fn short_lead_simulation(seed: u64) -> Simulation {
+    Simulation::with_lead_steps(seed, 1 + seed % 6)
+}
+
+/// Runs 100 schedules and counts the versions that came into use and those that did
+/// not.
+fn count_versions(simulation: impl Fn(u64) -> Simulation) -> (usize, usize) {
     let (mut commits, mut aborts) = (0, 0);
     for seed in 0..100 {
-        let mut simulation = Simulation::new(seed);
+        let mut simulation = simulation(seed);
         for _ in 0..1500 {
             simulation.advance();
         }
@@ -88,8 +122,7 @@
         let group_state = simulation.decisions.group_state("blank-advisor").unwrap();
         aborts += usize::try_from(group_state.next_version()).unwrap() - maps.len();
     }
-    println!("{commits} maps came into use, {aborts} versions did not");
-    assert!(commits > 100 && aborts > 100, "{commits} {aborts}");
+    (commits, aborts)
 }
 
 /// Version of the newest committed map.
--- a/crates/expert/tests/switch/simulation.rs
+++ b/crates/expert/tests/switch/simulation.rs
@@ -44,6 +44,8 @@
 
 pub struct Simulation {
     seed: u64,
+    /// Number of steps between the newest known step and a barrier.
+    lead_steps: u64,
     rng: StdRng,
     /// Ranks that run steps together.
     pub formed: BTreeSet<usize>,
@@ -67,29 +69,37 @@
     pub maps_by_step: BTreeMap<u64, BTreeSet<Bytes>>,
 }
 
-fn timing() -> SwitchTiming {
+fn timing(lead_steps: u64) -> SwitchTiming {
     SwitchTiming {
         resend_interval: Duration::from_millis(15),
         group_read_delay: Duration::from_millis(15),
         phase_timeout: Duration::from_millis(150),
         command_timeout: Duration::from_millis(10),
         late_command_window: Duration::from_millis(10),
-        lead_steps: 12,
+        lead_steps,
         lead_time: Duration::MAX,
     }
 }
 
+/// Lead with which barriers are usually reached in time.
+const USUAL_LEAD_STEPS: u64 = 12;
+
 impl Simulation {
     pub fn new(seed: u64) -> Simulation {
+        Simulation::with_lead_steps(seed, USUAL_LEAD_STEPS)
+    }
+
+    pub fn with_lead_steps(seed: u64, lead_steps: u64) -> Simulation {
         let start = Instant::now();
         let agent = || Agent {
-            participant: Participant::new(timing(), start),
+            participant: Participant::new(timing(lead_steps), start),
             incarnation: 0,
             command_id: 0,
             max_fencing: None,
         };
         let mut simulation = Simulation {
             seed,
+            lead_steps,
             formed: (0..RANKS).collect(),
             formation: 0,
             known_formation: (BTreeSet::new(), 0),
@@ -152,7 +162,8 @@
         }
         let (ranks, formation) = &self.known_formation;
         let members = ranks.iter().map(ToString::to_string).collect();
-        let coordinator = Coordinator::new(members, *formation, timing(), self.now());
+        let coordinator =
+            Coordinator::new(members, *formation, timing(self.lead_steps), self.now());
         self.coordinators.insert(self.incarnations, coordinator);
     }
 
--- a/crates/expert/tests/switch/simulation/faults.rs
+++ b/crates/expert/tests/switch/simulation/faults.rs
@@ -39,7 +39,7 @@
             agent.incarnation += 1;
             agent.max_fencing = None;
             let now = self.start + Duration::from_millis(self.tick);
-            agent.participant = Participant::new(timing(), now);
+            agent.participant = Participant::new(timing(self.lead_steps), now);
         }
     }
 
