Leave the wait at the barrier out of the time of an exchange

A switch committed at 18.78 s, 0.2 s before a rank turned slow, came into force at 24.4 s, seven steps later; the one that emptied the rank, committed at 24.67 s, at 27.5 s. The lead follows the measured exchange, and that was measured until half of the participants had confirmed the outcome, which they do after the barrier. The wait for the barrier thus set the next lead, which set the next wait.

Ruled out: the lead in steps (one step instead of two changed nothing) and the step time.

Change: the exchange is measured from the request to hold until the decision, and half of the time to hold is added for the outcome.

--- a/crates/expert/src/coordinator.rs
+++ b/crates/expert/src/coordinator.rs
@@ -29,7 +29,9 @@
     resend_at: Instant,
     /// When the participants of the current switch were asked to hold.
     hold_sent_at: Option<Instant>,
-    /// Mean time from there until half of them had the outcome.
+    /// How long it took until all of them had promised.
+    hold_time: Duration,
+    /// Mean time from the request to hold until the participants have the outcome.
     exchange_time: Option<Duration>,
 }
 
@@ -91,6 +93,7 @@
             step_time: None,
             resend_at: now,
             hold_sent_at: None,
+            hold_time: Duration::ZERO,
             exchange_time: None,
         }
     }
@@ -202,6 +205,7 @@
             DecideOutcome::Refused { .. } => return self.depose(),
         };
         self.next_version = decision.version + 1;
+        self.record_exchange(now);
         self.phase = Phase::Telling {
             decision,
             waiting: self.members.clone(),
@@ -229,13 +233,9 @@
                     && decision.version == version
                 {
                     waiting.remove(from);
-                    let has_half = waiting.len() * 2 <= self.members.len();
                     if waiting.is_empty() {
                         self.phase = Phase::Idle;
                     }
-                    if has_half {
-                        self.record_exchange(now);
-                    }
                 }
                 Vec::new()
             }
@@ -315,6 +315,9 @@
         if !waiting.is_empty() {
             return Vec::new();
         }
+        if let Some(sent) = self.hold_sent_at {
+            self.hold_time = now.saturating_duration_since(sent);
+        }
         self.phase = Phase::Deciding(Decision {
             fencing: self.fencing,
             version,
@@ -325,12 +328,14 @@
         self.send_outstanding(now)
     }
 
-    /// Measures how long the exchange of a committed switch has taken.
+    /// Measures how long the exchange of a switch takes, once it is decided. The outcome
+    /// takes about half as long as the requests to hold and the promises. Participants
+    /// confirm it only after the barrier, so its own time cannot be measured.
     fn record_exchange(&mut self, now: Instant) {
         let Some(sent) = self.hold_sent_at.take() else {
             return;
         };
-        let time = now.saturating_duration_since(sent);
+        let time = now.saturating_duration_since(sent) + self.hold_time / 2;
         self.exchange_time = Some(self.exchange_time.map_or(time, |mean| (mean + time) / 2));
     }
 
--- a/crates/expert/src/switch_timing.rs
+++ b/crates/expert/src/switch_timing.rs
@@ -81,7 +81,7 @@
     /// assert_eq!(timing.barrier_lead_in_large_group(Some(step), Some(exchange)), 9);
     /// ```
     ///
-    /// `exchange_time` is how long holding, the decision and the outcome have taken in a
+    /// `exchange_time` is how long holding, the decision and the outcome take in a
     /// large group. If the lead were shorter, all ranks would wait at the barrier for
     /// the rest of that time.
     #[must_use]
