Migrate all streams of a target that cannot keep up with one

Entries knew at 19.13 s that a rank was 12 times slower, and sent nothing more there, but none of its streams was moved, as they took fewer than half of its slots. Until the last of them ended each step of the group took 0.4 s.

Ruled out: the expert map; the rank held no expert since 20.3 s.

Change: a target that is so slow that it cannot keep up with the others with a single stream loses all of them.

--- a/crates/route/src/target_state.rs
+++ b/crates/route/src/target_state.rs
@@ -220,10 +220,11 @@
         };
     }
 
-    /// Whether the target is so slow that its streams should be migrated.
+    /// Whether the target is so slow that its streams should be migrated. One that
+    /// cannot keep up with a single stream delays the whole group until it has none.
     pub(crate) fn should_migrate_streams(&self) -> bool {
         let excess = f64::from(self.own + self.others).min(self.slots) - self.capacity;
-        excess > self.slots * MAX_EXCESS_SHARE
+        self.capacity < 1.0 || excess > self.slots * MAX_EXCESS_SHARE
     }
 
     pub(crate) fn reports_free_slots(&self) -> bool {
