--- a/crates/route/tests/target_set.rs
+++ b/crates/route/tests/target_set.rs
@@ -289,6 +289,21 @@
     assert!(migrated_to.is_some_and(|key| key != keys[0]));
 }
 
+/// Guards against the last streams of a very slow rank, which delay each step of the
+/// group until they end.
+#[test]
+fn last_streams_migrate_from_very_slow_rank() {
+    let (mut target_set, keys) = engine_set(3);
+    let now = Instant::now();
+    for _ in 0..3 {
+        target_set.start(keys[0], now);
+    }
+    target_set.set_slowdowns(&[(keys[0], 1.5), (keys[1], 1.0), (keys[2], 1.0)]);
+    assert!(!target_set.should_migrate_streams(keys[0]));
+    target_set.set_slowdowns(&[(keys[0], 12.0), (keys[1], 1.0), (keys[2], 1.0)]);
+    assert!(target_set.should_migrate_streams(keys[0]));
+}
+
 /// Guards against streams that cannot leave a slow rank because the pauses that it
 /// causes make all other ranks look full.
 #[test]
