Use links that other replicas opened only where the address is unknown

Its relays cut the links to the lagging replica; the leader went on over the link that this replica had opened, so that no part of the log was left to catch up.

Ruled out, by reading and not by a run: load.

Change: a message goes over the link of the other end only to a replica that is no member as far as the sender knows. Among members all is as before.

--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -5,7 +5,7 @@
 use crate::links;
 use crate::replica::Msg;
 use crate::replicas::Replicas;
-use quorum::{DiskId, Message};
+use quorum::{DiskId, Members, Message};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use tokio::runtime::Handle;
@@ -68,17 +68,24 @@
             .retain(|(other, _), link| *other != id || !link.tx.is_closed());
     }
 
-    pub(crate) fn send(&self, message: Message) {
-        if let Some(link) = self.open(message.to) {
+    /// Sends a message over the link that this replica has opened. Only to a replica
+    /// that is none of `members`, whose address is thus unknown, it goes over a link that
+    /// the other one has opened.
+    pub(crate) fn send(&self, message: Message, members: &Members) {
+        let mut link = self.open(message.to, Direction::Dialed);
+        if link.is_none() && !members.contains(message.to) {
+            link = self.open(message.to, Direction::Accepted);
+        }
+        if let Some(link) = link {
             // The queue is full or the link was just closed. The log protocol resends
             // messages that are not answered.
             let _ = link.tx.try_send(message);
         }
     }
 
-    /// Returns whether a link to a replica is open.
+    /// Returns whether the link that this replica has opened to another one is open.
     pub(crate) fn is_connected(&self, id: DiskId) -> bool {
-        self.open(id).is_some()
+        self.open(id, Direction::Dialed).is_some()
     }
 
     /// Returns the replicas to which a link is open.
@@ -87,10 +94,9 @@
         open.map(|((id, _), _)| *id).collect()
     }
 
-    fn open(&self, id: DiskId) -> Option<&PeerLink> {
-        let links = [Direction::Dialed, Direction::Accepted].map(|direction| (id, direction));
-        let mut links = links.iter().filter_map(|key| self.links.get(key));
-        links.find(|link| !link.tx.is_closed())
+    fn open(&self, id: DiskId, direction: Direction) -> Option<&PeerLink> {
+        let link = self.links.get(&(id, direction))?;
+        (!link.tx.is_closed()).then_some(link)
     }
 }
 
--- a/crates/control/src/replica/actor.rs
+++ b/crates/control/src/replica/actor.rs
@@ -207,12 +207,13 @@
         let address = self.settings.advertised().to_string();
         let peer = Peer::new(&self.settings.name, &address);
         let id = self.node.id();
-        self.peers.send(Message {
+        let message = Message {
             from: id,
             to,
             term: 0,
             body: MessageBody::Join { id, peer },
-        });
+        };
+        self.peers.send(message, self.node.members());
     }
 
     fn handle_disk_report(&mut self, report: Report, now: Instant) {
--- a/crates/control/src/replica/output.rs
+++ b/crates/control/src/replica/output.rs
@@ -39,7 +39,7 @@
             self.write(&write);
         }
         for message in ready.messages {
-            self.peers.send(message);
+            self.peers.send(message, self.node.members());
         }
         if let Some(snapshot) = ready.restore {
             self.restore(snapshot);
