Keep the barrier beyond an exchange that was given up

Cause: while targets carry out a part of their orders seconds late, some rank does not promise in time and a switch is given up. Only successful exchanges were measured, so the next lead was as short as they were, and the group waited at each barrier until the promise was given up.

Ruled out: a fixed longer lead. It would delay each switch while nothing is late.

Change: an exchange that is given up counts with its time until then, so the next barrier lies beyond it; successful ones bring the lead down again. The limit of 16 steps is replaced by the time limit of the phase. That limit now runs from when holding begins; what staging left unused was added to it before, up to twice the limit.

Before and after: hold_after_abandoned_exchange, wait at the second of two barriers 1.5 s before, none after.

--- a/crates/expert/src/coordinator.rs
+++ b/crates/expert/src/coordinator.rs
@@ -183,7 +183,7 @@
         }
         self.fencing = group_state.fencing;
         self.next_version = group_state.next_version();
-        self.phase = Phase::Deciding(self.abort_decision());
+        self.phase = Phase::Deciding(self.abort_decision(now));
         self.send_outstanding(now)
     }
 
@@ -199,7 +199,7 @@
                 refusal: Refusal::Barrier,
                 ..
             } => {
-                self.phase = Phase::Deciding(self.abort_decision());
+                self.phase = Phase::Deciding(self.abort_decision(now));
                 return self.send_outstanding(now);
             }
             DecideOutcome::Refused { .. } => return self.depose(),
@@ -251,7 +251,7 @@
         if let Phase::Staging { deadline, .. } | Phase::Holding { deadline, .. } = self.phase
             && now >= deadline
         {
-            self.phase = Phase::Deciding(self.abort_decision());
+            self.phase = Phase::Deciding(self.abort_decision(now));
         }
         self.send_outstanding(now)
     }
@@ -267,7 +267,7 @@
             map,
             waiting,
             last_step,
-            deadline,
+            ..
         } = &mut self.phase
         else {
             return Vec::new();
@@ -291,7 +291,7 @@
             map: std::mem::take(map),
             barrier_step: *last_step + lead,
             waiting: self.members.clone(),
-            deadline: *deadline + self.timing.phase_timeout,
+            deadline: now + self.timing.phase_timeout,
         };
         self.send_outstanding(now)
     }
@@ -345,7 +345,7 @@
         if !undecided || version != self.next_version {
             return Vec::new();
         }
-        self.phase = Phase::Deciding(self.abort_decision());
+        self.phase = Phase::Deciding(self.abort_decision(now));
         self.send_outstanding(now)
     }
 
@@ -357,9 +357,14 @@
         vec![CoordinatorOutput::Deposed]
     }
 
-    /// The decision to abort the next version.
-    fn abort_decision(&mut self) -> Decision {
-        self.hold_sent_at = None;
+    /// The decision to abort the next version. If it ends an exchange, that would have
+    /// taken longer still; until one succeeds, the barrier lies beyond this time, so that
+    /// the group does not wait there for a promise that never comes.
+    fn abort_decision(&mut self, now: Instant) -> Decision {
+        if let Some(sent) = self.hold_sent_at.take() {
+            let time = now.saturating_duration_since(sent);
+            self.exchange_time = self.exchange_time.max(Some(time));
+        }
         Decision {
             fencing: self.fencing,
             version: self.next_version,
--- a/crates/expert/src/switch_timing.rs
+++ b/crates/expert/src/switch_timing.rs
@@ -35,8 +35,6 @@
 const LONG_STEP: Duration = Duration::from_millis(150);
 /// The interval grows by its usual value for each further so many agents.
 const AGENTS_PER_INTERVAL: usize = 16;
-/// Maximum lead in a large group.
-const MAX_LEAD_STEPS: u64 = 16;
 /// Lead while the step time is unknown. Steps are probably slow then, since a
 /// new formation runs on its initial map.
 const UNKNOWN_STEP_TIME_LEAD_STEPS: u64 = 1;
@@ -95,11 +93,11 @@
             return lead;
         };
         let steps = exchange_time
+            .min(self.phase_timeout)
             .saturating_sub(step_time / MAX_WAIT_DIVISOR)
             .as_micros()
             .div_ceil(step_time.as_micros().max(1));
-        let steps = u64::try_from(steps).unwrap_or(MAX_LEAD_STEPS);
-        lead.max(steps.min(MAX_LEAD_STEPS))
+        lead.max(u64::try_from(steps).unwrap_or(u64::MAX))
     }
 
     /// Number of steps between the newest step known to have run and the barrier in a
--- a/crates/expert/tests/coordinator.rs
+++ b/crates/expert/tests/coordinator.rs
@@ -128,3 +128,58 @@
     let barriers = barrier_steps_in_large_group(hold_time, Duration::from_secs(5));
     assert_eq!(barriers, [103, 103, 103]);
 }
+
+/// Guards against a group that waits at one barrier after another while its targets carry
+/// out a part of their orders seconds late: with a lead as short as the last successful
+/// exchange, each switch stops the group until the promise that does not come is given up.
+#[test]
+fn hold_after_abandoned_exchange() {
+    let timing = SwitchTiming {
+        lead_steps: 3,
+        lead_time: Duration::from_millis(200),
+        phase_timeout: Duration::from_millis(1_500),
+        ..SwitchTiming::default()
+    };
+    let step_time = Duration::from_millis(60);
+    let names: BTreeSet<String> = (0..30).map(|n| format!("advisor-{n:02}")).collect();
+    let mut now = Instant::now();
+    let mut coordinator = Coordinator::new(names.clone(), 1, timing, now);
+    coordinator.tick(now);
+    let mut outputs = coordinator.on_opened(&GroupState::default(), now);
+    let mut waits = Vec::new();
+    for _ in 0..2 {
+        let [CoordinatorOutput::Decide(decision)] = &outputs[..] else {
+            panic!("{outputs:?}")
+        };
+        let version = decision.version;
+        coordinator.on_decided(DecideOutcome::Accepted(decision.clone()), now);
+        for name in &names {
+            coordinator.on_message(name, ParticipantMessage::Applied { version }, now);
+        }
+        coordinator.set_step_time(Some(step_time));
+        coordinator.begin_switch(Bytes::from_static(b"a map"), Duration::ZERO, now);
+        let version = version + 1;
+        for name in &names {
+            let staged = ParticipantMessage::Staged { version, step: 100 };
+            outputs = coordinator.on_message(name, staged, now);
+        }
+        let CoordinatorOutput::Send {
+            message: CoordinatorMessage::Hold { barrier_step, .. },
+            ..
+        } = &outputs[0]
+        else {
+            panic!("{outputs:?}")
+        };
+        let at_barrier = now + step_time * u32::try_from(barrier_step - 100).unwrap();
+        for name in names.iter().skip(1) {
+            coordinator.on_message(name, ParticipantMessage::Held { version }, now);
+        }
+        while !matches!(outputs[..], [CoordinatorOutput::Decide(_)]) {
+            now += Duration::from_millis(25);
+            outputs = coordinator.tick(now);
+        }
+        waits.push(now.saturating_duration_since(at_barrier));
+    }
+    assert!(waits[0] > Duration::from_secs(1), "{waits:?}");
+    assert!(waits[1] <= step_time, "{waits:?}");
+}
