--- a/crates/admin/src/operator_routes.rs
+++ b/crates/admin/src/operator_routes.rs
@@ -9,8 +9,8 @@
 use hyper::{HeaderMap, Method, Request, StatusCode};
 use serde_json::{Value, json};
 use wire::proto::{
-    Drain, Forget, LedgerQuery, NoteQuery, Outcome, Pardon, QuarantineQuery, QueryReply,
-    StatusQuery, SubmitNote, command, query, query_reply,
+    Drain, Evacuate, EvacuationQuery, Forget, LedgerQuery, NoteQuery, Outcome, Pardon,
+    QuarantineQuery, QueryReply, StatusQuery, SubmitNote, command, query, query_reply,
 };
 
 use crate::{OperatorToken, Problem, Ran, Response, hex, outcomes, read_body};
@@ -121,6 +121,12 @@
                     .await
             }
             (&Method::POST, ["targets", name, "drain"]) => self.drain(name, body).await,
+            (&Method::GET, ["evacuations"]) => {
+                self.json_document(query::Body::Evacuations(EvacuationQuery {}))
+                    .await
+            }
+            (&Method::PUT, ["evacuations", zone]) => self.evacuate(zone, true).await,
+            (&Method::DELETE, ["evacuations", zone]) => self.evacuate(zone, false).await,
             (&Method::GET, ["quarantine"]) => self.quarantine().await,
             (&Method::DELETE, ["quarantine", fingerprint]) => self.pardon(fingerprint).await,
             (&Method::GET, ["ledger"]) => {
@@ -158,6 +164,14 @@
         outcomes::drain((self.propose)(command).await, target)
     }
 
+    async fn evacuate(&self, zone: &str, active: bool) -> Result<Response, Problem> {
+        let command = command::Body::Evacuate(Evacuate {
+            zone: zone.to_owned(),
+            active,
+        });
+        outcomes::evacuate((self.propose)(command).await, zone)
+    }
+
     async fn pardon(&self, fingerprint: &str) -> Result<Response, Problem> {
         let bytes = hex::decode(fingerprint);
         let Some(bytes) = bytes.filter(|bytes| bytes.len() == FINGERPRINT_BYTES) else {
@@ -257,8 +271,8 @@
 fn is_route(segments: &[&str]) -> bool {
     matches!(
         segments,
-        ["notes" | "catalogue" | "status" | "quarantine" | "ledger"]
-            | ["notes" | "quarantine" | "ledger", _]
+        ["notes" | "catalogue" | "status" | "quarantine" | "ledger" | "evacuations"]
+            | ["notes" | "quarantine" | "ledger" | "evacuations", _]
             | ["targets", _, "drain"]
     )
 }
--- a/crates/admin/src/outcomes.rs
+++ b/crates/admin/src/outcomes.rs
@@ -33,6 +33,21 @@
     }
 }
 
+pub(crate) fn evacuate(outcome: Outcome, zone: &str) -> Result<Response, Problem> {
+    match outcome.body {
+        Some(outcome::Body::Evacuation(accepted)) if accepted.known => {
+            let zones = accepted.evacuations.unwrap_or_default().zones;
+            let answer = json!({"zone": zone, "evacuated": zones});
+            Ok(crate::json(StatusCode::OK, answer.to_string()))
+        }
+        Some(outcome::Body::Evacuation(_)) => {
+            let detail = format!("unknown availability zone {zone:?}");
+            Err(Problem::new(StatusCode::NOT_FOUND, detail))
+        }
+        other => Err(unavailable_problem(other)),
+    }
+}
+
 pub(crate) fn pardon(outcome: Outcome, fingerprint: &str) -> Result<Response, Problem> {
     match outcome.body {
         Some(outcome::Body::Pardon(pardon)) if pardon.known => {
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -5,7 +5,7 @@
 use eyre::{Result, bail};
 use member::{EntryReport, TargetReport};
 use std::time::Duration;
-use wire::proto::{RouteTable, RouteTableQuery, command, outcome, query, query_reply};
+use wire::proto::{Evacuate, RouteTable, RouteTableQuery, command, outcome, query, query_reply};
 
 /// Timeout for committing a table. Operators ask another replica after about a
 /// second, so waiting longer is of no use to them.
@@ -28,6 +28,17 @@
     Unknown,
 }
 
+/// Outcome of [`Control::evacuate`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EvacuateOutcome {
+    /// The order was committed, or was carried out before.
+    Accepted,
+    /// The settings don't list the availability zone.
+    UnknownZone,
+    /// It is not known whether the order was or will be committed.
+    Unknown,
+}
+
 impl Control {
     /// Commits a route table and waits, for a limited time, until it is in force on
     /// all entries. The table must already be validated; its bytes are returned
@@ -56,6 +67,39 @@
         }
     }
 
+    /// Starts or finishes the evacuation of an availability zone: its targets get no new
+    /// requests, and running ones end in peace. Waits, for a limited time, until the
+    /// order is in force on all entries.
+    ///
+    /// The call is idempotent and may be repeated after any outcome, at any replica.
+    pub async fn evacuate(&self, zone: &str, active: bool) -> EvacuateOutcome {
+        let body = command::Body::Evacuate(Evacuate {
+            zone: zone.to_owned(),
+            active,
+        });
+        let outcome = self
+            .leader_client()
+            .propose_with_timeout(body, COMMIT_TIMEOUT)
+            .await;
+        match outcome.body {
+            Some(outcome::Body::Evacuation(accepted)) if accepted.known => {
+                let number = accepted.evacuations.map_or(0, |e| e.number);
+                self.gossip().wait_evacuations_in_force(number).await;
+                log::info!(zone = zone, active = active, number = number; "evacuation order accepted");
+                EvacuateOutcome::Accepted
+            }
+            Some(outcome::Body::Evacuation(_)) => {
+                log::warn!(zone = zone; "evacuation order refused: unknown availability zone");
+                EvacuateOutcome::UnknownZone
+            }
+            Some(outcome::Body::Unavailable(answer)) => {
+                log::warn!(zone = zone; "evacuation order not accepted: {}", answer.reason);
+                EvacuateOutcome::Unknown
+            }
+            _ => EvacuateOutcome::Unknown,
+        }
+    }
+
     /// Returns the newest route table, or `None` if none was ever accepted.
     ///
     /// # Errors
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -77,6 +77,7 @@
         let start = open(settings.clone(), ops, disk_closed.clone()).await?;
         let metrics = start.metrics.clone();
         let (table, replicas) = (start.table.subscribe(), start.replicas.subscribe());
+        let evacuations = start.evacuations.subscribe();
         let disk = start.recovered.identity.disk;
         let (_, identity) = links::replica_identity(disk, &settings.name);
         let stopped = CancellationToken::new();
@@ -103,7 +104,7 @@
             &settings.zone,
             leader_client.replica_links.clone(),
             replicas.clone(),
-            table,
+            (table, evacuations),
             TargetCache::new(&settings.data),
         );
         tasks.spawn(until_stopped(stop.clone(), gossip.clone().run()));
@@ -323,6 +324,7 @@
         recovered,
         metrics: Metrics::default(),
         table: watch::Sender::default(),
+        evacuations: watch::Sender::default(),
         replicas: watch::Sender::default(),
         disk_closed: disk_closed.drop_guard(),
     })
--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -17,7 +17,9 @@
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 use wire::proto::Presence::Ready;
 use wire::proto::frame::Body;
-use wire::proto::{Alive, Report, Reported, RouteTable, Sighting, Sightings, SightingsTaken};
+use wire::proto::{
+    Alive, Evacuations, Report, Reported, RouteTable, Sighting, Sightings, SightingsTaken,
+};
 use wire::{Link, entrance_from_proto, entrance_to_proto, sighting_from_proto, sighting_to_proto};
 
 /// Interval between two messages that tell entries and other replicas which targets
@@ -61,6 +63,7 @@
     replica_links: ReplicaLinks,
     replicas: watch::Receiver<Replicas>,
     table: watch::Receiver<RouteTable>,
+    evacuations: watch::Receiver<Evacuations>,
     /// File with the last known targets.
     cache: CacheWriter,
     /// Number of reports from entries so far.
@@ -72,7 +75,7 @@
         zone: &str,
         replica_links: ReplicaLinks,
         replicas: watch::Receiver<Replicas>,
-        table: watch::Receiver<RouteTable>,
+        (table, evacuations): (watch::Receiver<RouteTable>, watch::Receiver<Evacuations>),
         cache: TargetCache,
     ) -> Gossip {
         let mut board = ReportStore::default();
@@ -91,6 +94,7 @@
             replica_links,
             replicas,
             table,
+            evacuations,
             cache: CacheWriter::new(cache),
             report_count: watch::Sender::new(0),
         };
@@ -103,6 +107,7 @@
     /// entries periodically.
     pub(crate) async fn run(self) {
         let mut table = self.shared.table.clone();
+        let mut evacuations = self.shared.evacuations.clone();
         let mut refresh = interval(REFRESH_INTERVAL);
         refresh.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
@@ -116,6 +121,14 @@
                     let newest = table.borrow_and_update().clone();
                     self.send_table(newest).await;
                 }
+                changed = evacuations.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    let newest = evacuations.borrow_and_update().clone();
+                    let links = self.shared.entries.with_evacuations();
+                    send_all(&links, &Body::Evacuations(newest)).await;
+                }
             }
         }
     }
@@ -143,6 +156,10 @@
             let table = self.shared.table.borrow().clone();
             send(link, Body::RouteTable(table)).await;
         }
+        let evacuations = self.shared.evacuations.borrow().clone();
+        if update.wants_evacuations(&evacuations) {
+            send(link, Body::Evacuations(evacuations)).await;
+        }
         if update.wants_targets {
             send(link, targets_message(self.all_targets())).await;
         }
@@ -158,24 +175,36 @@
                     "state of an entry changed"
                 );
             }
-            lock(&self.shared.heard).entries.insert(state.name);
+            // Each replica hears from the entry itself. One of them passes the report on,
+            // for those that the entry does not reach.
+            if !report.changes_only {
+                lock(&self.shared.heard).entries.insert(state.name);
+            }
             self.shared.report_count.send_modify(|count| *count += 1);
         }
+        let overdue = self.overdue_rows(&report.overdue);
+        if !overdue.is_empty() {
+            send(link, targets_message(overdue)).await;
+        }
         let addresses = self.shared.replicas.borrow().addresses.clone();
         let reported = Reported {
             replicas: addresses.iter().map(ToString::to_string).collect(),
             zone: self.shared.zone.clone(),
             zone_entries,
+            entries: self.entry_count(),
         };
         reply(link, call, Body::Reported(reported)).await;
     }
 
     fn all_targets(&self) -> Vec<Sighting> {
-        let board = self.board();
-        let targets = board.targets();
-        targets
-            .map(|(target, _)| sighting_to_proto(target))
-            .collect()
+        let ids: BTreeSet<String> = {
+            let board = self.board();
+            board
+                .targets()
+                .map(|(target, _)| target.id.clone())
+                .collect()
+        };
+        self.rows(&ids)
     }
 
     /// Merges the state that another replica or an agent sent, and forwards changes to
@@ -378,32 +407,65 @@
 
     /// The latest reports of these targets.
     fn rows(&self, ids: &BTreeSet<String>) -> Vec<Sighting> {
+        let now = Instant::now();
         let board = self.board();
-        let targets = ids.iter().filter_map(|id| board.target(id));
-        targets.map(sighting_to_proto).collect()
+        let targets = ids.iter().filter_map(|id| board.report_at(id, now));
+        targets.map(|target| sighting_to_proto(&target)).collect()
+    }
+
+    /// The reports that are later than those that an entry has.
+    fn overdue_rows(&self, overdue: &[Alive]) -> Vec<Sighting> {
+        let now = Instant::now();
+        let board = self.board();
+        let later = overdue
+            .iter()
+            .filter_map(|held| board.report_after(&held.id, (held.born, held.sequence), now));
+        later.map(|report| sighting_to_proto(&report)).collect()
     }
 
     /// Waits until this table or a later one is in force on every entry that reports, or
     /// until [`IN_FORCE_TIMEOUT`] has elapsed.
     pub(crate) async fn wait_in_force(&self, number: u64) {
+        if !self.wait_for_entries(|entry| entry.table >= number).await {
+            log::info!(table = number; "table acknowledged before it is in force on all entries");
+        }
+    }
+
+    /// Waits until these evacuations or later ones are in force on every entry that
+    /// reports, or until [`IN_FORCE_TIMEOUT`] has elapsed.
+    pub(crate) async fn wait_evacuations_in_force(&self, number: u64) {
+        if !self
+            .wait_for_entries(|entry| entry.evacuations >= number)
+            .await
+        {
+            log::warn!(number = number; "evacuations acknowledged before they are in force on all entries");
+        }
+    }
+
+    /// Waits until the condition holds for every entry that reports. Returns whether it
+    /// does within [`IN_FORCE_TIMEOUT`].
+    async fn wait_for_entries(&self, condition: impl Fn(&EntryReport) -> bool) -> bool {
         let mut reports = self.shared.report_count.subscribe();
         let everywhere = async {
-            while !self.is_in_force(number) {
+            while !self.all_entries(&condition) {
                 if reports.changed().await.is_err() {
                     return;
                 }
             }
         };
-        if timeout(IN_FORCE_TIMEOUT, everywhere).await.is_err() {
-            log::info!(table = number; "table acknowledged before it is in force on all entries");
-        }
+        timeout(IN_FORCE_TIMEOUT, everywhere).await.is_ok()
     }
 
-    fn is_in_force(&self, number: u64) -> bool {
+    fn all_entries(&self, condition: impl Fn(&EntryReport) -> bool) -> bool {
         let now = Instant::now();
         let board = self.board();
         let mut live = board.entries().filter(|(_, heard)| is_live(*heard, now));
-        live.all(|(entry, _)| entry.table >= number)
+        live.all(|(entry, _)| condition(entry))
+    }
+
+    /// Number of entries that have been heard from lately.
+    fn entry_count(&self) -> u32 {
+        u32::try_from(self.board().entries().count()).unwrap_or(u32::MAX)
     }
 
     /// Returns the entries that accept new callers.
--- a/crates/control/src/gossip/entry_links.rs
+++ b/crates/control/src/gossip/entry_links.rs
@@ -3,7 +3,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use wire::Link;
-use wire::proto::Report;
+use wire::proto::{Evacuations, Report};
 
 /// Time after which an entry that still uses the same older table is sent the newest
 /// one.
@@ -23,6 +23,8 @@
     wants_refresh: bool,
     /// Whether the entry understands the short form of unchanged targets.
     pub(super) knows_alive: bool,
+    /// Whether the entry understands evacuations.
+    knows_evacuations: bool,
     /// Number of the table that the entry uses.
     table: u64,
     /// Since when the entry has used that table although there is a newer one.
@@ -35,6 +37,18 @@
     pub(super) wants_table: bool,
     /// The entry has begun to want the state of targets from this replica.
     pub(super) wants_targets: bool,
+    /// Number of the evacuations in force at the entry, if it understands them.
+    evacuations: Option<u64>,
+    /// The entry is on a new link.
+    is_new: bool,
+}
+
+impl EntryUpdate {
+    /// Whether the entry is to be sent these evacuations.
+    pub(super) fn wants_evacuations(&self, newest: &Evacuations) -> bool {
+        let is_behind = |held: u64| held < newest.number || (self.is_new && held == newest.number);
+        self.evacuations.is_some_and(is_behind)
+    }
 }
 
 impl EntryLinks {
@@ -60,10 +74,16 @@
             link: link.clone(),
             wants_refresh: !report.changes_only,
             knows_alive: report.knows_alive,
+            knows_evacuations: report.knows_evacuations,
             table,
             behind_since,
         };
         let wants_targets = entry.wants_refresh && !had_refresh;
+        let held = report
+            .entrance
+            .as_ref()
+            .map_or(0, |entry| entry.evacuations);
+        let is_new = known.is_none();
         match known {
             Some(known) => *known = entry,
             None => links.push(entry),
@@ -71,9 +91,18 @@
         EntryUpdate {
             wants_table: wants_table || (wants_targets && behind_since.is_some()),
             wants_targets,
+            evacuations: report.knows_evacuations.then_some(held),
+            is_new,
         }
     }
 
+    /// The links of the entries that understand evacuations.
+    pub(super) fn with_evacuations(&self) -> Vec<Link> {
+        let links = self.open_links();
+        let able = links.iter().filter(|entry| entry.knows_evacuations);
+        able.map(|entry| entry.link.clone()).collect()
+    }
+
     /// The links of all entries.
     pub(super) fn all(&self) -> Vec<Link> {
         let links = self.open_links();
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -31,8 +31,9 @@
 mod state_machine;
 mod target_cache;
 mod timing;
+mod withdrawn;
 
-pub use api::{ENTRY_LIST_TTL, ReplaceOutcome};
+pub use api::{ENTRY_LIST_TTL, EvacuateOutcome, ReplaceOutcome};
 pub use clock::Clock;
 pub use cluster_formation::ClusterFormation;
 pub use control::Control;
@@ -42,3 +43,4 @@
 pub use settings::{ReplicaAddress, Settings};
 pub use state_machine::StateMachine;
 pub use timing::Timing;
+pub use withdrawn::Withdrawn;
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -18,6 +18,7 @@
     pub(crate) ledger_bytes: Gauge,
     pub(crate) ledger_unproved: Gauge,
     pub(crate) nodes: Gauge,
+    pub(crate) evacuated_zones: Gauge,
     pub(crate) tolerated_losses: Gauge,
     pub(crate) commands: Counter,
     pub(crate) refused_commands: Counter,
@@ -58,6 +59,11 @@
                 "Nodes that hold a lease from this leader",
                 &self.nodes,
             ),
+            (
+                "evacuated_zones",
+                "Availability zones that are evacuated",
+                &self.evacuated_zones,
+            ),
             (
                 "tolerated_losses",
                 "Disks that may still be lost at once; -1 unless this replica leads",
--- a/crates/control/src/node_info.rs
+++ b/crates/control/src/node_info.rs
@@ -1,14 +1,14 @@
 //! Conversion of nodes between protobuf messages and `member` types.
 
+use crate::withdrawn::Withdrawn;
 use member::{Announcement, Capability, Node, Role, Serves};
-use std::collections::BTreeSet;
 use wire::proto::{self, NodeInfo};
 
-/// Encodes a node for the member view. A drained target is marked as leaving.
-pub(crate) fn encode_for_view(node: &Node, drained: &BTreeSet<String>) -> NodeInfo {
+/// Encodes a node for the member view. A target that operators have withdrawn is marked
+/// as leaving.
+pub(crate) fn encode_for_view(node: &Node, withdrawn: &Withdrawn) -> NodeInfo {
     let mut info = encode(node);
-    let target = info.target.as_ref().map(|t| t.target.as_str());
-    info.leaving |= target.is_some_and(|target| drained.contains(target));
+    info.leaving |= withdrawn.contains_target_of(node);
     info
 }
 
--- a/crates/control/src/node_leases.rs
+++ b/crates/control/src/node_leases.rs
@@ -1,9 +1,9 @@
 //! Leases of nodes, in terms of protobuf messages.
 
 use crate::node_info::{encode_for_view, encode_role, parse, parse_role};
+use crate::withdrawn::Withdrawn;
 use member::{Member, NodeKey, Registry, Renewal};
 use route::{FULL_QUOTA, QuotaAllocator, QuotaUsage};
-use std::collections::BTreeSet;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::{Duration, Instant};
 use wire::proto::{self, AccountPart, AccountUse, MemberView, NodeInfo, NodeRef, UnchangedNode};
@@ -275,17 +275,17 @@
         self.quotas.expire(now);
     }
 
-    /// Starts a new version of the view because the set of drained targets has
-    /// changed.
+    /// Starts a new version of the view because operators have withdrawn other
+    /// targets.
     ///
     /// ```
     /// # use std::time::{Duration, Instant};
     /// let (now, lease) = (Instant::now(), Duration::from_secs(3));
     /// let mut leases = control::NodeLeases::new(7, lease, now);
-    /// leases.drained_targets_changed();
+    /// leases.withdrawn_targets_changed();
     /// assert_eq!(leases.version(), 2);
     /// ```
-    pub fn drained_targets_changed(&mut self) {
+    pub fn withdrawn_targets_changed(&mut self) {
         self.registry.require_full_view();
     }
 
@@ -331,8 +331,8 @@
         self.registry.members()
     }
 
-    /// Returns the view of the nodes that hold a lease. A drained target is
-    /// marked as leaving.
+    /// Returns the view of the nodes that hold a lease. A withdrawn target
+    /// is marked as leaving.
     ///
     /// ```
     /// # use std::time::{Duration, Instant};
@@ -341,9 +341,12 @@
     /// assert!(leases.view(&Default::default()).nodes.is_empty());
     /// ```
     #[must_use]
-    pub fn view(&self, drained: &BTreeSet<String>) -> MemberView {
+    pub fn view(&self, withdrawn: &Withdrawn) -> MemberView {
         let view = self.registry.view();
-        let nodes = view.nodes.iter().map(|node| encode_for_view(node, drained));
+        let nodes = view
+            .nodes
+            .iter()
+            .map(|node| encode_for_view(node, withdrawn));
         MemberView {
             term: view.term,
             version: view.version,
@@ -364,24 +367,19 @@
     /// assert_eq!(leases.view_since(6, 40, &Default::default()).unwrap().since, 0);
     /// ```
     #[must_use]
-    pub fn view_since(
-        &self,
-        term: u64,
-        version: u64,
-        drained: &BTreeSet<String>,
-    ) -> Option<MemberView> {
+    pub fn view_since(&self, term: u64, version: u64, withdrawn: &Withdrawn) -> Option<MemberView> {
         let same_term = term == self.term;
         if same_term && version == self.version() {
             return None;
         }
         let changes = same_term.then(|| self.registry.changes_since(version));
         let Some(changes) = changes.flatten() else {
-            return Some(self.view(drained));
+            return Some(self.view(withdrawn));
         };
         let nodes = changes
             .nodes
             .iter()
-            .map(|node| encode_for_view(node, drained));
+            .map(|node| encode_for_view(node, withdrawn));
         let gone = changes.removed.into_iter().map(|key| NodeRef {
             role: encode_role(key.role).into(),
             name: key.name,
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -27,7 +27,7 @@
 use std::time::Instant;
 use tokio::sync::{OwnedSemaphorePermit, oneshot, watch};
 use wire::Link;
-use wire::proto::{FetchNotes, Propose, Query, Renew, RenewBatch, RouteTable};
+use wire::proto::{Evacuations, FetchNotes, Propose, Query, Renew, RenewBatch, RouteTable};
 
 /// A message to the actor.
 pub(crate) enum Msg {
@@ -95,6 +95,8 @@
     metrics: Metrics,
     /// Publishes the route table in force on this replica.
     table: watch::Sender<RouteTable>,
+    /// Publishes the evacuated zones.
+    evacuations: watch::Sender<Evacuations>,
     /// Publishes the replicas of the cluster.
     replicas: watch::Sender<Replicas>,
     /// Members that were published last.
--- a/crates/control/src/replica/actor.rs
+++ b/crates/control/src/replica/actor.rs
@@ -18,7 +18,7 @@
 use store::{Disk, Recovered};
 use tokio::sync::watch;
 use tokio_util::sync::DropGuard;
-use wire::proto::RouteTable;
+use wire::proto::{Evacuations, RouteTable};
 
 /// Actor that runs one replica.
 pub(crate) struct Replica;
@@ -30,6 +30,7 @@
     pub(crate) recovered: Recovered,
     pub(crate) metrics: Metrics,
     pub(crate) table: watch::Sender<RouteTable>,
+    pub(crate) evacuations: watch::Sender<Evacuations>,
     pub(crate) replicas: watch::Sender<Replicas>,
     /// Dropped once the disk is closed.
     pub(crate) disk_closed: DropGuard,
@@ -94,6 +95,7 @@
             recovered,
             metrics,
             table,
+            evacuations,
             replicas,
             disk_closed,
         } = start;
@@ -110,6 +112,7 @@
             log::info!(table = known.number; "route table recovered from disk");
             table.send_replace(known);
         }
+        evacuations.send_replace(recovered_table::evacuations(&restored));
         let cfg = Config {
             heartbeat_interval: settings.timing.heartbeat_interval,
             election_timeout: settings.timing.election_timeout,
@@ -134,6 +137,7 @@
             clock: None,
             metrics,
             table,
+            evacuations,
             replicas,
             published_members: Members::default(),
             commands: PendingCommands::default(),
--- a/crates/control/src/replica/answer.rs
+++ b/crates/control/src/replica/answer.rs
@@ -6,13 +6,14 @@
 use crate::node_leases::NodeLeases;
 use crate::reply::{MayCommit, Reply, unavailable, unavailable_lasting};
 use prost::Message as _;
+use serde_json::json;
 use std::time::Instant;
 use wire::proto::frame::Body;
 use wire::proto::query::Body as Question;
 use wire::proto::query_reply::Body as Answer;
 use wire::proto::{
-    Command, FetchNotes, LedgerLimits, NotLeader, Query, QueryReply, Renew, RenewBatch, Renewed,
-    RenewedBatch, RouteTableQuery, command,
+    Command, EvacuationOutcome, FetchNotes, LedgerLimits, NotLeader, Outcome, Query, QueryReply,
+    Renew, RenewBatch, Renewed, RenewedBatch, RouteTableQuery, command, outcome,
 };
 
 /// Maximum size of a command, so that a single one cannot block the log.
@@ -71,7 +72,7 @@
         let quarantine = self.state_machine.quarantine_message();
         let context = RenewalContext {
             note: self.state_machine.history().catalogue().number(),
-            drained: self.state_machine.drained(),
+            withdrawn: self.state_machine.withdrawn(),
             quarantine_version: quarantine.version,
         };
         let mut renewed = context.renew(node_leases, batch, now);
@@ -95,6 +96,11 @@
         if !self.node.is_leader() {
             return reply.send(self.not_leader());
         }
+        if let Some(command::Body::Evacuate(order)) = &command.body
+            && !self.settings.may_have_zone(&order.zone)
+        {
+            return reply.send(unknown_zone());
+        }
         match self.append_command(command, now) {
             Ok(position) => self.commands.insert(position, reply, now),
             Err(answer) => {
@@ -211,6 +217,10 @@
                 let record = self.state_machine.record(&q.account, &q.key);
                 Answer::Record(record.unwrap_or_default())
             }
+            Question::Evacuations(_) => {
+                let zones = &self.state_machine.withdrawn().zones;
+                Answer::Json(json!({ "evacuated": zones }).to_string().into())
+            }
             Question::Ledger(_) => Answer::Json(self.state_machine.unproved().to_string().into()),
             Question::Map(q) => Answer::Map(self.state_machine.map(&q.group)),
             Question::RouteTable(_) => Answer::RouteTable(self.state_machine.route_table().clone()),
@@ -224,3 +234,11 @@
         })
     }
 }
+
+/// Answer to an order for an availability zone that the settings don't list.
+fn unknown_zone() -> Body {
+    Body::Outcome(Outcome {
+        index: 0,
+        body: Some(outcome::Body::Evacuation(EvacuationOutcome::default())),
+    })
+}
--- a/crates/control/src/replica/output.rs
+++ b/crates/control/src/replica/output.rs
@@ -116,9 +116,9 @@
                 };
                 self.notify_nodes(&Body::Notes(hint));
             }
-            outcome::Body::Drain(_) => {
+            outcome::Body::Drain(_) | outcome::Body::Evacuation(_) => {
                 if let Some(node_leases) = &mut self.node_leases {
-                    node_leases.drained_targets_changed();
+                    node_leases.withdrawn_targets_changed();
                 }
                 self.notify_nodes(&Body::Renewed(Renewed::default()));
             }
@@ -127,7 +127,7 @@
         body
     }
 
-    /// Publishes changes of the route table and of the members.
+    /// Publishes changes of the route table, of the evacuated zones and of the members.
     fn publish(&mut self) {
         let table = self.state_machine.route_table();
         self.table.send_if_modified(|published| {
@@ -138,6 +138,22 @@
             }
             is_newer
         });
+        let evacuations = self.state_machine.evacuations();
+        let is_up_to_date = self.node.leader().is_some() && self.node.has_applied_in_term();
+        self.evacuations.send_if_modified(|published| {
+            // What was read from disk holds until the committed orders are known.
+            let is_provisional = published.number == 0 && is_up_to_date;
+            let is_newer = published.number < evacuations.number
+                || (is_provisional && *published != evacuations);
+            if is_newer {
+                log::info!(
+                    number = evacuations.number;
+                    "evacuated availability zones: {:?}", evacuations.zones
+                );
+                *published = evacuations;
+            }
+            is_newer
+        });
         if self.published_members != *self.node.members() {
             self.published_members.clone_from(self.node.members());
             self.replicas
@@ -214,6 +230,8 @@
         let unproved = self.state_machine.ledger().unproved_len();
         set(&metrics.ledger_unproved, unproved as u64);
         set(&metrics.nodes, nodes as u64);
+        let evacuated = self.state_machine.withdrawn().zones.len();
+        set(&metrics.evacuated_zones, evacuated as u64);
     }
 
     /// Publishes how many more lost disks the log tolerates, and logs a change.
--- a/crates/control/src/replica/renewal_context.rs
+++ b/crates/control/src/replica/renewal_context.rs
@@ -1,7 +1,8 @@
 //! Renewal of leases in batches.
 
 use crate::node_leases::NodeLeases;
-use std::collections::{BTreeMap, BTreeSet};
+use crate::withdrawn::Withdrawn;
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 use wire::proto::{AccountPart, MemberView, NodeInfo, Renew, RenewBatch, Renewed, RenewedBatch};
 
@@ -9,8 +10,8 @@
 pub(super) struct RenewalContext<'a> {
     /// Number of the newest release note.
     pub(super) note: u64,
-    /// Targets that operators have drained.
-    pub(super) drained: &'a BTreeSet<String>,
+    /// Targets that operators have withdrawn.
+    pub(super) withdrawn: &'a Withdrawn,
     /// Version of the quarantine.
     pub(super) quarantine_version: u64,
 }
@@ -40,7 +41,7 @@
         for (renew, lease, parts) in granted {
             let held = (renew.view_term, renew.view_version);
             let position = *positions.entry(held).or_insert_with(|| {
-                let view = node_leases.view_since(held.0, held.1, self.drained);
+                let view = node_leases.view_since(held.0, held.1, self.withdrawn);
                 add_view(&mut batch.views, view)
             });
             batch.renewals.push(Renewed {
--- a/crates/control/src/replica/status.rs
+++ b/crates/control/src/replica/status.rs
@@ -55,7 +55,8 @@
             "targets": self.targets(),
             "groups": self.groups(),
             "quarantine": self.quarantine(),
-            "drained": self.state_machine.drained(),
+            "drained": self.state_machine.withdrawn().targets,
+            "evacuated": self.state_machine.withdrawn().zones,
             "ledger": {
                 "records": self.state_machine.ledger().len(),
                 "bytes": self.state_machine.ledger().bytes(),
@@ -166,7 +167,7 @@
 
     fn targets(&self) -> Vec<Value> {
         let catalogue = self.state_machine.history().catalogue();
-        let drained = self.state_machine.drained();
+        let withdrawn = self.state_machine.withdrawn();
         let mut rows = Vec::new();
         for member in self.node_leases.iter().flat_map(NodeLeases::members) {
             let Some(target) = &member.node.announcement else {
@@ -184,7 +185,7 @@
                 "zone": member.node.zone,
                 "healthy": target.healthy,
                 "leaving": member.node.leaving,
-                "draining": drained.contains(name),
+                "draining": withdrawn.contains_target_of(&member.node),
                 "offered": catalogue.target(name).is_some(),
                 "checks_fencing": target.capabilities.contains(&Capability::ChecksFencing),
             }));
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -26,6 +26,8 @@
     pub name: String,
     /// Availability zone.
     pub zone: String,
+    /// All availability zones; empty if they aren't listed.
+    pub zones: Vec<String>,
     /// Address to accept links on.
     pub listen: SocketAddr,
     /// Address that other processes dial, if it differs from `listen`.
@@ -68,6 +70,7 @@
         let mut r = Reader::from_slice(json)?;
         let name: Option<String> = r.required("name");
         let zone: Option<String> = r.required("zone");
+        let zones: Vec<String> = r.or("zones", Vec::new());
         let listen: Option<SocketAddr> = r.required("listen");
         let advertise = r.optional("advertise");
         let http: Option<SocketAddr> = r.required("http");
@@ -97,6 +100,7 @@
         Ok(Settings {
             name,
             zone,
+            zones,
             listen,
             advertise,
             http,
@@ -114,6 +118,11 @@
 }
 
 impl Settings {
+    /// Whether there is such an availability zone, as far as the settings tell.
+    pub(crate) fn may_have_zone(&self, zone: &str) -> bool {
+        self.zones.is_empty() || self.zones.iter().any(|known| known == zone)
+    }
+
     /// Address at which other processes dial this replica.
     pub(crate) fn advertised(&self) -> SocketAddr {
         self.advertise.unwrap_or(self.listen)
--- a/crates/control/src/state_machine.rs
+++ b/crates/control/src/state_machine.rs
@@ -2,22 +2,25 @@
 
 mod calls;
 mod crashes;
+mod evacuations;
 mod maps;
 mod notes;
 mod snapshot;
 mod table;
 
 pub(crate) use calls::MAX_UNPROVED;
+
+use crate::withdrawn::Withdrawn;
 use expert::Decisions;
 use ledger::{Ledger, Limits};
 use note::History;
 use route::Quarantine;
-use std::collections::BTreeSet;
 use wire::proto::command::Body;
 use wire::proto::{Command, Drain, DrainOutcome, RouteTable, Unavailable, outcome};
 
 /// The durable state: release notes, the ledger of non-repeatable calls, the
-/// quarantine, expert-map decisions, drained targets and the route table.
+/// quarantine, expert-map decisions, drained targets, evacuated zones and the route
+/// table.
 ///
 /// It is deterministic: replicas that apply the same commands in the same order
 /// hold equal states.
@@ -40,7 +43,9 @@
     ledger: Ledger,
     quarantine: Quarantine,
     decisions: Decisions,
-    drained: BTreeSet<String>,
+    withdrawn: Withdrawn,
+    /// Number of changes of the evacuated zones.
+    evacuation_changes: u64,
     route_table: RouteTable,
 }
 
@@ -52,7 +57,8 @@
             ledger: Ledger::new(Limits::default()),
             quarantine: Quarantine::new(),
             decisions: Decisions::new(),
-            drained: BTreeSet::new(),
+            withdrawn: Withdrawn::default(),
+            evacuation_changes: 0,
             route_table: RouteTable::default(),
         }
     }
@@ -84,6 +90,7 @@
             Some(Body::Drain(drain)) => outcome::Body::Drain(self.drain(drain)),
             Some(Body::Forget(forget)) => self.forget(&forget),
             Some(Body::LedgerLimits(limits)) => self.set_ledger_limits(limits),
+            Some(Body::Evacuate(order)) => outcome::Body::Evacuation(self.evacuate(order)),
             Some(Body::RouteTable(table)) => {
                 outcome::Body::RouteTable(self.replace_route_table(table))
             }
@@ -102,9 +109,9 @@
     fn drain(&mut self, drain: Drain) -> DrainOutcome {
         let known = self.history.catalogue().target(&drain.target).is_some();
         if drain.draining && known {
-            self.drained.insert(drain.target);
+            self.withdrawn.targets.insert(drain.target);
         } else if !drain.draining {
-            self.drained.remove(&drain.target);
+            self.withdrawn.targets.remove(&drain.target);
         }
         DrainOutcome {
             known,
@@ -156,15 +163,15 @@
         &self.decisions
     }
 
-    /// Returns the targets that operators have drained.
+    /// Returns the targets that operators have drained or whose zone they evacuate.
     ///
     /// ```
     /// let machine = control::StateMachine::default();
-    /// assert!(machine.drained().is_empty());
+    /// assert!(machine.withdrawn().targets.is_empty());
     /// ```
     #[must_use]
-    pub fn drained(&self) -> &BTreeSet<String> {
-        &self.drained
+    pub fn withdrawn(&self) -> &Withdrawn {
+        &self.withdrawn
     }
 
     /// Returns the latest time of a command, in milliseconds on the
--- a/crates/control/src/state_machine/snapshot.rs
+++ b/crates/control/src/state_machine/snapshot.rs
@@ -1,6 +1,7 @@
 //! Serialisation of the whole state.
 
 use super::StateMachine;
+use crate::withdrawn::Withdrawn;
 use bytes::Bytes;
 use expert::Decisions;
 use eyre::Result;
@@ -26,8 +27,9 @@
             ledger: self.ledger.to_bytes().into(),
             quarantine: self.quarantine.to_json().into(),
             maps: self.decisions.to_bytes(),
-            drained: self.drained.iter().cloned().collect(),
+            drained: self.withdrawn.targets.iter().cloned().collect(),
             route_table: (self.route_table.number > 0).then(|| self.route_table.clone()),
+            evacuations: (self.evacuation_changes > 0).then(|| self.evacuations()),
         };
         state.encode_to_vec().into()
     }
@@ -47,13 +49,18 @@
             return Ok(StateMachine::default());
         }
         let state = DurableState::decode(bytes)?;
+        let evacuations = state.evacuations.unwrap_or_default();
         Ok(StateMachine {
             now_ms: state.now_ms,
             history: History::from_json(&state.notes)?,
             ledger: Ledger::from_slice(&state.ledger)?,
             quarantine: Quarantine::from_json(&state.quarantine)?,
             decisions: Decisions::from_bytes(state.maps)?,
-            drained: state.drained.into_iter().collect(),
+            withdrawn: Withdrawn {
+                targets: state.drained.into_iter().collect(),
+                zones: evacuations.zones.into_iter().collect(),
+            },
+            evacuation_changes: evacuations.number,
             route_table: state.route_table.unwrap_or_default(),
         })
     }
--- a/crates/control/tests/roster.rs
+++ b/crates/control/tests/roster.rs
@@ -1,6 +1,6 @@
 //! Tests of node leases: when a release note is in force everywhere, and the member view.
 
-use control::NodeLeases;
+use control::{NodeLeases, Withdrawn};
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 use wire::proto::{Announcement, NodeInfo, Role};
@@ -73,10 +73,14 @@
     let now = Instant::now();
     let mut leases = NodeLeases::new(1, LEASE, now);
     leases.renew(agent("desk-01", 1), 4, now).unwrap();
-    let before = leases.view(&BTreeSet::new());
+    let before = leases.view(&Withdrawn::default());
     assert!(!before.nodes[0].leaving);
-    leases.drained_targets_changed();
-    let after = leases.view(&BTreeSet::from(["desk-01".to_owned()]));
+    leases.withdrawn_targets_changed();
+    let withdrawn = Withdrawn {
+        targets: BTreeSet::from(["desk-01".to_owned()]),
+        ..Withdrawn::default()
+    };
+    let after = leases.view(&withdrawn);
     assert!(after.nodes[0].leaving && after.version > before.version);
 }
 
@@ -96,5 +100,5 @@
     target.checks_fencing = true;
     target.healthy = true;
     leases.renew(info.clone(), 4, now).unwrap();
-    assert_eq!(leases.view(&BTreeSet::new()).nodes, [info]);
+    assert_eq!(leases.view(&Withdrawn::default()).nodes, [info]);
 }
--- a/crates/direct/src/balancer.rs
+++ b/crates/direct/src/balancer.rs
@@ -1,6 +1,8 @@
 //! Chooses targets for the requests of all services.
 
+use crate::entry_place::EntryPlace;
 use crate::permit::Permit;
+use crate::proxy::{ProxySettings, RetryTolerance};
 use crate::service_targets::ServiceTargets;
 use crate::timing::Timing;
 use node::KnownTarget;
@@ -24,6 +26,7 @@
     name: String,
     zone: String,
     timing: Timing,
+    retry_tolerance: RetryTolerance,
     inner: Mutex<Inner>,
     /// Notified when targets or the route table may have changed.
     changes: watch::Sender<()>,
@@ -38,6 +41,16 @@
     time_used: BTreeMap<String, ElapsedWait>,
 }
 
+/// What control has told of targets and entries.
+#[derive(Debug)]
+pub(crate) struct Known {
+    pub(crate) targets: Vec<KnownTarget>,
+    /// The entries in the zone of this one.
+    pub(crate) zone_entries: BTreeSet<String>,
+    /// Number of entries in all zones, if it is known.
+    pub(crate) entries: Option<u32>,
+}
+
 /// Why no target could be chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum AcquireError {
@@ -48,32 +61,32 @@
 }
 
 impl Balancer {
-    pub(crate) fn new(name: &str, zone: &str, timing: Timing) -> Balancer {
+    pub(crate) fn new(cfg: &ProxySettings) -> Balancer {
         let inner = Inner {
             rng: rand::make_rng(),
             services: BTreeMap::new(),
             time_used: BTreeMap::new(),
         };
         Balancer {
-            name: name.to_owned(),
-            zone: zone.to_owned(),
-            timing,
+            name: cfg.name.clone(),
+            zone: cfg.zone.clone(),
+            timing: cfg.timing.clone(),
+            retry_tolerance: cfg.retry_tolerance,
             inner: Mutex::new(inner),
             changes: watch::Sender::default(),
             waiting: Semaphore::new(MAX_WAITING_REQUESTS),
         }
     }
 
-    /// Updates the services and their targets from the route table, the known targets
-    /// and the entries in the zone of this one.
-    pub(crate) fn update(
-        &self,
-        table: &Table,
-        known: &[KnownTarget],
-        zone_entries: &BTreeSet<String>,
-        now: Instant,
-    ) {
-        let position = zone_entries.iter().position(|name| *name == self.name);
+    /// Updates the services and their targets from the route table and from what control
+    /// has told of targets and entries.
+    pub(crate) fn update(&self, table: &Table, known: &Known, now: Instant) {
+        let place = EntryPlace {
+            name: &self.name,
+            zone: &self.zone,
+            zone_entries: &known.zone_entries,
+        };
+        let retry_limits = self.retry_tolerance.of_entry(known.entries);
         let mut inner = self.inner();
         inner
             .services
@@ -89,11 +102,13 @@
                 .entry(service.name.clone())
                 .or_insert_with(create);
             let of_service = known
+                .targets
                 .iter()
                 .filter(|known| known.report.service == service.name);
-            targets.update(of_service, &self.zone, self.timing.idle_connection, now);
-            if let Some(own) = position {
-                targets.update_preferred(own, zone_entries.len());
+            targets.update(of_service, &place, self.timing.idle_connection, now);
+            targets.retry_budget.set_limits(&retry_limits, now);
+            if let Some(own) = place.position() {
+                targets.update_preferred(own, known.zone_entries.len());
             }
         }
         drop(inner);
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -14,6 +14,7 @@
 mod dispatch;
 mod dispatch_attempts;
 mod dispatch_log;
+mod entry_place;
 mod events;
 mod exchange;
 mod metrics;
@@ -28,7 +29,7 @@
 mod timing;
 
 pub use dialect::{Dialect, KeepAlive, RequestMetadata, ResponseInfo, Verdict};
-pub use proxy::{Proxy, ProxySettings};
+pub use proxy::{Proxy, ProxySettings, RetryTolerance};
 pub use proxy_request::ProxyRequest;
 pub use readiness::Readiness;
 pub use refusal::{Reason, Refusal};
--- a/crates/direct/src/proxy.rs
+++ b/crates/direct/src/proxy.rs
@@ -1,6 +1,6 @@
 //! Forwards requests to targets.
 
-use crate::balancer::Balancer;
+use crate::balancer::{Balancer, Known};
 use crate::dialect::Dialect;
 use crate::dispatch::Dispatch;
 use crate::metrics::Metrics;
@@ -10,6 +10,7 @@
 use crate::timing::Timing;
 use node::Watcher;
 use prometheus_client::registry::Registry;
+use route::RetryLimits;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use table::{Access, Route, Table};
@@ -30,6 +31,36 @@
     pub timing: Timing,
     /// Headers that targets use in addition to standard HTTP.
     pub dialect: Dialect,
+    /// Retries that a service tolerates.
+    pub retry_tolerance: RetryTolerance,
+}
+
+/// Retries that a service tolerates beyond a fifth of its requests, from all entries
+/// together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RetryTolerance {
+    /// Number of retries in any window.
+    pub retries: u32,
+    /// Length of the window.
+    pub window: Duration,
+}
+
+impl RetryTolerance {
+    /// The limits of one of this many entries.
+    pub(crate) fn of_entry(&self, entries: Option<u32>) -> RetryLimits {
+        entries.map_or(RetryLimits::AT_START, |entries| {
+            RetryLimits::of_entry(self.retries, self.window, entries)
+        })
+    }
+}
+
+impl Default for RetryTolerance {
+    fn default() -> Self {
+        RetryTolerance {
+            retries: 88,
+            window: Duration::from_secs(10),
+        }
+    }
 }
 
 /// Forwards requests to targets. Clones share their state.
@@ -50,7 +81,7 @@
         let metrics = Metrics::default();
         metrics.register(registry);
         let proxy = Proxy {
-            balancer: Arc::new(Balancer::new(&cfg.name, &cfg.zone, cfg.timing.clone())),
+            balancer: Arc::new(Balancer::new(&cfg)),
             timing: Arc::new(cfg.timing),
             dialect: cfg.dialect,
             metrics,
@@ -182,9 +213,13 @@
     loop {
         let now = Instant::now();
         if let Some(table) = watcher.table() {
-            let (targets, zone_entries) =
-                (watcher.state().targets(now), watcher.state().zone_entries());
-            balancer.update(&table, &targets, &zone_entries, now);
+            let state = watcher.state();
+            let known = Known {
+                targets: state.targets(now),
+                zone_entries: state.zone_entries(),
+                entries: state.entries(now),
+            };
+            balancer.update(&table, &known, now);
             metrics.set_route_table(table.number());
             for (service, available, all) in balancer.target_counts() {
                 metrics.set_targets(&service, available, all);
--- a/crates/direct/src/service_targets.rs
+++ b/crates/direct/src/service_targets.rs
@@ -1,8 +1,9 @@
 //! The targets of one service, with their retry budget and connections.
 
 use crate::dialect::{KeepAlive, ResponseInfo};
+use crate::entry_place::{EntryPlace, cold_until};
 use crate::timing::Timing;
-use member::Presence;
+use member::{Evacuation, Presence};
 use node::KnownTarget;
 use outlet::{ClientSettings, Connection, Pool};
 use route::{
@@ -13,19 +14,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use table::ColdStart;
 
 /// Retries per request. Targets of a service can take a fifth more requests; the
 /// rest is left to callers that retry by themselves.
 const RETRY_RATIO: f64 = 0.15;
-/// Retries available in addition to the earned ones, so that a service with few
-/// requests can retry at all.
-const RETRY_RESERVE: u32 = 3;
-/// Maximum number of earned retries that are saved. Together with the reserve and
-/// its refill in ten seconds this allows 13 retries per entry: 52 at four
-/// entries, 208 at sixteen. A service can take 88 and 212, respectively.
-const RETRY_EARNED: f64 = 5.0;
-/// Time in which one retry of the reserve is refilled.
-const RETRY_REFILL: Duration = Duration::from_secs(2);
+/// Retries of an entry that has just started.
+const RETRIES_AT_START: u32 = 1;
 /// Requests that may queue at a model engine per slot, however much time they
 /// have left.
 const ENGINE_QUEUE_PER_SLOT: f64 = 0.15;
@@ -45,6 +40,7 @@
     pub(crate) retry_budget: RetryBudget,
     pub(crate) retry_schedule: RetryAfterSchedule,
     pub(crate) endpoints: BTreeMap<String, (TargetKey, Endpoint)>,
+    cold_start: Option<ColdStart>,
     /// Since when requests have found no available target.
     pub(crate) unavailable_since: Option<Instant>,
 }
@@ -66,10 +62,10 @@
     ) -> ServiceTargets {
         ServiceTargets {
             set: TargetSet::new(tuning(service)),
-            retry_budget: RetryBudget::new(RETRY_RATIO, RETRY_RESERVE, now)
-                .bounded(RETRY_EARNED, RETRY_REFILL),
+            retry_budget: RetryBudget::new(RETRY_RATIO, RETRIES_AT_START, now),
             retry_schedule: RetryAfterSchedule::new(min_retry_after),
             endpoints: BTreeMap::new(),
+            cold_start: service.cold_start,
             unavailable_since: None,
         }
     }
@@ -91,10 +87,11 @@
     pub(crate) fn update<'a>(
         &mut self,
         known: impl Iterator<Item = &'a KnownTarget>,
-        zone: &str,
+        entry: &EntryPlace<'_>,
         idle_timeout: Duration,
         now: Instant,
     ) {
+        let zone = entry.zone;
         let mut present = BTreeSet::new();
         let mut slowdowns = Vec::new();
         let known: Vec<&KnownTarget> = known.collect();
@@ -122,8 +119,14 @@
                 continue;
             };
             let is_stale = any_heard && since_heartbeat(known) >= HEARTBEAT_TIMEOUT;
-            let open = sighting.presence == Presence::Ready && !is_stale;
+            let is_evacuated = known.evacuation == Evacuation::Active;
+            let open = sighting.presence == Presence::Ready && !is_stale && !is_evacuated;
             self.set.set_accepting(*key, open);
+            if let Some(cold_start) = &self.cold_start {
+                let until = cold_until(known, cold_start);
+                let share = entry.cold_share(known, cold_start);
+                self.set.set_cold(*key, until, share, now);
+            }
             self.set.record_announcement(*key, known.received_at);
             slowdowns.push((*key, known.slowdown));
             present.insert(sighting.id.clone());
--- a/crates/direct/tests/doors.rs
+++ b/crates/direct/tests/doors.rs
@@ -19,10 +19,12 @@
         address: "127.0.0.1:80".parse().unwrap(),
         open: false,
         table: 0,
+        evacuations: 0,
     };
     let cfg = WatcherSettings {
         seeds: watch::channel(Vec::new()).1,
         report_interval: Duration::from_millis(500),
+        check_in_interval: Duration::from_millis(1_200),
         key: ClusterKey::from_bytes(b"cluster key of this test").unwrap(),
         link: LinkSettings::default(),
         decode: |_| Ok(table::Table::default()),
--- a/crates/lovageramp/src/client/command.rs
+++ b/crates/lovageramp/src/client/command.rs
@@ -34,6 +34,13 @@
         #[bpaf(external(target_command))]
         command: TargetCommand,
     },
+    /// Take an availability zone out of service and back
+    #[bpaf(command("evacuation"))]
+    Evacuation {
+        /// Action on evacuations.
+        #[bpaf(external(evacuation_command))]
+        command: EvacuationCommand,
+    },
     /// List and pardon requests that crashed targets
     #[bpaf(command("quarantine"))]
     Quarantine {
@@ -132,6 +139,47 @@
     },
 }
 
+/// Commands about the evacuation of availability zones
+#[derive(Bpaf, Clone, Debug)]
+pub enum EvacuationCommand {
+    /// Stop sending new requests to the targets of a zone; running ones finish
+    #[bpaf(command("start"))]
+    Start {
+        /// Output format.
+        #[bpaf(external(format))]
+        format: Format,
+        /// Connection options.
+        #[bpaf(external(access))]
+        access: Access,
+        /// Availability zone
+        #[bpaf(positional("ZONE"))]
+        zone: String,
+    },
+    /// Send requests to the targets of a zone again
+    #[bpaf(command("finish"))]
+    Finish {
+        /// Output format.
+        #[bpaf(external(format))]
+        format: Format,
+        /// Connection options.
+        #[bpaf(external(access))]
+        access: Access,
+        /// Availability zone
+        #[bpaf(positional("ZONE"))]
+        zone: String,
+    },
+    /// List the zones that are evacuated
+    #[bpaf(command("list"))]
+    List {
+        /// Output format.
+        #[bpaf(external(format))]
+        format: Format,
+        /// Connection options.
+        #[bpaf(external(access))]
+        access: Access,
+    },
+}
+
 /// Commands about the quarantine
 #[derive(Bpaf, Clone, Debug)]
 pub enum QuarantineCommand {
--- a/crates/lovageramp/src/client/mod.rs
+++ b/crates/lovageramp/src/client/mod.rs
@@ -1,10 +1,11 @@
-//! The operator client: release notes, status, draining, quarantine, ledger.
+//! The operator client: release notes, status, draining, evacuation, quarantine, ledger.
 //!
 //! Hosts may be entries or controls; if one does not respond, the next one is
 //! tried. All commands are idempotent, so retries are safe.
 
 mod access;
 mod command;
+mod evacuation;
 mod exit;
 mod failure;
 mod format;
@@ -19,7 +20,8 @@
 
 pub use self::access::Access;
 pub use self::command::{
-    Command, LedgerCommand, NoteCommand, QuarantineCommand, TargetCommand, commands,
+    Command, EvacuationCommand, LedgerCommand, NoteCommand, QuarantineCommand, TargetCommand,
+    commands,
 };
 pub use self::exit::Exit;
 pub use self::failure::Failure;
@@ -33,6 +35,7 @@
         Command::Note { command } => note::run(command).await,
         Command::Status { format, access } => (format, status::run(&access, format).await),
         Command::Target { command } => target::run(command).await,
+        Command::Evacuation { command } => evacuation::run(command).await,
         Command::Quarantine { command } => quarantine::run(command).await,
         Command::Ledger { command } => ledger::run(command).await,
     };
--- a/crates/member/src/entry_report.rs
+++ b/crates/member/src/entry_report.rs
@@ -21,6 +21,8 @@
     pub open: bool,
     /// Number of the route table in use; 0 for none.
     pub table: u64,
+    /// Number of the evacuations in force at the entry; 0 for none.
+    pub evacuations: u64,
 }
 
 impl EntryReport {
--- a/crates/member/src/report_store.rs
+++ b/crates/member/src/report_store.rs
@@ -3,7 +3,7 @@
 use crate::{AliveEffect, EntryReport, Presence, ReportEffect, TargetReport, TargetSpeed};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::ops::Range;
+use std::ops::{Bound, Range};
 use std::time::{Duration, Instant};
 
 /// How long the report of a target that has left is kept, so that an earlier
@@ -11,6 +11,10 @@
 /// links that were interrupted, are some tens of seconds.
 const DEPARTED_RETENTION: Duration = Duration::from_mins(2);
 
+/// Delay with which a report may say that a target is still cold without the target
+/// having turned cold again: two check-ins.
+const COLD_REPORT_DELAY: Duration = Duration::from_secs(2);
+
 /// Soft state of each replica and entry: the latest report of each target and
 /// each entry.
 ///
@@ -32,6 +36,7 @@
 ///     presence: Presence::Ready,
 ///     started_ms: 1_700_000_000_000,
 ///     sequence: 1,
+///     cold: Duration::ZERO,
 /// };
 /// assert_eq!(store.record_target(ready.clone(), now), ReportEffect::Changed);
 /// assert_eq!(store.record_target(ready, now), ReportEffect::Stale);
@@ -39,12 +44,21 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct ReportStore {
-    targets: BTreeMap<String, Received<TargetReport>>,
+    targets: BTreeMap<String, TargetRow>,
     entries: BTreeMap<String, Received<EntryReport>>,
     /// Reports of agents about slow targets, by the target's address.
     slow: BTreeMap<SocketAddr, Received<TargetSpeed>>,
 }
 
+/// The latest report of a target.
+#[derive(Clone, Debug)]
+struct TargetRow {
+    /// Its `cold` is as of when the target last turned cold.
+    report: TargetReport,
+    received_at: Instant,
+    cold_until: Instant,
+}
+
 /// A report and when it was received here.
 #[derive(Clone, Debug)]
 struct Received<T> {
@@ -59,7 +73,7 @@
             if row.report.order() >= report.order() {
                 return ReportEffect::Stale;
             }
-            if same_target(&row.report, &report) {
+            if same_target(&row.report, &report) && !row.turns_cold(&report, now) {
                 row.report.sequence = report.sequence;
                 row.received_at = now;
                 return ReportEffect::Refreshed;
@@ -71,7 +85,8 @@
         if report.presence != Presence::Gone {
             self.mark_replaced(&report);
         }
-        let row = Received {
+        let row = TargetRow {
+            cold_until: now + report.cold,
             report,
             received_at: now,
         };
@@ -91,6 +106,7 @@
     /// #     id: "i-7f3a".into(), service: "order-desk".into(), zone: "celje".into(),
     /// #     address: "127.0.0.1:8080".parse().unwrap(), slots: 6,
     /// #     presence: Presence::Ready, started_ms: 1_700_000_000_000, sequence: 1,
+    /// #     cold: std::time::Duration::ZERO,
     /// # }, now);
     /// let started_ms = 1_700_000_000_000;
     /// assert_eq!(store.record_alive("i-7f3a", started_ms, 2, now), AliveEffect::Refreshed);
@@ -121,14 +137,42 @@
         AliveEffect::Refreshed
     }
 
-    /// Whether a target that accepts work has been silent for a time in this range.
-    #[must_use]
-    pub fn has_silent_target(&self, silence: Range<Duration>, now: Instant) -> bool {
-        let mut rows = self.targets.values();
-        rows.any(|row| {
+    /// The targets that accept work and have been silent for a time in this range, in the
+    /// order of their identifiers from the first one after `after`.
+    ///
+    /// ```
+    /// # use std::time::{Duration, Instant};
+    /// let store = member::ReportStore::default();
+    /// let silence = Duration::from_secs(3)..Duration::from_secs(10);
+    /// assert_eq!(store.silent_targets("", silence, Instant::now()).count(), 0);
+    /// ```
+    pub fn silent_targets(
+        &self,
+        after: &str,
+        silence: Range<Duration>,
+        now: Instant,
+    ) -> impl Iterator<Item = &TargetReport> {
+        let bounds = (Bound::Excluded(after), Bound::Unbounded);
+        let rows = self.targets.range::<str, _>(bounds);
+        rows.filter(move |(_, row)| {
             row.report.presence == Presence::Ready
                 && silence.contains(&now.saturating_duration_since(row.received_at))
         })
+        .map(|(_, row)| &row.report)
+    }
+
+    /// Returns the latest report of a target as of `now` if it is later than the one with
+    /// this start time and number.
+    ///
+    /// ```
+    /// # use std::time::Instant;
+    /// let store = member::ReportStore::default();
+    /// assert!(store.report_after("i-7f3a", (0, 0), Instant::now()).is_none());
+    /// ```
+    #[must_use]
+    pub fn report_after(&self, id: &str, order: (u64, u64), now: Instant) -> Option<TargetReport> {
+        self.report_at(id, now)
+            .filter(|report| report.order() > order)
     }
 
     /// Records that a target has left, given its identifier and, if known, the start
@@ -209,13 +253,41 @@
         row.map_or(1.0, |row| row.report.slowdown)
     }
 
-    /// Returns the latest report of each target and when it was received.
+    /// Returns the latest report of each target and when it was received. The time for
+    /// which a target is cold is as of when it turned cold.
     pub fn targets(&self) -> impl Iterator<Item = (&TargetReport, Instant)> {
         self.targets
             .values()
             .map(|row| (&row.report, row.received_at))
     }
 
+    /// Until when the target with this identifier is cold, if it is known.
+    ///
+    /// ```
+    /// let store = member::ReportStore::default();
+    /// assert!(store.cold_until("i-7f3a").is_none());
+    /// ```
+    #[must_use]
+    pub fn cold_until(&self, id: &str) -> Option<Instant> {
+        self.targets.get(id).map(|row| row.cold_until)
+    }
+
+    /// Returns the latest report of the target with this identifier, as of `now`.
+    ///
+    /// ```
+    /// # use std::time::Instant;
+    /// let store = member::ReportStore::default();
+    /// assert!(store.report_at("i-7f3a", Instant::now()).is_none());
+    /// ```
+    #[must_use]
+    pub fn report_at(&self, id: &str, now: Instant) -> Option<TargetReport> {
+        let row = self.targets.get(id)?;
+        Some(TargetReport {
+            cold: row.cold_until.saturating_duration_since(now),
+            ..row.report.clone()
+        })
+    }
+
     /// Returns the latest report of the target with this identifier.
     #[must_use]
     pub fn target(&self, id: &str) -> Option<&TargetReport> {
@@ -272,10 +344,19 @@
     }
 }
 
-/// Whether two reports of a target differ in the sequence number only.
+impl TargetRow {
+    /// Whether the target is cold for longer than its earlier reports said.
+    fn turns_cold(&self, report: &TargetReport, now: Instant) -> bool {
+        now + report.cold > self.cold_until + COLD_REPORT_DELAY && !report.cold.is_zero()
+    }
+}
+
+/// Whether two reports of a target differ only in the sequence number and in the time for
+/// which it is cold.
 fn same_target(known: &TargetReport, report: &TargetReport) -> bool {
     let report = TargetReport {
         sequence: known.sequence,
+        cold: known.cold,
         ..report.clone()
     };
     *known == report
--- a/crates/member/src/target_report.rs
+++ b/crates/member/src/target_report.rs
@@ -2,6 +2,7 @@
 
 use crate::Presence;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// What a target without an agent reports about itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -23,6 +24,8 @@
     pub started_ms: u64,
     /// Number of the report within the incarnation.
     pub sequence: u64,
+    /// How much longer the target is cold. A cold target bears fewer requests a second.
+    pub cold: Duration,
 }
 
 impl TargetReport {
--- a/crates/member/tests/board.rs
+++ b/crates/member/tests/board.rs
@@ -1,6 +1,6 @@
 //! State of a report store after reports arrived late, repeatedly or out of order.
 
-use member::{AliveEffect, Presence, ReportEffect, ReportStore, TargetReport};
+use member::{AliveEffect, OverdueTargets, Presence, ReportEffect, ReportStore, TargetReport};
 use std::time::{Duration, Instant};
 
 fn report(id: &str, address: &str, started_ms: u64, sequence: u64) -> TargetReport {
@@ -13,6 +13,7 @@
         presence: Presence::Ready,
         started_ms,
         sequence,
+        cold: Duration::ZERO,
     }
 }
 
@@ -132,3 +133,83 @@
     let late = report("a", "127.0.0.1:1", 5, 4);
     assert_eq!(store.record_target(late, now), ReportEffect::Stale);
 }
+
+/// Guards against a target that gets all its requests again while it is cold a second
+/// time, under the identifier that it had.
+#[test]
+fn cold_until_turns_cold_again() {
+    let now = Instant::now();
+    let cold = |sequence, ms| TargetReport {
+        cold: Duration::from_millis(ms),
+        ..report("i-1", "127.0.0.1:8080", 1, sequence)
+    };
+    let mut store = ReportStore::default();
+    store.record_target(cold(1, 3_000), now);
+    let later = now + Duration::from_millis(1_200);
+    assert_eq!(
+        store.record_target(cold(2, 1_800), later),
+        ReportEffect::Refreshed
+    );
+    assert_eq!(store.cold_until("i-1"), Some(now + Duration::from_secs(3)));
+    let warm = now + Duration::from_secs(10);
+    assert_eq!(
+        store.record_target(cold(3, 0), warm),
+        ReportEffect::Refreshed
+    );
+    assert_eq!(
+        store.record_target(cold(4, 3_000), warm),
+        ReportEffect::Changed
+    );
+    assert_eq!(store.cold_until("i-1"), Some(warm + Duration::from_secs(3)));
+}
+
+/// Guards against traffic that grows with entries, replicas and targets when one target
+/// falls silent: each entry names just that target, to a few replicas at a time.
+#[test]
+fn overdue_one_silent_target() {
+    let now = Instant::now();
+    let (check_in, replicas) = (Duration::from_secs(2), 9);
+    for targets in [75, 750] {
+        let mut store = ReportStore::default();
+        let mut overdue = OverdueTargets::new(check_in);
+        let mut named = 0;
+        for tick in 0..40 {
+            let at = now + Duration::from_millis(500) * tick;
+            for target in 0..targets {
+                // Check-ins reach an entry up to two seconds late.
+                let is_due = (tick + target) % 8 == 0 || (tick + target) % 8 == 3;
+                if (target == 0 && tick == 0) || (target > 0 && (tick == 0 || is_due)) {
+                    let address = format!("127.0.0.1:{}", 1_000 + target);
+                    let sequence = u64::from(tick + 1);
+                    store.record_target(report(&format!("i-{target}"), &address, 1, sequence), at);
+                }
+            }
+            let elapsed = at - now;
+            for replica in 0..replicas {
+                if OverdueTargets::is_asked(replica, replicas, elapsed) {
+                    named += overdue.next(&store, at).len();
+                }
+            }
+        }
+        // The target is named from 5 to 16 s of silence, twice a second, to three replicas.
+        assert_eq!(named, 66, "{targets} targets");
+    }
+}
+
+/// Guards against targets that are never asked for because others before them stay silent.
+#[test]
+fn overdue_many_silent_targets() {
+    let now = Instant::now();
+    let mut store = ReportStore::default();
+    for target in 0..200 {
+        let address = format!("127.0.0.1:{}", 1_000 + target);
+        store.record_target(report(&format!("i-{target:03}"), &address, 1, 1), now);
+    }
+    let mut overdue = OverdueTargets::new(Duration::from_secs(1));
+    let at = now + Duration::from_secs(3);
+    let mut named = std::collections::BTreeSet::new();
+    for _ in 0..4 {
+        named.extend(overdue.next(&store, at).into_iter().map(|report| report.id));
+    }
+    assert_eq!(named.len(), 200);
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 //! the route table and the reports of targets.
 
 mod control_links;
+mod entry_count;
 mod follower;
 mod leader_call;
 mod lease;
--- a/crates/node/src/watcher.rs
+++ b/crates/node/src/watcher.rs
@@ -25,6 +25,8 @@
     pub seeds: watch::Receiver<Vec<SocketAddr>>,
     /// Interval between reports to each replica.
     pub report_interval: Duration,
+    /// Interval at which targets check in.
+    pub check_in_interval: Duration,
     /// The cluster key.
     pub key: ClusterKey,
     /// Time-outs and sizes of links.
@@ -48,7 +50,11 @@
     /// Starts to follow control on the current runtime.
     #[must_use]
     pub fn spawn(me: Identity, own_report: EntryReport, cfg: WatcherSettings) -> Watcher {
-        let state = Arc::new(WatcherState::new(own_report, cfg.decode));
+        let state = Arc::new(WatcherState::new(
+            own_report,
+            cfg.decode,
+            cfg.check_in_interval,
+        ));
         let stop = CancellationToken::new();
         let following = maintain_links(Arc::clone(&state), me, cfg);
         tokio::spawn(stop.clone().run_until_cancelled_owned(following));
@@ -138,6 +144,7 @@
 async fn handle_message(state: &WatcherState, incoming: Incoming) {
     match incoming.body {
         Body::RouteTable(table) => state.apply_table(&table),
+        Body::Evacuations(evacuations) => state.apply_evacuations(evacuations, Instant::now()),
         Body::Sightings(sightings) => {
             state.apply_sightings(sightings, Instant::now());
             if incoming.call == 0 {
@@ -161,12 +168,15 @@
         let replica = &link.peer().name;
         let report = Body::Report(Report {
             entrance: Some(entrance),
-            changes_only: !state.needs_refresh_from(replica, Instant::now()),
+            changes_only: !state.needs_refresh_from(replica),
             knows_alive: true,
+            knows_evacuations: true,
+            overdue: state.overdue_targets(replica, Instant::now()),
         });
         if let Ok(Body::Reported(reported)) = link.call(report, interval).await {
             state.apply_replicas(&reported.replicas);
             state.set_replica_zone(replica, reported.zone);
+            state.report_entries(reported.entries, Instant::now());
             state.set_zone_entries(reported.zone_entries);
         }
         // The next report is due in either case.
--- a/crates/node/src/watcher_state.rs
+++ b/crates/node/src/watcher_state.rs
@@ -1,8 +1,10 @@
 //! State of a watcher.
 
+use crate::entry_count::EntryCount;
 use crate::watcher::DecodeRouteTable;
 use member::{
-    AliveEffect, EntryReport, Presence, ReportEffect, ReportStore, TargetSpeed, refresh_source,
+    AliveEffect, EntryReport, EvacuatedZones, Evacuation, OverdueTargets, Presence, ReportEffect,
+    ReportStore, TargetSpeed, refresh_source,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -10,23 +12,13 @@
 use std::time::{Duration, Instant};
 use table::Table;
 use tokio::sync::watch;
-use wire::proto::{RouteTable, Sightings};
+use wire::proto::{Alive, Evacuations, RouteTable, Sightings};
 use wire::{sighting_from_proto, target_speed_from_proto};
 
 /// How long the report of a silent target is kept. Such a target gets no work by then,
 /// and no other node needs its last report from here.
 const SILENT_TARGET_RETENTION: Duration = Duration::from_mins(1);
 
-/// Time without a report of a target after which all replicas are asked to repeat the
-/// state of targets: the one that usually does may not hear of all of them.
-const MAX_TARGET_SILENCE: Duration = Duration::from_secs(3);
-/// How long all replicas are asked for the state of targets after a report of one was
-/// missed: two reports of this entry.
-const MISSED_REPORT_DURATION: Duration = Duration::from_secs(1);
-/// Time without a report after which a target is considered gone, so that no replica
-/// will report it again.
-const TARGET_LOST: Duration = Duration::from_secs(10);
-
 /// State that a watcher receives from control.
 pub struct WatcherState {
     decode: DecodeRouteTable,
@@ -38,8 +30,12 @@
     linked: Mutex<BTreeMap<String, Option<String>>>,
     /// Entries in the zone of this one, as reported by control.
     zone_entries: Mutex<BTreeSet<String>>,
-    /// When it last turned out that the report of a target was missed.
-    missed_at: Mutex<Option<Instant>>,
+    /// Targets for whose reports control is asked. Locked before `reports`.
+    overdue: Mutex<OverdueTargets>,
+    /// Highest number of entries that control has reported.
+    entries: EntryCount,
+    evacuations: Mutex<EvacuatedZones>,
+    started: Instant,
     /// Number of changes of the table or the reports.
     changed: watch::Sender<u64>,
 }
@@ -54,10 +50,18 @@
     pub slowdown: f64,
     /// When the report was received here.
     pub received_at: Instant,
+    /// Until when the target is cold, if it is.
+    pub cold_until: Option<Instant>,
+    /// Whether the target's zone is evacuated.
+    pub evacuation: Evacuation,
 }
 
 impl WatcherState {
-    pub(crate) fn new(own_report: EntryReport, decode: DecodeRouteTable) -> WatcherState {
+    pub(crate) fn new(
+        own_report: EntryReport,
+        decode: DecodeRouteTable,
+        check_in_interval: Duration,
+    ) -> WatcherState {
         WatcherState {
             decode,
             table: Mutex::default(),
@@ -66,7 +70,10 @@
             replicas: watch::Sender::default(),
             linked: Mutex::default(),
             zone_entries: Mutex::default(),
-            missed_at: Mutex::default(),
+            overdue: Mutex::new(OverdueTargets::new(check_in_interval)),
+            entries: EntryCount::default(),
+            evacuations: Mutex::default(),
+            started: Instant::now(),
             changed: watch::Sender::new(0),
         }
     }
@@ -88,10 +95,13 @@
         let present = reports
             .targets()
             .filter(|(report, _)| report.presence != Presence::Gone);
+        let evacuations = lock(&self.evacuations);
         let known = present.map(|(report, received_at)| KnownTarget {
             report: report.clone(),
             slowdown: reports.slowdown(report.address, now),
             received_at,
+            cold_until: reports.cold_until(&report.id).filter(|until| now < *until),
+            evacuation: evacuations.of_zone(&report.zone),
         });
         known.collect()
     }
@@ -126,7 +136,7 @@
     }
 
     pub(crate) fn apply_sightings(&self, sightings: Sightings, now: Instant) {
-        let (mut changed, mut missed) = (false, false);
+        let (mut changed, mut missed) = (false, Vec::new());
         let mut reports = lock(&self.reports);
         for report in sightings
             .targets
@@ -144,7 +154,7 @@
             match reports.record_alive(&alive.id, alive.born, alive.sequence, now) {
                 AliveEffect::Refreshed => changed = true,
                 AliveEffect::Stale => {}
-                AliveEffect::Missed => missed = true,
+                AliveEffect::Missed => missed.push(alive.id.as_str()),
             }
         }
         for speed in sightings.speeds.iter().filter_map(target_speed_from_proto) {
@@ -152,8 +162,8 @@
         }
         reports.remove_silent(SILENT_TARGET_RETENTION, now);
         drop(reports);
-        if missed {
-            *lock(&self.missed_at) = Some(now);
+        for id in missed {
+            lock(&self.overdue).record_missed(id);
         }
         if changed {
             self.notify_changed();
@@ -215,7 +225,7 @@
     }
 
     /// Whether a replica is to repeat the state of targets that has not changed.
-    pub(crate) fn needs_refresh_from(&self, replica: &str, now: Instant) -> bool {
+    pub(crate) fn needs_refresh_from(&self, replica: &str) -> bool {
         let source = {
             let linked = lock(&self.linked);
             let own = self.own_report.borrow();
@@ -224,15 +234,49 @@
                 .map(|(name, zone)| (name.as_str(), zone.as_deref()));
             refresh_source(&own.name, &own.zone, replicas).map(str::to_owned)
         };
-        let missed_at = *lock(&self.missed_at);
-        let has_missed =
-            missed_at.is_some_and(|at| now.saturating_duration_since(at) < MISSED_REPORT_DURATION);
-        source.as_deref() == Some(replica) || has_missed || self.has_silent_target(now)
+        source.as_deref() == Some(replica)
     }
 
-    fn has_silent_target(&self, now: Instant) -> bool {
-        let reports = lock(&self.reports);
-        reports.has_silent_target(MAX_TARGET_SILENCE..TARGET_LOST, now)
+    /// The targets for whose reports a replica is to be asked.
+    pub(crate) fn overdue_targets(&self, replica: &str, now: Instant) -> Vec<Alive> {
+        let is_asked = {
+            let linked = lock(&self.linked);
+            let position = linked.keys().position(|name| name == replica);
+            let elapsed = now.saturating_duration_since(self.started);
+            position.is_some_and(|n| OverdueTargets::is_asked(n, linked.len(), elapsed))
+        };
+        if !is_asked {
+            return Vec::new();
+        }
+        let named = lock(&self.overdue).next(&lock(&self.reports), now);
+        let named = named.into_iter().map(|report| Alive {
+            id: report.id,
+            born: report.started_ms,
+            sequence: report.sequence,
+        });
+        named.collect()
+    }
+
+    /// Applies evacuations if they are newer than those in force.
+    pub(crate) fn apply_evacuations(&self, received: Evacuations, now: Instant) {
+        let number = received.number;
+        if !lock(&self.evacuations).replace(number, received.zones, now) {
+            return;
+        }
+        log::info!(number = number; "evacuations in force");
+        self.update_own_report(|report| report.evacuations = report.evacuations.max(number));
+        self.notify_changed();
+    }
+
+    /// Records how many entries a replica has heard from.
+    pub(crate) fn report_entries(&self, entries: u32, now: Instant) {
+        self.entries.record(entries, now);
+    }
+
+    /// Number of entries, as far as control has told; `None` until it is known.
+    #[must_use]
+    pub fn entries(&self, now: Instant) -> Option<u32> {
+        self.entries.current(now)
     }
 
     pub(crate) fn replicas(&self) -> watch::Receiver<BTreeSet<SocketAddr>> {
--- a/crates/route/src/budget.rs
+++ b/crates/route/src/budget.rs
@@ -1,5 +1,6 @@
 //! The retry budget.
 
+use crate::RetryLimits;
 use std::time::{Duration, Instant};
 
 /// Limits retries to a fraction of the requests.
@@ -70,6 +71,25 @@
         self
     }
 
+    /// Sets the limits of the retries that are saved or not earned. What is there already
+    /// is kept within them.
+    ///
+    /// ```
+    /// # use std::time::{Duration, Instant};
+    /// # let now = Instant::now();
+    /// let mut budget = route::RetryBudget::new(0.1, 3, now);
+    /// budget.set_limits(&route::RetryLimits::NONE, now);
+    /// assert!(!budget.can_withdraw(now));
+    /// ```
+    pub fn set_limits(&mut self, limits: &RetryLimits, now: Instant) {
+        self.refill(now);
+        self.earned_max = limits.saved;
+        self.refill_period = limits.refill_period;
+        self.reserve_max = limits.reserve;
+        self.earned = self.earned.min(self.earned_max);
+        self.reserve = self.reserve.min(self.reserve_max);
+    }
+
     /// Counts a request.
     pub fn deposit(&mut self) {
         self.earned = (self.earned + self.ratio).min(self.earned_max);
--- a/crates/route/src/target_set.rs
+++ b/crates/route/src/target_set.rs
@@ -6,6 +6,7 @@
 use rand::{Rng, RngExt};
 use slotmap::SlotMap;
 
+use crate::ColdShare;
 use crate::StepTimeModel;
 use crate::TargetKey;
 use crate::load_probe::LoadProbe;
@@ -172,6 +173,19 @@
         }
     }
 
+    /// Sets until when a target is cold, and what this entry may send to it until then.
+    pub fn set_cold(
+        &mut self,
+        key: TargetKey,
+        until: Option<Instant>,
+        share: ColdShare,
+        now: Instant,
+    ) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.set_cold(until, share, now);
+        }
+    }
+
     /// Makes this entry prefer a target, like `entries` entries in total. If there are
     /// preferred targets, others get requests only while those are full.
     pub fn prefer(&mut self, key: TargetKey, entries: u32) {
@@ -223,6 +237,7 @@
         let timing = self.timing(Duration::MAX);
         let eligible = self.targets.iter().filter(|(key, target)| {
             target.is_available()
+                && target.is_warm_enough(now)
                 && !target.is_ejected(now)
                 && target.has_slot(&timing, &self.settings, now)
                 && !tried.contains(key)
@@ -282,7 +297,7 @@
         self.end_probe(now);
         let timing = self.timing(time_left);
         let untried = |(key, target): &(TargetKey, &TargetState)| {
-            target.is_accepting() && !tried.contains(key)
+            target.is_accepting() && target.is_warm_enough(now) && !tried.contains(key)
         };
         let accepting = || self.targets.iter().filter(untried);
         let available = || accepting().filter(|(_, target)| target.is_available());
--- a/crates/route/src/target_state.rs
+++ b/crates/route/src/target_state.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use crate::cold_start::{ColdLimit, ColdShare};
 use crate::target_set::{
     DispatchOutcome, LoadEstimate, Locality, ReportedLoad, RequestTiming, TargetSetSettings,
 };
@@ -75,6 +76,7 @@
     pauses: Option<Pauses>,
     failures: u32,
     pub(crate) ejected_until: Option<Instant>,
+    cold: ColdLimit,
 }
 
 impl TargetState {
@@ -95,6 +97,7 @@
             pauses: None,
             failures: 0,
             ejected_until: None,
+            cold: ColdLimit::default(),
         }
     }
 
@@ -103,6 +106,16 @@
         self.accepting && self.replaced_at.is_none()
     }
 
+    /// Sets until when the target is cold, and what this entry may send until then.
+    pub(crate) fn set_cold(&mut self, until: Option<Instant>, share: ColdShare, now: Instant) {
+        self.cold.set(until, share, now);
+    }
+
+    /// Whether the target bears one more request now, if it is cold.
+    pub(crate) fn is_warm_enough(&self, now: Instant) -> bool {
+        self.cold.admits(now)
+    }
+
     /// Records that the target announced itself.
     pub(crate) fn record_announcement(&mut self, at: Instant) {
         self.replaced_at = self.replaced_at.filter(|replaced_at| at <= *replaced_at);
@@ -240,6 +253,7 @@
     /// Records that a request was sent.
     pub(crate) fn start(&mut self, now: Instant) {
         self.own += 1;
+        self.cold.record_request(now);
         self.starts.push_back(now);
     }
 
--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -48,5 +48,5 @@
 pub use engine::{Engine, Experts};
 pub use request_kind::{Access, RequestKind, Resume};
 pub use route::{Route, WeightedService};
-pub use service::Service;
+pub use service::{ColdStart, Service};
 pub use table::Table;
--- a/crates/table/src/service.rs
+++ b/crates/table/src/service.rs
@@ -1,6 +1,7 @@
 //! Services that routes refer to.
 
 use crate::Engine;
+use std::time::Duration;
 
 /// A set of interchangeable targets that answer the same requests.
 #[derive(Clone, Debug, PartialEq)]
@@ -11,6 +12,17 @@
     pub connections: u32,
     /// Performance profile, if the targets are model engines.
     pub engine: Option<Engine>,
+    /// Limits of targets that have just started, if there are any.
+    pub cold_start: Option<ColdStart>,
+}
+
+/// Limits of a target that has just started.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdStart {
+    /// Time for which a target is cold.
+    pub duration: Duration,
+    /// Number of requests that it bears in a second.
+    pub requests_per_second: f64,
 }
 
 impl Service {
@@ -25,6 +37,7 @@
             name: name.into(),
             connections,
             engine: None,
+            cold_start: None,
         }
     }
 }
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -2,6 +2,7 @@
 
 use crate::proto;
 use member::{EntryReport, Presence, TargetReport, TargetSpeed};
+use std::time::Duration;
 
 /// Converts the announcement of a target to its message.
 #[must_use]
@@ -20,6 +21,7 @@
         presence: presence.into(),
         born: sighting.started_ms,
         sequence: sighting.sequence,
+        cold_ms: u32::try_from(sighting.cold.as_millis()).unwrap_or(u32::MAX),
     }
 }
 
@@ -42,6 +44,7 @@
         presence,
         started_ms: message.born,
         sequence: message.sequence,
+        cold: Duration::from_millis(message.cold_ms.into()),
     })
 }
 
@@ -81,6 +84,7 @@
         address: entrance.address.to_string(),
         open: entrance.open,
         table: entrance.table,
+        evacuations: entrance.evacuations,
     }
 }
 
@@ -97,5 +101,6 @@
         region: message.region,
         open: message.open,
         table: message.table,
+        evacuations: message.evacuations,
     })
 }
--- a/crates/wire/src/gen/lovageramp.rs
+++ b/crates/wire/src/gen/lovageramp.rs
@@ -7,7 +7,7 @@
     pub reply: bool,
     #[prost(
         oneof = "frame::Body",
-        tags = "10, 11, 12, 13, 20, 30, 31, 32, 33, 34, 35, 36, 37, 38, 39, 40, 41, 42, 43, 44, 45, 50, 51, 52, 53, 54, 55, 56, 57, 58, 59, 60, 61, 62, 63, 70, 71, 72, 73, 74, 75, 76, 77"
+        tags = "10, 11, 12, 13, 20, 30, 31, 32, 33, 34, 35, 36, 37, 38, 39, 40, 41, 42, 43, 44, 45, 46, 50, 51, 52, 53, 54, 55, 56, 57, 58, 59, 60, 61, 62, 63, 70, 71, 72, 73, 74, 75, 76, 77"
     )]
     pub body: ::core::option::Option<frame::Body>,
 }
@@ -61,6 +61,8 @@
         SightingsTaken(super::SightingsTaken),
         #[prost(message, tag = "45")]
         RouteTable(super::RouteTable),
+        #[prost(message, tag = "46")]
+        Evacuations(super::Evacuations),
         /// Entry to agent, and back.
         #[prost(message, tag = "50")]
         Start(super::Start),
@@ -309,6 +311,8 @@
     pub drained: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
     #[prost(message, optional, tag = "7")]
     pub route_table: ::core::option::Option<RouteTable>,
+    #[prost(message, optional, tag = "8")]
+    pub evacuations: ::core::option::Option<Evacuations>,
 }
 /// A complete route table as written by an operator; the one with the highest
 /// number is in force.
@@ -331,8 +335,36 @@
     #[prost(bool, tag = "1")]
     pub any_replica: bool,
 }
-/// Reports the address of an entry for callers and the route table it uses.
+/// Starts or finishes the evacuation of an availability zone.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Evacuate {
+    #[prost(string, tag = "1")]
+    pub zone: ::prost::alloc::string::String,
+    #[prost(bool, tag = "2")]
+    pub active: bool,
+}
+/// The availability zones whose targets get no requests.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Evacuations {
+    /// Number of changes so far; the state with the highest number is in force. 0 for a
+    /// state that was read from disk and may not be the newest.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    #[prost(string, repeated, tag = "2")]
+    pub zones: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EvacuationOutcome {
+    /// False if the settings of the leader don't name the zone.
+    #[prost(bool, tag = "1")]
+    pub known: bool,
+    #[prost(message, optional, tag = "2")]
+    pub evacuations: ::core::option::Option<Evacuations>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EvacuationQuery {}
+/// Reports the address of an entry for callers and the route table it uses.
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Report {
     #[prost(message, optional, tag = "1")]
     pub entrance: ::core::option::Option<Entrance>,
@@ -343,6 +375,13 @@
     /// The entry understands `Sightings.alive`.
     #[prost(bool, tag = "3")]
     pub knows_alive: bool,
+    /// The entry understands `Evacuations`.
+    #[prost(bool, tag = "4")]
+    pub knows_evacuations: bool,
+    /// Targets whose reports are overdue at the entry, with the last report of each. It is
+    /// sent those of which the replica knows a later one.
+    #[prost(message, repeated, tag = "5")]
+    pub overdue: ::prost::alloc::vec::Vec<Alive>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Reported {
@@ -356,6 +395,9 @@
     /// the state of targets from the sender.
     #[prost(string, repeated, tag = "3")]
     pub zone_entries: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Number of entries that the sender has heard from lately, in all zones.
+    #[prost(uint32, tag = "4")]
+    pub entries: u32,
 }
 /// An entry as it announces itself to the control replicas.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -380,6 +422,9 @@
     /// Number of the route table in force at the entry; 0 for none.
     #[prost(uint64, tag = "8")]
     pub table: u64,
+    /// Number of the evacuations in force at the entry.
+    #[prost(uint64, tag = "9")]
+    pub evacuations: u64,
 }
 /// The last announcement received from a target.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -402,6 +447,9 @@
     /// Sequence number of the announcement within this incarnation.
     #[prost(uint64, tag = "8")]
     pub sequence: u64,
+    /// How much longer the target is cold, in milliseconds from when this is sent.
+    #[prost(uint32, tag = "9")]
+    pub cold_ms: u32,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Sightings {
@@ -673,7 +721,7 @@
     pub now_ms: u64,
     #[prost(
         oneof = "command::Body",
-        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22"
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23"
     )]
     pub body: ::core::option::Option<command::Body>,
 }
@@ -707,6 +755,8 @@
         LedgerLimits(super::LedgerLimits),
         #[prost(message, tag = "22")]
         RouteTable(super::RouteTable),
+        #[prost(message, tag = "23")]
+        Evacuate(super::Evacuate),
     }
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -864,7 +914,7 @@
     pub index: u64,
     #[prost(
         oneof = "outcome::Body",
-        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22"
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23"
     )]
     pub body: ::core::option::Option<outcome::Body>,
 }
@@ -900,6 +950,8 @@
         LedgerLimits(super::LedgerLimits),
         #[prost(message, tag = "22")]
         RouteTable(super::RouteTableOutcome),
+        #[prost(message, tag = "23")]
+        Evacuation(super::EvacuationOutcome),
     }
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -1141,7 +1193,7 @@
 /// A linearizable read (read index at the leader).
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Query {
-    #[prost(oneof = "query::Body", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "query::Body", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
     pub body: ::core::option::Option<query::Body>,
 }
 /// Nested message and enum types in `Query`.
@@ -1162,6 +1214,8 @@
         Ledger(super::LedgerQuery),
         #[prost(message, tag = "7")]
         RouteTable(super::RouteTableQuery),
+        #[prost(message, tag = "8")]
+        Evacuations(super::EvacuationQuery),
     }
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
