Keep merged counts and whole tables within a zone

Causes, by reading: branches of relays were runs of ranks, whatever their zone, so counts crossed zones before they were merged; a rank without work sent thousands of zeros; a replica sent the whole table on each new link of an entry, nine times at 9 replicas; an entry that had just started took table and targets from the first replica that answered, and again from the one of its zone; each answer to a report listed all replicas.

Change: branches within a zone; no counts where there are none; tables only to entries that are behind, by the replica of their zone; the list of replicas only to entries that know another one.

--- a/crates/agent/src/map/members.rs
+++ b/crates/agent/src/map/members.rs
@@ -12,6 +12,8 @@
     pub addresses: BTreeMap<String, SocketAddr>,
     /// Engine address of each agent whose engine accepts commands from others.
     pub engines: BTreeMap<String, SocketAddr>,
+    /// Availability zone of each agent.
+    zones: BTreeMap<String, String>,
     /// The agent of each rank.
     ranks: BTreeMap<u32, String>,
 }
@@ -29,6 +31,7 @@
             let ranks = target.ranks.iter().map(|rank| (*rank, node.name.clone()));
             members.ranks.extend(ranks);
             members.addresses.insert(node.name.clone(), address);
+            members.zones.insert(node.name.clone(), node.zone.clone());
             if let Ok(engine) = node.caller_address.parse() {
                 members.engines.insert(node.name.clone(), engine);
             }
@@ -62,6 +65,11 @@
         &self.ranks
     }
 
+    /// Availability zone of an agent; empty if it is unknown.
+    pub fn zone(&self, agent: &str) -> &str {
+        self.zones.get(agent).map_or("", String::as_str)
+    }
+
     /// Name of the agent of a rank.
     pub fn agent(&self, rank: u32) -> Option<String> {
         self.ranks.get(&rank).cloned()
--- a/crates/agent/src/map/state.rs
+++ b/crates/agent/src/map/state.rs
@@ -276,7 +276,7 @@
         self.formations.retain_agents(&members.addresses);
         let participants = Participants::new(&members, self.formations.newest(), ranks);
         if members.agents_by_rank() != self.members.agents_by_rank() {
-            let tree = RelayTree::new(members.agents_by_rank());
+            let tree = RelayTree::new(members.agents_by_rank(), |agent| members.zone(agent));
             self.relay_tree = tree.with_skipped_relays_of(&self.relay_tree);
         }
         self.members = members;
--- a/crates/agent/src/map/window_counter.rs
+++ b/crates/agent/src/map/window_counter.rs
@@ -49,9 +49,12 @@
     (ratio * 1_000.0) as u32
 }
 
-/// Counts since `before`. A count that went down was reset by a restart of the
+/// Counts since `before`; none if no token was counted. A count that went down was reset by a restart of the
 /// engine and is taken in full.
 fn difference(tokens: &[u64], before: &[u64]) -> Vec<u32> {
+    if tokens == before {
+        return Vec::new();
+    }
     let since = |(now, before): (&u64, &u64)| now.checked_sub(*before).unwrap_or(*now);
     let before = before.iter().chain(std::iter::repeat(&0));
     let counts = tokens.iter().zip(before).map(since);
--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -20,7 +20,10 @@
 use wire::proto::{
     Alive, Evacuations, Report, Reported, RouteTable, Sighting, Sightings, SightingsTaken,
 };
-use wire::{Link, entrance_from_proto, entrance_to_proto, sighting_from_proto, sighting_to_proto};
+use wire::{
+    Link, addresses_digest, entrance_from_proto, entrance_to_proto, sighting_from_proto,
+    sighting_to_proto,
+};
 
 /// Interval between two messages that tell entries and other replicas which targets
 /// have checked in again. Targets check in about once a second, so a shorter interval
@@ -143,9 +146,9 @@
         }
     }
 
-    /// Handles the report of an entry. An entry on a new link is sent the table, and all
-    /// known targets once it wants this replica to repeat their state. An entry that stays
-    /// behind the newest table is sent it again.
+    /// Handles the report of an entry. It is sent the newest table and all known targets
+    /// once it wants this replica to repeat their state. An entry that stays behind the
+    /// newest table is sent it by any replica.
     pub(crate) async fn handle_report(&self, report: Report, call: u64, link: &Link) {
         let newest = self.shared.table.borrow().number;
         let update = self
@@ -187,8 +190,11 @@
             send(link, targets_message(overdue)).await;
         }
         let addresses = self.shared.replicas.borrow().addresses.clone();
+        let all = addresses.iter().copied().collect();
+        let is_known = report.replicas_digest == addresses_digest(&all);
+        let unknown = addresses.iter().filter(|_| !is_known);
         let reported = Reported {
-            replicas: addresses.iter().map(ToString::to_string).collect(),
+            replicas: unknown.map(ToString::to_string).collect(),
             zone: self.shared.zone.clone(),
             zone_entries,
             entries: self.entry_count(),
--- a/crates/control/src/gossip/entry_links.rs
+++ b/crates/control/src/gossip/entry_links.rs
@@ -67,7 +67,8 @@
         let known_behind = known_behind.and_then(|entry| entry.behind_since);
         let behind_since = (table < newest_table).then(|| known_behind.unwrap_or(now));
         let is_overdue = |since: Instant| now.saturating_duration_since(since) >= MAX_TABLE_DELAY;
-        let wants_table = known.is_none() || behind_since.is_some_and(is_overdue);
+        let is_behind = behind_since.is_some();
+        let wants_table = behind_since.is_some_and(is_overdue);
         let behind_since = behind_since.map(|since| if wants_table { now } else { since });
         let had_refresh = known.as_ref().is_some_and(|entry| entry.wants_refresh);
         let entry = EntryLink {
@@ -89,7 +90,7 @@
             None => links.push(entry),
         }
         EntryUpdate {
-            wants_table: wants_table || (wants_targets && behind_since.is_some()),
+            wants_table: wants_table || (wants_targets && is_behind),
             wants_targets,
             evacuations: report.knows_evacuations.then_some(held),
             is_new,
--- a/crates/expert/src/relay_tree.rs
+++ b/crates/expert/src/relay_tree.rs
@@ -16,15 +16,16 @@
 /// square root of the number of agents, so that coordinator and relays send about
 /// the same number of messages.
 ///
-/// Branches consist of consecutive ranks, so that a lost agent changes no other
-/// branch.
+/// The agents of a branch are in one availability zone, so that what a relay merges or
+/// forwards crosses zones once. They are consecutive in the order of ranks, so that a
+/// lost agent changes only branches of its zone.
 ///
 /// ```
 /// use expert::RelayTree;
 /// use std::collections::{BTreeMap, BTreeSet};
 ///
 /// let ranks: BTreeMap<u32, String> = (0..100).map(|n| (n, format!("agent-{n:02}"))).collect();
-/// let tree = RelayTree::new(&ranks);
+/// let tree = RelayTree::new(&ranks, |_| "celje");
 /// let all: BTreeSet<String> = ranks.values().cloned().collect();
 /// let deliveries = tree.deliveries("agent-00", &all);
 /// assert_eq!(deliveries.len(), 10);
@@ -55,27 +56,45 @@
 }
 
 impl RelayTree {
-    /// Divides the agents of the given ranks into branches.
+    /// Divides the agents of the given ranks into branches, given the zone of each agent.
     #[must_use]
-    pub fn new(ranks: &BTreeMap<u32, String>) -> RelayTree {
-        let agents: BTreeSet<&String> = ranks.values().collect();
-        if agents.len() <= MAX_DIRECT_AGENTS {
+    pub fn new<'a>(
+        ranks: &'a BTreeMap<u32, String>,
+        zone: impl Fn(&'a str) -> &'a str,
+    ) -> RelayTree {
+        let mut zones: BTreeMap<&str, Vec<(u32, &String)>> = BTreeMap::new();
+        let mut known = BTreeSet::new();
+        for (rank, agent) in ranks {
+            if known.insert(agent) {
+                zones.entry(zone(agent)).or_default().push((*rank, agent));
+            }
+        }
+        if known.len() <= MAX_DIRECT_AGENTS {
             return RelayTree::default();
         }
-        let count = agents.len().isqrt().max(1);
-        let rank_end = ranks.keys().next_back().map_or(0, |last| last + 1);
+        let per_zone = known.len().isqrt().div_ceil(zones.len().max(1));
+        let mut tree = RelayTree::default();
+        for agents in zones.values() {
+            tree.add_zone(agents, per_zone);
+        }
+        tree
+    }
+
+    /// Adds a zone's agents, in the order of their ranks, as `count` branches at most.
+    fn add_zone(&mut self, agents: &[(u32, &String)], count: usize) {
+        let first = agents.first().map_or(0, |(rank, _)| *rank);
+        let span = agents.last().map_or(1, |(rank, _)| rank + 1 - first);
         let mut branches = vec![Branch::default(); count];
-        let mut branch_of = BTreeMap::new();
-        for (rank, agent) in ranks {
-            let position = index(*rank) * count / index(rank_end).max(1);
-            let branch = *branch_of.entry(agent.clone()).or_insert(position);
-            if !branches[branch].agents.contains(agent) {
-                branches[branch].agents.push(agent.clone());
-            }
+        for (rank, agent) in agents {
+            branches[index(rank - first) * count / index(span)]
+                .agents
+                .push((*agent).clone());
         }
-        RelayTree {
-            branches,
-            branch_of,
+        for branch in branches.into_iter().filter(|b| !b.agents.is_empty()) {
+            let number = self.branches.len();
+            let agents = branch.agents.iter().cloned();
+            self.branch_of.extend(agents.map(|agent| (agent, number)));
+            self.branches.push(branch);
         }
     }
 
--- a/crates/node/src/watcher.rs
+++ b/crates/node/src/watcher.rs
@@ -1,6 +1,6 @@
 //! Follows any control replica without a lease.
 
-use crate::watcher_state::WatcherState;
+use crate::watcher_state::{NEAR_REPLICA_TIME, WatcherState};
 use member::EntryReport;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -166,12 +166,14 @@
         let entrance = entrance_to_proto(&state.next_report());
         own_report.mark_unchanged();
         let replica = &link.peer().name;
+        let needs_refresh = state.needs_refresh_from(replica, Instant::now());
         let report = Body::Report(Report {
             entrance: Some(entrance),
-            changes_only: !state.needs_refresh_from(replica),
+            changes_only: !needs_refresh,
             knows_alive: true,
             knows_evacuations: true,
             overdue: state.overdue_targets(replica, Instant::now()),
+            replicas_digest: state.replicas_digest(),
         });
         if let Ok(Body::Reported(reported)) = link.call(report, interval).await {
             state.apply_replicas(&reported.replicas);
@@ -179,6 +181,15 @@
             state.report_entries(reported.entries, Instant::now());
             state.set_zone_entries(reported.zone_entries);
         }
+        let is_source = state.needs_refresh_from(replica, Instant::now());
+        if is_source && !needs_refresh {
+            // Now that its zone is known, this replica has become the source.
+            continue;
+        }
+        let interval = match state.table() {
+            Some(_) => interval,
+            None => interval.min(NEAR_REPLICA_TIME),
+        };
         // The next report is due in either case.
         let _ = timeout(interval, own_report.changed()).await;
     }
--- a/crates/node/src/watcher_state.rs
+++ b/crates/node/src/watcher_state.rs
@@ -13,8 +13,11 @@
 use table::Table;
 use tokio::sync::watch;
 use wire::proto::{Alive, Evacuations, RouteTable, Sightings};
-use wire::{sighting_from_proto, target_speed_from_proto};
+use wire::{addresses_digest, sighting_from_proto, target_speed_from_proto};
 
+/// Time after the start in which a replica in the zone of this entry can answer a first
+/// report.
+pub(crate) const NEAR_REPLICA_TIME: Duration = Duration::from_millis(250);
 /// How long the report of a silent target is kept. Such a target gets no work by then,
 /// and no other node needs its last report from here.
 const SILENT_TARGET_RETENTION: Duration = Duration::from_mins(1);
@@ -225,16 +228,23 @@
     }
 
     /// Whether a replica is to repeat the state of targets that has not changed.
-    pub(crate) fn needs_refresh_from(&self, replica: &str) -> bool {
-        let source = {
-            let linked = lock(&self.linked);
-            let own = self.own_report.borrow();
-            let replicas = linked
-                .iter()
-                .map(|(name, zone)| (name.as_str(), zone.as_deref()));
-            refresh_source(&own.name, &own.zone, replicas).map(str::to_owned)
-        };
-        source.as_deref() == Some(replica)
+    pub(crate) fn needs_refresh_from(&self, replica: &str, now: Instant) -> bool {
+        let linked = lock(&self.linked);
+        let own = self.own_report.borrow();
+        let replicas = linked
+            .iter()
+            .map(|(name, zone)| (name.as_str(), zone.as_deref()));
+        let is_source = refresh_source(&own.name, &own.zone, replicas) == Some(replica);
+        // At the start a replica in another zone is not asked for everything until one in
+        // the same zone has had the time to answer.
+        let is_near = linked.get(replica).and_then(Option::as_ref) == Some(&own.zone);
+        let elapsed = now.saturating_duration_since(self.started);
+        is_source && (is_near || elapsed >= NEAR_REPLICA_TIME)
+    }
+
+    /// Digest of the replicas that are known.
+    pub(crate) fn replicas_digest(&self) -> u64 {
+        addresses_digest(&self.replicas.borrow())
     }
 
     /// The targets for whose reports a replica is to be asked.
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -1,7 +1,9 @@
 //! Conversion between discovery types and their protobuf messages.
 
 use crate::proto;
-use member::{EntryReport, Presence, TargetReport, TargetSpeed};
+use member::{EntryReport, Presence, TargetReport, TargetSpeed, hash_name};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Converts the announcement of a target to its message.
@@ -72,6 +74,21 @@
     })
 }
 
+/// Digest by which two nodes find out whether they know the same addresses; never 0.
+///
+/// ```
+/// use std::collections::BTreeSet;
+/// use wire::addresses_digest;
+///
+/// let known = BTreeSet::from(["10.1.0.9:7020".parse().unwrap()]);
+/// assert_ne!(addresses_digest(&known), addresses_digest(&BTreeSet::new()));
+/// ```
+#[must_use]
+pub fn addresses_digest(addresses: &BTreeSet<SocketAddr>) -> u64 {
+    let texts: Vec<String> = addresses.iter().map(ToString::to_string).collect();
+    hash_name(&texts.join(" ")).max(1)
+}
+
 /// Converts the announcement of an entry to its message.
 #[must_use]
 pub fn entrance_to_proto(entrance: &EntryReport) -> proto::Entrance {
--- a/crates/wire/src/gen/lovageramp.rs
+++ b/crates/wire/src/gen/lovageramp.rs
@@ -382,10 +382,13 @@
     /// sent those of which the replica knows a later one.
     #[prost(message, repeated, tag = "5")]
     pub overdue: ::prost::alloc::vec::Vec<Alive>,
+    /// Digest of the replicas that the entry knows; 0 if it wants them listed.
+    #[prost(uint64, tag = "6")]
+    pub replicas_digest: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Reported {
-    /// Link addresses of all replicas known to the sender.
+    /// Link addresses of all replicas known to the sender; none if the entry knows them.
     #[prost(string, repeated, tag = "1")]
     pub replicas: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
     /// Availability zone of the sender.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -76,8 +76,8 @@
 pub use crate::codec::FrameCodec;
 pub use crate::connect::{accept, accept_on, dial};
 pub use crate::convert::{
-    entrance_from_proto, entrance_to_proto, sighting_from_proto, sighting_to_proto,
-    target_speed_from_proto, target_speed_to_proto,
+    addresses_digest, entrance_from_proto, entrance_to_proto, sighting_from_proto,
+    sighting_to_proto, target_speed_from_proto, target_speed_to_proto,
 };
 pub use crate::encoded::{decode_body, encode_body};
 pub use crate::error::{Error, Result};
