Name a relay to nodes that start, and hand on tables through relays

The leader had sent 172 MB of views in 4,600 direct renewals and 83 MB of replies to queries, mostly the table of 84 KB to each agent, and was still at it: its 0.3 core was used up, so that nodes did not get far enough to find their relays. The other replicas had sent 10 to 20 MB each. Agents also did not accept links before they had a rank to serve, so none could be a relay.

Ruled out: views of a node's own group and zone. The 16 nodes of a relay belong to 8 groups, and the views of a batch would be as large as the one that they share now.

Change: a node that renews directly with an outdated view is named its relay in place of the view, unless that has failed; agents forward renewals from their start; a relay fetches the table once for its nodes.

Before and after: renew_directly_names_relay, rows of views for 100 and 200 nodes, under a quarter of those without.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod command;
 mod context;
 mod crash;
+mod early_relay;
 mod ending;
 pub mod engine;
 mod limits;
--- a/crates/agent/src/links.rs
+++ b/crates/agent/src/links.rs
@@ -204,7 +204,7 @@
 
 /// Whether a message is relayed to control on behalf of another node.
 pub(crate) fn is_relayed(body: &Body) -> bool {
-    matches!(body, Body::Renew(_) | Body::FetchNotes(_))
+    matches!(body, Body::Renew(_) | Body::FetchNotes(_) | Body::Query(_))
 }
 
 async fn send_pending(pending: Option<PendingSend>, link: Link) {
--- a/crates/agent/src/rank_agent.rs
+++ b/crates/agent/src/rank_agent.rs
@@ -14,6 +14,7 @@
 use wire::proto::NodeInfo;
 use wire::{ClusterKey, Identity, LinkSettings, Role};
 
+use crate::early_relay::EarlyRelay;
 use crate::engine::{ArmingDialect, ArmingState, ClientSettings, TargetClient};
 use crate::{InitialMap, MapAgent, MapAgentSettings, MapSettings};
 
@@ -112,11 +113,20 @@
     let client = TargetClient::arming(cfg.engine, cfg.dialect, CLIENT_SETTINGS);
     let me = Identity::new(Role::Agent, cfg.name.clone(), rand::random());
     let follower = spawn_follower(&cfg, &me);
-    let (experts, max_gap) = wait_for_service(&cfg, &follower).await;
+    let relaying = EarlyRelay {
+        me: me.clone(),
+        key: cfg.key.clone(),
+        link: cfg.link.clone(),
+        follower: follower.clone(),
+    };
+    let listener = bind(cfg.links).await?;
+    let service = wait_for_service(&cfg, &follower);
+    let (experts, max_gap) = relaying.serve_until(&listener, service).await;
+    drop(listener);
     loop {
-        let state = wait_for_state(&client).await;
-        let bound = TcpListener::bind(cfg.links).await;
-        let listener = bound.wrap_err_with(|| format!("cannot listen on {}", cfg.links))?;
+        let listener = bind(cfg.links).await?;
+        let state = wait_for_state(&client);
+        let state = relaying.serve_until(&listener, state).await;
         let settings = MapAgentSettings {
             me: me.clone(),
             group: state.group.clone(),
@@ -138,6 +148,11 @@
     }
 }
 
+async fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
+    let bound = TcpListener::bind(address).await;
+    bound.wrap_err_with(|| format!("cannot listen on {address}"))
+}
+
 fn spawn_follower(cfg: &RankAgentSettings, me: &Identity) -> Follower {
     let info = NodeInfo {
         role: Role::Agent.into(),
--- a/crates/control/src/node_leases.rs
+++ b/crates/control/src/node_leases.rs
@@ -2,11 +2,13 @@
 
 use crate::node_info::{encode_for_view, encode_role, parse, parse_role};
 use crate::withdrawn::Withdrawn;
-use member::{Member, NodeKey, Registry, Renewal};
+use member::{Member, Node, NodeKey, Registry, RelayCandidate, Renewal, RenewalPath, renewal_path};
 use route::{FULL_QUOTA, QuotaAllocator, QuotaUsage};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::{Duration, Instant};
-use wire::proto::{self, AccountPart, AccountUse, MemberView, NodeInfo, NodeRef, UnchangedNode};
+use wire::proto::{
+    self, AccountPart, AccountUse, MemberView, NodeInfo, NodeRef, RenewalRelay, UnchangedNode,
+};
 
 /// The nodes that hold a lease from this leader, and the quotas granted to them.
 ///
@@ -260,6 +262,51 @@
         parts.collect()
     }
 
+    /// The node through which a node should renew, if its zone has more nodes than may
+    /// renew directly.
+    ///
+    /// ```
+    /// # use std::time::{Duration, Instant};
+    /// # use wire::proto::{NodeInfo, Role};
+    /// let (now, lease) = (Instant::now(), Duration::from_secs(3));
+    /// let mut leases = control::NodeLeases::new(1, lease, now);
+    /// for n in 0..40 {
+    ///     let info = NodeInfo {
+    ///         role: Role::Agent.into(),
+    ///         name: format!("desk-{n:02}"),
+    ///         link_address: format!("127.0.0.1:{}", 7000 + n),
+    ///         ..NodeInfo::default()
+    ///     };
+    ///     leases.renew(info, 1, now).unwrap();
+    /// }
+    /// let through = |n| leases.relay_of(Role::Agent, &format!("desk-{n:02}"));
+    /// assert_eq!((0..40).filter(|n| through(*n).is_none()).count(), 3);
+    /// ```
+    #[must_use]
+    pub fn relay_of(&self, role: proto::Role, name: &str) -> Option<RenewalRelay> {
+        let key = NodeKey {
+            role: parse_role(role).ok()?,
+            name: name.to_owned(),
+        };
+        let me = &self.registry.member(&key)?.node;
+        let members = self.registry.members();
+        let zone = members.filter(|member| member.node.zone == me.zone);
+        let zone: Vec<RelayCandidate<'_>> = zone.map(|m| as_candidate(&m.node)).collect();
+        let RenewalPath::Through(name) = renewal_path(as_candidate(me), &zone) else {
+            return None;
+        };
+        let key = NodeKey {
+            role: member::Role::Agent,
+            name: name.to_owned(),
+        };
+        let relay = &self.registry.member(&key)?.node;
+        Some(RenewalRelay {
+            name: relay.key.name.clone(),
+            incarnation: relay.incarnation,
+            link_address: relay.link_address?.to_string(),
+        })
+    }
+
     /// Removes the leases that have expired.
     ///
     /// ```
@@ -394,3 +441,12 @@
         })
     }
 }
+
+fn as_candidate(node: &Node) -> RelayCandidate<'_> {
+    RelayCandidate {
+        name: &node.key.name,
+        accepts_links: node.key.role == member::Role::Agent
+            && !node.leaving
+            && node.link_address.is_some(),
+    }
+}
--- a/crates/control/src/replica/answer.rs
+++ b/crates/control/src/replica/answer.rs
@@ -39,7 +39,7 @@
         let batch = RenewBatch {
             renewals: vec![renew],
         };
-        let Some(mut batch) = self.renew_all(batch, now) else {
+        let Some(mut batch) = self.renew_all(batch, true, now) else {
             return reply.send(self.not_leader());
         };
         let Some(renewed) = batch.renewals.pop() else {
@@ -57,7 +57,7 @@
     /// Renews the leases of several nodes whose requests one node has forwarded. Each
     /// request is granted or refused on its own.
     pub(super) fn renew_batch(&mut self, batch: RenewBatch, reply: Reply, now: Instant) {
-        match self.renew_all(batch, now) {
+        match self.renew_all(batch, false, now) {
             Some(renewed) => reply.send(Body::RenewedBatch(renewed)),
             None => reply.send(self.not_leader()),
         }
@@ -66,7 +66,12 @@
     /// Renews leases if this replica holds the leader lease and has applied everything
     /// that earlier leaders acknowledged. Both are needed because a granted lease states
     /// that the release note it names is the newest.
-    fn renew_all(&mut self, batch: RenewBatch, now: Instant) -> Option<RenewedBatch> {
+    fn renew_all(
+        &mut self,
+        batch: RenewBatch,
+        is_direct: bool,
+        now: Instant,
+    ) -> Option<RenewedBatch> {
         let is_current = self.node.has_lease(now) && self.node.has_applied_in_term();
         let node_leases = self.node_leases.as_mut().filter(|_| is_current)?;
         let quarantine = self.state_machine.quarantine_message();
@@ -74,6 +79,7 @@
             note: self.state_machine.history().catalogue().number(),
             withdrawn: self.state_machine.withdrawn(),
             quarantine_version: quarantine.version,
+            is_direct,
         };
         let mut renewed = context.renew(node_leases, batch, now);
         self.metrics.renewal_messages.inc();
--- a/crates/control/src/replica/renewal_context.rs
+++ b/crates/control/src/replica/renewal_context.rs
@@ -4,7 +4,9 @@
 use crate::withdrawn::Withdrawn;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
-use wire::proto::{AccountPart, MemberView, NodeInfo, Renew, RenewBatch, Renewed, RenewedBatch};
+use wire::proto::{
+    AccountPart, MemberView, NodeInfo, Renew, RenewBatch, Renewed, RenewedBatch, Role,
+};
 
 /// State of the leader on which it renews leases.
 pub(super) struct RenewalContext<'a> {
@@ -14,6 +16,8 @@
     pub(super) withdrawn: &'a Withdrawn,
     /// Version of the quarantine.
     pub(super) quarantine_version: u64,
+    /// Whether the renewal came from the node itself.
+    pub(super) is_direct: bool,
 }
 
 impl RenewalContext<'_> {
@@ -32,31 +36,61 @@
         let mut granted = Vec::new();
         for mut renew in batch.renewals {
             let lease = grant_lease(node_leases, &renew, now);
+            let sender = self.sender_without_relay(&renew);
             let parts = grant_quotas(node_leases, &mut renew, lease, now);
-            granted.push((renew, lease, parts));
+            granted.push((renew, sender, lease, parts));
         }
         let interval = node_leases.renew_interval().unwrap_or_default();
         let mut batch = RenewedBatch::default();
         let mut positions: BTreeMap<(u64, u64), u32> = BTreeMap::new();
-        for (renew, lease, parts) in granted {
+        for (renew, sender, lease, parts) in granted {
             let held = (renew.view_term, renew.view_version);
-            let position = *positions.entry(held).or_insert_with(|| {
-                let view = node_leases.view_since(held.0, held.1, self.withdrawn);
-                add_view(&mut batch.views, view)
-            });
+            let is_current = held == (node_leases.term(), node_leases.version());
+            let relay = sender.filter(|_| !is_current);
+            let relay = relay.and_then(|(role, name)| node_leases.relay_of(role, &name));
+            let position = match relay {
+                Some(_) => 0,
+                None => *positions.entry(held).or_insert_with(|| {
+                    let view = node_leases.view_since(held.0, held.1, self.withdrawn);
+                    add_view(&mut batch.views, view)
+                }),
+            };
             batch.renewals.push(Renewed {
-                term: node_leases.term(),
-                note: self.note,
-                lease_ms: u32::try_from(lease.as_millis()).unwrap_or(u32::MAX),
+                relay,
                 shared_view: position,
                 parts,
-                interval_ms: u32::try_from(interval.as_millis()).unwrap_or(0),
                 shared_quarantine: renew.quarantine_version != self.quarantine_version,
-                ..Renewed::default()
+                ..self.renewed(node_leases, lease, interval)
             });
         }
         batch
     }
+
+    fn renewed(&self, node_leases: &NodeLeases, lease: Duration, interval: Duration) -> Renewed {
+        Renewed {
+            term: node_leases.term(),
+            note: self.note,
+            lease_ms: u32::try_from(lease.as_millis()).unwrap_or(u32::MAX),
+            interval_ms: u32::try_from(interval.as_millis()).unwrap_or(0),
+            ..Renewed::default()
+        }
+    }
+
+    /// The sender of a renewal, if it is to be named a relay in place of a view.
+    ///
+    /// Nodes that have just started know no relay. If each of a thousand got its views
+    /// from the leader until it knew most of the others, these views would take up the
+    /// leader for many seconds.
+    fn sender_without_relay(&self, renew: &Renew) -> Option<(Role, String)> {
+        if !self.is_direct || !renew.takes_relay {
+            return None;
+        }
+        match (&renew.node, &renew.unchanged) {
+            (Some(node), _) => Some((node.role(), node.name.clone())),
+            (None, Some(node)) => Some((node.role(), node.name.clone())),
+            (None, None) => None,
+        }
+    }
 }
 
 /// Grants a lease and returns its duration, which is zero if it is refused.
--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -1,10 +1,9 @@
 //! Handle to the state that a node receives from control.
 
-use crate::leader_call::{
-    Unanswered, call_any_replica, call_leader, notify_any_replica, pause_before_retry,
-};
+use crate::leader_call::{Unanswered, call_leader, notify_any_replica, pause_before_retry};
 use crate::renewal_relay;
 use crate::renewer::{Renewer, renew};
+use crate::route_tables::table_of_any_replica;
 use crate::settings::FollowerSettings;
 use crate::shared::{QuotaShares, Shared};
 use member::TargetSpeed;
@@ -20,8 +19,7 @@
 use wire::proto::frame::Body;
 use wire::proto::{
     AccountUse, Announcement, Command, MemberView, NodeInfo, Outcome, Propose, Quarantine, Query,
-    QueryReply, RouteTable, RouteTableQuery, Sightings, Unavailable, command, outcome, query,
-    query_reply,
+    QueryReply, RouteTable, Sightings, Unavailable, command, outcome, query,
 };
 use wire::{Error, Identity, Incoming, Link, Result, redial, target_speed_to_proto};
 
@@ -215,24 +213,20 @@
         notify_any_replica(&self.shared, &report, within).await
     }
 
-    /// Reads the route table of any replica, which may not be the newest.
+    /// Reads the route table of any replica, which may not be the newest; from the relay
+    /// of this node, if it has one.
     ///
-    /// When hundreds of nodes start together, the leader alone would need seconds to send
+    /// When hundreds of nodes start together, the replicas would need seconds to send
     /// each of them a large table.
     ///
     /// # Errors
     ///
     /// Fails if no replica answers within `within`.
     pub async fn any_route_table(&self, within: Duration) -> Result<RouteTable> {
-        let any_replica = true;
-        let query = query::Body::RouteTable(RouteTableQuery { any_replica });
-        let request = Body::Query(Query { body: Some(query) });
-        match call_any_replica(&self.shared, &request, within, within).await {
-            Some(Body::QueryReply(QueryReply {
-                body: Some(query_reply::Body::RouteTable(table)),
-            })) => Ok(table),
-            Some(_) => Err(Error::Protocol("unexpected answer".to_owned())),
-            None => Err(Error::TimedOut),
+        let through_relay = self.shared.relay_link.route_table(within).await;
+        match through_relay.filter(|table| table.number > 0) {
+            Some(table) => Ok(table),
+            None => table_of_any_replica(&self.shared, within).await,
         }
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,6 +20,7 @@
 mod relay_link;
 mod renewal_relay;
 mod renewer;
+mod route_tables;
 mod seeds;
 mod settings;
 mod shared;
--- a/crates/node/src/relay_link.rs
+++ b/crates/node/src/relay_link.rs
@@ -1,17 +1,21 @@
 //! The link to the relay that this node renews through.
 
+use crate::route_tables::{parse_reply, table_query};
 use crate::shared::Shared;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::{CancellationToken, DropGuard};
 use wire::proto::frame::Body;
-use wire::proto::{FetchNotes, Notes, Renew, Renewed};
+use wire::proto::{FetchNotes, Notes, Renew, Renewed, RouteTable};
 use wire::{Incoming, Link, redial};
 
 /// Number of renewal intervals for which a failed relay is not used.
 const BACKOFF_RENEWALS: u32 = 10;
 
+/// Time after which a relay that cannot be reached counts as failed.
+const MAX_DIAL_TIME: Duration = Duration::from_secs(1);
+
 /// The link to the relay that this node renews through, if there is one.
 #[derive(Default)]
 pub(crate) struct RelayLink {
@@ -21,6 +25,7 @@
 struct CurrentRelay {
     relay: Relay,
     link: watch::Receiver<Option<Link>>,
+    since: Instant,
     /// Set after a failure: the relay is not used until then.
     unused_until: Option<Instant>,
     /// Stops dialling when dropped.
@@ -75,12 +80,32 @@
         }
     }
 
+    /// Fetches a route table through the relay. Returns `None` if it cannot provide one.
+    pub(crate) async fn route_table(&self, within: Duration) -> Option<RouteTable> {
+        let link = self.link(Instant::now())?;
+        parse_reply(link.call(table_query(), within).await.ok()?)
+    }
+
     /// Name of the relay that is currently used.
     pub(crate) fn name(&self) -> Option<String> {
         self.link(Instant::now())
             .map(|link| link.peer().name.clone())
     }
 
+    /// Whether there is a relay that has failed or could not be reached.
+    pub(crate) fn has_failed(&self, now: Instant) -> bool {
+        let current = self.current();
+        current.as_ref().is_some_and(|current| {
+            let is_up = current
+                .link
+                .borrow()
+                .as_ref()
+                .is_some_and(|link| !link.is_closed());
+            let is_late = now.saturating_duration_since(current.since) > MAX_DIAL_TIME;
+            current.unused_until.is_some_and(|until| now < until) || (!is_up && is_late)
+        })
+    }
+
     /// Whether a relay is currently used.
     pub(crate) fn is_up(&self) -> bool {
         self.link(Instant::now()).is_some()
@@ -137,6 +162,7 @@
     CurrentRelay {
         relay,
         link,
+        since: Instant::now(),
         unused_until: None,
         _stop: stop.drop_guard(),
     }
@@ -152,6 +178,10 @@
     let peer = link.peer();
     if (&peer.name, peer.incarnation) == (&expected.name, expected.incarnation) {
         tx.send_replace(Some(link.clone()));
+        if shared.named_relay().is_some() {
+            // This node has no current view until it has renewed through the relay.
+            shared.renew_early.notify_one();
+        }
     }
     while let Some(incoming) = rx.recv().await {
         // The relay forwards hints of control; other messages are ignored.
--- a/crates/node/src/renewal_relay.rs
+++ b/crates/node/src/renewal_relay.rs
@@ -1,6 +1,7 @@
 //! Forwarding of the renewals of other nodes.
 
 use crate::leader_call::call_leader;
+use crate::route_tables::{is_table_query, table_reply};
 use crate::shared::Shared;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -127,6 +128,16 @@
                 let _ = link.reply(call, body).await;
             });
         }
+        query if is_table_query(&query) => {
+            let shared = Arc::clone(shared);
+            tokio::spawn(async move {
+                let table = shared.route_tables.get(&shared).await;
+                // Without a table the node asks a replica itself. It may have disconnected.
+                let _ = link
+                    .reply(call, table_reply(table.unwrap_or_default()))
+                    .await;
+            });
+        }
         _ => log::debug!("ignored a message of {}", link.peer().name),
     }
 }
--- a/crates/node/src/renewer.rs
+++ b/crates/node/src/renewer.rs
@@ -10,7 +10,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 use wire::proto::frame::Body;
-use wire::proto::{FetchNotes, NodeInfo, Notes, Renew, Renewed, Role, UnchangedNode};
+use wire::proto::{FetchNotes, NodeInfo, Notes, Renew, RenewalRelay, Renewed, Role, UnchangedNode};
 
 /// Maximum number of fetches of release notes in one renewal.
 const MAX_FETCHES: usize = 8;
@@ -85,20 +85,29 @@
 
 /// Renews the lease once and fetches missing release notes.
 pub(crate) async fn renew(shared: &Arc<Shared>) {
-    shared.relay_link.switch_to(shared, choose_relay(shared));
+    let relay = shared.named_relay().or_else(|| choose_relay(shared));
+    shared.relay_link.switch_to(shared, relay);
     let request = renewal_request(shared);
     let sequence = request.sequence;
     // The lease counts from the time at which the answered renewal was sent.
     let mut sent = Instant::now();
     let mut renewed = shared.relay_link.renew(shared, &request).await;
     if let Some(renewed) = &renewed {
+        shared.set_named_relay(None);
         let next = Duration::from_millis(u64::from(renewed.next_ms));
         shared.set_next_delay((!next.is_zero()).then_some(next));
         let min_idle = shared.cfg.link.heartbeat_interval * IDLE_LINK_HEARTBEATS;
         shared.control_links.close_if_idle(sent, min_idle);
     } else {
         sent = Instant::now();
+        let request = Renew {
+            takes_relay: !shared.relay_link.has_failed(sent),
+            ..request
+        };
         renewed = renew_directly(shared, request).await;
+        if let Some(renewed) = &renewed {
+            shared.set_named_relay(renewed.relay.as_ref().and_then(named_relay));
+        }
     }
     shared.record_renewal(renewed.is_some());
     let Some(renewed) = renewed else {
@@ -137,6 +146,14 @@
     })
 }
 
+fn named_relay(relay: &RenewalRelay) -> Option<Relay> {
+    Some(Relay {
+        name: relay.name.clone(),
+        incarnation: relay.incarnation,
+        address: relay.link_address.parse().ok()?,
+    })
+}
+
 fn as_candidate(info: &NodeInfo) -> RelayCandidate<'_> {
     RelayCandidate {
         name: &info.name,
@@ -165,6 +182,7 @@
         quarantine_version: shared.quarantine().version,
         sequence,
         uses: shared.account_usage(Instant::now()),
+        takes_relay: false,
     }
 }
 
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -2,8 +2,9 @@
 
 use crate::control_links::ControlLinks;
 use crate::lease::Lease;
-use crate::relay_link::RelayLink;
+use crate::relay_link::{Relay, RelayLink};
 use crate::renewal_relay::RenewalRelay;
+use crate::route_tables::RouteTableCache;
 use crate::settings::FollowerSettings;
 use crate::view::merge_view;
 use note::Catalogue;
@@ -30,6 +31,7 @@
     pub(crate) renewed: watch::Sender<u64>,
     pub(crate) relay_link: RelayLink,
     pub(crate) renewal_relay: RenewalRelay,
+    pub(crate) route_tables: RouteTableCache,
     /// Ends all tasks.
     pub(crate) stop: CancellationToken,
     state: Mutex<State>,
@@ -58,6 +60,8 @@
     /// Usage of account quotas that this node reports.
     account_usage: Vec<AccountUse>,
     quota_shares: Arc<QuotaShares>,
+    /// The relay that the leader has named, until the node has renewed through it.
+    named_relay: Option<Relay>,
 }
 
 /// Shares of account quotas that this node may hand out, with their expiry, by account
@@ -80,6 +84,7 @@
             info_sequence: 0,
             account_usage: Vec::new(),
             quota_shares: Arc::default(),
+            named_relay: None,
         };
         Shared {
             me,
@@ -89,6 +94,7 @@
             renewed: watch::Sender::new(0),
             relay_link: RelayLink::default(),
             renewal_relay: RenewalRelay::default(),
+            route_tables: RouteTableCache::default(),
             stop: CancellationToken::new(),
             state: Mutex::new(state),
             changed: watch::Sender::new(0),
@@ -143,6 +149,15 @@
         }
     }
 
+    /// The relay that the leader has named.
+    pub(crate) fn named_relay(&self) -> Option<Relay> {
+        self.state().named_relay.clone()
+    }
+
+    pub(crate) fn set_named_relay(&self, relay: Option<Relay>) {
+        self.state().named_relay = relay;
+    }
+
     /// How long the next renewal may take.
     pub(crate) fn renewal_timeout(&self) -> Duration {
         self.state().renewal_timeout
--- a/crates/node/tests/relay/batch.rs
+++ b/crates/node/tests/relay/batch.rs
@@ -127,3 +127,46 @@
         [(Some("desk-01"), Some(3)), (Some("desk-02"), Some(0))]
     );
 }
+
+/// Number of nodes in the views that control sends to nodes that start together in one
+/// zone and renew directly, twice each.
+async fn nodes_in_views(count: u32, takes_relay: bool) -> usize {
+    let (_control, address, _folder) = start_control().await;
+    let link = dial(address).await;
+    renew_until_granted(&link, vec![renewal("first", 1, 1)]).await;
+    let mut held = std::collections::BTreeMap::new();
+    let mut sent = 0;
+    for sequence in 1..=2 {
+        for number in 0..count {
+            let mut renew = renewal(&format!("node-{number:03}"), 1, sequence);
+            if let Some(info) = &mut renew.node {
+                info.link_address = format!("127.0.0.1:{}", 10_000 + number);
+            }
+            renew.takes_relay = takes_relay;
+            (renew.view_term, renew.view_version) = held.get(&number).copied().unwrap_or_default();
+            let answer = link.call(Body::Renew(renew), Duration::from_secs(10));
+            let Ok(Body::Renewed(renewed)) = answer.await else {
+                panic!("not renewed")
+            };
+            assert!(!takes_relay || renewed.view.is_some() || renewed.relay.is_some());
+            if let Some(view) = renewed.view {
+                sent += view.nodes.len();
+                held.insert(number, (view.term, view.version));
+            }
+        }
+    }
+    sent
+}
+
+/// Guards against a leader that is busy for many seconds with the views of a thousand
+/// nodes that start together and know no relay yet.
+#[tokio::test]
+async fn renew_directly_names_relay() {
+    for count in [100, 200] {
+        let (with, without) = (
+            nodes_in_views(count, true).await,
+            nodes_in_views(count, false).await,
+        );
+        assert!(with * 4 < without, "{count} nodes: {with} of {without}");
+    }
+}
--- a/crates/wire/src/gen/lovageramp.rs
+++ b/crates/wire/src/gen/lovageramp.rs
@@ -568,6 +568,9 @@
     /// Number of nodes in the node's member view.
     #[prost(uint32, tag = "9")]
     pub view_nodes: u32,
+    /// The node renews through the relay that a reply names. Not set once that has failed.
+    #[prost(bool, tag = "10")]
+    pub takes_relay: bool,
 }
 /// A node whose state is still the one for which the leader of `term` granted a lease.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -634,6 +637,19 @@
     /// nodes; 0 for that of the settings.
     #[prost(uint32, tag = "10")]
     pub interval_ms: u32,
+    /// In place of the view: the node in the zone through which to renew from now on, and
+    /// from which to get the view.
+    #[prost(message, optional, tag = "11")]
+    pub relay: ::core::option::Option<RenewalRelay>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RenewalRelay {
+    #[prost(string, tag = "1")]
+    pub name: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    #[prost(string, tag = "3")]
+    pub link_address: ::prost::alloc::string::String,
 }
 /// The renewals of several nodes of an availability zone, forwarded by a relay.
 #[derive(Clone, PartialEq, ::prost::Message)]
