Wait for the named relay before asking the leader for everything

Cause, traced with bytes by kind on a scratch copy of the whole fleet: nodes whose relay did not answer within 150 ms, because it waited for the busy leader itself, asked the leader for the whole view: 1,739 views, 86 MB, 7 s after the start. 437 agents had no relay yet when the first table came: 37 MB.

Change: a node asks for a relay for 3 to 9 s before it asks for the view, and waits for a relay that it has been named before it asks replicas for the table. What the gossip waits for is a file of its own. A process test of the operators' client shows that the product's own entries obey an evacuation.

Tests of node, control, agent and of the client pass.

--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -2,6 +2,7 @@
 
 mod cache_writer;
 mod entry_links;
+mod in_force;
 
 use self::cache_writer::{CacheWriter, cached_rows};
 use self::entry_links::EntryLinks;
@@ -14,7 +15,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::{Notify, watch};
-use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
+use tokio::time::{MissedTickBehavior, interval, sleep};
 use wire::proto::Presence::Ready;
 use wire::proto::frame::Body;
 use wire::proto::{
@@ -40,9 +41,6 @@
 const ENTRY_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Timeout for entries and replicas to confirm that a target is leaving.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(400);
-/// Timeout for a new table to be in force on all entries. A stalled entry must not
-/// delay the answer to an operator, who asks another replica after a second.
-const IN_FORCE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Collects the state of targets and entries, and passes changes on to entries and
 /// other replicas. Clones share their state.
@@ -429,46 +427,6 @@
         later.map(|report| sighting_to_proto(&report)).collect()
     }
 
-    /// Waits until this table or a later one is in force on every entry that reports, or
-    /// until [`IN_FORCE_TIMEOUT`] has elapsed.
-    pub(crate) async fn wait_in_force(&self, number: u64) {
-        if !self.wait_for_entries(|entry| entry.table >= number).await {
-            log::info!(table = number; "table acknowledged before it is in force on all entries");
-        }
-    }
-
-    /// Waits until these evacuations or later ones are in force on every entry that
-    /// reports, or until [`IN_FORCE_TIMEOUT`] has elapsed.
-    pub(crate) async fn wait_evacuations_in_force(&self, number: u64) {
-        if !self
-            .wait_for_entries(|entry| entry.evacuations >= number)
-            .await
-        {
-            log::warn!(number = number; "evacuations acknowledged before they are in force on all entries");
-        }
-    }
-
-    /// Waits until the condition holds for every entry that reports. Returns whether it
-    /// does within [`IN_FORCE_TIMEOUT`].
-    async fn wait_for_entries(&self, condition: impl Fn(&EntryReport) -> bool) -> bool {
-        let mut reports = self.shared.report_count.subscribe();
-        let everywhere = async {
-            while !self.all_entries(&condition) {
-                if reports.changed().await.is_err() {
-                    return;
-                }
-            }
-        };
-        timeout(IN_FORCE_TIMEOUT, everywhere).await.is_ok()
-    }
-
-    fn all_entries(&self, condition: impl Fn(&EntryReport) -> bool) -> bool {
-        let now = Instant::now();
-        let board = self.board();
-        let mut live = board.entries().filter(|(_, heard)| is_live(*heard, now));
-        live.all(|(entry, _)| condition(entry))
-    }
-
     /// Number of entries that have been heard from lately.
     fn entry_count(&self) -> u32 {
         u32::try_from(self.board().entries().count()).unwrap_or(u32::MAX)
--- a/crates/control/src/replica/renewal_context.rs
+++ b/crates/control/src/replica/renewal_context.rs
@@ -36,17 +36,17 @@
         let mut granted = Vec::new();
         for mut renew in batch.renewals {
             let lease = grant_lease(node_leases, &renew, now);
-            let sender = self.sender_without_relay(&renew);
+            let new_node = self.node_without_relay(&renew);
             let parts = grant_quotas(node_leases, &mut renew, lease, now);
-            granted.push((renew, sender, lease, parts));
+            granted.push((renew, new_node, lease, parts));
         }
         let interval = node_leases.renew_interval().unwrap_or_default();
         let mut batch = RenewedBatch::default();
         let mut positions: BTreeMap<(u64, u64), u32> = BTreeMap::new();
-        for (renew, sender, lease, parts) in granted {
+        for (renew, new_node, lease, parts) in granted {
             let held = (renew.view_term, renew.view_version);
             let is_current = held == (node_leases.term(), node_leases.version());
-            let relay = sender.filter(|_| !is_current);
+            let relay = new_node.filter(|_| !is_current);
             let relay = relay.and_then(|(role, name)| node_leases.relay_of(role, &name));
             let position = match relay {
                 Some(_) => 0,
@@ -76,12 +76,13 @@
         }
     }
 
-    /// The sender of a renewal, if it is to be named a relay in place of a view.
+    /// Role and name of the sender of a renewal, if it is to be named a relay in place of a
+    /// view.
     ///
     /// Nodes that have just started know no relay. If each of a thousand got its views
     /// from the leader until it knew most of the others, these views would take up the
     /// leader for many seconds.
-    fn sender_without_relay(&self, renew: &Renew) -> Option<(Role, String)> {
+    fn node_without_relay(&self, renew: &Renew) -> Option<(Role, String)> {
         if !self.is_direct || !renew.takes_relay {
             return None;
         }
--- a/crates/lovageramp/tests/processes/cli.rs
+++ b/crates/lovageramp/tests/processes/cli.rs
@@ -157,6 +157,36 @@
     assert_eq!(unknown.status.code(), Some(1), "{}", text(&unknown));
 }
 
+/// Guards against an order that only the platform's entries obey: the target of an
+/// evacuated zone gets nothing at the product's own entries either.
+#[tokio::test]
+async fn evacuate_and_finish() {
+    let cluster = start_cluster().await;
+    let entry = cluster.http("entry-2");
+    let bearer = bearer("huber");
+    let reads = |status: u16| {
+        let bearer = bearer.clone();
+        async move {
+            let headers = [("authorization", bearer.as_str())];
+            let answer = get(entry, "/s/order-desk/stock", &headers).await.ok()?;
+            (answer.status == status).then_some(())
+        }
+    };
+    let zone = crate::support::zones::zone_of("desk-01");
+    let started = cluster
+        .client("entry-1", &["evacuation", "start", zone])
+        .await;
+    assert_eq!(text(&started), format!("evacuated: {zone}\n"));
+    until("targets of the evacuated zone get nothing", || reads(503)).await;
+    let list = cluster.client("control-1", &["evacuation", "list"]).await;
+    assert_eq!(text(&list), format!("evacuated: {zone}\n"));
+    let finished = cluster
+        .client("control-3", &["evacuation", "finish", zone])
+        .await;
+    assert_eq!(text(&finished), "no zone is evacuated\n");
+    until("the target serves again", || reads(200)).await;
+}
+
 #[tokio::test]
 async fn quarantine_empty() {
     let cluster = start_cluster().await;
--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -23,6 +23,8 @@
 };
 use wire::{Error, Identity, Incoming, Link, Result, redial, target_speed_to_proto};
 
+/// Interval at which a node that needs a route table looks whether it has a relay yet.
+const RELAY_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// When callers should retry after control could not be reached.
 const RETRY_AFTER: Duration = Duration::from_secs(2);
 
@@ -221,8 +223,13 @@
     ///
     /// # Errors
     ///
-    /// Fails if no replica answers within `within`.
+    /// Fails if no replica answers within `within` after the relay did not.
     pub async fn any_route_table(&self, within: Duration) -> Result<RouteTable> {
+        let deadline = Instant::now() + within;
+        while self.shared.named_relay().is_some() && Instant::now() < deadline {
+            // The leader has named a relay, which is still being connected to.
+            tokio::time::sleep(RELAY_POLL_INTERVAL).await;
+        }
         let through_relay = self.shared.relay_link.route_table(within).await;
         match through_relay.filter(|table| table.number > 0) {
             Some(table) => Ok(table),
--- a/crates/node/src/relay_link.rs
+++ b/crates/node/src/relay_link.rs
@@ -13,9 +13,6 @@
 /// Number of renewal intervals for which a failed relay is not used.
 const BACKOFF_RENEWALS: u32 = 10;
 
-/// Time after which a relay that cannot be reached counts as failed.
-const MAX_DIAL_TIME: Duration = Duration::from_secs(1);
-
 /// The link to the relay that this node renews through, if there is one.
 #[derive(Default)]
 pub(crate) struct RelayLink {
@@ -25,7 +22,6 @@
 struct CurrentRelay {
     relay: Relay,
     link: watch::Receiver<Option<Link>>,
-    since: Instant,
     /// Set after a failure: the relay is not used until then.
     unused_until: Option<Instant>,
     /// Stops dialling when dropped.
@@ -92,20 +88,6 @@
             .map(|link| link.peer().name.clone())
     }
 
-    /// Whether there is a relay that has failed or could not be reached.
-    pub(crate) fn has_failed(&self, now: Instant) -> bool {
-        let current = self.current();
-        current.as_ref().is_some_and(|current| {
-            let is_up = current
-                .link
-                .borrow()
-                .as_ref()
-                .is_some_and(|link| !link.is_closed());
-            let is_late = now.saturating_duration_since(current.since) > MAX_DIAL_TIME;
-            current.unused_until.is_some_and(|until| now < until) || (!is_up && is_late)
-        })
-    }
-
     /// Whether a relay is currently used.
     pub(crate) fn is_up(&self) -> bool {
         self.link(Instant::now()).is_some()
@@ -162,7 +144,6 @@
     CurrentRelay {
         relay,
         link,
-        since: Instant::now(),
         unused_until: None,
         _stop: stop.drop_guard(),
     }
--- a/crates/node/src/renewer.rs
+++ b/crates/node/src/renewer.rs
@@ -93,7 +93,7 @@
     let mut sent = Instant::now();
     let mut renewed = shared.relay_link.renew(shared, &request).await;
     if let Some(renewed) = &renewed {
-        shared.set_named_relay(None);
+        shared.set_named_relay(None, sent);
         let next = Duration::from_millis(u64::from(renewed.next_ms));
         shared.set_next_delay((!next.is_zero()).then_some(next));
         let min_idle = shared.cfg.link.heartbeat_interval * IDLE_LINK_HEARTBEATS;
@@ -101,12 +101,13 @@
     } else {
         sent = Instant::now();
         let request = Renew {
-            takes_relay: !shared.relay_link.has_failed(sent),
+            takes_relay: shared.takes_relay(sent),
             ..request
         };
         renewed = renew_directly(shared, request).await;
         if let Some(renewed) = &renewed {
-            shared.set_named_relay(renewed.relay.as_ref().and_then(named_relay));
+            let relay = renewed.relay.as_ref().and_then(named_relay);
+            shared.set_named_relay(relay, sent);
         }
     }
     shared.record_renewal(renewed.is_some());
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -17,6 +17,8 @@
 use wire::proto::frame::Body;
 use wire::proto::{AccountUse, MemberView, NodeInfo, Notes, Quarantine, Renewed};
 
+/// Least time for which a node waits for a view from its relay.
+const VIEW_PATIENCE: Duration = Duration::from_secs(3);
 /// Maximum time of a renewal, in renewal intervals.
 const MAX_TIMEOUT_INTERVALS: u32 = 8;
 
@@ -62,6 +64,8 @@
     quota_shares: Arc<QuotaShares>,
     /// The relay that the leader has named, until the node has renewed through it.
     named_relay: Option<Relay>,
+    /// Until when the node waits for a relay to get a view from.
+    view_awaited_until: Option<Instant>,
 }
 
 /// Shares of account quotas that this node may hand out, with their expiry, by account
@@ -85,6 +89,7 @@
             account_usage: Vec::new(),
             quota_shares: Arc::default(),
             named_relay: None,
+            view_awaited_until: None,
         };
         Shared {
             me,
@@ -154,8 +159,27 @@
         self.state().named_relay.clone()
     }
 
-    pub(crate) fn set_named_relay(&self, relay: Option<Relay>) {
-        self.state().named_relay = relay;
+    /// Records the relay that the leader has named in place of a view, or none.
+    pub(crate) fn set_named_relay(&self, relay: Option<Relay>, now: Instant) {
+        let mut state = self.state();
+        state.view_awaited_until = match (&relay, state.view_awaited_until) {
+            (None, _) => None,
+            (Some(_), Some(until)) => Some(until),
+            (Some(_), None) => {
+                // Nodes that start together must not all give up at the same time.
+                let patience = VIEW_PATIENCE.mul_f64(rand::random_range(1.0..3.0));
+                Some(now + patience)
+            }
+        };
+        state.named_relay = relay;
+    }
+
+    /// Whether the node takes a relay in place of a view: it has not waited in vain for
+    /// one that it was named before.
+    pub(crate) fn takes_relay(&self, now: Instant) -> bool {
+        self.state()
+            .view_awaited_until
+            .is_none_or(|until| now < until)
     }
 
     /// How long the next renewal may take.
