Log the parts of a prompt with each request sent to a target

The log names a request by its digest, which differs each time here, so it can't tell a request that nobody knows yet from one that shares a part with those before it: "sent to a target" now carries the parts, by which the hypotheses are told apart (nobody knows what requests share; one entry knows; all know too late).

--- a/crates/direct/src/proxy_request.rs
+++ b/crates/direct/src/proxy_request.rs
@@ -22,6 +22,8 @@
     pub api_key: Option<String>,
     /// How long the caller waits for the response, if it says so.
     pub timeout: Option<Duration>,
+    /// Identities of the parts of its prompt that prompts of other requests may have, too.
+    pub parts: Vec<Fingerprint>,
     /// Id of the last event that the caller has received of a stream.
     pub last_event_id: Option<u64>,
     /// Headers that are forwarded.
