Refuse requests with a part of their prompts that crashes targets

No two of these requests are alike; sound ones share their caller and other parts.

Cause: what crashes targets was known by the digest of one whole request. What requests share was known to nobody, so each of them began at nothing.

Ruled out: a verdict that comes late, as there was none.

Change: CrashTally judges each feature of the requests that ran in a crash: the request itself and the parts of its prompt, the last one excepted. - How likely a part ran in all of its crashes by chance follows from the latest requests of the entries (PartShares) and from those beside it. A request that is sent again counts once. Unlikely and without a rival after three crashes, or least likely after five: convicted. A part that one request alone brought is put down to that request. - A part is cleared once a request with it completes that a target began to run after the part was first named; what completed before proves nothing. - Verdicts are derived anew with each report, and entries are told only convictions that have held for 200 ms (VerdictSettling), so that the first reports of a crash convict no bystander. - An entry cut off from control for a second goes by its own crashes, and tells the crashes of one address apart that it has no news of.

--- a/crates/admin/tests/operators.rs
+++ b/crates/admin/tests/operators.rs
@@ -64,6 +64,7 @@
             version: 3,
             suspects: Vec::new(),
             convicted: vec![vec![0xab; 32].into()],
+            watched: Vec::new(),
         }),
         query::Body::Note(note) if note.number == 7 => query_reply::Body::Json("{}".into()),
         query::Body::Note(note) if note.number == 8 => query_reply::Body::Json("".into()),
--- a/crates/agent/src/crash.rs
+++ b/crates/agent/src/crash.rs
@@ -189,6 +189,7 @@
         target: cx.cfg.name.clone(),
         incarnation: crash,
         fingerprints,
+        requests: Vec::new(),
     });
     let outcome = cx.follower.propose(crashed, REPORT_TIMEOUT).await;
     match outcome.body {
--- a/crates/agent/tests/support/fake_control.rs
+++ b/crates/agent/tests/support/fake_control.rs
@@ -175,6 +175,7 @@
             version,
             suspects,
             convicted,
+            watched: Vec::new(),
         };
     }
 
--- a/crates/control/src/state_machine/crashes.rs
+++ b/crates/control/src/state_machine/crashes.rs
@@ -2,7 +2,7 @@
 
 use super::{StateMachine, malformed};
 use bytes::Bytes;
-use route::Fingerprint;
+use route::{CrashedRequest, Features, Fingerprint};
 use wire::proto::{Completed, Crashed, CrashedOutcome, Pardon, PardonOutcome, Quarantine, outcome};
 
 impl StateMachine {
@@ -20,11 +20,11 @@
     }
 
     pub(super) fn shared_target_crashed(&mut self, crashed: &Crashed) -> outcome::Body {
-        let Some(fingerprints) = decode(&crashed.fingerprints) else {
+        let Some(ran) = crashed_requests(crashed) else {
             return malformed_fingerprint();
         };
         self.crash_tally
-            .record_crash(&crashed.target, crashed.incarnation, &fingerprints);
+            .record_crash(&crashed.target, crashed.incarnation, &ran);
         // Entries learn the verdict from the tally, once all have reported the crash.
         outcome::Body::Crashed(CrashedOutcome::default())
     }
@@ -54,6 +54,7 @@
             version: self.quarantine.version(),
             suspects: encode(self.quarantine.suspects()),
             convicted: encode(self.quarantine.convicted()),
+            watched: Vec::new(),
         }
     }
 
@@ -63,6 +64,7 @@
             version: self.crash_tally.version(),
             suspects: encode(self.crash_tally.suspects()),
             convicted: encode(self.crash_tally.convicted()),
+            watched: encode(self.crash_tally.watched()),
         }
     }
 
@@ -75,6 +77,27 @@
     }
 }
 
+/// The requests of a crash report; `None` if one is malformed.
+fn crashed_requests(crashed: &Crashed) -> Option<Vec<CrashedRequest>> {
+    if crashed.requests.is_empty() {
+        let requests = decode(&crashed.fingerprints)?.into_iter();
+        return Some(requests.map(CrashedRequest::from).collect());
+    }
+    let requests = crashed.requests.iter().map(|request| {
+        let features = Features {
+            request: Fingerprint::from_slice(&request.fingerprint)?,
+            parts: decode(&request.parts)?,
+        };
+        Some(CrashedRequest {
+            features,
+            has_completed: request.completed,
+            with_part: request.with_part.clone(),
+            recent: request.recent,
+        })
+    });
+    requests.collect()
+}
+
 fn malformed_fingerprint() -> outcome::Body {
     malformed("fingerprint is not 32 bytes")
 }
--- a/crates/control/tests/machine.rs
+++ b/crates/control/tests/machine.rs
@@ -74,6 +74,7 @@
             target: text(g),
             incarnation: u64::from(u8::arbitrary(g) % 3),
             fingerprints: vec![digest(g, 32)],
+            requests: Vec::new(),
         }),
         5 => Body::Pardon(Pardon {
             fingerprint: digest(g, 32),
--- a/crates/control/tests/replicas/leases.rs
+++ b/crates/control/tests/replicas/leases.rs
@@ -124,6 +124,7 @@
         target: "advisor-01".to_owned(),
         incarnation: 7,
         fingerprints: vec![vec![1; 32].into()],
+        requests: Vec::new(),
     };
     cluster.propose(command::Body::Crashed(crashed)).await;
     let hint = timeout(WAIT_TIMEOUT, rx.recv()).await.unwrap().unwrap();
--- a/crates/direct/src/crash_reports.rs
+++ b/crates/direct/src/crash_reports.rs
@@ -4,7 +4,7 @@
 use crate::service_targets::Endpoint;
 use bytes::Bytes;
 use node::Watcher;
-use route::{CrashGuard, Fingerprint, SharedTally};
+use route::{CrashGuard, CrashedRequest, Features, Fingerprint, SharedTally};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -13,7 +13,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout};
-use wire::proto::{Completed, Crashed, Quarantine, command};
+use wire::proto::{self, Completed, Crashed, Quarantine, command};
 
 /// Time in which the broken connections of one target are gathered: its crash breaks
 /// all of them at once.
@@ -40,7 +40,7 @@
 struct BrokenAttempt {
     target: Incarnation,
     address: SocketAddr,
-    request: Fingerprint,
+    features: Features,
     /// Receives whether the target crashed; dropped if it did not.
     crashed: oneshot::Sender<()>,
 }
@@ -55,7 +55,7 @@
 /// The requests whose connections to one target broke together.
 struct Suspects {
     address: SocketAddr,
-    requests: BTreeSet<Fingerprint>,
+    requests: BTreeMap<Fingerprint, Features>,
     crashed: Vec<oneshot::Sender<()>>,
 }
 
@@ -80,27 +80,33 @@
         reports
     }
 
+    /// Records that a caller has sent a request.
+    pub(crate) fn record_arrival(&self, features: &Features) {
+        lock(&self.guard).record_arrival(features);
+    }
+
     /// Whether the request is refused, because targets crash under it.
-    pub(crate) fn must_refuse(&self, request: &Fingerprint) -> bool {
-        lock(&self.guard).must_refuse(request, Instant::now())
+    pub(crate) fn must_refuse(&self, features: &Features) -> bool {
+        lock(&self.guard).must_refuse(features, Instant::now())
     }
 
     /// Whether several targets have crashed under the request.
-    pub(crate) fn is_suspect(&self, request: &Fingerprint) -> bool {
-        lock(&self.guard).is_suspect(request, Instant::now())
+    pub(crate) fn is_suspect(&self, features: &Features) -> bool {
+        lock(&self.guard).is_suspect(features, Instant::now())
     }
 
-    /// Records that a target has completed a request.
-    pub(crate) fn record_completion(&self, request: Fingerprint) {
-        if lock(&self.guard).record_completion(request, Instant::now()) {
-            // The request is cleared at its next completion otherwise.
-            let _ = self.cleared.try_send(request);
+    /// Records that a target has completed a request that it was sent at `started`.
+    pub(crate) fn record_completion(&self, features: &Features, started: Instant) {
+        let cleared = lock(&self.guard).record_completion(features, started, Instant::now());
+        for feature in cleared {
+            // Control is told again with its next news otherwise.
+            let _ = self.cleared.try_send(feature);
         }
     }
 
     /// Finds out whether the target of a request crashed, given that its connection ended.
     /// Returns once that is known, so that the request is not sent again before.
-    pub(crate) async fn has_crashed(&self, request: Fingerprint, endpoint: &Endpoint) -> bool {
+    pub(crate) async fn has_crashed(&self, features: &Features, endpoint: &Endpoint) -> bool {
         let (crashed, known) = oneshot::channel();
         let attempt = BrokenAttempt {
             target: Incarnation {
@@ -108,7 +114,7 @@
                 started_ms: endpoint.started_ms,
             },
             address: endpoint.address,
-            request,
+            features: features.clone(),
             crashed,
         };
         self.broken.try_send(attempt).is_ok() && known.await.is_ok()
@@ -128,10 +134,11 @@
         while let Some(attempt) = next {
             let suspects = by_target.entry(attempt.target).or_insert_with(|| Suspects {
                 address: attempt.address,
-                requests: BTreeSet::new(),
+                requests: BTreeMap::new(),
                 crashed: Vec::new(),
             });
-            suspects.requests.insert(attempt.request);
+            let features = attempt.features;
+            suspects.requests.insert(features.request, features);
             suspects.crashed.push(attempt.crashed);
             next = broken.try_recv().ok();
         }
@@ -164,8 +171,8 @@
     suspects: Suspects,
 ) {
     let Incarnation { id, started_ms } = target;
-    let ran: Vec<Fingerprint> = suspects.requests.into_iter().collect();
-    let reported = lock(&guard).record_crash(&id, started_ms, &ran, Instant::now());
+    let ran: Vec<Features> = suspects.requests.into_values().collect();
+    let report = lock(&guard).record_crash(&id, started_ms, &ran, Instant::now());
     for crashed in suspects.crashed {
         // Nobody waits for it any more if the request has timed out.
         let _ = crashed.send(());
@@ -173,20 +180,25 @@
     metrics.target_crashes.inc();
     log::warn!(
         target_id = id.as_str(), address:display = suspects.address, requests = ran.len(),
-        suspect = reported.len();
+        suspect = report.requests.len();
         "target crashed"
     );
-    if reported.is_empty() {
+    if report.requests.is_empty() {
         return;
     }
+    let suspicious = report
+        .requests
+        .iter()
+        .filter(|request| !request.has_completed);
     let crashed = Crashed {
         target: id.clone(),
-        incarnation: started_ms,
-        fingerprints: encode(&reported),
+        incarnation: report.incarnation,
+        fingerprints: encode(suspicious.map(|request| &request.features.request)),
+        requests: report.requests.iter().map(encode_request).collect(),
     };
     let command = command::Body::SharedTargetCrashed(crashed);
     if watcher.propose(command, REPORT_TIMEOUT).await {
-        lock(&guard).confirm_report(&id, started_ms);
+        lock(&guard).confirm_report(&id, report.incarnation);
     } else {
         log::warn!(target_id = id.as_str(); "crash not reported to control");
     }
@@ -199,9 +211,8 @@
         while let Ok(next) = cleared.try_recv() {
             requests.insert(next);
         }
-        let requests: Vec<Fingerprint> = requests.into_iter().collect();
         let completed = Completed {
-            fingerprints: encode(&requests),
+            fingerprints: encode(requests.iter()),
         };
         let command = command::Body::Completed(completed);
         if !watcher.propose(command, REPORT_TIMEOUT).await {
@@ -237,15 +248,26 @@
     SharedTally {
         version: verdicts.version,
         suspects: decode(&verdicts.suspects),
+        watched: decode(&verdicts.watched),
         convicted: decode(&verdicts.convicted),
     }
 }
 
-fn encode(requests: &[Fingerprint]) -> Vec<Bytes> {
-    let bytes = requests.iter().map(Fingerprint::as_bytes);
+fn encode<'a>(features: impl Iterator<Item = &'a Fingerprint>) -> Vec<Bytes> {
+    let bytes = features.map(Fingerprint::as_bytes);
     bytes.map(|bytes| Bytes::copy_from_slice(bytes)).collect()
 }
 
+fn encode_request(request: &CrashedRequest) -> proto::CrashedRequest {
+    proto::CrashedRequest {
+        fingerprint: Bytes::copy_from_slice(request.features.request.as_bytes()),
+        parts: encode(request.features.parts.iter()),
+        completed: request.has_completed,
+        with_part: request.with_part.clone(),
+        recent: request.recent,
+    }
+}
+
 fn lock(guard: &Mutex<CrashGuard>) -> MutexGuard<'_, CrashGuard> {
     // Code that holds the lock cannot leave the guard inconsistent.
     guard.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -14,7 +14,7 @@
 use crate::target_response::TargetResponse;
 use crate::timing::Timing;
 use node::Watcher;
-use route::{Fingerprint, TargetKey};
+use route::{Features, TargetKey};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use table::{RequestKind, Route};
@@ -28,8 +28,8 @@
 pub(crate) struct Dispatch {
     pub(crate) req: ProxyRequest,
     pub(crate) account: Option<String>,
-    /// Identity of the request in all attempts of its caller.
-    pub(crate) fingerprint: Fingerprint,
+    /// What the request may share with others that crash targets.
+    pub(crate) features: Features,
     pub(crate) service: String,
     pub(crate) kind: RequestKind,
     pub(crate) deadline: Instant,
@@ -65,7 +65,7 @@
         req: ProxyRequest,
     ) -> Dispatch {
         Dispatch {
-            fingerprint: req.fingerprint(account.as_deref()),
+            features: req.features(account.as_deref()),
             account,
             service: service.to_owned(),
             kind: route.kind,
@@ -90,6 +90,7 @@
     /// Sends the request until it is answered or refused.
     pub(crate) async fn run(mut self) -> Result<TargetResponse, Refusal> {
         self.balancer.deposit_retry(&self.service);
+        self.crash_reports.record_arrival(&self.features);
         let mut failed = None;
         loop {
             if self.time_left().is_zero() {
@@ -165,7 +166,7 @@
 
     /// Acquires a slot of a target that was not tried yet.
     pub(crate) fn acquire(&mut self) -> Result<Permit, Reason> {
-        if self.crash_reports.must_refuse(&self.fingerprint) {
+        if self.crash_reports.must_refuse(&self.features) {
             return Err(Reason::Quarantined);
         }
         let now = Instant::now();
@@ -194,7 +195,7 @@
     /// own target is too slow.
     pub(crate) fn acquire_for_move(&mut self, permit: &Permit) -> Option<Permit> {
         let now = Instant::now();
-        let movable = !self.crash_reports.must_refuse(&self.fingerprint)
+        let movable = !self.crash_reports.must_refuse(&self.features)
             && self.kind.may_repeat()
             && self.attempts_left > 0
             && permit.should_move(now);
@@ -252,8 +253,7 @@
         if reason == Reason::NoTarget {
             return self.unsent_attempts < MAX_UNSENT_ATTEMPTS;
         }
-        let may_repeat =
-            self.kind.may_repeat() && !self.crash_reports.is_suspect(&self.fingerprint);
+        let may_repeat = self.kind.may_repeat() && !self.crash_reports.is_suspect(&self.features);
         let allowed = reason.not_run() || may_repeat;
         let now = Instant::now();
         let retry =
--- a/crates/direct/src/dispatch_attempts.rs
+++ b/crates/direct/src/dispatch_attempts.rs
@@ -161,16 +161,17 @@
         self.watcher.state().record_limit(limit, Instant::now());
     }
 
-    /// Records that a target has completed the request.
-    pub(crate) fn record_completion(&self) {
-        self.crash_reports.record_completion(self.fingerprint);
+    /// Records that the target of the permit has completed the request.
+    pub(crate) fn record_completion(&self, permit: &Permit) {
+        self.crash_reports
+            .record_completion(&self.features, permit.acquired_at());
     }
 
     /// Finds out whether a target crashed that ended its connection.
     pub(crate) async fn has_crashed(&self, permit: &Permit) -> bool {
         let crashed = self
             .crash_reports
-            .has_crashed(self.fingerprint, permit.endpoint());
+            .has_crashed(&self.features, permit.endpoint());
         // The request is not held up beyond its deadline.
         timeout(self.time_left(), crashed).await.unwrap_or(false)
     }
@@ -231,7 +232,7 @@
             return Err(self.ambiguous_failure());
         }
         match head.framing {
-            Framing::Delimited => self.record_completion(),
+            Framing::Delimited => self.record_completion(&permit),
             Framing::UntilClose => self.log_ended_by_close(&permit),
         }
         crate::service_targets::return_connection(
--- a/crates/direct/src/dispatch_log.rs
+++ b/crates/direct/src/dispatch_log.rs
@@ -13,11 +13,11 @@
         let age = age.map_or_else(|| "never".to_owned(), |age| age.as_millis().to_string());
         let left = self.time_left();
         let to_objective = self.time_to_objective(Instant::now()).min(left);
-        let parts: Vec<String> = self.req.parts.iter().map(Fingerprint::short).collect();
+        let parts: Vec<String> = self.features.parts.iter().map(Fingerprint::short).collect();
         log::info!(
             request = self.req.id.as_str(), target_id = permit.endpoint().id.as_str(),
             service = self.service.as_str(), attempts_left = self.attempts_left,
-            digest = self.fingerprint.short().as_str(), parts = parts.join(",").as_str(),
+            digest = self.features.request.short().as_str(), parts = parts.join(",").as_str(),
             on_time_ms:display = to_objective.as_millis(),
             own = load.map_or(0, |load| load.own), others = load.map_or(0, |load| load.others),
             told_ms_ago = age.as_str(),
--- a/crates/direct/src/permit.rs
+++ b/crates/direct/src/permit.rs
@@ -47,6 +47,11 @@
         self.load_estimate
     }
 
+    /// When the target was chosen.
+    pub(crate) fn acquired_at(&self) -> Instant {
+        self.acquired_at
+    }
+
     /// Whether the stream that holds the slot should move to another target.
     pub(crate) fn should_move(&self, now: Instant) -> bool {
         self.balancer.should_move(&self.service, self.key, now)
--- a/crates/direct/src/proxy_request.rs
+++ b/crates/direct/src/proxy_request.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use hyper::{HeaderMap, Method};
-use route::Fingerprint;
+use route::{Features, Fingerprint};
 use std::time::{Duration, Instant};
 
 /// A request of a caller, with its complete body.
@@ -33,17 +33,21 @@
 }
 
 impl ProxyRequest {
-    /// Identity of the request, the same whenever its caller sends it again. `account`
-    /// is the client account of the caller, if it has one.
-    pub(crate) fn fingerprint(&self, account: Option<&str>) -> Fingerprint {
+    /// What the request may share with others. Its identity is the same whenever its caller
+    /// sends it again. `account` is the client account of the caller, if it has one.
+    pub(crate) fn features(&self, account: Option<&str>) -> Features {
         let caller = account.or(self.api_key.as_deref()).unwrap_or_default();
-        Fingerprint::of_parts(&[
+        let request = Fingerprint::of_parts(&[
             caller.as_bytes(),
             self.host.as_bytes(),
             self.method.as_str().as_bytes(),
             self.path.as_bytes(),
             &self.body,
-        ])
+        ]);
+        Features {
+            request,
+            parts: self.parts.clone(),
+        }
     }
 
     /// The path without its query.
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -216,7 +216,7 @@
             ..
         } = self.source.take()?;
         match framing {
-            Framing::Delimited => self.dispatch.record_completion(),
+            Framing::Delimited => self.dispatch.record_completion(&permit),
             Framing::UntilClose => self.dispatch.log_ended_by_close(&permit),
         }
         crate::service_targets::return_connection(
--- a/crates/route/src/quarantine_document.rs
+++ b/crates/route/src/quarantine_document.rs
@@ -96,6 +96,10 @@
     Ok(set)
 }
 
+pub(crate) fn read_one(text: &str, place: &str) -> Result<Fingerprint> {
+    parse(text, || place.to_owned())
+}
+
 fn parse(text: &str, place: impl FnOnce() -> String) -> Result<Fingerprint> {
     Fingerprint::from_hex(text).ok_or_else(|| Error::invalid_fingerprint(place()))
 }
--- a/crates/route/tests/crash_model.rs
+++ b/crates/route/tests/crash_model.rs
@@ -1,10 +1,13 @@
 //! A model of entries that share what they know of requests that crash targets: entries
 //! start, stop, stand still and are cut off, reports and news take time, and harmless
-//! requests share the targets.
+//! requests share the targets. The cause is a request that comes again and again, or a part
+//! of prompts that are otherwise sound and never the same.
 
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use route::{CrashGuard, CrashTally, Fingerprint, SharedTally};
+use route::{
+    CrashGuard, CrashTally, CrashedRequest, Features, Fingerprint, SharedTally, VerdictSettling,
+};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -17,11 +20,33 @@
 /// Time from the start of a poisonous request to the end of its target.
 const CRASH_TICKS: u64 = 4;
 const RESTART_TICKS: u64 = 200;
-/// Time in which an entry reports a crash, and after which control tells of a change.
+/// Time in which an entry reports a crash.
 const REPORT_TICKS: std::ops::Range<u64> = 2..10;
-const SETTLE_TICKS: u64 = 10;
 const SLOTS: usize = 12;
 const MAX_LATE_ARRIVALS: u32 = 3;
+/// Number of crashes after which a poisonous request, or a poisonous part, is known.
+const KNOWN_AFTER_REQUEST: usize = 3;
+const KNOWN_AFTER_PART: usize = 5;
+/// Number of subjects of sound prompts: second parts that many requests share.
+const SUBJECTS: u8 = 40;
+
+/// What crashes targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Cause {
+    /// A request that its caller repeats.
+    Request,
+    /// A part of prompts at this position, in one of this many requests.
+    Part { position: usize, one_in: u32 },
+}
+
+impl Cause {
+    fn known_after(self) -> usize {
+        match self {
+            Cause::Request => KNOWN_AFTER_REQUEST,
+            Cause::Part { .. } => KNOWN_AFTER_PART,
+        }
+    }
+}
 
 #[derive(Clone, Default)]
 struct Entry {
@@ -46,29 +71,30 @@
 
 #[derive(Clone)]
 struct Running {
-    request: Fingerprint,
+    features: Features,
     entry: usize,
+    started: Instant,
     completes_at: u64,
     attempts_left: u32,
 }
 
 enum Message {
     /// The report of a crash by an entry.
-    Crash(usize, String, u64, Vec<Fingerprint>),
+    Crash(usize, String, u64, Vec<CrashedRequest>),
     Clear(Fingerprint),
-    /// Control sends the tally to all entries.
-    Broadcast,
     /// The shared tally as of when it was sent.
     News(usize, SharedTally),
 }
 
 struct Model {
+    cause: Cause,
     rng: SmallRng,
     start: Instant,
     tick: u64,
     entries: Vec<Entry>,
     targets: Vec<Target>,
     control: CrashTally,
+    settling: VerdictSettling,
     /// Messages by the tick of their arrival.
     messages: BTreeMap<u64, Vec<Message>>,
     crashes: Vec<u64>,
@@ -83,6 +109,7 @@
     refused_after_completion: u32,
 }
 
+/// The poisonous request, or the poisonous part.
 fn poison() -> Fingerprint {
     Fingerprint::new([0xff; 32])
 }
@@ -92,15 +119,30 @@
     Fingerprint::new([0xcc; 32])
 }
 
+/// First part of all prompts.
+fn first_part() -> Fingerprint {
+    Fingerprint::new([0xee; 32])
+}
+
+fn subject(n: u8) -> Fingerprint {
+    Fingerprint::new([n; 32])
+}
+
+fn is_poisonous(features: &Features) -> bool {
+    features.iter().any(|feature| *feature == poison())
+}
+
 impl Model {
-    fn new(entries: usize, targets: usize, seed: u64) -> Model {
+    fn new(cause: Cause, entries: usize, targets: usize, seed: u64) -> Model {
         Model {
+            cause,
             rng: SmallRng::seed_from_u64(seed),
             start: Instant::now(),
             tick: 0,
             entries: vec![Entry::default(); entries],
             targets: vec![Target::default(); targets],
             control: CrashTally::default(),
+            settling: VerdictSettling::default(),
             messages: BTreeMap::new(),
             crashes: Vec::new(),
             late_arrivals: 0,
@@ -126,15 +168,51 @@
             for _ in 0..self.rng.random_range(0..=self.targets.len() / 4) {
                 self.send_harmless();
             }
-            if self.tick >= POISON_TICK && self.rng.random_ratio(1, 8) {
-                let entry = self.rng.random_range(0..self.entries.len());
-                self.send(entry, poison(), 1);
-            }
+            self.send_poison();
             self.tick += 1;
         }
         self
     }
 
+    /// Sends the poisonous request, or a new one with the poisonous part, now and then.
+    fn send_poison(&mut self) {
+        let one_in = match self.cause {
+            Cause::Request => 8,
+            Cause::Part { one_in, .. } => one_in,
+        };
+        if self.tick < POISON_TICK || !self.rng.random_ratio(1, one_in) {
+            return;
+        }
+        let features = match self.cause {
+            Cause::Request => poison().into(),
+            Cause::Part { position, .. } => {
+                let mut features = self.new_request();
+                features.parts.insert(position, poison());
+                features
+            }
+        };
+        let entry = self.rng.random_range(0..self.entries.len());
+        self.send(entry, features, 1);
+    }
+
+    /// A request like no other, with parts that others have, too.
+    fn new_request(&mut self) -> Features {
+        self.next_harmless += 1;
+        let mut digest = [0; 32];
+        digest[..8].copy_from_slice(&self.next_harmless.to_be_bytes());
+        // Two in five prompts have the first subject.
+        let subject_of_all = self.rng.random_range(1..=SUBJECTS);
+        let number = if self.rng.random_ratio(2, 5) {
+            1
+        } else {
+            subject_of_all
+        };
+        Features {
+            request: Fingerprint::new(digest),
+            parts: vec![first_part(), subject(number)],
+        }
+    }
+
     /// Restarts, stops or cuts off an entry now and then.
     fn disturb(&mut self) {
         if !self.rng.random_ratio(1, 100) {
@@ -148,7 +226,11 @@
                 *entry = Entry::default();
                 entry.away_until = until;
                 // It takes callers only once it has the targets, and before them the news.
-                entry.guard.apply(shared(&self.control), self.start);
+                let news = SharedTally {
+                    version: 2 * self.control.version(),
+                    ..shared(&self.control)
+                };
+                entry.guard.apply(news, self.start);
             }
             1 => entry.away_until = until,
             _ => entry.cut_until = until,
@@ -179,12 +261,6 @@
                     guard.confirm_report(&target, incarnation);
                 }
                 Message::Clear(request) => drop(self.control.clear(&request)),
-                Message::Broadcast => {
-                    for n in 0..self.entries.len() {
-                        let news = Message::News(n, shared(&self.control));
-                        self.post(1..50, news);
-                    }
-                }
                 Message::News(n, shared) => {
                     let entry = &mut self.entries[n];
                     let away = entry.away_until.max(entry.cut_until);
@@ -202,7 +278,20 @@
             }
         }
         if self.control.version() != version {
-            self.post(SETTLE_TICKS..SETTLE_TICKS + 1, Message::Broadcast);
+            self.settling.update(self.control.convicted().copied(), now);
+        }
+        if self.settling.due().is_some_and(|due| due <= now) {
+            let settled = self.settling.take_settled(now);
+            let is_complete = settled.len() == self.control.convicted().count();
+            let news = SharedTally {
+                version: 2 * self.control.version() + u64::from(is_complete),
+                convicted: settled,
+                ..shared(&self.control)
+            };
+            for n in 0..self.entries.len() {
+                let news = Message::News(n, news.clone());
+                self.post(1..50, news);
+            }
         }
     }
 
@@ -213,15 +302,15 @@
         for target in &mut self.targets {
             for ended in target.running.extract_if(.., |r| r.completes_at <= tick) {
                 let entry = &mut self.entries[ended.entry];
-                entry.has_completed_common |= ended.request == common();
-                if entry.guard.record_completion(ended.request, now) {
-                    cleared.push((ended.request, ended.entry));
-                }
+                entry.has_completed_common |= ended.features.request == common();
+                let guard = &mut entry.guard;
+                let features = guard.record_completion(&ended.features, ended.started, now);
+                cleared.extend(features.into_iter().map(|feature| (feature, ended.entry)));
             }
         }
-        for (request, entry) in cleared {
+        for (feature, entry) in cleared {
             let delay = self.entries[entry].cut_until.saturating_sub(tick);
-            self.post_report(delay, Message::Clear(request));
+            self.post_report(delay, Message::Clear(feature));
         }
     }
 
@@ -239,7 +328,7 @@
             target.incarnation += 1;
             target.down_until = self.tick + RESTART_TICKS;
             let running = std::mem::take(&mut target.running);
-            if running.iter().any(|r| r.request == poison()) {
+            if running.iter().any(|r| is_poisonous(&r.features)) {
                 self.crashes.push(self.tick);
             }
             let mut by_entry: BTreeMap<usize, Vec<Running>> = BTreeMap::new();
@@ -247,39 +336,39 @@
                 by_entry.entry(request.entry).or_default().push(request);
             }
             for (entry, requests) in by_entry {
-                let ran: Vec<Fingerprint> = requests.iter().map(|r| r.request).collect();
+                let ran: Vec<Features> = requests.iter().map(|r| r.features.clone()).collect();
                 let name = format!("target-{n}");
                 let guard = &mut self.entries[entry].guard;
                 let report = guard.record_crash(&name, incarnation, &ran, now);
                 let delay = self.entries[entry].cut_until.saturating_sub(self.tick);
-                if !report.is_empty() {
-                    let crash = Message::Crash(entry, name, incarnation, report);
+                if !report.requests.is_empty() {
+                    let crash = Message::Crash(entry, name, report.incarnation, report.requests);
                     self.post_report(delay, crash);
                 }
-                for request in requests.iter().filter(|r| r.attempts_left > 0) {
-                    self.send(entry, request.request, request.attempts_left - 1);
+                for broken in requests.into_iter().filter(|r| r.attempts_left > 0) {
+                    self.send(entry, broken.features, broken.attempts_left - 1);
                 }
             }
         }
     }
 
     fn send_harmless(&mut self) {
-        let request = if self.rng.random_ratio(1, 10) {
-            common()
+        let features = if self.rng.random_ratio(1, 10) {
+            Features {
+                request: common(),
+                parts: vec![first_part()],
+            }
         } else {
-            self.next_harmless += 1;
-            let mut digest = [0; 32];
-            digest[..8].copy_from_slice(&self.next_harmless.to_be_bytes());
-            Fingerprint::new(digest)
+            self.new_request()
         };
         let entry = self.rng.random_range(0..self.entries.len());
-        self.send(entry, request, 1);
+        self.send(entry, features, 1);
     }
 
-    fn record_refusal(&mut self, n: usize, request: Fingerprint) {
-        if request == poison() {
+    fn record_refusal(&mut self, n: usize, features: &Features) {
+        if is_poisonous(features) {
             self.refused_poison += 1;
-        } else if request == common() {
+        } else if features.request == common() {
             if self.entries[n].has_completed_common {
                 self.refused_after_completion += 1;
             }
@@ -292,16 +381,17 @@
     }
 
     /// Sends a request by way of an entry to a target with a free slot.
-    fn send(&mut self, n: usize, request: Fingerprint, attempts_left: u32) {
+    fn send(&mut self, n: usize, features: Features, attempts_left: u32) {
         let entry = &self.entries[n];
         if entry.away_until > self.tick {
             return;
         }
-        if entry.guard.must_refuse(&request, self.now()) {
-            self.record_refusal(n, request);
+        self.entries[n].guard.record_arrival(&features);
+        if self.entries[n].guard.must_refuse(&features, self.now()) {
+            self.record_refusal(n, &features);
             return;
         }
-        if request == common() {
+        if features.request == common() {
             self.common_refused_since = None;
         }
         let first = self.rng.random_range(0..self.targets.len());
@@ -314,24 +404,27 @@
         let Some(free) = free else { return };
         let duration = self.rng.random_range(20..80);
         let target = &mut self.targets[free];
-        let completes_at = if request == poison() {
+        let is_poisonous = is_poisonous(&features);
+        let completes_at = if is_poisonous {
             u64::MAX
         } else {
             tick + duration
         };
         target.running.push(Running {
-            request,
+            features,
             entry: n,
+            started: self.start + TICK * u32::try_from(tick).unwrap(),
             completes_at,
             attempts_left,
         });
-        if request == poison() {
+        if is_poisonous {
             target.crash_at.get_or_insert(tick + CRASH_TICKS);
-            let third = self
+            let known_after = self.cause.known_after();
+            let is_known = self
                 .crashes
-                .get(2)
+                .get(known_after - 1)
                 .is_some_and(|at| *at + STABLE_TICKS < tick);
-            if third && self.entries[n].disturbed_until < tick {
+            if is_known && self.entries[n].disturbed_until < tick {
                 self.late_arrivals += 1;
             }
         }
@@ -342,6 +435,7 @@
     SharedTally {
         version: tally.version(),
         suspects: tally.suspects().copied().collect(),
+        watched: tally.watched().copied().collect(),
         convicted: tally.convicted().copied().collect(),
     }
 }
@@ -352,27 +446,27 @@
     0..count * factor.and_then(|text| text.parse().ok()).unwrap_or(1)
 }
 
-fn check(entries: usize, targets: usize, count: u64) {
-    for seed in seeds(count) {
-        let day = Model::new(entries, targets, seed).run();
-        let place = format!("{entries} entries, {targets} targets, seed {seed}");
-        assert!(day.crashes.len() >= 3, "no poison ran: {place}");
-        assert!(day.refused_poison > 0, "poison never refused: {place}");
-        assert!(
-            day.late_arrivals <= MAX_LATE_ARRIVALS,
-            "{} late arrivals: {place}",
-            day.late_arrivals
-        );
-        assert_eq!(day.refused_single, 0, "harmless refused: {place}");
-        assert_eq!(
-            day.refused_after_completion, 0,
-            "an entry refused what it has seen complete: {place}"
-        );
-        assert!(
-            day.longest_common_outage <= STABLE_TICKS,
-            "common request shut out: {place}"
-        );
-        assert!(!day.control.is_convicted(&common()), "{place}");
+fn check(cause: Cause, entries: usize, targets: usize, seed: u64) {
+    let day = Model::new(cause, entries, targets, seed).run();
+    let place = format!("{cause:?}, {entries} entries, {targets} targets, seed {seed}");
+    assert!(day.crashes.len() >= 3, "no poison ran: {place}");
+    assert!(day.refused_poison > 0, "poison never refused: {place}");
+    assert!(
+        day.late_arrivals <= MAX_LATE_ARRIVALS,
+        "{} late arrivals: {place}",
+        day.late_arrivals
+    );
+    assert_eq!(day.refused_single, 0, "harmless refused: {place}");
+    assert_eq!(
+        day.refused_after_completion, 0,
+        "an entry refused what it has seen complete: {place}"
+    );
+    assert!(
+        day.longest_common_outage <= STABLE_TICKS,
+        "common request shut out: {place}"
+    );
+    for innocent in (1..=SUBJECTS).map(subject).chain([common(), first_part()]) {
+        assert!(!day.control.is_convicted(&innocent), "{place}");
     }
 }
 
@@ -388,6 +482,30 @@
         (231, 192, 2),
         (462, 192, 4),
     ] {
-        check(entries, targets, count);
+        for seed in seeds(count) {
+            check(Cause::Request, entries, targets, seed);
+        }
+    }
+}
+
+/// Guards against entries that know a request that crashes targets, and not the part that it
+/// shares with others: no two of them are alike.
+#[test]
+fn poisonous_part_at_1_to_462_entries() {
+    for (entries, targets, count) in [
+        (1, 16, 12),
+        (4, 16, 12),
+        (13, 72, 6),
+        (47, 72, 6),
+        (231, 192, 2),
+        (462, 192, 2),
+    ] {
+        for seed in seeds(count) {
+            let cause = Cause::Part {
+                position: usize::try_from(seed % 3).unwrap(),
+                one_in: if seed % 2 == 0 { 4 } else { 25 },
+            };
+            check(cause, entries, targets, seed);
+        }
     }
 }
--- a/crates/route/tests/crash_tally.rs
+++ b/crates/route/tests/crash_tally.rs
@@ -1,7 +1,7 @@
 //! Requests under which targets crash, where targets run requests of all kinds.
 
 use quickcheck::{Gen, QuickCheck};
-use route::{CrashGuard, CrashTally, Fingerprint, SharedTally};
+use route::{CrashGuard, CrashTally, Features, Fingerprint, SharedTally};
 use std::time::{Duration, Instant};
 
 fn request(n: u8) -> Fingerprint {
@@ -88,6 +88,141 @@
     assert!(!tally.clear(&request(1)));
 }
 
+/// A request with these parts.
+fn with_parts(n: u8, parts: &[u8]) -> Features {
+    Features {
+        request: request(n),
+        parts: parts.iter().copied().map(request).collect(),
+    }
+}
+
+/// Crashes of different targets, each with the requests that ran.
+fn tally_of_parts(crashes: &[&[Features]]) -> CrashTally {
+    let mut tally = CrashTally::default();
+    for (n, ran) in crashes.iter().enumerate() {
+        tally.record_crash(&format!("t{n}"), 1, ran);
+    }
+    tally
+}
+
+/// Guards against one target after the other that crashes under requests with a part in
+/// common, no two of them alike.
+#[test]
+fn record_crash_part_of_different_requests() {
+    let crash = |n| [with_parts(n, &[100, 101]), with_parts(n + 50, &[100, 102])];
+    let crashes: Vec<_> = (0..5).map(crash).collect();
+    let crashes: Vec<&[Features]> = crashes.iter().map(|ran| &ran[..]).collect();
+    let tally = tally_of_parts(&crashes);
+    assert!(!tally.is_convicted(&request(100)));
+    // 101 and 102 always ran together, and neither has completed since.
+    assert!(tally.is_convicted(&request(101)));
+}
+
+/// Guards against a part that goes on crashing targets because one of the requests that had
+/// it, or one that ran beside it and was sent again, explains some of the crashes.
+#[test]
+fn record_crash_part_of_repeated_requests() {
+    for repeated in [1, 50] {
+        let crash = |n: u8| {
+            let poisonous = if repeated == 1 && n < 3 { 1 } else { n + 2 };
+            let bystander = if repeated == 50 && n < 3 { 50 } else { n + 60 };
+            [
+                with_parts(poisonous, &[100, 101]),
+                with_parts(bystander, &[100, n + 110]),
+                with_parts(n + 70, &[100, n + 120]),
+                with_parts(n + 80, &[100, n + 130]),
+            ]
+        };
+        let crashes: Vec<_> = (0..5).map(crash).collect();
+        let crashes: Vec<&[Features]> = crashes.iter().map(|ran| &ran[..]).collect();
+        let tally = tally_of_parts(&crashes);
+        assert!(tally.is_convicted(&request(101)), "{repeated}");
+        assert!(!tally.is_convicted(&request(100)), "{repeated}");
+    }
+}
+
+/// Guards against a part that stays unknown because nothing runs beside it.
+#[test]
+fn record_crash_part_alone_on_targets() {
+    let crashes: Vec<_> = (0..5).map(|n| [with_parts(n, &[100, 101])]).collect();
+    let mut tally = CrashTally::default();
+    for (n, ran) in crashes.iter().enumerate() {
+        tally.record_crash(&format!("t{n}"), 1, ran);
+        tally.clear(&request(100));
+    }
+    assert!(tally.is_convicted(&request(101)));
+}
+
+/// Guards against shutting out the parts of a request that crashes targets itself.
+#[test]
+fn record_crash_request_with_parts() {
+    let crash = |n: u8| [with_parts(1, &[100, 101]), with_parts(n + 50, &[100, 102])];
+    let crashes: Vec<_> = (0..8).map(crash).collect();
+    let crashes: Vec<&[Features]> = crashes.iter().map(|ran| &ran[..]).collect();
+    let tally = tally_of_parts(&crashes);
+    assert_eq!(tally.convicted().collect::<Vec<_>>(), [&request(1)]);
+}
+
+/// Guards against a part that stays refused although a request that has it completes.
+#[test]
+fn clear_part_of_different_requests() {
+    let crashes: Vec<_> = (0..5).map(|n| [with_parts(n, &[101])]).collect();
+    let crashes: Vec<&[Features]> = crashes.iter().map(|ran| &ran[..]).collect();
+    let mut tally = tally_of_parts(&crashes);
+    assert!(tally.clear(&request(101)));
+    assert!(!tally.is_convicted(&request(101)));
+    assert_eq!(tally.watched().count(), 0);
+}
+
+/// Guards against a snapshot of an older version that stops a replica.
+#[test]
+fn from_json_crash_without_parts() {
+    let text = request(1).to_string();
+    let json = format!(
+        r#"{{"version":4,"clock":2,"crashes":[{{"target":"a","incarnation":1,"reported":1,"ran":["{text}"]}}],"convicted":{{}}}}"#
+    );
+    let tally = CrashTally::from_json(json.as_bytes()).unwrap();
+    assert_eq!(tally.version(), 4);
+    assert!(!tally.is_convicted(&request(1)));
+}
+
+/// Guards against clearing a part by what targets began to run before the first crash.
+#[test]
+fn guard_part_completed_before_first_crash() {
+    let start = Instant::now();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let mut guard = CrashGuard::default();
+    guard.record_crash("a", 1, &[with_parts(1, &[101])], at(5));
+    let before = guard.record_completion(&with_parts(2, &[101]), at(4), at(6));
+    assert!(before.is_empty());
+    let after = guard.record_completion(&with_parts(3, &[101]), at(6), at(7));
+    assert_eq!(after, [request(101)]);
+}
+
+/// Guards against an entry that refuses a part which it sees complete.
+#[test]
+fn guard_serves_completed_part() {
+    let start = Instant::now();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let mut guard = CrashGuard::default();
+    let watched = SharedTally {
+        version: 1,
+        watched: [request(101)].into(),
+        ..SharedTally::default()
+    };
+    guard.apply(watched, at(0));
+    guard.record_completion(&with_parts(1, &[101]), at(1), at(2));
+    let convicted = SharedTally {
+        version: 2,
+        convicted: [request(101)].into(),
+        ..SharedTally::default()
+    };
+    assert_eq!(guard.apply(convicted, at(3)), [request(101)]);
+    assert!(!guard.must_refuse(&with_parts(2, &[101]), at(3)));
+    guard.record_crash("a", 1, &[with_parts(3, &[101])], at(4));
+    assert!(guard.must_refuse(&with_parts(4, &[101]), at(4)));
+}
+
 #[test]
 fn from_json_copy_of_random_tallies() {
     fn property(crashes: Vec<(u8, u8, Vec<u8>)>) -> bool {
@@ -132,14 +267,15 @@
 fn guard_ignores_completed_request() {
     let now = Instant::now();
     let mut guard = CrashGuard::default();
-    guard.record_completion(request(1), now);
+    guard.record_completion(&request(1).into(), now, now);
     for target in ["a", "b", "c"] {
         let reported = guard.record_crash(target, 1, &[request(1), request(2)], now);
-        assert_eq!(reported, [request(2)]);
+        assert_eq!(reported.requests, [request(2).into()]);
     }
-    assert!(!guard.must_refuse(&request(1), now));
+    assert!(!guard.must_refuse(&request(1).into(), now));
     let later = now + Duration::from_mins(2);
-    assert_eq!(guard.record_crash("d", 1, &[request(1)], later).len(), 1);
+    let reported = guard.record_crash("d", 1, &[request(1)], later);
+    assert_eq!(reported.requests.len(), 1);
 }
 
 /// Guards against refusing a request that targets complete, because it ran beside the one
@@ -148,18 +284,18 @@
 fn guard_serves_completed_request() {
     let now = Instant::now();
     let mut guard = CrashGuard::default();
-    guard.record_completion(request(1), now);
+    guard.record_completion(&request(1).into(), now, now);
     let convicted = SharedTally {
         version: 3,
         convicted: [request(1), request(2)].into(),
         ..SharedTally::default()
     };
     assert_eq!(guard.apply(convicted, now), [request(1)]);
-    assert!(!guard.must_refuse(&request(1), now));
-    assert!(!guard.is_suspect(&request(1), now));
-    assert!(guard.must_refuse(&request(2), now));
+    assert!(!guard.must_refuse(&request(1).into(), now));
+    assert!(!guard.is_suspect(&request(1).into(), now));
+    assert!(guard.must_refuse(&request(2).into(), now));
     let later = now + Duration::from_mins(2);
-    assert!(guard.must_refuse(&request(1), later));
+    assert!(guard.must_refuse(&request(1).into(), later));
 }
 
 /// Guards against refusing a request here for ever that an operator has pardoned.
@@ -180,12 +316,30 @@
         ..SharedTally::default()
     };
     guard.apply(convicted.clone(), now);
-    assert!(guard.must_refuse(&request(1), now));
+    assert!(guard.must_refuse(&request(1).into(), now));
     guard.apply(pardoned, now);
-    assert!(!guard.must_refuse(&request(1), now));
+    assert!(!guard.must_refuse(&request(1).into(), now));
     guard.apply(convicted, now);
     assert!(
-        !guard.must_refuse(&request(1), now),
+        !guard.must_refuse(&request(1).into(), now),
         "an older version is ignored"
     );
 }
+
+/// Guards against an entry without control that never learns which part crashes targets.
+#[test]
+fn guard_part_without_control() {
+    let start = Instant::now();
+    let mut guard = CrashGuard::default();
+    let mut crashes = 0;
+    for n in 0..40 {
+        let now = start + Duration::from_millis(250) * u32::from(n);
+        let poisonous = with_parts(n, &[100, 101]);
+        if !guard.must_refuse(&poisonous, now) {
+            guard.record_crash(&format!("t{n}"), 1, &[poisonous], now);
+            crashes += 1;
+        }
+        guard.record_completion(&with_parts(n + 50, &[100, 102]), now, now);
+    }
+    assert!(crashes <= 8, "{crashes} crashes");
+}
--- a/crates/wire/src/gen/lovageramp.rs
+++ b/crates/wire/src/gen/lovageramp.rs
@@ -742,6 +742,9 @@
     pub suspects: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
     #[prost(bytes = "bytes", repeated, tag = "3")]
     pub convicted: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
+    /// Parts of prompts that ran in crashes; entries tell when a request with one completes.
+    #[prost(bytes = "bytes", repeated, tag = "4")]
+    pub watched: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct FetchNotes {
@@ -918,7 +921,7 @@
     pub max_unproved: u64,
 }
 /// A target crashed while these requests ran on it.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Crashed {
     #[prost(string, tag = "1")]
     pub target: ::prost::alloc::string::String,
@@ -926,9 +929,30 @@
     pub incarnation: u64,
     #[prost(bytes = "bytes", repeated, tag = "3")]
     pub fingerprints: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
+    /// The same requests with their parts, and those of which only a part may be the cause.
+    /// Empty from a sender that knows no parts.
+    #[prost(message, repeated, tag = "4")]
+    pub requests: ::prost::alloc::vec::Vec<CrashedRequest>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct CrashedRequest {
+    #[prost(bytes = "bytes", tag = "1")]
+    pub fingerprint: ::prost::bytes::Bytes,
+    /// Digests of the parts of its prompt that other requests may share.
+    #[prost(bytes = "bytes", repeated, tag = "2")]
+    pub parts: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
+    /// Whether targets have completed the same request lately.
+    #[prost(bool, tag = "3")]
+    pub completed: bool,
+    /// Of the latest requests of the entry, how many had each part.
+    #[prost(uint32, repeated, tag = "4")]
+    pub with_part: ::prost::alloc::vec::Vec<u32>,
+    /// How many requests these are.
+    #[prost(uint32, tag = "5")]
+    pub recent: u32,
 }
-/// Targets have completed these requests, so they did not cause the crashes recorded so
-/// far.
+/// Targets have completed these requests, or requests with these parts, so they did not
+/// cause the crashes recorded so far.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Completed {
     #[prost(bytes = "bytes", repeated, tag = "1")]
