--- a/crates/lovageramp/tests/processes/support/calls.rs
+++ b/crates/lovageramp/tests/processes/support/calls.rs
@@ -23,8 +23,21 @@
     prompt: &str,
     stream: bool,
 ) -> std::io::Result<Answer> {
+    chat_in_parts(entry, account, &[prompt], stream).await
+}
+
+/// Sends a chat completion whose prompt consists of these messages.
+pub async fn chat_in_parts(
+    entry: SocketAddr,
+    account: &str,
+    messages: &[&str],
+    stream: bool,
+) -> std::io::Result<Answer> {
+    let messages = messages.iter();
+    let messages = messages.map(|content| json!({"role": "user", "content": content}));
+    let messages: Vec<serde_json::Value> = messages.collect();
     let body = json!({"model": "burl-notes", "stream": stream, "max_tokens": 16,
-                      "messages": [{"role": "user", "content": prompt}]});
+                      "messages": messages});
     let bearer = bearer(account);
     let headers = [
         ("authorization", bearer.as_str()),
--- a/crates/lovageramp/tests/processes/support/mod.rs
+++ b/crates/lovageramp/tests/processes/support/mod.rs
@@ -21,7 +21,7 @@
 mod until;
 pub mod zones;
 
-pub use calls::{account_item, bearer, chat, reserve};
+pub use calls::{account_item, bearer, chat, chat_in_parts, reserve};
 pub use cluster::{Cluster, ClusterPlan, TOKEN};
 pub use fake::Relay;
 pub use http::{Answer, get, open_stream, request};
