Convict a common part that alone explains five crashes

A part that half of the requests have, and that crashes targets, was convicted after ten crashes only, although everything else that ran there had completed since. Without another feature that explains all of its crashes, and with no crash that lacks it, five are enough. Ten are needed while others that are as common have not completed yet.

--- a/crates/route/src/crash_tally.rs
+++ b/crates/route/src/crash_tally.rs
@@ -424,9 +424,9 @@
         own: &Evidence,
         rest: &Evidence,
     ) -> Option<Vec<Fingerprint>> {
-        let is_in_all =
-            || rest.crashes() >= CONVICTING_CRASHES_COMMON && self.runs_in_all_since(own);
-        if !rest.is_convincing() && !is_in_all() {
+        let is_alone = evidence.values().filter(|rival| rival.covers(own)).count() == 1;
+        let is_enough = is_alone || rest.crashes() >= CONVICTING_CRASHES_COMMON;
+        if !(rest.is_convincing() || is_enough && self.runs_in_all_since(own)) {
             return None;
         }
         let rivals = || evidence.iter().filter(|(_, rival)| rival.covers(own));
