Refuse requests with a part that crashes targets behind agents, too

Callers of models behind agents saw one target crash after the other under requests with one message of their prompts in common: the fault of the direct path, on the other one.

Cause: the agents' quarantine keeps suspects apart by the digest of a whole request. No two of these requests are alike, so each is new and convicts none but itself.

Change: an entry tells the agent the messages of a prompt, the last one excepted; the agent reports them with a crash, and those that completed attempts show to be sound; control judges them by a CrashTally of their own, which judges no whole requests. Entries and agents refuse requests with a convicted part. A part can be pardoned like a request.

--- a/crates/agent/src/attempt_manager.rs
+++ b/crates/agent/src/attempt_manager.rs
@@ -8,11 +8,12 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 use wire::Link;
-use wire::proto::{Attach, AttemptState, Progress, Start};
+use wire::proto::{Attach, AttemptState, End, Progress, Start};
 
 use crate::attempts::Attempts;
 use crate::context::Context;
 use crate::crash::{CrashTracker, ProbeResult};
+use crate::prompt_parts::report_sound;
 use crate::run::RunOutcome;
 use crate::start_handler::{self, AttachOutcome, StartOutcome};
 use crate::{Ending, Retention};
@@ -165,6 +166,23 @@
         let ended = ending.clone();
         if self.attempts.end(attempt, ending, now) {
             self.cx.metrics.ended(&ended);
+            if ended.end == End::Whole {
+                self.clear_parts(attempt, now);
+            }
+        }
+    }
+
+    /// Tells control of the parts that a completed attempt shows to be sound.
+    fn clear_parts(&mut self, attempt: Attempt, now: Instant) {
+        let Some(tracked) = self.attempts.get(attempt) else {
+            return;
+        };
+        let quarantine = self.cx.follower.quarantine();
+        let parts = &mut self.crash_tracker.parts;
+        let cleared = parts.clear(tracked, &quarantine, now);
+        if !cleared.is_empty() {
+            let cx = Arc::clone(&self.cx);
+            tokio::spawn(async move { report_sound(&cx, cleared).await });
         }
     }
 
--- a/crates/agent/src/attempts.rs
+++ b/crates/agent/src/attempts.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use ledger::Attempt;
-use wire::proto::{AttemptState, End};
+use wire::proto::{AttemptState, CrashedRequest, End};
 
 use crate::answer::{Answer, WriteState};
 use crate::{Ending, Limits, Retention, Suspicion, Timing, Tombstone, Tombstones};
@@ -22,6 +22,8 @@
 pub(crate) struct TrackedAttempt {
     pub answer: Arc<Answer>,
     pub fingerprint: Bytes,
+    /// Digests of the parts of its prompt that others may share.
+    pub parts: Vec<Bytes>,
     pub retention: Retention,
     pub suspicion: Suspicion,
     pub state: RunState,
@@ -53,7 +55,7 @@
 impl TrackedAttempt {
     pub fn new(
         answer: Arc<Answer>,
-        fingerprint: Bytes,
+        (fingerprint, parts): (Bytes, Vec<Bytes>),
         retention: Retention,
         suspicion: Suspicion,
         instance: String,
@@ -62,6 +64,7 @@
         TrackedAttempt {
             answer,
             fingerprint,
+            parts,
             retention,
             suspicion,
             state: RunState::Running,
@@ -252,7 +255,7 @@
     }
 
     /// Marks all attempts that a crashed target may have been running, filtered
-    /// by `ran_on_crashed`, and returns them with their fingerprints.
+    /// by `ran_on_crashed`, and returns them with what they may share with others.
     ///
     /// Attempts whose connection still appears open are included: if one were
     /// reported on its own later, it would count as another crash and convict an
@@ -260,7 +263,7 @@
     pub fn mark_crashed(
         &mut self,
         ran_on_crashed: impl Fn(&TrackedAttempt) -> bool,
-    ) -> Vec<(Attempt, Bytes)> {
+    ) -> Vec<(Attempt, CrashedRequest)> {
         let mut crashed = Vec::new();
         let mut suspicions = Vec::new();
         let running = self
@@ -273,7 +276,12 @@
             }
             tracked.state = RunState::Crashed;
             tracked.answer.cancel.cancel();
-            crashed.push((*attempt, tracked.fingerprint.clone()));
+            let request = CrashedRequest {
+                fingerprint: tracked.fingerprint.clone(),
+                parts: tracked.parts.clone(),
+                ..CrashedRequest::default()
+            };
+            crashed.push((*attempt, request));
             suspicions.push(tracked.suspicion);
         }
         for suspicion in suspicions {
--- a/crates/agent/src/crash.rs
+++ b/crates/agent/src/crash.rs
@@ -1,18 +1,19 @@
 //! Detects and reports crashes of the target.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use ledger::Attempt;
 use tokio::time::{sleep, timeout};
-use wire::proto::{Crashed, Quarantine, command, outcome};
+use wire::proto::{Crashed, CrashedRequest, Quarantine, command, outcome};
 
 use crate::Suspicion;
 use crate::attempt_manager::{AttemptMsg, State};
 use crate::context::Context;
 use crate::engine::{Failure, TargetKind};
+use crate::prompt_parts::PromptParts;
 
 /// Probes of the target before the check gives up.
 const MAX_PROBES: u32 = 10;
@@ -38,6 +39,7 @@
     /// Start of the crash check that is under way.
     checking_since: Option<Instant>,
     suspects: BTreeMap<Bytes, Instant>,
+    pub(crate) parts: PromptParts,
 }
 
 /// Result of probing the target after a connection broke.
@@ -99,9 +101,13 @@
     pub fn suspicion(
         &self,
         fingerprint: &Bytes,
+        parts: &[Bytes],
         quarantine: &Quarantine,
         now: Instant,
     ) -> Suspicion {
+        if parts.iter().any(|part| quarantine.convicted.contains(part)) {
+            return Suspicion::Convicted;
+        }
         if fingerprint.is_empty() {
             return Suspicion::None;
         }
@@ -134,18 +140,26 @@
 /// The attempts end only once control has recorded the report, or after
 /// [`REPORT_WAIT`]: a caller that learns of the crash retries on another target,
 /// and would crash a third one if the quarantine didn't contain its request yet.
-fn report_crash(state: &mut State, crashed: Vec<(Attempt, Bytes)>, now: Instant) {
+fn report_crash(state: &mut State, crashed: Vec<(Attempt, CrashedRequest)>, now: Instant) {
     log::warn!("target crashed while running {} attempts", crashed.len());
     state.cx.metrics.crashed(crashed.len());
-    let (attempts, fingerprints): (Vec<Attempt>, BTreeSet<Bytes>) = crashed.into_iter().unzip();
-    let mut fingerprints: Vec<Bytes> = fingerprints.into_iter().collect();
-    fingerprints.retain(|fingerprint| !fingerprint.is_empty());
+    let (attempts, requests): (Vec<Attempt>, Vec<CrashedRequest>) = crashed.into_iter().unzip();
+    let known = requests
+        .into_iter()
+        .filter(|request| !request.fingerprint.is_empty())
+        .map(|request| (request.fingerprint.clone(), request));
+    let mut requests: BTreeMap<Bytes, CrashedRequest> = known.collect();
+    for request in requests.values_mut() {
+        state.crash_tracker.parts.count(request);
+    }
+    let fingerprints: Vec<Bytes> = requests.keys().cloned().collect();
     if fingerprints.is_empty() {
         state.attempts.end_crashed(&attempts, now);
         return;
     }
     state.crash_tracker.remember(&fingerprints, now);
-    let report = tokio::spawn(report(Arc::clone(&state.cx), fingerprints));
+    let requests = requests.into_values().collect();
+    let report = tokio::spawn(report(Arc::clone(&state.cx), fingerprints, requests));
     let manager = state.myself.clone();
     tokio::spawn(async move {
         // The report continues in the background after the timeout.
@@ -182,14 +196,14 @@
     }
 }
 
-async fn report(cx: Arc<Context>, fingerprints: Vec<Bytes>) {
+async fn report(cx: Arc<Context>, fingerprints: Vec<Bytes>, requests: Vec<CrashedRequest>) {
     // A random id of this crash, since one agent may report several.
     let crash = rand::random();
     let crashed = command::Body::Crashed(Crashed {
         target: cx.cfg.name.clone(),
         incarnation: crash,
         fingerprints,
-        requests: Vec::new(),
+        requests,
     });
     let outcome = cx.follower.propose(crashed, REPORT_TIMEOUT).await;
     match outcome.body {
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -36,6 +36,7 @@
 mod map_agent;
 mod metrics;
 mod monitor;
+mod prompt_parts;
 mod rank_agent;
 mod refusal;
 mod reporter;
--- a/crates/agent/src/start_handler.rs
+++ b/crates/agent/src/start_handler.rs
@@ -89,6 +89,9 @@
         return Ok(attach_link(&tracked.answer, link, 0));
     }
     let suspicion = admit(state, start, origin, now)?;
+    let quarantine = state.cx.follower.quarantine();
+    let parts = &mut state.crash_tracker.parts;
+    parts.record_start(&start.parts, &quarantine, now);
     let limits = &state.cx.cfg.limits;
     let retention = retention(start);
     let max_held = limits.held_limit(retention);
@@ -100,7 +103,7 @@
     ));
     let tracked = TrackedAttempt::new(
         Arc::clone(&answer),
-        start.fingerprint.clone(),
+        (start.fingerprint.clone(), start.parts.clone()),
         retention,
         suspicion,
         state.cx.status.borrow().instance.clone(),
@@ -127,9 +130,10 @@
     let cx = &state.cx;
     let catalogue = cx.follower.catalogue();
     let quarantine = cx.follower.quarantine();
-    let suspicion = state
-        .crash_tracker
-        .suspicion(&start.fingerprint, &quarantine, now);
+    let suspicion =
+        state
+            .crash_tracker
+            .suspicion(&start.fingerprint, &start.parts, &quarantine, now);
     let admission = AdmissionState {
         incarnation: cx.incarnation,
         note: catalogue.number(),
--- a/crates/control/src/replica/output.rs
+++ b/crates/control/src/replica/output.rs
@@ -101,10 +101,10 @@
         // Bytes that cannot be decoded are applied as an empty command, on every replica
         // alike.
         let command = Command::decode(data).unwrap_or_default();
-        let quarantine = self.state_machine.quarantine().version();
+        let quarantine = self.state_machine.quarantine_version();
         let body = self.state_machine.apply(command);
         self.metrics.commands.inc();
-        if self.state_machine.quarantine().version() != quarantine {
+        if self.state_machine.quarantine_version() != quarantine {
             self.notify_nodes(&Body::Renewed(Renewed::default()));
         }
         match &body {
--- a/crates/control/src/state_machine.rs
+++ b/crates/control/src/state_machine.rs
@@ -44,6 +44,8 @@
     quarantine: Quarantine,
     /// Crashes of targets that run requests of all kinds.
     crash_tally: CrashTally,
+    /// Crashes of targets behind agents, for the parts of prompts alone.
+    agent_crash_tally: CrashTally,
     decisions: Decisions,
     withdrawn: Withdrawn,
     /// Number of changes of the evacuated zones.
@@ -59,6 +61,7 @@
             ledger: Ledger::new(Limits::default()),
             quarantine: Quarantine::new(),
             crash_tally: CrashTally::default(),
+            agent_crash_tally: CrashTally::default(),
             decisions: Decisions::new(),
             withdrawn: Withdrawn::default(),
             evacuation_changes: 0,
--- a/crates/control/src/state_machine/crashes.rs
+++ b/crates/control/src/state_machine/crashes.rs
@@ -10,6 +10,19 @@
         let Some(fingerprints) = decode(&crashed.fingerprints) else {
             return malformed_fingerprint();
         };
+        let Some(ran) = crashed_requests(crashed) else {
+            return malformed_fingerprint();
+        };
+        // The quarantine keeps suspects apart and knows whole requests better.
+        let parts: Vec<CrashedRequest> = ran
+            .into_iter()
+            .map(|request| CrashedRequest {
+                has_completed: true,
+                ..request
+            })
+            .collect();
+        self.agent_crash_tally
+            .record_crash(&crashed.target, crashed.incarnation, &parts);
         let verdict = self
             .quarantine
             .crashed(&crashed.target, crashed.incarnation, &fingerprints);
@@ -35,6 +48,7 @@
         };
         for fingerprint in &fingerprints {
             self.crash_tally.clear(fingerprint);
+            self.agent_crash_tally.clear(fingerprint);
         }
         outcome::Body::Crashed(CrashedOutcome::default())
     }
@@ -44,17 +58,25 @@
             return malformed_fingerprint();
         };
         let kept_apart = self.quarantine.pardon(&fingerprint);
-        let known = self.crash_tally.clear(&fingerprint) || kept_apart;
+        let shared = self.crash_tally.clear(&fingerprint);
+        let part = self.agent_crash_tally.clear(&fingerprint);
+        let known = kept_apart || shared || part;
         outcome::Body::Pardon(PardonOutcome { known })
     }
 
+    /// Version of [`StateMachine::quarantine_message`].
+    pub(crate) fn quarantine_version(&self) -> u64 {
+        self.quarantine.version() + self.agent_crash_tally.version()
+    }
+
     /// Returns the quarantine of targets that run suspects apart, as a message for nodes.
     pub(crate) fn quarantine_message(&self) -> Quarantine {
+        let convicted = self.quarantine.convicted();
         Quarantine {
-            version: self.quarantine.version(),
+            version: self.quarantine_version(),
             suspects: encode(self.quarantine.suspects()),
-            convicted: encode(self.quarantine.convicted()),
-            watched: Vec::new(),
+            convicted: encode(convicted.chain(self.agent_crash_tally.convicted())),
+            watched: encode(self.agent_crash_tally.watched()),
         }
     }
 
--- a/crates/control/src/state_machine/snapshot.rs
+++ b/crates/control/src/state_machine/snapshot.rs
@@ -31,6 +31,7 @@
             route_table: (self.route_table.number > 0).then(|| self.route_table.clone()),
             evacuations: (self.evacuation_changes > 0).then(|| self.evacuations()),
             crash_tally: self.crash_tally.to_json().into(),
+            agent_crash_tally: self.agent_crash_tally.to_json().into(),
         };
         state.encode_to_vec().into()
     }
@@ -57,6 +58,7 @@
             ledger: Ledger::from_slice(&state.ledger)?,
             quarantine: Quarantine::from_json(&state.quarantine)?,
             crash_tally: CrashTally::from_json(&state.crash_tally)?,
+            agent_crash_tally: CrashTally::from_json(&state.agent_crash_tally)?,
             decisions: Decisions::from_bytes(state.maps)?,
             withdrawn: Withdrawn {
                 targets: state.drained.into_iter().collect(),
--- a/crates/entry/src/http/chat.rs
+++ b/crates/entry/src/http/chat.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use hyper::StatusCode;
 use note::Catalogue;
-use route::Prefix;
+use route::{Features, Fingerprint, Prefix};
 use serde::Deserialize;
 use serde_json::Value;
 use sha2::{Digest, Sha256};
@@ -58,6 +58,21 @@
         max.unwrap_or(default)
     }
 
+    /// Identities of the parts of the prompt that other requests may have, too: all messages
+    /// but the last.
+    pub(super) fn parts(&self) -> Vec<Fingerprint> {
+        let shared = self
+            .messages
+            .split_last()
+            .map_or(&[][..], |(_, first)| first);
+        let shared = shared.iter().take(Features::MAX_PARTS);
+        let identity = |message: &Value| {
+            let text = message.to_string();
+            Fingerprint::of_parts(&[self.model.as_bytes(), text.as_bytes()])
+        };
+        shared.map(identity).collect()
+    }
+
     /// Returns the prefix of the prompt that requests are likely to share: the first
     /// message.
     pub(super) fn prefix(&self) -> Option<Prefix> {
--- a/crates/entry/src/http/frontend.rs
+++ b/crates/entry/src/http/frontend.rs
@@ -149,6 +149,7 @@
         job.prompt_tokens = prompt_tokens;
         job.tokens = prompt_tokens.saturating_add(answer_tokens);
         job.prefix = chat.prefix();
+        job.parts = chat.parts();
         job.adapter.clone_from(&chat.adapter);
         job.version.clone_from(&chat.version);
         self.check_quarantine(&mut job).await?;
@@ -218,13 +219,13 @@
     /// crash another target.
     async fn check_quarantine(&self, job: &mut Job) -> Result<(), Problem> {
         let placement = &self.context.placement;
-        let mut quarantine_status = placement.quarantine_status(&job.fingerprint);
+        let mut quarantine_status = placement.quarantine_status(job);
         if quarantine_status == QuarantineStatus::Allowed(Suspicion::Suspect) {
             let timeout = self.settings.timing.start;
             // If the refresh fails, the last known quarantine applies.
             let _ = tokio::time::timeout(timeout, self.context.follower.refresh()).await;
             placement.set_quarantine(&self.context.follower.quarantine());
-            quarantine_status = placement.quarantine_status(&job.fingerprint);
+            quarantine_status = placement.quarantine_status(job);
         }
         match quarantine_status {
             QuarantineStatus::Allowed(suspicion) => {
@@ -300,6 +301,7 @@
             tokens: 1,
             prefix: None,
             fingerprint,
+            parts: Vec::new(),
             suspicion: Suspicion::Clear,
             method,
             path: self.path.clone(),
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -25,6 +25,8 @@
     pub(crate) tokens: u32,
     pub(crate) prefix: Option<Prefix>,
     pub(crate) fingerprint: Fingerprint,
+    /// Parts of the prompt that prompts of other requests may have, too.
+    pub(crate) parts: Vec<Fingerprint>,
     pub(crate) suspicion: Suspicion,
     pub(crate) method: String,
     pub(crate) path: String,
--- a/crates/entry/src/placement/inner.rs
+++ b/crates/entry/src/placement/inner.rs
@@ -203,15 +203,14 @@
         }
     }
 
-    pub(super) fn quarantine_status(
-        &self,
-        now: Instant,
-        fingerprint: &Fingerprint,
-    ) -> QuarantineStatus {
+    pub(super) fn quarantine_status(&self, now: Instant, job: &Job) -> QuarantineStatus {
+        let fingerprint = &job.fingerprint;
         let local = self.local_crashes.get(fingerprint);
         let local = local.filter(|(_, at)| now.saturating_duration_since(*at) < LOCAL_CRASH_TTL);
         let local = local.map_or(0, |(count, _)| *count);
-        if self.convicted.contains(fingerprint) || local >= CRASH_LIMIT {
+        let mut features = job.parts.iter().chain([fingerprint]);
+        let convicted = features.any(|feature| self.convicted.contains(feature));
+        if convicted || local >= CRASH_LIMIT {
             QuarantineStatus::Convicted
         } else if self.suspects.contains(fingerprint) || local > 0 {
             QuarantineStatus::Allowed(Suspicion::Suspect)
--- a/crates/entry/src/placement/mod.rs
+++ b/crates/entry/src/placement/mod.rs
@@ -82,8 +82,8 @@
         self.lock().set_quarantine(quarantine);
     }
 
-    pub(crate) fn quarantine_status(&self, fingerprint: &Fingerprint) -> QuarantineStatus {
-        self.lock().quarantine_status(Instant::now(), fingerprint)
+    pub(crate) fn quarantine_status(&self, job: &Job) -> QuarantineStatus {
+        self.lock().quarantine_status(Instant::now(), job)
     }
 
     /// Records that a target crashed while it ran the request.
--- a/crates/entry/src/work/execution.rs
+++ b/crates/entry/src/work/execution.rs
@@ -160,11 +160,7 @@
             tokio::time::timeout(self.context.timing.start, self.context.follower.refresh()).await;
         let quarantine = self.context.follower.quarantine();
         self.context.placement.set_quarantine(&quarantine);
-        match self
-            .context
-            .placement
-            .quarantine_status(&self.job.fingerprint)
-        {
+        match self.context.placement.quarantine_status(&self.job) {
             QuarantineStatus::Allowed(suspicion) => {
                 self.job.suspicion = suspicion;
                 Ok(())
--- a/crates/entry/src/work/start_message.rs
+++ b/crates/entry/src/work/start_message.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use route::Fingerprint;
 use tracing::Span;
 use wire::proto::Start;
 
@@ -51,12 +52,17 @@
             StartAt::Event(count) => count,
         },
         keep: false,
-        fingerprint: Bytes::copy_from_slice(job.fingerprint.as_bytes()),
+        fingerprint: to_bytes(&job.fingerprint),
+        parts: job.parts.iter().map(to_bytes).collect(),
         entry_leased: context.follower.leased(now),
     };
     (start, span)
 }
 
+fn to_bytes(fingerprint: &Fingerprint) -> Bytes {
+    Bytes::copy_from_slice(fingerprint.as_bytes())
+}
+
 /// Generates an attempt ID.
 fn new_attempt() -> Bytes {
     Bytes::copy_from_slice(&rand::random::<[u8; 16]>())
--- a/crates/lovageramp/tests/processes/quarantine.rs
+++ b/crates/lovageramp/tests/processes/quarantine.rs
@@ -58,9 +58,9 @@
         }
         let answer = chat_in_parts(entry, "huber", &poisonous, false).await;
         sound.join_all().await;
-        let crashed = restart_crashed(&mut cluster).await;
-        crashes += crashed;
-        if crashed == 0 && answer.unwrap().status == 422 {
+        let restarted = restart_crashed(&mut cluster).await;
+        crashes += restarted;
+        if restarted == 0 && answer.unwrap().status == 422 {
             break;
         }
         let max_crashes = PART_KNOWN_AFTER + MAX_LATE_CRASHES;
--- a/crates/wire/src/gen/lovageramp.rs
+++ b/crates/wire/src/gen/lovageramp.rs
@@ -318,6 +318,8 @@
     pub evacuations: ::core::option::Option<Evacuations>,
     #[prost(bytes = "bytes", tag = "9")]
     pub crash_tally: ::prost::bytes::Bytes,
+    #[prost(bytes = "bytes", tag = "10")]
+    pub agent_crash_tally: ::prost::bytes::Bytes,
 }
 /// A complete route table as written by an operator; the one with the highest
 /// number is in force.
@@ -1405,6 +1407,9 @@
     /// Whether the entry's lease was valid when it sent this message.
     #[prost(bool, tag = "22")]
     pub entry_leased: bool,
+    /// Digests of the parts of its prompt that prompts of other requests may have, too.
+    #[prost(bytes = "bytes", repeated, tag = "23")]
+    pub parts: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct StartReply {
