Keep the common parts of a convicted request from being convicted

What it showed is a fault: a part that all requests have ran in all crashes of a convicted request, which count against that request's own parts, and was then alone in explaining them. Callers of all other requests would have been refused until one completes elsewhere.

Change: a common part is convicted on crashes only that no convicted request explains. The example has five crashes, as three say too little.

--- a/crates/route/src/crash_evidence.rs
+++ b/crates/route/src/crash_evidence.rs
@@ -43,6 +43,8 @@
     pub(crate) carriers: Carriers,
     /// Number of requests on the target.
     pub(crate) ran: usize,
+    /// Whether a convicted request that had the feature explains the crash.
+    pub(crate) is_explained: bool,
     /// Whether one of the requests that had the feature ran in no earlier crash. A request
     /// that is sent again after a crash is on the next target for that reason.
     pub(crate) is_new: bool,
@@ -79,6 +81,12 @@
         }
     }
 
+    /// Number of crashes that no convicted request explains.
+    pub(crate) fn unexplained_crashes(&self) -> usize {
+        let samples = self.samples.values();
+        samples.filter(|sample| !sample.is_explained).count()
+    }
+
     /// The numbers of the crashes.
     pub(crate) fn numbers(&self) -> impl Iterator<Item = u64> {
         self.samples.keys().copied()
--- a/crates/route/src/crash_tally.rs
+++ b/crates/route/src/crash_tally.rs
@@ -58,11 +58,11 @@
 ///     request: Fingerprint::new([n; 32]),
 ///     parts: parts.to_vec(),
 /// };
-/// for (n, target) in [(1, "advisor-01"), (2, "advisor-02"), (3, "advisor-03")] {
+/// for n in 1..=5 {
 ///     let poisonous = request(n, &[common, part]);
 ///     let bystanders = (1..4).map(|m| request(10 * n + m, &[common]));
 ///     let ran: Vec<Features> = bystanders.chain([poisonous]).collect();
-///     tally.record_crash(target, 1, &ran);
+///     tally.record_crash("advisor-01", u64::from(n), &ran);
 /// }
 /// assert!(tally.is_convicted(&part));
 /// assert!(!tally.is_convicted(&common));
@@ -425,7 +425,12 @@
         rest: &Evidence,
     ) -> Option<Vec<Fingerprint>> {
         let is_alone = evidence.values().filter(|rival| rival.covers(own)).count() == 1;
-        let is_enough = is_alone || rest.crashes() >= CONVICTING_CRASHES_COMMON;
+        let needed = if is_alone {
+            CONVICTING_CRASHES_TOGETHER
+        } else {
+            CONVICTING_CRASHES_COMMON
+        };
+        let is_enough = rest.unexplained_crashes() >= needed;
         if !(rest.is_convincing() || is_enough && self.runs_in_all_since(own)) {
             return None;
         }
@@ -495,6 +500,7 @@
                     is_request,
                     carriers,
                     ran: crash.ran.len(),
+                    is_explained: explanation.is_some(),
                     is_new: is_request || new_carriers.contains(&feature),
                 };
                 evidence.entry(feature).or_default().add(sample);
@@ -538,6 +544,14 @@
 }
 
 impl Explanation<'_> {
+    /// Whether a convicted feature explains the crash at all.
+    fn is_some(&self) -> bool {
+        match self {
+            Explanation::Part => true,
+            Explanation::Requests(guilty) => !guilty.is_empty(),
+        }
+    }
+
     /// Whether the crash does not speak against a feature that ran in it.
     fn covers(&self, feature: &Fingerprint) -> bool {
         match self {
