Judge a request that ran in all crashes before the parts beside it

A request that its caller repeats was convicted after five crashes in place of three if a part that others have ran in the same three by chance, as a rival that is merely unlikely stood against it.

Change: against a request only another request, or a part that is certainly not there by chance, is a rival. Entries are not told the empty verdicts at the start any more.

--- a/crates/control/src/gossip/verdicts.rs
+++ b/crates/control/src/gossip/verdicts.rs
@@ -57,6 +57,9 @@
 
     /// Tells entries the verdicts without the convictions that are not settled.
     async fn tell_entries(&self, newest: &Quarantine, settled: &BTreeSet<Fingerprint>) {
+        if newest.version == 0 {
+            return;
+        }
         let mut verdicts = newest.clone();
         verdicts.convicted.retain(|feature| {
             Fingerprint::from_slice(feature).is_some_and(|feature| settled.contains(&feature))
--- a/crates/route/src/crash_evidence.rs
+++ b/crates/route/src/crash_evidence.rs
@@ -107,6 +107,11 @@
         other.samples.keys().all(|crash| self.includes(*crash))
     }
 
+    /// Whether the feature is a request itself.
+    pub(crate) fn is_request(&self) -> bool {
+        self.samples.values().any(|sample| sample.is_request)
+    }
+
     /// Whether the feature is unlikely to have run in all of its crashes by chance.
     pub(crate) fn is_convincing(&self) -> bool {
         self.chance() <= UNLIKELY
--- a/crates/route/src/crash_tally.rs
+++ b/crates/route/src/crash_tally.rs
@@ -563,14 +563,20 @@
     }
 }
 
-/// The features that explain all crashes of one and are not there by chance.
+/// The features that explain all crashes of one and are not there by chance. A request that
+/// ran in all of them is more likely than a part, unless that is certain.
 fn convincing_rivals<'a>(
     evidence: &'a BTreeMap<Fingerprint, Evidence>,
     own: &'a Evidence,
 ) -> impl Iterator<Item = (&'a Fingerprint, &'a Evidence)> {
-    evidence
-        .iter()
-        .filter(|(_, rival)| rival.is_convincing() && rival.covers(own))
+    evidence.iter().filter(|(_, rival)| {
+        let is_likely = if own.is_request() && !rival.is_request() {
+            rival.is_certain()
+        } else {
+            rival.is_convincing()
+        };
+        is_likely && rival.covers(own)
+    })
 }
 
 impl Crash {
--- a/crates/route/tests/crash_model.rs
+++ b/crates/route/tests/crash_model.rs
@@ -509,3 +509,13 @@
         }
     }
 }
+
+/// Guards against refusing a sound request while the reports of many crashes come in.
+#[test]
+fn poisonous_part_in_storm_of_crashes() {
+    let cause = Cause::Part {
+        position: 1,
+        one_in: 4,
+    };
+    check(cause, 4, 16, 22);
+}
--- a/crates/route/tests/crash_tally.rs
+++ b/crates/route/tests/crash_tally.rs
@@ -1,7 +1,7 @@
 //! Requests under which targets crash, where targets run requests of all kinds.
 
 use quickcheck::{Gen, QuickCheck};
-use route::{CrashGuard, CrashTally, Features, Fingerprint, SharedTally};
+use route::{CrashGuard, CrashTally, CrashedRequest, Features, Fingerprint, SharedTally};
 use std::time::{Duration, Instant};
 
 fn request(n: u8) -> Fingerprint {
@@ -153,6 +153,28 @@
     assert!(tally.is_convicted(&request(101)));
 }
 
+/// Guards against a part that half of all requests have and that goes on crashing targets
+/// while nothing completes that could clear what is as common.
+#[test]
+fn record_crash_common_part_without_completions() {
+    let mut tally = CrashTally::default();
+    for crash in 0..5 {
+        let ran = (0..12).map(|n| {
+            let parts: &[u8] = if n < 6 { &[100, 101] } else { &[100] };
+            let features = with_parts(crash * 12 + n, parts);
+            CrashedRequest {
+                with_part: [256, 128][..features.parts.len()].to_vec(),
+                recent: 256,
+                ..features.into()
+            }
+        });
+        let ran: Vec<CrashedRequest> = ran.collect();
+        tally.record_crash("t", u64::from(crash), &ran);
+    }
+    assert!(tally.is_convicted(&request(101)));
+    assert!(!tally.is_convicted(&request(100)));
+}
+
 /// Guards against shutting out the parts of a request that crashes targets itself.
 #[test]
 fn record_crash_request_with_parts() {
