--- /dev/null
+++ b/crates/route/src/crash_verdict.rs
@@ -0,0 +1,263 @@
+//! Verdicts of the crash tally on what may have caused the crashes.
+
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::crash_evidence::{Evidence, Sample};
+use crate::crash_record::Crash;
+use crate::{CrashTally, Fingerprint};
+
+/// Number of targets that crash under a feature before it is convicted.
+const CONVICTING_CRASHES: usize = 3;
+/// Number of targets that crash under several features that always ran together before
+/// the least common of them are convicted.
+const CONVICTING_CRASHES_TOGETHER: usize = 5;
+/// Number of targets that crash under features that are all so common that they would have
+/// run there anyway, before the least common of them are convicted. If such a feature is
+/// the cause, targets crash at once.
+const CONVICTING_CRASHES_COMMON: usize = 10;
+/// Number of crashes that make a feature suspect.
+const SUSPICIOUS_CRASHES: usize = 2;
+/// Number of requests that must have had a part before it is put down to the part.
+const CONVICTING_REQUESTS: usize = 2;
+/// Maximum number of convicted features.
+const MAX_CONVICTED: usize = 4096;
+/// Maximum number of watched parts.
+const MAX_WATCHED: usize = 1024;
+
+impl CrashTally {
+    /// Convicts features on the evidence of the recorded crashes. Convictions that rest on
+    /// crashes forgotten since stay.
+    pub(crate) fn judge(&mut self) {
+        let before = self.convicted.clone();
+        let crashes = &self.crashes;
+        self.convicted.retain(|feature, _| {
+            let ran = crashes.values().filter(|crash| crash.has(feature));
+            ran.count() < CONVICTING_CRASHES
+        });
+        while let Some(guilty) = self.next_guilty() {
+            for feature in guilty {
+                let added_at = before.get(&feature).copied().unwrap_or(self.clock);
+                self.convicted.insert(feature, added_at);
+            }
+        }
+        self.version += u64::from(self.convicted != before);
+        while self.convicted.len() > MAX_CONVICTED {
+            let oldest = self.convicted.iter().min_by_key(|(_, added_at)| **added_at);
+            let Some(feature) = oldest.map(|(feature, _)| *feature) else {
+                break;
+            };
+            self.convicted.remove(&feature);
+            self.version += 1;
+        }
+        let (suspects, watched) = (self.find_suspects(), self.find_watched());
+        if suspects != self.suspects || watched != self.watched {
+            (self.suspects, self.watched) = (suspects, watched);
+            self.version += 1;
+        }
+    }
+
+    /// The next features to convict, if the evidence is sufficient.
+    fn next_guilty(&self) -> Option<Vec<Fingerprint>> {
+        let evidence = self.evidence();
+        let mut candidates: Vec<(&Fingerprint, &Evidence)> = evidence
+            .iter()
+            .filter(|(_, evidence)| evidence.crashes() >= CONVICTING_CRASHES)
+            .collect();
+        // What explains the most crashes first, if it did not run there by chance: reports may
+        // still lack the cause of the newest crashes, and have common parts for all of them.
+        candidates.sort_by(|(_, a), (_, b)| {
+            let by_conviction = b.is_convincing().cmp(&a.is_convincing());
+            let by_crashes = match (a.is_convincing(), b.is_convincing()) {
+                (true, true) => b.crashes().cmp(&a.crashes()),
+                _ => Ordering::Equal,
+            };
+            let by_chance = a.chance().total_cmp(&b.chance());
+            by_conviction.then(by_crashes).then(by_chance)
+        });
+        // More likely features that are not decided yet. What explains all of their crashes
+        // competes with them; others are judged by the crashes that they leave.
+        let mut undecided: Vec<&Evidence> = Vec::new();
+        for (feature, own) in &candidates {
+            let others = undecided.iter().filter(|other| !own.covers(other));
+            let taken: BTreeSet<u64> = others.flat_map(|other| other.numbers()).collect();
+            let rest = own.without(&taken);
+            let only_explanation =
+                convincing_rivals(&evidence, own).all(|(rival, _)| rival == *feature);
+            let is_certain = rest.is_certain() && rest.independent_crashes() >= CONVICTING_CRASHES;
+            if is_certain && only_explanation {
+                return Some(vec![**feature]);
+            }
+            if rest.crashes() >= CONVICTING_CRASHES_TOGETHER
+                && let Some(guilty) = self.least_common_rivals(&evidence, own, &rest)
+            {
+                return Some(guilty);
+            }
+            undecided.push(own);
+        }
+        None
+    }
+
+    /// Of the features that explain all crashes of one, those that are least likely to have
+    /// run there by chance. If all of them are common, they are convicted only if no crash
+    /// since their first one lacks them.
+    fn least_common_rivals(
+        &self,
+        evidence: &BTreeMap<Fingerprint, Evidence>,
+        own: &Evidence,
+        rest: &Evidence,
+    ) -> Option<Vec<Fingerprint>> {
+        let is_alone = evidence.values().filter(|rival| rival.covers(own)).count() == 1;
+        let needed = if is_alone {
+            CONVICTING_CRASHES_TOGETHER
+        } else {
+            CONVICTING_CRASHES_COMMON
+        };
+        let is_enough = rest.unexplained_crashes() >= needed;
+        if !(rest.is_convincing() || is_enough && self.runs_in_all_since(own)) {
+            return None;
+        }
+        let rivals = || evidence.iter().filter(|(_, rival)| rival.covers(own));
+        let least = rivals()
+            .map(|(_, rival)| rival.chance())
+            .min_by(f64::total_cmp)?;
+        let guilty = rivals().filter(|(_, rival)| rival.chance() <= least);
+        Some(guilty.map(|(feature, _)| *feature).collect())
+    }
+
+    /// Whether no crash without an explanation lacks the feature since its first one.
+    fn runs_in_all_since(&self, own: &Evidence) -> bool {
+        let first = own.first_crash();
+        let unexplained = self.crashes.values().filter(|crash| {
+            crash.reported >= first && !crash.features().any(|f| self.is_convicted(f))
+        });
+        let mut reported = unexplained.map(|crash| crash.reported);
+        reported.all(|reported| own.includes(reported))
+    }
+
+    pub(crate) fn find_suspects(&self) -> BTreeSet<Fingerprint> {
+        let evidence = self.evidence().into_iter();
+        let suspects = evidence.filter(|(_, evidence)| {
+            evidence.crashes() >= SUSPICIOUS_CRASHES && evidence.is_convincing()
+        });
+        suspects.map(|(feature, _)| feature).collect()
+    }
+
+    pub(crate) fn find_watched(&self) -> BTreeSet<Fingerprint> {
+        let crashes = self.by_age().into_iter().rev();
+        let unexplained = crashes.filter(|crash| !crash.features().any(|f| self.is_convicted(f)));
+        let parts =
+            unexplained.flat_map(|crash| crash.ran.values().flat_map(|ran| ran.parts.keys()));
+        let mut watched = BTreeSet::new();
+        for part in parts {
+            if watched.len() >= MAX_WATCHED {
+                break;
+            }
+            watched.insert(*part);
+        }
+        watched
+    }
+
+    /// For each feature that may be a cause, the crashes in which it ran and that nothing
+    /// else explains.
+    fn evidence(&self) -> BTreeMap<Fingerprint, Evidence> {
+        let mut evidence: BTreeMap<Fingerprint, Evidence> = BTreeMap::new();
+        let mut carriers: BTreeMap<Fingerprint, BTreeSet<Fingerprint>> = BTreeMap::new();
+        for crash in self.by_age() {
+            let mut new_carriers: BTreeSet<Fingerprint> = BTreeSet::new();
+            for (request, ran) in &crash.ran {
+                for part in ran.parts.keys() {
+                    if carriers.entry(*part).or_default().insert(*request) {
+                        new_carriers.insert(*part);
+                    }
+                }
+            }
+            let explanation = self.explanation(crash);
+            for (feature, carriers) in crash.carriers() {
+                if explanation.covers(&feature) {
+                    continue;
+                }
+                let is_request = crash.ran.contains_key(&feature);
+                let sample = Sample {
+                    crash: crash.reported,
+                    is_request,
+                    carriers,
+                    ran: crash.ran.len(),
+                    is_explained: explanation.is_some(),
+                    is_new: is_request || new_carriers.contains(&feature),
+                };
+                evidence.entry(feature).or_default().add(sample);
+            }
+        }
+        // A part that a single request has brought is put down to that request.
+        evidence.retain(|feature, _| {
+            let requests = carriers.get(feature);
+            requests.is_none_or(|requests| requests.len() >= CONVICTING_REQUESTS)
+        });
+        evidence
+    }
+
+    /// The crashes in the order in which they were first reported.
+    fn by_age(&self) -> Vec<&Crash> {
+        let mut crashes: Vec<&Crash> = self.crashes.values().collect();
+        crashes.sort_by_key(|crash| crash.reported);
+        crashes
+    }
+
+    /// What convicted features explain a crash.
+    fn explanation<'a>(&self, crash: &'a Crash) -> Explanation<'a> {
+        let mut parts = crash.ran.values().flat_map(|ran| ran.parts.keys());
+        if parts.any(|part| self.is_convicted(part)) {
+            return Explanation::Part;
+        }
+        let guilty = crash
+            .ran
+            .iter()
+            .filter(|(request, ran)| !ran.is_cleared && self.is_convicted(request));
+        Explanation::Requests(guilty.map(|(_, ran)| &ran.parts).collect())
+    }
+}
+
+/// The convicted features that explain a crash.
+enum Explanation<'a> {
+    /// A part of a prompt.
+    Part,
+    /// Requests with these parts. The cause may have been one of the parts all the same.
+    Requests(Vec<&'a BTreeMap<Fingerprint, u32>>),
+}
+
+impl Explanation<'_> {
+    /// Whether a convicted feature explains the crash at all.
+    fn is_some(&self) -> bool {
+        match self {
+            Explanation::Part => true,
+            Explanation::Requests(guilty) => !guilty.is_empty(),
+        }
+    }
+
+    /// Whether the crash does not speak against a feature that ran in it.
+    fn covers(&self, feature: &Fingerprint) -> bool {
+        match self {
+            Explanation::Part => true,
+            Explanation::Requests(guilty) => {
+                guilty.iter().any(|parts| !parts.contains_key(feature))
+            }
+        }
+    }
+}
+
+/// The features that explain all crashes of one and are not there by chance. A request that
+/// ran in all of them is more likely than a part, unless that is certain.
+fn convincing_rivals<'a>(
+    evidence: &'a BTreeMap<Fingerprint, Evidence>,
+    own: &'a Evidence,
+) -> impl Iterator<Item = (&'a Fingerprint, &'a Evidence)> {
+    evidence.iter().filter(|(_, rival)| {
+        let is_likely = if own.is_request() && !rival.is_request() {
+            rival.is_certain()
+        } else {
+            rival.is_convincing()
+        };
+        is_likely && rival.covers(own)
+    })
+}
