Judge once for all features that one report clears

Each completed request after a crash clears several parts, and the tally judged all recorded crashes anew for each of them.

--- a/crates/control/src/state_machine/crashes.rs
+++ b/crates/control/src/state_machine/crashes.rs
@@ -46,10 +46,8 @@
         let Some(fingerprints) = decode(&completed.fingerprints) else {
             return malformed_fingerprint();
         };
-        for fingerprint in &fingerprints {
-            self.crash_tally.clear(fingerprint);
-            self.agent_crash_tally.clear(fingerprint);
-        }
+        self.crash_tally.clear_all(&fingerprints);
+        self.agent_crash_tally.clear_all(&fingerprints);
         outcome::Body::Crashed(CrashedOutcome::default())
     }
 
--- a/crates/route/src/crash_tally.rs
+++ b/crates/route/src/crash_tally.rs
@@ -139,12 +139,24 @@
     /// assert!(!tally.is_convicted(&request));
     /// ```
     pub fn clear(&mut self, feature: &Fingerprint) -> bool {
-        let mut known = false;
-        for crash in self.crashes.values_mut() {
-            known |= crash.clear(feature);
+        self.clear_all(std::slice::from_ref(feature))
+    }
+
+    /// Clears several features; returns whether one of them was suspect or convicted.
+    ///
+    /// ```
+    /// # use route::{CrashTally, Fingerprint};
+    /// assert!(!CrashTally::default().clear_all(&[Fingerprint::new([1; 32])]));
+    /// ```
+    pub fn clear_all(&mut self, features: &[Fingerprint]) -> bool {
+        let (mut known, mut was_convicted, mut was_suspect) = (false, false, false);
+        for feature in features {
+            for crash in self.crashes.values_mut() {
+                known |= crash.clear(feature);
+            }
+            was_convicted |= self.convicted.remove(feature).is_some();
+            was_suspect |= self.suspects.contains(feature);
         }
-        let was_convicted = self.convicted.remove(feature).is_some();
-        let was_suspect = self.suspects.contains(feature);
         self.version += u64::from(was_convicted);
         if known || was_convicted {
             self.judge();
