Start a new cluster with all seeds as first voters

Callers saw: no config is ever confirmed if one particular control host is missing at the first start. Cause: only the replica with the least of the seeds' addresses created the cluster; the first start was a special path that needs one particular host. Ruled out: a majority of the seeds that agrees on a founder, which would be a second election protocol beside the log's own. Change: all seeds start with the same first members, and each derives the identity of its disk from the addresses, so that the log's own election needs any majority of them. A voter whose name the members don't have yet tells it with the request to join. Two records of one host are told by name or address.

--- a/crates/control/src/cluster_formation.rs
+++ b/crates/control/src/cluster_formation.rs
@@ -1,7 +1,8 @@
 //! Discovery of replicas that are not listed in the settings.
 
 use cfg::Reader;
-use quorum::VoterReplacement;
+use quorum::{DiskId, Members, Peer, VoterReplacement};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -58,9 +59,33 @@
         }
     }
 
-    /// Returns whether the replica at this address creates the new cluster. All
-    /// replicas that start together choose the same one.
-    pub(crate) fn is_founder(&self, own: SocketAddr) -> bool {
-        self.bootstrap && self.seeds.iter().min() == Some(&own)
+    /// Returns the first voters of a new cluster. All replicas that start together
+    /// derive the same ones, so that no particular one of them is needed.
+    pub(crate) fn first_voters(&self) -> Members {
+        let mut members = Members::default();
+        for address in self.first_addresses() {
+            // The name is not known yet. The replica tells it once there is a leader.
+            let peer = Peer::new(&address, &address);
+            members.voters.insert(self.first_disk(&address), peer);
+        }
+        members
+    }
+
+    /// Returns the identity of the disk with which the replica at this address starts a
+    /// new cluster. It depends on all first voters, so that replicas whose settings name
+    /// others don't count each other's votes.
+    pub(crate) fn first_disk(&self, address: &str) -> DiskId {
+        // 64-bit FNV-1a: replicas of different builds must agree.
+        const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+        const PRIME: u64 = 0x0100_0000_01b3;
+        let text = format!("{address} of {}", self.first_addresses().join(" "));
+        let hash = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(PRIME);
+        DiskId(text.bytes().fold(OFFSET_BASIS, hash).max(1))
+    }
+
+    fn first_addresses(&self) -> Vec<String> {
+        let seeds: BTreeSet<SocketAddr> = self.seeds.iter().copied().collect();
+        let first = seeds.into_iter().take(self.voters);
+        first.map(|seed| seed.to_string()).collect()
     }
 }
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -2,7 +2,7 @@
 
 use crate::gossip::Gossip;
 use crate::http;
-use crate::init;
+use crate::init::init_first_voter;
 use crate::leader_client::{LeaderClient, ReplicaLinks};
 use crate::links::{self, Acceptor};
 use crate::listeners::Listeners;
@@ -73,7 +73,6 @@
         settings.advertise.get_or_insert(link_address);
         let token = OperatorToken::from_file(&settings.operator_token_file)?;
         let disk_closed = CancellationToken::new();
-        bootstrap_if_needed(&settings)?;
         let start = open(settings.clone(), ops, disk_closed.clone()).await?;
         let metrics = start.metrics.clone();
         let (table, replicas) = (start.table.subscribe(), start.replicas.subscribe());
@@ -264,22 +263,6 @@
     }
 }
 
-/// Creates the new cluster if this replica is the one to do so.
-fn bootstrap_if_needed(settings: &Settings) -> Result<()> {
-    let own = settings.advertised();
-    let forming = settings.forming.as_ref();
-    let is_founder = forming.is_some_and(|f| f.is_founder(own));
-    let identity = store::identity(&settings.data);
-    // A replica that crashed between the format and its first snapshot repeats `init`.
-    let interrupted = identity.is_ok_and(|_| !store::has_log(&settings.data).unwrap_or(true));
-    let blank = store::identity(&settings.data).is_err_and(|e| e.is_blank());
-    if is_founder && (blank || interrupted) {
-        log::info!("bootstrapping a new cluster at {own}");
-        init(settings)?;
-    }
-    Ok(())
-}
-
 /// Opens the data folder. The previous process on it may still be shutting down. A slow
 /// disk may take any time.
 async fn open(settings: Settings, ops: Ops, disk_closed: CancellationToken) -> Result<Start> {
@@ -303,6 +286,9 @@
     ops: Ops,
     disk_closed: CancellationToken,
 ) -> store::Result<Start> {
+    if let Some(forming) = settings.forming.as_ref().filter(|f| f.bootstrap) {
+        init_first_voter(&settings, forming, &ops)?;
+    }
     match store::identity(&settings.data) {
         Err(e) if e.is_blank() => {
             let identity = store::format(&settings.data, &settings.name, &ops)?;
--- a/crates/control/src/init.rs
+++ b/crates/control/src/init.rs
@@ -1,10 +1,11 @@
 //! The first replica of a new cluster.
 
+use crate::cluster_formation::ClusterFormation;
 use crate::codec;
 use crate::settings::Settings;
 use eyre::{Result, bail};
 use quorum::{DiskId, Members, Peer, Snapshot};
-use store::{Disk, Ops};
+use store::{Disk, Ops, Recovered};
 
 /// Formats the data folder for the first replica of a new cluster.
 ///
@@ -23,8 +24,7 @@
         existing => existing?,
     };
     let (mut disk, recovered) = Disk::open(folder, ops)?;
-    let has_data = recovered.snapshot.is_some() || !recovered.records.is_empty();
-    if has_data || recovered.hard_state.term > 0 {
+    if holds_data(&recovered) {
         bail!("{} already holds a replica", folder.display());
     }
     let mut members = Members::default();
@@ -34,3 +34,39 @@
     disk.save_snapshot(&codec::stored_snapshot(&Snapshot::initial(members)))?;
     Ok(())
 }
+
+/// Formats the data folder of a replica that starts a new cluster together with others.
+/// Does nothing if the folder holds a replica already, or if this one is not among the
+/// first voters. If a call is interrupted by a crash, calling it again completes it.
+pub(crate) fn init_first_voter(
+    settings: &Settings,
+    forming: &ClusterFormation,
+    ops: &Ops,
+) -> store::Result<()> {
+    let folder = &settings.data;
+    let own = forming.first_disk(&settings.advertised().to_string());
+    let members = forming.first_voters();
+    if !members.contains(own) {
+        return Ok(());
+    }
+    let identity = match store::identity(folder) {
+        Err(e) if e.is_blank() => {
+            log::info!("starting a new cluster of {:?}", forming.seeds);
+            store::format_as(folder, &settings.name, own.0, ops)?
+        }
+        existing => existing?,
+    };
+    if identity.disk != own.0 {
+        return Ok(());
+    }
+    let (mut disk, recovered) = Disk::open(folder, ops.clone())?;
+    if !holds_data(&recovered) {
+        disk.save_snapshot(&codec::stored_snapshot(&Snapshot::initial(members)))?;
+    }
+    Ok(())
+}
+
+fn holds_data(recovered: &Recovered) -> bool {
+    let has_log = recovered.snapshot.is_some() || !recovered.records.is_empty();
+    has_log || recovered.hard_state.term > 0
+}
--- a/crates/control/src/replica/actor.rs
+++ b/crates/control/src/replica/actor.rs
@@ -200,19 +200,33 @@
         self.update_metrics(&status, now);
         self.report_tolerated_losses(&status);
         self.propose_ledger_limits(now);
-        if now >= self.join_at && self.node.should_join(now) {
+        let should_join = self.node.should_join(now) || self.has_outdated_peer();
+        if now >= self.join_at && should_join {
             self.join_at = now + self.settings.timing.election_timeout;
-            let ids = self.peers.ids();
+            let mut ids = self.peers.ids();
+            ids.insert(self.node.id());
             for id in ids {
-                self.send_join(id);
+                self.send_join(id, now);
             }
         }
     }
 
-    /// Sends a request to join the cluster.
-    fn send_join(&mut self, to: DiskId) {
+    /// Returns whether the members have another name or address of this replica than its
+    /// settings.
+    fn has_outdated_peer(&self) -> bool {
+        let known = self.node.members().peer(self.node.id());
+        known.is_some_and(|peer| *peer != self.own_peer())
+    }
+
+    fn own_peer(&self) -> Peer {
         let address = self.settings.advertised().to_string();
-        let peer = Peer::new(&self.settings.name, &address);
+        Peer::new(&self.settings.name, &address)
+    }
+
+    /// Sends a request to join the cluster, or to update this replica's name and address.
+    /// The receiver may be this replica, if it leads.
+    fn send_join(&mut self, to: DiskId, now: Instant) {
+        let peer = self.own_peer();
         let id = self.node.id();
         let message = Message {
             from: id,
@@ -220,6 +234,9 @@
             term: 0,
             body: MessageBody::Join { id, peer },
         };
+        if to == id {
+            return self.node.step(message, now);
+        }
         self.peers.send(message, self.node.members());
     }
 
--- a/crates/quorum/src/members.rs
+++ b/crates/quorum/src/members.rs
@@ -25,6 +25,22 @@
             address: address.to_owned(),
         }
     }
+
+    /// Returns whether both run on the same host: they have the same name or
+    /// address.
+    ///
+    /// ```
+    /// use quorum::Peer;
+    ///
+    /// let unnamed = Peer::new("", "127.0.0.1:1");
+    /// assert!(unnamed.is_same_host(&Peer::new("one", "127.0.0.1:1")));
+    /// assert!(!unnamed.is_same_host(&Peer::new("", "127.0.0.1:2")));
+    /// ```
+    #[must_use]
+    pub fn is_same_host(&self, other: &Peer) -> bool {
+        let same = |own: &str, other: &str| !own.is_empty() && own == other;
+        same(&self.name, &other.name) || same(&self.address, &other.address)
+    }
 }
 
 /// Voters and learners, keyed by the identity of their disk.
@@ -78,9 +94,9 @@
         self.voters.keys().chain(self.learners.keys()).copied()
     }
 
-    /// Returns the voter that has the same name but another disk.
-    pub(crate) fn former_voter(&self, id: DiskId, name: &str) -> Option<DiskId> {
-        let mut same = self.voters.iter().filter(|(_, peer)| peer.name == name);
+    /// Returns the voter that runs on the same host but on another disk.
+    pub(crate) fn former_voter(&self, id: DiskId, peer: &Peer) -> Option<DiskId> {
+        let mut same = self.voters.iter().filter(|(_, p)| p.is_same_host(peer));
         same.find(|(other, _)| **other != id)
             .map(|(other, _)| *other)
     }
--- a/crates/quorum/src/node/membership.rs
+++ b/crates/quorum/src/node/membership.rs
@@ -18,18 +18,24 @@
             }
             return;
         }
-        if !self.can_change_membership(now) || self.members().contains(id) {
+        if !self.can_change_membership(now) || self.members().peer(id) == Some(&peer) {
             return;
         }
         // Two processes with the same name are a configuration error. The one
         // that leads must not be replaced by the other.
-        let own_peer = self.members().peer(self.id);
-        if own_peer.is_some_and(|own| own.name == peer.name) {
+        let own_peer = self.members().peer(self.id).filter(|_| id != self.id);
+        if own_peer.is_some_and(|own| own.is_same_host(&peer)) {
             return;
         }
         let mut members = self.members().clone();
-        members.learners.retain(|_, other| other.name != peer.name);
-        members.learners.insert(id, peer);
+        if let Some(known) = members.voters.get_mut(&id) {
+            *known = peer;
+        } else {
+            members
+                .learners
+                .retain(|_, other| !other.is_same_host(&peer));
+            members.learners.insert(id, peer);
+        }
         self.change_members(&members);
     }
 
@@ -102,8 +108,8 @@
 
     fn promotion_step(&self, id: DiskId, now: Instant) -> Option<Members> {
         let mut next = self.members().clone();
-        let name = next.learners.get(&id)?.name.clone();
-        if let Some(former) = next.former_voter(id, &name) {
+        let peer = next.learners.get(&id)?;
+        if let Some(former) = next.former_voter(id, peer) {
             if self.is_active(former, now) {
                 return None;
             }
--- a/crates/store/src/identity.rs
+++ b/crates/store/src/identity.rs
@@ -31,6 +31,24 @@
 /// assert!(store::format(folder.path(), "control-1", &Ops::default()).is_err());
 /// ```
 pub fn format(folder: &Path, name: &str, ops: &Ops) -> Result<Identity> {
+    format_as(folder, name, rand::random_range(1..=u64::MAX), ops)
+}
+
+/// Formats a blank folder and gives it the identity `disk`, which must never be given
+/// to another folder.
+///
+/// # Errors
+///
+/// See [`format`].
+///
+/// ```
+/// use store::Ops;
+///
+/// let folder = tempfile::tempdir().unwrap();
+/// let formatted = store::format_as(folder.path(), "control-1", 7, &Ops::default()).unwrap();
+/// assert_eq!(formatted.disk, 7);
+/// ```
+pub fn format_as(folder: &Path, name: &str, disk: u64, ops: &Ops) -> Result<Identity> {
     fs::create_dir_all(folder).map_err(|e| Error::io("creation", folder, e))?;
     match identity(folder) {
         Err(e) if e.is_blank() => {}
@@ -43,7 +61,7 @@
         return Err(Error::damaged(folder, 0, "log without an identity"));
     }
     let identity = Identity {
-        disk: rand::random_range(1..=u64::MAX),
+        disk,
         name: name.to_owned(),
     };
     let json = serde_json::to_vec(&identity)
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -39,7 +39,7 @@
 pub use disk::Disk;
 pub use error::{Error, Result};
 pub use hard_state::HardState;
-pub use identity::{Identity, format, has_log, identity};
+pub use identity::{Identity, format, format_as, has_log, identity};
 pub use ops::Ops;
 pub use record::Record;
 pub use recovered::Recovered;
