Form a cluster although its first voters lose their disks

Callers saw: no config is ever confirmed if two control hosts lose their disks while the cluster forms, also after all hosts were restarted. Cause: the first voters are fewer than the losses that are tolerated allow for. Between the first election and the promotion of the others, two lost disks of three take the majority with them. Ruled out: more first voters, as only three addresses are told; to let any replica start over after some time, which forms two clusters when hosts are cut off from each other. Change: as long as a replica holds no command and has fewer voters than desired, a voter whose host is seen on another disk doesn't count for quorums, provided that a leader waited for this replica so recently that it can't have committed anything without it. Such an election waits until a leader would have been heard, and takes a term that none had: without the jump the schedules found two leaders in one term. Not covered, listed: two first voters that lose their disks before the first election. The schedules keep the first voters' disks until then, and don't restart them meanwhile.

--- a/crates/quorum/src/node.rs
+++ b/crates/quorum/src/node.rs
@@ -18,7 +18,7 @@
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
 /// Current role of a replica.
@@ -55,6 +55,13 @@
     snapshot: Snapshot,
     /// Index of the first command in the log, or of a snapshot that may cover it.
     first_command: Option<u64>,
+    /// Voters of a new cluster on whose hosts another disk is in use.
+    lost_disks: BTreeSet<DiskId>,
+    /// When this replica last answered a leader, was elected or led with a quorum;
+    /// `None` after a restart.
+    included_at: Option<Instant>,
+    /// Whether the current election of this candidate needs a majority.
+    needs_majority: bool,
     commit_index: u64,
     applied_index: u64,
     /// Last entry that is synced on this replica.
@@ -131,6 +138,9 @@
             applied_index: snapshot.index,
             snapshot,
             first_command,
+            lost_disks: BTreeSet::new(),
+            included_at: None,
+            needs_majority: true,
             synced_index: last,
             issued_index: last,
             leader: None,
@@ -185,7 +195,9 @@
         if message.to != self.id || !message.is_plausible() {
             return;
         }
+        self.lost_disks.remove(&message.from);
         if let MessageBody::Join { id, peer } = message.body {
+            self.record_lost_disk(id, &peer, now);
             return self.handle_join(message.from, id, peer, now);
         }
         if !self.check_term(&message, now) {
--- a/crates/quorum/src/node/election.rs
+++ b/crates/quorum/src/node/election.rs
@@ -72,6 +72,8 @@
             let tokens = leader.pending_reads.iter().map(|r| r.token);
             self.refused_reads.extend(tokens);
             self.leader = None;
+            let confirmed_at = leader.last_confirmed.map(|(_, at)| at);
+            self.included_at = self.included_at.max(confirmed_at);
         }
         self.role = Role::Follower;
         self.reset_election_deadline(now);
@@ -84,6 +86,7 @@
         }
         self.leader = Some(leader);
         self.leader_heard_at = now;
+        self.included_at = Some(now);
         self.reset_election_deadline(now);
     }
 
@@ -94,8 +97,9 @@
         self.request_votes(self.hard_state.term + 1, true, now);
     }
 
-    fn start_election(&mut self, now: Instant) {
-        self.hard_state.term += 1;
+    fn start_election(&mut self, term_step: u64, now: Instant) {
+        self.hard_state.term += term_step;
+        self.needs_majority = term_step == 1;
         self.hard_state.vote = Some(self.id);
         self.hard_state_changed = true;
         self.reset_election_deadline(now);
@@ -166,19 +170,24 @@
         granted: bool,
         now: Instant,
     ) {
-        let members = self.members().clone();
         let votes = match &mut self.role {
             Role::PreCandidate(votes) if pre_vote => votes,
             Role::Candidate(votes) if !pre_vote => votes,
             _ => return,
         };
         votes.insert(from, granted);
-        if !members.is_majority(|id| votes.get(&id) == Some(&true)) {
+        let votes = votes.clone();
+        let is_granted = |id| votes.get(&id) == Some(&true);
+        if pre_vote {
+            if let Some(term_step) = self.term_step(is_granted, now) {
+                self.start_election(term_step, now);
+            }
             return;
         }
-        if pre_vote {
-            self.start_election(now);
-        } else {
+        let members = self.members();
+        let is_elected = members.is_majority(is_granted)
+            || !self.needs_majority && self.is_quorum(members, is_granted);
+        if is_elected {
             self.become_leader(now);
         }
     }
@@ -204,6 +213,8 @@
         };
         self.role = Role::Leader(Box::new(leader));
         self.leader = Some(self.id);
+        // Whoever is elected holds all that was committed before (section 3.6.1).
+        self.included_at = Some(now);
         self.append_as_leader(EntryBody::Noop);
         self.tick_leader(now);
     }
--- a/crates/quorum/src/node/membership.rs
+++ b/crates/quorum/src/node/membership.rs
@@ -58,7 +58,7 @@
         let mut members = self.members().clone();
         members.voters.remove(&id);
         members.learners.remove(&id);
-        if !self.has_live_majority(&members, now) {
+        if !self.has_live_quorum(&members, now) {
             return false;
         }
         self.change_members(&members, now);
@@ -121,7 +121,7 @@
             let peer = next.learners.remove(&id)?;
             next.voters.insert(id, peer);
         }
-        self.has_live_majority(&next, now).then_some(next)
+        self.has_live_quorum(&next, now).then_some(next)
     }
 
     fn has_all_voters(&self) -> bool {
@@ -138,10 +138,10 @@
         voters.find(|id| self.is_silent(leader, **id, now)).copied()
     }
 
-    /// Returns whether a majority of these members is live. A change that its
-    /// new majority cannot commit would stop the cluster.
-    fn has_live_majority(&self, members: &Members, now: Instant) -> bool {
-        members.is_majority(|id| self.is_active(id, now))
+    /// Returns whether a quorum of these members is live. A change that its new
+    /// quorum cannot commit would stop the cluster.
+    fn has_live_quorum(&self, members: &Members, now: Instant) -> bool {
+        self.is_quorum(members, |id| self.is_active(id, now))
     }
 
     fn is_active(&self, id: DiskId, now: Instant) -> bool {
--- a/crates/quorum/src/node/quorums.rs
+++ b/crates/quorum/src/node/quorums.rs
@@ -2,7 +2,7 @@
 
 use super::{Node, Role};
 use crate::leader::Leader;
-use crate::{DiskId, EntryBody, VoterReplacement};
+use crate::{DiskId, EntryBody, Members, Peer, VoterReplacement};
 use std::time::Instant;
 
 impl Node {
@@ -64,13 +64,76 @@
         self.first_command.is_none()
     }
 
+    /// Records that the disk of a voter is lost if another disk is in use on its host.
+    ///
+    /// Does nothing if a leader may have stopped waiting for this replica by now: it
+    /// may have committed entries that are not known here before that disk was lost.
+    pub(super) fn record_lost_disk(&mut self, id: DiskId, peer: &Peer, now: Instant) {
+        let Some(policy) = self.cfg.voter_replacement else {
+            return;
+        };
+        let confirmed_at = match &self.role {
+            Role::Leader(leader) => leader.last_confirmed.map(|(_, at)| at),
+            _ => None,
+        };
+        let included_at = self.included_at.max(confirmed_at);
+        let waited_for = policy.lost_after.saturating_sub(self.cfg.election_timeout);
+        let is_included = |at| now.saturating_duration_since(at) < waited_for;
+        let former = self.members().former_voter(id, peer);
+        if let Some(former) = former.filter(|former| *former != self.id)
+            && included_at.is_some_and(is_included)
+        {
+            self.lost_disks.insert(former);
+        }
+    }
+
+    /// Returns whether the voters for which `is_counted` returns true are a
+    /// quorum: a majority or, in a new cluster that has fewer voters than desired,
+    /// all whose disks are not lost.
+    ///
+    /// The first voters of a cluster may lose more disks than a majority
+    /// tolerates before others have joined. Nothing has been acknowledged by
+    /// then, or this replica would hold it; see [`Node::needs_all_answers`].
+    pub(super) fn is_quorum(&self, members: &Members, is_counted: impl Fn(DiskId) -> bool) -> bool {
+        members.is_majority(&is_counted) || self.is_reduced_quorum(members, is_counted)
+    }
+
+    fn is_reduced_quorum(&self, members: &Members, is_counted: impl Fn(DiskId) -> bool) -> bool {
+        let counted = members.count_voters(&is_counted);
+        let desired = self.cfg.voter_replacement.map_or(0, |policy| policy.voters);
+        let may_be_reduced = self.first_command.is_none() && members.voters.len() < desired;
+        let is_counted_or_lost = |id| is_counted(id) || self.lost_disks.contains(&id);
+        may_be_reduced && counted > 0 && members.voters.keys().copied().all(is_counted_or_lost)
+    }
+
+    /// Returns the number of terms by which an election that these voters have agreed
+    /// to starts; `None` if they are no quorum.
+    ///
+    /// A reduced quorum needs not overlap with the one that elected an earlier leader.
+    /// It waits until such a leader would be heard, and takes a term that none had.
+    pub(super) fn term_step(
+        &self,
+        is_counted: impl Fn(DiskId) -> bool,
+        now: Instant,
+    ) -> Option<u64> {
+        const REDUCED_QUORUM_TERMS: u64 = 1 << 20;
+        let members = self.members();
+        if members.is_majority(&is_counted) {
+            return Some(1);
+        }
+        let lost_after = self.cfg.voter_replacement?.lost_after;
+        let silence = now.saturating_duration_since(self.leader_heard_at);
+        let is_allowed = silence >= lost_after && self.is_reduced_quorum(members, is_counted);
+        is_allowed.then_some(REDUCED_QUORUM_TERMS)
+    }
+
     /// Returns the highest value that a quorum has reached.
     pub(super) fn quorum_value<T: Ord + Copy>(&self, value: impl Fn(DiskId) -> T) -> Option<T> {
         let members = self.members();
         let mut values: Vec<T> = members.voters.keys().map(|id| value(*id)).collect();
         values.sort_unstable();
         let mut highest_first = values.into_iter().rev();
-        highest_first.find(|reached| members.is_majority(|id| value(id) >= *reached))
+        highest_first.find(|reached| self.is_quorum(members, |id| value(id) >= *reached))
     }
 
     /// Returns the index of the last entry that may be committed: one that a quorum
@@ -93,7 +156,8 @@
         if !needs_all && members.voters.len() >= policy.voters {
             return Some(index);
         }
-        let answers = |id: &DiskId| !self.is_silent(leader, *id, now);
+        let answers =
+            |id: &DiskId| !self.lost_disks.contains(id) && !self.is_silent(leader, *id, now);
         let answering = members.voters.keys().copied().filter(answers);
         let mut matches: Vec<u64> = answering.map(match_index).collect();
         matches.sort_unstable();
--- a/crates/quorum/tests/forming.rs
+++ b/crates/quorum/tests/forming.rs
@@ -122,6 +122,15 @@
         }
     }
 
+    /// Stops a host and starts it again with a blank disk.
+    fn lose_disk(&mut self, old: u64, new: u64) {
+        let name = self.host(old).name.clone();
+        self.stop([old]);
+        self.add_blank(&[(new, &name)]);
+        self.run(Duration::from_millis(300));
+        self.start([new]);
+    }
+
     fn cut(&mut self, left: &[u64], right: &[u64]) {
         for (a, b) in left
             .iter()
@@ -205,6 +214,17 @@
         }
         panic!("no command committed in {RECOVERY:?}");
     }
+
+    /// Checks that all replicas have applied the same entries.
+    fn check_same_entries(&self) {
+        let mut first: BTreeMap<u64, &Entry> = BTreeMap::new();
+        for host in &self.hosts {
+            for (index, entry) in &host.applied {
+                let known = *first.entry(*index).or_insert(entry);
+                assert_eq!(known, entry, "entry {index} differs at {}", host.name);
+            }
+        }
+    }
 }
 
 impl Host {
@@ -268,6 +288,76 @@
     cluster
 }
 
+/// Guards against a replica that starts after its cluster was formed and forms another
+/// one with hosts that have lost their disks meanwhile.
+#[test]
+fn elect_late_replica_cut_off() {
+    let mut cluster = Cluster::new(5);
+    cluster.add_voters(&FIRST);
+    cluster.add_blank(&[(4, "d"), (5, "e"), (6, "f")]);
+    cluster.start(2..=6);
+    cluster.commit();
+    for (old, new) in [(2, 12), (3, 13)] {
+        cluster.lose_disk(old, new);
+        cluster.run(Duration::from_secs(12));
+    }
+    cluster.commit();
+    cluster.start([1]);
+    cluster.cut(&[1, 12, 13], &[4, 5, 6]);
+    for _ in 0..30 {
+        cluster.run(Duration::from_secs(1));
+        let leaders = cluster.leaders();
+        assert!(leaders.len() < 2, "{leaders:?}");
+        for leader in leaders {
+            cluster.propose(leader);
+        }
+    }
+    cluster.cuts.clear();
+    cluster.run(RECOVERY);
+    cluster.commit();
+    cluster.check_same_entries();
+}
+
+/// The same with three hosts affected at once, as many as may be lost.
+#[test]
+fn elect_late_replica_three_losses() {
+    let mut cluster = Cluster::new(7);
+    cluster.add_voters(&FIRST);
+    cluster.add_blank(&[(4, "d"), (5, "e"), (6, "f"), (7, "g"), (8, "h"), (9, "i")]);
+    cluster.start(2..=9);
+    cluster.commit();
+    cluster.cut(&[1, 12, 13], &[4, 5, 6, 7, 8, 9]);
+    cluster.lose_disk(2, 12);
+    cluster.lose_disk(3, 13);
+    cluster.start([1]);
+    cluster.run(RECOVERY);
+    assert!(cluster.leaders().len() < 2);
+    cluster.cuts.clear();
+    cluster.run(RECOVERY);
+    cluster.commit();
+    cluster.check_same_entries();
+}
+
+/// Guards against a replica that takes hosts at the former addresses of others for the
+/// proof that those have lost their disks.
+#[test]
+fn elect_cut_off_replica_addresses_reused() {
+    let mut cluster = Cluster::new(5);
+    cluster.add_voters(&FIRST);
+    cluster.add_blank(&[(4, "d"), (5, "e"), (6, "f")]);
+    cluster.cut(&[1], &[2, 3, 4, 5, 6]);
+    cluster.start(1..=6);
+    cluster.commit();
+    cluster.host(2).name = "b, moved".to_owned();
+    cluster.host(3).name = "c, moved".to_owned();
+    cluster.add_blank(&[(14, "b"), (15, "c")]);
+    cluster.cut(&[14, 15], &[2, 3, 4, 5, 6]);
+    cluster.start([14, 15]);
+    cluster.run(RECOVERY);
+    assert_eq!(cluster.leaders().len(), 1);
+    cluster.commit();
+}
+
 /// Guards against a first start that waits for a replica that never comes.
 #[test]
 fn commit_first_start_one_replica_missing() {
@@ -283,6 +373,25 @@
     }
 }
 
+/// Guards against a cluster that never forms because two of its first voters lose their
+/// disks after the first election.
+#[test]
+fn commit_disks_lost_while_forming() {
+    for after in (1_000..3_000).step_by(50) {
+        let mut cluster = Cluster::new(5);
+        cluster.add_voters(&FIRST);
+        cluster.add_blank(&[(4, "d"), (5, "e"), (6, "f")]);
+        cluster.start(1..=6);
+        cluster.run(Duration::from_millis(after));
+        cluster.stop([1, 2]);
+        cluster.add_blank(&[(11, "a"), (12, "b")]);
+        cluster.run(Duration::from_millis(500));
+        cluster.start([11, 12]);
+        cluster.commit();
+        cluster.check_same_entries();
+    }
+}
+
 /// Guards against a restarted cluster that waits for missing voters as a new one does.
 #[test]
 fn commit_after_restart_voters_missing() {
--- a/crates/quorum/tests/schedules/faults.rs
+++ b/crates/quorum/tests/schedules/faults.rs
@@ -20,6 +20,10 @@
     pub clock_steps: u32,
     /// Syncs that are slow, in percent.
     pub slow_sync_percent: u32,
+    /// Whether the hosts start a new cluster, some of them late.
+    pub first_start: bool,
+    /// Whether some of them lose their disks meanwhile.
+    pub lost_while_forming: bool,
 }
 
 impl Faults {
@@ -66,6 +70,32 @@
         }
     }
 
+    /// A first start with lost disks and killed processes.
+    pub fn first_start_lost_disks() -> Faults {
+        Faults {
+            loss_percent: 1,
+            max_delay_steps: 3,
+            kills: 10,
+            first_start: true,
+            lost_while_forming: true,
+            ..Faults::default()
+        }
+    }
+
+    /// A first start with partitions, killed processes and slow disks.
+    pub fn first_start_partitions() -> Faults {
+        Faults {
+            loss_percent: 2,
+            duplicate_percent: 2,
+            max_delay_steps: 5,
+            partitions: 60,
+            kills: 60,
+            slow_sync_percent: 3,
+            first_start: true,
+            ..Faults::default()
+        }
+    }
+
     pub fn clock_steps() -> Faults {
         Faults {
             partitions: 80,
--- a/crates/quorum/tests/schedules/host.rs
+++ b/crates/quorum/tests/schedules/host.rs
@@ -96,6 +96,8 @@
     seeds: BTreeSet<usize>,
     /// Desired number of voters, if others replace the lost ones.
     pub desired_voters: Option<usize>,
+    /// Silence after which another host replaces a voter.
+    pub lost_after: Duration,
     /// Clock rate in percent of real time.
     clock_rate_percent: u32,
     /// Sum of all forward steps of the clock.
@@ -118,6 +120,7 @@
             running: None,
             seeds,
             desired_voters: None,
+            lost_after: LOST_AFTER,
             clock_rate_percent: rng.random_range(97..=103),
             clock_offset: Duration::ZERO,
         }
@@ -143,7 +146,7 @@
     pub fn start(&mut self, now: Instant, rng: &mut StdRng) {
         let voter_replacement = self.desired_voters.map(|voters| VoterReplacement {
             voters,
-            lost_after: LOST_AFTER,
+            lost_after: self.lost_after,
         });
         let cfg = Config {
             voter_replacement,
--- a/crates/quorum/tests/schedules/main.rs
+++ b/crates/quorum/tests/schedules/main.rs
@@ -4,6 +4,7 @@
 //! `LOVAGERAMP_SCHEDULES=20000 LOVAGERAMP_SEED=7 cargo test --release -p lovageramp-quorum --test schedules`
 
 mod faults;
+mod first_start;
 mod host;
 mod network;
 mod schedule;
@@ -15,6 +16,8 @@
 use std::env;
 
 const SCHEDULES_PER_TEST: u64 = 500;
+/// A first start takes several times as long as another schedule.
+const FIRST_STARTS_PER_TEST: u64 = 100;
 const GEN_SIZE: usize = 100;
 
 fn env_number(variable: &str, default: u64) -> u64 {
@@ -23,9 +26,13 @@
 }
 
 fn check(property: fn(Schedule) -> TestResult, seed: u64) {
+    check_times(property, seed, SCHEDULES_PER_TEST);
+}
+
+fn check_times(property: fn(Schedule) -> TestResult, seed: u64, times: u64) {
     let seed = env_number("LOVAGERAMP_SEED", 0) ^ seed;
     QuickCheck::new()
-        .tests(env_number("LOVAGERAMP_SCHEDULES", SCHEDULES_PER_TEST))
+        .tests(env_number("LOVAGERAMP_SCHEDULES", times))
         .rng(Gen::from_size_and_seed(GEN_SIZE, seed))
         .quickcheck(property);
 }
@@ -70,6 +77,22 @@
     check(|s| run(&s, &Faults::lost_minorities()), 6);
 }
 
+/// Guards against a first start that never ends or forgets what it has acknowledged if
+/// hosts are late or lose their disks at any moment of it.
+#[test]
+fn schedule_first_start_lost_disks() {
+    let run_one = |s: Schedule| run(&s, &Faults::first_start_lost_disks());
+    check_times(run_one, 7, FIRST_STARTS_PER_TEST);
+}
+
+/// Guards against a first start that forms two clusters if hosts are late or cut off
+/// from each other.
+#[test]
+fn schedule_first_start_partitions() {
+    let run_one = |s: Schedule| run(&s, &Faults::first_start_partitions());
+    check_times(run_one, 8, FIRST_STARTS_PER_TEST);
+}
+
 /// The clock of a replica steps forward, so that it considers a live leader
 /// dead and leases do not hold. Reads must still be linearizable, because a
 /// majority confirms them, not a clock.
--- a/crates/quorum/tests/schedules/schedule.rs
+++ b/crates/quorum/tests/schedules/schedule.rs
@@ -26,7 +26,11 @@
     }
 
     fn shrink(&self) -> Box<dyn Iterator<Item = Schedule>> {
-        let smaller = [self.steps / 2, self.steps * 3 / 4, self.steps - 1];
+        let smaller = [
+            self.steps / 2,
+            self.steps * 3 / 4,
+            self.steps.saturating_sub(1),
+        ];
         let schedule = self.clone();
         let shorter = smaller
             .into_iter()
--- a/crates/quorum/tests/schedules/simulation.rs
+++ b/crates/quorum/tests/schedules/simulation.rs
@@ -1,6 +1,7 @@
 //! Runs a schedule and checks the invariants.
 
 use crate::faults::Faults;
+use crate::first_start::{FirstStart, LATE_STEPS};
 use crate::host::{Disk, Host, Output, decode, value};
 use crate::network::Network;
 use crate::schedule::Schedule;
@@ -23,8 +24,14 @@
     step: u64,
     hosts: Vec<Host>,
     network: Network,
+    /// Number of voters that the cluster should have.
+    voters: usize,
     /// Steps at which stopped hosts restart.
     restarts: BTreeMap<usize, u64>,
+    /// Steps at which hosts lose their disks.
+    losses: BTreeMap<usize, u64>,
+    /// Number of hosts that start a new cluster.
+    first_voters: usize,
     next_disk: u64,
     next_value: u64,
     next_token: u64,
@@ -49,7 +56,8 @@
 /// Runs a schedule. The error describes the violated invariant.
 pub fn run(schedule: &Schedule, faults: &Faults) -> Check {
     let mut simulation = Simulation::new(schedule, faults);
-    for _ in 0..schedule.steps {
+    let start_steps = if faults.first_start { LATE_STEPS } else { 0 };
+    for _ in 0..start_steps + schedule.steps {
         simulation.inject_faults();
         simulation.send_requests();
         simulation.advance()?;
@@ -60,6 +68,16 @@
 impl<'a> Simulation<'a> {
     fn new(schedule: &'a Schedule, faults: &'a Faults) -> Simulation<'a> {
         let mut rng = StdRng::seed_from_u64(schedule.seed);
+        if faults.first_start {
+            let plan = FirstStart::draw(faults.lost_while_forming, &mut rng);
+            return Simulation {
+                voters: plan.voters,
+                restarts: plan.starts,
+                losses: plan.losses,
+                first_voters: plan.first_voters,
+                ..Simulation::with_hosts(schedule, faults, plan.hosts, rng)
+            };
+        }
         let mut hosts = Vec::new();
         let mut members = Members::default();
         let count = schedule.voters + faults.spare_hosts;
@@ -83,16 +101,31 @@
             }
             host.start(start, &mut rng);
         }
+        Simulation {
+            start,
+            ..Simulation::with_hosts(schedule, faults, hosts, rng)
+        }
+    }
+
+    fn with_hosts(
+        schedule: &'a Schedule,
+        faults: &'a Faults,
+        hosts: Vec<Host>,
+        rng: StdRng,
+    ) -> Simulation<'a> {
         Simulation {
             schedule,
             faults,
             rng,
-            start,
+            start: Instant::now(),
             step: 0,
             next_disk: hosts.len() as u64 + 1,
             hosts,
             network: Network::default(),
+            voters: schedule.voters,
             restarts: BTreeMap::new(),
+            losses: BTreeMap::new(),
+            first_voters: 0,
             next_value: 1,
             next_token: 1,
             leaders: BTreeMap::new(),
@@ -115,11 +148,25 @@
         }
         if self.chance(self.faults.kills) {
             let host = self.any_host();
-            self.hosts[host].kill(&mut self.rng);
+            let is_late = self.faults.first_start && self.hosts[host].running.is_none();
+            if !self.is_spared(host) {
+                self.hosts[host].kill(&mut self.rng);
+            }
             // Half of them restart at once, as if by a supervisor.
             let max_downtime = if self.chance(5_000) { 3 } else { 80 };
             let restart = self.step + self.rng.random_range(1..max_downtime);
-            self.restarts.insert(host, restart);
+            if !is_late {
+                self.restarts.insert(host, restart);
+            }
+        }
+        let due = self.losses.iter().filter(|(_, step)| **step <= self.step);
+        let due: Vec<usize> = due.map(|(host, _)| *host).collect();
+        for host in due {
+            if self.is_spared(host) && self.leaders.is_empty() {
+                continue;
+            }
+            self.losses.remove(&host);
+            self.lose_disk(host);
         }
         if self.chance(self.faults.lost_disks) && self.is_fully_replicated() {
             let host = self.any_host();
@@ -138,6 +185,12 @@
         }
     }
 
+    /// Returns whether a host is needed to start the cluster: the first voters must keep
+    /// their disks until the first election, and one of them must go on running.
+    fn is_spared(&self, host: usize) -> bool {
+        self.faults.lost_while_forming && host < self.first_voters
+    }
+
     fn lose_disk(&mut self, host: usize) {
         self.hosts[host].lose_disk(DiskId(self.next_disk));
         self.next_disk += 1;
@@ -192,7 +245,7 @@
                     && node.has_committed_in_term()
                     && status.membership_committed
                     && caught_up
-                    && voters == self.schedule.voters
+                    && voters == self.voters
                     && same,
             )
         };
@@ -426,6 +479,7 @@
             hosts: std::mem::take(&mut self.hosts),
             network: std::mem::take(&mut self.network),
             restarts: std::mem::take(&mut self.restarts),
+            losses: BTreeMap::new(),
             leaders: std::mem::take(&mut self.leaders),
             history: std::mem::take(&mut self.history),
             acknowledged: std::mem::take(&mut self.acknowledged),
