Share one listener between the agents of successive ranks

Callers saw a group that never switched its expert map again after its ranks were renumbered: every agent of the group had exited with "cannot listen on ...: Address already in use".

Cause: the agent bound its link address anew for each rank. The task that held the previous listener was only cancelled by then, and is dropped when the runtime next polls it, so the address was still held by the process itself. The same was true of the listener used before the first rank, which was dropped in time only because no task held it.

The address is now bound once for the life of the process and the listener is shared between the early relay and the agents of successive ranks. Links that an agent accepted are closed when it ends; until now they stayed open and delivered to actors that had stopped, so that peers did not connect again.

Looked for elsewhere: no other place binds an address twice or hands a listener on; entries, control replicas and request agents bind each address once at their start.

--- a/crates/agent/src/map_agent.rs
+++ b/crates/agent/src/map_agent.rs
@@ -6,12 +6,13 @@
 
 use node::Follower;
 use note::Group;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::{CancellationToken, DropGuard};
 use wire::proto::Announcement;
 use wire::{ClusterKey, Identity, LinkSettings};
 
 use crate::engine::{ArmingDialect, ClientSettings, TargetClient};
+use crate::links::is_relayed;
 use crate::map::{GroupSource, MapContext, MapHandle, MapSettings};
 
 /// Settings of an agent that only switches maps.
@@ -50,12 +51,13 @@
 }
 
 impl MapAgent {
-    /// Starts the agent.
+    /// Starts the agent. It accepts links until it is dropped, and then closes them; the
+    /// listener may be shared with the agent that follows.
     ///
     /// # Errors
     ///
-    /// Fails when the listener has no address.
-    pub async fn start(cfg: MapAgentSettings, links: TcpListener) -> eyre::Result<MapAgent> {
+    /// Fails when an actor can't be started.
+    pub async fn start(cfg: MapAgentSettings, links: Arc<TcpListener>) -> eyre::Result<MapAgent> {
         cfg.follower.set_announcement(Announcement {
             target: cfg.me.name.clone(),
             group: cfg.group.clone(),
@@ -78,8 +80,15 @@
         });
         let commands = crate::command::start(Arc::clone(&cx)).await?;
         let maps = crate::map::start(&cx, &commands, &cfg.me, &cfg.key, &cfg.link).await?;
-        let accepting = accept(links, cfg.me, cfg.key, cfg.link, maps, cfg.follower);
-        tokio::spawn(stop.clone().run_until_cancelled_owned(accepting));
+        let acceptor = LinkAcceptor {
+            me: cfg.me,
+            key: cfg.key,
+            cfg: cfg.link,
+            maps,
+            follower: cfg.follower,
+            stop: stop.clone(),
+        };
+        tokio::spawn(acceptor.run(links));
         Ok(MapAgent {
             group,
             _stop: stop.drop_guard(),
@@ -93,38 +102,49 @@
     }
 }
 
-async fn accept(
-    listener: TcpListener,
+/// Accepts links of other agents until the agent stops.
+#[derive(Clone)]
+struct LinkAcceptor {
     me: Identity,
     key: ClusterKey,
     cfg: LinkSettings,
     maps: MapHandle,
     follower: Follower,
-) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                log::warn!("failed to accept a link: {e}");
-                tokio::time::sleep(cfg.heartbeat_interval).await;
-                continue;
+    stop: CancellationToken,
+}
+
+impl LinkAcceptor {
+    async fn run(self, listener: Arc<TcpListener>) {
+        let stop = self.stop.clone();
+        while let Some(accepted) = stop.run_until_cancelled(listener.accept()).await {
+            match accepted {
+                Ok((stream, _)) => {
+                    tokio::spawn(self.clone().serve(stream));
+                }
+                Err(e) => {
+                    log::warn!("failed to accept a link: {e}");
+                    tokio::time::sleep(self.cfg.heartbeat_interval).await;
+                }
             }
+        }
+    }
+
+    /// Serves a link until its peer closes it or the agent stops. The peer then connects
+    /// again, to the agent that follows.
+    async fn serve(self, stream: TcpStream) {
+        let accepting = wire::accept(stream, &self.me, &self.key, &self.cfg);
+        let (link, mut rx) = match self.stop.run_until_cancelled(accepting).await {
+            Some(Ok(accepted)) => accepted,
+            Some(Err(e)) => return log::warn!("refused a link: {e}"),
+            None => return,
         };
-        let (me, key, cfg) = (me.clone(), key.clone(), cfg.clone());
-        let (maps, follower) = (maps.clone(), follower.clone());
-        tokio::spawn(async move {
-            let (link, mut rx) = match wire::accept(stream, &me, &key, &cfg).await {
-                Ok(accepted) => accepted,
-                Err(e) => return log::warn!("refused a link: {e}"),
-            };
-            while let Some(incoming) = rx.recv().await {
-                if crate::links::is_relayed(&incoming.body) {
-                    follower.relay(incoming);
-                } else {
-                    maps.deliver(incoming);
-                }
+        while let Some(Some(incoming)) = self.stop.run_until_cancelled(rx.recv()).await {
+            if is_relayed(&incoming.body) {
+                self.follower.relay(incoming);
+            } else {
+                self.maps.deliver(incoming);
             }
-            link.close();
-        });
+        }
+        link.close();
     }
 }
--- a/crates/agent/src/rank_agent.rs
+++ b/crates/agent/src/rank_agent.rs
@@ -1,6 +1,7 @@
 //! Runs a map agent for whichever rank an engine has.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use expert::{MoveCost, SwitchCriteria, SwitchTiming};
@@ -117,12 +118,10 @@
         link: cfg.link.clone(),
         follower: follower.clone(),
     };
-    let listener = wire::listen(cfg.links)?;
+    let listener = Arc::new(wire::listen(cfg.links)?);
     let service = wait_for_service(&cfg, &follower);
     let (experts, max_gap) = relaying.serve_until(&listener, service).await;
-    drop(listener);
     loop {
-        let listener = wire::listen(cfg.links)?;
         let state = wait_for_state(&client);
         let state = relaying.serve_until(&listener, state).await;
         let settings = MapAgentSettings {
@@ -138,7 +137,7 @@
             client: CLIENT_SETTINGS,
             maps: map_settings(experts, state.ranks, max_gap, cfg.slowdown),
         };
-        let agent = MapAgent::start(settings, listener).await?;
+        let agent = MapAgent::start(settings, Arc::clone(&listener)).await?;
         agent.set_group(group_info(&state, experts));
         log::info!(group = state.group.as_str(), rank = state.rank; "serving a rank");
         watch_engine(&client, &state, cfg.engine, &follower).await;
