Wait for a busy or missing address instead of exiting

A process exited with code 1 when another socket held any address that it listens on, also when it was only the address of the metrics page. After a restart the holder may be an outgoing connection whose port the kernel chose, or a process that is still shutting down; a supervisor then starts the process again and again.

Cause: each listener was bound once, and an error ended the start.

wire::listen_when_free binds with backoff and logs the wait once, and once its end. Only errors that can't pass by themselves (permission, invalid or unsupported address) are returned. The programs wait for the address without which they can't work: of callers (entry), of links (control replica, agent; an agent binds it before it announces it). All others are bound in the background, so that a held metrics, readiness, operators' or directory address costs nothing but itself: admin::serve_when_free, and control::HttpListener for the replica's own HTTP server.

The three daemons of the product wait in the same way; there is no process test for these.

--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -44,6 +44,6 @@
 pub use problem::Problem;
 pub use prometheus_client::registry::Registry;
 pub use ran::Ran;
-pub use server::serve;
+pub use server::{serve, serve_when_free};
 pub use server_settings::{HalfClose, ServerSettings};
 pub use until_close::until_close;
--- a/crates/admin/src/server.rs
+++ b/crates/admin/src/server.rs
@@ -92,6 +92,46 @@
     }
 }
 
+/// Like [`serve`], at an address that may still be held by another process: binds it as
+/// soon as it is free.
+///
+/// # Errors
+///
+/// Fails if the address can never be bound, for example for lack of permission.
+///
+/// ```
+/// # let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+/// # runtime.block_on(async {
+/// use admin::{Response, ServerSettings, full, serve_when_free};
+/// use tokio_util::sync::CancellationToken;
+///
+/// let held = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+/// let address = held.local_addr().unwrap();
+/// let stop = CancellationToken::new();
+/// let server = serve_when_free(address, ServerSettings::default(), stop.clone(), |_req| async {
+///     Response::new(full("hello"))
+/// });
+/// stop.cancel();
+/// assert!(server.await.is_ok());
+/// # });
+/// ```
+pub async fn serve_when_free<H, F>(
+    address: SocketAddr,
+    cfg: ServerSettings,
+    stop: CancellationToken,
+    handler: H,
+) -> io::Result<()>
+where
+    H: Fn(hyper::Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response> + Send + 'static,
+{
+    let binding = wire::listen_when_free(address);
+    if let Some(listener) = stop.run_until_cancelled(binding).await {
+        serve(listener?, cfg, stop, handler).await;
+    }
+    Ok(())
+}
+
 /// Serves one connection. After `stop` is cancelled, the connection is closed when the
 /// request in progress is finished or the drain timeout expires.
 fn serve_connection<H, F>(
--- a/crates/agent/src/rank_agent.rs
+++ b/crates/agent/src/rank_agent.rs
@@ -107,8 +107,10 @@
 ///
 /// # Errors
 ///
-/// Fails when the link address can't be bound.
+/// Fails when the link address can never be bound.
 pub async fn run_rank_agent(cfg: RankAgentSettings) -> eyre::Result<()> {
+    // Bound before the follower announces the address to other nodes.
+    let listener = Arc::new(wire::listen_when_free(cfg.links).await?);
     let client = TargetClient::arming(cfg.engine, cfg.dialect, CLIENT_SETTINGS);
     let me = Identity::new(Role::Agent, cfg.name.clone(), rand::random());
     let follower = spawn_follower(&cfg, &me);
@@ -118,7 +120,6 @@
         link: cfg.link.clone(),
         follower: follower.clone(),
     };
-    let listener = Arc::new(wire::listen(cfg.links)?);
     let service = wait_for_service(&cfg, &follower);
     let (experts, max_gap) = relaying.serve_until(&listener, service).await;
     loop {
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -68,7 +68,7 @@
     pub async fn start_with(settings: Settings, listeners: Listeners, ops: Ops) -> Result<Control> {
         let key = ClusterKey::from_file(&settings.cluster_key_file)?;
         let link_address = listeners.links.local_addr()?;
-        let http_address = listeners.http.local_addr()?;
+        let http_address = listeners.http.address()?;
         let mut settings = settings;
         settings.advertise.get_or_insert(link_address);
         let token = OperatorToken::from_file(&settings.operator_token_file)?;
--- a/crates/control/src/http.rs
+++ b/crates/control/src/http.rs
@@ -1,17 +1,17 @@
 //! Operators' HTTP server of a replica.
 
 use crate::leader_client::LeaderClient;
+use crate::listeners::HttpListener;
 use crate::metrics::Metrics;
 use admin::{
     MonitoringRoutes, OperatorRoutes, OperatorToken, Problem, Registry, Response, ServerSettings,
 };
 use std::sync::Arc;
-use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
 /// Serves requests until `stop` is cancelled.
 pub(crate) async fn serve(
-    listener: TcpListener,
+    listener: HttpListener,
     token: OperatorToken,
     leader_client: LeaderClient,
     metrics: Metrics,
@@ -41,7 +41,15 @@
         let (operators, pages) = (operators.clone(), pages.clone());
         async move { answer(req, &operators, &pages).await }
     };
-    admin::serve(listener, ServerSettings::default(), stop, handler).await;
+    let cfg = ServerSettings::default();
+    match listener {
+        HttpListener::Bound(listener) => admin::serve(listener, cfg, stop, handler).await,
+        HttpListener::WhenFree(address) => {
+            if let Err(e) = admin::serve_when_free(address, cfg, stop, handler).await {
+                log::error!("operators' HTTP server can't start: {e}");
+            }
+        }
+    }
 }
 
 async fn answer(
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -38,7 +38,7 @@
 pub use cluster_formation::ClusterFormation;
 pub use control::Control;
 pub use init::init;
-pub use listeners::Listeners;
+pub use listeners::{HttpListener, Listeners};
 pub use node_leases::{NodeLeases, NoteProgress};
 pub use settings::{ReplicaAddress, Settings};
 pub use state_machine::StateMachine;
--- a/crates/control/tests/replicas/cluster.rs
+++ b/crates/control/tests/replicas/cluster.rs
@@ -131,7 +131,7 @@
     pub async fn start_replica_with(&mut self, name: &str, ops: Ops) {
         let listeners = Listeners {
             links: listen(self.addresses[name]).await,
-            http: listen("127.0.0.1:0".parse().unwrap()).await,
+            http: listen("127.0.0.1:0".parse().unwrap()).await.into(),
         };
         let settings = self.settings(name);
         let control = Control::start_with(settings, listeners, ops).await.unwrap();
--- a/crates/entry/tests/entry/support/cluster.rs
+++ b/crates/entry/tests/entry/support/cluster.rs
@@ -58,7 +58,10 @@
         });
         let settings = control::Settings::from_slice(settings.to_string().as_bytes()).unwrap();
         control::init(&settings).unwrap();
-        let listeners = control::Listeners { links, http };
+        let listeners = control::Listeners {
+            links,
+            http: http.into(),
+        };
         let control = control::Control::start(settings, listeners).await.unwrap();
         Cluster {
             dir,
--- a/crates/lovageramp/src/daemon/agent.rs
+++ b/crates/lovageramp/src/daemon/agent.rs
@@ -32,8 +32,8 @@
 
 async fn serve(settings: Settings) -> eyre::Result<()> {
     let listeners = Listeners {
-        links: wire::listen(settings.listen)?,
-        http: wire::listen(settings.http)?,
+        links: wire::listen_when_free(settings.listen).await?,
+        http: wire::listen_when_free(settings.http).await?,
     };
     let name = settings.name.clone();
     let agent = Agent::start(settings, listeners).await?;
--- a/crates/lovageramp/src/daemon/control.rs
+++ b/crates/lovageramp/src/daemon/control.rs
@@ -66,8 +66,8 @@
 /// ```
 pub async fn serve_control(settings: Settings, ops: Ops) -> eyre::Result<()> {
     let listeners = Listeners {
-        links: wire::listen(settings.listen)?,
-        http: wire::listen(settings.http)?,
+        links: wire::listen_when_free(settings.listen).await?,
+        http: wire::listen_when_free(settings.http).await?.into(),
     };
     let name = settings.name.clone();
     let control = Control::start_with(settings, listeners, ops).await?;
--- a/crates/lovageramp/src/daemon/entry.rs
+++ b/crates/lovageramp/src/daemon/entry.rs
@@ -33,7 +33,7 @@
 
 async fn serve(settings: Settings) -> eyre::Result<()> {
     let listeners = Listeners {
-        http: wire::listen(settings.http)?,
+        http: wire::listen_when_free(settings.http).await?,
     };
     let name = settings.name.clone();
     let entry = Entry::start(settings, listeners).await?;
--- a/crates/lovageramp/src/standalone/deployment.rs
+++ b/crates/lovageramp/src/standalone/deployment.rs
@@ -284,7 +284,7 @@
         if is_new {
             control::init(&settings)?;
         }
-        let http = bind_loopback()?;
+        let http = bind_loopback()?.into();
         Control::start(settings, control::Listeners { links, http }).await
     }
 
--- a/crates/node/tests/relay/zone.rs
+++ b/crates/node/tests/relay/zone.rs
@@ -78,6 +78,7 @@
     });
     let settings = control::Settings::from_slice(settings.to_string().as_bytes()).unwrap();
     control::init(&settings).unwrap();
+    let http = http.into();
     let listeners = control::Listeners { links, http };
     let control = control::Control::start(settings, listeners).await.unwrap();
     (control, address, folder)
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -86,7 +86,7 @@
 pub use crate::identity::Identity;
 pub use crate::key::ClusterKey;
 pub use crate::link::{Incoming, Link};
-pub use crate::listen::listen;
+pub use crate::listen::{listen, listen_when_free};
 pub use crate::proto::Role;
 pub use crate::redial::redial;
 pub use crate::settings::LinkSettings;
