Install the signal handlers before anything else

A SIGHUP, with which the platform announces changed settings, killed an entry or a control replica that had not finished its start: the handler was installed only with the first reading of the seeds, after the listeners, the disk and the replica. A SIGTERM in the start of a control replica was seen only once the start had ended, and the exit then waited for blocking work such as an open on a slow disk.

SIGTERM ends a start at any await with exit code 0, and the exit does not wait for blocking work; what is being formatted or opened then is in the same state as after a crash. The daemons of the product do the same for SIGTERM and SIGINT.

Not covered: the bootstrap of the first replica runs on the main thread (crates/control/src/init.rs) and delays SIGTERM for as long as its disk takes.

--- a/crates/lovageramp/src/daemon/agent.rs
+++ b/crates/lovageramp/src/daemon/agent.rs
@@ -3,7 +3,7 @@
 use super::options::{options, with_description};
 use super::ready_line::ReadyLine;
 use super::runner::{Daemon, run};
-use super::signals::shutdown_signal;
+use super::signals::ShutdownSignal;
 use agent::{Agent, Listeners, Settings};
 use std::process::ExitCode;
 
@@ -31,19 +31,27 @@
 }
 
 async fn serve(settings: Settings) -> eyre::Result<()> {
-    let listeners = Listeners {
-        links: wire::listen_when_free(settings.listen).await?,
-        http: wire::listen_when_free(settings.http).await?,
-    };
+    let mut shutdown = ShutdownSignal::install()?;
     let name = settings.name.clone();
-    let agent = Agent::start(settings, listeners).await?;
+    let agent = tokio::select! {
+        () = shutdown.received() => return Ok(()),
+        started = start(settings) => started?,
+    };
     ReadyLine {
         name: &name,
         links: Some(agent.link_address()),
         http: agent.http_address(),
     }
     .print()?;
-    shutdown_signal().await?;
+    shutdown.received().await;
     agent.shutdown().await;
     Ok(())
 }
+
+async fn start(settings: Settings) -> eyre::Result<Agent> {
+    let listeners = Listeners {
+        links: wire::listen_when_free(settings.listen).await?,
+        http: wire::listen_when_free(settings.http).await?,
+    };
+    Agent::start(settings, listeners).await
+}
--- a/crates/lovageramp/src/daemon/control.rs
+++ b/crates/lovageramp/src/daemon/control.rs
@@ -3,7 +3,7 @@
 use super::options::{DaemonOptions, options, with_description};
 use super::ready_line::ReadyLine;
 use super::runner::{Daemon, run};
-use super::signals::shutdown_signal;
+use super::signals::ShutdownSignal;
 use bpaf::{construct, long};
 use control::{Control, Listeners, Settings};
 use std::process::ExitCode;
@@ -65,12 +65,12 @@
 /// # }
 /// ```
 pub async fn serve_control(settings: Settings, ops: Ops) -> eyre::Result<()> {
-    let listeners = Listeners {
-        links: wire::listen_when_free(settings.listen).await?,
-        http: wire::listen_when_free(settings.http).await?.into(),
-    };
+    let mut shutdown = ShutdownSignal::install()?;
     let name = settings.name.clone();
-    let control = Control::start_with(settings, listeners, ops).await?;
+    let control = tokio::select! {
+        () = shutdown.received() => return Ok(()),
+        started = start(settings, ops) => started?,
+    };
     ReadyLine {
         name: &name,
         links: Some(control.link_address()),
@@ -78,7 +78,7 @@
     }
     .print()?;
     tokio::select! {
-        signal = shutdown_signal() => signal?,
+        () = shutdown.received() => {}
         // After a disk failure the replica can't guarantee durability. The process
         // exits because it would still look healthy to a supervisor.
         () = control.stopped() => eyre::bail!("the replica stopped after a fatal error, see its log"),
@@ -86,3 +86,11 @@
     control.shutdown().await;
     Ok(())
 }
+
+async fn start(settings: Settings, ops: Ops) -> eyre::Result<Control> {
+    let listeners = Listeners {
+        links: wire::listen_when_free(settings.listen).await?,
+        http: wire::listen_when_free(settings.http).await?.into(),
+    };
+    Control::start_with(settings, listeners, ops).await
+}
--- a/crates/lovageramp/src/daemon/entry.rs
+++ b/crates/lovageramp/src/daemon/entry.rs
@@ -3,7 +3,7 @@
 use super::options::{options, with_description};
 use super::ready_line::ReadyLine;
 use super::runner::{Daemon, run};
-use super::signals::shutdown_signal;
+use super::signals::ShutdownSignal;
 use entry::{Entry, Listeners, Settings};
 use std::process::ExitCode;
 
@@ -32,18 +32,26 @@
 }
 
 async fn serve(settings: Settings) -> eyre::Result<()> {
-    let listeners = Listeners {
-        http: wire::listen_when_free(settings.http).await?,
-    };
+    let mut shutdown = ShutdownSignal::install()?;
     let name = settings.name.clone();
-    let entry = Entry::start(settings, listeners).await?;
+    let entry = tokio::select! {
+        () = shutdown.received() => return Ok(()),
+        started = start(settings) => started?,
+    };
     ReadyLine {
         name: &name,
         links: None,
         http: entry.http_address(),
     }
     .print()?;
-    shutdown_signal().await?;
+    shutdown.received().await;
     entry.shutdown().await;
     Ok(())
 }
+
+async fn start(settings: Settings) -> eyre::Result<Entry> {
+    let listeners = Listeners {
+        http: wire::listen_when_free(settings.http).await?,
+    };
+    Entry::start(settings, listeners).await
+}
--- a/crates/lovageramp/src/daemon/runner.rs
+++ b/crates/lovageramp/src/daemon/runner.rs
@@ -73,5 +73,8 @@
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()?;
-    runtime.block_on(future)
+    let result = runtime.block_on(future);
+    // An operation that still waits for a slow disk must not delay the exit.
+    runtime.shutdown_background();
+    result
 }
