Wait for a data folder that is in use, full or read-only

A control replica exited with code 1 at its start when the previous process on its data folder took longer than five seconds to end, and at once when the disk was full or read-only while a blank folder was formatted.

The folder is now opened again, with backoff, for as long as that may pass by itself: in use, full, read-only, or another i/o error before anything was opened. That repeats what a restart of the process would do. The reason is logged once, and again when it changes. What can't pass still ends the process: damage, a failed sync (what it covered is not known, so it must not be repeated), missing permission, a path that can't be a folder.

Not covered: control::init, with which the first replica creates the cluster, still fails on these errors; it runs before the open.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -18,7 +18,7 @@
 use ractor::{Actor, ActorRef};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use store::{Disk, Ops};
 use tokio::runtime::Handle;
 use tokio::sync::{Mutex, oneshot, watch};
@@ -32,8 +32,10 @@
 const TICKS_PER_HEARTBEAT: u32 = 4;
 /// Timeout for the actor's answer.
 const STATUS_TIMEOUT: Duration = Duration::from_secs(2);
-/// Timeout for another process to release the lock on the data folder.
-const LOCK_TIMEOUT: Duration = Duration::from_secs(5);
+/// Pauses before the first and the later attempts to open the data folder; they double in
+/// between.
+const MIN_OPEN_RETRY_DELAY: Duration = Duration::from_millis(50);
+const MAX_OPEN_RETRY_DELAY: Duration = Duration::from_millis(400);
 
 /// Handle to a running replica; cheap to clone.
 #[derive(Clone)]
@@ -54,8 +56,9 @@
     ///
     /// # Errors
     ///
-    /// Fails if the data folder is damaged, in use or not writable, or if a file
-    /// named in the settings cannot be read.
+    /// Fails if the data folder is damaged, or its disk failed or may not be written, or if
+    /// a file named in the settings cannot be read. Waits while the folder is in use, or its
+    /// disk full or read-only.
     pub async fn start(settings: Settings, listeners: Listeners) -> Result<Control> {
         Control::start_with(settings, listeners, Ops::default()).await
     }
@@ -263,21 +266,33 @@
     }
 }
 
-/// Opens the data folder. The previous process on it may still be shutting down. A slow
-/// disk may take any time.
+/// Opens the data folder as soon as that is possible. The previous process on it may still
+/// be shutting down, and the disk may be full, read-only or slow for any time.
 async fn open(settings: Settings, ops: Ops, disk_closed: CancellationToken) -> Result<Start> {
-    const RETRY_DELAY: Duration = Duration::from_millis(50);
-    let give_up = Instant::now() + LOCK_TIMEOUT;
+    let mut delay = MIN_OPEN_RETRY_DELAY;
+    let mut reported = None;
     loop {
         let (settings, ops) = (settings.clone(), ops.clone());
         let disk_closed = disk_closed.clone();
         let open = move || open_blocking(settings, ops, disk_closed);
         match tokio::task::spawn_blocking(open).await? {
-            Err(e) if e.is_in_use() && Instant::now() < give_up => {
-                tokio::time::sleep(RETRY_DELAY).await;
+            Err(e) if e.is_temporary() => {
+                let reason = e.to_string();
+                if reported.as_ref() != Some(&reason) {
+                    log::warn!("cannot open the data folder yet: {e}");
+                    reported = Some(reason);
+                }
+            }
+            done => {
+                let start = done?;
+                if reported.is_some() {
+                    log::info!("data folder opened after a wait");
+                }
+                return Ok(start);
             }
-            done => return Ok(done?),
         }
+        tokio::time::sleep(delay).await;
+        delay = (delay * 2).min(MAX_OPEN_RETRY_DELAY);
     }
 }
 
--- a/crates/control/tests/replicas/disks.rs
+++ b/crates/control/tests/replicas/disks.rs
@@ -4,7 +4,7 @@
 use serde_json::json;
 use std::io;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 use store::Ops;
 use tokio::time::timeout;
@@ -196,3 +196,39 @@
     };
     cluster.start_replica_with("r1", ops).await;
 }
+
+/// Operations on files that fail a few times with this error, one after the other.
+fn failing_at_first(kind: io::ErrorKind) -> Ops {
+    const FAILURES: usize = 3;
+    let failures = Arc::new(AtomicUsize::new(0));
+    let fails = {
+        let failures = Arc::clone(&failures);
+        move || failures.fetch_add(1, Ordering::Relaxed) < FAILURES
+    };
+    let real = Ops::default();
+    Ops {
+        create: Arc::new(move |path| {
+            if fails() {
+                return Err(kind.into());
+            }
+            (real.create)(path)
+        }),
+        ..Ops::default()
+    }
+}
+
+/// Guards against replicas that exit at their first start because the disk is full or
+/// read-only for a moment.
+#[tokio::test(flavor = "multi_thread")]
+async fn start_blank_disk_not_writable_yet() {
+    for kind in [
+        io::ErrorKind::StorageFull,
+        io::ErrorKind::ReadOnlyFilesystem,
+        io::ErrorKind::Other,
+    ] {
+        let mut cluster = Cluster::prepare(1).await;
+        cluster
+            .start_replica_with("r1", failing_at_first(kind))
+            .await;
+    }
+}
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -133,6 +133,36 @@
         matches!(self.code, Code::InUse(_))
     }
 
+    /// Returns whether the same operation on a folder that is not open may succeed later:
+    /// another process has the folder, or the disk is full, read-only or does not answer.
+    ///
+    /// A failed sync, damage and missing permission don't pass by themselves.
+    ///
+    /// ```
+    /// use store::{Disk, Ops};
+    ///
+    /// let folder = tempfile::tempdir().unwrap();
+    /// store::format(folder.path(), "control-1", &Ops::default()).unwrap();
+    /// let _first = Disk::open(folder.path(), Ops::default()).unwrap();
+    /// let e = Disk::open(folder.path(), Ops::default()).unwrap_err();
+    /// assert!(e.is_temporary());
+    /// ```
+    #[must_use]
+    pub fn is_temporary(&self) -> bool {
+        match &self.code {
+            Code::Full(_) | Code::InUse(_) => true,
+            Code::Io(_, _, e) => !matches!(
+                e.kind(),
+                io::ErrorKind::PermissionDenied
+                    | io::ErrorKind::NotADirectory
+                    | io::ErrorKind::InvalidFilename
+                    | io::ErrorKind::InvalidInput
+                    | io::ErrorKind::Unsupported
+            ),
+            _ => false,
+        }
+    }
+
     /// Returns whether the folder was never formatted.
     ///
     /// ```
