Survive a log collector that has exited

A program whose standard output and error nobody reads any more, as after the exit of a log collector, panicked at its next line of log. In the main task that ended the process with code 101; in any other task the task was gone and nobody noticed.

Cause: a write to the closed pipe fails, the logger reports that on standard error, and panics if that fails too (flexi_logger's default). A full disk under both files does the same.

The logger no longer panics, and NonBlockingLogWriter counts lines that the output refuses as left out instead of returning the error, since a report on standard error for each line may block.

--- a/crates/trace/src/logs.rs
+++ b/crates/trace/src/logs.rs
@@ -63,6 +63,8 @@
         LogFormat::Json => crate::json_line,
         LogFormat::Text => crate::text_line,
     };
+    // A collector that is gone must cost lines only, not the process that logs them.
+    let logger = logger.panic_if_error_channel_is_broken(false);
     let logger = match stream {
         LogStream::Stderr => logger.log_to_stderr().format(line),
         LogStream::Stdout => {
--- a/crates/trace/src/non_blocking_log_writer.rs
+++ b/crates/trace/src/non_blocking_log_writer.rs
@@ -23,7 +23,7 @@
 static LEFT_OUT: AtomicU64 = AtomicU64::new(0);
 
 /// Returns the number of log lines left out since the start of the process, because
-/// their call site exceeded its rate limit or the output was not being read.
+/// their call site exceeded its rate limit, or the output was not being read or refused them.
 ///
 /// ```
 /// assert_eq!(trace::lines_left_out(), 0);
@@ -34,7 +34,7 @@
 }
 
 /// Writes log lines as JSON, limited in rate by a [`LogRateLimiter`]. Lines that the
-/// output can't accept without blocking are left out.
+/// output can't accept without blocking are left out, as are those that it refuses.
 ///
 /// A log collector that stops reading would otherwise block the process at its next
 /// line, and with it all of its callers.
@@ -82,7 +82,8 @@
         if !matches!(written, Ok(true)) {
             inner.record_lost(callsite, left_out);
         }
-        written.map(drop)
+        // The logger would report an error on standard error, which may block.
+        Ok(())
     }
 
     fn flush(&self) -> io::Result<()> {
--- a/crates/trace/tests/bounded_lines.rs
+++ b/crates/trace/tests/bounded_lines.rs
@@ -94,3 +94,13 @@
     assert_eq!(read[0]["text"].as_str().unwrap().len(), 1_000);
     assert_eq!(read[1]["text"], "short");
 }
+
+/// Guards against errors for lines that nobody reads: the logger would report each on
+/// standard error, which may be closed or full.
+#[test]
+fn write_reader_gone() {
+    let (writer, reader) = piped_writer();
+    drop(reader);
+    log(&writer, 1, "line");
+    assert!(trace::lines_left_out() > 0);
+}
