Wait for a free descriptor instead of giving up the disk

A caller can bring this about: each of a replica's servers accepts 4,096 connections, more than most hosts allow a process together. If the folder can't be opened for a sync of its names, the error even counts as a failed sync, which leaves a marker that keeps the folder from ever being opened again (by reading the code; not tried).

The default operations of store now wait until a descriptor is free when they create a file or open the folder for its sync, and log the wait once. Only the thread of the disk waits; nothing is acknowledged meanwhile. Other errors stop the disk as before. Accepting and dialling already try again.

descriptors::control_disk_no_descriptors_left (64 descriptors, 100 callers) before: FAILED, "replica stopped after a fatal error, see its log". After: passed, with entry_no_descriptors_left, which passed before too, and the tests of disks:: (platform 3.40 s, replicas 6.01 s).

--- a/crates/store/src/ops.rs
+++ b/crates/store/src/ops.rs
@@ -1,10 +1,16 @@
 //! File operations that affect durability.
 
+use rustix::io::Errno;
 use std::fmt;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
 use std::path::Path;
 use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+/// Pause between two attempts to open a file while no descriptor is free.
+const NO_DESCRIPTOR_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Operation on a path.
 pub type PathOp<T = ()> = dyn Fn(&Path) -> io::Result<T> + Send + Sync;
@@ -42,11 +48,11 @@
             create: Arc::new(|path| {
                 let mut open = OpenOptions::new();
                 open.read(true).write(true).create(true).truncate(true);
-                open.open(path)
+                open_when_possible(path, || open.open(path))
             }),
             write: Arc::new(|_, file, bytes| file.write_all(bytes)),
             sync: Arc::new(|_, file| file.sync_data()),
-            sync_folder: Arc::new(|path| File::open(path)?.sync_all()),
+            sync_folder: Arc::new(|path| open_when_possible(path, || File::open(path))?.sync_all()),
             truncate: Arc::new(|_, file, len| file.set_len(len)),
             rename: Arc::new(|from, to| fs::rename(from, to)),
             remove: Arc::new(|path| fs::remove_file(path)),
@@ -59,3 +65,28 @@
         f.write_str("Ops")
     }
 }
+
+/// Opens a file, and waits while the process or the host has no free descriptor.
+///
+/// Connections may take all descriptors for a while. That says nothing about the disk, and
+/// must not be taken for its failure.
+fn open_when_possible(path: &Path, open: impl Fn() -> io::Result<File>) -> io::Result<File> {
+    let mut is_reported = false;
+    loop {
+        match open() {
+            Err(e) if is_out_of_descriptors(&e) => {
+                if !is_reported {
+                    log::warn!("no free descriptor for {}, waiting for one", path.display());
+                    is_reported = true;
+                }
+                thread::sleep(NO_DESCRIPTOR_RETRY_DELAY);
+            }
+            done => return done,
+        }
+    }
+}
+
+fn is_out_of_descriptors(e: &io::Error) -> bool {
+    let errno = Errno::from_io_error(e);
+    matches!(errno, Some(Errno::MFILE | Errno::NFILE))
+}
