Refuse routes whose hosts differ only in case

Operators got a config acknowledged in which two routes have one prefix and hosts that differ only in case; the first of them was never served.

Cause: the check compared hosts to the letter, the lookup doesn't. The check now compares them as the lookup does. new_same_host_in_other_case failed before (no finding) and passes now. Prefixes, keys and names of services are compared in the same way in both places.

--- a/crates/table/src/check.rs
+++ b/crates/table/src/check.rs
@@ -28,7 +28,8 @@
     for (position, route) in draft.routes.iter().enumerate() {
         let at = format!("routes[{position}]");
         check_route(draft, route, &at, findings);
-        let host_and_prefix = (route.host.as_str(), route.prefix.as_str());
+        // Hosts are looked up without regard to case.
+        let host_and_prefix = (route.host.to_ascii_lowercase(), route.prefix.as_str());
         if let Some(first) = seen.insert(host_and_prefix, position) {
             let message = format!("routes[{first}] has this host and prefix already");
             findings.push(Finding::new(at, message));
--- a/crates/table/tests/table.rs
+++ b/crates/table/tests/table.rs
@@ -138,6 +138,17 @@
     assert_eq!(finding_places(draft), expected);
 }
 
+/// The second of the two routes was looked up for both spellings, and the first was never
+/// served.
+#[test]
+fn new_same_host_in_other_case() {
+    let routes = vec![
+        route("first", "Desk.example", "/stock/"),
+        route("second", "desk.example", "/stock/"),
+    ];
+    assert_eq!(finding_places(draft(routes)), ["routes[1]"]);
+}
+
 /// A key shared by two accounts would let the callers of one use the limits of
 /// the other. The finding gives the places but not the key, which is a secret
 /// and would otherwise appear in the operator's terminal.
