Leave a silent target while there is time for another

Callers with 1.5 s whose repeatable request went to a stopped server got nothing within that time: the host of a stopped process accepts connections and acknowledges requests, so that only the inactivity timeout of 1.5 s ends the attempt. Cause: a fixed timeout that isn't set against the time that the request has left. It now ends after half of that time, at most as before, if another target can take the request and the retry budget allows. Streams have 8 s and keep the former timeout.

--- a/crates/direct/src/dispatch_attempts.rs
+++ b/crates/direct/src/dispatch_attempts.rs
@@ -12,7 +12,7 @@
 use outlet::Framing;
 use route::DispatchOutcome;
 use std::pin::pin;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::time::{sleep, timeout};
 
 /// Maximum number of bytes of a response that are buffered until it is complete. A
@@ -20,6 +20,12 @@
 /// longer be possible, and the caller could take a truncated one for complete.
 const MAX_BUFFERED_BYTES: usize = 8 << 20;
 
+/// Share of the time left after which a target that has sent nothing is given up, if
+/// another one could take the request: the rest is left for that one.
+const MAX_SILENCE_SHARE: f64 = 0.5;
+/// Minimum time after which a target that has sent nothing is given up.
+const MIN_SILENCE: Duration = Duration::from_millis(50);
+
 /// Outcome of one attempt.
 pub(crate) enum AttemptOutcome {
     /// A response to forward, and the slot that it still holds.
@@ -91,7 +97,7 @@
         let attempt = self.new_attempt(reuse, last_event_id);
         let mut response = pin!(attempt.send(permit));
         let mut changes = self.balancer.changes();
-        let mut inactivity = pin!(sleep(self.timing.inactivity));
+        let mut inactivity = pin!(sleep(self.max_silence()));
         loop {
             tokio::select! {
                 result = &mut response => return result,
@@ -99,7 +105,7 @@
                     if self.can_move() {
                         return Err(AttemptError::Lost("target unresponsive".to_owned()));
                     }
-                    inactivity.set(sleep(self.timing.inactivity));
+                    inactivity.set(sleep(self.max_silence()));
                 }
                 // Never fails: `self` holds the balancer, which owns the sender.
                 _ = changes.changed() => {
@@ -111,6 +117,12 @@
         }
     }
 
+    /// Time without a response after which the request is sent to another target.
+    fn max_silence(&self) -> Duration {
+        let share = self.time_left().mul_f64(MAX_SILENCE_SHARE);
+        self.timing.inactivity.min(share.max(MIN_SILENCE))
+    }
+
     /// Whether another target could take the request now.
     fn can_move(&self) -> bool {
         let now = Instant::now();
