--- a/crates/quorum/src/node/quorums.rs
+++ b/crates/quorum/src/node/quorums.rs
@@ -109,8 +109,8 @@
     /// Returns the number of terms by which an election that these voters have agreed
     /// to starts; `None` if they are no quorum.
     ///
-    /// A reduced quorum needs not overlap with the one that elected an earlier leader.
-    /// It waits until such a leader would be heard, and takes a term that none had.
+    /// A reduced quorum need not overlap with the one that elected an earlier leader. Its
+    /// election waits until that leader would be heard, and takes a term that no leader had.
     pub(super) fn term_step(
         &self,
         is_counted: impl Fn(DiskId) -> bool,
