Tell which services have requests of different priorities, and when callers leave

Requests can only be ordered by priority where they differ, and a request whose caller has left need not be started.

--- a/crates/table/src/request_kind.rs
+++ b/crates/table/src/request_kind.rs
@@ -15,6 +15,9 @@
         resume: Resume,
         /// Longest pause between two events that still counts as on time.
         pause: Option<Duration>,
+        /// Silence, also before the first event, after which callers leave; none if they
+        /// wait until their deadline.
+        max_silence: Option<Duration>,
     },
 }
 
@@ -33,7 +36,8 @@
     /// ```
     /// use table::{RequestKind, Resume};
     ///
-    /// assert!(RequestKind::Stream { resume: Resume::Anywhere, pause: None }.may_repeat());
+    /// let resume = Resume::Anywhere;
+    /// assert!(RequestKind::Stream { resume, pause: None, max_silence: None }.may_repeat());
     /// assert!(!RequestKind::Once.may_repeat());
     /// ```
     #[must_use]
@@ -44,6 +48,19 @@
             RequestKind::Stream { resume, .. } => resume == Resume::Anywhere,
         }
     }
+
+    /// Silence after which callers leave; none if they wait until their deadline.
+    ///
+    /// ```
+    /// assert!(table::RequestKind::Once.max_silence().is_none());
+    /// ```
+    #[must_use]
+    pub fn max_silence(self) -> Option<Duration> {
+        match self {
+            RequestKind::Stream { max_silence, .. } => max_silence,
+            RequestKind::Repeatable | RequestKind::Once => None,
+        }
+    }
 }
 
 /// Who may use a route.
--- a/crates/table/src/table.rs
+++ b/crates/table/src/table.rs
@@ -1,8 +1,8 @@
 //! A validated route table.
 
-use crate::{CallerLimits, ClientAccount, Draft, RequestKind, Route, Service, check};
+use crate::{Access, CallerLimits, ClientAccount, Draft, RequestKind, Route, Service, check};
 use cfg::Findings;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// A validated route table with its lookup indexes.
@@ -15,6 +15,8 @@
     services: BTreeMap<String, usize>,
     /// Positions in `draft.accounts` by key.
     keys: BTreeMap<String, usize>,
+    /// Names of the services whose requests have different priorities.
+    prioritized: BTreeSet<String>,
 }
 
 impl Table {
@@ -47,6 +49,7 @@
             routes,
             services: services.collect(),
             keys: keys.map(|(key, i)| (key.clone(), i)).collect(),
+            prioritized: prioritized_services(&draft),
             draft,
         })
     }
@@ -116,6 +119,17 @@
         pauses.min()
     }
 
+    /// Whether requests to the service have different priorities, by their route or by the
+    /// client account of their caller.
+    ///
+    /// ```
+    /// assert!(!table::Table::default().has_priorities("order-desk"));
+    /// ```
+    #[must_use]
+    pub fn has_priorities(&self, service: &str) -> bool {
+        self.prioritized.contains(service)
+    }
+
     /// All services, in document order.
     ///
     /// ```
@@ -157,3 +171,28 @@
         &self.draft.limits
     }
 }
+
+/// The services that requests of different priorities can reach.
+fn prioritized_services(draft: &Draft) -> BTreeSet<String> {
+    let mut priorities: BTreeMap<&str, BTreeSet<(u32, u32)>> = BTreeMap::new();
+    for route in &draft.routes {
+        let of_route = route_priorities(route, &draft.accounts);
+        for share in route.split.iter().filter(|share| share.weight > 0) {
+            let of_service = priorities.entry(share.service.as_str()).or_default();
+            of_service.extend(&of_route);
+        }
+    }
+    let differ = priorities.into_iter().filter(|(_, known)| known.len() > 1);
+    differ.map(|(service, _)| service.to_owned()).collect()
+}
+
+/// The priorities that requests of the route can have: the one that its caller's account
+/// gives it, and the route's own.
+fn route_priorities(route: &Route, accounts: &[ClientAccount]) -> BTreeSet<(u32, u32)> {
+    let open = route.access == Access::Anyone || accounts.is_empty();
+    let without_account = open.then_some(None);
+    let of_accounts = accounts.iter().map(|account| account.priority);
+    let all = without_account.into_iter().chain(of_accounts);
+    all.map(|of_account| (of_account.unwrap_or(route.priority), route.priority))
+        .collect()
+}
--- a/crates/table/tests/table.rs
+++ b/crates/table/tests/table.rs
@@ -74,6 +74,7 @@
         kind: RequestKind::Stream {
             resume: Resume::Anywhere,
             pause: pause.map(Duration::from_millis),
+            max_silence: None,
         },
         split: vec![share("other", 9), share(service, 1)],
         ..route(prefix, "a.example", prefix)
@@ -162,3 +163,52 @@
     let findings = Table::new(draft).unwrap_err();
     assert!(!findings.to_string().contains("topsecret"));
 }
+
+/// Requests of one priority were queued by priority, or those of different ones were not.
+#[test]
+fn has_priorities_by_routes_and_accounts() {
+    let with_priority = |prefix: &str, service: &str, priority| Route {
+        split: vec![share(service, 1), share("unused", 0)],
+        priority,
+        ..route(prefix, "a.example", prefix)
+    };
+    let routes = vec![
+        with_priority("/urgent/", "desk", 0),
+        with_priority("/later/", "desk", 2),
+        with_priority("/one/", "press", 1),
+        with_priority("/two/", "press", 1),
+    ];
+    let services = ["desk", "press", "unused"].map(|name| Service::new(name, 96));
+    let table = |accounts: Vec<ClientAccount>| {
+        let (routes, services) = (routes.clone(), services.to_vec());
+        Table::new(Draft {
+            accounts,
+            services,
+            ..draft(routes)
+        })
+        .unwrap()
+    };
+    let with_account = |name: &str, priority| ClientAccount {
+        priority,
+        ..account(name, &[name])
+    };
+    for (accounts, of_press) in [
+        (vec![], false),
+        (vec![with_account("huber", Some(1))], false),
+        (vec![with_account("huber", Some(2))], false),
+        (
+            vec![with_account("huber", Some(1)), account("maier", &["k"])],
+            false,
+        ),
+        (
+            vec![with_account("huber", Some(0)), account("maier", &["k"])],
+            true,
+        ),
+    ] {
+        let table = table(accounts);
+        assert!(table.has_priorities("desk"));
+        assert_eq!(table.has_priorities("press"), of_press);
+        assert!(!table.has_priorities("unused"));
+        assert!(!table.has_priorities("absent"));
+    }
+}
