--- /dev/null
+++ b/crates/route/src/target_availability.rs
@@ -0,0 +1,62 @@
+//! Whether a set has a target that serves requests.
+
+use crate::target_set::PROBE_DURATION;
+use crate::target_state::TargetState;
+use crate::{TargetKey, TargetSet};
+use std::time::Instant;
+
+impl TargetSet {
+    /// Whether no target serves requests, as far as is known: each declines them, has failed
+    /// or takes none. A target that is probed serves them once it has not declined in time.
+    ///
+    /// ```
+    /// use route::{DispatchOutcome, Locality, TargetSet, TargetSetSettings};
+    /// use std::time::{Duration, Instant};
+    ///
+    /// let now = Instant::now();
+    /// let mut target_set = TargetSet::new(TargetSetSettings::default());
+    /// assert!(target_set.is_out(now));
+    /// let key = target_set.insert(6, Locality::SameZone);
+    /// assert!(!target_set.is_out(now));
+    /// target_set.start(key, now);
+    /// target_set.end(key, DispatchOutcome::Failed, now);
+    /// assert!(target_set.is_out(now));
+    /// ```
+    #[must_use]
+    pub fn is_out(&self, now: Instant) -> bool {
+        let is_probe_over = |(_, since)| now >= since + PROBE_DURATION;
+        let serves = |(key, target): (TargetKey, &TargetState)| {
+            let probed = self.probe.filter(|(probed, _)| *probed == key);
+            let accepts = target.is_available() || probed.is_some_and(is_probe_over);
+            accepts && target.is_accepting() && !target.is_ejected(now)
+        };
+        !self.targets.iter().any(serves)
+    }
+
+    /// Records that a target has accepted a request that was sent at `sent`: it serves
+    /// requests, whatever it did before.
+    ///
+    /// ```
+    /// use route::{DispatchOutcome, Locality, TargetSet, TargetSetSettings};
+    /// use std::time::{Duration, Instant};
+    ///
+    /// let now = Instant::now();
+    /// let mut target_set = TargetSet::new(TargetSetSettings::default());
+    /// let key = target_set.insert(6, Locality::SameZone);
+    /// target_set.start(key, now);
+    /// target_set.end(key, DispatchOutcome::Failed, now);
+    /// // It had accepted this one before it failed.
+    /// target_set.record_serving(key, now);
+    /// assert!(target_set.is_out(now));
+    /// target_set.record_serving(key, now + Duration::from_millis(1));
+    /// assert!(!target_set.is_out(now));
+    /// ```
+    pub fn record_serving(&mut self, key: TargetKey, sent: Instant) {
+        if let Some(target) = self.targets.get_mut(key)
+            && target.unable_at.is_none_or(|at| at < sent)
+        {
+            target.ejected_until = None;
+            target.declining_until = None;
+        }
+    }
+}
--- a/crates/route/src/target_set.rs
+++ b/crates/route/src/target_set.rs
@@ -119,7 +119,7 @@
     settings: TargetSetSettings,
     pub(crate) targets: SlotMap<TargetKey, TargetState>,
     /// The target that is being probed, and the start of the probe.
-    probe: Option<(TargetKey, Instant)>,
+    pub(crate) probe: Option<(TargetKey, Instant)>,
     /// Start of the latest probe.
     last_probe: Option<Instant>,
     /// Moving average of the duration of requests, once one has completed.
@@ -152,7 +152,7 @@
 
 /// Duration of a probe. A target that cannot run a request declines it within a few
 /// milliseconds; one that can starts to answer some 100 ms later.
-const PROBE_DURATION: Duration = Duration::from_millis(50);
+pub(crate) const PROBE_DURATION: Duration = Duration::from_millis(50);
 /// Time between two probes while other targets have room, and from when a target may be
 /// probed until it is probed all the same.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/route/src/target_state.rs
+++ b/crates/route/src/target_state.rs
@@ -78,6 +78,8 @@
     pub(crate) declining_until: Option<Instant>,
     pauses: Option<Pauses>,
     failures: u32,
+    /// When the target last failed or declined.
+    pub(crate) unable_at: Option<Instant>,
     pub(crate) ejected_until: Option<Instant>,
     cold: ColdLimit,
     pub(crate) limit: RequestLimit,
@@ -102,6 +104,7 @@
             declining_until: None,
             pauses: None,
             failures: 0,
+            unable_at: None,
             ejected_until: None,
             cold: ColdLimit::default(),
             limit: RequestLimit::default(),
@@ -375,6 +378,9 @@
         now: Instant,
         settings: &TargetSetSettings,
     ) {
+        if matches!(outcome, DispatchOutcome::Failed | DispatchOutcome::Declined) {
+            self.unable_at = Some(now);
+        }
         match outcome {
             DispatchOutcome::Answered => {
                 self.failures = 0;
