Let the first of the waiting requests take any free slot, also when it is late

A late request is only accepted below three quarters of the slots, so that later ones can be on time. Where requests wait in the order of their priorities, the one that is first would be kept out in favour of less urgent ones.

--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -55,6 +55,7 @@
 mod pool_settings;
 mod quarantine;
 mod quarantine_document;
+mod queued_choice;
 mod quota_allocator;
 mod rank;
 mod refusal;
--- a/crates/route/src/target_set.rs
+++ b/crates/route/src/target_set.rs
@@ -140,6 +140,23 @@
     pub(crate) mean_own: f64,
     /// Mean number of requests of other entries at the targets that have told lately.
     pub(crate) mean_others: f64,
+    pub(crate) lateness: Lateness,
+}
+
+/// Whether a request that is already late yields to later ones that can be on time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Lateness {
+    /// It is only accepted while there are slots left for those.
+    Yields,
+    /// It is accepted to any free slot: those that come before it have started.
+    Ignored,
+}
+
+impl RequestTiming {
+    /// Whether the request is late and yields to those that can be on time.
+    pub(crate) fn yields(&self) -> bool {
+        self.time_left.is_zero() && self.lateness == Lateness::Yields
+    }
 }
 
 fn mean(counts: impl Iterator<Item = u32>) -> f64 {
@@ -268,7 +285,7 @@
         self.lowest_cost(&timing, eligible, now, rng)
     }
 
-    fn timing(&self, time_left: Duration, now: Instant) -> RequestTiming {
+    pub(crate) fn timing(&self, time_left: Duration, now: Instant) -> RequestTiming {
         let mean_duration = self.mean_duration.unwrap_or_default();
         let preferred = self.targets.values().filter(|t| t.is_preferred());
         let reported = self.targets.values();
@@ -278,6 +295,7 @@
             mean_duration,
             mean_own: mean(preferred.map(|target| target.own)),
             mean_others: mean(reported),
+            lateness: Lateness::Yields,
         }
     }
 
@@ -320,8 +338,18 @@
         now: Instant,
         rng: &mut impl Rng,
     ) -> Option<TargetKey> {
-        self.end_probe(now);
         let timing = self.timing(time_left, now);
+        self.choose_timed(timing, tried, now, rng)
+    }
+
+    pub(crate) fn choose_timed(
+        &mut self,
+        timing: RequestTiming,
+        tried: &[TargetKey],
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Option<TargetKey> {
+        self.end_probe(now);
         let untried = |(key, target): &(TargetKey, &TargetState)| {
             target.is_accepting() && self.takes_more(target, now) && !tried.contains(key)
         };
@@ -368,9 +396,20 @@
         tried: &[TargetKey],
         now: Instant,
         rng: &mut impl Rng,
+    ) -> bool {
+        let timing = self.timing(time_left, now);
+        self.can_choose_timed(timing, tried, now, rng)
+    }
+
+    pub(crate) fn can_choose_timed(
+        &mut self,
+        timing: RequestTiming,
+        tried: &[TargetKey],
+        now: Instant,
+        rng: &mut impl Rng,
     ) -> bool {
         let probes = (self.probe, self.last_probe);
-        let chosen = self.choose_within(time_left, tried, now, rng);
+        let chosen = self.choose_timed(timing, tried, now, rng);
         (self.probe, self.last_probe) = probes;
         chosen.is_some()
     }
@@ -444,7 +483,7 @@
         if let Some(key) = self.least_loaded(timing, preferred, now, rng) {
             return Some(key);
         }
-        if timing.time_left.is_zero() || !self.load_probe.is_due(now) {
+        if timing.yields() || !self.load_probe.is_due(now) {
             return None;
         }
         let unknown = targets()
@@ -563,6 +602,12 @@
         });
     }
 
+    /// Moving average of the duration of requests; none before one has completed.
+    #[must_use]
+    pub fn mean_duration(&self) -> Option<Duration> {
+        self.mean_duration
+    }
+
     /// Number of requests of this entry at a target.
     #[must_use]
     pub fn running(&self, key: TargetKey) -> u32 {
--- a/crates/route/src/target_state.rs
+++ b/crates/route/src/target_state.rs
@@ -155,7 +155,7 @@
     /// Whether a request would get a slot in time. Requests that are already late yield
     /// to those that can be on time.
     fn starts_in_time(&self, occupied: f64, timing: &RequestTiming, now: Instant) -> bool {
-        if timing.time_left.is_zero() {
+        if timing.yields() {
             return occupied < self.capacity * LATE_REQUEST_SHARE;
         }
         let ahead = (occupied + 1.0 - self.capacity).max(0.0);
