--- a/crates/route/src/pausable_clock.rs
+++ b/crates/route/src/pausable_clock.rs
@@ -7,8 +7,6 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct PausableClock {
     origin: Option<Instant>,
-    /// Latest time at which the clock was used.
-    latest: Option<Instant>,
     is_paused: bool,
     stopped_at: Option<Instant>,
     /// Total length of past pauses.
@@ -28,7 +26,6 @@
     /// Notes the present time. The clock restarts here after a pause.
     pub(crate) fn advance(&mut self, now: Instant) {
         self.origin.get_or_insert(now);
-        self.latest = self.latest.max(Some(now));
         if self.is_paused {
             self.stopped_at.get_or_insert(now);
         } else if let Some(stopped_at) = self.stopped_at.take() {
@@ -37,10 +34,10 @@
         }
     }
 
-    /// Stops the clock at the latest time at which it was used.
-    pub(crate) fn pause(&mut self) {
+    /// Stops the clock as of `at`, or as of its next use.
+    pub(crate) fn pause(&mut self, at: Option<Instant>) {
         self.is_paused = true;
-        self.stopped_at = self.stopped_at.or(self.latest);
+        self.stopped_at = self.stopped_at.or(at);
     }
 
     pub(crate) fn resume(&mut self) {
--- a/crates/route/src/queue_bounds.rs
+++ b/crates/route/src/queue_bounds.rs
@@ -4,6 +4,7 @@
 
 use crate::queue_account::QueueAccount;
 use crate::queue_class::{QueueClass, count};
+use crate::request_queue::AccountUsage;
 use crate::{Priority, QueueKey, QueueRefusal, QueueRefusalReason, QueuedRequest, RequestQueue};
 
 impl RequestQueue {
@@ -14,8 +15,8 @@
         now: Instant,
     ) -> Result<(), QueueRefusal> {
         let refuse = |queue: &Self, reason| Err(queue.refusal(reason, request.priority, now));
-        if self.is_over_account_share(request) {
-            let Some(victim) = self.least_urgent_of(request, now) else {
+        if self.is_over_account_share(request, AccountUsage::default()) {
+            let Some(victim) = self.own_victim(request, now) else {
                 return refuse(self, QueueRefusalReason::AccountShare);
             };
             self.displace(victim, QueueRefusalReason::AccountShare, now);
@@ -33,8 +34,7 @@
     }
 
     fn has_room(&self, request: &QueuedRequest) -> bool {
-        self.len() < self.settings.max_requests
-            && self.bytes.saturating_add(request.bytes) <= self.settings.max_bytes
+        self.len() < self.settings.max_requests && self.is_within_bytes(self.bytes, request)
     }
 
     /// Whether displacing others can make room, so that none is displaced in
@@ -54,8 +54,12 @@
         let equal_bytes = equal.map_or(0, |key| self.requests[key].request.bytes);
         let bytes = classes.iter().map(|class| class.bytes).sum::<usize>() + equal_bytes;
         let kept = self.bytes.saturating_sub(bytes);
-        (!classes.is_empty() || equal.is_some())
-            && kept.saturating_add(request.bytes) <= self.settings.max_bytes
+        (!classes.is_empty() || equal.is_some()) && self.is_within_bytes(kept, request)
+    }
+
+    fn is_within_bytes(&self, used: usize, request: &QueuedRequest) -> bool {
+        let bytes = used.checked_add(request.bytes);
+        bytes.is_some_and(|bytes| bytes <= self.settings.max_bytes)
     }
 
     /// Returns the request to displace for a new one, if any.
@@ -80,30 +84,49 @@
         (other && excess > own).then_some(key)
     }
 
-    fn is_over_account_share(&self, request: &QueuedRequest) -> bool {
+    /// Whether the account of a new request would exceed its share once `freed`
+    /// of it has gone.
+    fn is_over_account_share(&self, request: &QueuedRequest, freed: AccountUsage) -> bool {
         let settings = &self.settings;
-        let usage = self
-            .usage
-            .get(&request.account)
-            .copied()
-            .unwrap_or_default();
+        let usage = self.usage.get(&request.account).copied();
+        let usage = usage.unwrap_or_default();
         let others = self.usage.len() - usize::from(usage.requests > 0);
-        let over = |used: usize, added: usize, total: usize, max: usize| {
-            total >= max.div_ceil(4)
-                && count(used.saturating_add(added)) > settings.account_share * count(max)
+        let over = |used: usize, freed, added, total: usize, max: usize| {
+            let used = used.saturating_sub(freed).saturating_add(added);
+            total >= max.div_ceil(4) && count(used) > settings.account_share * count(max)
         };
-        others > 0
-            && (over(usage.requests, 1, self.len(), settings.max_requests)
-                || over(usage.bytes, request.bytes, self.bytes, settings.max_bytes))
+        let requests = self.len();
+        let is_over = over(
+            usage.requests,
+            freed.requests,
+            1,
+            requests,
+            settings.max_requests,
+        ) || over(
+            usage.bytes,
+            freed.bytes,
+            request.bytes,
+            self.bytes,
+            settings.max_bytes,
+        );
+        others > 0 && is_over
     }
 
-    /// Returns the least urgent request of the same account, if less urgent.
-    fn least_urgent_of(&self, request: &QueuedRequest, now: Instant) -> Option<QueueKey> {
+    /// Returns a less urgent request of the same account whose place suffices.
+    fn own_victim(&self, request: &QueuedRequest, now: Instant) -> Option<QueueKey> {
+        if self.displaced.len() >= self.settings.max_requests {
+            return None;
+        }
         let classes = self.classes.range(request.priority..).rev();
         let less_urgent = classes.filter(|(priority, _)| **priority > request.priority);
         let mut accounts =
             less_urgent.filter_map(|(_, class)| class.accounts.get(&request.account));
-        accounts.find_map(|account| account.last(&self.requests, now))
+        let victim = accounts.find_map(|account| account.last(&self.requests, now))?;
+        let freed = AccountUsage {
+            requests: 1,
+            bytes: self.requests[victim].request.bytes,
+        };
+        (!self.is_over_account_share(request, freed)).then_some(victim)
     }
 
     fn displace(&mut self, key: QueueKey, reason: QueueRefusalReason, now: Instant) {
--- a/crates/route/src/queue_rates.rs
+++ b/crates/route/src/queue_rates.rs
@@ -20,6 +20,7 @@
     clock: PausableClock,
     starts: RateWindow,
     arrivals: BTreeMap<Priority, RateWindow>,
+    last_start: Option<Instant>,
     paused_until: Option<Instant>,
 }
 
@@ -27,7 +28,8 @@
     pub(crate) fn set_paused(&mut self, until: Option<Instant>) {
         self.paused_until = until;
         if until.is_some() {
-            self.clock.pause();
+            // The targets were unavailable for some time before this was known.
+            self.clock.pause(self.last_start);
         } else {
             self.clock.resume();
         }
@@ -51,6 +53,7 @@
         self.clock.advance(now);
         if !self.clock.is_paused() {
             self.starts.record(self.clock.elapsed(now));
+            self.last_start = Some(now);
         }
     }
 
--- a/crates/route/src/queue_refusal.rs
+++ b/crates/route/src/queue_refusal.rs
@@ -39,3 +39,21 @@
     /// Its latest useful start has passed.
     Expired,
 }
+
+impl QueueRefusalReason {
+    /// Name of the reason in metrics.
+    ///
+    /// ```
+    /// assert_eq!(route::QueueRefusalReason::AccountShare.name(), "account_share");
+    /// ```
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            QueueRefusalReason::Full => "full",
+            QueueRefusalReason::AccountShare => "account_share",
+            QueueRefusalReason::Displaced => "displaced",
+            QueueRefusalReason::Unservable => "unservable",
+            QueueRefusalReason::Expired => "expired",
+        }
+    }
+}
--- a/crates/route/src/request_queue.rs
+++ b/crates/route/src/request_queue.rs
@@ -227,7 +227,6 @@
     /// also ends the pause.
     pub fn set_paused(&mut self, until: Option<Instant>) {
         self.rates.set_paused(until);
-        self.predicted_at = None;
     }
 
     /// Number of waiting requests.
