Queue requests for a slot where those of a service have different priorities

A request that found all targets full was refused at once, whatever its priority, and lateness kept more urgent ones out. Requests of services with different priorities now wait in a route::RequestQueue and start in its order when a slot is released, a load report comes, targets change or a time is due. Targets are told the urgency. Services with one priority are served as before.

--- a/crates/direct/src/balancer.rs
+++ b/crates/direct/src/balancer.rs
@@ -13,7 +13,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use table::Table;
-use tokio::sync::{Semaphore, SemaphorePermit, watch};
+use tokio::sync::{Notify, Semaphore, SemaphorePermit, watch};
 
 /// Maximum number of requests that wait for a route table or target. With four
 /// entries this is about what the targets of a service can start at once when
@@ -26,18 +26,20 @@
 pub(crate) struct Balancer {
     name: String,
     zone: String,
-    timing: Timing,
+    pub(crate) timing: Timing,
     retry_tolerance: RetryTolerance,
     inner: Mutex<Inner>,
     /// Notified when targets or the route table may have changed.
     changes: watch::Sender<()>,
     waiting: Semaphore,
+    /// Notified when requests wait again, and when the balancer is dropped.
+    pub(crate) queue_timer: Arc<Notify>,
 }
 
 #[derive(Debug)]
-struct Inner {
-    rng: SmallRng,
-    services: BTreeMap<String, ServiceTargets>,
+pub(crate) struct Inner {
+    pub(crate) rng: SmallRng,
+    pub(crate) services: BTreeMap<String, ServiceTargets>,
     /// Per route, the time that callers spent on earlier attempts.
     time_used: BTreeMap<String, ElapsedWait>,
     rests: Rests,
@@ -94,12 +96,13 @@
             inner: Mutex::new(inner),
             changes: watch::Sender::default(),
             waiting: Semaphore::new(MAX_WAITING_REQUESTS),
+            queue_timer: Arc::default(),
         }
     }
 
     /// Updates the services and their targets from the route table and from what control
     /// has told of targets and entries.
-    pub(crate) fn update(&self, table: &Table, known: &Known, now: Instant) {
+    pub(crate) fn update(self: &Arc<Balancer>, table: &Table, known: &Known, now: Instant) {
         let place = EntryPlace {
             name: &self.name,
             zone: &self.zone,
@@ -127,6 +130,7 @@
                 .iter()
                 .filter(|known| known.report.service == service.name);
             targets.update(of_service, &place, self.timing.idle_connection, now);
+            targets.set_has_priorities(table.has_priorities(&service.name));
             targets.apply_rests(rests);
             targets.apply_departures(departures);
             targets.retry_budget.set_limits(&retry_limits, now);
@@ -138,6 +142,7 @@
         }
         drop(inner);
         self.changes.send_replace(());
+        self.drain_queues(now);
     }
 
     /// For each service: its name, the number of available targets, and of all.
@@ -249,12 +254,13 @@
         targets.is_some_and(|targets| targets.retry_budget.withdraw(now))
     }
 
-    /// Delay until a refused caller should retry: at most `max_delay`, but not before the
-    /// end of a rest of all targets. It is randomised, so that callers refused together do
+    /// Delay until a refused caller should retry: `predicted` or later, at most `max_delay`,
+    /// but not before the end of a rest of all targets. It is randomised, so that callers refused together do
     /// not retry together.
     pub(crate) fn retry_after_refusal(
         &self,
         service: &str,
+        predicted: Duration,
         max_delay: Duration,
         now: Instant,
     ) -> Duration {
@@ -266,7 +272,7 @@
         };
         let max_delay = max_delay.div_f64(JITTER.end);
         let after = targets.retry_schedule.next_retry_after(max_delay, now);
-        let after = with_jitter(after, rng);
+        let after = with_jitter(after.max(predicted.min(max_delay)), rng);
         let rest = targets.set.time_to_rest_end(now);
         rest.map_or(after, |rest| {
             after.max(rest + after_full.mul_f64(rng.random()))
@@ -307,7 +313,7 @@
 
     /// Records what the head of a response says about the target.
     pub(crate) fn record_head(
-        &self,
+        self: &Arc<Balancer>,
         service: &str,
         (key, endpoint): (TargetKey, &Endpoint),
         head: &HeadReport,
@@ -342,6 +348,11 @@
         } else if head.accepted {
             targets.set.record_accepted(key, head.sent);
         }
+        if let Some(waiting) = targets.waiting.as_mut().filter(|_| head.accepted) {
+            waiting.record_head_time(now.saturating_duration_since(head.sent));
+        }
+        drop(inner);
+        self.drain_queue(service, now);
     }
 
     /// Records the pause between two events of a stream, and the longest pause
@@ -360,7 +371,7 @@
 
     /// Releases the slot of a request that was sent `time` ago.
     pub(crate) fn finish(
-        &self,
+        self: &Arc<Balancer>,
         service: &str,
         key: TargetKey,
         (outcome, time): (DispatchOutcome, Duration),
@@ -386,6 +397,7 @@
             // the target; requests that wait for its outcome are woken.
             self.changes.send_replace(());
         }
+        self.drain_queue(service, now);
     }
 
     /// Closes connections that were idle for too long.
@@ -400,12 +412,18 @@
         }
     }
 
-    fn inner(&self) -> MutexGuard<'_, Inner> {
+    pub(crate) fn inner(&self) -> MutexGuard<'_, Inner> {
         // No code that holds the lock can panic and leave the state inconsistent.
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+impl Drop for Balancer {
+    fn drop(&mut self) {
+        self.queue_timer.notify_one();
+    }
+}
+
 /// Range of the random factor applied to retry delays.
 const JITTER: std::ops::Range<f64> = 0.75..1.5;
 
--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -16,8 +16,14 @@
     pub time_left: Duration,
     /// Id of the last event received, for a stream that is resumed.
     pub last_event_id: Option<u64>,
+    /// How urgent the request is among those of its service, from 0, the most urgent, to
+    /// [`MAX_URGENCY`]; none if they are all alike.
+    pub urgency: Option<u8>,
 }
 
+/// The value of [`RequestMetadata::urgency`] for the least urgent requests.
+pub const MAX_URGENCY: u8 = 9;
+
 /// Information from the head of a response.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ResponseInfo {
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -14,20 +14,33 @@
 use crate::target_response::TargetResponse;
 use crate::timing::Timing;
 use node::Watcher;
-use route::{Features, TargetKey};
+use route::{Features, Priority, TargetKey};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use table::{RequestKind, Route};
+use table::{ClientAccount, RequestKind, Route};
 use tokio::time::timeout;
 
 /// Maximum number of attempts that fail before any byte is written. They cost
 /// targets nothing, but each may cost the caller a connect timeout.
 const MAX_UNSENT_ATTEMPTS: u32 = 3;
 
+/// What the route table says of a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RequestClass<'a> {
+    /// The client account of the caller, if it has one.
+    pub(crate) account: Option<&'a ClientAccount>,
+    pub(crate) service: &'a str,
+    pub(crate) route: &'a Route,
+    /// How urgent the request is, if requests of the service differ in that.
+    pub(crate) urgency: Option<u8>,
+}
+
 /// A request that is being sent to targets.
 pub(crate) struct Dispatch {
     pub(crate) req: ProxyRequest,
     pub(crate) account: Option<String>,
+    pub(crate) priority: Priority,
+    pub(crate) urgency: Option<u8>,
     /// What the request may share with others that crash targets.
     pub(crate) features: Features,
     pub(crate) service: String,
@@ -35,7 +48,9 @@
     pub(crate) deadline: Instant,
     /// When the response must start to meet the route's latency objective; none if
     /// the objective was already missed on arrival.
-    objective_deadline: Option<Instant>,
+    pub(crate) objective_deadline: Option<Instant>,
+    /// Since when the caller has received nothing; none while it receives events.
+    pub(crate) quiet_since: Option<Instant>,
     /// Number of targets that may still be given the request.
     pub(crate) attempts_left: u32,
     pub(crate) balancer: Arc<Balancer>,
@@ -48,7 +63,9 @@
     /// Attempts that failed before any byte was written.
     pub(crate) unsent_attempts: u32,
     /// Whether the caller has received the head of a response.
-    response_started: bool,
+    pub(crate) response_started: bool,
+    /// Predicted wait according to the queue that refused the request, if one did.
+    pub(crate) predicted_wait: Duration,
     /// Whether the request has waited for a target.
     has_waited: bool,
     /// Reason of the last failed attempt after which the request may have run.
@@ -57,20 +74,30 @@
 
 impl Dispatch {
     pub(crate) fn new(
-        account: Option<String>,
-        service: &str,
-        route: &Route,
+        class: &RequestClass<'_>,
         deadline: Instant,
         proxy: &Proxy,
         req: ProxyRequest,
     ) -> Dispatch {
-        Dispatch {
-            features: req.features(account.as_deref()),
+        let RequestClass {
             account,
+            service,
+            route,
+            urgency,
+        } = *class;
+        Dispatch {
+            features: req.features(account.map(|account| account.name.as_str())),
+            account: account.map(|account| account.name.clone()),
+            priority: Priority {
+                account: account.and_then(|a| a.priority).unwrap_or(route.priority),
+                route: route.priority,
+            },
+            urgency,
             service: service.to_owned(),
             kind: route.kind,
             deadline,
             objective_deadline: objective_deadline(route, &req, proxy.balancer()),
+            quiet_since: Some(req.arrived),
             attempts_left: route.attempts.max(1),
             balancer: Arc::clone(proxy.balancer()),
             crash_reports: proxy.crash_reports().clone(),
@@ -82,6 +109,7 @@
             tried: Vec::new(),
             unsent_attempts: 0,
             response_started: false,
+            predicted_wait: Duration::ZERO,
             has_waited: false,
             ambiguous_reason: None,
         }
@@ -105,6 +133,7 @@
                 AttemptOutcome::Answered(head, permit) => {
                     if head.status.is_success() && self.is_stream() && head.has_events() {
                         self.response_started = true;
+                        self.quiet_since = None;
                         return Ok(stream::relay(self, *head, permit));
                     }
                     match self.buffer_response(*head, permit).await {
@@ -132,8 +161,12 @@
         matches!(self.kind, RequestKind::Stream { .. })
     }
 
-    /// Acquires a slot of a target; waits while the service has no available one.
-    async fn acquire_or_wait(&mut self) -> Result<Permit, Reason> {
+    /// Acquires a slot of a target; waits while the service has no available one, and for
+    /// a free one if its requests have different priorities.
+    pub(crate) async fn acquire_or_wait(&mut self) -> Result<Permit, Reason> {
+        if let Some(acquired) = self.acquire_by_priority().await {
+            return acquired;
+        }
         loop {
             let mut changes = self.balancer.changes();
             let reason = match self.acquire() {
@@ -283,9 +316,12 @@
         let refusal = match reason {
             Reason::Full | Reason::Declined => {
                 let max_delay = self.time_left().mul_f64(RETRY_AFTER_SHARE);
-                let after =
-                    self.balancer
-                        .retry_after_refusal(&self.service, max_delay, Instant::now());
+                let after = self.balancer.retry_after_refusal(
+                    &self.service,
+                    self.predicted_wait,
+                    max_delay,
+                    Instant::now(),
+                );
                 Refusal::with_retry_after(reason, after)
             }
             Reason::NoTarget | Reason::NoTable => {
--- a/crates/direct/src/dispatch_attempts.rs
+++ b/crates/direct/src/dispatch_attempts.rs
@@ -140,6 +140,7 @@
             account: self.account.as_deref(),
             deadline: self.deadline,
             last_event_id,
+            urgency: self.urgency,
             reuse,
             dialect: &self.dialect,
             timing: &self.timing,
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -31,6 +31,7 @@
     pub(crate) account: Option<&'a str>,
     pub(crate) deadline: Instant,
     pub(crate) last_event_id: Option<u64>,
+    pub(crate) urgency: Option<u8>,
     pub(crate) reuse: ConnectionReuse,
     pub(crate) dialect: &'a Dialect,
     pub(crate) timing: &'a Timing,
@@ -156,6 +157,7 @@
             account: self.account,
             time_left: self.time_left(),
             last_event_id: self.last_event_id,
+            urgency: self.urgency,
         };
         (self.dialect.write_headers)(&metadata, &mut headers);
         *req.headers_mut() = headers;
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -12,14 +12,17 @@
 //! A request under which several targets have crashed is refused.
 
 mod balancer;
+mod balancer_queue;
 mod crash_reports;
 mod dialect;
 mod dispatch;
 mod dispatch_attempts;
 mod dispatch_log;
+mod dispatch_queue;
 mod entry_place;
 mod events;
 mod exchange;
+mod handover;
 mod metrics;
 mod permit;
 mod proxy;
@@ -30,8 +33,9 @@
 mod stream;
 mod target_response;
 mod timing;
+mod waiting;
 
-pub use dialect::{Dialect, KeepAlive, RequestMetadata, ResponseInfo, Verdict};
+pub use dialect::{Dialect, KeepAlive, MAX_URGENCY, RequestMetadata, ResponseInfo, Verdict};
 pub use outlet::{Framing, rest_asked};
 pub use proxy::{Proxy, ProxySettings, RetryTolerance};
 pub use proxy_request::ProxyRequest;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -5,11 +5,15 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
+use route::{Priority, QueueStats};
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 type ServiceLabel = [(&'static str, String); 1];
 type ServiceAndEnding = [(&'static str, String); 2];
 type ServiceAndState = [(&'static str, String); 2];
+type QueueLabels = [(&'static str, String); 3];
+type QueueRefusalLabels = [(&'static str, String); 4];
 type KindLabel = [(&'static str, String); 1];
 
 /// Metrics of the proxy. Clones share their values.
@@ -21,6 +25,10 @@
     target_waits: Family<ServiceLabel, Histogram>,
     targets: Family<ServiceAndState, Gauge>,
     retries: Family<ServiceLabel, Counter>,
+    waiting: Family<QueueLabels, Gauge>,
+    oldest_waiting: Family<QueueLabels, Gauge<f64, AtomicU64>>,
+    starts_after_wait: Family<QueueLabels, Counter>,
+    slot_refusals: Family<QueueRefusalLabels, Counter>,
     route_table: Gauge,
     pub(crate) target_crashes: Counter,
     pub(crate) open_requests: Gauge,
@@ -40,6 +48,10 @@
             target_waits: Family::new_with_constructor(new_histogram),
             targets: Family::default(),
             retries: Family::default(),
+            waiting: Family::default(),
+            oldest_waiting: Family::default(),
+            starts_after_wait: Family::default(),
+            slot_refusals: Family::default(),
             route_table: Gauge::default(),
             target_crashes: Counter::default(),
             open_requests: Gauge::default(),
@@ -70,6 +82,7 @@
         let retries = self.retries.clone();
         let help = "Requests sent to a further target, as the service's budget bore them";
         registry.register("retries", help, retries);
+        self.register_queue(registry);
         let route_table = self.route_table.clone();
         registry.register(
             "route_table",
@@ -84,6 +97,41 @@
         registry.register("open_requests", help, open_requests);
     }
 
+    fn register_queue(&self, registry: &mut Registry) {
+        let waiting = self.waiting.clone();
+        let help = "Requests that wait for a slot, by priority";
+        registry.register("queue_waiting", help, waiting);
+        let oldest = self.oldest_waiting.clone();
+        let help = "How long the request has waited that waits the longest, by priority";
+        registry.register_with_unit("queue_oldest", help, Unit::Seconds, oldest);
+        let starts = self.starts_after_wait.clone();
+        let help = "Requests that got a slot after waiting for it, by priority";
+        registry.register("queue_starts", help, starts);
+        let refusals = self.slot_refusals.clone();
+        let help = "Requests that got no slot, by priority and reason";
+        registry.register("queue_refusals", help, refusals);
+    }
+
+    /// Sets how many requests of a priority wait for a slot, and since when.
+    pub(crate) fn set_queue(&self, service: &str, stats: &QueueStats) {
+        let labels = queue_labels(service, stats.priority);
+        let waiting = i64::try_from(stats.waiting).unwrap_or(i64::MAX);
+        self.waiting.get_or_create(&labels).set(waiting);
+        let oldest = stats.oldest.as_secs_f64();
+        self.oldest_waiting.get_or_create(&labels).set(oldest);
+    }
+
+    pub(crate) fn started_after_wait(&self, service: &str, priority: Priority) {
+        let labels = queue_labels(service, priority);
+        self.starts_after_wait.get_or_create(&labels).inc();
+    }
+
+    pub(crate) fn slot_refused(&self, service: &str, priority: Priority, why: &str) {
+        let [service, account, route] = queue_labels(service, priority);
+        let labels = [service, account, route, ("reason", why.to_owned())];
+        self.slot_refusals.get_or_create(&labels).inc();
+    }
+
     pub(crate) fn request_ended(&self, service: &str, ending: &str) {
         let labels = [
             ("service", service.to_owned()),
@@ -131,3 +179,11 @@
         }
     }
 }
+
+fn queue_labels(service: &str, priority: Priority) -> QueueLabels {
+    [
+        ("service", service.to_owned()),
+        ("priority", priority.account.to_string()),
+        ("route_priority", priority.route.to_string()),
+    ]
+}
--- a/crates/direct/src/proxy.rs
+++ b/crates/direct/src/proxy.rs
@@ -1,9 +1,10 @@
 //! Forwards requests to targets.
 
 use crate::balancer::{Balancer, Known};
+use crate::balancer_queue;
 use crate::crash_reports::CrashReports;
-use crate::dialect::Dialect;
-use crate::dispatch::Dispatch;
+use crate::dialect::{Dialect, MAX_URGENCY};
+use crate::dispatch::{Dispatch, RequestClass};
 use crate::metrics::Metrics;
 use crate::proxy_request::ProxyRequest;
 use crate::refusal::{Reason, Refusal};
@@ -14,7 +15,7 @@
 use route::RetryLimits;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use table::{Access, Route, Table};
+use table::{Access, ClientAccount, Route, Table};
 use tokio::time::timeout;
 
 /// How often expired idle connections are closed and the availability of targets
@@ -91,6 +92,7 @@
             watcher,
             started: Instant::now(),
         };
+        tokio::spawn(balancer_queue::run(Arc::downgrade(&proxy.balancer)));
         tokio::spawn(follow_watcher(
             proxy.watcher.clone(),
             Arc::clone(&proxy.balancer),
@@ -139,7 +141,15 @@
             .map_or(route.timeout, |timeout| timeout.min(route.timeout));
         let service = route.service(rand::random());
         service.clone_into(chosen);
-        let dispatch = Dispatch::new(account, service, route, req.arrived + timeout, self, req);
+        let has_priorities = table.has_priorities(service);
+        let urgency = has_priorities.then(|| urgency(route));
+        let class = RequestClass {
+            account,
+            service,
+            route,
+            urgency,
+        };
+        let dispatch = Dispatch::new(&class, req.arrived + timeout, self, req);
         dispatch.run().await
     }
 
@@ -202,12 +212,21 @@
 }
 
 /// The client account of the caller, if the route admits the caller.
-fn authorize(table: &Table, route: &Route, req: &ProxyRequest) -> Result<Option<String>, Refusal> {
+fn authorize<'a>(
+    table: &'a Table,
+    route: &Route,
+    req: &ProxyRequest,
+) -> Result<Option<&'a ClientAccount>, Refusal> {
     let known = req.api_key.as_deref().and_then(|key| table.account(key));
     if known.is_none() && table.has_accounts() && route.access == Access::Accounts {
         return Err(refuse(req, table, Reason::UnknownKey));
     }
-    Ok(known.map(|account| account.name.clone()))
+    Ok(known)
+}
+
+/// How urgent requests of a route are among those of their service.
+fn urgency(route: &Route) -> u8 {
+    u8::try_from(route.priority).map_or(MAX_URGENCY, |urgency| urgency.min(MAX_URGENCY))
 }
 
 fn refuse(req: &ProxyRequest, table: &Table, reason: Reason) -> Refusal {
@@ -235,6 +254,9 @@
             for (service, available, all) in balancer.target_counts() {
                 metrics.set_targets(&service, available, all);
             }
+            for (service, stats) in balancer.queue_stats(now) {
+                metrics.set_queue(&service, &stats);
+            }
         }
         balancer.close_idle_connections(now);
         // A time-out leads to another round, as a change does.
--- a/crates/direct/src/service_targets.rs
+++ b/crates/direct/src/service_targets.rs
@@ -3,6 +3,7 @@
 use crate::dialect::{KeepAlive, ResponseInfo};
 use crate::entry_place::{EntryPlace, cold_until};
 use crate::timing::Timing;
+use crate::waiting::WaitingRequests;
 use member::{Evacuation, Presence};
 use node::KnownTarget;
 use outlet::{ClientSettings, Connection, Pool};
@@ -44,6 +45,9 @@
     cold_start: Option<ColdStart>,
     /// Since when requests have found no available target.
     pub(crate) unavailable_since: Option<Instant>,
+    /// Requests that wait for a slot, if requests of the service have different
+    /// priorities.
+    pub(crate) waiting: Option<WaitingRequests>,
 }
 
 /// Address and connections of a target.
@@ -70,6 +74,17 @@
             endpoints: BTreeMap::new(),
             cold_start: service.cold_start,
             unavailable_since: None,
+            waiting: None,
+        }
+    }
+
+    /// Sets whether requests of the service have different priorities. If they no longer
+    /// have, those that wait go on as if they had just arrived.
+    pub(crate) fn set_has_priorities(&mut self, has_priorities: bool) {
+        if !has_priorities {
+            self.waiting = None;
+        } else if self.waiting.is_none() {
+            self.waiting = Some(WaitingRequests::new());
         }
     }
 
