Wait through an outage, hold broken streams, and refuse with the predicted return

With one rank of a group unresponsive for 3 s, all its requests were refused after 1.3 s and told to come back in one second, and streams were broken off at once. Services with different priorities now predict the end of an outage: requests that can wait for it wait in the queue, others are refused at once with the predicted return and their place in a spread. Broken streams are kept open until shortly before their callers leave, and go on after the last event delivered; each resumption is charged to the retry budget. While no target serves, single requests try whether one is back, and starts are limited after an outage of a second until targets report their load.

--- a/crates/direct/src/balancer.rs
+++ b/crates/direct/src/balancer.rs
@@ -1,6 +1,7 @@
 //! Chooses targets for the requests of all services.
 
 use crate::entry_place::EntryPlace;
+use crate::outage_metrics::OutageMetrics;
 use crate::permit::Permit;
 use crate::proxy::{ProxySettings, RetryTolerance};
 use crate::service_targets::{Endpoint, ServiceTargets};
@@ -34,6 +35,7 @@
     waiting: Semaphore,
     /// Notified when requests wait again, and when the balancer is dropped.
     pub(crate) queue_timer: Arc<Notify>,
+    pub(crate) outage_metrics: OutageMetrics,
 }
 
 #[derive(Debug)]
@@ -97,6 +99,7 @@
             changes: watch::Sender::default(),
             waiting: Semaphore::new(MAX_WAITING_REQUESTS),
             queue_timer: Arc::default(),
+            outage_metrics: OutageMetrics::default(),
         }
     }
 
@@ -131,6 +134,7 @@
                 .filter(|known| known.report.service == service.name);
             targets.update(of_service, &place, self.timing.idle_connection, now);
             targets.set_has_priorities(table.has_priorities(&service.name));
+            self.follow_outages(&service.name, targets);
             targets.apply_rests(rests);
             targets.apply_departures(departures);
             targets.retry_budget.set_limits(&retry_limits, now);
@@ -139,6 +143,7 @@
                 targets.update_preferred(own, known.zone_entries.len());
             }
             targets.update_limits(&known.targets, now, rng);
+            targets.observe_outage(now);
         }
         drop(inner);
         self.changes.send_replace(());
@@ -194,7 +199,13 @@
         let mut inner = self.inner();
         let Inner { rng, services, .. } = &mut *inner;
         let targets = services.get_mut(service).ok_or(AcquireError::NoTarget)?;
-        let Some(key) = targets.set.choose_within(left, tried, now, rng) else {
+        let chosen = if targets.outage.is_some() {
+            let may_start = targets.may_start(now);
+            may_start.then(|| targets.set.choose_first(left, tried, now, rng))
+        } else {
+            Some(targets.set.choose_within(left, tried, now, rng))
+        };
+        let Some(key) = chosen.flatten() else {
             if targets.set.has_available() {
                 return Err(AcquireError::Full);
             }
@@ -350,6 +361,7 @@
         }
         if let Some(waiting) = targets.waiting.as_mut().filter(|_| head.accepted) {
             waiting.record_head_time(now.saturating_duration_since(head.sent));
+            targets.record_serving(key, head.sent, head.load.is_some(), now);
         }
         drop(inner);
         self.drain_queue(service, now);
@@ -379,6 +391,7 @@
     ) {
         if let Some(targets) = self.inner().services.get_mut(service) {
             targets.set.end(key, outcome, now);
+            targets.observe_outage(now);
             if let Some(sent) = now.checked_sub(time) {
                 targets.set.record_trial_end(key, sent);
             }
--- a/crates/direct/src/balancer_queue.rs
+++ b/crates/direct/src/balancer_queue.rs
@@ -83,7 +83,7 @@
             return Some(Acquisition::Started(self.permit(service, slot)));
         }
         let was_empty = waiting_count(targets) == 0;
-        let queued = self.push(targets, request, now);
+        let queued = push(targets, request, now);
         drop(inner);
         let acquisition = match queued {
             Err(refusal) => Acquisition::Refused(refusal),
@@ -106,52 +106,6 @@
         Some(acquisition)
     }
 
-    /// Adds a request to the queue of a service that has one.
-    fn push(
-        &self,
-        targets: &mut ServiceTargets,
-        request: SlotRequest,
-        now: Instant,
-    ) -> Result<(QueueKey, oneshot::Receiver<Admission>, Duration), SlotRefusal> {
-        let has_available = targets.set.has_available();
-        if !has_available {
-            let since = *targets.unavailable_since.get_or_insert(now);
-            let until = self.timing.absence.wait_until(since, request.deadline, now);
-            until.ok_or(SlotRefusal {
-                reason: Reason::NoTarget,
-                queue_reason: None,
-                retry_after: Duration::ZERO,
-            })?;
-        }
-        self.update_pause(targets, now);
-        let mean_duration = targets.set.mean_duration();
-        let ended = SlotRefusal {
-            reason: Reason::Full,
-            queue_reason: None,
-            retry_after: Duration::ZERO,
-        };
-        let waiting = targets.waiting.as_mut().ok_or(ended)?;
-        let predicted = waiting.queue.predicted_wait(request.priority, now);
-        let (key, rx) = waiting
-            .push(request, mean_duration, now)
-            .map_err(|refusal| SlotRefusal::new(refusal, has_available))?;
-        Ok((key, rx, predicted))
-    }
-
-    /// Tells the queue whether any target is available, or else when one should be.
-    fn update_pause(&self, targets: &mut ServiceTargets, now: Instant) {
-        let Some(waiting) = &mut targets.waiting else {
-            return;
-        };
-        if targets.set.has_available() {
-            targets.unavailable_since = None;
-            waiting.set_paused(None);
-        } else {
-            let since = *targets.unavailable_since.get_or_insert(now);
-            waiting.set_paused(Some(since + self.timing.absence.period));
-        }
-    }
-
     /// Hands free slots of a service to its waiting requests.
     pub(crate) fn drain_queue(self: &Arc<Balancer>, service: &str, now: Instant) {
         let mut inner = self.inner();
@@ -162,7 +116,7 @@
         if waiting_count(targets) == 0 {
             return;
         }
-        self.update_pause(targets, now);
+        update_pause(targets, now);
         let handovers = targets.hand_over(now, rng);
         // A permit that is dropped takes the lock.
         drop(inner);
@@ -233,6 +187,37 @@
     targets.waiting.as_ref().map_or(0, WaitingRequests::len)
 }
 
+/// Adds a request to the queue of a service that has one.
+fn push(
+    targets: &mut ServiceTargets,
+    request: SlotRequest,
+    now: Instant,
+) -> Result<(QueueKey, oneshot::Receiver<Admission>, Duration), SlotRefusal> {
+    update_pause(targets, now);
+    let has_available = targets.outage_left(now).is_none();
+    let mean_duration = targets.set.mean_duration();
+    let ended = SlotRefusal {
+        reason: Reason::Full,
+        queue_reason: None,
+        retry_after: Duration::ZERO,
+    };
+    let waiting = targets.waiting.as_mut().ok_or(ended)?;
+    let predicted = waiting.queue.predicted_wait(request.priority, now);
+    let (key, rx) = waiting
+        .push(request, mean_duration, now)
+        .map_err(|refusal| SlotRefusal::new(refusal, has_available))?;
+    Ok((key, rx, predicted))
+}
+
+/// Tells the queue when the outage of its service should end, if there is one.
+fn update_pause(targets: &mut ServiceTargets, now: Instant) {
+    targets.observe_outage(now);
+    let end = targets.outage.as_ref().and_then(|o| o.predicted_end(now));
+    if let Some(waiting) = &mut targets.waiting {
+        waiting.set_paused(end);
+    }
+}
+
 /// Tries waiting requests at the times that are due without an event, until the balancer
 /// is dropped.
 pub(crate) async fn run(balancer: Weak<Balancer>) {
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -283,20 +283,28 @@
         if !reason.not_run() {
             self.ambiguous_reason = Some(reason);
         }
+        let now = Instant::now();
         if reason == Reason::NoTarget {
-            return self.unsent_attempts < MAX_UNSENT_ATTEMPTS;
+            // In an outage few requests are sent, and they cost their callers no more than
+            // waiting for its end.
+            return self.unsent_attempts < MAX_UNSENT_ATTEMPTS
+                || self.balancer.is_out(&self.service, now);
         }
-        let may_repeat = self.kind.may_repeat() && !self.crash_reports.is_suspect(&self.features);
-        let allowed = reason.not_run() || may_repeat;
-        let now = Instant::now();
         let retry =
-            allowed && self.attempts_left > 0 && self.balancer.withdraw_retry(&self.service, now);
+            self.is_repeatable_after(reason) && self.balancer.withdraw_retry(&self.service, now);
         if retry {
             self.metrics.retried(&self.service);
         }
         retry
     }
 
+    /// Whether the request may be sent to another target after a failed attempt, as far as
+    /// the retry budget allows.
+    pub(crate) fn is_repeatable_after(&self, reason: Reason) -> bool {
+        let may_repeat = self.kind.may_repeat() && !self.crash_reports.is_suspect(&self.features);
+        (reason.not_run() || may_repeat) && self.attempts_left > 0
+    }
+
     /// Ends the request: with the last failed response of a target if there is one,
     /// otherwise with a refusal.
     fn give_up(
@@ -313,9 +321,14 @@
             Some(ambiguous) if reason.not_run() => ambiguous,
             _ => reason,
         };
+        let max_delay = self.time_left().mul_f64(RETRY_AFTER_SHARE);
         let refusal = match reason {
+            Reason::Full | Reason::Declined | Reason::NoTarget
+                if let Some(after) = self.retry_after_outage(max_delay) =>
+            {
+                Refusal::with_retry_after(reason, after)
+            }
             Reason::Full | Reason::Declined => {
-                let max_delay = self.time_left().mul_f64(RETRY_AFTER_SHARE);
                 let after = self.balancer.retry_after_refusal(
                     &self.service,
                     self.predicted_wait,
@@ -338,6 +351,13 @@
         Err(refusal)
     }
 
+    /// Delay until the caller should retry, if the service has an outage.
+    fn retry_after_outage(&self, max_delay: Duration) -> Option<Duration> {
+        let now = Instant::now();
+        self.balancer
+            .retry_after_outage(&self.service, self.priority, max_delay, now)
+    }
+
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
--- a/crates/direct/src/handover.rs
+++ b/crates/direct/src/handover.rs
@@ -30,6 +30,9 @@
         now: Instant,
         rng: &mut impl Rng,
     ) -> Option<Slot> {
+        if !self.may_start(now) {
+            return None;
+        }
         let left = request.time_to_objective(now);
         let key = self.set.choose_first(left, &request.tried, now, rng)?;
         let (endpoint, load) = self.start_request(key, now)?;
@@ -43,10 +46,10 @@
     /// Takes free slots for waiting requests in the order of the queue, and those that are
     /// refused out of it.
     pub(crate) fn hand_over(&mut self, now: Instant, rng: &mut impl Rng) -> Vec<Handover> {
+        let has_available = self.outage_left(now).is_none();
         let Some(waiting) = &mut self.waiting else {
             return Vec::new();
         };
-        let has_available = self.set.has_available();
         let refused = waiting.take_unservable(now).into_iter();
         let mut handovers: Vec<Handover> = refused
             .map(|(waiter, refusal)| Handover {
@@ -62,6 +65,9 @@
 
     /// Takes a slot for the first waiting request that can have one.
     fn start_next(&mut self, now: Instant, rng: &mut impl Rng) -> Option<Handover> {
+        if !self.may_start(now) {
+            return None;
+        }
         let (waiting, target) = self.choose_next(now, rng)?;
         let (endpoint, load) = self.start_request(target, now)?;
         let waiter = self.waiting.as_mut()?.start(waiting, now)?;
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -12,6 +12,7 @@
 //! A request under which several targets have crashed is refused.
 
 mod balancer;
+mod balancer_outage;
 mod balancer_queue;
 mod crash_reports;
 mod dialect;
@@ -24,6 +25,9 @@
 mod exchange;
 mod handover;
 mod metrics;
+mod outage;
+mod outage_metrics;
+mod outage_targets;
 mod permit;
 mod proxy;
 mod proxy_request;
@@ -31,6 +35,7 @@
 mod refusal;
 mod service_targets;
 mod stream;
+mod stream_hold;
 mod target_response;
 mod timing;
 mod waiting;
--- a/crates/direct/src/proxy.rs
+++ b/crates/direct/src/proxy.rs
@@ -83,8 +83,10 @@
     pub fn spawn(watcher: Watcher, cfg: ProxySettings, registry: &mut Registry) -> Proxy {
         let metrics = Metrics::default();
         metrics.register(registry);
+        let balancer = Arc::new(Balancer::new(&cfg));
+        balancer.outage_metrics.register(registry);
         let proxy = Proxy {
-            balancer: Arc::new(Balancer::new(&cfg)),
+            balancer,
             crash_reports: CrashReports::spawn(watcher.clone(), metrics.clone()),
             timing: Arc::new(cfg.timing),
             dialect: cfg.dialect,
--- a/crates/direct/src/service_targets.rs
+++ b/crates/direct/src/service_targets.rs
@@ -2,6 +2,7 @@
 
 use crate::dialect::{KeepAlive, ResponseInfo};
 use crate::entry_place::{EntryPlace, cold_until};
+use crate::outage::ServiceOutage;
 use crate::timing::Timing;
 use crate::waiting::WaitingRequests;
 use member::{Evacuation, Presence};
@@ -48,6 +49,8 @@
     /// Requests that wait for a slot, if requests of the service have different
     /// priorities.
     pub(crate) waiting: Option<WaitingRequests>,
+    /// Outages of the service, if requests of the service have different priorities.
+    pub(crate) outage: Option<ServiceOutage>,
 }
 
 /// Address and connections of a target.
@@ -75,6 +78,7 @@
             cold_start: service.cold_start,
             unavailable_since: None,
             waiting: None,
+            outage: None,
         }
     }
 
@@ -83,6 +87,7 @@
     pub(crate) fn set_has_priorities(&mut self, has_priorities: bool) {
         if !has_priorities {
             self.waiting = None;
+            self.outage = None;
         } else if self.waiting.is_none() {
             self.waiting = Some(WaitingRequests::new());
         }
@@ -98,6 +103,9 @@
         let (_, endpoint) = endpoints.find(|(known, _)| *known == key)?;
         let load = self.set.load_estimate(key, now);
         self.set.start(key, now);
+        if let Some(outage) = &mut self.outage {
+            outage.record_start(now);
+        }
         Some((endpoint.clone(), load))
     }
 
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -12,10 +12,13 @@
 use outlet::{Completeness, Connection, Framing};
 use route::DispatchOutcome;
 use std::io;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use table::RequestKind;
 use tokio::time::timeout;
 
+/// Interval at which other targets are looked for while the target of a stream is silent.
+const SILENCE_CHECK: Duration = Duration::from_millis(100);
+
 /// A stream that is being forwarded to the caller.
 struct Relay {
     dispatch: Dispatch,
@@ -24,6 +27,10 @@
     events: EventBuffer,
     /// Id of the last event that the caller has received.
     last_event_id: Option<u64>,
+    /// When the caller has received its last event, or else sent its request.
+    delivered: Instant,
+    /// Whether the stream is kept open while no target can go on with it.
+    is_held: bool,
     /// How the caller recognises the end of the stream.
     framing: Framing,
 }
@@ -83,6 +90,8 @@
     let (status, headers) = (head.status, head.headers.clone());
     let relay = Relay {
         last_event_id: dispatch.req.last_event_id,
+        delivered: dispatch.req.arrived,
+        is_held: dispatch.balancer.holds_streams(&dispatch.service),
         source: Some(TargetStream::new(head, permit)),
         framing,
         events: EventBuffer::default(),
@@ -109,6 +118,7 @@
     async fn next(&mut self) -> io::Result<Option<Bytes>> {
         loop {
             if let Some(events) = self.complete_events() {
+                self.delivered = Instant::now();
                 return Ok(Some(events));
             }
             self.move_from_slow_target().await?;
@@ -164,16 +174,21 @@
         let Some(source) = &mut self.source else {
             return Next::Ended;
         };
+        let mut silence = inactivity;
         loop {
-            match timeout(inactivity, source.body.frame()).await {
+            match timeout(silence, source.body.frame()).await {
                 Ok(None) => return Next::Ended,
                 Ok(Some(Err(e))) => return Next::Broken(e.to_string()),
                 Ok(Some(Ok(frame))) => {
+                    silence = inactivity;
                     if let Ok(data) = frame.into_data() {
                         source.record_pause(self.dispatch.kind);
                         return Next::Data(data);
                     }
                 }
+                Err(_) if self.is_held && self.dispatch.should_keep_target(self.delivered) => {
+                    silence = SILENCE_CHECK;
+                }
                 Err(_) => return Next::Silent,
             }
         }
@@ -277,13 +292,23 @@
             return Err(self.stream_error(why));
         }
         self.events.clear();
-        let Some((head, permit)) = self.dispatch.resume_elsewhere(self.last_event_id).await else {
+        let Some((head, permit)) = self.find_target().await else {
             return Err(self.stream_error(why));
         };
         self.set_source(head, permit);
         Ok(())
     }
 
+    /// Finds a target that goes on with the stream after the last event received.
+    async fn find_target(&mut self) -> Option<(Head, Permit)> {
+        let after = self.last_event_id;
+        if self.is_held {
+            self.dispatch.resume_when_able(after, self.delivered).await
+        } else {
+            self.dispatch.resume_elsewhere(after).await
+        }
+    }
+
     /// Continues with the stream of a new target.
     fn set_source(&mut self, head: Head, permit: Permit) {
         log::info!(
--- a/crates/direct/src/timing.rs
+++ b/crates/direct/src/timing.rs
@@ -26,6 +26,10 @@
     pub retry_after_absent: Duration,
     /// How long requests wait while no route table or no target is known.
     pub absence: StartupGrace,
+    /// Length that is assumed of an outage of a service whose requests have different
+    /// priorities, until one was measured: a process of a target restarts within seconds,
+    /// and its group starts 0.6 s after its last rank is back.
+    pub assumed_outage: Duration,
 }
 
 impl Default for Timing {
@@ -37,6 +41,7 @@
             retry_after_full: Duration::from_secs(1),
             retry_after_absent: Duration::from_secs(1),
             absence: StartupGrace::default(),
+            assumed_outage: Duration::from_secs(3),
         }
     }
 }
--- a/crates/route/src/queued_choice.rs
+++ b/crates/route/src/queued_choice.rs
@@ -37,7 +37,8 @@
         rng: &mut impl Rng,
     ) -> Option<TargetKey> {
         let timing = self.timing_of_first(time_left, now);
-        self.choose_timed(timing, tried, now, rng)
+        let avoided = self.avoided(tried, now);
+        self.choose_timed(timing, &avoided, now, rng)
     }
 
     /// Whether [`TargetSet::choose_first`] would choose a target. Unlike that, it begins no
@@ -60,7 +61,8 @@
         rng: &mut impl Rng,
     ) -> bool {
         let timing = self.timing_of_first(time_left, now);
-        self.can_choose_timed(timing, tried, now, rng)
+        let avoided = self.avoided(tried, now);
+        self.can_choose_timed(timing, &avoided, now, rng)
     }
 
     fn timing_of_first(&self, time_left: Duration, now: Instant) -> RequestTiming {
--- a/crates/route/src/return_schedule.rs
+++ b/crates/route/src/return_schedule.rs
@@ -3,6 +3,8 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use crate::Priority;
+
 /// Period whose starts are remembered. Requests that stall before an outage is noticed
 /// take up less than half of it.
 const PERIOD_SECONDS: usize = 8;
@@ -17,7 +19,7 @@
 /// callers do not retry twice. Callers only yield to others that are at least as urgent.
 ///
 /// ```
-/// use route::{Return, ReturnSchedule};
+/// use route::{Priority, Return, ReturnSchedule};
 /// use std::time::{Duration, Instant};
 ///
 /// let start = Instant::now();
@@ -33,7 +35,8 @@
 ///     max_delay: Duration::from_secs(2),
 /// };
 /// // Ten requests start per second, and five wait already.
-/// let delays: Vec<Duration> = (0..8).map(|_| schedule.retry_after(0, &at, 0.0, outage)).collect();
+/// let mut delay = || schedule.retry_after(Priority::default(), &at, 0.0, outage);
+/// let delays: Vec<Duration> = (0..8).map(|_| delay()).collect();
 /// assert_eq!(delays[0], Duration::from_millis(1_500));
 /// assert_eq!(delays[4], Duration::from_millis(1_900));
 /// assert_eq!(delays[7], Duration::from_secs(2));
@@ -45,7 +48,7 @@
     /// Starts per second before the outage, if there were any.
     rate: Option<f64>,
     /// Priorities and times of the retries that are still to come.
-    scheduled: Vec<(u32, Instant)>,
+    scheduled: Vec<(Priority, Instant)>,
 }
 
 /// What is known of a service's return when one of its callers is refused.
@@ -83,7 +86,7 @@
     /// number from 0 to 1, by which the callers of several entries differ.
     pub fn retry_after(
         &mut self,
-        priority: u32,
+        priority: Priority,
         at: &Return,
         phase: f64,
         now: Instant,
--- a/crates/route/src/target_availability.rs
+++ b/crates/route/src/target_availability.rs
@@ -3,6 +3,7 @@
 use crate::target_set::PROBE_DURATION;
 use crate::target_state::TargetState;
 use crate::{TargetKey, TargetSet};
+use std::borrow::Cow;
 use std::time::Instant;
 
 impl TargetSet {
@@ -59,4 +60,29 @@
             target.declining_until = None;
         }
     }
+
+    /// Whether a target declines requests although it has free slots.
+    ///
+    /// ```
+    /// use route::{TargetSet, TargetSetSettings};
+    ///
+    /// assert!(!TargetSet::new(TargetSetSettings::default()).any_declines());
+    /// ```
+    #[must_use]
+    pub fn any_declines(&self) -> bool {
+        let mut targets = self.targets.values();
+        targets.any(|target| target.is_accepting() && target.declining_until.is_some())
+    }
+
+    /// Targets that the first of the waiting requests is not given to. In an outage these
+    /// are those that have failed, while others decline: an unresponsive rank of a group
+    /// holds up what it is sent, and does not tell whether the group is back.
+    pub(crate) fn avoided<'a>(&self, tried: &'a [TargetKey], now: Instant) -> Cow<'a, [TargetKey]> {
+        if !self.any_declines() || !self.is_out(now) {
+            return Cow::Borrowed(tried);
+        }
+        let ejected = self.targets.iter().filter(|(_, t)| t.is_ejected(now));
+        let ejected = ejected.map(|(key, _)| key);
+        Cow::Owned(tried.iter().copied().chain(ejected).collect())
+    }
 }
--- a/crates/route/tests/outage_estimate.rs
+++ b/crates/route/tests/outage_estimate.rs
@@ -3,8 +3,8 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use route::{
-    DispatchOutcome, Locality, OutageEstimate, ReportedLoad, Return, ReturnRamp, ReturnSchedule,
-    TargetKey, TargetSet, TargetSetSettings,
+    DispatchOutcome, Locality, OutageEstimate, Priority, ReportedLoad, Return, ReturnRamp,
+    ReturnSchedule, TargetKey, TargetSet, TargetSetSettings,
 };
 use std::time::{Duration, Instant};
 
@@ -122,6 +122,10 @@
     (schedule, begin + Duration::from_secs(10))
 }
 
+fn priority(route: u32) -> Priority {
+    Priority { account: 0, route }
+}
+
 const RETURN: Return = Return {
     remaining: Duration::from_secs(2),
     ahead: 0,
@@ -136,7 +140,7 @@
     let mut rng = SmallRng::seed_from_u64(11);
     let mut per_second = [0_u32; 10];
     for _ in 0..400 {
-        let delay = schedule.retry_after(1, &RETURN, rng.random(), outage);
+        let delay = schedule.retry_after(priority(1), &RETURN, rng.random(), outage);
         let after = delay.checked_sub(RETURN.remaining).unwrap();
         per_second[usize::try_from(after.as_secs()).unwrap().min(9)] += 1;
     }
@@ -176,9 +180,9 @@
     let (mut schedule, outage) = schedule(10, Instant::now());
     schedule.outage_began(outage);
     for _ in 0..50 {
-        schedule.retry_after(2, &RETURN, 0.0, outage);
+        schedule.retry_after(priority(2), &RETURN, 0.0, outage);
     }
-    let mut delay = |priority, at: &Return| schedule.retry_after(priority, at, 0.0, outage);
+    let mut delay = |route, at: &Return| schedule.retry_after(priority(route), at, 0.0, outage);
     assert_eq!(delay(0, &RETURN), RETURN.remaining);
     assert_eq!(delay(1, &RETURN), RETURN.remaining + ms(100));
     assert_eq!(delay(2, &RETURN), RETURN.remaining + ms(5_200));
