--- a/crates/direct/src/balancer_queue.rs
+++ b/crates/direct/src/balancer_queue.rs
@@ -72,6 +72,7 @@
         let mut inner = self.inner();
         let Inner { rng, services, .. } = &mut *inner;
         let targets = services.get_mut(service)?;
+        self.update_pause(targets, now);
         let waiting = targets.waiting.as_mut()?;
         let may_start = waiting.queue.has_precedence(request.priority, now);
         let slot = may_start.then(|| targets.take_slot(&request, now, rng));
@@ -123,7 +124,6 @@
                 retry_after: Duration::ZERO,
             })?;
         }
-        self.update_pause(targets, now);
         let mean_duration = targets.set.mean_duration();
         let ended = SlotRefusal {
             reason: Reason::Full,
@@ -138,14 +138,16 @@
         Ok((key, rx, predicted))
     }
 
-    /// Tells the queue whether any target is available, or else when one should be.
+    /// Tells the queue whether any target takes requests, or else when one should.
     fn update_pause(&self, targets: &mut ServiceTargets, now: Instant) {
         let Some(waiting) = &mut targets.waiting else {
             return;
         };
         if targets.set.has_available() {
             targets.unavailable_since = None;
-            waiting.set_paused(None);
+            // All of them may have asked for rest.
+            let rest = targets.set.time_to_rest_end(now);
+            waiting.set_paused(rest.map(|rest| now + rest));
         } else {
             let since = *targets.unavailable_since.get_or_insert(now);
             waiting.set_paused(Some(since + self.timing.absence.period));
@@ -254,3 +256,8 @@
         sleep(MIN_ROUND).await;
     }
 }
+
+#[cfg(test)]
+#[path = "balancer_queue_tests.rs"]
+#[allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+mod tests;
