--- a/crates/direct/src/balancer_outage.rs
+++ b/crates/direct/src/balancer_outage.rs
@@ -54,11 +54,4 @@
     pub(crate) fn can_resume(&self, service: &str, tried: &[TargetKey], now: Instant) -> bool {
         self.can_retry_elsewhere(service, Duration::MAX, tried, now)
     }
-
-    /// Whether the retry budget of the service allows a retry now.
-    pub(crate) fn can_withdraw_retry(&self, service: &str, now: Instant) -> bool {
-        let mut inner = self.inner();
-        let targets = inner.services.get_mut(service);
-        targets.is_some_and(|targets| targets.retry_budget.can_withdraw(now))
-    }
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -14,6 +14,7 @@
 mod balancer;
 mod balancer_outage;
 mod balancer_queue;
+mod balancer_retries;
 mod crash_reports;
 mod dialect;
 mod dispatch;
--- a/crates/direct/src/outage.rs
+++ b/crates/direct/src/outage.rs
@@ -23,7 +23,7 @@
     service: String,
     estimate: OutageEstimate,
     assumed: Duration,
-    /// Whether any target has served requests since the start of this entry.
+    /// Whether any target has accepted a request since the start of this entry.
     has_served: bool,
     schedule: ReturnSchedule,
     ramp: Option<ReturnRamp>,
@@ -36,7 +36,8 @@
     pub(crate) fn new(service: &str, timing: &Timing, metrics: OutageMetrics) -> ServiceOutage {
         ServiceOutage {
             service: service.to_owned(),
-            estimate: OutageEstimate::new(timing.assumed_outage),
+            // Targets that an entry doesn't know yet announce themselves within that time.
+            estimate: OutageEstimate::new(timing.absence.period),
             assumed: timing.assumed_outage,
             has_served: false,
             schedule: ReturnSchedule::default(),
@@ -71,11 +72,6 @@
     }
 
     fn observe_return(&mut self, now: Instant) {
-        if !self.has_served {
-            // The time until the first targets are known says nothing about outages.
-            self.has_served = true;
-            self.estimate = OutageEstimate::new(self.assumed);
-        }
         let Some(since) = self.estimate.since() else {
             return;
         };
@@ -125,6 +121,11 @@
     /// Records that a target has accepted a request, and whether it has reported its load.
     pub(crate) fn record_accepted(&mut self, has_load: bool, now: Instant) {
         self.schedule.record_start(now);
+        if !self.has_served {
+            // The time until the first targets are known says nothing about outages.
+            self.has_served = true;
+            self.estimate.forget_measured(self.assumed);
+        }
         if let Some(ramp) = self.ramp.as_mut().filter(|_| has_load) {
             ramp.record_report();
         }
--- a/crates/route/src/outage_estimate.rs
+++ b/crates/route/src/outage_estimate.rs
@@ -45,6 +45,8 @@
     predicted: Duration,
     /// When it ended, if it does not begin again.
     ended: Option<Instant>,
+    /// Whether its length counts in the mean.
+    is_measured: bool,
 }
 
 /// An outage that is over.
@@ -67,6 +69,29 @@
         }
     }
 
+    /// Forgets all measured outages, also the present one, and assumes this length from now
+    /// on until another outage has been measured.
+    ///
+    /// ```
+    /// use route::OutageEstimate;
+    /// use std::time::{Duration, Instant};
+    ///
+    /// let begin = Instant::now();
+    /// let mut estimate = OutageEstimate::new(Duration::from_secs(1));
+    /// estimate.began(begin);
+    /// estimate.forget_measured(Duration::from_secs(3));
+    /// estimate.ended(begin + Duration::from_secs(2));
+    /// let later = begin + Duration::from_secs(9);
+    /// assert_eq!(estimate.began(later), Some(Duration::from_secs(3)));
+    /// ```
+    pub fn forget_measured(&mut self, assumed: Duration) {
+        self.assumed = assumed;
+        self.mean = None;
+        if let Some(current) = &mut self.current {
+            current.is_measured = false;
+        }
+    }
+
     /// Records that the service has no available target. Returns the predicted length if
     /// an outage begins by that.
     pub fn began(&mut self, now: Instant) -> Option<Duration> {
@@ -80,6 +105,7 @@
             since: now,
             predicted,
             ended: None,
+            is_measured: true,
         });
         Some(predicted)
     }
@@ -100,7 +126,7 @@
         }
         self.current = None;
         let length = ended.saturating_duration_since(current.since);
-        if length >= MIN_MEASURED {
+        if length >= MIN_MEASURED && current.is_measured {
             self.mean = Some(self.mean.map_or(length, |mean| {
                 mean.mul_f64(1.0 - LATEST_WEIGHT) + length.mul_f64(LATEST_WEIGHT)
             }));
--- a/crates/route/tests/outage_estimate.rs
+++ b/crates/route/tests/outage_estimate.rs
@@ -292,3 +292,50 @@
     targets.record_serving(keys[0], now + ms(2));
     assert!(!targets.is_out(now + ms(2)));
 }
+
+/// Starts of an entry within 100 ms after an outage of 3.8 s, without new reports of load.
+fn starts_after_outage(mut ramp: Option<ReturnRamp>, targets: usize, seed: u64) -> u32 {
+    let now = Instant::now();
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let (mut targets, _) = declining_targets(targets, now);
+    let probed_at = now + ms(3_750);
+    let probed = targets.choose(&[], probed_at, &mut rng).unwrap();
+    targets.start(probed, probed_at);
+    let returned = probed_at + ms(50);
+    assert!(!targets.is_out(returned));
+    let mut starts = 0;
+    for elapsed in 0..100 {
+        let now = returned + ms(elapsed);
+        while ramp.is_none_or(|ramp| ramp.admits(now)) {
+            let Some(key) = targets.choose(&[], now, &mut rng) else {
+                break;
+            };
+            targets.start(key, now);
+            if let Some(ramp) = &mut ramp {
+                ramp.record_start();
+            }
+            starts += 1;
+        }
+    }
+    starts
+}
+
+/// 47 entries return to 7 targets of 10 slots that queue 20 requests each. Guards against
+/// starts that the targets must decline: each entry believes that all slots are free.
+#[test]
+fn ramp_of_many_entries() {
+    let (entries, targets) = (47, 7);
+    let most = 7 * (10 + 20);
+    let rate = 28.0 / 47.0;
+    let mut sums = [0; 2];
+    for entry in 0..entries {
+        let ramp = ReturnRamp::new(Some(rate), Instant::now() + ms(3_800));
+        sums[0] += starts_after_outage(None, targets, entry);
+        sums[1] += starts_after_outage(Some(ramp), targets, entry);
+    }
+    let [without, with] = sums;
+    assert!(
+        without > most && with <= most,
+        "{without} and {with} of {most}"
+    );
+}
