--- a/crates/direct/src/balancer_queue_tests.rs
+++ b/crates/direct/src/balancer_queue_tests.rs
@@ -173,7 +173,7 @@
     (0..room).map(|_| start(balancer, 2)).collect()
 }
 
-fn is_ready(place: &QueuePlace) -> bool {
+fn is_ready(place: &mut QueuePlace) -> bool {
     !place.rx.is_empty()
 }
 
@@ -194,13 +194,13 @@
 fn released_slot_goes_to_most_urgent() {
     let balancer = balancer(1);
     let mut held = fill(&balancer, 1);
-    let review = queue(&balancer, request(2));
-    let hint = queue(&balancer, request(0));
+    let mut review = queue(&balancer, request(2));
+    let mut hint = queue(&balancer, request(0));
     drop(held.pop());
-    assert!(is_ready(&hint));
-    assert!(!is_ready(&review));
+    assert!(is_ready(&mut hint));
+    assert!(!is_ready(&mut review));
     drop(held.pop());
-    assert!(is_ready(&review));
+    assert!(is_ready(&mut review));
 }
 
 /// A slot was lost with the caller that it was handed to as it left.
@@ -208,12 +208,12 @@
 async fn handed_slot_of_left_caller_passed_on() {
     let balancer = balancer(1);
     let mut held = fill(&balancer, 1);
-    let hint = queue(&balancer, request(0));
+    let mut hint = queue(&balancer, request(0));
     let mut review = queue(&balancer, request(2));
     held.pop().unwrap().finish(DispatchOutcome::Answered);
-    assert!(is_ready(&hint));
+    assert!(is_ready(&mut hint));
     drop(hint);
-    assert!(is_ready(&review));
+    assert!(is_ready(&mut review));
     drop(
         review
             .wait(Instant::now() + PATIENCE)
@@ -230,22 +230,22 @@
     let balancer = balancer(1);
     let mut held = fill(&balancer, 1);
     let tried = vec![held[0].key()];
-    let hint = queue(
+    let mut hint = queue(
         &balancer,
         SlotRequest {
             tried,
             ..request(0)
         },
     );
-    let review = queue(&balancer, request(2));
+    let mut review = queue(&balancer, request(2));
     drop(held.pop());
-    assert!(!is_ready(&hint));
-    assert!(is_ready(&review));
+    assert!(!is_ready(&mut hint));
+    assert!(is_ready(&mut review));
     // A target that has declined may accept later.
     let later = Instant::now() + TRIED_VALIDITY;
     drop(held.pop());
     balancer.drain_queue(SERVICE, later);
-    assert!(is_ready(&hint));
+    assert!(is_ready(&mut hint));
 }
 
 /// A late request that needs a free slot is first, and its caller leaves: one behind it
@@ -262,12 +262,12 @@
         objective_until: None,
         ..request(0)
     };
-    let late = queue(&balancer, late);
-    let review = queue(&balancer, request(2));
-    assert!(!is_ready(&late));
-    assert!(!is_ready(&review));
+    let mut late = queue(&balancer, late);
+    let mut review = queue(&balancer, request(2));
+    assert!(!is_ready(&mut late));
+    assert!(!is_ready(&mut review));
     drop(late);
-    assert!(is_ready(&review));
+    assert!(is_ready(&mut review));
     drop(held);
 }
 
@@ -285,19 +285,20 @@
         objective_until: None,
         ..request(0)
     };
-    let late = queue(&balancer, late);
+    let mut late = queue(&balancer, late);
     drop(held.pop());
-    assert!(is_ready(&late));
+    assert!(is_ready(&mut late));
 }
 
 /// Waiting requests were not started when new targets were known.
 #[test]
 fn new_target_starts_waiting() {
     let balancer = balancer(1);
-    let _held = fill(&balancer, 1);
-    let hint = queue(&balancer, request(0));
+    let held = fill(&balancer, 1);
+    let mut hint = queue(&balancer, request(0));
     update(&balancer, &table(Service::new(SERVICE, 96), [0, 2]), 2);
-    assert!(is_ready(&hint));
+    assert!(is_ready(&mut hint));
+    drop(held);
 }
 
 /// Requests that waited when the priorities were made equal were never told.
@@ -338,7 +339,7 @@
     assert_eq!(refusal.reason, Reason::Full);
     let soon = Instant::now() + Duration::from_secs(2);
     let leaves_at = Some(soon);
-    let hint = queue(
+    let mut hint = queue(
         &balancer,
         SlotRequest {
             leaves_at,
@@ -346,7 +347,7 @@
         },
     );
     balancer.drain_queue(SERVICE, soon);
-    assert!(is_ready(&hint));
+    assert!(is_ready(&mut hint));
     assert_eq!(waiting(&balancer), 0);
 }
 
