Notice stalled groups before their targets say so, and forget failures on return

Cause: a rank of the only group fails, and the work on all of its ranks stalls for 1.5 s before it is aborted or declined. Streams that break together ejected their target for up to 8 s.

Change: requests that can wait keep away from targets whose streams have all been silent for 0.5 s; targets of unknown load do not hide an outage of those that the entry prefers; probes during an outage are spaced by its predicted rest; the first answer after an outage ends the ejection of all targets.

--- a/crates/direct/src/outage.rs
+++ b/crates/direct/src/outage.rs
@@ -12,9 +12,12 @@
 /// Steps of the predicted end of an outage.
 const PREDICTION_STEP: Duration = Duration::from_millis(250);
 
-/// Time between two requests to failed targets in an outage: as long as a target that has
-/// declined is left alone.
+/// Minimum time between two requests to failed targets in an outage: as long as a target that
+/// has declined is left alone.
 const PROBE_INTERVAL: Duration = Duration::from_millis(200);
+/// Share of the predicted rest of an outage between two such requests. Each is charged to the
+/// retry budget, which is needed when the targets are back.
+const PROBE_SHARE: f64 = 0.25;
 
 /// Follows the outages of one service: predicts their ends, and controls how its callers
 /// return.
@@ -105,7 +108,9 @@
     /// Whether a request may be sent to a failed target in an outage, to try whether it is
     /// back.
     pub(crate) fn may_probe(&self, now: Instant) -> bool {
-        let is_due = |at| now.saturating_duration_since(at) >= PROBE_INTERVAL;
+        let remaining = self.remaining(now).unwrap_or_default();
+        let interval = remaining.mul_f64(PROBE_SHARE).max(PROBE_INTERVAL);
+        let is_due = |at| now.saturating_duration_since(at) >= interval;
         self.last_start.is_none_or(is_due)
     }
 
--- a/crates/direct/src/outage_targets.rs
+++ b/crates/direct/src/outage_targets.rs
@@ -28,8 +28,7 @@
         if outage.remaining(now).is_none() {
             return outage.admits(now);
         }
-        // Targets that decline are probed one at a time in any case.
-        self.set.any_declines() || outage.may_probe(now)
+        outage.may_probe(now)
     }
 
     /// Records that a target has accepted a request that was sent at `sent`, and whether it
@@ -44,6 +43,9 @@
         if let Some(outage) = &mut self.outage {
             outage.record_accepted(has_load, now);
             self.set.record_serving(key, sent);
+            if outage.remaining(now).is_some() {
+                self.set.record_return(sent);
+            }
             self.observe_outage(now);
         }
     }
--- a/crates/route/src/target_availability.rs
+++ b/crates/route/src/target_availability.rs
@@ -26,10 +26,16 @@
     #[must_use]
     pub fn is_out(&self, now: Instant) -> bool {
         let is_probe_over = |(_, since)| now >= since + PROBE_DURATION;
+        let has_subset = self.has_subset();
         let serves = |(key, target): (TargetKey, &TargetState)| {
             let probed = self.probe.filter(|(probed, _)| *probed == key);
             let accepts = target.is_available() || probed.is_some_and(is_probe_over);
-            accepts && target.is_accepting() && !target.is_ejected(now)
+            let is_known = !has_subset || target.is_preferred() || target.is_load_known(now);
+            is_known
+                && accepts
+                && target.is_accepting()
+                && !target.is_ejected(now)
+                && !target.is_silent(now)
         };
         !self.targets.iter().any(serves)
     }
@@ -61,6 +67,31 @@
         }
     }
 
+    /// Records that an outage of all targets has ended, as one of them has accepted a request
+    /// that was sent at `sent`. What made the others unavailable before that is over: those
+    /// of a group fail and return together.
+    ///
+    /// ```
+    /// use route::{DispatchOutcome, Locality, TargetSet, TargetSetSettings};
+    /// use std::time::{Duration, Instant};
+    ///
+    /// let now = Instant::now();
+    /// let mut target_set = TargetSet::new(TargetSetSettings::default());
+    /// let key = target_set.insert(6, Locality::SameZone);
+    /// target_set.start(key, now);
+    /// target_set.end(key, DispatchOutcome::Failed, now);
+    /// target_set.record_return(now + Duration::from_millis(1));
+    /// assert!(!target_set.is_out(now));
+    /// ```
+    pub fn record_return(&mut self, sent: Instant) {
+        let failed_before = |target: &&mut TargetState| target.unable_at.is_none_or(|at| at < sent);
+        for target in self.targets.values_mut().filter(failed_before) {
+            target.failures = 0;
+            target.ejected_until = None;
+            target.declining_until = None;
+        }
+    }
+
     /// Whether a target declines requests although it has free slots.
     ///
     /// ```
--- a/crates/route/src/target_set.rs
+++ b/crates/route/src/target_set.rs
@@ -153,6 +153,12 @@
 }
 
 impl RequestTiming {
+    /// Whether a target may be given the request as far as its streams show. Only requests
+    /// that can wait in a queue keep away from silent targets.
+    fn suits(&self, target: &TargetState, now: Instant) -> bool {
+        self.lateness == Lateness::Yields || !target.is_silent(now)
+    }
+
     /// Whether the request is late and yields to those that can be on time.
     pub(crate) fn yields(&self) -> bool {
         self.time_left.is_zero() && self.lateness == Lateness::Yields
@@ -365,7 +371,9 @@
             self.begin_probe(key, now);
             return Some(key);
         }
-        let available = || accepting().filter(|(_, target)| target.is_available());
+        let responds = |target: &TargetState| timing.suits(target, now);
+        let available =
+            || accepting().filter(|(_, target)| target.is_available() && responds(target));
         let healthy = || available().filter(|(_, target)| !target.is_ejected(now));
         let chosen = self.least_loaded_by_preference(&timing, healthy, now, rng);
         let chosen = chosen.or_else(|| {
--- a/crates/route/src/target_state.rs
+++ b/crates/route/src/target_state.rs
@@ -13,6 +13,9 @@
 /// Maximum age of pauses that are taken into account. Older ones do not predict the next
 /// pauses, since the group has switched to another expert map by then.
 const PAUSE_MAX_AGE: Duration = Duration::from_millis(1_500);
+/// Time without an event of any stream after which a target counts as silent. Switches of
+/// expert maps and long prompts cause pauses of up to some 300 ms.
+const MAX_SILENCE: Duration = Duration::from_millis(500);
 /// Weight of the latest pause in the mean. A stream pauses about ten times per second,
 /// so the mean follows within half a second.
 const PAUSE_WEIGHT: f64 = 0.2;
@@ -81,7 +84,7 @@
     /// Until when the target is not probed after it declined with free slots.
     pub(crate) declining_until: Option<Instant>,
     pauses: Option<Pauses>,
-    failures: u32,
+    pub(crate) failures: u32,
     /// When the target last failed or declined.
     pub(crate) unable_at: Option<Instant>,
     pub(crate) ejected_until: Option<Instant>,
@@ -276,6 +279,17 @@
             .is_some_and(|(total, _)| f64::from(total) < self.slots)
     }
 
+    /// Whether the streams of this entry at the target have all fallen silent. The ranks of
+    /// a group stall together when one of them fails, long before they say so.
+    pub(crate) fn is_silent(&self, now: Instant) -> bool {
+        let since = self.pauses.map(|pauses| pauses.updated_at);
+        since
+            .zip(self.starts.front())
+            .is_some_and(|(since, oldest)| {
+                *oldest < since && now.saturating_duration_since(since) >= MAX_SILENCE
+            })
+    }
+
     /// Whether the target may be given requests without a probe.
     pub(crate) fn is_available(&self) -> bool {
         self.is_accepting() && self.declining_until.is_none()
