Measure what limits the balance of groups under shifting demand

Cause: the busiest rank has 1.5 to 1.73 times the mean load while popularity shifts, and nothing told how much of this is due to noise, lag, the limit of new experts, the search or the switch criteria.

--- a/crates/expert/benches/maps/main.rs
+++ b/crates/expert/benches/maps/main.rs
@@ -2,7 +2,8 @@
 //! and prints a Markdown table. Run with
 //! `cargo bench -p lovageramp-expert --bench maps`. All results except the
 //! planner times are deterministic. A size as argument (`-- 128x60`) restricts
-//! the run to that size.
+//! the run to that size; `-- shift` measures demand that shifts every few
+//! seconds, and `-- shift current` the current settings alone.
 #![allow(
     missing_docs,
     clippy::cast_precision_loss,
@@ -15,6 +16,7 @@
 mod run;
 mod scenario;
 mod score;
+mod shift;
 mod trace;
 
 use policy::Policy;
@@ -24,6 +26,9 @@
 use std::thread;
 
 fn main() {
+    if std::env::args().any(|arg| arg == "shift") {
+        return shift::run(std::env::args().any(|arg| arg == "current"));
+    }
     let selected: Option<String> =
         std::env::args().find(|arg| arg.contains('x') && !arg.contains('/'));
     println!(
