Ask first whether a service has a queue

Requests of services with one priority were described for the queue before it was known that there is none.

--- a/crates/direct/src/balancer_queue.rs
+++ b/crates/direct/src/balancer_queue.rs
@@ -61,6 +61,13 @@
 }
 
 impl Balancer {
+    /// Whether requests to the service have different priorities.
+    pub(crate) fn has_queue(&self, service: &str) -> bool {
+        let inner = self.inner();
+        let targets = inner.services.get(service);
+        targets.is_some_and(|targets| targets.waiting.is_some())
+    }
+
     /// Starts a request at a target, or queues it; none if the service has no queue since
     /// its requests all have the same priority.
     pub(crate) fn acquire_by_priority(
--- a/crates/direct/src/dispatch_queue.rs
+++ b/crates/direct/src/dispatch_queue.rs
@@ -15,6 +15,9 @@
     /// Acquires a slot of a target, or waits for one in the order of priorities. None if
     /// requests of the service all have the same priority.
     pub(crate) async fn acquire_by_priority(&mut self) -> Option<Result<Permit, Reason>> {
+        if !self.balancer.has_queue(&self.service) {
+            return None;
+        }
         if self.crash_reports.must_refuse(&self.features) {
             return Some(Err(Reason::Quarantined));
         }
