Measure the rate before an outage from recent starts only

An outage that begins after an idle time took the rate of the time before that as the one before the outage, and refused requests by it. Starts count as the beginning of an outage only if they are at most 2 s old. The tests also cover starts out of turn, which request is displaced, the bound on displaced requests and starts owed from more than 2 s ago: without the code for each of these, one of them now fails.

--- a/crates/route/src/background_share.rs
+++ b/crates/route/src/background_share.rs
@@ -70,7 +70,6 @@
         for due in self.due.range_mut(priority..).map(|(_, due)| due) {
             *due = (*due + self.share / (1.0 - self.share)).min(MAX_DUE);
         }
-        self.retain_below(least_urgent);
     }
 
     /// Drops the counts of priorities than which nobody less urgent waits.
--- a/crates/route/src/queue_rates.rs
+++ b/crates/route/src/queue_rates.rs
@@ -9,6 +9,9 @@
 
 /// Fewest starts in the window from which a rate is predicted.
 const MIN_STARTS: u32 = 4;
+/// Longest time from the beginning of an outage until it is known. A silent rank
+/// aborts the work that depends on it after 1.5 s.
+const MAX_DETECTION: Duration = Duration::from_secs(2);
 /// Most priorities whose arrivals are counted. Priorities come from the
 /// configuration, so that more are not expected.
 const MAX_PRIORITIES: usize = 64;
@@ -21,6 +24,7 @@
     starts: RateWindow,
     arrivals: BTreeMap<Priority, RateWindow>,
     last_start: Option<Instant>,
+    latest: Option<Instant>,
     paused_until: Option<Instant>,
 }
 
@@ -28,13 +32,20 @@
     pub(crate) fn set_paused(&mut self, until: Option<Instant>) {
         self.paused_until = until;
         if until.is_some() {
-            // The targets were unavailable for some time before this was known.
-            self.clock.pause(self.last_start);
+            self.clock.pause(self.outage_start());
         } else {
             self.clock.resume();
         }
     }
 
+    /// The targets were unavailable for some time before this was known: since the
+    /// last start, unless no request was there to start.
+    fn outage_start(&self) -> Option<Instant> {
+        let latest = self.latest?;
+        let is_recent = |at: &Instant| latest.saturating_duration_since(*at) < MAX_DETECTION;
+        self.last_start.filter(is_recent).or(self.latest)
+    }
+
     /// Remaining time of the pause.
     pub(crate) fn pause_left(&self, now: Instant) -> Duration {
         self.paused_until
@@ -42,6 +53,7 @@
     }
 
     pub(crate) fn advance(&mut self, now: Instant) {
+        self.latest = self.latest.max(Some(now));
         self.clock.advance(now);
     }
 
@@ -50,7 +62,7 @@
         if self.paused_until.is_some_and(|until| until <= now) {
             self.set_paused(None);
         }
-        self.clock.advance(now);
+        self.advance(now);
         if !self.clock.is_paused() {
             self.starts.record(self.clock.elapsed(now));
             self.last_start = Some(now);
@@ -58,7 +70,7 @@
     }
 
     pub(crate) fn record_arrival(&mut self, priority: Priority, now: Instant) {
-        self.clock.advance(now);
+        self.advance(now);
         if self.clock.is_paused() {
             return;
         }
--- a/crates/route/tests/request_queue.rs
+++ b/crates/route/tests/request_queue.rs
@@ -196,6 +196,24 @@
     assert!((9..=11).contains(&idle_first), "{idle_first} of 20");
 }
 
+/// Guards against starts out of turn erasing what the waiting accounts are owed.
+#[test]
+fn start_out_of_turn_keeps_credit() {
+    let now = Instant::now();
+    let mut queue = queue();
+    push_many(&mut queue, HINT, 20, now);
+    for _ in 0..10 {
+        queue.record_start(HINT, 2, 1.0, now);
+    }
+    push(&mut queue, HINT, 2, now);
+    push(&mut queue, HINT, 3, now);
+    let accounts: Vec<u64> = (0..12)
+        .map(|_| start_next(&mut queue, now).unwrap().account)
+        .collect();
+    assert_eq!(accounts.iter().position(|account| *account == 3), Some(1));
+    assert_eq!(accounts.iter().position(|account| *account == 2), Some(11));
+}
+
 /// Guards against starts of urgent requests erasing the differences between the
 /// accounts of less urgent ones.
 #[test]
@@ -295,6 +313,15 @@
     assert_eq!(starts, 9);
     assert_eq!(start_next(&mut queue, now).unwrap().priority, REVIEW);
     assert!(queue.has_precedence(HINT, now));
+    for _ in 0..8 {
+        queue.record_start(HINT, 1, 1.0, now);
+    }
+    let later = now + ms(2000);
+    queue.record_start(HINT, 1, 1.0, later);
+    assert!(
+        queue.has_precedence(HINT, later),
+        "only recent starts count"
+    );
 }
 
 /// Guards against a full queue refusing urgent requests, and against displaced
@@ -325,17 +352,52 @@
 #[test]
 fn push_full_displaces_heaviest_account() {
     let now = Instant::now();
-    let mut queue = small_queue(8);
-    push_many(&mut queue, HINT, 8, now);
+    let mut queue = RequestQueue::new(RequestQueueSettings {
+        max_requests: 9,
+        account_share: 1.0,
+        ..RequestQueueSettings::default()
+    });
+    push_many(&mut queue, HINT, 9, now);
     let others = [(); 4].map(|()| push(&mut queue, HINT, 2, now));
     assert!(others.iter().all(|key| queue.get(*key).is_some()));
-    for account in [1, 2] {
+    for account in [2, 1] {
         let error = queue.push(request(HINT, account, now), now).unwrap_err();
-        assert_ne!(error.reason, QueueRefusalReason::Displaced);
+        assert_eq!(error.reason, QueueRefusalReason::Full);
     }
     assert_eq!(queue.refuse_unservable(now).len(), 4);
 }
 
+/// Guards against displacing a request that can be on time while one waits that
+/// is late.
+#[test]
+fn push_full_displaces_late() {
+    let now = Instant::now();
+    let mut queue = small_queue(2);
+    let late = QueuedRequest {
+        on_time_until: None,
+        useful_until: now + ms(1000),
+        ..request(REVIEW, 1, now)
+    };
+    let late = queue.push(late, now).unwrap();
+    push(&mut queue, REVIEW, 1, now);
+    push(&mut queue, HINT, 1, now);
+    assert_eq!(queue.refuse_unservable(now)[0].0, late);
+}
+
+/// Guards against memory that displaced requests use while the caller does not
+/// collect them.
+#[test]
+fn push_full_bounds_displaced() {
+    let now = Instant::now();
+    let mut queue = small_queue(2);
+    for priority in [REVIEW, FEEDBACK] {
+        push_many(&mut queue, priority, 2, now);
+    }
+    assert!(queue.push(request(HINT, 1, now), now).is_err());
+    assert_eq!(queue.refuse_unservable(now).len(), 2);
+    push(&mut queue, HINT, 1, now);
+}
+
 /// Guards against memory that large requests use without bound.
 #[test]
 fn push_bounds_bytes() {
@@ -503,6 +565,16 @@
     assert_eq!(queue.len(), 10);
 }
 
+/// Guards against predicting from the rate of a time long before an outage.
+#[test]
+fn set_paused_after_idle_time() {
+    let mut queue = queue();
+    let now = measure(&mut queue, HINT, Instant::now()) + ms(60_000);
+    push_many(&mut queue, HINT, 10, now);
+    queue.set_paused(Some(now + ms(3000)));
+    assert_eq!(queue.predicted_wait(HINT, now), ms(3000));
+}
+
 /// Guards against a queue that stays paused because its outage ended unnoticed.
 #[test]
 fn set_paused_ends_with_start() {
