--- a/crates/route/src/queue_prediction.rs
+++ b/crates/route/src/queue_prediction.rs
@@ -21,6 +21,15 @@
     ///
     /// The rate is that of the last two seconds, less the arrivals of more urgent
     /// requests, but at least the background share.
+    ///
+    /// ```
+    /// use route::{Priority, RequestQueue, RequestQueueSettings};
+    /// use std::time::{Duration, Instant};
+    ///
+    /// let queue = RequestQueue::new(RequestQueueSettings::default());
+    /// let wait = queue.predicted_wait(Priority::default(), Instant::now());
+    /// assert_eq!(wait, Duration::ZERO);
+    /// ```
     #[must_use]
     pub fn predicted_wait(&self, priority: Priority, now: Instant) -> Duration {
         let ahead = self.classes.range(..=priority);
@@ -75,6 +84,13 @@
 
     /// Returns when `refuse_unservable` should be called next, or `None` if
     /// nothing is to be refused before the queue changes.
+    ///
+    /// ```
+    /// use route::{RequestQueue, RequestQueueSettings};
+    ///
+    /// let queue = RequestQueue::new(RequestQueueSettings::default());
+    /// assert_eq!(queue.next_check(std::time::Instant::now()), None);
+    /// ```
     #[must_use]
     pub fn next_check(&self, now: Instant) -> Option<Instant> {
         if !self.displaced.is_empty() {
--- a/crates/route/src/request_queue.rs
+++ b/crates/route/src/request_queue.rs
@@ -200,6 +200,14 @@
     }
 
     /// Removes a request whose caller has left.
+    ///
+    /// ```
+    /// use route::{QueueKey, RequestQueue, RequestQueueSettings};
+    ///
+    /// let mut queue = RequestQueue::new(RequestQueueSettings::default());
+    /// queue.remove(QueueKey::default()); // It does not wait.
+    /// assert!(queue.is_empty());
+    /// ```
     pub fn remove(&mut self, key: QueueKey) {
         self.displaced.retain(|(displaced, _)| *displaced != key);
         self.detach(key);
@@ -225,6 +233,18 @@
     ///
     /// The measured rates are kept meanwhile. A start after the predicted end
     /// also ends the pause.
+    ///
+    /// ```
+    /// use route::{Priority, RequestQueue, RequestQueueSettings};
+    /// use std::time::{Duration, Instant};
+    ///
+    /// let now = Instant::now();
+    /// let mut queue = RequestQueue::new(RequestQueueSettings::default());
+    /// queue.set_paused(Some(now + Duration::from_secs(3)));
+    /// assert_eq!(queue.predicted_wait(Priority::default(), now), Duration::from_secs(3));
+    /// queue.set_paused(None);
+    /// assert_eq!(queue.predicted_wait(Priority::default(), now), Duration::ZERO);
+    /// ```
     pub fn set_paused(&mut self, until: Option<Instant>) {
         self.rates.set_paused(until);
     }
