Start on-time requests of all accounts before late ones, and queue only at entries

Cause: in the load model of the hard-load page, late requests of an account started before on-time ones of another, so that under a lasting overload each start was late; and requests waited at targets where more urgent ones of the entry could not overtake them.

Change: within a priority, requests that can still be on time start first, whatever their account; requests that wait in the queue don't queue at targets.

--- a/crates/route/src/class_order.rs
+++ b/crates/route/src/class_order.rs
@@ -28,6 +28,15 @@
     account_turns: BTreeSet<Turn>,
     last_turn: u64,
     taken: BTreeSet<QueueKey>,
+    stage: Stage,
+}
+
+/// Which requests are taken. Late ones of any account wait for those that can still be on
+/// time: otherwise they would make these late, too, as long as the overload lasts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    OnTime,
+    Late,
 }
 
 /// The order within one account: first those still on time, then late ones.
@@ -48,8 +57,11 @@
 
     /// Returns the next request. Those on time are returned a second time among
     /// the late ones.
-    fn next(&mut self) -> Option<QueueKey> {
-        let next = self.on_time.next().or_else(|| self.by_useful.next());
+    fn next(&mut self, stage: Stage) -> Option<QueueKey> {
+        let next = match stage {
+            Stage::OnTime => self.on_time.next(),
+            Stage::Late => self.by_useful.next(),
+        };
         next.map(|(_, _, key)| *key)
     }
 }
@@ -73,13 +85,21 @@
             account_turns: BTreeSet::new(),
             last_turn: class.last_turn(),
             taken: BTreeSet::new(),
+            stage: Stage::OnTime,
         }
     }
 
     /// Takes the next request in the order of the fair queue.
     pub(crate) fn take_next(&mut self) -> Option<QueueKey> {
         loop {
-            let turn = self.next_turn()?;
+            let Some(turn) = self.next_turn() else {
+                if self.stage == Stage::Late {
+                    return None;
+                }
+                self.stage = Stage::Late;
+                self.account_turns = self.accounts.values().map(|account| account.turn).collect();
+                continue;
+            };
             self.visit(turn);
             if let Some(key) = self.next_of(turn.account) {
                 self.take(key);
@@ -143,7 +163,7 @@
 
     fn next_of(&mut self, id: u64) -> Option<QueueKey> {
         loop {
-            let key = self.accounts.get_mut(&id)?.next()?;
+            let key = self.accounts.get_mut(&id)?.next(self.stage)?;
             if self.is_takeable(key) {
                 return Some(key);
             }
--- a/crates/route/src/target_state.rs
+++ b/crates/route/src/target_state.rs
@@ -7,7 +7,8 @@
 use crate::request_limit::RequestLimit;
 use crate::rest::Rest;
 use crate::target_set::{
-    DispatchOutcome, LoadEstimate, Locality, ReportedLoad, RequestTiming, TargetSetSettings,
+    DispatchOutcome, Lateness, LoadEstimate, Locality, ReportedLoad, RequestTiming,
+    TargetSetSettings,
 };
 
 /// Maximum age of pauses that are taken into account. Older ones do not predict the next
@@ -153,7 +154,7 @@
         let starts_in_time =
             settings.step_time.is_none() || self.starts_in_time(occupied, timing, now);
         starts_in_time
-            && occupied < self.max_occupied(settings)
+            && occupied < self.max_occupied(timing, settings)
             && occupied < self.timely_concurrency(settings, occupied, now)
     }
 
@@ -210,11 +211,16 @@
         settings: &TargetSetSettings,
         now: Instant,
     ) -> bool {
-        self.occupied(timing, now) < self.max_occupied(settings)
+        self.occupied(timing, now) < self.max_occupied(timing, settings)
     }
 
-    fn max_occupied(&self, settings: &TargetSetSettings) -> f64 {
-        self.capacity * (1.0 + settings.queue_per_slot)
+    /// Requests that wait in the order of an entry's queue don't queue at the target as
+    /// well, where more urgent ones could not overtake them.
+    fn max_occupied(&self, timing: &RequestTiming, settings: &TargetSetSettings) -> f64 {
+        match timing.lateness {
+            Lateness::Yields => self.capacity * (1.0 + settings.queue_per_slot),
+            Lateness::Ignored => self.capacity,
+        }
     }
 
     /// Number of requests at which pauses of streams stay on time.
