--- a/crates/direct/src/balancer_queue.rs
+++ b/crates/direct/src/balancer_queue.rs
@@ -252,6 +252,6 @@
 }
 
 #[cfg(test)]
-#[path = "balancer_queue_tests.rs"]
+#[path = "../tests/unit/balancer_queue.rs"]
 #[allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 mod tests;
