Model hard load on many entries and lock-step groups

Part 4 of docs/design/hard-load.md asks for the rows of its table on the pure core. The model has entries with their own TargetSet, targets in lock-step groups, callers who come back, leave or do not wait, and two ways: as direct does today, and with route::RequestQueue.

--- /dev/null
+++ b/crates/route/tests/hard_load/callers.rs
@@ -0,0 +1,216 @@
+//! Callers of the three routes: when they come, leave and come back.
+
+use rand::rngs::SmallRng;
+use rand::{RngExt, seq::SliceRandom};
+use std::time::{Duration, Instant};
+
+/// Time after which a caller has no use for the answer any more.
+const DEADLINE: Duration = Duration::from_secs(8);
+/// Share of the time left that a caller waits at most before it comes back.
+const RETRY_AFTER_SHARE: f64 = 1.0 / 3.0;
+/// Share of the callers that come back at once, whatever they are told.
+const IMPATIENT_SHARE: f64 = 0.03;
+/// Time after which those callers come back.
+const IMPATIENT_WAIT: Duration = Duration::from_millis(50);
+/// Attempts of a caller, with the first one.
+const ATTEMPTS: u32 = 2;
+/// Time that a request needs at a free target until its first event.
+const FIRST_EVENT: Duration = Duration::from_millis(180);
+/// Time that a stream needs at a free target.
+const STREAM: Duration = Duration::from_secs(2);
+
+/// Client accounts; the first ones are large.
+pub const ACCOUNTS: u8 = 24;
+const LARGE_ACCOUNTS: u8 = 3;
+/// Share of the requests that the large accounts send together.
+const LARGE_SHARE: f64 = 0.42;
+
+/// A route of the first customer.
+pub struct Route {
+    pub name: &'static str,
+    /// Requests per second with 72 targets.
+    pub per_second: f64,
+    /// Time until the first event of a request that is on time.
+    pub objective: Duration,
+    /// Time without an event after which callers leave.
+    pub silence: Duration,
+    pub value: f64,
+    /// Part of the value that a late answer has.
+    pub late_share: f64,
+}
+
+/// The routes in the order of their priorities.
+pub const ROUTES: [Route; 3] = [
+    Route {
+        name: "hint",
+        per_second: 91.5,
+        objective: Duration::from_millis(400),
+        silence: Duration::from_secs(2),
+        value: 3.5,
+        late_share: 0.34,
+    },
+    Route {
+        name: "feedback",
+        per_second: 40.3,
+        objective: Duration::from_millis(400),
+        silence: Duration::from_secs(2),
+        value: 1.8,
+        late_share: 0.46,
+    },
+    Route {
+        name: "review",
+        per_second: 121.0,
+        objective: Duration::from_secs(1),
+        silence: Duration::from_secs(4),
+        value: 0.92,
+        late_share: 0.35,
+    },
+];
+
+/// Weight of a client account: the first large one has paid for twice the share.
+pub fn weight(account: u8) -> f64 {
+    if account == 0 { 2.0 } else { 1.0 }
+}
+
+/// Where a request is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Place {
+    /// With its caller, which may come back.
+    Caller,
+    /// At an entry, where it waits.
+    Entry,
+    Target(usize),
+    Served,
+    Lost,
+}
+
+/// One request with its caller.
+#[derive(Clone, Debug)]
+pub struct Request {
+    pub route: usize,
+    pub account: u8,
+    is_patient: bool,
+    /// First arrival.
+    pub arrived: Instant,
+    /// Latest arrival or event.
+    heard: Instant,
+    pub entry: usize,
+    pub place: Place,
+    attempts: u32,
+    pub refusals: u32,
+    pub events: u32,
+    pub is_late: bool,
+}
+
+impl Request {
+    pub fn new(now: Instant, route: usize, rng: &mut SmallRng) -> Request {
+        let account = if rng.random_bool(LARGE_SHARE) {
+            rng.random_range(0..LARGE_ACCOUNTS)
+        } else {
+            rng.random_range(LARGE_ACCOUNTS..ACCOUNTS)
+        };
+        Request {
+            route,
+            account,
+            is_patient: !rng.random_bool(IMPATIENT_SHARE),
+            arrived: now,
+            heard: now,
+            entry: 0,
+            place: Place::Caller,
+            attempts: 0,
+            refusals: 0,
+            events: 0,
+            is_late: false,
+        }
+    }
+
+    pub fn is_patient(&self) -> bool {
+        self.is_patient
+    }
+
+    pub fn route(&self) -> &'static Route {
+        &ROUTES[self.route]
+    }
+
+    pub fn arrive(&mut self, entry: usize, now: Instant) {
+        self.attempts += 1;
+        self.heard = now;
+        self.entry = entry;
+    }
+
+    pub fn time_left(&self, now: Instant) -> Duration {
+        (self.arrived + DEADLINE).saturating_duration_since(now)
+    }
+
+    /// When the caller leaves if it gets no event until then.
+    pub fn leaves_at(&self) -> Instant {
+        (self.heard + self.route().silence).min(self.arrived + DEADLINE)
+    }
+
+    /// Latest start in a slot to be on time.
+    pub fn on_time_until(&self, now: Instant) -> Option<Instant> {
+        let until = self.arrived + self.route().objective.saturating_sub(FIRST_EVENT);
+        (self.events == 0 && until > now).then_some(until)
+    }
+
+    /// Latest start in a slot of which the caller gets all events.
+    pub fn useful_until(&self) -> Instant {
+        let silence_end = self.heard + self.route().silence.saturating_sub(FIRST_EVENT);
+        silence_end.min(self.arrived + DEADLINE.saturating_sub(STREAM))
+    }
+
+    /// Time until the first event is late; streams with events have no such limit.
+    pub fn time_to_objective(&self, now: Instant) -> Duration {
+        if self.events > 0 {
+            return Duration::MAX;
+        }
+        (self.arrived + self.route().objective).saturating_duration_since(now)
+    }
+
+    /// Records an event. Returns the pause since the one before.
+    pub fn record_event(&mut self, max_pause: Duration, now: Instant) -> Duration {
+        let pause = now - self.heard;
+        self.is_late |= match self.events {
+            0 => now - self.arrived > self.route().objective,
+            _ => pause > max_pause,
+        };
+        self.events += 1;
+        self.heard = now;
+        pause
+    }
+
+    /// The caller is refused; returns when it comes back, if it does.
+    pub fn refuse(&mut self, retry_after: Duration, now: Instant) -> Option<Instant> {
+        self.refusals += 1;
+        let told = retry_after.min(self.time_left(now).mul_f64(RETRY_AFTER_SHARE));
+        let wait = if self.is_patient {
+            told
+        } else {
+            IMPATIENT_WAIT
+        };
+        self.come_back(now + wait)
+    }
+
+    /// The caller has lost its stream, or was refused, and comes back at a time if it
+    /// has another attempt.
+    pub fn come_back(&mut self, at: Instant) -> Option<Instant> {
+        let comes = self.attempts < ATTEMPTS && at < self.arrived + DEADLINE;
+        self.place = if comes { Place::Caller } else { Place::Lost };
+        comes.then_some(at)
+    }
+}
+
+/// Routes of the requests that arrive within a tick, in random order.
+pub fn arrivals(scale: f64, tick: Duration, rng: &mut SmallRng) -> Vec<usize> {
+    let mut routes = Vec::new();
+    for (route, settings) in ROUTES.iter().enumerate() {
+        let expected = settings.per_second * scale * tick.as_secs_f64();
+        let mut time = -(1.0 - rng.random::<f64>()).ln();
+        while time < expected {
+            routes.push(route);
+            time -= (1.0 - rng.random::<f64>()).ln();
+        }
+    }
+    routes.shuffle(rng);
+    routes
+}
--- /dev/null
+++ b/crates/route/tests/hard_load/scenario.rs
@@ -0,0 +1,151 @@
+//! What a run is given, and what it yields.
+
+use crate::callers::{ACCOUNTS, Place, ROUTES, Request};
+use std::time::{Duration, Instant};
+
+/// Numbers of entries, targets, and ranks of a group.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    pub entries: usize,
+    pub targets: usize,
+    pub group: usize,
+}
+
+/// How entries treat requests that find no capacity.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// They are refused at once, or wait for 1.3 s in an outage.
+    Today,
+    /// They wait in a `RequestQueue`.
+    Queue,
+}
+
+/// A run: normal traffic, with a fault in between.
+#[derive(Clone, Copy, Debug)]
+pub struct Scenario {
+    pub way: Way,
+    pub size: Size,
+    /// Factor on the traffic during the fault.
+    pub load: f64,
+    /// Whether one rank is dark during the fault.
+    pub dark: bool,
+    pub fault_start: Duration,
+    pub fault: Duration,
+    /// Time of normal traffic after the fault.
+    pub rest: Duration,
+    pub seed: u64,
+}
+
+impl Scenario {
+    /// The day of the measured table: ten seconds of load from second 4 of 24.
+    pub fn measured(way: Way, load: f64) -> Scenario {
+        Scenario {
+            way,
+            size: Size {
+                entries: 13,
+                targets: 72,
+                group: 72,
+            },
+            load,
+            dark: false,
+            fault_start: Duration::from_secs(4),
+            fault: Duration::from_secs(10),
+            rest: Duration::from_secs(10),
+            seed: 7,
+        }
+    }
+
+    /// A rank dark for 3 s on the same day.
+    pub fn rank_dark(way: Way) -> Scenario {
+        Scenario {
+            dark: true,
+            fault: Duration::from_secs(3),
+            rest: Duration::from_secs(17),
+            ..Scenario::measured(way, 1.0)
+        }
+    }
+}
+
+/// Outcomes of the requests of one route.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RouteCounts {
+    pub requests: f64,
+    pub on_time: f64,
+    pub late: f64,
+    /// Requests without an answer, of callers that came back as told.
+    pub dropped: f64,
+}
+
+impl RouteCounts {
+    pub fn on_time_share(&self) -> f64 {
+        self.on_time / self.requests.max(1.0)
+    }
+}
+
+/// Outcomes of a run.
+#[derive(Clone, Debug, Default)]
+pub struct Outcomes {
+    pub routes: [RouteCounts; 3],
+    /// Requests by route and account that arrived during the fault, and those answered.
+    pub accounts: [[(f64, f64); ACCOUNTS as usize]; 3],
+    /// Requests on time that arrived during the fault, per second.
+    pub goodput: f64,
+    pub refusals: f64,
+    /// Refused requests of callers that came back as told, and those refused twice.
+    pub refused: f64,
+    pub refused_twice: f64,
+}
+
+impl Outcomes {
+    pub fn new(scenario: &Scenario, start: Instant, requests: &[Request]) -> Outcomes {
+        let mut outcomes = Outcomes::default();
+        let fault = start + scenario.fault_start..start + scenario.fault_start + scenario.fault;
+        for request in requests {
+            let counts = &mut outcomes.routes[request.route];
+            let is_served = request.place == Place::Served;
+            let is_on_time = is_served && !request.is_late;
+            counts.requests += 1.0;
+            counts.on_time += f64::from(u8::from(is_on_time));
+            counts.late += f64::from(u8::from(is_served && !is_on_time));
+            counts.dropped += f64::from(u8::from(!is_served && request.is_patient()));
+            if fault.contains(&request.arrived) {
+                let account = &mut outcomes.accounts[request.route][usize::from(request.account)];
+                account.0 += 1.0;
+                account.1 += f64::from(u8::from(is_served));
+                outcomes.goodput += f64::from(u8::from(is_on_time)) / scenario.fault.as_secs_f64();
+            }
+            outcomes.refusals += f64::from(request.refusals);
+            if request.is_patient() {
+                outcomes.refused += f64::from(u8::from(request.refusals > 0));
+                outcomes.refused_twice += f64::from(u8::from(request.refusals > 1));
+            }
+        }
+        outcomes
+    }
+
+    /// Value earned as a fraction of the value owed.
+    pub fn value(&self) -> f64 {
+        let routes = || self.routes.iter().zip(&ROUTES);
+        let earned = routes().map(|(c, r)| r.value * (c.on_time + r.late_share * c.late));
+        let owed = routes().map(|(counts, route)| route.value * counts.requests);
+        earned.sum::<f64>() / owed.sum::<f64>()
+    }
+
+    /// One line with the figures of the measured table.
+    pub fn summary(&self) -> String {
+        let routes = self.routes.iter().zip(&ROUTES).map(|(counts, route)| {
+            let share = counts.on_time_share();
+            format!("{} {share:.3} ({} dropped)", route.name, counts.dropped)
+        });
+        let routes: Vec<String> = routes.collect();
+        format!(
+            "value {:.3}, on time {}, {} refusals, {} of {} refused twice, goodput {:.0}/s",
+            self.value(),
+            routes.join(" "),
+            self.refusals,
+            self.refused_twice,
+            self.refused,
+            self.goodput
+        )
+    }
+}
