--- a/crates/route/src/target_state.rs
+++ b/crates/route/src/target_state.rs
@@ -78,6 +78,8 @@
     pub(crate) declining_until: Option<Instant>,
     pauses: Option<Pauses>,
     failures: u32,
+    /// When the target last failed or declined.
+    pub(crate) unable_at: Option<Instant>,
     pub(crate) ejected_until: Option<Instant>,
     cold: ColdLimit,
     pub(crate) limit: RequestLimit,
@@ -102,6 +104,7 @@
             declining_until: None,
             pauses: None,
             failures: 0,
+            unable_at: None,
             ejected_until: None,
             cold: ColdLimit::default(),
             limit: RequestLimit::default(),
@@ -155,7 +158,7 @@
     /// Whether a request would get a slot in time. Requests that are already late yield
     /// to those that can be on time.
     fn starts_in_time(&self, occupied: f64, timing: &RequestTiming, now: Instant) -> bool {
-        if timing.time_left.is_zero() {
+        if timing.yields() {
             return occupied < self.capacity * LATE_REQUEST_SHARE;
         }
         let ahead = (occupied + 1.0 - self.capacity).max(0.0);
@@ -375,6 +378,9 @@
         now: Instant,
         settings: &TargetSetSettings,
     ) {
+        if matches!(outcome, DispatchOutcome::Failed | DispatchOutcome::Declined) {
+            self.unable_at = Some(now);
+        }
         match outcome {
             DispatchOutcome::Answered => {
                 self.failures = 0;
