Model entries with queue, outage estimate and limited return

The way with the queue takes OutageEstimate, ReturnSchedule, ReturnRamp and choose_first from route, as direct does.

--- a/crates/route/tests/hard_load/callers.rs
+++ b/crates/route/tests/hard_load/callers.rs
@@ -7,21 +7,19 @@
 /// Time after which a caller has no use for the answer any more.
 const DEADLINE: Duration = Duration::from_secs(8);
 /// Share of the time left that a caller waits at most before it comes back.
-const RETRY_AFTER_SHARE: f64 = 1.0 / 3.0;
+pub const RETRY_AFTER_SHARE: f64 = 1.0 / 3.0;
 /// Share of the callers that come back at once, whatever they are told.
 const IMPATIENT_SHARE: f64 = 0.03;
-/// Time after which those callers come back.
 const IMPATIENT_WAIT: Duration = Duration::from_millis(50);
 /// Attempts of a caller, with the first one.
 const ATTEMPTS: u32 = 2;
-/// Time that a request needs at a free target until its first event.
+/// Time that a request needs at a free target until its first event, and until its last.
 const FIRST_EVENT: Duration = Duration::from_millis(180);
-/// Time that a stream needs at a free target.
 const STREAM: Duration = Duration::from_secs(2);
 
 /// Client accounts; the first ones are large.
-pub const ACCOUNTS: u8 = 24;
-const LARGE_ACCOUNTS: u8 = 3;
+pub const ACCOUNTS: usize = 24;
+pub const LARGE_ACCOUNTS: usize = 3;
 /// Share of the requests that the large accounts send together.
 const LARGE_SHARE: f64 = 0.42;
 
@@ -29,46 +27,41 @@
 pub struct Route {
     pub name: &'static str,
     /// Requests per second with 72 targets.
-    pub per_second: f64,
+    per_second: f64,
     /// Time until the first event of a request that is on time.
     pub objective: Duration,
     /// Time without an event after which callers leave.
-    pub silence: Duration,
+    silence: Duration,
     pub value: f64,
     /// Part of the value that a late answer has.
     pub late_share: f64,
 }
 
+const fn route(
+    name: &'static str,
+    per_second: f64,
+    (objective_ms, silence_ms): (u64, u64),
+    (value, late_share): (f64, f64),
+) -> Route {
+    Route {
+        name,
+        per_second,
+        objective: Duration::from_millis(objective_ms),
+        silence: Duration::from_millis(silence_ms),
+        value,
+        late_share,
+    }
+}
+
 /// The routes in the order of their priorities.
 pub const ROUTES: [Route; 3] = [
-    Route {
-        name: "hint",
-        per_second: 91.5,
-        objective: Duration::from_millis(400),
-        silence: Duration::from_secs(2),
-        value: 3.5,
-        late_share: 0.34,
-    },
-    Route {
-        name: "feedback",
-        per_second: 40.3,
-        objective: Duration::from_millis(400),
-        silence: Duration::from_secs(2),
-        value: 1.8,
-        late_share: 0.46,
-    },
-    Route {
-        name: "review",
-        per_second: 121.0,
-        objective: Duration::from_secs(1),
-        silence: Duration::from_secs(4),
-        value: 0.92,
-        late_share: 0.35,
-    },
+    route("hint", 91.5, (400, 2_000), (3.5, 0.34)),
+    route("feedback", 40.3, (400, 2_000), (1.8, 0.46)),
+    route("review", 121.0, (1_000, 4_000), (0.92, 0.35)),
 ];
 
-/// Weight of a client account: the first large one has paid for twice the share.
-pub fn weight(account: u8) -> f64 {
+/// Weight of a client account: the first large one has twice that of the others.
+pub fn weight(account: usize) -> f64 {
     if account == 0 { 2.0 } else { 1.0 }
 }
 
@@ -88,8 +81,9 @@
 #[derive(Clone, Debug)]
 pub struct Request {
     pub route: usize,
-    pub account: u8,
-    is_patient: bool,
+    pub account: usize,
+    /// Whether the caller comes back as told.
+    pub is_patient: bool,
     /// First arrival.
     pub arrived: Instant,
     /// Latest arrival or event.
@@ -124,10 +118,6 @@
         }
     }
 
-    pub fn is_patient(&self) -> bool {
-        self.is_patient
-    }
-
     pub fn route(&self) -> &'static Route {
         &ROUTES[self.route]
     }
@@ -191,8 +181,7 @@
         self.come_back(now + wait)
     }
 
-    /// The caller has lost its stream, or was refused, and comes back at a time if it
-    /// has another attempt.
+    /// The caller comes back at a time if it has another attempt.
     pub fn come_back(&mut self, at: Instant) -> Option<Instant> {
         let comes = self.attempts < ATTEMPTS && at < self.arrived + DEADLINE;
         self.place = if comes { Place::Caller } else { Place::Lost };
--- a/crates/route/tests/hard_load/day.rs
+++ b/crates/route/tests/hard_load/day.rs
@@ -1,7 +1,7 @@
 //! Runs a scenario.
 
-use crate::callers::{self, Place, Request};
-use crate::entry::{Entry, JITTER, MAX_WAITING, Miss, RETRY_AFTER};
+use crate::callers::{self, Place, RETRY_AFTER_SHARE, Request};
+use crate::entry::{Entry, RETRY_AFTER};
 use crate::scenario::{Outcomes, Scenario, Way};
 use crate::targets::{EVENTS, Group, News, Stream, Target};
 use rand::rngs::SmallRng;
@@ -14,11 +14,20 @@
 const TICK: Duration = Duration::from_millis(5);
 /// Longest pause between events of a stream that is on time.
 const MAX_PAUSE: Duration = Duration::from_millis(120);
-const RETRY_AFTER_SHARE: f64 = 1.0 / 3.0;
+/// Bounds of the crate `direct` on requests that wait, and on the jitter of retries.
+const MAX_WAITING: usize = 64;
+const JITTER: std::ops::Range<f64> = 0.75..1.5;
 /// Period and amplitude of the wave in the traffic.
 const WAVE_PERIOD: f64 = 9.0;
 const WAVE: f64 = 0.1;
 
+/// Why a request could not be placed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Miss {
+    NoTarget,
+    Full,
+}
+
 /// Something that a caller does at a time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Act {
@@ -170,6 +179,10 @@
         let key = entry.keys[target];
         if is_head {
             entry.set.report_load(key, self.targets[target].load(), now);
+            entry.returns.record_start(now);
+            if let Some(ramp) = &mut entry.ramp {
+                ramp.record_report();
+            }
             entry.has_changed = true;
         } else {
             entry.set.record_pause(key, pause, MAX_PAUSE, now);
@@ -202,12 +215,27 @@
         };
         let mut tried = Vec::new();
         loop {
-            let key = entry.choose(time_left, &tried, now, &mut self.rng)?;
+            let rng = &mut self.rng;
+            let chosen = match self.scenario.way {
+                Way::Today => entry.set.choose_within(time_left, &tried, now, rng),
+                Way::Queue => entry.set.choose_first(time_left, &tried, now, rng),
+            };
+            let miss = if entry.set.has_available() {
+                entry.unavailable_since = None;
+                Miss::Full
+            } else {
+                entry.unavailable_since.get_or_insert(now);
+                Miss::NoTarget
+            };
+            let key = chosen.ok_or(miss)?;
             let target = entry.targets[&key];
             entry.set.start(key, now);
             let stream = Stream::new(id, urgency, request.events, now);
             if self.targets[target].offer(stream) {
                 request.place = Place::Target(target);
+                if let Some(ramp) = &mut entry.ramp {
+                    ramp.record_start();
+                }
                 return Ok(());
             }
             tried.push(key);
--- a/crates/route/tests/hard_load/entry.rs
+++ b/crates/route/tests/hard_load/entry.rs
@@ -1,26 +1,24 @@
-//! What one entry knows.
+//! What one entry knows, with the settings of the crate `direct`.
 
-use crate::outage::OutageEstimate;
 use crate::scenario::Size;
-use rand::rngs::SmallRng;
 use route::{
-    Locality, QueueKey, RequestQueue, RequestQueueSettings, RetryAfterSchedule, RetryBudget,
-    RetryLimits, StepTimeModel, TargetKey, TargetSet, TargetSetSettings, zone_subset,
+    Locality, OutageEstimate, QueueKey, RequestQueue, RequestQueueSettings, RetryAfterSchedule,
+    RetryBudget, RetryLimits, ReturnRamp, ReturnSchedule, StepTimeModel, TargetKey, TargetSet,
+    TargetSetSettings, zone_subset,
 };
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
 const ZONES: usize = 3;
-/// The following are the settings of the crate `direct`.
 const QUEUE_PER_SLOT: f64 = 0.15;
 const MAX_UNDIVIDED_TARGETS: usize = 32;
 const RETRY_RATIO: f64 = 0.15;
-pub const RETRY_AFTER: Duration = Duration::from_secs(1);
-pub const MAX_WAITING: usize = 64;
-pub const JITTER: std::ops::Range<f64> = 0.75..1.5;
 /// Retries that the targets tolerate in a window beyond those earned.
 const TOLERATED_RETRIES: u32 = 88;
 const RETRY_WINDOW: Duration = Duration::from_secs(10);
+pub const RETRY_AFTER: Duration = Duration::from_secs(1);
+const ASSUMED_OUTAGE: Duration = Duration::from_secs(3);
+
 /// An entry with its view of the targets.
 pub struct Entry {
     pub set: TargetSet,
@@ -30,23 +28,18 @@
     pub schedule: RetryAfterSchedule,
     /// Since when no target has been available.
     pub unavailable_since: Option<Instant>,
-    /// Requests that wait for the end of an outage.
+    /// Requests that wait for the end of an outage without a queue.
     pub waiting: VecDeque<(usize, Instant)>,
     pub queue: RequestQueue,
     pub queued: BTreeMap<QueueKey, usize>,
     pub outage: OutageEstimate,
     pub paused_until: Option<Instant>,
+    pub returns: ReturnSchedule,
+    pub ramp: Option<ReturnRamp>,
     /// Whether something has changed that may let a waiting request start.
     pub has_changed: bool,
 }
 
-/// Why a request could not be placed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Miss {
-    NoTarget,
-    Full,
-}
-
 fn of_zone(zone: usize, zones: usize, count: usize) -> Vec<usize> {
     (0..count).filter(|index| index % zones == zone).collect()
 }
@@ -62,12 +55,9 @@
         });
         let zones = ZONES.min(size.entries);
         let zone = own % zones;
-        let locality = |target: usize| {
-            if target % zones == zone {
-                Locality::SameZone
-            } else {
-                Locality::OtherZone
-            }
+        let locality = |target: usize| match target % zones == zone {
+            true => Locality::SameZone,
+            false => Locality::OtherZone,
         };
         let keys = (0..size.targets).map(|t| set.insert(crate::targets::SLOTS, locality(t)));
         let keys: Vec<TargetKey> = keys.collect();
@@ -94,29 +84,14 @@
             waiting: VecDeque::new(),
             queue: RequestQueue::new(RequestQueueSettings::default()),
             queued: BTreeMap::new(),
-            outage: OutageEstimate::default(),
+            outage: OutageEstimate::new(ASSUMED_OUTAGE),
             paused_until: None,
+            returns: ReturnSchedule::default(),
+            ramp: None,
             has_changed: false,
         }
     }
 
-    /// Chooses a target within the time left, as the crate `direct` does.
-    pub fn choose(
-        &mut self,
-        time_left: Duration,
-        tried: &[TargetKey],
-        now: Instant,
-        rng: &mut SmallRng,
-    ) -> Result<TargetKey, Miss> {
-        let chosen = self.set.choose_within(time_left, tried, now, rng);
-        if self.set.has_available() {
-            self.unavailable_since = None;
-            return chosen.ok_or(Miss::Full);
-        }
-        self.unavailable_since.get_or_insert(now);
-        chosen.ok_or(Miss::NoTarget)
-    }
-
     /// Whether waiting requests should be tried now.
     pub fn take_changed(&mut self, now: Instant) -> bool {
         let probes = self.unavailable_since.and(self.set.next_probe());
--- a/crates/route/tests/hard_load/main.rs
+++ b/crates/route/tests/hard_load/main.rs
@@ -5,7 +5,6 @@
 mod callers;
 mod day;
 mod entry;
-mod outage;
 mod queue_way;
 mod scenario;
 mod targets;
--- a/crates/route/tests/hard_load/queue_way.rs
+++ b/crates/route/tests/hard_load/queue_way.rs
@@ -1,25 +1,23 @@
-//! Entries that let requests wait in a `RequestQueue`.
+//! Entries that let requests wait in a `RequestQueue`, as `docs/design/hard-load.md` says.
 
-use crate::callers::{Place, Request, weight};
+use crate::callers::{Place, RETRY_AFTER_SHARE, Request, weight};
 use crate::day::Day;
-use route::{Priority, QueuedRequest};
+use crate::entry::Entry;
+use rand::RngExt;
+use route::{Priority, QueueRefusal, QueuedRequest, Return, ReturnRamp};
 use std::time::{Duration, Instant};
 
 /// Memory that a waiting request holds.
 const BYTES: usize = 4 << 10;
-
-fn priority(request: &Request) -> Priority {
-    let route = u32::try_from(request.route).unwrap();
-    Priority {
-        account: route,
-        route,
-    }
-}
+/// Outages after which starts are limited.
+const MIN_RAMPED: Duration = Duration::from_secs(1);
 
 fn queued(request: &Request, now: Instant) -> QueuedRequest {
+    let route = u32::try_from(request.route).unwrap();
+    let account = route;
     QueuedRequest {
-        priority: priority(request),
-        account: u64::from(request.account) + 1,
+        priority: Priority { account, route },
+        account: u64::try_from(request.account).unwrap() + 1,
         weight: weight(request.account),
         bytes: BYTES,
         on_time_until: request.on_time_until(now),
@@ -27,65 +25,75 @@
     }
 }
 
-/// Time within which a request has to get a slot. One that is late is not kept out by
-/// that: those that are less urgent would be admitted in its place.
-fn time_left(request: &Request, now: Instant) -> Duration {
-    let left = request.time_to_objective(now);
-    if request.on_time_until(now).is_some() {
-        left
-    } else {
-        left.max(request.route().objective)
-    }
-}
-
 impl Day {
     /// Starts a request if none precedes it and a target has room, or else queues it.
     pub fn start_or_queue(&mut self, id: usize) {
         let now = self.now;
-        let request = &self.requests[id];
-        let queued = queued(request, now);
-        let queue = &self.entries[request.entry].queue;
-        if queue.has_precedence(queued.priority, now) {
-            let time_left = time_left(request, now);
-            if self.try_start(id, time_left).is_ok() {
-                let queue = &mut self.entries[self.requests[id].entry].queue;
-                queue.record_start(queued.priority, queued.account, queued.weight, now);
-                return;
-            }
+        let own = self.requests[id].entry;
+        let request = queued(&self.requests[id], now);
+        let has_precedence = self.entries[own]
+            .queue
+            .has_precedence(request.priority, now);
+        if has_precedence && self.start_queued(id) {
+            let queue = &mut self.entries[own].queue;
+            queue.record_start(request.priority, request.account, request.weight, now);
+            return;
         }
-        self.update_outage(self.requests[id].entry);
-        let entry = &mut self.entries[self.requests[id].entry];
-        match entry.queue.push(queued, now) {
+        self.entries[own].update_outage(now);
+        match self.entries[own].queue.push(request, now) {
             Ok(key) => {
-                entry.queued.insert(key, id);
+                self.entries[own].queued.insert(key, id);
                 self.requests[id].place = Place::Entry;
             }
-            Err(refusal) => self.refuse(id, refusal.retry_after),
+            Err(refusal) => self.refuse_queued(id, refusal),
         }
     }
 
+    fn start_queued(&mut self, id: usize) -> bool {
+        let now = self.now;
+        let entry = &self.entries[self.requests[id].entry];
+        let is_admitted = entry.ramp.is_none_or(|ramp| ramp.admits(now));
+        let time_left = self.requests[id].time_to_objective(now);
+        is_admitted && self.try_start(id, time_left).is_ok()
+    }
+
+    /// Refuses a request, with a time after the predicted end of an outage if there is one.
+    fn refuse_queued(&mut self, id: usize, refusal: QueueRefusal) {
+        let request = &self.requests[id];
+        let entry = &mut self.entries[request.entry];
+        let retry_after = entry.outage.remaining(self.now).map(|remaining| {
+            let at = Return {
+                remaining,
+                ahead: entry.queue.len(),
+                max_delay: request.time_left(self.now).mul_f64(RETRY_AFTER_SHARE),
+            };
+            let priority = queued(request, self.now).priority;
+            let phase = self.rng.random();
+            entry
+                .returns
+                .retry_after(priority.route, &at, phase, self.now)
+        });
+        self.refuse(id, retry_after.unwrap_or(refusal.retry_after));
+    }
+
     /// Refuses what cannot be served, and starts waiting requests in order.
     pub fn serve_queue(&mut self, own: usize) {
         let now = self.now;
-        self.update_outage(own);
         let entry = &mut self.entries[own];
+        entry.update_outage(now);
         let has_changed = entry.take_changed(now);
-        if entry.queue.is_empty() {
-            return;
-        }
         let is_due = entry.queue.next_check(now).is_some_and(|at| at <= now);
-        if !has_changed && !is_due {
+        if entry.queue.is_empty() || !has_changed && !is_due && entry.ramp.is_none() {
             return;
         }
         for (key, refusal) in entry.queue.refuse_unservable(now) {
             if let Some(id) = self.entries[own].queued.remove(&key) {
-                self.refuse(id, refusal.retry_after);
+                self.refuse_queued(id, refusal);
             }
         }
         for key in self.entries[own].queue.order(now) {
             let id = self.entries[own].queued[&key];
-            let time_left = time_left(&self.requests[id], now);
-            if self.try_start(id, time_left).is_err() {
+            if !self.start_queued(id) {
                 break;
             }
             self.entries[own].queue.start(key, now);
@@ -97,26 +105,34 @@
     pub fn leave_entry(&mut self, id: usize) {
         let entry = &mut self.entries[self.requests[id].entry];
         entry.waiting.retain(|(waiting, _)| *waiting != id);
-        let key = entry.queued.iter().find(|(_, queued)| **queued == id);
-        if let Some((key, _)) = key.map(|(key, id)| (*key, *id)) {
+        let mut left = entry.queued.extract_if(.., |_, queued| *queued == id);
+        if let Some((key, _)) = left.next() {
             entry.queue.remove(key);
-            entry.queued.remove(&key);
         }
     }
+}
 
+impl Entry {
     /// Tells the queue until when no target is predicted to be available.
-    fn update_outage(&mut self, own: usize) {
-        let now = self.now;
-        let entry = &mut self.entries[own];
-        if entry.unavailable_since.is_some() {
-            entry.outage.began(now);
-        } else {
-            entry.outage.ended(now);
+    fn update_outage(&mut self, now: Instant) {
+        self.outage.settle(now);
+        self.ramp = self.ramp.filter(|ramp| !ramp.is_over(now));
+        if self.unavailable_since.is_some() {
+            if self.outage.began(now).is_some() {
+                self.returns.outage_began(now);
+                self.ramp = None;
+            }
+        } else if let Some(since) = self.outage.since() {
+            self.outage.ended(now);
+            if now - since >= MIN_RAMPED {
+                self.ramp = Some(ReturnRamp::new(self.returns.rate_before(), now));
+            }
         }
-        let paused_until = entry.outage.remaining(now).map(|left| now + left);
-        if paused_until != entry.paused_until {
-            entry.queue.set_paused(paused_until);
-            entry.paused_until = paused_until;
+        let end = self.outage.since().zip(self.outage.remaining(now));
+        let paused_until = end.map(|(_, left)| now + left);
+        if paused_until != self.paused_until {
+            self.queue.set_paused(paused_until);
+            self.paused_until = paused_until;
         }
     }
 }
--- a/crates/route/tests/hard_load/scenario.rs
+++ b/crates/route/tests/hard_load/scenario.rs
@@ -87,7 +87,7 @@
 pub struct Outcomes {
     pub routes: [RouteCounts; 3],
     /// Requests by route and account that arrived during the fault, and those answered.
-    pub accounts: [[(f64, f64); ACCOUNTS as usize]; 3],
+    pub accounts: [[(f64, f64); ACCOUNTS]; 3],
     /// Requests on time that arrived during the fault, per second.
     pub goodput: f64,
     pub refusals: f64,
@@ -107,15 +107,15 @@
             counts.requests += 1.0;
             counts.on_time += f64::from(u8::from(is_on_time));
             counts.late += f64::from(u8::from(is_served && !is_on_time));
-            counts.dropped += f64::from(u8::from(!is_served && request.is_patient()));
+            counts.dropped += f64::from(u8::from(!is_served && request.is_patient));
             if fault.contains(&request.arrived) {
-                let account = &mut outcomes.accounts[request.route][usize::from(request.account)];
+                let account = &mut outcomes.accounts[request.route][request.account];
                 account.0 += 1.0;
                 account.1 += f64::from(u8::from(is_served));
                 outcomes.goodput += f64::from(u8::from(is_on_time)) / scenario.fault.as_secs_f64();
             }
             outcomes.refusals += f64::from(request.refusals);
-            if request.is_patient() {
+            if request.is_patient {
                 outcomes.refused += f64::from(u8::from(request.refusals > 0));
                 outcomes.refused_twice += f64::from(u8::from(request.refusals > 1));
             }
