--- a/crates/route/tests/hard_load/entry.rs
+++ b/crates/route/tests/hard_load/entry.rs
@@ -55,9 +55,12 @@
         });
         let zones = ZONES.min(size.entries);
         let zone = own % zones;
-        let locality = |target: usize| match target % zones == zone {
-            true => Locality::SameZone,
-            false => Locality::OtherZone,
+        let locality = |target: usize| {
+            if target % zones == zone {
+                Locality::SameZone
+            } else {
+                Locality::OtherZone
+            }
         };
         let keys = (0..size.targets).map(|t| set.insert(crate::targets::SLOTS, locality(t)));
         let keys: Vec<TargetKey> = keys.collect();
