--- a/crates/route/tests/hard_load/callers.rs
+++ b/crates/route/tests/hard_load/callers.rs
@@ -122,6 +122,10 @@
         &ROUTES[self.route]
     }
 
+    pub fn has_ended(&self) -> bool {
+        matches!(self.place, Place::Served | Place::Lost)
+    }
+
     pub fn arrive(&mut self, entry: usize, now: Instant) {
         self.attempts += 1;
         self.heard = now;
--- a/crates/route/tests/hard_load/day.rs
+++ b/crates/route/tests/hard_load/day.rs
@@ -86,6 +86,9 @@
         let drained = end + Duration::from_secs(9);
         while self.now - self.start < drained {
             let at = self.now - self.start;
+            if at > end && self.requests.iter().all(Request::has_ended) {
+                break;
+            }
             let in_fault = (self.scenario.fault_start..fault_end).contains(&at);
             self.compute();
             self.act();
--- a/crates/route/tests/hard_load/queue_way.rs
+++ b/crates/route/tests/hard_load/queue_way.rs
@@ -69,9 +69,7 @@
             };
             let priority = queued(request, self.now).priority;
             let phase = self.rng.random();
-            entry
-                .returns
-                .retry_after(priority.route, &at, phase, self.now)
+            entry.returns.retry_after(priority, &at, phase, self.now)
         });
         self.refuse(id, retry_after.unwrap_or(refusal.retry_after));
     }
--- a/crates/route/tests/hard_load/scenario.rs
+++ b/crates/route/tests/hard_load/scenario.rs
@@ -1,6 +1,6 @@
 //! What a run is given, and what it yields.
 
-use crate::callers::{ACCOUNTS, Place, ROUTES, Request};
+use crate::callers::{ACCOUNTS, Place, ROUTES, Request, weight};
 use std::time::{Duration, Instant};
 
 /// Numbers of entries, targets, and ranks of a group.
@@ -39,13 +39,14 @@
 impl Scenario {
     /// The day of the measured table: ten seconds of load from second 4 of 24.
     pub fn measured(way: Way, load: f64) -> Scenario {
+        let size = Size {
+            entries: 13,
+            targets: 72,
+            group: 72,
+        };
         Scenario {
             way,
-            size: Size {
-                entries: 13,
-                targets: 72,
-                group: 72,
-            },
+            size,
             load,
             dark: false,
             fault_start: Duration::from_secs(4),
@@ -64,6 +65,29 @@
             ..Scenario::measured(way, 1.0)
         }
     }
+
+    /// Twice the traffic on other numbers of entries and targets; a short day unless
+    /// `LOVAGERAMP_SCHEDULES` is set.
+    pub fn of_size(entries: usize, targets: usize, group: usize) -> Scenario {
+        let size = Size {
+            entries,
+            targets,
+            group,
+        };
+        let full = Scenario {
+            size,
+            ..Scenario::measured(Way::Queue, 2.0)
+        };
+        if std::env::var_os("LOVAGERAMP_SCHEDULES").is_some() {
+            return full;
+        }
+        Scenario {
+            fault_start: Duration::from_secs(2),
+            fault: Duration::from_secs(2),
+            rest: Duration::ZERO,
+            ..full
+        }
+    }
 }
 
 /// Outcomes of the requests of one route.
@@ -85,6 +109,7 @@
 /// Outcomes of a run.
 #[derive(Clone, Debug, Default)]
 pub struct Outcomes {
+    seed: u64,
     pub routes: [RouteCounts; 3],
     /// Requests by route and account that arrived during the fault, and those answered.
     pub accounts: [[(f64, f64); ACCOUNTS]; 3],
@@ -98,7 +123,10 @@
 
 impl Outcomes {
     pub fn new(scenario: &Scenario, start: Instant, requests: &[Request]) -> Outcomes {
-        let mut outcomes = Outcomes::default();
+        let mut outcomes = Outcomes {
+            seed: scenario.seed,
+            ..Outcomes::default()
+        };
         let fault = start + scenario.fault_start..start + scenario.fault_start + scenario.fault;
         for request in requests {
             let counts = &mut outcomes.routes[request.route];
@@ -131,6 +159,11 @@
         earned.sum::<f64>() / owed.sum::<f64>()
     }
 
+    /// Whether fewer than 1 in 20 of the refused requests are refused twice.
+    pub fn is_rarely_refused_twice(&self) -> bool {
+        self.refused_twice < self.refused / 20.0 || self.refused_twice < 0.5
+    }
+
     /// One line with the figures of the measured table.
     pub fn summary(&self) -> String {
         let routes = self.routes.iter().zip(&ROUTES).map(|(counts, route)| {
@@ -139,13 +172,34 @@
         });
         let routes: Vec<String> = routes.collect();
         format!(
-            "value {:.3}, on time {}, {} refusals, {} of {} refused twice, goodput {:.0}/s",
+            "value {:.3}, on time {}, {} refusals, {} of {} refused twice, goodput {:.0}/s, seed {}",
             self.value(),
             routes.join(" "),
             self.refusals,
             self.refused_twice,
             self.refused,
-            self.goodput
+            self.goodput,
+            self.seed
         )
     }
 }
+
+/// Answers that accounts would have with the same total in shares by weight, where none has
+/// more than it asked for. Takes the requests and answers of each account.
+pub fn fair_shares(accounts: &[(f64, f64); ACCOUNTS]) -> [f64; ACCOUNTS] {
+    let served: f64 = accounts.iter().map(|(_, served)| served).sum();
+    let shares = |level: f64| {
+        std::array::from_fn(|account| accounts[account].0.min(level * weight(account)))
+    };
+    let (mut low, mut high) = (0.0, served);
+    for _ in 0..50 {
+        let level = f64::midpoint(low, high);
+        let total: f64 = <[f64; ACCOUNTS]>::into_iter(shares(level)).sum();
+        if total < served {
+            low = level;
+        } else {
+            high = level;
+        }
+    }
+    shares(high)
+}
