--- a/crates/direct/src/balancer_queue.rs
+++ b/crates/direct/src/balancer_queue.rs
@@ -72,6 +72,7 @@
         let mut inner = self.inner();
         let Inner { rng, services, .. } = &mut *inner;
         let targets = services.get_mut(service)?;
+        update_pause(targets, now);
         let waiting = targets.waiting.as_mut()?;
         let may_start = waiting.queue.has_precedence(request.priority, now);
         let slot = may_start.then(|| targets.take_slot(&request, now, rng));
@@ -193,7 +194,6 @@
     request: SlotRequest,
     now: Instant,
 ) -> Result<(QueueKey, oneshot::Receiver<Admission>, Duration), SlotRefusal> {
-    update_pause(targets, now);
     let has_available = targets.outage_left(now).is_none();
     let mean_duration = targets.set.mean_duration();
     let ended = SlotRefusal {
@@ -209,10 +209,13 @@
     Ok((key, rx, predicted))
 }
 
-/// Tells the queue when the outage of its service should end, if there is one.
+/// Tells the queue when targets should take requests again: when the outage of the service
+/// should end, or a rest that all targets have asked for.
 fn update_pause(targets: &mut ServiceTargets, now: Instant) {
     targets.observe_outage(now);
     let end = targets.outage.as_ref().and_then(|o| o.predicted_end(now));
+    let rest = || targets.set.time_to_rest_end(now).map(|rest| now + rest);
+    let end = end.or_else(rest);
     if let Some(waiting) = &mut targets.waiting {
         waiting.set_paused(end);
     }
@@ -239,3 +242,8 @@
         sleep(MIN_ROUND).await;
     }
 }
+
+#[cfg(test)]
+#[path = "balancer_queue_tests.rs"]
+#[allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+mod tests;
--- a/crates/direct/src/outage_metrics.rs
+++ b/crates/direct/src/outage_metrics.rs
@@ -48,12 +48,12 @@
         let refused = self.refused.clone();
         let help = "Requests refused in an outage with the time of the predicted return";
         registry.register("refused_in_outage", help, refused);
-        let held = self.streams_held.clone();
+        let streams_held = self.streams_held.clone();
         let help = "Broken streams kept open until a target takes work";
-        registry.register("streams_held", help, held);
-        let resumed = self.streams_resumed.clone();
+        registry.register("streams_held", help, streams_held);
+        let streams_resumed = self.streams_resumed.clone();
         let help = "Broken streams that went on after they were kept open";
-        registry.register("held_streams_resumed", help, resumed);
+        registry.register("held_streams_resumed", help, streams_resumed);
     }
 
     pub(crate) fn began(&self, service: &str, predicted: Duration) {
