Hold broken streams open in the model, and count shares in time

A stream broken off in an outage took its caller's second attempt at once, unlike part 3 of docs/design/hard-load.md: it now waits in the queue for a target until shortly before its caller leaves, and takes a retry when it is resumed. Answers of an account counted also when they began after the load; now those that begin within it.

--- a/crates/route/tests/hard_load/callers.rs
+++ b/crates/route/tests/hard_load/callers.rs
@@ -92,6 +92,7 @@
     pub place: Place,
     attempts: u32,
     pub refusals: u32,
+    pub first_event: Option<Instant>,
     pub events: u32,
     pub is_late: bool,
 }
@@ -113,6 +114,7 @@
             place: Place::Caller,
             attempts: 0,
             refusals: 0,
+            first_event: None,
             events: 0,
             is_late: false,
         }
@@ -122,6 +124,11 @@
         &ROUTES[self.route]
     }
 
+    /// Whether it is a stream that the caller has received a part of without a break.
+    pub fn is_held_open(&self) -> bool {
+        self.events > 0 && self.attempts == 1
+    }
+
     pub fn has_ended(&self) -> bool {
         matches!(self.place, Place::Served | Place::Lost)
     }
@@ -168,6 +175,7 @@
             0 => now - self.arrived > self.route().objective,
             _ => pause > max_pause,
         };
+        self.first_event.get_or_insert(now);
         self.events += 1;
         self.heard = now;
         pause
--- a/crates/route/tests/hard_load/day.rs
+++ b/crates/route/tests/hard_load/day.rs
@@ -312,14 +312,19 @@
 
     /// A target has broken a stream off: another one may resume it, or else its caller.
     fn resume(&mut self, id: usize) {
-        let own = self.requests[id].entry;
-        let may_retry = self.entries[own].budget.withdraw(self.now);
-        if may_retry && self.try_start(id, Duration::MAX).is_ok() {
-            return;
+        if self.scenario.way == Way::Queue {
+            return self.start_or_queue(id);
         }
-        if self.scenario.way == Way::Queue && may_retry {
-            self.start_or_queue(id);
-        } else if let Some(at) = self.requests[id].come_back(self.now) {
+        let may_retry = self.entries[self.requests[id].entry]
+            .budget
+            .withdraw(self.now);
+        if !may_retry || self.try_start(id, Duration::MAX).is_err() {
+            self.break_off(id);
+        }
+    }
+
+    pub fn break_off(&mut self, id: usize) {
+        if let Some(at) = self.requests[id].come_back(self.now) {
             self.acts.push(Reverse((at, id, Act::Come)));
         }
     }
--- a/crates/route/tests/hard_load/queue_way.rs
+++ b/crates/route/tests/hard_load/queue_way.rs
@@ -49,17 +49,30 @@
         }
     }
 
+    /// Starts a request if the limits after an outage and on retries allow it: a stream that
+    /// is resumed takes a retry.
     fn start_queued(&mut self, id: usize) -> bool {
         let now = self.now;
-        let entry = &self.entries[self.requests[id].entry];
-        let is_admitted = entry.ramp.is_none_or(|ramp| ramp.admits(now));
-        let time_left = self.requests[id].time_to_objective(now);
-        is_admitted && self.try_start(id, time_left).is_ok()
+        let request = &self.requests[id];
+        let resumes = request.is_held_open();
+        let entry = &mut self.entries[request.entry];
+        let is_admitted = entry.ramp.is_none_or(|ramp| ramp.admits(now))
+            && (!resumes || entry.budget.can_withdraw(now));
+        let time_left = request.time_to_objective(now);
+        let starts = is_admitted && self.try_start(id, time_left).is_ok();
+        if starts && resumes {
+            self.entries[self.requests[id].entry].budget.withdraw(now);
+        }
+        starts
     }
 
     /// Refuses a request, with a time after the predicted end of an outage if there is one.
+    /// A stream that was held open ends, and its caller resumes it.
     fn refuse_queued(&mut self, id: usize, refusal: QueueRefusal) {
         let request = &self.requests[id];
+        if request.is_held_open() {
+            return self.break_off(id);
+        }
         let entry = &mut self.entries[request.entry];
         let retry_after = entry.outage.remaining(self.now).map(|remaining| {
             let at = Return {
--- a/crates/route/tests/hard_load/scenario.rs
+++ b/crates/route/tests/hard_load/scenario.rs
@@ -111,7 +111,7 @@
 pub struct Outcomes {
     seed: u64,
     pub routes: [RouteCounts; 3],
-    /// Requests by route and account that arrived during the fault, and those answered.
+    /// By route and account: requests that arrived, and answers that began, in the fault.
     pub accounts: [[(f64, f64); ACCOUNTS]; 3],
     /// Requests on time that arrived during the fault, per second.
     pub goodput: f64,
@@ -136,12 +136,14 @@
             counts.on_time += f64::from(u8::from(is_on_time));
             counts.late += f64::from(u8::from(is_served && !is_on_time));
             counts.dropped += f64::from(u8::from(!is_served && request.is_patient));
+            let account = &mut outcomes.accounts[request.route][request.account];
             if fault.contains(&request.arrived) {
-                let account = &mut outcomes.accounts[request.route][request.account];
                 account.0 += 1.0;
-                account.1 += f64::from(u8::from(is_served));
                 outcomes.goodput += f64::from(u8::from(is_on_time)) / scenario.fault.as_secs_f64();
             }
+            if request.first_event.is_some_and(|at| fault.contains(&at)) {
+                account.1 += 1.0;
+            }
             outcomes.refusals += f64::from(request.refusals);
             if request.is_patient {
                 outcomes.refused += f64::from(u8::from(request.refusals > 0));
