--- a/crates/route/tests/hard_load/queue_way.rs
+++ b/crates/route/tests/hard_load/queue_way.rs
@@ -102,7 +102,7 @@
                 self.refuse_queued(id, refusal);
             }
         }
-        for key in self.entries[own].queue.order(now) {
+        while let Some(key) = self.entries[own].queue.next(now) {
             let id = self.entries[own].queued[&key];
             if !self.start_queued(id) {
                 break;
