Leave half of the late share to slow steps, and model the reserve

Cause: the load model did not leave slots free for urgent requests as the balancer does, and with all of the 5% that may be late allotted to waiting, slow steps made more than that late.

Change: at most 2.5% of the urgent requests may find no free slot in time; the model asks the same functions as the balancer.

--- a/crates/route/src/queue_reserve.rs
+++ b/crates/route/src/queue_reserve.rs
@@ -4,8 +4,9 @@
 
 use crate::{Priority, RequestQueue};
 
-/// Share of the more urgent requests that may find no free slot in time.
-const MAX_LATE_SHARE: f64 = 0.05;
+/// Share of the more urgent requests that may find no free slot in time: half of the 5% that
+/// may be late. The other half is left to slow steps.
+const MAX_LATE_SHARE: f64 = 0.025;
 /// Most slots that are left free. With more, the slots of an entry would stand
 /// idle when urgent requests alone exceed what it can start.
 const MAX_RESERVE: u32 = 8;
--- a/crates/route/tests/hard_load/queue_way.rs
+++ b/crates/route/tests/hard_load/queue_way.rs
@@ -9,6 +9,9 @@
 
 /// Memory that a waiting request holds.
 const BYTES: usize = 4 << 10;
+/// Time within which a hint must start to be on time: its objective of 400 ms less the time
+/// to its first event.
+const URGENT_SLACK: Duration = Duration::from_millis(200);
 /// Outages after which starts are limited.
 const MIN_RAMPED: Duration = Duration::from_secs(1);
 
@@ -58,8 +61,9 @@
         let entry = &mut self.entries[request.entry];
         let is_admitted = entry.ramp.is_none_or(|ramp| ramp.admits(now))
             && (!resumes || entry.budget.can_withdraw(now));
+        let leaves_reserve = entry.leaves_reserve(queued(request, now).priority, now);
         let time_left = request.time_to_objective(now);
-        let starts = is_admitted && self.try_start(id, time_left).is_ok();
+        let starts = is_admitted && leaves_reserve && self.try_start(id, time_left).is_ok();
         if starts && resumes {
             self.entries[self.requests[id].entry].budget.withdraw(now);
         }
@@ -124,6 +128,14 @@
 }
 
 impl Entry {
+    /// Whether a request of this priority leaves enough slots free for more urgent ones.
+    fn leaves_reserve(&self, priority: Priority, now: Instant) -> bool {
+        let reserve = self.queue.reserve(priority, URGENT_SLACK, now);
+        reserve <= 0.0
+            || self.queue.may_use_reserve(priority, now)
+            || self.set.free_slots(now) > reserve
+    }
+
     /// Tells the queue until when no target is predicted to be available.
     fn update_outage(&mut self, now: Instant) {
         self.outage.settle(now);
