Remove tokens from a window only after a clear change of popularity

Cause: the content of a few requests passes for a change of popularity, and a twentieth of the popular experts tells too little of how much of the window is from before it. Under calm demand, the estimate then lost tokens of experts that stay popular.

Change: the error must be three times the noise in most layers, and the share of the window before the change is the ratio below which a tenth of the popular experts are.

Limit: where more than a tenth of the popular experts lose only about half of their popularity by a change, one window still loses tokens of experts that stay.

Test: forecast_change_of_unpopular_experts fails without the change.

--- a/crates/expert/src/load_estimator.rs
+++ b/crates/expert/src/load_estimator.rs
@@ -12,6 +12,11 @@
 /// a change of popularity would pass for noise for many windows.
 const MAX_NOISE_RATIO: f64 = 4.0;
 
+/// Part of the squared error beyond the noise from which a layer clearly shows a change:
+/// a squared error of three times the noise. Below it, the content of a few requests may be
+/// the cause.
+const CLEAR_EXCESS: f64 = 0.33;
+
 /// Smoothing weight of the newest squared forecast error in the noise.
 const NOISE_WEIGHT: f64 = 0.2;
 
@@ -60,6 +65,8 @@
 struct Seen {
     /// Popularity changed.
     is_change: bool,
+    /// Part of the squared error that exceeds the noise.
+    excess: f64,
     /// Correlation of the forecast errors with those of the previous window.
     correlation: f64,
 }
@@ -117,7 +124,7 @@
             .filter_map(|layer| self.observe_layer(layer, load.layer(layer)))
             .collect();
         self.adapt(&seen);
-        let changes = seen.iter().filter(|seen| seen.is_change).count();
+        let changes = seen.iter().filter(|s| s.excess >= CLEAR_EXCESS).count();
         let has_changed = 2 * changes > load.layers();
         if has_changed && !self.has_changed {
             self.remove_former(&former, load);
@@ -176,6 +183,7 @@
         self.totals[layer] += weight * (total - self.totals[layer]);
         (!first).then_some(Seen {
             is_change,
+            excess,
             correlation,
         })
     }
--- a/crates/expert/src/popularity_change.rs
+++ b/crates/expert/src/popularity_change.rs
@@ -4,7 +4,7 @@
 
 /// Share of the popular experts that lose almost all of their popularity by a change, at
 /// least. If fewer do, too many tokens are removed from experts that stay popular.
-const LOSING_SHARE: f64 = 0.05;
+const LOSING_SHARE: f64 = 0.1;
 
 /// Multiple of the mean popularity from which an expert counts as popular. The counts of
 /// others are too low to tell noise from a loss.
--- a/crates/expert/tests/load_estimator.rs
+++ b/crates/expert/tests/load_estimator.rs
@@ -100,3 +100,22 @@
     let of_window = error(&mixed, &shares(11));
     assert!(of_forecast < 0.2 * of_window, "{of_forecast} {of_window}");
 }
+
+/// Guards against removing tokens of experts that stay popular, when a single one of them
+/// loses half of its popularity in a change that leaves the others as they were.
+#[test]
+fn forecast_change_of_unpopular_experts() {
+    let mut rng = StdRng::seed_from_u64(4);
+    let mut estimator = LoadEstimator::new(LAYERS, EXPERTS, LoadEstimatorSettings::default());
+    for _ in 0..60 {
+        estimator.observe(&counts(&shares(0), &mut rng));
+    }
+    let former = estimator.forecast().layer(0)[1];
+    let mut changed = shares(0);
+    changed[4..].reverse();
+    let mut load = counts(&changed, &mut rng);
+    load.layer_mut(0)[1] = 0.5 * former;
+    estimator.observe(&load);
+    let share = estimator.forecast().layer(0)[1] / former;
+    assert!((0.4..0.6).contains(&share), "{share}");
+}
