Export the balance of a group beside its lower bound

Cause: there was no metric of the balance of a group, so it could not be told whether its slots, its estimate or its switches bind.

Change: the coordinating agent exports `agent_map_imbalance` and `agent_map_imbalance_bound` by group once per window, for the estimated demand. Agents of a single rank serve no metrics and log both when a switch begins. The bound is `Shape::min_imbalance`.

The metrics were not read from a running agent.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -208,6 +208,7 @@
         tick_interval: cx.cfg.timing.poll_interval,
         follower: cx.follower.clone(),
         target_client: cx.target_client.clone(),
+        metrics: cx.metrics.maps.clone(),
         group_source: GroupSource::ReleaseNote,
         stop: cx.stop.clone(),
     }
--- a/crates/agent/src/map/map_context.rs
+++ b/crates/agent/src/map/map_context.rs
@@ -8,7 +8,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::engine::TargetClient;
-use crate::map::MapSettings;
+use crate::map::{MapMetrics, MapSettings};
 
 /// The part of an agent that the map actor and the command queue use.
 pub(crate) struct MapContext {
@@ -22,6 +22,7 @@
     pub tick_interval: Duration,
     pub follower: Follower,
     pub target_client: TargetClient,
+    pub metrics: MapMetrics,
     pub group_source: GroupSource,
     /// Stops the agent.
     pub stop: CancellationToken,
--- a/crates/agent/src/map/map_planner.rs
+++ b/crates/agent/src/map/map_planner.rs
@@ -11,6 +11,7 @@
 use wire::proto::RankWindow;
 
 use crate::map::gathers::add_tokens;
+use crate::map::map_metrics::Balance;
 use crate::map::participants::RankPlacement;
 use crate::map::{InitialMap, MapSettings};
 
@@ -150,6 +151,16 @@
         }
     }
 
+    /// Load of the busiest rank over the mean under `current`, and its lower bound, for
+    /// the estimated demand; `None` before the first counts.
+    pub fn balance(&self, current: Option<&Map>, initial: InitialMap) -> Option<Balance> {
+        let (load, live) = (self.estimate.forecast(), self.speeds.live());
+        Some(Balance {
+            imbalance: self.current_map(current, initial).imbalance(&load, live)?,
+            min_imbalance: self.shape.min_imbalance(&load, live)?,
+        })
+    }
+
     /// The next map, if a change pays off.
     ///
     /// The plan starts from `current`, the newest committed map. If there is none,
--- a/crates/agent/src/map/mod.rs
+++ b/crates/agent/src/map/mod.rs
@@ -16,6 +16,7 @@
 mod map_actor;
 mod map_context;
 mod map_handle;
+mod map_metrics;
 mod map_planner;
 mod members;
 mod msg;
@@ -31,4 +32,5 @@
 
 pub(crate) use map_context::{GroupSource, MapContext};
 pub(crate) use map_handle::{MapHandle, start};
+pub(crate) use map_metrics::MapMetrics;
 pub use settings::{InitialMap, MapSettings};
--- a/crates/agent/src/map/planning.rs
+++ b/crates/agent/src/map/planning.rs
@@ -8,6 +8,7 @@
 use wire::proto::frame::Body;
 
 use crate::map::InitialMap;
+use crate::map::map_metrics::Balance;
 use crate::map::map_planner::{self, MapPlanner};
 use crate::map::state::State;
 
@@ -89,6 +90,10 @@
             return;
         };
         planner.observe(self.committed_map.as_ref(), self.cx.cfg.initial_map);
+        let balance = planner.balance(self.committed_map.as_ref(), self.cx.cfg.initial_map);
+        if let Some(balance) = balance {
+            self.cx.metrics.set(&self.cx.group, balance);
+        }
         if !idle {
             return;
         }
@@ -99,6 +104,7 @@
         let need = self.cx.cfg.need;
         let is_needed = |plan: &Plan| need.is_none_or(|need| need.should_switch(plan, step_time));
         if let Some(plan) = plan.filter(is_needed) {
+            log_balance(&self.cx.group, balance);
             self.begin_switch(&plan, now);
         }
     }
@@ -122,6 +128,16 @@
     }
 }
 
+/// Logs the balance for which a switch begins.
+fn log_balance(group: &str, balance: Option<Balance>) {
+    if let Some(balance) = balance {
+        log::info!(
+            group = group, imbalance = balance.imbalance, bound = balance.min_imbalance;
+            "load of the busiest rank over the mean"
+        );
+    }
+}
+
 /// Seconds as whole microseconds.
 fn micros(seconds: f64) -> u128 {
     Duration::try_from_secs_f64(seconds).map_or(0, |time| time.as_micros())
--- a/crates/agent/src/map/state.rs
+++ b/crates/agent/src/map/state.rs
@@ -267,6 +267,7 @@
         if members.coordinator_name() != Some(&self.cx.name) {
             self.coordinator = None;
             self.planner = None;
+            self.cx.metrics.remove(&self.cx.group);
             return;
         }
         let deposed = self
--- a/crates/agent/src/map_agent.rs
+++ b/crates/agent/src/map_agent.rs
@@ -13,7 +13,7 @@
 
 use crate::engine::{ArmingDialect, ClientSettings, TargetClient};
 use crate::links::is_relayed;
-use crate::map::{GroupSource, MapContext, MapHandle, MapSettings};
+use crate::map::{GroupSource, MapContext, MapHandle, MapMetrics, MapSettings};
 
 /// Settings of an agent that only switches maps.
 #[derive(Clone)]
@@ -75,6 +75,8 @@
             tick_interval: cfg.tick_interval,
             follower: cfg.follower.clone(),
             target_client: TargetClient::arming(cfg.engine, cfg.dialect, cfg.client),
+            // Agents of a single rank serve no metrics; they log the balance.
+            metrics: MapMetrics::default(),
             group_source: GroupSource::Shared(Arc::clone(&group)),
             stop: stop.clone(),
         });
--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -9,6 +9,7 @@
 use prometheus_client::registry::Registry;
 use wire::proto::End;
 
+use crate::map::MapMetrics;
 use crate::{Ending, Refusal};
 
 /// Metrics of attempts, answers, links and the target.
@@ -26,6 +27,7 @@
     pub links: Gauge,
     pub healthy: Gauge,
     answer_bytes: Counter<u64, AtomicU64>,
+    pub maps: MapMetrics,
 }
 
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
@@ -40,6 +42,7 @@
 
 impl Metrics {
     pub fn register(&self, registry: &mut Registry) {
+        self.maps.register(registry);
         let mut counter = |name: &str, help: &str, counter: &Counter| {
             registry.register(name, help, counter.clone());
         };
--- a/crates/expert/src/lib.rs
+++ b/crates/expert/src/lib.rs
@@ -40,6 +40,7 @@
 mod expert_id;
 mod goal;
 mod group_state;
+mod imbalance;
 mod load;
 mod load_estimator;
 mod load_estimator_settings;
