--- a/crates/direct/src/balancer.rs
+++ b/crates/direct/src/balancer.rs
@@ -1,6 +1,7 @@
 //! Chooses targets for the requests of all services.
 
 use crate::entry_place::EntryPlace;
+use crate::outage_metrics::OutageMetrics;
 use crate::permit::Permit;
 use crate::proxy::{ProxySettings, RetryTolerance};
 use crate::service_targets::{Endpoint, ServiceTargets};
@@ -13,7 +14,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use table::Table;
-use tokio::sync::{Semaphore, SemaphorePermit, watch};
+use tokio::sync::{Notify, Semaphore, SemaphorePermit, watch};
 
 /// Maximum number of requests that wait for a route table or target. With four
 /// entries this is about what the targets of a service can start at once when
@@ -26,18 +27,21 @@
 pub(crate) struct Balancer {
     name: String,
     zone: String,
-    timing: Timing,
+    pub(crate) timing: Timing,
     retry_tolerance: RetryTolerance,
     inner: Mutex<Inner>,
     /// Notified when targets or the route table may have changed.
     changes: watch::Sender<()>,
     waiting: Semaphore,
+    /// Notified when requests wait again, and when the balancer is dropped.
+    pub(crate) queue_timer: Arc<Notify>,
+    pub(crate) outage_metrics: OutageMetrics,
 }
 
 #[derive(Debug)]
-struct Inner {
-    rng: SmallRng,
-    services: BTreeMap<String, ServiceTargets>,
+pub(crate) struct Inner {
+    pub(crate) rng: SmallRng,
+    pub(crate) services: BTreeMap<String, ServiceTargets>,
     /// Per route, the time that callers spent on earlier attempts.
     time_used: BTreeMap<String, ElapsedWait>,
     rests: Rests,
@@ -94,12 +98,14 @@
             inner: Mutex::new(inner),
             changes: watch::Sender::default(),
             waiting: Semaphore::new(MAX_WAITING_REQUESTS),
+            queue_timer: Arc::default(),
+            outage_metrics: OutageMetrics::default(),
         }
     }
 
     /// Updates the services and their targets from the route table and from what control
     /// has told of targets and entries.
-    pub(crate) fn update(&self, table: &Table, known: &Known, now: Instant) {
+    pub(crate) fn update(self: &Arc<Balancer>, table: &Table, known: &Known, now: Instant) {
         let place = EntryPlace {
             name: &self.name,
             zone: &self.zone,
@@ -127,6 +133,8 @@
                 .iter()
                 .filter(|known| known.report.service == service.name);
             targets.update(of_service, &place, self.timing.idle_connection, now);
+            targets.set_has_priorities(table.has_priorities(&service.name));
+            self.follow_outages(&service.name, targets);
             targets.apply_rests(rests);
             targets.apply_departures(departures);
             targets.retry_budget.set_limits(&retry_limits, now);
@@ -135,9 +143,11 @@
                 targets.update_preferred(own, known.zone_entries.len());
             }
             targets.update_limits(&known.targets, now, rng);
+            targets.observe_outage(now);
         }
         drop(inner);
         self.changes.send_replace(());
+        self.drain_queues(now);
     }
 
     /// For each service: its name, the number of available targets, and of all.
@@ -189,8 +199,14 @@
         let mut inner = self.inner();
         let Inner { rng, services, .. } = &mut *inner;
         let targets = services.get_mut(service).ok_or(AcquireError::NoTarget)?;
-        let Some(key) = targets.set.choose_within(left, tried, now, rng) else {
-            if targets.set.has_available() {
+        let chosen = if targets.outage.is_some() {
+            let may_start = targets.may_start(now);
+            may_start.then(|| targets.set.choose_first(left, tried, now, rng))
+        } else {
+            Some(targets.set.choose_within(left, tried, now, rng))
+        };
+        let Some(key) = chosen.flatten() else {
+            if targets.set.has_available() && targets.outage_left(now).is_none() {
                 return Err(AcquireError::Full);
             }
             targets.unavailable_since.get_or_insert(now);
@@ -235,65 +251,6 @@
         used.map_or(Duration::ZERO, |used| used.observe(timeout, now))
     }
 
-    /// Adds a request's share to the retry budget of its service.
-    pub(crate) fn deposit_retry(&self, service: &str) {
-        if let Some(targets) = self.inner().services.get_mut(service) {
-            targets.retry_budget.deposit();
-        }
-    }
-
-    /// Takes one retry from the budget of the service; false if it is exhausted.
-    pub(crate) fn withdraw_retry(&self, service: &str, now: Instant) -> bool {
-        let mut inner = self.inner();
-        let targets = inner.services.get_mut(service);
-        targets.is_some_and(|targets| targets.retry_budget.withdraw(now))
-    }
-
-    /// Delay until a refused caller should retry: at most `max_delay`, but not before the
-    /// end of a rest of all targets. It is randomised, so that callers refused together do
-    /// not retry together.
-    pub(crate) fn retry_after_refusal(
-        &self,
-        service: &str,
-        max_delay: Duration,
-        now: Instant,
-    ) -> Duration {
-        let mut inner = self.inner();
-        let Inner { rng, services, .. } = &mut *inner;
-        let after_full = self.timing.retry_after_full;
-        let Some(targets) = services.get_mut(service) else {
-            return with_jitter(after_full, rng);
-        };
-        let max_delay = max_delay.div_f64(JITTER.end);
-        let after = targets.retry_schedule.next_retry_after(max_delay, now);
-        let after = with_jitter(after, rng);
-        let rest = targets.set.time_to_rest_end(now);
-        rest.map_or(after, |rest| {
-            after.max(rest + after_full.mul_f64(rng.random()))
-        })
-    }
-
-    /// Delay until a caller that found no target or no route table should retry.
-    pub(crate) fn retry_after_absence(&self) -> Duration {
-        with_jitter(self.timing.retry_after_absent, &mut self.inner().rng)
-    }
-
-    /// Whether the retry budget and the other targets allow a retry now.
-    pub(crate) fn can_retry_elsewhere(
-        &self,
-        service: &str,
-        left: Duration,
-        tried: &[TargetKey],
-        now: Instant,
-    ) -> bool {
-        let mut inner = self.inner();
-        let Inner { rng, services, .. } = &mut *inner;
-        services.get_mut(service).is_some_and(|targets| {
-            targets.retry_budget.can_withdraw(now)
-                && targets.set.can_choose_within(left, tried, now, rng)
-        })
-    }
-
     /// Whether a stream should move from its target to one with a free slot.
     pub(crate) fn should_move(&self, service: &str, key: TargetKey, now: Instant) -> bool {
         let mut inner = self.inner();
@@ -307,7 +264,7 @@
 
     /// Records what the head of a response says about the target.
     pub(crate) fn record_head(
-        &self,
+        self: &Arc<Balancer>,
         service: &str,
         (key, endpoint): (TargetKey, &Endpoint),
         head: &HeadReport,
@@ -342,6 +299,12 @@
         } else if head.accepted {
             targets.set.record_accepted(key, head.sent);
         }
+        if let Some(waiting) = targets.waiting.as_mut().filter(|_| head.accepted) {
+            waiting.record_head_time(now.saturating_duration_since(head.sent));
+            targets.record_serving(key, head.sent, head.load.is_some(), now);
+        }
+        drop(inner);
+        self.drain_queue(service, now);
     }
 
     /// Records the pause between two events of a stream, and the longest pause
@@ -360,7 +323,7 @@
 
     /// Releases the slot of a request that was sent `time` ago.
     pub(crate) fn finish(
-        &self,
+        self: &Arc<Balancer>,
         service: &str,
         key: TargetKey,
         (outcome, time): (DispatchOutcome, Duration),
@@ -368,6 +331,7 @@
     ) {
         if let Some(targets) = self.inner().services.get_mut(service) {
             targets.set.end(key, outcome, now);
+            targets.observe_outage(now);
             if let Some(sent) = now.checked_sub(time) {
                 targets.set.record_trial_end(key, sent);
             }
@@ -386,6 +350,7 @@
             // the target; requests that wait for its outcome are woken.
             self.changes.send_replace(());
         }
+        self.drain_queue(service, now);
     }
 
     /// Closes connections that were idle for too long.
@@ -400,15 +365,14 @@
         }
     }
 
-    fn inner(&self) -> MutexGuard<'_, Inner> {
+    pub(crate) fn inner(&self) -> MutexGuard<'_, Inner> {
         // No code that holds the lock can panic and leave the state inconsistent.
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// Range of the random factor applied to retry delays.
-const JITTER: std::ops::Range<f64> = 0.75..1.5;
-
-fn with_jitter(time: Duration, rng: &mut SmallRng) -> Duration {
-    time.mul_f64(rng.random_range(JITTER))
+impl Drop for Balancer {
+    fn drop(&mut self) {
+        self.queue_timer.notify_one();
+    }
 }
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -14,20 +14,33 @@
 use crate::target_response::TargetResponse;
 use crate::timing::Timing;
 use node::Watcher;
-use route::{Features, TargetKey};
+use route::{Features, Priority, TargetKey};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use table::{RequestKind, Route};
+use table::{ClientAccount, RequestKind, Route};
 use tokio::time::timeout;
 
 /// Maximum number of attempts that fail before any byte is written. They cost
 /// targets nothing, but each may cost the caller a connect timeout.
 const MAX_UNSENT_ATTEMPTS: u32 = 3;
 
+/// What the route table says of a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RequestClass<'a> {
+    /// The client account of the caller, if it has one.
+    pub(crate) account: Option<&'a ClientAccount>,
+    pub(crate) service: &'a str,
+    pub(crate) route: &'a Route,
+    /// How urgent the request is, if requests of the service differ in that.
+    pub(crate) urgency: Option<u8>,
+}
+
 /// A request that is being sent to targets.
 pub(crate) struct Dispatch {
     pub(crate) req: ProxyRequest,
     pub(crate) account: Option<String>,
+    pub(crate) priority: Priority,
+    pub(crate) urgency: Option<u8>,
     /// What the request may share with others that crash targets.
     pub(crate) features: Features,
     pub(crate) service: String,
@@ -35,7 +48,9 @@
     pub(crate) deadline: Instant,
     /// When the response must start to meet the route's latency objective; none if
     /// the objective was already missed on arrival.
-    objective_deadline: Option<Instant>,
+    pub(crate) objective_deadline: Option<Instant>,
+    /// Since when the caller has received nothing; none while it receives events.
+    pub(crate) quiet_since: Option<Instant>,
     /// Number of targets that may still be given the request.
     pub(crate) attempts_left: u32,
     pub(crate) balancer: Arc<Balancer>,
@@ -48,7 +63,9 @@
     /// Attempts that failed before any byte was written.
     pub(crate) unsent_attempts: u32,
     /// Whether the caller has received the head of a response.
-    response_started: bool,
+    pub(crate) response_started: bool,
+    /// Predicted wait according to the queue that refused the request, if one did.
+    pub(crate) predicted_wait: Duration,
     /// Whether the request has waited for a target.
     has_waited: bool,
     /// Reason of the last failed attempt after which the request may have run.
@@ -57,20 +74,30 @@
 
 impl Dispatch {
     pub(crate) fn new(
-        account: Option<String>,
-        service: &str,
-        route: &Route,
+        class: &RequestClass<'_>,
         deadline: Instant,
         proxy: &Proxy,
         req: ProxyRequest,
     ) -> Dispatch {
-        Dispatch {
-            features: req.features(account.as_deref()),
+        let RequestClass {
             account,
+            service,
+            route,
+            urgency,
+        } = *class;
+        Dispatch {
+            features: req.features(account.map(|account| account.name.as_str())),
+            account: account.map(|account| account.name.clone()),
+            priority: Priority {
+                account: account.and_then(|a| a.priority).unwrap_or(route.priority),
+                route: route.priority,
+            },
+            urgency,
             service: service.to_owned(),
             kind: route.kind,
             deadline,
             objective_deadline: objective_deadline(route, &req, proxy.balancer()),
+            quiet_since: Some(req.arrived),
             attempts_left: route.attempts.max(1),
             balancer: Arc::clone(proxy.balancer()),
             crash_reports: proxy.crash_reports().clone(),
@@ -82,6 +109,7 @@
             tried: Vec::new(),
             unsent_attempts: 0,
             response_started: false,
+            predicted_wait: Duration::ZERO,
             has_waited: false,
             ambiguous_reason: None,
         }
@@ -105,6 +133,7 @@
                 AttemptOutcome::Answered(head, permit) => {
                     if head.status.is_success() && self.is_stream() && head.has_events() {
                         self.response_started = true;
+                        self.quiet_since = None;
                         return Ok(stream::relay(self, *head, permit));
                     }
                     match self.buffer_response(*head, permit).await {
@@ -132,8 +161,12 @@
         matches!(self.kind, RequestKind::Stream { .. })
     }
 
-    /// Acquires a slot of a target; waits while the service has no available one.
-    async fn acquire_or_wait(&mut self) -> Result<Permit, Reason> {
+    /// Acquires a slot of a target; waits while the service has no available one, and for
+    /// a free one if its requests have different priorities.
+    pub(crate) async fn acquire_or_wait(&mut self) -> Result<Permit, Reason> {
+        if let Some(acquired) = self.acquire_by_priority().await {
+            return acquired;
+        }
         loop {
             let mut changes = self.balancer.changes();
             let reason = match self.acquire() {
@@ -250,20 +283,28 @@
         if !reason.not_run() {
             self.ambiguous_reason = Some(reason);
         }
+        let now = Instant::now();
         if reason == Reason::NoTarget {
-            return self.unsent_attempts < MAX_UNSENT_ATTEMPTS;
+            // In an outage few requests are sent, and they cost their callers no more than
+            // waiting for its end.
+            return self.unsent_attempts < MAX_UNSENT_ATTEMPTS
+                || self.balancer.is_out(&self.service, now);
         }
-        let may_repeat = self.kind.may_repeat() && !self.crash_reports.is_suspect(&self.features);
-        let allowed = reason.not_run() || may_repeat;
-        let now = Instant::now();
         let retry =
-            allowed && self.attempts_left > 0 && self.balancer.withdraw_retry(&self.service, now);
+            self.is_repeatable_after(reason) && self.balancer.withdraw_retry(&self.service, now);
         if retry {
             self.metrics.retried(&self.service);
         }
         retry
     }
 
+    /// Whether the request may be sent to another target after a failed attempt, as far as
+    /// the retry budget allows.
+    pub(crate) fn is_repeatable_after(&self, reason: Reason) -> bool {
+        let may_repeat = self.kind.may_repeat() && !self.crash_reports.is_suspect(&self.features);
+        (reason.not_run() || may_repeat) && self.attempts_left > 0
+    }
+
     /// Ends the request: with the last failed response of a target if there is one,
     /// otherwise with a refusal.
     fn give_up(
@@ -280,12 +321,20 @@
             Some(ambiguous) if reason.not_run() => ambiguous,
             _ => reason,
         };
+        let max_delay = self.time_left().mul_f64(RETRY_AFTER_SHARE);
         let refusal = match reason {
+            Reason::Full | Reason::Declined | Reason::NoTarget
+                if let Some(after) = self.retry_after_outage(max_delay) =>
+            {
+                Refusal::with_retry_after(reason, after)
+            }
             Reason::Full | Reason::Declined => {
-                let max_delay = self.time_left().mul_f64(RETRY_AFTER_SHARE);
-                let after =
-                    self.balancer
-                        .retry_after_refusal(&self.service, max_delay, Instant::now());
+                let after = self.balancer.retry_after_refusal(
+                    &self.service,
+                    self.predicted_wait,
+                    max_delay,
+                    Instant::now(),
+                );
                 Refusal::with_retry_after(reason, after)
             }
             Reason::NoTarget | Reason::NoTable => {
@@ -302,6 +351,13 @@
         Err(refusal)
     }
 
+    /// Delay until the caller should retry, if the service has an outage.
+    fn retry_after_outage(&self, max_delay: Duration) -> Option<Duration> {
+        let now = Instant::now();
+        self.balancer
+            .retry_after_outage(&self.service, self.priority, max_delay, now)
+    }
+
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -12,15 +12,23 @@
 //! A request under which several targets have crashed is refused.
 
 mod balancer;
+mod balancer_outage;
+mod balancer_queue;
+mod balancer_retries;
 mod crash_reports;
 mod dialect;
 mod dispatch;
 mod dispatch_attempts;
 mod dispatch_log;
+mod dispatch_queue;
 mod entry_place;
 mod events;
 mod exchange;
+mod handover;
 mod metrics;
+mod outage;
+mod outage_metrics;
+mod outage_targets;
 mod permit;
 mod proxy;
 mod proxy_request;
@@ -28,10 +36,12 @@
 mod refusal;
 mod service_targets;
 mod stream;
+mod stream_hold;
 mod target_response;
 mod timing;
+mod waiting;
 
-pub use dialect::{Dialect, KeepAlive, RequestMetadata, ResponseInfo, Verdict};
+pub use dialect::{Dialect, KeepAlive, MAX_URGENCY, RequestMetadata, ResponseInfo, Verdict};
 pub use outlet::{Framing, rest_asked};
 pub use proxy::{Proxy, ProxySettings, RetryTolerance};
 pub use proxy_request::ProxyRequest;
--- a/crates/direct/src/service_targets.rs
+++ b/crates/direct/src/service_targets.rs
@@ -2,7 +2,9 @@
 
 use crate::dialect::{KeepAlive, ResponseInfo};
 use crate::entry_place::{EntryPlace, cold_until};
+use crate::outage::ServiceOutage;
 use crate::timing::Timing;
+use crate::waiting::WaitingRequests;
 use member::{Evacuation, Presence};
 use node::KnownTarget;
 use outlet::{ClientSettings, Connection, Pool};
@@ -44,6 +46,11 @@
     cold_start: Option<ColdStart>,
     /// Since when requests have found no available target.
     pub(crate) unavailable_since: Option<Instant>,
+    /// Requests that wait for a slot, if requests of the service have different
+    /// priorities.
+    pub(crate) waiting: Option<WaitingRequests>,
+    /// Outages of the service, if requests of the service have different priorities.
+    pub(crate) outage: Option<ServiceOutage>,
 }
 
 /// Address and connections of a target.
@@ -70,6 +77,19 @@
             endpoints: BTreeMap::new(),
             cold_start: service.cold_start,
             unavailable_since: None,
+            waiting: None,
+            outage: None,
+        }
+    }
+
+    /// Sets whether requests of the service have different priorities. If they no longer
+    /// have, those that wait go on as if they had just arrived.
+    pub(crate) fn set_has_priorities(&mut self, has_priorities: bool) {
+        if !has_priorities {
+            self.waiting = None;
+            self.outage = None;
+        } else if self.waiting.is_none() {
+            self.waiting = Some(WaitingRequests::new());
         }
     }
 
@@ -83,6 +103,9 @@
         let (_, endpoint) = endpoints.find(|(known, _)| *known == key)?;
         let load = self.set.load_estimate(key, now);
         self.set.start(key, now);
+        if let Some(outage) = &mut self.outage {
+            outage.record_start(now);
+        }
         Some((endpoint.clone(), load))
     }
 
--- a/crates/route/src/target_state.rs
+++ b/crates/route/src/target_state.rs
@@ -7,12 +7,16 @@
 use crate::request_limit::RequestLimit;
 use crate::rest::Rest;
 use crate::target_set::{
-    DispatchOutcome, LoadEstimate, Locality, ReportedLoad, RequestTiming, TargetSetSettings,
+    DispatchOutcome, Lateness, LoadEstimate, Locality, ReportedLoad, RequestTiming,
+    TargetSetSettings,
 };
 
 /// Maximum age of pauses that are taken into account. Older ones do not predict the next
 /// pauses, since the group has switched to another expert map by then.
 const PAUSE_MAX_AGE: Duration = Duration::from_millis(1_500);
+/// Time without an event of any stream after which a target counts as silent. Switches of
+/// expert maps and long prompts cause pauses of up to some 300 ms.
+const MAX_SILENCE: Duration = Duration::from_millis(500);
 /// Weight of the latest pause in the mean. A stream pauses about ten times per second,
 /// so the mean follows within half a second.
 const PAUSE_WEIGHT: f64 = 0.2;
@@ -28,6 +32,10 @@
 /// they seem.
 const LATE_REQUEST_SHARE: f64 = 0.75;
 
+/// Bound on the rounding error of a capacity, which is computed from step times: with four
+/// slots it can be a little below four, and the last one would never be free.
+const CAPACITY_ROUNDING: f64 = 1e-6;
+
 /// Fraction of the slots by which requests may exceed the capacity of a slow target
 /// before its streams are migrated. With a smaller excess they finish there, since a
 /// migration repeats the prefill of the prompt.
@@ -77,7 +85,9 @@
     /// Until when the target is not probed after it declined with free slots.
     pub(crate) declining_until: Option<Instant>,
     pauses: Option<Pauses>,
-    failures: u32,
+    pub(crate) failures: u32,
+    /// When the target last failed or declined.
+    pub(crate) unable_at: Option<Instant>,
     pub(crate) ejected_until: Option<Instant>,
     cold: ColdLimit,
     pub(crate) limit: RequestLimit,
@@ -102,6 +112,7 @@
             declining_until: None,
             pauses: None,
             failures: 0,
+            unable_at: None,
             ejected_until: None,
             cold: ColdLimit::default(),
             limit: RequestLimit::default(),
@@ -143,7 +154,7 @@
         let starts_in_time =
             settings.step_time.is_none() || self.starts_in_time(occupied, timing, now);
         starts_in_time
-            && occupied < self.max_occupied(settings)
+            && occupied < self.max_occupied(timing, settings)
             && occupied < self.timely_concurrency(settings, occupied, now)
     }
 
@@ -152,12 +163,28 @@
         self.occupied(timing, now) + 1.0 <= self.capacity
     }
 
+    /// This entry's share of the slots that are free, and with which streams stay on time.
+    pub(crate) fn free_slots(
+        &self,
+        timing: &RequestTiming,
+        settings: &TargetSetSettings,
+        now: Instant,
+    ) -> f64 {
+        let occupied = self.occupied(timing, now);
+        let timely = self.timely_concurrency(settings, occupied, now);
+        let free = (self.capacity.min(timely) - occupied).max(0.0);
+        free / f64::from(self.preferred_by.unwrap_or(1).max(1))
+    }
+
     /// Whether a request would get a slot in time. Requests that are already late yield
     /// to those that can be on time.
     fn starts_in_time(&self, occupied: f64, timing: &RequestTiming, now: Instant) -> bool {
-        if timing.time_left.is_zero() {
+        if timing.yields() {
             return occupied < self.capacity * LATE_REQUEST_SHARE;
         }
+        if timing.time_left.is_zero() {
+            return occupied + 1.0 <= self.capacity + CAPACITY_ROUNDING;
+        }
         let ahead = (occupied + 1.0 - self.capacity).max(0.0);
         let max_wait = timing.time_left.as_secs_f64() * WAIT_SHARE;
         if ahead > 0.0 && self.is_preferred() {
@@ -184,11 +211,16 @@
         settings: &TargetSetSettings,
         now: Instant,
     ) -> bool {
-        self.occupied(timing, now) < self.max_occupied(settings)
+        self.occupied(timing, now) < self.max_occupied(timing, settings)
     }
 
-    fn max_occupied(&self, settings: &TargetSetSettings) -> f64 {
-        self.capacity * (1.0 + settings.queue_per_slot)
+    /// Requests that wait in the order of an entry's queue don't queue at the target as
+    /// well, where more urgent ones could not overtake them.
+    fn max_occupied(&self, timing: &RequestTiming, settings: &TargetSetSettings) -> f64 {
+        match timing.lateness {
+            Lateness::Yields => self.capacity * (1.0 + settings.queue_per_slot),
+            Lateness::Ignored => self.capacity,
+        }
     }
 
     /// Number of requests at which pauses of streams stay on time.
@@ -253,6 +285,17 @@
             .is_some_and(|(total, _)| f64::from(total) < self.slots)
     }
 
+    /// Whether the streams of this entry at the target have all fallen silent. The ranks of
+    /// a group stall together when one of them fails, long before they say so.
+    pub(crate) fn is_silent(&self, now: Instant) -> bool {
+        let since = self.pauses.map(|pauses| pauses.updated_at);
+        since
+            .zip(self.starts.front())
+            .is_some_and(|(since, oldest)| {
+                *oldest < since && now.saturating_duration_since(since) >= MAX_SILENCE
+            })
+    }
+
     /// Whether the target may be given requests without a probe.
     pub(crate) fn is_available(&self) -> bool {
         self.is_accepting() && self.declining_until.is_none()
@@ -375,6 +418,9 @@
         now: Instant,
         settings: &TargetSetSettings,
     ) {
+        if matches!(outcome, DispatchOutcome::Failed | DispatchOutcome::Declined) {
+            self.unable_at = Some(now);
+        }
         match outcome {
             DispatchOutcome::Answered => {
                 self.failures = 0;
