--- a/crates/route/tests/request_queue.rs
+++ b/crates/route/tests/request_queue.rs
@@ -117,6 +117,57 @@
     );
 }
 
+/// Guards against late requests of one account that make on-time ones of another late.
+#[test]
+fn order_late_after_on_time_of_other_accounts() {
+    let now = Instant::now();
+    let mut queue = queue();
+    let priority = Priority::default();
+    let late = QueuedRequest {
+        on_time_until: None,
+        ..request(priority, 1, now)
+    };
+    let late = queue.push(late, now).unwrap();
+    let on_time = QueuedRequest {
+        on_time_until: Some(now + Duration::from_secs(1)),
+        ..request(priority, 2, now)
+    };
+    let on_time: Vec<QueueKey> = (0..3).map(|_| queue.push(on_time, now).unwrap()).collect();
+    let order = queue.order(now);
+    assert_eq!(order[..3], on_time);
+    assert_eq!(order[3], late);
+}
+
+/// Guards against reviews that take the last slots just before hints come, and against a
+/// reserve where nothing more urgent arrives or none would be in time anyway.
+#[test]
+fn reserve_by_rates() {
+    let (hint, review) = (
+        Priority::default(),
+        Priority {
+            account: 0,
+            route: 2,
+        },
+    );
+    let reserve = |hints: u32, reviews: u32, slack: u64| {
+        let mut now = Instant::now();
+        let mut queue = queue();
+        for _ in 0..20 {
+            (0..hints).for_each(|_| queue.record_start(hint, 0, 1.0, now));
+            (0..reviews).for_each(|_| queue.record_start(review, 0, 1.0, now));
+            now += Duration::from_millis(100);
+        }
+        let slack = Duration::from_millis(slack);
+        assert!(queue.reserve(hint, slack, now) < 1e-9);
+        queue.reserve(review, slack, now)
+    };
+    assert!(reserve(0, 4, 200) < 1e-9);
+    assert!(reserve(1, 2, 100) >= 1.0);
+    assert!(reserve(2, 1, 100) > reserve(1, 2, 100));
+    assert!(reserve(1, 2, 2_000) < 1e-9);
+    assert!(reserve(3, 0, 200) <= 8.0);
+}
+
 /// Guards against an announced order that differs from the one of the starts, and
 /// against requests that appear twice or never.
 #[test]
