Queue at plain targets as before, and adapt a test to engines without a queue

Requests that wait at an entry no longer queued at plain targets either, whose requests take a few round trips only, so that each slot stood idle for one.

Change: only model engines get no queue of their own. At these the next request cannot start before a slot is free, also when the first one's caller leaves; next_starts_when_first_leaves now asserts both that it does not and that it starts with the next slot.

--- a/crates/direct/tests/unit/balancer_queue.rs
+++ b/crates/direct/tests/unit/balancer_queue.rs
@@ -257,7 +257,7 @@
     // The duration of a request must be known.
     std::thread::sleep(Duration::from_millis(1));
     first.finish(DispatchOutcome::Answered);
-    let held: Vec<Permit> = (0..SLOTS).map(|_| start(&balancer, 2)).collect();
+    let mut held: Vec<Permit> = (0..SLOTS).map(|_| start(&balancer, 2)).collect();
     let late = SlotRequest {
         objective_until: None,
         ..request(0)
@@ -267,8 +267,10 @@
     assert!(!is_ready(&mut late));
     assert!(!is_ready(&mut review));
     drop(late);
+    // Nothing queues at the engine itself.
+    assert!(!is_ready(&mut review));
+    held.remove(0).finish(DispatchOutcome::Answered);
     assert!(is_ready(&mut review));
-    drop(held);
 }
 
 /// Late requests were kept out of the last quarter of the slots, for requests that were
--- a/crates/route/src/target_state.rs
+++ b/crates/route/src/target_state.rs
@@ -214,13 +214,13 @@
         self.occupied(timing, now) < self.max_occupied(timing, settings)
     }
 
-    /// Requests that wait in the order of an entry's queue don't queue at the target as
-    /// well, where more urgent ones could not overtake them.
+    /// Requests that wait in the order of an entry's queue don't queue at a model engine as
+    /// well, where more urgent ones could not overtake them for the length of a stream.
     fn max_occupied(&self, timing: &RequestTiming, settings: &TargetSetSettings) -> f64 {
-        match timing.lateness {
-            Lateness::Yields => self.capacity * (1.0 + settings.queue_per_slot),
-            Lateness::Ignored => self.capacity,
+        if timing.lateness == Lateness::Ignored && settings.step_time.is_some() {
+            return self.capacity;
         }
+        self.capacity * (1.0 + settings.queue_per_slot)
     }
 
     /// Number of requests at which pauses of streams stay on time.
