--- a/crates/route/src/target_availability.rs
+++ b/crates/route/src/target_availability.rs
@@ -27,8 +27,6 @@
     pub fn is_out(&self, now: Instant) -> bool {
         let is_probe_over = |(_, since)| now >= since + PROBE_DURATION;
         let has_subset = self.has_subset();
-        // The ranks of a group stall together; one without streams tells nothing then.
-        let any_silent = self.targets.values().any(|target| target.is_silent(now));
         let serves = |(key, target): (TargetKey, &TargetState)| {
             let probed = self.probe.filter(|(probed, _)| *probed == key);
             let accepts = target.is_available() || probed.is_some_and(is_probe_over);
@@ -38,7 +36,6 @@
                 && target.is_accepting()
                 && !target.is_ejected(now)
                 && !target.is_silent(now)
-                && (!any_silent || target.was_heard(now))
         };
         !self.targets.iter().any(serves)
     }
--- a/crates/route/src/target_state.rs
+++ b/crates/route/src/target_state.rs
@@ -296,15 +296,6 @@
             })
     }
 
-    /// Whether the target has begun a response or sent an event so recently that it has not
-    /// stalled since.
-    pub(crate) fn was_heard(&self, now: Instant) -> bool {
-        let report = self.last_report.map(|(_, at)| at);
-        let event = self.pauses.map(|pauses| pauses.updated_at);
-        let latest = report.max(event);
-        latest.is_some_and(|at| now.saturating_duration_since(at) < MAX_SILENCE)
-    }
-
     /// Whether the target may be given requests without a probe.
     pub(crate) fn is_available(&self) -> bool {
         self.is_accepting() && self.declining_until.is_none()
