--- a/crates/route/src/target_state.rs
+++ b/crates/route/src/target_state.rs
@@ -7,12 +7,16 @@
 use crate::request_limit::RequestLimit;
 use crate::rest::Rest;
 use crate::target_set::{
-    DispatchOutcome, LoadEstimate, Locality, ReportedLoad, RequestTiming, TargetSetSettings,
+    DispatchOutcome, Lateness, LoadEstimate, Locality, ReportedLoad, RequestTiming,
+    TargetSetSettings,
 };
 
 /// Maximum age of pauses that are taken into account. Older ones do not predict the next
 /// pauses, since the group has switched to another expert map by then.
 const PAUSE_MAX_AGE: Duration = Duration::from_millis(1_500);
+/// Time without an event of any stream after which a target counts as silent. Switches of
+/// expert maps and long prompts cause pauses of up to some 300 ms.
+const MAX_SILENCE: Duration = Duration::from_millis(500);
 /// Weight of the latest pause in the mean. A stream pauses about ten times per second,
 /// so the mean follows within half a second.
 const PAUSE_WEIGHT: f64 = 0.2;
@@ -81,7 +85,7 @@
     /// Until when the target is not probed after it declined with free slots.
     pub(crate) declining_until: Option<Instant>,
     pauses: Option<Pauses>,
-    failures: u32,
+    pub(crate) failures: u32,
     /// When the target last failed or declined.
     pub(crate) unable_at: Option<Instant>,
     pub(crate) ejected_until: Option<Instant>,
@@ -150,7 +154,7 @@
         let starts_in_time =
             settings.step_time.is_none() || self.starts_in_time(occupied, timing, now);
         starts_in_time
-            && occupied < self.max_occupied(settings)
+            && occupied < self.max_occupied(timing, settings)
             && occupied < self.timely_concurrency(settings, occupied, now)
     }
 
@@ -207,11 +211,16 @@
         settings: &TargetSetSettings,
         now: Instant,
     ) -> bool {
-        self.occupied(timing, now) < self.max_occupied(settings)
+        self.occupied(timing, now) < self.max_occupied(timing, settings)
     }
 
-    fn max_occupied(&self, settings: &TargetSetSettings) -> f64 {
-        self.capacity * (1.0 + settings.queue_per_slot)
+    /// Requests that wait in the order of an entry's queue don't queue at the target as
+    /// well, where more urgent ones could not overtake them.
+    fn max_occupied(&self, timing: &RequestTiming, settings: &TargetSetSettings) -> f64 {
+        match timing.lateness {
+            Lateness::Yields => self.capacity * (1.0 + settings.queue_per_slot),
+            Lateness::Ignored => self.capacity,
+        }
     }
 
     /// Number of requests at which pauses of streams stay on time.
@@ -276,6 +285,17 @@
             .is_some_and(|(total, _)| f64::from(total) < self.slots)
     }
 
+    /// Whether the streams of this entry at the target have all fallen silent. The ranks of
+    /// a group stall together when one of them fails, long before they say so.
+    pub(crate) fn is_silent(&self, now: Instant) -> bool {
+        let since = self.pauses.map(|pauses| pauses.updated_at);
+        since
+            .zip(self.starts.front())
+            .is_some_and(|(since, oldest)| {
+                *oldest < since && now.saturating_duration_since(since) >= MAX_SILENCE
+            })
+    }
+
     /// Whether the target may be given requests without a probe.
     pub(crate) fn is_available(&self) -> bool {
         self.is_accepting() && self.declining_until.is_none()
