--- a/crates/direct/src/balancer_retries.rs
+++ b/crates/direct/src/balancer_retries.rs
@@ -29,8 +29,8 @@
     }
 
     /// Delay until a refused caller should retry: `predicted` or later, at most `max_delay`,
-    /// but not before the end of a rest of all targets. It is randomised, so that callers refused together do
-    /// not retry together.
+    /// but not before the end of a rest of all targets. It is randomised, so that callers
+    /// refused together do not retry together.
     pub(crate) fn retry_after_refusal(
         &self,
         service: &str,
