Name the requests of a crash, and what is not taken for one, in the log

The log could not tell whether a crash was not counted, whether others ran in all crashes, or whether a request was cleared: 'target crashed' now names the requests, a connection that broke at a target not taken for crashed is logged with the outcome of the probe, and so are what is cleared and which ones are suspect and convicted. No decision changes.

--- a/crates/direct/src/crash_reports.rs
+++ b/crates/direct/src/crash_reports.rs
@@ -24,6 +24,8 @@
 /// Maximum number of broken connections that wait to be examined, and of completed requests
 /// that wait to be reported.
 const MAX_QUEUED: usize = 1024;
+/// Maximum number of requests that a log line names.
+const MAX_LOGGED: usize = 32;
 /// How long this entry tries to tell control of a crash.
 const REPORT_TIMEOUT: Duration = Duration::from_mins(1);
 
@@ -146,23 +148,55 @@
             let (watcher, guard) = (watcher.clone(), Arc::clone(&guard));
             let metrics = metrics.clone();
             tokio::spawn(async move {
-                if refuses_connections(suspects.address).await {
+                let probe = probe(suspects.address).await;
+                if probe == Probe::Refused {
                     report_crash(watcher, guard, metrics, target, suspects).await;
+                } else {
+                    log_not_crashed(&target, &suspects, probe);
                 }
             });
         }
     }
 }
 
-/// Whether nothing accepts connections at an address. A target that answers has merely
-/// closed its connections or stopped its work.
-async fn refuses_connections(address: SocketAddr) -> bool {
+/// What became of a new connection to a target whose connections broke.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Probe {
+    /// Nothing accepts connections there.
+    Refused,
+    /// The target has merely closed its connections or stopped its work.
+    Accepted,
+    TimedOut,
+    Failed(ErrorKind),
+}
+
+async fn probe(address: SocketAddr) -> Probe {
     match timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Err(e)) => e.kind() == ErrorKind::ConnectionRefused,
-        Ok(Ok(_)) | Err(_) => false,
+        Ok(Ok(_)) => Probe::Accepted,
+        Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => Probe::Refused,
+        Ok(Err(e)) => Probe::Failed(e.kind()),
+        Err(_) => Probe::TimedOut,
     }
 }
 
+fn log_not_crashed(target: &Incarnation, suspects: &Suspects, probe: Probe) {
+    log::info!(
+        target_id = target.id.as_str(), address:display = suspects.address,
+        requests = suspects.requests.len(),
+        digests = digests(suspects.requests.keys()).as_str(), probe:debug = probe;
+        "connections broke, target not taken for crashed"
+    );
+}
+
+/// Short forms of the first fingerprints, for the log.
+fn digests<'a>(fingerprints: impl Iterator<Item = &'a Fingerprint>) -> String {
+    let digests: Vec<String> = fingerprints
+        .take(MAX_LOGGED)
+        .map(Fingerprint::short)
+        .collect();
+    digests.join(",")
+}
+
 async fn report_crash(
     watcher: Watcher,
     guard: Arc<Mutex<CrashGuard>>,
@@ -171,7 +205,7 @@
     suspects: Suspects,
 ) {
     let Incarnation { id, started_ms } = target;
-    let ran: Vec<Features> = suspects.requests.into_values().collect();
+    let ran: Vec<Features> = suspects.requests.values().cloned().collect();
     let report = lock(&guard).record_crash(&id, started_ms, &ran, Instant::now());
     for crashed in suspects.crashed {
         // Nobody waits for it any more if the request has timed out.
@@ -180,7 +214,8 @@
     metrics.target_crashes.inc();
     log::warn!(
         target_id = id.as_str(), address:display = suspects.address, requests = ran.len(),
-        suspect = report.requests.len();
+        suspect = report.requests.len(),
+        digests = digests(suspects.requests.keys()).as_str();
         "target crashed"
     );
     if report.requests.is_empty() {
@@ -211,6 +246,10 @@
         while let Ok(next) = cleared.try_recv() {
             requests.insert(next);
         }
+        log::info!(
+            digests = digests(requests.iter()).as_str();
+            "cleared: targets have completed what others crashed under"
+        );
         let completed = Completed {
             fingerprints: encode(requests.iter()),
         };
@@ -229,6 +268,13 @@
     let mut verdicts = watcher.state().quarantine();
     loop {
         let shared = shared_tally(&verdicts.borrow_and_update());
+        if !shared.suspects.is_empty() || !shared.convicted.is_empty() {
+            log::info!(
+                version = shared.version, suspects = digests(shared.suspects.iter()).as_str(),
+                convicted = digests(shared.convicted.iter()).as_str();
+                "suspect and convicted requests and parts"
+            );
+        }
         let completed = lock(&guard).apply(shared, Instant::now());
         for request in completed {
             // Those left out are cleared at their next completion.
