Bound what a target may send that is no answer and never ends

What callers see: nothing without a faulty target; with one, an entry or an agent took bytes as long as they came. The users' news: bytes that are no answer may come without end, in a head or a body, until the caller closes.

Cause: heads of garbage and endless headers were bounded (by the parser), buffered bodies too, but not interim responses (1xx), which the parser skips, and not the bytes of a stream, of events that the caller has or of empty ones. A stream's time was bounded only while data did not come faster than it was read.

Evidence, on the code before: head_endless_interim_responses 53,673,984 bytes in a second, stream_endless_events 28,446,842 bytes in a second, repeatable_call_answered_without_end 90,308,660 bytes in three seconds at an agent; each beyond the tests' bounds or without any.

Change: more than 64 interim responses are no answer (both paths, in outlet); a stream or streamed answer ends after 64 MiB (both paths), and a stream 0.2 s after its deadline at the latest.

Result: endless::* of the platform (7 tests) and endless.rs of the agent (2 tests, 12 kinds of bytes each) pass.

--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use outlet::Completeness;
+use outlet::{Completeness, MAX_STREAM_BYTES};
 use tokio::time::sleep;
 use wire::proto::End;
 
@@ -80,8 +80,13 @@
     let mut reply = cx.target_client.call(call, || answer.set_written()).await?;
     cx.record_head(reply.rest(), sent, Instant::now());
     answer.set_head(reply.status(), reply.headers());
+    let mut received = 0;
     while let Some(data) = reply.next().await? {
         cx.metrics.received(data.len());
+        received += data.len();
+        if received > MAX_STREAM_BYTES {
+            return Ok(Ending::new(End::Lost, "the answer exceeds the size limit"));
+        }
         answer.push(data);
         if retention == Retention::UntilRecorded && !answer.has_room() {
             // The answer can't be kept in full, so it couldn't be recorded.
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -62,8 +62,12 @@
 
     /// A ready agent in front of a plain service.
     pub async fn service(service: &fake::Service, timing: Value) -> Self {
-        let target =
-            json!({"service": SERVICE, "target": {"address": service.address().to_string()}});
+        Fixture::service_at(service.address(), timing).await
+    }
+
+    /// A ready agent in front of a plain service at an address.
+    pub async fn service_at(address: std::net::SocketAddr, timing: Value) -> Self {
+        let target = json!({"service": SERVICE, "target": {"address": address.to_string()}});
         Fixture::start("desk-01", target, timing).await
     }
 
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -9,7 +9,7 @@
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
-use outlet::{Completeness, Connection, Framing};
+use outlet::{Completeness, Connection, Framing, MAX_STREAM_BYTES};
 use route::DispatchOutcome;
 use std::io;
 use std::time::{Duration, Instant};
@@ -19,12 +19,17 @@
 /// Interval at which other targets are looked for while the target of a stream is silent.
 const SILENCE_CHECK: Duration = Duration::from_millis(100);
 
+/// Time after the deadline in which a target may still end its stream.
+const DEADLINE_GRACE: Duration = Duration::from_millis(200);
+
 /// A stream that is being forwarded to the caller.
 struct Relay {
     dispatch: Dispatch,
     /// None once the target has ended the stream or failed.
     source: Option<TargetStream>,
     events: EventBuffer,
+    /// Number of bytes that targets have sent.
+    received_bytes: usize,
     /// Id of the last event that the caller has received.
     last_event_id: Option<u64>,
     /// When the caller has received its last event, or else sent its request.
@@ -95,6 +100,7 @@
         source: Some(TargetStream::new(head, permit)),
         framing,
         events: EventBuffer::default(),
+        received_bytes: 0,
         dispatch,
     };
     let body = stream::unfold(Some(relay), |relay| async move {
@@ -123,11 +129,7 @@
             }
             self.move_from_slow_target().await?;
             match self.read().await {
-                Next::Data(data) => {
-                    if !self.events.push(&data) {
-                        return Err(self.stream_error("event exceeds the size limit"));
-                    }
-                }
+                Next::Data(data) => self.receive(&data)?,
                 Next::Ended => {
                     if self.ends_here().await? {
                         return Ok(self.finish());
@@ -139,6 +141,21 @@
         }
     }
 
+    /// Buffers data of the target, unless it exceeds what one stream may have.
+    fn receive(&mut self, data: &[u8]) -> io::Result<()> {
+        self.received_bytes += data.len();
+        if Instant::now() > self.dispatch.deadline + DEADLINE_GRACE {
+            return Err(self.stream_error("deadline exceeded"));
+        }
+        if self.received_bytes > MAX_STREAM_BYTES {
+            return Err(self.stream_error("stream exceeds the size limit"));
+        }
+        if !self.events.push(data) {
+            return Err(self.stream_error("event exceeds the size limit"));
+        }
+        Ok(())
+    }
+
     /// All complete events that are buffered, joined into one piece.
     fn complete_events(&mut self) -> Option<Bytes> {
         let mut all: Option<Vec<u8>> = None;
--- a/crates/outlet/src/client.rs
+++ b/crates/outlet/src/client.rs
@@ -16,11 +16,16 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::Failure;
+use crate::interim::InterimResponses;
 use crate::socket::{CloseMode, Socket};
 
 /// Maximum size of a response body that [`fetch`] reads.
 const MAX_BODY_BYTES: usize = 16 << 20;
 
+/// Maximum number of bytes of a body that is passed on as it arrives. A faulty target may send
+/// bytes without end.
+pub const MAX_STREAM_BYTES: usize = 64 << 20;
+
 /// Time-outs of connections to a target.
 #[derive(Clone, Debug)]
 pub struct ClientSettings {
@@ -104,13 +109,21 @@
     /// [`SendError::Unwritten`] guarantees that the target did not run the request.
     pub async fn try_send(
         &mut self,
-        req: Request<Full<Bytes>>,
+        mut req: Request<Full<Bytes>>,
         within: Duration,
     ) -> Result<Response<Incoming>, SendError> {
+        let interim = InterimResponses::watch(&mut req);
         // After an orderly close, a target that hangs would still receive the request,
         // and run it after its caller has left.
         self.set_close_mode(CloseMode::Reset);
-        match timeout(within, self.tx.try_send_request(req)).await {
+        let sent = tokio::select! {
+            sent = timeout(within, self.tx.try_send_request(req)) => sent,
+            () = interim.exceeded() => {
+                let failure = Failure::Broken("too many interim responses".into());
+                return Err(SendError::Failed(failure));
+            }
+        };
+        match sent {
             Ok(Ok(response)) => {
                 self.set_close_mode(CloseMode::Graceful);
                 Ok(response)
--- a/crates/outlet/src/lib.rs
+++ b/crates/outlet/src/lib.rs
@@ -18,12 +18,13 @@
 mod client;
 mod failure;
 mod framing;
+mod interim;
 mod pool;
 mod pool_counts;
 mod rest;
 mod socket;
 
-pub use client::{ClientSettings, Connection, SendError, fetch};
+pub use client::{ClientSettings, Connection, MAX_STREAM_BYTES, SendError, fetch};
 pub use failure::Failure;
 pub use framing::{Completeness, ContentEnd, Framing};
 pub use pool::Pool;
