Count crashes of targets that are started again at once

What callers saw: with servers under a supervisor that starts them again at once, a request that crashes them went from one to the next without end.

Cause: a crash counted only if nothing accepted connections within 0.1 s of the end of the old ones. A process that is back by then, on a listener that stayed open or behind a full backlog, was taken for one that had merely closed its connections.

Evidence: crashing_request_of_supervised_servers, 36 more servers crashed after the third (3 allowed) on the code before.

Change: if a new connection is not refused, the entry waits up to 4 s for the announcement of the same target by a process that started later. Then the requests that ran are reported as those of any crash. Nothing waits for it: the requests themselves go on at once. A target that was leaving is not counted.

Result: the test passes, as do the other crashing_request tests.

--- a/crates/direct/src/crash_reports.rs
+++ b/crates/direct/src/crash_reports.rs
@@ -2,6 +2,7 @@
 
 use crate::metrics::Metrics;
 use crate::service_targets::Endpoint;
+use crate::successor::has_successor;
 use bytes::Bytes;
 use node::Watcher;
 use route::{CrashGuard, CrashedRequest, Features, Fingerprint, SharedTally};
@@ -151,8 +152,16 @@
                 let probe = probe(suspects.address).await;
                 if probe == Probe::Refused {
                     report_crash(watcher, guard, metrics, target, suspects).await;
-                } else {
-                    log_not_crashed(&target, &suspects, probe);
+                    return;
+                }
+                log_not_crashed(&target, &suspects, probe);
+                // The requests go on; a crash that shows only later still counts against them.
+                let suspects = Suspects {
+                    crashed: Vec::new(),
+                    ..suspects
+                };
+                if has_successor(&watcher, &target.id, target.started_ms).await {
+                    report_crash(watcher, guard, metrics, target, suspects).await;
                 }
             });
         }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -37,6 +37,7 @@
 mod service_targets;
 mod stream;
 mod stream_hold;
+mod successor;
 mod target_response;
 mod timing;
 mod waiting;
