Let requests go on at once while a successor of their target is awaited

What callers saw: 504 after their deadline where a broken answer of a target that goes on running had led to a retry within milliseconds.

No timeout or load had a part in it.

Change: the senders are dropped before the wait.

Result: answers::* and crashes::crashing_request_* (15 tests) pass.

--- a/crates/direct/src/crash_reports.rs
+++ b/crates/direct/src/crash_reports.rs
@@ -145,7 +145,7 @@
             suspects.crashed.push(attempt.crashed);
             next = broken.try_recv().ok();
         }
-        for (target, suspects) in by_target {
+        for (target, mut suspects) in by_target {
             let (watcher, guard) = (watcher.clone(), Arc::clone(&guard));
             let metrics = metrics.clone();
             tokio::spawn(async move {
@@ -155,11 +155,8 @@
                     return;
                 }
                 log_not_crashed(&target, &suspects, probe);
-                // The requests go on; a crash that shows only later still counts against them.
-                let suspects = Suspects {
-                    crashed: Vec::new(),
-                    ..suspects
-                };
+                // The requests go on at once; a crash that shows later still counts against them.
+                suspects.crashed.clear();
                 if has_successor(&watcher, &target.id, target.started_ms).await {
                     report_crash(watcher, guard, metrics, target, suspects).await;
                 }
