--- a/review/1/case.py
+++ b/review/1/case.py
@@ -274,14 +274,22 @@
     return broken
 
 
+def end(number, frame):
+    """Ends the script in order, so that it ends what it has started."""
+    raise SystemExit(2)
+
+
 def main():
+    signal.signal(signal.SIGTERM, end)
+    signal.signal(signal.SIGINT, end)
     if not os.path.exists(PROGRAM):
         note("the program is not built")
         return 2
     folder = tempfile.mkdtemp(prefix="review-")
     try:
         answers = asyncio.run(run(folder))
-    except (RuntimeError, OSError, asyncio.TimeoutError) as error:
+    except (Exception, SystemExit) as error:
+        # Whatever goes wrong here says nothing about the rule.
         note("could not run: %r" % error)
         answers = None
     finally:
@@ -298,6 +306,10 @@
     if answers is None:
         return 2
     broken = judge(answers)
+    unserved = answers.count(None)
+    if not broken and unserved:
+        note("could not run: %d of %d requests were not served" % (unserved, len(answers)))
+        return 2
     note("%d of %d requests broke the rule, trouble %s" % (broken, len(answers), TROUBLE))
     return 1 if broken else 0
 
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,5 @@
 # TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")" || exit 2
 command -v python3 >/dev/null || exit 2
-exec timeout -k 5 110 python3 case.py
+python3 -c 'import ast; ast.parse(open("case.py").read())' || exit 2
+exec timeout --preserve-status -k 10 100 python3 case.py
