Process deferred messages of a replica to itself once

Seen: a control replica stands still for good, at one full core.

Cause: a peer's append that names the receiver as its sender makes the replica its own leader. A request to join is then forwarded to itself: deferred until the last write is synced, due at once in the same loop, and deferred again without end.

Change: what is due is taken out of the queue before it is processed, so that a message deferred meanwhile waits for the next sync report.

--- a/crates/quorum/src/node/output.rs
+++ b/crates/quorum/src/node/output.rs
@@ -109,14 +109,10 @@
                 self.synced_index = self.synced_index.max(synced.index);
             }
         }
-        while self
-            .deferred
-            .front()
-            .is_some_and(|(write, _)| *write <= number)
-        {
-            let Some((_, message)) = self.deferred.pop_front() else {
-                break;
-            };
+        let due = self.deferred.partition_point(|(write, _)| *write <= number);
+        // Taken out first: a message to this replica may defer another one.
+        let due: Vec<_> = self.deferred.drain(..due).collect();
+        for (_, message) in due {
             if message.to == self.id {
                 self.step(message, now);
             } else {
--- a/crates/quorum/tests/messages.rs
+++ b/crates/quorum/tests/messages.rs
@@ -204,3 +204,42 @@
         node.deferred_messages()
     );
 }
+
+/// Guards against a replica that hangs once a faulty peer has named it as its own leader: a
+/// request that it forwards to itself was deferred and due again without end.
+#[test]
+fn join_leader_is_this_replica() {
+    let now = Instant::now();
+    let mut members = Members::default();
+    for id in 1..=3 {
+        members.voters.insert(DiskId(id), Peer::default());
+    }
+    let persisted = PersistedState {
+        snapshot: Some(Snapshot::initial(members)),
+        ..PersistedState::default()
+    };
+    let mut node = Node::new(DiskId(1), Config::default(), 1, persisted, now);
+    let append = MessageBody::Append {
+        previous_index: 0,
+        previous_term: 0,
+        commit: 0,
+        round: 1,
+        entries: Vec::new(),
+    };
+    let join = MessageBody::Join {
+        id: DiskId(1),
+        peer: Peer::default(),
+    };
+    for body in [append, join] {
+        let message = Message {
+            from: DiskId(1),
+            to: DiskId(1),
+            term: 1,
+            body,
+        };
+        node.step(message, now);
+    }
+    let write = node.ready().write.unwrap();
+    node.persisted(write.number, now);
+    assert_eq!(node.deferred_messages(), 1);
+}
