--- a/crates/store/src/ops.rs
+++ b/crates/store/src/ops.rs
@@ -2,7 +2,7 @@
 
 use rustix::io::Errno;
 use std::fmt;
-use std::fs::{self, File, OpenOptions};
+use std::fs::{self, File, OpenOptions, ReadDir};
 use std::io::{self, Write};
 use std::path::Path;
 use std::sync::Arc;
@@ -66,11 +66,16 @@
     }
 }
 
-/// Opens a file, and waits while the process or the host has no free descriptor.
+/// Lists a folder, and waits while the process or the host has no free descriptor.
+pub(crate) fn list_folder(path: &Path) -> io::Result<ReadDir> {
+    open_when_possible(path, || fs::read_dir(path))
+}
+
+/// Opens a file or a folder, and waits while the process or the host has no free descriptor.
 ///
 /// Connections may take all descriptors for a while. That says nothing about the disk, and
 /// must not be taken for its failure.
-fn open_when_possible(path: &Path, open: impl Fn() -> io::Result<File>) -> io::Result<File> {
+fn open_when_possible<T>(path: &Path, open: impl Fn() -> io::Result<T>) -> io::Result<T> {
     let mut is_reported = false;
     loop {
         match open() {
--- a/crates/store/src/segment.rs
+++ b/crates/store/src/segment.rs
@@ -1,9 +1,10 @@
 //! The segment being written.
 
 use crate::frame::{Frame, FrameKind, MAGIC};
+use crate::ops::list_folder;
 use crate::{Error, HardState, Ops, Result};
 use bytes::Bytes;
-use std::fs::{self, File, OpenOptions};
+use std::fs::{File, OpenOptions};
 use std::io::{Seek, SeekFrom};
 use std::path::{Path, PathBuf};
 
@@ -132,7 +133,7 @@
 
 /// Returns the numbers of the segments in a folder in ascending order.
 pub(crate) fn numbers(folder: &Path) -> Result<Vec<u64>> {
-    let entries = fs::read_dir(folder).map_err(|e| Error::io("listing", folder, e))?;
+    let entries = list_folder(folder).map_err(|e| Error::io("listing", folder, e))?;
     let mut numbers = Vec::new();
     for entry in entries {
         let entry = entry.map_err(|e| Error::io("listing", folder, e))?;
--- a/crates/store/src/snapshot.rs
+++ b/crates/store/src/snapshot.rs
@@ -1,5 +1,6 @@
 //! Snapshot files, written atomically.
 
+use crate::ops::list_folder;
 use crate::{Error, Ops, Result};
 use bytes::{Buf, BufMut, Bytes};
 use std::fs;
@@ -123,7 +124,7 @@
 }
 
 fn indices_with_suffix(folder: &Path, suffix: &str) -> Result<Vec<u64>> {
-    let entries = fs::read_dir(folder).map_err(|e| Error::io("listing", folder, e))?;
+    let entries = list_folder(folder).map_err(|e| Error::io("listing", folder, e))?;
     let mut indices = Vec::new();
     for entry in entries {
         let entry = entry.map_err(|e| Error::io("listing", folder, e))?;
