Publish only what is committed after a restart

Callers saw: an operator sends other content under the version held. It is acknowledged and changes nothing. Once control replicas and entries are restarted, entries obey it until the next config, while Config.Read names the first one.

Cause: a replica that starts published the table with the highest number in its log, committed or not, and of equal numbers the last one, so that entries are served before a leader is elected. The state machine keeps the first one. What a replica or an entry holds is only replaced by a higher number, so a table that is wrong stays. Evacuations were read from the log in the same way.

Change: the commit index is persisted beside term and vote, with each write and otherwise once after each commit, as far as the replica's own disk has synced the entries; no message waits for it. A replica applies up to it at its start and publishes its state machine. So one number has one content everywhere, and a rising number is enough.

--- a/crates/control/src/codec.rs
+++ b/crates/control/src/codec.rs
@@ -213,19 +213,21 @@
     })
 }
 
-/// Converts the term and vote for the disk.
+/// Converts the term, vote and commit index for the disk.
 pub(crate) fn stored_hard_state(hard_state: HardState) -> store::HardState {
     store::HardState {
         term: hard_state.term,
         vote: hard_state.vote.map(|id| id.0),
+        commit: hard_state.commit_index,
     }
 }
 
-/// Converts the term and vote from the disk.
+/// Converts the term, vote and commit index from the disk.
 pub(crate) fn hard_state(stored: store::HardState) -> HardState {
     HardState {
         term: stored.term,
         vote: stored.vote.map(DiskId),
+        commit_index: stored.commit,
     }
 }
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -23,7 +23,6 @@
 mod node_info;
 mod node_leases;
 mod peers;
-mod recovered_table;
 mod replica;
 mod replicas;
 mod reply;
--- a/crates/control/src/replica/actor.rs
+++ b/crates/control/src/replica/actor.rs
@@ -8,7 +8,6 @@
 use crate::disk::{self, Fullness, Report, SaveResult};
 use crate::metrics::Metrics;
 use crate::peers::Peers;
-use crate::recovered_table;
 use crate::replicas::Replicas;
 use crate::reply::{MayCommit, unavailable};
 use crate::settings::Settings;
@@ -111,11 +110,6 @@
             snapshot: stored,
             entries: entries.collect::<eyre::Result<_>>()?,
         };
-        if let Some(known) = recovered_table::newest(&restored) {
-            log::info!(table = known.number; "route table recovered from disk");
-            table.send_replace(known);
-        }
-        evacuations.send_replace(recovered_table::evacuations(&restored));
         let cfg = Config {
             heartbeat_interval: settings.timing.heartbeat_interval,
             election_timeout: settings.timing.election_timeout,
--- a/crates/control/src/replica/output.rs
+++ b/crates/control/src/replica/output.rs
@@ -128,6 +128,9 @@
     }
 
     /// Publishes changes of the route table, of the evacuated zones and of the members.
+    ///
+    /// Entries keep what they are sent until its number rises, so only committed state may
+    /// be published. After a restart that is what the disk records as committed.
     fn publish(&mut self) {
         let table = self.state_machine.route_table();
         self.table.send_if_modified(|published| {
@@ -139,12 +142,8 @@
             is_newer
         });
         let evacuations = self.state_machine.evacuations();
-        let is_up_to_date = self.node.leader().is_some() && self.node.has_applied_in_term();
         self.evacuations.send_if_modified(|published| {
-            // What was read from disk holds until the committed orders are known.
-            let is_provisional = published.number == 0 && is_up_to_date;
-            let is_newer = published.number < evacuations.number
-                || (is_provisional && *published != evacuations);
+            let is_newer = published.number < evacuations.number;
             if is_newer {
                 log::info!(
                     number = evacuations.number;
--- a/crates/control/tests/replicas/leaders.rs
+++ b/crates/control/tests/replicas/leaders.rs
@@ -2,11 +2,14 @@
 
 use crate::cluster::{Cluster, note_command, propose_to, wait_for};
 use serde_json::json;
+use std::time::Duration;
+use tokio::time::timeout;
 use wire::proto::frame::Body;
 use wire::proto::quorum_message::Body as QuorumBody;
 use wire::proto::{
-    Append, InstallSnapshot, LogEntry, Query, QueryReply, QuorumMessage, RouteTable,
-    RouteTableQuery, StatusQuery, VoteReply, command, outcome, query, query_reply,
+    Append, Drain, Entrance, Evacuate, Evacuations, InstallSnapshot, LogEntry, Query, QueryReply,
+    QuorumMessage, Report, RouteTable, RouteTableQuery, StatusQuery, VoteReply, command, outcome,
+    query, query_reply,
 };
 use wire::{Identity, Role};
 
@@ -248,3 +251,93 @@
     .await;
     assert!(matches!(ask(false).await, Ok(Body::NotLeader(_))));
 }
+
+/// Guards against commands that a restarted replica obeys although their leader was deposed
+/// before they were committed.
+#[tokio::test(flavor = "multi_thread")]
+async fn restart_uncommitted_commands() {
+    let mut cluster = Cluster::start(3).await;
+    cluster.submit_up_to(1).await;
+    cluster.propose(route_table(7, "held")).await;
+    let leader = cluster.leader().await;
+    for name in cluster.names() {
+        cluster.wait_caught_up(&name).await;
+    }
+    cluster.isolate(&leader).await;
+    let link = cluster.dial(&leader).await;
+    let lost = [
+        note_command(&json!({"number": 2}), "anna"),
+        route_table(8, "lost"),
+        command::Body::Evacuate(Evacuate {
+            zone: "celje".to_owned(),
+            active: true,
+        }),
+        command::Body::Drain(Drain {
+            target: "desk-01".to_owned(),
+            draining: true,
+        }),
+    ];
+    for body in lost {
+        // It is not known when the command is appended, only that it is not committed.
+        let outcome = timeout(Duration::from_millis(50), propose_to(&link, body)).await;
+        assert!(!matches!(outcome, Ok(Some(outcome::Body::RouteTable(_)))));
+    }
+    wait_for("the commands on the disk", async || {
+        let status = cluster.control(&leader).status().await.ok()?;
+        (status["last"].as_u64()? >= status["commit"].as_u64()? + 4).then_some(())
+    })
+    .await;
+
+    cluster.stop_replica(&leader).await;
+    cluster.start_replica(&leader).await;
+    let status = cluster.control(&leader).status().await.unwrap();
+    assert!(status["last"].as_u64() >= status["commit"].as_u64().map(|commit| commit + 4));
+    let (table, evacuations) = sent_to_entry(&cluster, &leader).await;
+    assert_eq!(table.source, "held");
+    assert_eq!(evacuations, Evacuations::default());
+    assert_eq!(status["notes"]["accepted"], 1);
+    assert_eq!(status["drained"], json!([]));
+    assert_eq!(status["evacuated"], json!([]));
+
+    cluster.propose(route_table(8, "accepted")).await;
+    cluster.heal(&leader);
+    cluster.wait_caught_up(&leader).await;
+    let (table, _) = sent_to_entry(&cluster, &leader).await;
+    assert_eq!(table.source, "accepted");
+}
+
+fn route_table(number: u64, source: &'static str) -> command::Body {
+    command::Body::RouteTable(RouteTable {
+        number,
+        source: source.into(),
+    })
+}
+
+/// What a replica sends an entry that has just started.
+async fn sent_to_entry(cluster: &Cluster, replica: &str) -> (RouteTable, Evacuations) {
+    let (link, mut rx) = cluster.dial_as_node(replica).await;
+    let report = Report {
+        entrance: Some(Entrance {
+            name: "new".to_owned(),
+            ..Entrance::default()
+        }),
+        knows_evacuations: true,
+        ..Report::default()
+    };
+    let reply = link.call(Body::Report(report), crate::cluster::WAIT_TIMEOUT);
+    assert!(matches!(reply.await, Ok(Body::Reported(_))));
+    let (mut table, mut evacuations) = (None, None);
+    wait_for("the state for an entry", async || {
+        while let Ok(incoming) = rx.try_recv() {
+            match incoming.body {
+                Body::RouteTable(sent) => table = Some(sent),
+                Body::Evacuations(sent) => evacuations = Some(sent),
+                _ => {}
+            }
+        }
+        (table.is_some() && evacuations.is_some()).then_some(())
+    })
+    .await;
+    link.close();
+    (table.unwrap(), evacuations.unwrap())
+}
--- a/crates/quorum/src/node.rs
+++ b/crates/quorum/src/node.rs
@@ -73,7 +73,10 @@
     /// because this replica may have confirmed a leader just before a restart.
     leader_heard_at: Instant,
     election_deadline: Instant,
+    /// Term or vote have changed since the last write.
     hard_state_changed: bool,
+    /// The commit index is to be written though nothing else is.
+    commit_write_due: bool,
     incoming_snapshot: Option<IncomingSnapshot>,
     /// Completely received, not yet issued in a write.
     received_snapshot: Option<Snapshot>,
@@ -125,6 +128,7 @@
             log.push(entry);
         }
         let last = log.last_index();
+        let committed = persisted.hard_state.commit_index.min(last);
         let restore = (!blank).then(|| snapshot.clone());
         let mut node = Node {
             id,
@@ -134,7 +138,7 @@
             role: Role::Follower,
             log,
             membership_history,
-            commit_index: snapshot.index,
+            commit_index: committed.max(snapshot.index),
             applied_index: snapshot.index,
             snapshot,
             first_command,
@@ -147,6 +151,7 @@
             leader_heard_at: now,
             election_deadline: now,
             hard_state_changed: false,
+            commit_write_due: false,
             incoming_snapshot: None,
             received_snapshot: None,
             pending_restore: None,
@@ -178,6 +183,8 @@
         } else if now >= self.election_deadline && self.is_voter() {
             self.start_pre_vote(now);
         }
+        self.commit_write_due = self.pending_writes.is_empty()
+            && self.persistable_commit() > self.hard_state.commit_index;
     }
 
     /// Processes a message. Messages may be delayed, duplicated or lost.
--- a/crates/quorum/src/node/output.rs
+++ b/crates/quorum/src/node/output.rs
@@ -30,8 +30,9 @@
 
     fn next_write(&mut self) -> Option<Write> {
         if !self.has_unwritten() {
-            return None;
+            return self.next_commit_write();
         }
+        self.hard_state.commit_index = self.persistable_commit();
         let last = self.log.last_index();
         self.last_write += 1;
         self.pending_writes.push_back(PendingWrite {
@@ -56,6 +57,30 @@
         })
     }
 
+    /// Returns a write of the commit index alone. No message waits for it: a replica that
+    /// restarts without it learns the commit index from the next leader.
+    fn next_commit_write(&mut self) -> Option<Write> {
+        if !std::mem::take(&mut self.commit_write_due) {
+            return None;
+        }
+        self.hard_state.commit_index = self.persistable_commit();
+        Some(Write {
+            number: self.last_write,
+            snapshot: None,
+            hard_state: self.hard_state,
+            entries: Vec::new(),
+        })
+    }
+
+    /// The commit index as far as this replica has synced the entries.
+    ///
+    /// A commit index that became durable before the entries would, after a crash, cover
+    /// whatever the disk held at their indices before.
+    pub(super) fn persistable_commit(&self) -> u64 {
+        let synced = self.commit_index.min(self.synced_index);
+        synced.max(self.hard_state.commit_index)
+    }
+
     fn has_unwritten(&self) -> bool {
         self.hard_state_changed
             || self.received_snapshot.is_some()
--- a/crates/quorum/src/write.rs
+++ b/crates/quorum/src/write.rs
@@ -10,7 +10,7 @@
     pub number: u64,
     /// Snapshot received from the leader. It replaces the whole log.
     pub snapshot: Option<Snapshot>,
-    /// Term and vote.
+    /// Term, vote and commit index.
     pub hard_state: HardState,
     /// Entries to append.
     pub entries: Vec<Entry>,
--- a/crates/quorum/tests/rules.rs
+++ b/crates/quorum/tests/rules.rs
@@ -144,7 +144,7 @@
 fn commit_earlier_term() {
     let hard_state = HardState {
         term: 2,
-        vote: None,
+        ..HardState::default()
     };
     let mut fixture = Fixture::new(hard_state, vec![entry(1, 1), entry(2, 2)]);
     fixture.become_leader();
@@ -511,3 +511,63 @@
     fixture.advance(fixture.cfg.election_timeout * 3);
     assert!(fixture.node.should_join(fixture.now));
 }
+
+/// Guards against an entry that is applied after a restart although its leader was deposed
+/// before it was committed.
+#[test]
+fn new_uncommitted_entry() {
+    let hard_state = HardState {
+        term: 2,
+        commit_index: 2,
+        ..HardState::default()
+    };
+    let entries = vec![entry(1, 1), entry(2, 2), entry(3, 2)];
+    let mut fixture = Fixture::new(hard_state, entries);
+    assert_eq!(committed_indices(&fixture.sync()), [1, 2]);
+}
+
+/// Guards against a replica that, after a loss of power, knows nothing of what is committed
+/// until a leader is elected.
+#[test]
+fn tick_commit_persisted() {
+    let mut fixture = Fixture::new(HardState::default(), Vec::new());
+    let append = |commit, entries| MessageBody::Append {
+        previous_index: 0,
+        previous_term: 0,
+        commit,
+        round: 1,
+        entries,
+    };
+    fixture.receive(SECOND, 1, append(0, vec![entry(1, 1)]));
+    fixture.sync();
+    fixture.receive(SECOND, 1, append(1, Vec::new()));
+    fixture.receive(SECOND, 1, append(1, vec![entry(1, 1)]));
+    assert_eq!(committed_indices(&fixture.sync()), [1]);
+    fixture.advance(Duration::from_millis(1));
+    let writes: Vec<u64> = fixture
+        .sync()
+        .into_iter()
+        .filter_map(|ready| Some(ready.write?.hard_state.commit_index))
+        .collect();
+    assert_eq!(writes, [1]);
+    fixture.advance(Duration::from_millis(1));
+    assert!(fixture.sync().is_empty());
+}
+
+/// Guards against a commit index on the disk that covers entries which are not on it yet: a
+/// crash would leave it over the entries that they replace.
+#[test]
+fn commit_persisted_after_entries() {
+    let mut fixture = Fixture::new(HardState::default(), vec![entry(1, 1)]);
+    let body = MessageBody::Append {
+        previous_index: 0,
+        previous_term: 0,
+        commit: 1,
+        round: 1,
+        entries: vec![entry(1, 2)],
+    };
+    fixture.receive(SECOND, 2, body);
+    let write = fixture.node.ready().write.unwrap();
+    assert_eq!(write.entries, [entry(1, 2)]);
+    assert_eq!(write.hard_state.commit_index, 0);
+}
--- a/crates/store/src/batch.rs
+++ b/crates/store/src/batch.rs
@@ -7,7 +7,7 @@
 pub struct Batch {
     /// Snapshot received from another replica, which replaces the whole log.
     pub snapshot: Option<Snapshot>,
-    /// Term and vote.
+    /// Term, vote and commit index.
     pub hard_state: HardState,
     /// Records to append. A record replaces all records at the same and higher
     /// indices.
--- a/crates/store/src/frame.rs
+++ b/crates/store/src/frame.rs
@@ -34,7 +34,8 @@
 pub(crate) enum FrameKind {
     /// Log record, with the kind defined by the user of the log.
     Entry(u8),
-    /// Term and vote. The vote is stored as the index, 0 for none.
+    /// Term, vote and commit index. The vote is stored as the index, 0 for none, and the
+    /// commit index as the data.
     HardState,
     /// All records before are discarded; the log continues after the index.
     Reset,
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -11,7 +11,7 @@
 //! store::format(folder.path(), "control-1", &Ops::default()).unwrap();
 //! let (mut disk, _) = Disk::open(folder.path(), Ops::default()).unwrap();
 //! let record = Record { index: 1, term: 1, kind: 0, data: "first".into() };
-//! let hard_state = HardState { term: 1, vote: None };
+//! let hard_state = HardState { term: 1, vote: None, commit: 0 };
 //! disk.write(&Batch { snapshot: None, hard_state, records: vec![record.clone()] }).unwrap();
 //! disk.sync().unwrap();
 //! drop(disk);
--- a/crates/store/src/recovered.rs
+++ b/crates/store/src/recovered.rs
@@ -7,7 +7,7 @@
 pub struct Recovered {
     /// Identity of the disk.
     pub identity: Identity,
-    /// Term and vote.
+    /// Term, vote and commit index.
     pub hard_state: HardState,
     /// Latest snapshot.
     pub snapshot: Option<Snapshot>,
--- a/crates/store/src/replay.rs
+++ b/crates/store/src/replay.rs
@@ -54,9 +54,7 @@
     fn apply(&mut self, number: u64, frame: Frame, path: &Path) -> Result<()> {
         match frame.kind {
             FrameKind::HardState => {
-                let vote = (frame.index != 0).then_some(frame.index);
-                let term = frame.term;
-                self.hard_state = HardState { term, vote };
+                self.hard_state = hard_state(&frame);
             }
             FrameKind::Reset => {
                 self.records.clear();
@@ -123,3 +121,13 @@
         Ok(matches)
     }
 }
+
+fn hard_state(frame: &Frame) -> HardState {
+    // Earlier versions store no commit index.
+    let commit = frame.data[..].try_into().map_or(0, u64::from_le_bytes);
+    HardState {
+        term: frame.term,
+        vote: (frame.index != 0).then_some(frame.index),
+        commit,
+    }
+}
--- a/crates/store/src/segment.rs
+++ b/crates/store/src/segment.rs
@@ -92,7 +92,8 @@
 
     pub(crate) fn hard_state_frame(&self, hard_state: HardState) -> Frame {
         let vote = hard_state.vote.unwrap_or(0);
-        self.frame(FrameKind::HardState, vote, hard_state.term, Bytes::new())
+        let commit = Bytes::copy_from_slice(&hard_state.commit.to_le_bytes());
+        self.frame(FrameKind::HardState, vote, hard_state.term, commit)
     }
 
     /// Writes the bytes. If that fails, the segment is left as before.
--- a/crates/store/tests/disk/damage.rs
+++ b/crates/store/tests/disk/damage.rs
@@ -25,6 +25,7 @@
     let hard_state = HardState {
         term: 1,
         vote: Some(3),
+        commit: 0,
     };
     for index in 1..=RECORD_COUNT {
         let records = vec![record(index)];
--- a/crates/store/tests/disk/errors.rs
+++ b/crates/store/tests/disk/errors.rs
@@ -9,7 +9,10 @@
     let (term, kind, data) = (1, 0, vec![7; length].into());
     Batch {
         snapshot: None,
-        hard_state: HardState { term, vote: None },
+        hard_state: HardState {
+            term,
+            ..HardState::default()
+        },
         records: vec![Record {
             index,
             term,
--- a/crates/store/tests/disk/model.rs
+++ b/crates/store/tests/disk/model.rs
@@ -117,7 +117,14 @@
     if rng.random_range(0..3) == 0 {
         let term = hard_state.term + 1;
         let vote = Some(rng.random_range(1..4));
-        hard_state = HardState { term, vote };
+        hard_state = HardState {
+            term,
+            vote,
+            ..hard_state
+        };
+    }
+    if rng.random_range(0..3) == 0 {
+        hard_state.commit = rng.random_range(hard_state.commit..=now.last().max(hard_state.commit));
     }
     let mut batch = Batch {
         hard_state,
--- a/crates/wire/src/gen/lovageramp.rs
+++ b/crates/wire/src/gen/lovageramp.rs
@@ -353,8 +353,8 @@
 /// The availability zones whose targets get no requests.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Evacuations {
-    /// Number of changes so far; the state with the highest number is in force. 0 for a
-    /// state that was read from disk and may not be the newest.
+    /// Number of changes so far; the state with the highest number is in force. 0 if
+    /// there was none, or, from an earlier version, for a state that may not be the newest.
     #[prost(uint64, tag = "1")]
     pub number: u64,
     #[prost(string, repeated, tag = "2")]
