Show the digest of the route table, and correct entries by it

Operators saw: a replica or an entry that obeys other content under the version held looks like any other; log, metrics and status name the version alone. An entry to which a replica of an earlier version has sent a table that was not committed keeps it after the upgrade, as only a higher number replaces it.

Change: the digest of a table's source is in the lines of log that tell of a table, on the metrics pages of replicas and entries, in the status of a replica and in the reports of entries. A replica that sees another digest under the number of its table warns and sends the entry its own, at the pace at which outdated entries are sent tables; the entry takes it. Replicas of earlier versions send an entry nothing of the number that it reports.

--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -13,6 +13,7 @@
 use self::refresh::Heard;
 use self::verdicts::SettledVerdicts;
 use crate::leader_client::ReplicaLinks;
+use crate::published_table::PublishedTable;
 use crate::replicas::Replicas;
 use crate::target_cache::TargetCache;
 use member::{EntryReport, ReportEffect, ReportStore, TargetLimits};
@@ -65,7 +66,7 @@
     has_changed: Notify,
     replica_links: ReplicaLinks,
     replicas: watch::Receiver<Replicas>,
-    table: watch::Receiver<RouteTable>,
+    table: watch::Receiver<PublishedTable>,
     evacuations: watch::Receiver<Evacuations>,
     quarantine: watch::Receiver<Quarantine>,
     /// Limits that targets name. Locked after `board`.
@@ -84,7 +85,7 @@
         replica_links: ReplicaLinks,
         replicas: watch::Receiver<Replicas>,
         (table, evacuations, quarantine): (
-            watch::Receiver<RouteTable>,
+            watch::Receiver<PublishedTable>,
             watch::Receiver<Evacuations>,
             watch::Receiver<Quarantine>,
         ),
@@ -137,7 +138,7 @@
                     if changed.is_err() {
                         return;
                     }
-                    let newest = table.borrow_and_update().clone();
+                    let newest = table.borrow_and_update().table.clone();
                     self.send_table(newest).await;
                 }
                 changed = evacuations.changed() => {
@@ -166,13 +167,11 @@
     /// once it wants this replica to repeat their state. An entry that stays behind the
     /// newest table is sent it by any replica.
     pub(crate) async fn handle_report(&self, report: Report, call: u64, link: &Link) {
-        let newest = self.shared.table.borrow().number;
-        let update = self
-            .shared
-            .entries
-            .update(&report, link, newest, Instant::now());
+        let newest = self.shared.table.borrow().clone();
+        let now = Instant::now();
+        let update = self.shared.entries.update(&report, link, &newest, now);
         if update.wants_table {
-            let table = self.shared.table.borrow().clone();
+            let table = newest.table;
             send(link, Body::RouteTable(table)).await;
         }
         let evacuations = self.shared.evacuations.borrow().clone();
--- a/crates/control/src/gossip/entry_links.rs
+++ b/crates/control/src/gossip/entry_links.rs
@@ -1,9 +1,10 @@
 //! The entries that report to a replica.
 
+use crate::published_table::PublishedTable;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use wire::Link;
-use wire::proto::{Evacuations, Report};
+use wire::proto::{Entrance, Evacuations, Report};
 
 /// Time after which an entry that still uses the same older table is sent the newest
 /// one.
@@ -61,18 +62,27 @@
         &self,
         report: &Report,
         link: &Link,
-        newest_table: u64,
+        newest: &PublishedTable,
         now: Instant,
     ) -> EntryUpdate {
         let mut links = self.open_links();
         let known = links.iter_mut().find(|e| e.link.peer() == link.peer());
-        let table = report.entrance.as_ref().map_or(0, |entry| entry.table);
+        let none = Entrance::default();
+        let entrance = report.entrance.as_ref().unwrap_or(&none);
+        let (table, contradicts) = (entrance.table, newest.contradicts(entrance));
         let known_behind = known.as_ref().filter(|entry| entry.table == table);
         let known_behind = known_behind.and_then(|entry| entry.behind_since);
-        let behind_since = (table < newest_table).then(|| known_behind.unwrap_or(now));
+        let is_outdated = newest.is_newer_than(entrance) || contradicts;
+        let behind_since = is_outdated.then(|| known_behind.unwrap_or(now));
         let is_overdue = |since: Instant| now.saturating_duration_since(since) >= MAX_TABLE_DELAY;
         let is_behind = behind_since.is_some();
         let wants_table = behind_since.is_some_and(is_overdue);
+        if wants_table && contradicts {
+            log::warn!(
+                entry = entrance.name.as_str(), table, digest = newest.digest().as_str();
+                "an entry holds other content under the number of the newest route table"
+            );
+        }
         let behind_since = behind_since.map(|since| if wants_table { now } else { since });
         let had_refresh = known.as_ref().is_some_and(|entry| entry.wants_refresh);
         let entry = EntryLink {
@@ -85,10 +95,7 @@
             behind_since,
         };
         let wants_targets = entry.wants_refresh && !had_refresh;
-        let held = report
-            .entrance
-            .as_ref()
-            .map_or(0, |entry| entry.evacuations);
+        let held = entrance.evacuations;
         let is_new = known.is_none();
         match known {
             Some(known) => *known = entry.clone(),
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -23,6 +23,7 @@
 mod node_info;
 mod node_leases;
 mod peers;
+mod published_table;
 mod replica;
 mod replicas;
 mod reply;
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use admin::Registry;
 use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 
 /// Metrics of a replica; cheap to clone.
@@ -21,6 +22,7 @@
     pub(crate) nodes: Gauge,
     pub(crate) evacuated_zones: Gauge,
     pub(crate) tolerated_losses: Gauge,
+    route_table: Family<[(&'static str, String); 1], Gauge>,
     pub(crate) commands: Counter,
     pub(crate) refused_commands: Counter,
     pub(crate) renewals: Counter,
@@ -101,6 +103,20 @@
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
         }
+        registry.register(
+            "route_table",
+            "Number of the route table in force on this replica, by the digest of its content",
+            self.route_table.clone(),
+        );
         registry
     }
+
+    /// Sets the number and the digest of the route table in force.
+    pub(crate) fn set_route_table(&self, number: u64, digest: String) {
+        self.route_table.clear();
+        let number = i64::try_from(number).unwrap_or(i64::MAX);
+        self.route_table
+            .get_or_create(&[("digest", digest)])
+            .set(number);
+    }
 }
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -17,6 +17,7 @@
 use crate::metrics::Metrics;
 use crate::node_leases::NodeLeases;
 use crate::peers::{Direction, PeerLink, Peers};
+use crate::published_table::PublishedTable;
 use crate::replicas::Replicas;
 use crate::reply::Reply;
 use crate::settings::Settings;
@@ -28,9 +29,7 @@
 use std::time::Instant;
 use tokio::sync::{OwnedSemaphorePermit, oneshot, watch};
 use wire::Link;
-use wire::proto::{
-    Evacuations, FetchNotes, Propose, Quarantine, Query, Renew, RenewBatch, RouteTable,
-};
+use wire::proto::{Evacuations, FetchNotes, Propose, Quarantine, Query, Renew, RenewBatch};
 
 /// A message to the actor.
 pub(crate) enum Msg {
@@ -99,7 +98,7 @@
     limits_proposed_in_term: Option<u64>,
     metrics: Metrics,
     /// Publishes the route table in force on this replica.
-    table: watch::Sender<RouteTable>,
+    table: watch::Sender<PublishedTable>,
     /// Publishes the evacuated zones.
     evacuations: watch::Sender<Evacuations>,
     /// Publishes the verdicts on requests under which targets crash.
--- a/crates/control/src/replica/actor.rs
+++ b/crates/control/src/replica/actor.rs
@@ -8,6 +8,7 @@
 use crate::disk::{self, Fullness, Report, SaveResult};
 use crate::metrics::Metrics;
 use crate::peers::Peers;
+use crate::published_table::PublishedTable;
 use crate::replicas::Replicas;
 use crate::reply::{MayCommit, unavailable};
 use crate::settings::Settings;
@@ -18,7 +19,7 @@
 use store::{Disk, Recovered};
 use tokio::sync::watch;
 use tokio_util::sync::DropGuard;
-use wire::proto::{Evacuations, Quarantine, RouteTable};
+use wire::proto::{Evacuations, Quarantine};
 
 /// Actor that runs one replica.
 pub(crate) struct Replica;
@@ -29,7 +30,7 @@
     pub(crate) disk: Disk,
     pub(crate) recovered: Recovered,
     pub(crate) metrics: Metrics,
-    pub(crate) table: watch::Sender<RouteTable>,
+    pub(crate) table: watch::Sender<PublishedTable>,
     pub(crate) evacuations: watch::Sender<Evacuations>,
     pub(crate) quarantine: watch::Sender<Quarantine>,
     pub(crate) replicas: watch::Sender<Replicas>,
--- a/crates/control/src/replica/output.rs
+++ b/crates/control/src/replica/output.rs
@@ -6,6 +6,7 @@
 use crate::codec;
 use crate::disk::{Fullness, Job};
 use crate::node_leases::NodeLeases;
+use crate::published_table::PublishedTable;
 use crate::replicas::Replicas;
 use crate::state_machine::StateMachine;
 use prometheus_client::metrics::gauge::Gauge;
@@ -134,10 +135,15 @@
     fn publish(&mut self) {
         let table = self.state_machine.route_table();
         self.table.send_if_modified(|published| {
-            let is_newer = published.number < table.number;
+            let is_newer = published.table.number < table.number;
             if is_newer {
-                log::info!(table = table.number; "route table in force on this replica");
-                published.clone_from(table);
+                *published = PublishedTable::new(table.clone());
+                let digest = published.digest();
+                log::info!(
+                    table = table.number, digest = digest.as_str();
+                    "route table in force on this replica"
+                );
+                self.metrics.set_route_table(table.number, digest);
             }
             is_newer
         });
--- a/crates/control/src/replica/status.rs
+++ b/crates/control/src/replica/status.rs
@@ -55,6 +55,7 @@
             "nodes": self.nodes(),
             "targets": self.targets(),
             "groups": self.groups(),
+            "route_table": self.table.borrow().to_json(),
             "quarantine": self.quarantine(),
             "drained": self.state_machine.withdrawn().targets,
             "evacuated": self.state_machine.withdrawn().zones,
--- a/crates/control/tests/replicas/leaders.rs
+++ b/crates/control/tests/replicas/leaders.rs
@@ -1,6 +1,7 @@
 //! Leaders that are lost or isolated, and delayed messages of old leaders.
 
 use crate::cluster::{Cluster, note_command, propose_to, wait_for};
+use member::TableDigest;
 use serde_json::json;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -315,12 +316,18 @@
 
 /// What a replica sends an entry that has just started.
 async fn sent_to_entry(cluster: &Cluster, replica: &str) -> (RouteTable, Evacuations) {
+    sent_after_report(cluster, replica, Entrance::default()).await
+}
+
+/// What a replica sends an entry that reports this first.
+async fn sent_after_report(
+    cluster: &Cluster,
+    replica: &str,
+    entrance: Entrance,
+) -> (RouteTable, Evacuations) {
     let (link, mut rx) = cluster.dial_as_node(replica).await;
     let report = Report {
-        entrance: Some(Entrance {
-            name: "new".to_owned(),
-            ..Entrance::default()
-        }),
+        entrance: Some(entrance),
         knows_evacuations: true,
         ..Report::default()
     };
@@ -341,3 +348,26 @@
     link.close();
     (table.unwrap(), evacuations.unwrap())
 }
+
+/// Guards against an entry that keeps other content than the replicas under one number, which
+/// a replica of an earlier version may have sent it.
+#[tokio::test(flavor = "multi_thread")]
+async fn report_other_content() {
+    let cluster = Cluster::start(3).await;
+    cluster.propose(route_table(7, "held")).await;
+    let leader = cluster.leader().await;
+    let entrance = Entrance {
+        name: "entry-1".to_owned(),
+        table: 7,
+        table_digest: TableDigest::of(b"lost").0,
+        ..Entrance::default()
+    };
+    let (table, _) = sent_after_report(&cluster, &leader, entrance).await;
+    assert_eq!(table.source, "held");
+    let status = cluster.control(&leader).status().await.unwrap();
+    let digest = TableDigest::of(b"held").to_string();
+    assert_eq!(
+        status["route_table"],
+        json!({"number": 7, "digest": digest})
+    );
+}
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -30,6 +30,7 @@
     starts_after_wait: Family<QueueLabels, Counter>,
     slot_refusals: Family<QueueRefusalLabels, Counter>,
     route_table: Gauge,
+    route_table_content: Family<[(&'static str, String); 1], Gauge>,
     pub(crate) target_crashes: Counter,
     pub(crate) open_requests: Gauge,
 }
@@ -53,6 +54,7 @@
             starts_after_wait: Family::default(),
             slot_refusals: Family::default(),
             route_table: Gauge::default(),
+            route_table_content: Family::default(),
             target_crashes: Counter::default(),
             open_requests: Gauge::default(),
         }
@@ -89,6 +91,11 @@
             "Number of the route table in force",
             route_table,
         );
+        registry.register(
+            "route_table_content",
+            "Number of the route table in force, by the digest of its content",
+            self.route_table_content.clone(),
+        );
         let target_crashes = self.target_crashes.clone();
         let help = "Crashes of targets while requests of this entry ran on them";
         registry.register("target_crashes", help, target_crashes);
@@ -165,9 +172,14 @@
         self.retries.get_or_create(&labels).inc();
     }
 
-    pub(crate) fn set_route_table(&self, number: u64) {
-        self.route_table
-            .set(i64::try_from(number).unwrap_or(i64::MAX));
+    /// Sets the number and the digest of the route table in force.
+    pub(crate) fn set_route_table(&self, number: u64, digest: String) {
+        let number = i64::try_from(number).unwrap_or(i64::MAX);
+        self.route_table.set(number);
+        self.route_table_content.clear();
+        self.route_table_content
+            .get_or_create(&[("digest", digest)])
+            .set(number);
     }
 
     /// Sets the numbers of available and unavailable targets of a service.
--- a/crates/direct/src/proxy.rs
+++ b/crates/direct/src/proxy.rs
@@ -252,7 +252,10 @@
                 entries: state.entries(now),
             };
             balancer.update(&table, &known, now);
-            metrics.set_route_table(table.number());
+            let digest = state
+                .table_digest()
+                .map_or_else(String::new, |d| d.to_string());
+            metrics.set_route_table(table.number(), digest);
             for (service, available, all) in balancer.target_counts() {
                 metrics.set_targets(&service, available, all);
             }
--- a/crates/direct/tests/doors.rs
+++ b/crates/direct/tests/doors.rs
@@ -19,6 +19,7 @@
         address: "127.0.0.1:80".parse().unwrap(),
         open: false,
         table: 0,
+        table_digest: None,
         evacuations: 0,
     };
     let cfg = WatcherSettings {
--- a/crates/member/src/entry_report.rs
+++ b/crates/member/src/entry_report.rs
@@ -1,5 +1,6 @@
 //! What an entry reports about itself.
 
+use crate::TableDigest;
 use std::net::SocketAddr;
 
 /// What an entry reports about itself to each control replica.
@@ -21,6 +22,8 @@
     pub open: bool,
     /// Number of the route table in use; 0 for none.
     pub table: u64,
+    /// Digest of that table; `None` for none, and from entries that do not report it.
+    pub table_digest: Option<TableDigest>,
     /// Number of the evacuations in force at the entry; 0 for none.
     pub evacuations: u64,
 }
--- a/crates/node/src/watcher_state.rs
+++ b/crates/node/src/watcher_state.rs
@@ -8,7 +8,7 @@
 use crate::watcher::DecodeRouteTable;
 use member::{
     AliveEffect, EntryReport, EvacuatedZones, Evacuation, LimitEffect, OverdueTargets, Presence,
-    ReportEffect, ReportStore, TargetLimits, TargetSpeed,
+    ReportEffect, ReportStore, TableDigest, TargetLimits, TargetSpeed,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -31,7 +31,7 @@
 /// State that a watcher receives from control.
 pub struct WatcherState {
     decode: DecodeRouteTable,
-    table: Mutex<Option<Arc<Table>>>,
+    table: Mutex<Option<HeldTable>>,
     reports: Mutex<ReportStore>,
     own_report: watch::Sender<EntryReport>,
     replicas: watch::Sender<BTreeSet<SocketAddr>>,
@@ -55,6 +55,22 @@
     changed: watch::Sender<u64>,
 }
 
+/// The route table in use.
+struct HeldTable {
+    table: Arc<Table>,
+    digest: TableDigest,
+}
+
+impl HeldTable {
+    /// Whether a received table replaces this one. One of the same number and with other
+    /// content does: a replica sends it only to an entry whose content it knows to be
+    /// another, as what a replica of an earlier version has sent may not be committed.
+    fn is_replaced_by(&self, received: &RouteTable, digest: TableDigest) -> bool {
+        let number = self.table.number();
+        received.number > number || (received.number == number && digest != self.digest)
+    }
+}
+
 /// A target that is known from its reports.
 #[derive(Clone, Debug, PartialEq)]
 pub struct KnownTarget {
@@ -100,7 +116,15 @@
     }
 
     pub(crate) fn table(&self) -> Option<Arc<Table>> {
-        lock(&self.table).clone()
+        lock(&self.table)
+            .as_ref()
+            .map(|held| Arc::clone(&held.table))
+    }
+
+    /// Digest of the route table in use; `None` until there is one.
+    #[must_use]
+    pub fn table_digest(&self) -> Option<TableDigest> {
+        lock(&self.table).as_ref().map(|held| held.digest)
     }
 
     /// Subscribes to a counter of the changes of the table and the targets.
@@ -129,10 +153,16 @@
         known.collect()
     }
 
-    /// Applies a route table if its number is higher than that of the current one.
+    /// Applies a route table if its number is higher than that of the current one, or the
+    /// same with other content.
     pub(crate) fn apply_table(&self, received: &RouteTable) {
-        let current = self.table().map_or(0, |table| table.number());
-        if received.number <= current {
+        let digest = TableDigest::of(&received.source);
+        let is_replacement = |held: Option<&HeldTable>| {
+            held.map_or(received.number > 0, |held| {
+                held.is_replaced_by(received, digest)
+            })
+        };
+        if !is_replacement(lock(&self.table).as_ref()) {
             return;
         }
         let table = match (self.decode)(&received.source) {
@@ -145,16 +175,22 @@
         };
         {
             let mut current = lock(&self.table);
-            if current
-                .as_ref()
-                .is_some_and(|table| table.number() >= received.number)
-            {
+            if !is_replacement(current.as_ref()) {
                 return;
             }
-            *current = Some(table);
+            *current = Some(HeldTable { table, digest });
         }
-        log::info!(table = received.number; "using a new route table");
-        self.update_own_report(|report| report.table = report.table.max(received.number));
+        log::info!(
+            table = received.number, digest:display = digest;
+            "using a new route table"
+        );
+        self.update_own_report(|report| {
+            // Another link may have replaced it since.
+            if let Some(held) = &*lock(&self.table) {
+                report.table = held.table.number();
+                report.table_digest = Some(held.digest);
+            }
+        });
         self.notify_changed();
     }
 
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -1,7 +1,9 @@
 //! Conversion between discovery types and their protobuf messages.
 
 use crate::proto;
-use member::{EntryReport, Presence, TargetLimit, TargetReport, TargetSpeed, hash_name};
+use member::{
+    EntryReport, Presence, TableDigest, TargetLimit, TargetReport, TargetSpeed, hash_name,
+};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -137,6 +139,7 @@
         address: entrance.address.to_string(),
         open: entrance.open,
         table: entrance.table,
+        table_digest: entrance.table_digest.map_or(0, |digest| digest.0),
         evacuations: entrance.evacuations,
     }
 }
@@ -154,6 +157,7 @@
         region: message.region,
         open: message.open,
         table: message.table,
+        table_digest: (message.table_digest != 0).then_some(TableDigest(message.table_digest)),
         evacuations: message.evacuations,
     })
 }
--- a/crates/wire/src/gen/lovageramp.rs
+++ b/crates/wire/src/gen/lovageramp.rs
@@ -444,6 +444,9 @@
     /// Number of the evacuations in force at the entry.
     #[prost(uint64, tag = "9")]
     pub evacuations: u64,
+    /// Digest of the content of that route table; 0 if the entry does not report it.
+    #[prost(fixed64, tag = "10")]
+    pub table_digest: u64,
 }
 /// The last announcement received from a target.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
