Leave out writes of the commit index alone on a full disk

The write of the commit index after a note met the full disk before the next note did, and was repeated until there was room; that note was refused as never run, where the test expects that its own write is the first to meet the full disk.

Change: such a write is marked, and left out if there is no room. Nothing depends on it, and the next write holds the commit index as well.

--- a/crates/control/src/disk.rs
+++ b/crates/control/src/disk.rs
@@ -17,6 +17,8 @@
 pub(crate) enum Job {
     /// Writes the batch; its number is reported once it is synced.
     Write(u64, Batch),
+    /// Writes a batch on which nothing depends, unless the disk is full.
+    WriteIfRoom(Batch),
     /// Saves a snapshot of the applied log.
     Save(Snapshot),
 }
@@ -95,6 +97,10 @@
                 write(disk, &batch, replica)?;
                 persisted = Some(number);
             }
+            Job::WriteIfRoom(batch) => match disk.write(&batch) {
+                Err(e) if !e.is_full() => return Err(e),
+                _ => {}
+            },
             Job::Save(snapshot) => {
                 save = Some(snapshot);
                 break;
--- a/crates/control/src/replica/output.rs
+++ b/crates/control/src/replica/output.rs
@@ -64,11 +64,12 @@
             hard_state: codec::stored_hard_state(write.hard_state),
             records: write.entries.iter().map(codec::record).collect(),
         };
-        if self
-            .disk_jobs
-            .send(Job::Write(write.number, batch))
-            .is_err()
-        {
+        let job = if write.commit_only {
+            Job::WriteIfRoom(batch)
+        } else {
+            Job::Write(write.number, batch)
+        };
+        if self.disk_jobs.send(job).is_err() {
             let reason = "the disk thread has ended".to_owned();
             self.failed.get_or_insert(reason);
         }
--- a/crates/quorum/src/node/output.rs
+++ b/crates/quorum/src/node/output.rs
@@ -54,6 +54,7 @@
             snapshot,
             hard_state: self.hard_state,
             entries,
+            commit_only: false,
         })
     }
 
@@ -69,6 +70,7 @@
             snapshot: None,
             hard_state: self.hard_state,
             entries: Vec::new(),
+            commit_only: true,
         })
     }
 
--- a/crates/quorum/src/write.rs
+++ b/crates/quorum/src/write.rs
@@ -14,4 +14,7 @@
     pub hard_state: HardState,
     /// Entries to append.
     pub entries: Vec<Entry>,
+    /// Whether only the commit index has changed. Nothing depends on such a write, and it
+    /// may be left out.
+    pub commit_only: bool,
 }
