Send the digest of a route table with the table

Cause: an entry that is busy is sent the same table by several replicas, and computed the digest each time.

Change: a replica computes it once and sends it with the table. An entry computes it for tables from replicas of earlier versions only.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -46,7 +46,11 @@
     ///
     /// The call is idempotent and may be repeated after any outcome, at any replica.
     pub async fn replace_table(&self, number: u64, source: Bytes) -> ReplaceOutcome {
-        let table = RouteTable { number, source };
+        let table = RouteTable {
+            number,
+            source,
+            digest: 0,
+        };
         let body = command::Body::RouteTable(table);
         let outcome = self
             .leader_client()
--- a/crates/control/src/published_table.rs
+++ b/crates/control/src/published_table.rs
@@ -13,9 +13,16 @@
 }
 
 impl PublishedTable {
-    pub(crate) fn new(table: RouteTable) -> PublishedTable {
-        let digest = Some(TableDigest::of(&table.source));
-        PublishedTable { table, digest }
+    pub(crate) fn new(table: &RouteTable) -> PublishedTable {
+        let digest = TableDigest::of(&table.source);
+        let table = RouteTable {
+            digest: digest.0,
+            ..table.clone()
+        };
+        PublishedTable {
+            table,
+            digest: Some(digest),
+        }
     }
 
     /// The digest as text; empty if no table is in force.
--- a/crates/control/src/replica/output.rs
+++ b/crates/control/src/replica/output.rs
@@ -138,7 +138,7 @@
         self.table.send_if_modified(|published| {
             let is_newer = published.table.number < table.number;
             if is_newer {
-                *published = PublishedTable::new(table.clone());
+                *published = PublishedTable::new(table);
                 let digest = published.digest();
                 log::info!(
                     table = table.number, digest = digest.as_str();
--- a/crates/control/tests/replicas/leaders.rs
+++ b/crates/control/tests/replicas/leaders.rs
@@ -227,6 +227,7 @@
     let table = RouteTable {
         number: 4,
         source: "a table".into(),
+        digest: 0,
     };
     cluster
         .propose(command::Body::RouteTable(table.clone()))
@@ -311,6 +312,7 @@
     command::Body::RouteTable(RouteTable {
         number,
         source: source.into(),
+        digest: 0,
     })
 }
 
--- a/crates/node/src/watcher_state.rs
+++ b/crates/node/src/watcher_state.rs
@@ -156,7 +156,10 @@
     /// Applies a route table if its number is higher than that of the current one, or the
     /// same with other content.
     pub(crate) fn apply_table(&self, received: &RouteTable) {
-        let digest = TableDigest::of(&received.source);
+        let digest = match received.digest {
+            0 => TableDigest::of(&received.source),
+            digest => TableDigest(digest),
+        };
         let is_replacement = |held: Option<&HeldTable>| {
             held.map_or(received.number > 0, |held| {
                 held.is_replaced_by(received, digest)
--- a/crates/wire/src/gen/lovageramp.rs
+++ b/crates/wire/src/gen/lovageramp.rs
@@ -329,6 +329,10 @@
     pub number: u64,
     #[prost(bytes = "bytes", tag = "2")]
     pub source: ::prost::bytes::Bytes,
+    /// Digest of `source`, so that entries need not compute it; 0 in the log, and from
+    /// replicas of earlier versions.
+    #[prost(fixed64, tag = "3")]
+    pub digest: u64,
 }
 /// The result of submitting a route table: the number of the table now in force.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
