Bound the log of control in bytes

Operators saw: large configs that change often, planned work alone. After 76 to 84 s control replicas are killed for their memory (256 MB), then the disks of all (128 MB) are full of the replicas' own log; no change is accepted and no config can be read any more.

Tried and left out: heartbeats without entries to a replica that is probed. schedule_lost_minorities did not recover with them.

--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -86,6 +86,8 @@
     clock: Option<Clock>,
     commands: PendingCommands,
     reads: PendingReads,
+    /// Size of the commands applied since the last snapshot was started, in bytes.
+    unsaved_bytes: u64,
     /// Snapshot that is being saved.
     saving: Option<quorum::Snapshot>,
     /// Whether [`Msg::ProcessReady`] is in the mailbox.
--- a/crates/control/src/replica/actor.rs
+++ b/crates/control/src/replica/actor.rs
@@ -141,6 +141,7 @@
             published_members: Members::default(),
             commands: PendingCommands::default(),
             reads: PendingReads::default(),
+            unsaved_bytes: 0,
             saving: None,
             join_at: now,
             report_waiting_at: now + forming::LOG_INTERVAL,
--- a/crates/control/src/replica/answer.rs
+++ b/crates/control/src/replica/answer.rs
@@ -98,7 +98,7 @@
         reply.send(Body::Notes(self.state_machine.notes_after(fetch.after)));
     }
 
-    pub(super) fn propose(&mut self, command: Command, reply: Reply, now: Instant) {
+    pub(super) fn propose(&mut self, mut command: Command, reply: Reply, now: Instant) {
         if !self.node.is_leader() {
             return reply.send(self.not_leader());
         }
@@ -107,6 +107,13 @@
         {
             return reply.send(unknown_zone());
         }
+        if let Some(command::Body::RouteTable(table)) = &mut command.body
+            && table.number <= self.state_machine.route_table().number
+        {
+            // It changes nothing wherever it is applied after the table held, so the log
+            // needs no content of it.
+            table.source.clear();
+        }
         match self.append_command(command, now) {
             Ok(position) => self.commands.insert(position, reply, now),
             Err(answer) => {
--- a/crates/control/src/replica/output.rs
+++ b/crates/control/src/replica/output.rs
@@ -88,7 +88,10 @@
     fn apply(&mut self, entry: Entry) {
         self.applied = entry.index;
         let body = match entry.body {
-            EntryBody::Command(data) => Some(self.apply_command(data)),
+            EntryBody::Command(data) => {
+                self.unsaved_bytes += data.len() as u64;
+                Some(self.apply_command(data))
+            }
             EntryBody::Noop | EntryBody::Members(_) => None,
         };
         let reply = self.commands.take_applied(entry.index, entry.term);
@@ -270,7 +273,12 @@
 
     fn start_snapshot(&mut self) {
         let entries = self.applied - self.node.snapshot().index.min(self.applied);
-        if entries < self.settings.snapshot_entries || self.saving.is_some() {
+        // Entries may be as large as the state. Waiting for the size of the last snapshot
+        // bounds what is written for each byte of the log.
+        let last_snapshot_bytes = self.node.snapshot().data.len() as u64;
+        let is_due = entries >= self.settings.snapshot_entries
+            || self.unsaved_bytes >= self.settings.snapshot_bytes.max(last_snapshot_bytes);
+        if entries == 0 || !is_due || self.saving.is_some() {
             return;
         }
         let (index, term) = self.node.last_applied();
@@ -283,6 +291,7 @@
         let job = Job::Save(codec::stored_snapshot(&snapshot));
         if self.disk_jobs.send(job).is_ok() {
             self.saving = Some(snapshot);
+            self.unsaved_bytes = 0;
         }
     }
 }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -46,6 +46,9 @@
     pub forming: Option<ClusterFormation>,
     /// Number of log entries applied between two snapshots.
     pub snapshot_entries: u64,
+    /// Size of the log entries applied between two snapshots, in bytes, if the last
+    /// snapshot is smaller.
+    pub snapshot_bytes: u64,
     /// Intervals and timeouts.
     pub timing: Timing,
     /// Limits of the ledger, the same on every replica of a cluster.
@@ -67,6 +70,7 @@
     /// ```
     pub fn from_slice(json: &[u8]) -> Result<Settings, Findings> {
         const SNAPSHOT_ENTRIES: u64 = 10_000;
+        const SNAPSHOT_BYTES: u64 = 8 << 20;
         let mut r = Reader::from_slice(json)?;
         let name: Option<String> = r.required("name");
         let zone: Option<String> = r.required("zone");
@@ -84,6 +88,7 @@
             Some(_) => Vec::new(),
         };
         let snapshot_entries = r.within("snapshot_entries", SNAPSHOT_ENTRIES, 1..=u64::MAX);
+        let snapshot_bytes = r.within("snapshot_bytes", SNAPSHOT_BYTES, 1..=u64::MAX);
         let timing = Timing::read(r.section("timing"));
         let ledger = read_ledger(&mut r.section("ledger"));
         let effective = r.effective();
@@ -110,6 +115,7 @@
             replicas,
             forming,
             snapshot_entries,
+            snapshot_bytes,
             timing,
             ledger,
             effective,
--- a/crates/control/tests/replicas/disks.rs
+++ b/crates/control/tests/replicas/disks.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use store::Ops;
 use tokio::time::timeout;
-use wire::proto::{NoteQuery, outcome, query};
+use wire::proto::{NoteQuery, RouteTable, command, outcome, query};
 
 /// The disk of the leader is full. It refuses notes with the reason, still answers reads,
 /// and accepts notes again once there is free space.
@@ -232,3 +232,49 @@
             .await;
     }
 }
+
+/// Disk that a replica of the largest installations has, halved.
+const MAX_FOLDER_BYTES: u64 = 64 << 20;
+const LARGE_TABLE_BYTES: usize = 1 << 20;
+
+fn large_table(number: u64) -> command::Body {
+    command::Body::RouteTable(RouteTable {
+        number,
+        source: vec![b' '; LARGE_TABLE_BYTES].into(),
+        digest: 0,
+    })
+}
+
+fn folder_bytes(cluster: &Cluster, name: &str) -> u64 {
+    let files = std::fs::read_dir(cluster.data(name)).unwrap();
+    // A file may be removed meanwhile.
+    let sizes = files.filter_map(|file| Some(file.ok()?.metadata().ok()?.len()));
+    sizes.sum()
+}
+
+/// Guards against a log of large tables that fills the disks of all replicas.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_tables_changed_often() {
+    let cluster = Cluster::start(3).await;
+    for number in 1..=100 {
+        cluster.propose(large_table(number)).await;
+        for name in cluster.names() {
+            let bytes = folder_bytes(&cluster, &name);
+            assert!(bytes < MAX_FOLDER_BYTES, "{bytes} at {name}");
+        }
+    }
+}
+
+/// Guards against a log that grows with the content of tables that change nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_table_superseded() {
+    let cluster = Cluster::start(1).await;
+    cluster.propose(large_table(7)).await;
+    let before = folder_bytes(&cluster, "r1");
+    for number in 1..=7 {
+        let outcome = cluster.propose(large_table(number)).await;
+        assert!(matches!(outcome, outcome::Body::RouteTable(o) if o.newest == 7));
+    }
+    let grown = folder_bytes(&cluster, "r1") - before;
+    assert!(grown < LARGE_TABLE_BYTES as u64, "{grown}");
+}
--- a/crates/quorum/src/config.rs
+++ b/crates/quorum/src/config.rs
@@ -22,11 +22,16 @@
     pub max_append_bytes: usize,
     /// Maximum number of append messages in flight to one replica.
     pub max_inflight_appends: usize,
+    /// Maximum size of the entries in flight to one replica, in bytes. A single larger
+    /// entry is sent on its own.
+    pub max_inflight_bytes: usize,
     /// Size of a snapshot chunk in one message, in bytes.
     pub snapshot_chunk_bytes: usize,
     /// Number of entries kept in memory before the newest snapshot, so that a
     /// replica that is slightly behind is served from the log.
     pub trailing_entries: u64,
+    /// Maximum size of these entries, in bytes.
+    pub trailing_bytes: usize,
     /// Whether and when a replica on another host replaces a lost voter.
     pub voter_replacement: Option<VoterReplacement>,
 }
@@ -72,8 +77,10 @@
             max_append_entries: 512,
             max_append_bytes: 512 * 1024,
             max_inflight_appends: 16,
+            max_inflight_bytes: 4 * 1024 * 1024,
             snapshot_chunk_bytes: 256 * 1024,
             trailing_entries: 512,
+            trailing_bytes: 8 * 1024 * 1024,
             voter_replacement: None,
         }
     }
--- a/crates/quorum/src/log.rs
+++ b/crates/quorum/src/log.rs
@@ -65,6 +65,21 @@
         }
     }
 
+    /// Returns the lowest index after which the entries up to `to` have this size at most,
+    /// in bytes.
+    pub(crate) fn index_before(&self, to: u64, max_bytes: usize) -> u64 {
+        let mut size = 0;
+        let mut at = to;
+        while let Some(entry) = self.get(at) {
+            size += entry.size();
+            if size > max_bytes {
+                break;
+            }
+            at -= 1;
+        }
+        at
+    }
+
     /// Returns the entries from `from` to `to` within the given limits, but at
     /// least one if there is any.
     pub(crate) fn slice(
--- a/crates/quorum/src/node/install.rs
+++ b/crates/quorum/src/node/install.rs
@@ -25,7 +25,11 @@
         if snapshot.index <= self.snapshot.index || snapshot.index > self.applied_index {
             return;
         }
-        let keep_from = snapshot.index.saturating_sub(self.cfg.trailing_entries);
+        let by_count = snapshot.index.saturating_sub(self.cfg.trailing_entries);
+        let by_size = self
+            .log
+            .index_before(snapshot.index, self.cfg.trailing_bytes);
+        let keep_from = by_count.max(by_size);
         self.snapshot = snapshot;
         self.log.compact(keep_from);
         self.trim_membership_history();
--- a/crates/quorum/src/node/replicate.rs
+++ b/crates/quorum/src/node/replicate.rs
@@ -122,9 +122,7 @@
             let has_more = peer.next_index <= self.log.last_index();
             match peer.mode {
                 Mode::Probe if !peer.probe_in_flight => self.send_append(leader, id, peer),
-                Mode::Replicate
-                    if has_more && peer.inflight.len() < self.cfg.max_inflight_appends =>
-                {
+                Mode::Replicate if has_more && peer.has_room(&self.cfg) => {
                     self.send_append(leader, id, peer);
                 }
                 _ => return,
@@ -160,7 +158,8 @@
             (Mode::Probe, _) => peer.probe_in_flight = true,
             (Mode::Replicate, Some(last)) => {
                 peer.next_index = last.index + 1;
-                peer.inflight.push_back(last.index);
+                let bytes = entries.iter().map(Entry::size).sum();
+                peer.inflight.push_back((last.index, bytes));
             }
             _ => {}
         }
--- a/crates/quorum/src/progress.rs
+++ b/crates/quorum/src/progress.rs
@@ -1,5 +1,6 @@
 //! Replication progress of another replica, tracked by the leader.
 
+use crate::Config;
 use std::collections::VecDeque;
 use std::time::Instant;
 
@@ -21,8 +22,8 @@
     pub(crate) mode: Mode,
     pub(crate) match_index: u64,
     pub(crate) next_index: u64,
-    /// Last index of each append in flight.
-    pub(crate) inflight: VecDeque<u64>,
+    /// Last index and size in bytes of each append in flight.
+    pub(crate) inflight: VecDeque<(u64, usize)>,
     pub(crate) probe_in_flight: bool,
     /// Latest heartbeat round that the replica answered.
     pub(crate) answered_round: u64,
@@ -45,7 +46,11 @@
 
     pub(crate) fn on_accepted(&mut self, index: u64) {
         self.match_index = self.match_index.max(index);
-        while self.inflight.front().is_some_and(|last| *last <= index) {
+        while self
+            .inflight
+            .front()
+            .is_some_and(|(last, _)| *last <= index)
+        {
             self.inflight.pop_front();
         }
         self.probe_in_flight = false;
@@ -66,6 +71,12 @@
         self.become_probe();
     }
 
+    /// Whether another append may be sent.
+    pub(crate) fn has_room(&self, cfg: &Config) -> bool {
+        let bytes: usize = self.inflight.iter().map(|(_, bytes)| bytes).sum();
+        self.inflight.len() < cfg.max_inflight_appends && bytes < cfg.max_inflight_bytes
+    }
+
     pub(crate) fn become_probe(&mut self) {
         self.mode = Mode::Probe;
         self.inflight.clear();
--- a/crates/quorum/tests/rules.rs
+++ b/crates/quorum/tests/rules.rs
@@ -1,5 +1,6 @@
 //! Tests of single protocol rules, each with messages that would violate it.
 
+use bytes::Bytes;
 use quorum::{
     Config, DiskId, Entry, EntryBody, HardState, LeadershipError, Members, Message, MessageBody,
     Node, Peer, PersistedState, Ready, Snapshot, VoterReplacement,
@@ -571,3 +572,67 @@
     assert_eq!(write.entries, [entry(1, 2)]);
     assert_eq!(write.hard_state.commit_index, 0);
 }
+
+fn large_entry(index: u64, term: u64, bytes: usize) -> Entry {
+    Entry {
+        index,
+        term,
+        body: EntryBody::Command(vec![0; bytes].into()),
+    }
+}
+
+/// Entries that a leader sends to a replica.
+fn entries_sent(readies: &[Ready], to: DiskId) -> Vec<u64> {
+    let messages = readies.iter().flat_map(|ready| &ready.messages);
+    let sent = messages.filter(|message| message.to == to);
+    sent.flat_map(|message| match &message.body {
+        MessageBody::Append { entries, .. } => entries.iter().map(|e| e.index).collect(),
+        _ => Vec::new(),
+    })
+    .collect()
+}
+
+/// Guards against a leader that holds many large entries for each replica in its memory.
+#[test]
+fn replicate_large_entries() {
+    let entries = (1..=20).map(|index| large_entry(index, 0, 1 << 20));
+    let mut fixture = Fixture::new(HardState::default(), entries.collect());
+    fixture.become_leader();
+    // The noop of the new term follows the large entries.
+    fixture.ack_append(SECOND, 1, 1);
+    let sent = entries_sent(&fixture.sync(), SECOND);
+    assert_eq!(sent, [2, 3, 4, 5]);
+    fixture.ack_append(SECOND, 3, 1);
+    assert_eq!(entries_sent(&fixture.sync(), SECOND), [6, 7]);
+}
+
+/// Guards against a log that stays in memory whole, however large its entries are.
+#[test]
+fn compact_large_entries() {
+    // The leader keeps 7 of the entries, as 8 exceed 8 MiB.
+    for (held, is_in_log) in [(12, false), (13, true)] {
+        let entries = (1..=20).map(|index| large_entry(index, 0, 1 << 20));
+        let hard_state = HardState {
+            commit_index: 20,
+            ..HardState::default()
+        };
+        let mut fixture = Fixture::new(hard_state, entries.collect());
+        assert_eq!(committed_indices(&fixture.sync()).len(), 20);
+        let (index, term) = fixture.node.last_applied();
+        fixture.node.compact(Snapshot {
+            index,
+            term,
+            members: fixture.node.members().clone(),
+            data: Bytes::new(),
+        });
+        let term = fixture.become_leader();
+        let body = MessageBody::AppendReply {
+            accepted: false,
+            index: held,
+            round: 1,
+        };
+        fixture.receive(THIRD, term, body);
+        let sent = entries_sent(&fixture.sync(), THIRD);
+        assert_eq!(sent.first() == Some(&(held + 1)), is_in_log, "{held}");
+    }
+}
