Append a superseded route table as an empty one

Cause: a table that changes nothing was appended without its content but with its number. A replica of an earlier version that starts on such a log, beside this version or after a return to that one, publishes the last table of the highest number, which entries cannot decode. Read, not seen.

Change: it is appended as table 0 without content, which no version takes. The answer to the operator is the same.

--- a/crates/control/src/replica/answer.rs
+++ b/crates/control/src/replica/answer.rs
@@ -13,7 +13,7 @@
 use wire::proto::query_reply::Body as Answer;
 use wire::proto::{
     Command, EvacuationOutcome, FetchNotes, LedgerLimits, NotLeader, Outcome, Query, QueryReply,
-    Renew, RenewBatch, Renewed, RenewedBatch, RouteTableQuery, command, outcome,
+    Renew, RenewBatch, Renewed, RenewedBatch, RouteTable, RouteTableQuery, command, outcome,
 };
 
 /// Maximum size of a command, so that a single one cannot block the log.
@@ -111,8 +111,9 @@
             && table.number <= self.state_machine.route_table().number
         {
             // It changes nothing wherever it is applied after the table held, so the log
-            // needs no content of it.
-            table.source.clear();
+            // needs nothing of it. Earlier versions look for the highest number in the log
+            // when they start, so it must not keep its number either.
+            *table = RouteTable::default();
         }
         match self.append_command(command, now) {
             Ok(position) => self.commands.insert(position, reply, now),
