--- a/crates/control/tests/replicas/disks.rs
+++ b/crates/control/tests/replicas/disks.rs
@@ -233,7 +233,7 @@
     }
 }
 
-/// Disk that a replica of the largest installations has, halved.
+/// Half of a disk of 128 MiB.
 const MAX_FOLDER_BYTES: u64 = 64 << 20;
 const LARGE_TABLE_BYTES: usize = 1 << 20;
 
