Take a stream for incomplete if its leaving target has exited

Callers saw: a server that leaves is taken away while it writes streams without a length. Their callers get 17 of 28 events and the orderly end of a whole answer (ORDER), though another server has free slots.

Cause: when a response ends with its connection, the entry looks whether the target still accepts connections, unless the target has said that it leaves: no request is to be blamed for a planned exit. The answer to "was it a crash" was also used for "is the response complete".

Change: for a target that leaves the entry looks too, and reports no crash. Whatever is not known to be complete is resumed, sent again or broken off, as for a crash. The probe of a target is a module of its own.

--- a/crates/direct/src/crash_reports.rs
+++ b/crates/direct/src/crash_reports.rs
@@ -1,27 +1,20 @@
 //! Finds out which requests crash targets, and shares that with the other entries.
 
 use crate::metrics::Metrics;
+use crate::probe::{CLOSE_TIME, Probe, probe};
 use crate::service_targets::Endpoint;
 use crate::successor::has_successor;
 use bytes::Bytes;
 use node::Watcher;
 use route::{CrashGuard, CrashedRequest, Features, Fingerprint, SharedTally};
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
-use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 use wire::proto::{self, Completed, Crashed, Quarantine, command};
 
-/// Time in which the broken connections of one target are gathered: its crash breaks
-/// all of them at once.
-const GATHER_TIME: Duration = Duration::from_millis(5);
-/// Time in which a target accepts or refuses a connection. A host without power does
-/// neither, and tells nothing about the requests.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Maximum number of broken connections that wait to be examined, and of completed requests
 /// that wait to be reported.
 const MAX_QUEUED: usize = 1024;
@@ -131,7 +124,7 @@
     mut broken: mpsc::Receiver<BrokenAttempt>,
 ) {
     while let Some(first) = broken.recv().await {
-        sleep(GATHER_TIME).await;
+        sleep(CLOSE_TIME).await;
         let mut by_target: BTreeMap<Incarnation, Suspects> = BTreeMap::new();
         let mut next = Some(first);
         while let Some(attempt) = next {
@@ -165,26 +158,6 @@
     }
 }
 
-/// What became of a new connection to a target whose connections broke.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Probe {
-    /// Nothing accepts connections there.
-    Refused,
-    /// The target has merely closed its connections or stopped its work.
-    Accepted,
-    TimedOut,
-    Failed(ErrorKind),
-}
-
-async fn probe(address: SocketAddr) -> Probe {
-    match timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Ok(_)) => Probe::Accepted,
-        Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => Probe::Refused,
-        Ok(Err(e)) => Probe::Failed(e.kind()),
-        Err(_) => Probe::TimedOut,
-    }
-}
-
 fn log_not_crashed(target: &Incarnation, suspects: &Suspects, probe: Probe) {
     log::info!(
         target_id = target.id.as_str(), address:display = suspects.address,
--- a/crates/direct/src/dispatch_attempts.rs
+++ b/crates/direct/src/dispatch_attempts.rs
@@ -4,6 +4,7 @@
 use crate::dispatch::Dispatch;
 use crate::exchange::{Attempt, AttemptError, ConnectionReuse, Head};
 use crate::permit::Permit;
+use crate::probe::has_exited;
 use crate::refusal::Reason;
 use crate::target_response::TargetResponse;
 use bytes::BytesMut;
@@ -189,10 +190,16 @@
         timeout(self.time_left(), crashed).await.unwrap_or(false)
     }
 
-    /// Whether a response that has ended with its connection did so because its target
-    /// crashed. A target that leaves may exit after its last response.
-    pub(crate) async fn was_ended_by_crash(&self, info: &ResponseInfo, permit: &Permit) -> bool {
-        !info.leaving && self.has_crashed(permit).await
+    /// Whether a response that has ended with its connection may be incomplete, because
+    /// its target has ended with it.
+    pub(crate) async fn was_ended_by_exit(&self, info: &ResponseInfo, permit: &Permit) -> bool {
+        if info.leaving {
+            // The end of such a target is planned: the request is not blamed for it.
+            let exited = has_exited(permit.endpoint().address);
+            timeout(self.time_left(), exited).await.unwrap_or(false)
+        } else {
+            self.has_crashed(permit).await
+        }
     }
 
     /// Reason for a missing response to a request that was sent.
@@ -216,9 +223,9 @@
         let error = loop {
             match timeout(self.time_left(), body.frame()).await {
                 Ok(None) => {
-                    let crashed = head.framing == Framing::UntilClose
-                        && self.was_ended_by_crash(&head.info, &permit).await;
-                    break crashed.then(|| "target crashed".to_owned());
+                    let exited = head.framing == Framing::UntilClose
+                        && self.was_ended_by_exit(&head.info, &permit).await;
+                    break exited.then(|| "target exited".to_owned());
                 }
                 Ok(Some(Ok(frame))) => {
                     if let Ok(data) = frame.into_data() {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -30,6 +30,7 @@
 mod outage_metrics;
 mod outage_targets;
 mod permit;
+mod probe;
 mod proxy;
 mod proxy_request;
 mod readiness;
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -223,8 +223,8 @@
             }
             Completeness::Unknown => {
                 let (info, permit) = (&source.info, &source.permit);
-                if self.dispatch.was_ended_by_crash(info, permit).await {
-                    self.resume_elsewhere("target crashed").await?;
+                if self.dispatch.was_ended_by_exit(info, permit).await {
+                    self.resume_elsewhere("target exited").await?;
                 } else if self.framing == Framing::Delimited {
                     // The end of the caller's stream must not tell more than is known.
                     self.finish();
