Let streams of the fake engine end after their last event

Seen: streams_200_through_one_entry failed now and then in whole checks: what the test fetches from the fake engine itself, to compare with, ends after 55 to 59 of 62 events. The stream through the entry is complete.

Cause: `http_body_util::channel::Channel` has one queue for frames and another for an error. If the sender queues frames and is dropped between the looks at the two, the body ends with frames still queued.

Change: one queue for events and the error that breaks them off.

--- a/crates/fake/src/engine.rs
+++ b/crates/fake/src/engine.rs
@@ -6,11 +6,10 @@
 use std::time::{Duration, SystemTime};
 
 use bytes::Bytes;
-use http_body_util::channel::{Channel, Sender};
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use serde_json::{Value, json};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
 use crate::batch::{Batch, lock};
@@ -277,9 +276,9 @@
     match run.completion.format {
         ResponseFormat::Json => respond_json(&engine, &run).await,
         ResponseFormat::EventStream => {
-            let (tx, body) = Channel::new(EVENT_BUFFER);
+            let (tx, events) = mpsc::channel(EVENT_BUFFER);
             tokio::spawn(run_stream(engine, run, tx));
-            Ok(http::stream(body))
+            Ok(http::stream(events))
         }
     }
 }
@@ -319,7 +318,11 @@
     Ok(http::ok(&run.completion.document()))
 }
 
-async fn run_stream(engine: Arc<RunningEngine>, run: CompletionRun, tx: Sender<Bytes, io::Error>) {
+async fn run_stream(
+    engine: Arc<RunningEngine>,
+    run: CompletionRun,
+    tx: mpsc::Sender<io::Result<Bytes>>,
+) {
     let stopped = engine.stopped.clone();
     let mut cancelled = engine.batch.cancelled.subscribe();
     let id = run.request_id.clone();
@@ -340,7 +343,7 @@
 async fn send_events(
     engine: &RunningEngine,
     run: &CompletionRun,
-    mut tx: Sender<Bytes, io::Error>,
+    tx: mpsc::Sender<io::Result<Bytes>>,
 ) {
     let faults = &engine.shared.faults;
     let slot = engine.batch.acquire_slot(run.rank).await;
@@ -353,10 +356,14 @@
         faults.wait_until_cleared(&Fault::Unresponsive).await;
         match faults.find(|fault| fault_at_event(fault, index)) {
             Some(Fault::EndEarly(_)) => return,
-            Some(_) => return tx.abort(http::dropped_by_fault()),
+            Some(_) => {
+                // Fails if the connection is closed already.
+                let _ = tx.send(Err(http::dropped_by_fault())).await;
+                return;
+            }
             None => {}
         }
-        if tx.send_data(run.completion.event(index)).await.is_err() {
+        if tx.send(Ok(run.completion.event(index))).await.is_err() {
             return;
         }
     }
--- a/crates/fake/src/http.rs
+++ b/crates/fake/src/http.rs
@@ -1,15 +1,17 @@
 //! HTTP requests and responses of the fakes.
 
 use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
 
 use bytes::Bytes;
-use http_body_util::channel::Channel;
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body as HttpBody, Frame, Incoming};
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use serde_json::{Value, json};
+use tokio::sync::mpsc;
 
 use crate::RecordedRequest;
 
@@ -74,13 +76,32 @@
     response
 }
 
-pub(crate) fn stream(body: Channel<Bytes, io::Error>) -> HttpResponse {
-    let mut response = Response::new(body.boxed());
+/// A response with the events of a queue. It ends with the queue, and is broken off at an
+/// error in it.
+pub(crate) fn stream(events: mpsc::Receiver<io::Result<Bytes>>) -> HttpResponse {
+    let mut response = Response::new(EventBody(events).boxed());
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
     response
 }
 
+/// The body of a stream. Events and the error that ends them share one queue, so that an
+/// end of the queue is never seen before its last event.
+struct EventBody(mpsc::Receiver<io::Result<Bytes>>);
+
+impl HttpBody for EventBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        let event = self.0.poll_recv(cx);
+        event.map(|event| event.map(|result| result.map(Frame::data)))
+    }
+}
+
 /// Error that makes a handler close the connection without a response.
 pub(crate) fn dropped_by_fault() -> io::Error {
     io::Error::new(
