Leave the entries of a probe out of heartbeats

Operators of a deployment whose control has thin links (170 Mbit/s) saw one leader after the other while large configs changed: after each election the new leader probes all replicas, and while a probe was not answered each heartbeat (every 80 ms) sent its entries, a table of up to 4 MiB, once more.

A heartbeat has no entries while a probe is in flight. Its reply ends a probe that was lost.

heartbeat_during_probe failed before: "left: [1], right: [0]".

--- a/crates/quorum/src/node/replicate.rs
+++ b/crates/quorum/src/node/replicate.rs
@@ -67,17 +67,20 @@
             leader.start_round(now);
         }
     }
+    ///
+    /// A heartbeat during a probe has no entries: those of the probe may take longer than
+    /// a heartbeat interval, and copies of them would delay all messages behind them. If
+    /// the probe was lost, the reply to the heartbeat ends it.
 
     /// Sends one message to each other member, whether or not there are new
     /// entries.
     pub(super) fn send_heartbeats(&mut self) {
         for id in self.peer_ids() {
-            self.with_peer(id, |node, leader, peer| {
-                peer.probe_in_flight = false;
-                match peer.mode {
-                    Mode::Probe => node.send_append(leader, id, peer),
-                    Mode::Replicate => node.send_entries(leader, id, peer, Vec::new()),
-                    Mode::Snapshot { .. } => node.send_chunk(leader, id, peer),
+            self.with_peer(id, |node, leader, peer| match peer.mode {
+                Mode::Probe if !peer.probe_in_flight => node.send_append(leader, id, peer),
+                Mode::Snapshot { .. } => node.send_chunk(leader, id, peer),
+                Mode::Probe | Mode::Replicate => {
+                    node.send_entries(leader, id, peer, Vec::new());
                 }
             });
         }
--- a/crates/quorum/tests/rules.rs
+++ b/crates/quorum/tests/rules.rs
@@ -606,6 +606,39 @@
     assert_eq!(entries_sent(&fixture.sync(), SECOND), [6, 7]);
 }
 
+/// Number of entries in an append, for each append to one replica.
+fn append_lengths(readies: &[Ready], to: DiskId) -> Vec<usize> {
+    let messages = readies.iter().flat_map(|ready| &ready.messages);
+    let lengths = messages.filter_map(|message| match &message.body {
+        MessageBody::Append { entries, .. } if message.to == to => Some(entries.len()),
+        _ => None,
+    });
+    lengths.collect()
+}
+
+/// Guards against entries of a probe that each heartbeat repeats.
+#[test]
+fn heartbeat_during_probe() {
+    let entries = (1..=4).map(|index| large_entry(index, 0, 1 << 20));
+    let mut fixture = Fixture::new(HardState::default(), entries.collect());
+    let term = fixture.become_leader();
+    let body = MessageBody::AppendReply {
+        accepted: false,
+        index: 2,
+        round: 1,
+    };
+    fixture.receive(THIRD, term, body);
+    assert_eq!(append_lengths(&fixture.sync(), THIRD), [1]);
+    for round in 2..5 {
+        fixture.advance(fixture.cfg.heartbeat_interval);
+        assert_eq!(append_lengths(&fixture.sync(), THIRD), [0]);
+        fixture.ack_append(SECOND, 5, round);
+    }
+    // The entries of the probe were lost, and the reply to a heartbeat ends it.
+    fixture.ack_append(THIRD, 2, 4);
+    assert_eq!(entries_sent(&fixture.sync(), THIRD), [3, 4, 5]);
+}
+
 /// Guards against a log that stays in memory whole, however large its entries are.
 #[test]
 fn compact_large_entries() {
