Refuse commands while too many bytes wait to be committed

A leader took commands whether or not its followers committed them: with followers that are slow, frozen or cut off for less than an election timeout, its memory and disk grew with all that callers sent, up to 16,384 commands of 4 MiB.

A leader takes no command beyond 8 MiB that are not committed (`max_uncommitted_bytes`), but always one on its own. The caller is told to try again soon, and that the command was not carried out.

propose_uncommitted_bytes without the check: "left: Ok((9, 1)), right: Err(TooMuchUncommitted)".

--- a/crates/quorum/src/entry.rs
+++ b/crates/quorum/src/entry.rs
@@ -28,9 +28,16 @@
 
 impl Entry {
     /// Approximate size of the entry in a message, in bytes.
+    pub(crate) fn size(&self) -> usize {
+        self.body.size()
+    }
+}
+
+impl EntryBody {
+    /// Approximate size of an entry with this content in a message, in bytes.
     pub(crate) fn size(&self) -> usize {
         const OVERHEAD: usize = 32;
-        match &self.body {
+        match self {
             EntryBody::Command(data) => data.len() + OVERHEAD,
             EntryBody::Noop | EntryBody::Members(_) => OVERHEAD,
         }
--- a/crates/quorum/src/leadership_error.rs
+++ b/crates/quorum/src/leadership_error.rs
@@ -13,6 +13,9 @@
     /// This replica leads, but too few voters have joined; see
     /// [`Node::accepts_commands`](crate::Node::accepts_commands).
     TooFewVoters,
+    /// This replica leads, but the entries that are not committed yet are too large; see
+    /// [`Config::max_uncommitted_bytes`](crate::Config::max_uncommitted_bytes).
+    TooMuchUncommitted,
 }
 
 impl fmt::Display for LeadershipError {
@@ -21,6 +24,7 @@
             LeadershipError::NotLeader => "this replica does not lead",
             LeadershipError::NoLease => "no majority of replicas answers",
             LeadershipError::TooFewVoters => "too few replicas have joined yet",
+            LeadershipError::TooMuchUncommitted => "too many bytes wait to be committed",
         })
     }
 }
--- a/crates/quorum/src/log.rs
+++ b/crates/quorum/src/log.rs
@@ -9,6 +9,9 @@
     base_index: u64,
     base_term: u64,
     entries: VecDeque<Entry>,
+    /// Size of all entries up to each of `entries`, in bytes, counted from the first one
+    /// that was pushed.
+    sizes: VecDeque<usize>,
 }
 
 impl Log {
@@ -16,7 +19,7 @@
         Log {
             base_index,
             base_term,
-            entries: VecDeque::new(),
+            ..Log::default()
         }
     }
 
@@ -44,14 +47,34 @@
 
     pub(crate) fn push(&mut self, entry: Entry) {
         debug_assert_eq!(entry.index, self.last_index() + 1);
+        let before = self.sizes.back().copied().unwrap_or_default();
+        self.sizes.push_back(before + entry.size());
         self.entries.push_back(entry);
     }
 
+    /// Returns the size of the entries after `index`, in bytes.
+    pub(crate) fn bytes_after(&self, index: u64) -> usize {
+        let (Some(first), Some(first_size), Some(last_size)) =
+            (self.entries.front(), self.sizes.front(), self.sizes.back())
+        else {
+            return 0;
+        };
+        let skipped = match index.checked_sub(first.index) {
+            Some(offset) => {
+                let offset = usize::try_from(offset).unwrap_or(usize::MAX);
+                *self.sizes.get(offset).unwrap_or(last_size)
+            }
+            None => first_size - first.size(),
+        };
+        last_size - skipped
+    }
+
     /// Removes the entry at `from` and all entries after it.
     pub(crate) fn truncate(&mut self, from: u64) {
         let keep = from.saturating_sub(self.base_index + 1);
-        self.entries
-            .truncate(usize::try_from(keep).unwrap_or(usize::MAX));
+        let keep = usize::try_from(keep).unwrap_or(usize::MAX);
+        self.entries.truncate(keep);
+        self.sizes.truncate(keep);
     }
 
     /// Removes the entries up to `index`, which a snapshot covers.
@@ -60,6 +83,7 @@
             let Some(entry) = self.entries.pop_front() else {
                 return;
             };
+            self.sizes.pop_front();
             self.base_index = entry.index;
             self.base_term = entry.term;
         }
--- a/crates/quorum/src/node/serve.rs
+++ b/crates/quorum/src/node/serve.rs
@@ -13,8 +13,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if the replica is not the leader, holds no valid lease or has too few
-    /// voters.
+    /// Fails if the replica is not the leader, holds no valid lease, has too few
+    /// voters or too many bytes that are not committed yet.
     ///
     /// ```
     /// # use quorum::*;
@@ -33,7 +33,12 @@
         if !self.accepts_commands(now) {
             return Err(LeadershipError::TooFewVoters);
         }
-        let index = self.append_as_leader(EntryBody::Command(data));
+        let body = EntryBody::Command(data);
+        let uncommitted = self.log.bytes_after(self.commit_index);
+        if uncommitted > 0 && uncommitted + body.size() > self.cfg.max_uncommitted_bytes {
+            return Err(LeadershipError::TooMuchUncommitted);
+        }
+        let index = self.append_as_leader(body);
         Ok((index, self.hard_state.term))
     }
 
--- a/crates/quorum/tests/rules.rs
+++ b/crates/quorum/tests/rules.rs
@@ -639,6 +639,30 @@
     assert_eq!(entries_sent(&fixture.sync(), THIRD), [3, 4, 5]);
 }
 
+/// Guards against commands without bound that are not committed, because the followers are
+/// slow, frozen or cut off.
+#[test]
+fn propose_uncommitted_bytes() {
+    let mut fixture = Fixture::new(HardState::default(), Vec::new());
+    fixture.become_leader();
+    fixture.ack_append(SECOND, 1, 1);
+    let now = fixture.now;
+    let mut propose = || fixture.node.propose(vec![0; 1 << 20].into(), now);
+    // With the other fields of the entries, the eighth exceeds 8 MiB.
+    for _ in 0..7 {
+        propose().unwrap();
+    }
+    assert_eq!(propose(), Err(LeadershipError::TooMuchUncommitted));
+    fixture.sync();
+    fixture.ack_append(SECOND, 3, 1);
+    fixture.sync();
+    let now = fixture.now;
+    for accepted in [true, true, false] {
+        let proposed = fixture.node.propose(vec![0; 1 << 20].into(), now);
+        assert_eq!(proposed.is_ok(), accepted);
+    }
+}
+
 /// Guards against a log that stays in memory whole, however large its entries are.
 #[test]
 fn compact_large_entries() {
