Bound the entries in flight to all replicas together

A leader sent a large entry to all replicas at once.

At most 4 MiB are in flight to all replicas together, or one larger entry, and the replicas take turns. What was sent an election timeout ago and is not acknowledged no longer counts, so that a replica that is cut off does not keep the others waiting.

replicate_large_entry_to_all and replicate_large_entry_beside_silent without the bound: both replicas are sent the entry at once; the latter also fails if appends never cease to count.

--- a/crates/quorum/src/config.rs
+++ b/crates/quorum/src/config.rs
@@ -25,6 +25,11 @@
     /// Maximum size of the entries in flight to one replica, in bytes. A single larger
     /// entry is sent on its own.
     pub max_inflight_bytes: usize,
+    /// Maximum size of the entries in flight to all replicas together, in bytes. Beyond it
+    /// entries wait until earlier ones are acknowledged or were sent an election timeout
+    /// ago, so that heartbeats never wait behind more than that on the link of the leader.
+    /// A single larger entry is sent on its own.
+    pub max_total_inflight_bytes: usize,
     /// Maximum size of the entries that are not committed yet, in bytes, beyond which a
     /// leader accepts no command. A single larger one is accepted on its own.
     pub max_uncommitted_bytes: usize,
@@ -81,6 +86,7 @@
             max_append_bytes: 512 * 1024,
             max_inflight_appends: 16,
             max_inflight_bytes: 4 * 1024 * 1024,
+            max_total_inflight_bytes: 4 * 1024 * 1024,
             max_uncommitted_bytes: 8 * 1024 * 1024,
             snapshot_chunk_bytes: 256 * 1024,
             trailing_entries: 512,
--- a/crates/quorum/src/leader.rs
+++ b/crates/quorum/src/leader.rs
@@ -1,7 +1,7 @@
 //! State of a leader.
 
-use crate::DiskId;
 use crate::progress::Progress;
+use crate::{Config, DiskId};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
@@ -48,6 +48,14 @@
     /// Returns the latest round that a replica has answered.
     pub(crate) fn answered_round(&self, me: DiskId, id: DiskId) -> u64 {
         if id == me {
+    /// Returns whether a further append with entries may be sent, besides those in flight to
+    /// the replicas of `peers` and to `peer`.
+    pub(crate) fn has_room(&self, peer: &Progress, cfg: &Config) -> bool {
+        let all = self.peers.values().chain([peer]);
+        let recent = all.map(|p| p.recent_bytes(self.next_heartbeat, cfg.election_timeout));
+        peer.has_room(cfg) && recent.sum::<usize>() < cfg.max_total_inflight_bytes
+    }
+
             return self.round;
         }
         self.peers.get(&id).map_or(0, |p| p.answered_round)
--- a/crates/quorum/src/node/replicate.rs
+++ b/crates/quorum/src/node/replicate.rs
@@ -2,7 +2,7 @@
 
 use super::{Node, Role};
 use crate::leader::Leader;
-use crate::progress::{Mode, Progress};
+use crate::progress::{InflightAppend, Mode, Progress};
 use crate::{DiskId, Entry, MessageBody};
 use std::time::Instant;
 
@@ -86,10 +86,19 @@
         }
     }
 
-    /// Sends missing entries to each other member, within the limit of appends
+    /// Sends missing entries to each other member, within the limits of appends
     /// in flight.
     pub(super) fn replicate_all(&mut self) {
-        for id in self.peer_ids() {
+        let mut ids = self.peer_ids();
+        if let Role::Leader(leader) = &self.role
+            && !ids.is_empty()
+        {
+            // Whoever comes first may use up the limit, so all take turns.
+            let turn = usize::try_from(leader.round).unwrap_or_default();
+            let first = turn % ids.len();
+            ids.rotate_left(first);
+        }
+        for id in ids {
             self.with_peer(id, |node, leader, peer| node.replicate(leader, id, peer));
         }
     }
@@ -125,7 +134,7 @@
             let has_more = peer.next_index <= self.log.last_index();
             match peer.mode {
                 Mode::Probe if !peer.probe_in_flight => self.send_append(leader, id, peer),
-                Mode::Replicate if has_more && peer.has_room(&self.cfg) => {
+                Mode::Replicate if has_more && leader.has_room(peer, &self.cfg) => {
                     self.send_append(leader, id, peer);
                 }
                 _ => return,
@@ -162,7 +171,11 @@
             (Mode::Replicate, Some(last)) => {
                 peer.next_index = last.index + 1;
                 let bytes = entries.iter().map(Entry::size).sum();
-                peer.inflight.push_back((last.index, bytes));
+                peer.inflight.push_back(InflightAppend {
+                    last_index: last.index,
+                    bytes,
+                    sent_before: leader.next_heartbeat,
+                });
             }
             _ => {}
         }
--- a/crates/quorum/src/progress.rs
+++ b/crates/quorum/src/progress.rs
@@ -2,7 +2,7 @@
 
 use crate::Config;
 use std::collections::VecDeque;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// How the leader sends entries to a replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -16,14 +16,22 @@
     Snapshot { index: u64, offset: u64 },
 }
 
+/// An append with entries that was not acknowledged yet.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct InflightAppend {
+    pub(crate) last_index: u64,
+    pub(crate) bytes: usize,
+    /// The leader's next heartbeat when it was sent.
+    pub(crate) sent_before: Instant,
+}
+
 /// Replication progress of another replica, tracked by the leader.
 #[derive(Debug)]
 pub(crate) struct Progress {
     pub(crate) mode: Mode,
     pub(crate) match_index: u64,
     pub(crate) next_index: u64,
-    /// Last index and size in bytes of each append in flight.
-    pub(crate) inflight: VecDeque<(u64, usize)>,
+    pub(crate) inflight: VecDeque<InflightAppend>,
     pub(crate) probe_in_flight: bool,
     /// Latest heartbeat round that the replica answered.
     pub(crate) answered_round: u64,
@@ -49,7 +57,7 @@
         while self
             .inflight
             .front()
-            .is_some_and(|(last, _)| *last <= index)
+            .is_some_and(|append| append.last_index <= index)
         {
             self.inflight.pop_front();
         }
@@ -73,10 +81,20 @@
 
     /// Whether another append may be sent.
     pub(crate) fn has_room(&self, cfg: &Config) -> bool {
-        let bytes: usize = self.inflight.iter().map(|(_, bytes)| bytes).sum();
+        let bytes: usize = self.inflight.iter().map(|append| append.bytes).sum();
         self.inflight.len() < cfg.max_inflight_appends && bytes < cfg.max_inflight_bytes
     }
 
+    /// Returns the size of the entries in flight that were sent less than `within` before
+    /// the next heartbeat, in bytes.
+    pub(crate) fn recent_bytes(&self, next_heartbeat: Instant, within: Duration) -> usize {
+        let is_recent = |append: &&InflightAppend| {
+            next_heartbeat.saturating_duration_since(append.sent_before) < within
+        };
+        let recent = self.inflight.iter().filter(is_recent);
+        recent.map(|append| append.bytes).sum()
+    }
+
     pub(crate) fn become_probe(&mut self) {
         self.mode = Mode::Probe;
         self.inflight.clear();
--- a/crates/quorum/tests/rules.rs
+++ b/crates/quorum/tests/rules.rs
@@ -639,6 +639,62 @@
     assert_eq!(entries_sent(&fixture.sync(), THIRD), [3, 4, 5]);
 }
 
+/// Guards against heartbeats that wait behind large entries for all replicas at once.
+#[test]
+fn replicate_large_entry_to_all() {
+    let mut fixture = Fixture::new(HardState::default(), Vec::new());
+    fixture.become_leader();
+    for replica in [SECOND, THIRD] {
+        fixture.ack_append(replica, 1, 1);
+    }
+    fixture.sync();
+    let command = vec![0; 4 << 20];
+    let now = fixture.now;
+    fixture.node.propose(command.into(), now).unwrap();
+    let sent = fixture.sync();
+    let lengths = |readies: &[Ready]| {
+        let of = |id| append_lengths(readies, id).into_iter().sum::<usize>();
+        (of(SECOND), of(THIRD))
+    };
+    let first = match lengths(&sent) {
+        (1, 0) => SECOND,
+        (0, 1) => THIRD,
+        other => panic!("{other:?}"),
+    };
+    fixture.ack_append(first, 2, 1);
+    let (second, third) = lengths(&fixture.sync());
+    assert_eq!(second + third, 1);
+}
+
+/// Guards against a replica that is cut off with large entries in flight and keeps all others
+/// from getting theirs.
+#[test]
+fn replicate_large_entry_beside_silent() {
+    let mut fixture = Fixture::new(HardState::default(), Vec::new());
+    fixture.become_leader();
+    for replica in [SECOND, THIRD] {
+        fixture.ack_append(replica, 1, 1);
+    }
+    fixture.sync();
+    let now = fixture.now;
+    let command = vec![0; 4 << 20];
+    fixture.node.propose(command.into(), now).unwrap();
+    let sent = fixture.sync();
+    let silent = if append_lengths(&sent, SECOND) == [1] {
+        SECOND
+    } else {
+        THIRD
+    };
+    let other = if silent == SECOND { THIRD } else { SECOND };
+    let mut lengths = Vec::new();
+    for round in 2..20 {
+        fixture.advance(fixture.cfg.heartbeat_interval);
+        lengths.extend(append_lengths(&fixture.sync(), other));
+        fixture.ack_append(other, 1, round);
+    }
+    assert!(lengths.contains(&1), "{lengths:?}");
+}
+
 /// Guards against commands without bound that are not committed, because the followers are
 /// slow, frozen or cut off.
 #[test]
