Let a leader that stood still see its replies before it steps down

A leader steps down if no majority has confirmed a round for an election timeout. A lone voter that leads stepped down in the same way, which is what was read in the logs of silent_callers_given_up.

Of the time before a tick at most two heartbeat intervals count. Leases rest on the time itself, as before: after a pause there is none until a round is confirmed.

--- a/crates/quorum/src/leader.rs
+++ b/crates/quorum/src/leader.rs
@@ -26,6 +26,9 @@
     /// Latest round that a majority has confirmed, with its start time.
     pub(crate) last_confirmed: Option<(u64, Instant)>,
     pub(crate) next_heartbeat: Instant,
+    pub(crate) last_tick: Instant,
+    /// Time since a majority has confirmed a round, as far as this leader was running.
+    pub(crate) unconfirmed_for: Duration,
     pub(crate) elected_at: Instant,
     /// When the members last changed, at the earliest when this leader could change them.
     pub(crate) members_changed_at: Instant,
@@ -45,9 +48,6 @@
         self.unconfirmed_rounds.push_back((self.round, now));
     }
 
-    /// Returns the latest round that a replica has answered.
-    pub(crate) fn answered_round(&self, me: DiskId, id: DiskId) -> u64 {
-        if id == me {
     /// Returns whether a further append with entries may be sent, besides those in flight to
     /// the replicas of `peers` and to `peer`.
     pub(crate) fn has_room(&self, peer: &Progress, cfg: &Config) -> bool {
@@ -56,11 +56,25 @@
         peer.has_room(cfg) && recent.sum::<usize>() < cfg.max_total_inflight_bytes
     }
 
+    /// Returns the latest round that a replica has answered.
+    pub(crate) fn answered_round(&self, me: DiskId, id: DiskId) -> u64 {
+        if id == me {
             return self.round;
         }
         self.peers.get(&id).map_or(0, |p| p.answered_round)
     }
 
+    /// Records a tick. Returns how long no majority has confirmed a round.
+    ///
+    /// Of the time before a late tick only `max_step` counts: while this process stood still,
+    /// replies may have arrived that it has not processed yet.
+    pub(crate) fn record_tick(&mut self, now: Instant, max_step: Duration) -> Duration {
+        let step = now.saturating_duration_since(self.last_tick);
+        self.last_tick = now;
+        self.unconfirmed_for += step.min(max_step);
+        self.unconfirmed_for
+    }
+
     /// Advances `last_confirmed` to a round that a quorum has answered.
     pub(crate) fn confirm_round(&mut self, round: u64) {
         while let Some(&(oldest, started_at)) = self.unconfirmed_rounds.front() {
@@ -68,6 +82,7 @@
                 break;
             }
             self.last_confirmed = Some((oldest, started_at));
+            self.unconfirmed_for = Duration::ZERO;
             self.unconfirmed_rounds.pop_front();
         }
     }
--- a/crates/quorum/src/node/election.rs
+++ b/crates/quorum/src/node/election.rs
@@ -5,7 +5,7 @@
 use crate::progress::Progress;
 use crate::{DiskId, EntryBody, Message, MessageBody};
 use std::collections::{BTreeMap, VecDeque};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 impl Node {
     /// Compares the term of a message with the current one (section 3.3).
@@ -204,6 +204,8 @@
             unconfirmed_rounds: VecDeque::new(),
             last_confirmed: None,
             next_heartbeat: now,
+            last_tick: now,
+            unconfirmed_for: Duration::ZERO,
             elected_at: now,
             members_changed_at: now,
             noop_index: next,
--- a/crates/quorum/src/node/replicate.rs
+++ b/crates/quorum/src/node/replicate.rs
@@ -20,10 +20,7 @@
         // Check-quorum (section 6.2): a leader isolated by a partition steps
         // down. Otherwise its callers would wait indefinitely although another
         // leader could serve them.
-        let confirmed_at = leader
-            .last_confirmed
-            .map_or(leader.elected_at, |(_, at)| at);
-        if now.saturating_duration_since(confirmed_at) >= election_timeout {
+        if leader.record_tick(now, heartbeat_interval * 2) >= election_timeout {
             return self.become_follower(self.hard_state.term, now);
         }
         if now < leader.next_heartbeat {
@@ -67,21 +64,21 @@
             leader.start_round(now);
         }
     }
+
+    /// Sends one message to each other member, whether or not there are new
+    /// entries.
     ///
     /// A heartbeat during a probe has no entries: those of the probe may take longer than
     /// a heartbeat interval, and copies of them would delay all messages behind them. If
     /// the probe was lost, the reply to the heartbeat ends it.
-
-    /// Sends one message to each other member, whether or not there are new
-    /// entries.
     pub(super) fn send_heartbeats(&mut self) {
         for id in self.peer_ids() {
             self.with_peer(id, |node, leader, peer| match peer.mode {
                 Mode::Probe if !peer.probe_in_flight => node.send_append(leader, id, peer),
-                Mode::Snapshot { .. } => node.send_chunk(leader, id, peer),
                 Mode::Probe | Mode::Replicate => {
                     node.send_entries(leader, id, peer, Vec::new());
                 }
+                Mode::Snapshot { .. } => node.send_chunk(leader, id, peer),
             });
         }
     }
