Let route tables wait while another one is not committed

Operators who changed a large config ten times within a second got "no leader answered in time": the leader appended each table whole, also those that were overtaken before they could be committed and the same one again from each replica that an operator had asked, and all of them had to pass through its links. A leader elected just now refused tables, so that the other replicas sent them again every 50 ms.

A leader has one table in its log that is not committed. Of those that come meanwhile, or before it has applied all that earlier leaders have committed, it keeps the content of the highest number and appends that next; all that waited are answered when it is committed. A replica that has sent a request to another one in vain waits longer before each further attempt, 0.4 s at most.

--- a/crates/control/src/leader_client.rs
+++ b/crates/control/src/leader_client.rs
@@ -19,6 +19,9 @@
 
 /// Delay before a request is retried while no leader is reachable.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Maximum delay before a request is sent to another replica again. A request may be as
+/// large as a route table, and the replica that is asked may only have led a moment ago.
+const MAX_RESEND_DELAY: Duration = Duration::from_millis(400);
 /// Timeout of an operator's request.
 const OPERATOR_TIMEOUT: Duration = Duration::from_secs(10);
 /// Timeout for the fields that the leader adds to the status of another replica.
@@ -31,6 +34,13 @@
     pub(crate) replica_links: ReplicaLinks,
 }
 
+/// Answer to one attempt of a request.
+struct Attempt {
+    body: Result<Body>,
+    /// Whether the request was sent to another replica.
+    was_sent: bool,
+}
+
 /// Open links to the other replicas, by name.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ReplicaLinks {
@@ -135,6 +145,7 @@
 
     async fn call(&self, body: Body, timeout: Duration) -> Result<Body> {
         let deadline = Instant::now() + timeout;
+        let mut delay = RETRY_DELAY;
         // Whether an earlier attempt may have left the command in the log.
         let mut maybe_committed = false;
         loop {
@@ -142,7 +153,9 @@
             if left.is_zero() {
                 bail!("no leader answered in time");
             }
-            match self.call_once(body.clone(), left).await {
+            let answer = self.call_once(body.clone(), left).await;
+            let was_sent = answer.was_sent;
+            match answer.body {
                 Ok(Body::NotLeader(_)) => {}
                 Ok(Body::Outcome(Outcome {
                     body: Some(outcome::Body::Unavailable(mut answer)),
@@ -160,19 +173,29 @@
                     log::debug!("request to the leader failed: {e}");
                 }
             }
-            sleep(RETRY_DELAY.min(left)).await;
+            sleep(delay.min(left)).await;
+            if was_sent {
+                delay = MAX_RESEND_DELAY.min(delay * 2);
+            }
         }
     }
 
     /// Returns this replica's answer, or that of the leader if this replica names one.
-    async fn call_once(&self, body: Body, timeout: Duration) -> Result<Body> {
-        let own = self.call_local(body.clone(), timeout).await?;
-        let Body::NotLeader(hint) = &own else {
-            return Ok(own);
+    async fn call_once(&self, body: Body, timeout: Duration) -> Attempt {
+        let own = self.call_local(body.clone(), timeout).await;
+        let leader = match &own {
+            Ok(Body::NotLeader(hint)) => self.replica_links.get(&hint.leader),
+            _ => None,
         };
-        match self.replica_links.get(&hint.leader) {
-            Some(link) => Ok(link.call(body, timeout).await?),
-            None => Ok(own),
+        match leader {
+            Some(link) => Attempt {
+                body: link.call(body, timeout).await.map_err(Into::into),
+                was_sent: true,
+            },
+            None => Attempt {
+                body: own,
+                was_sent: false,
+            },
         }
     }
 
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -8,6 +8,7 @@
 mod pending;
 mod renewal_context;
 mod status;
+mod table_queue;
 
 pub(crate) use actor::{Replica, Start};
 pub(crate) use status::add_leader_fields;
@@ -27,6 +28,7 @@
 use quorum::{DiskId, Members, Message, Node};
 use std::sync::mpsc::Sender;
 use std::time::Instant;
+use table_queue::TableQueue;
 use tokio::sync::{OwnedSemaphorePermit, oneshot, watch};
 use wire::Link;
 use wire::proto::{Evacuations, FetchNotes, Propose, Quarantine, Query, Renew, RenewBatch};
@@ -85,6 +87,7 @@
     /// Set while this replica leads and has applied all entries of earlier terms.
     clock: Option<Clock>,
     commands: PendingCommands,
+    tables: TableQueue,
     reads: PendingReads,
     /// Size of the commands applied since the last snapshot was started, in bytes.
     unsaved_bytes: u64,
--- a/crates/control/src/replica/actor.rs
+++ b/crates/control/src/replica/actor.rs
@@ -2,7 +2,7 @@
 
 use super::answer::DISK_FULL;
 use super::forming;
-use super::{Msg, PendingCommands, PendingReads, ReplicaState, Request};
+use super::{Msg, PendingCommands, PendingReads, ReplicaState, Request, TableQueue};
 use crate::cluster_formation::ClusterFormation;
 use crate::codec;
 use crate::disk::{self, Fullness, Report, SaveResult};
@@ -71,10 +71,10 @@
                 state.schedule_processing(&myself)?;
             }
         }
-        if let Some(reason) = &state.failed {
+        if let Some(reason) = state.failed.clone() {
             log::error!("replica stops: {reason}");
-            state.commands.fail_all(reason);
-            myself.stop(Some(reason.clone()));
+            state.fail_commands(&reason);
+            myself.stop(Some(reason));
         }
         Ok(())
     }
@@ -84,7 +84,7 @@
         _myself: ActorRef<Msg>,
         state: &mut ReplicaState,
     ) -> Result<(), ActorProcessingErr> {
-        state.commands.fail_all("this replica stops");
+        state.fail_commands("this replica stops");
         Ok(())
     }
 }
@@ -140,6 +140,7 @@
             replicas,
             published_members: Members::default(),
             commands: PendingCommands::default(),
+            tables: TableQueue::default(),
             reads: PendingReads::default(),
             unsaved_bytes: 0,
             saving: None,
@@ -186,8 +187,9 @@
 
     fn tick(&mut self, now: Instant) {
         self.node.tick(now);
-        self.commands
-            .expire(now, self.settings.timing.commit_timeout);
+        let commit_timeout = self.settings.timing.commit_timeout;
+        self.commands.expire(now, commit_timeout);
+        self.tables.expire(now, commit_timeout);
         if let Some(node_leases) = &mut self.node_leases {
             node_leases.expire(now);
         }
@@ -256,6 +258,7 @@
                 self.fullness = fullness;
                 if fullness == Fullness::Full {
                     self.commands.fail_all_lasting(DISK_FULL);
+                    self.tables.fail_all_lasting(DISK_FULL);
                 }
             }
             Report::Failed(reason) => self.failed = Some(reason),
--- a/crates/control/src/replica/answer.rs
+++ b/crates/control/src/replica/answer.rs
@@ -1,7 +1,10 @@
 //! Handling of requests.
 
 use super::ReplicaState;
+use super::pending::MAX_PENDING_COMMANDS;
 use super::renewal_context::RenewalContext;
+use super::table_queue::TableAction;
+use crate::clock::Clock;
 use crate::disk::Fullness;
 use crate::node_leases::NodeLeases;
 use crate::reply::{MayCommit, Reply, unavailable, unavailable_lasting};
@@ -98,7 +101,7 @@
         reply.send(Body::Notes(self.state_machine.notes_after(fetch.after)));
     }
 
-    pub(super) fn propose(&mut self, mut command: Command, reply: Reply, now: Instant) {
+    pub(super) fn propose(&mut self, command: Command, reply: Reply, now: Instant) {
         if !self.node.is_leader() {
             return reply.send(self.not_leader());
         }
@@ -107,23 +110,96 @@
         {
             return reply.send(unknown_zone());
         }
-        if let Some(command::Body::RouteTable(table)) = &mut command.body
-            && table.number <= self.state_machine.route_table().number
-        {
-            // It changes nothing wherever it is applied after the table held, so the log
-            // needs nothing of it. Earlier versions look for the highest number in the log
-            // when they start, so it must not keep its number either.
-            *table = RouteTable::default();
+        if let Some(command::Body::RouteTable(table)) = command.body {
+            return self.propose_table(table, reply, now);
         }
         match self.append_command(command, now) {
-            Ok(position) => self.commands.insert(position, reply, now),
-            Err(answer) => {
-                self.metrics.refused_commands.inc();
-                reply.send(*answer);
+            Ok(position) => self.commands.insert(position, vec![reply], now),
+            Err(answer) => self.refuse([reply], &answer),
+        }
+    }
+
+    fn propose_table(&mut self, table: RouteTable, reply: Reply, now: Instant) {
+        if let Err(answer) = self.check_accepts() {
+            return self.refuse([reply], &answer);
+        }
+        let in_force = self.state_machine.route_table().number;
+        let accepts = self.appends_tables(now);
+        let action = self.tables.add(table, reply, (in_force, accepts), now);
+        if let TableAction::Append(table, reply) = action {
+            self.append_table(table, vec![reply], now);
+        }
+    }
+
+    /// Appends the table that has waited until the one before it was applied, if there is
+    /// one. Returns whether there was.
+    pub(super) fn append_next_table(&mut self, now: Instant) -> bool {
+        if !self.appends_tables(now) {
+            return false;
+        }
+        let next = self.tables.take_next(self.applied);
+        let is_some = next.is_some();
+        if let Some((table, replies)) = next {
+            self.append_table(table, replies, now);
+        }
+        is_some
+    }
+
+    fn appends_tables(&self, now: Instant) -> bool {
+        self.node.has_lease(now) && self.accepting_clock().is_some()
+    }
+
+    fn append_table(&mut self, table: RouteTable, replies: Vec<Reply>, now: Instant) {
+        let number = table.number;
+        let body = Some(command::Body::RouteTable(table));
+        match self.append_command(Command { now_ms: 0, body }, now) {
+            Ok(position) => {
+                if number > 0 {
+                    self.tables.set_appended(number, position.0);
+                }
+                self.commands.insert(position, replies, now);
             }
+            Err(answer) => self.refuse(replies, &answer),
+        }
+    }
+
+    fn refuse(&mut self, replies: impl IntoIterator<Item = Reply>, answer: &Body) {
+        for reply in replies {
+            self.metrics.refused_commands.inc();
+            reply.send(answer.clone());
         }
     }
 
+    /// Answers all commands that wait because this replica no longer leads.
+    pub(super) fn fail_commands(&mut self, reason: &str) {
+        self.commands.fail_all(reason);
+        self.tables.fail_all(reason);
+    }
+
+    /// Returns the clock of a leader that appends commands.
+    ///
+    /// Until a new leader has applied an entry of its own term, it may not have applied
+    /// all earlier commands, and does not know the time of the last one.
+    fn accepting_clock(&self) -> Option<Clock> {
+        self.clock.filter(|_| self.node.has_applied_in_term())
+    }
+
+    /// Checks that this leader has room for another command.
+    ///
+    /// # Errors
+    ///
+    /// Returns the answer to send if it has not.
+    fn check_accepts(&self) -> Result<(), Box<Body>> {
+        if self.fullness == Fullness::Full {
+            return Err(Box::new(unavailable_lasting(DISK_FULL, MayCommit::No)));
+        }
+        if self.commands.len() + self.tables.len() >= MAX_PENDING_COMMANDS {
+            let reason = "too many commands wait";
+            return Err(Box::new(unavailable(reason, MayCommit::No)));
+        }
+        Ok(())
+    }
+
     /// Proposes the ledger limits of this leader's settings if others are in force. The
     /// limits are part of the replicated state: if each replica used its own, a record
     /// could be expired on one and still present on another.
@@ -163,15 +239,8 @@
         let refuse = |reason: &str| Err(Box::new(unavailable(reason, MayCommit::No)));
         let refuse_lasting =
             |reason: &str| Err(Box::new(unavailable_lasting(reason, MayCommit::No)));
-        if self.fullness == Fullness::Full {
-            return refuse_lasting(DISK_FULL);
-        }
-        if self.commands.is_full() {
-            return refuse("too many commands wait");
-        }
-        // Until a new leader has applied an entry of its own term, it may not have applied
-        // all earlier commands, and does not know the time of the last one.
-        let Some(clock) = self.clock.filter(|_| self.node.has_applied_in_term()) else {
+        self.check_accepts()?;
+        let Some(clock) = self.accepting_clock() else {
             return refuse("the leader was elected just now");
         };
         command.now_ms = clock.now_ms(now);
--- a/crates/control/src/replica/output.rs
+++ b/crates/control/src/replica/output.rs
@@ -22,17 +22,24 @@
     /// Processes the output of the log until there is none left.
     pub(super) fn process_ready(&mut self, now: Instant) {
         self.node.start_read_round(now);
+        self.handle_all_ready();
+        self.update_leadership(now);
+        if self.append_next_table(now) {
+            self.handle_all_ready();
+        }
+        self.publish();
+        self.answer_reads();
+        self.start_snapshot();
+    }
+
+    fn handle_all_ready(&mut self) {
         loop {
             let ready = self.node.ready();
             if ready.is_empty() || self.failed.is_some() {
-                break;
+                return;
             }
             self.handle_ready(ready);
         }
-        self.update_leadership(now);
-        self.publish();
-        self.answer_reads();
-        self.start_snapshot();
     }
 
     fn handle_ready(&mut self, ready: Ready) {
@@ -94,11 +101,14 @@
             }
             EntryBody::Noop | EntryBody::Members(_) => None,
         };
-        let reply = self.commands.take_applied(entry.index, entry.term);
-        if let (Some(reply), Some(body)) = (reply, body) {
+        let replies = self.commands.take_applied(entry.index, entry.term);
+        if let Some(body) = body {
             let index = entry.index;
             let body = Some(body);
-            reply.send(Body::Outcome(Outcome { index, body }));
+            let answer = Body::Outcome(Outcome { index, body });
+            for reply in replies {
+                reply.send(answer.clone());
+            }
         }
     }
 
@@ -202,13 +212,13 @@
             self.lag_tracker = None;
             if self.node_leases.take().is_some() {
                 log::info!("no longer the leader, term is {term}");
-                self.commands.fail_all("the leader was replaced");
+                self.fail_commands("the leader was replaced");
             }
             return;
         }
         if self.node_leases.as_ref().is_none_or(|r| r.term() != term) {
             log::info!("leader of term {term}");
-            self.commands.fail_all("the leader was replaced");
+            self.fail_commands("the leader was replaced");
             let length = self.settings.timing.lease_duration;
             let max = self.settings.timing.max_lease_duration;
             self.node_leases = Some(NodeLeases::new(term, length, now).with_max_lease(max, now));
--- a/crates/control/src/replica/pending.rs
+++ b/crates/control/src/replica/pending.rs
@@ -16,7 +16,16 @@
 struct PendingCommand {
     term: u64,
     since: Instant,
-    reply: Reply,
+    /// More than one for a table that others waited for, too.
+    replies: Vec<Reply>,
+}
+
+impl PendingCommand {
+    fn answer(self, answer: &Body) {
+        for reply in self.replies {
+            reply.send(answer.clone());
+        }
+    }
 }
 
 /// Commands that are waiting to be committed, by log index.
@@ -26,29 +35,34 @@
 }
 
 impl PendingCommands {
-    pub(super) fn is_full(&self) -> bool {
-        self.by_index.len() >= MAX_PENDING_COMMANDS
+    pub(super) fn len(&self) -> usize {
+        self.by_index.len()
     }
 
     /// Adds a command that was appended at an index and term.
-    pub(super) fn insert(&mut self, position: (u64, u64), reply: Reply, now: Instant) {
+    pub(super) fn insert(&mut self, position: (u64, u64), replies: Vec<Reply>, now: Instant) {
         let (index, term) = position;
-        let since = now;
-        let command = PendingCommand { term, since, reply };
+        let command = PendingCommand {
+            term,
+            since: now,
+            replies,
+        };
         self.by_index.insert(index, command);
     }
 
-    /// Removes the command at the index of an applied entry and returns its reply. If the
+    /// Removes the command at the index of an applied entry and returns its replies. If the
     /// entry's term differs, the command was overwritten and will never be committed; its
-    /// sender is told so.
-    pub(super) fn take_applied(&mut self, index: u64, term: u64) -> Option<Reply> {
-        let command = self.by_index.remove(&index)?;
+    /// senders are told so.
+    pub(super) fn take_applied(&mut self, index: u64, term: u64) -> Vec<Reply> {
+        let Some(command) = self.by_index.remove(&index) else {
+            return Vec::new();
+        };
         if command.term == term {
-            return Some(command.reply);
+            return command.replies;
         }
         let reason = "another leader's entry took the place of the command";
-        command.reply.send(unavailable(reason, MayCommit::No));
-        None
+        command.answer(&unavailable(reason, MayCommit::No));
+        Vec::new()
     }
 
     /// Answers all commands as unavailable; they may still be committed.
@@ -63,7 +77,7 @@
 
     fn answer_all(&mut self, answer: &Body) {
         for (_, command) in std::mem::take(&mut self.by_index) {
-            command.reply.send(answer.clone());
+            command.answer(answer);
         }
     }
 
@@ -73,8 +87,7 @@
                 return;
             }
             let reason = "not committed in time";
-            let command = first.remove();
-            command.reply.send(unavailable(reason, MayCommit::Yes));
+            first.remove().answer(&unavailable(reason, MayCommit::Yes));
         }
     }
 }
--- a/crates/control/tests/replicas/disks.rs
+++ b/crates/control/tests/replicas/disks.rs
@@ -237,11 +237,14 @@
 const MAX_FOLDER_BYTES: u64 = 64 << 20;
 const LARGE_TABLE_BYTES: usize = 1 << 20;
 
+/// Time that a sync of a slow disk takes.
+const SLOW_SYNC: Duration = Duration::from_millis(100);
+
 fn large_table(number: u64) -> command::Body {
     command::Body::RouteTable(RouteTable {
         number,
         source: vec![b' '; LARGE_TABLE_BYTES].into(),
-        digest: 0,
+        ..RouteTable::default()
     })
 }
 
@@ -278,3 +281,43 @@
     let grown = folder_bytes(&cluster, "r1") - before;
     assert!(grown < LARGE_TABLE_BYTES as u64, "{grown}");
 }
+
+/// Guards against a log that grows with each of many tables proposed while one is not
+/// committed yet, because followers are slow.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_tables_at_once() {
+    const TABLES: u64 = 40;
+    let mut cluster = Cluster::prepare(3).await;
+    control::init(&cluster.settings("r1")).unwrap();
+    for name in cluster.names() {
+        let real = Ops::default();
+        let ops = Ops {
+            sync: Arc::new(move |path, file| {
+                std::thread::sleep(SLOW_SYNC);
+                (real.sync)(path, file)
+            }),
+            ..Ops::default()
+        };
+        cluster.start_replica_with(&name, ops).await;
+    }
+    cluster.wait_repaired().await;
+    let leader = cluster.leader().await;
+    let before = folder_bytes(&cluster, &leader);
+    let link = cluster.dial(&leader).await;
+    let tables = (1..=TABLES).map(async |number| {
+        let outcome = propose_to(&link, large_table(number)).await;
+        (number, outcome)
+    });
+    for (number, outcome) in futures_util::future::join_all(tables).await {
+        match outcome {
+            Some(outcome::Body::RouteTable(o)) => assert!(o.newest >= number),
+            // Another leader was elected.
+            None | Some(outcome::Body::Unavailable(_)) => {}
+            other => panic!("unexpected outcome {other:?}"),
+        }
+    }
+    let outcome = cluster.propose(large_table(TABLES)).await;
+    assert!(matches!(outcome, outcome::Body::RouteTable(o) if o.newest == TABLES));
+    let grown = folder_bytes(&cluster, &leader) - before;
+    assert!(grown < TABLES / 4 * LARGE_TABLE_BYTES as u64, "{grown}");
+}
