Keep a link open while bytes of a large frame pass

A link was closed as silent if a frame took longer than three heartbeat intervals (1.5 s): the reader waited for whole frames, and the writer for up to 64 of them. On the thinnest links (8 Mbit/s) a frame of 2 MB could never pass; it was cut off and sent anew on each new link.

Both ends watch the number of bytes instead. So that the writer sees progress, the kernel takes at most 128 KiB that it has not sent, which also bounds how long a heartbeat waits there.

large_frame_on_thin_link failed before: the link was closed.

--- a/crates/wire/src/connect.rs
+++ b/crates/wire/src/connect.rs
@@ -16,6 +16,9 @@
 use tokio::time::timeout;
 use tokio_util::codec::{Framed, FramedParts};
 
+/// Number of unsent bytes from which on the kernel takes no more from a link.
+const MAX_UNSENT_BYTES: u32 = 128 << 10;
+
 /// Connects to `address` and authenticates both sides with `key`.
 ///
 /// The receiver yields the requests and one-way messages of the peer, in order.
@@ -105,7 +108,13 @@
     stream.set_nodelay(true)?;
     // A middlebox may lose its connection state. Unacknowledged bytes must then fail the
     // connection even if this side only writes.
-    SockRef::from(&stream).set_tcp_user_timeout(Some(cfg.silence_timeout()))?;
+    let socket = SockRef::from(&stream);
+    socket.set_tcp_user_timeout(Some(cfg.silence_timeout()))?;
+    // Otherwise the kernel takes megabytes at once, which hides whether the peer reads them
+    // and delays all that follows.
+    if let Err(e) = socket.set_tcp_notsent_lowat(MAX_UNSENT_BYTES) {
+        log::debug!("cannot limit the unsent bytes of a link: {e}");
+    }
     let mut conn = Framed::new(stream, FrameCodec::new(cfg.max_frame_bytes));
     let peer = authenticate(&mut conn, side, me, key).await?;
     Ok((conn, peer))
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -52,6 +52,7 @@
 mod codec;
 mod connect;
 mod convert;
+mod counted_stream;
 mod encoded;
 mod error;
 mod handshake;
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -1,5 +1,7 @@
 //! An authenticated connection that carries messages in both directions.
 
+use crate::codec::FrameCodec;
+use crate::counted_stream::{ByteCount, CountedStream};
 use crate::error::{Error, Result};
 use crate::handshake::Connection;
 use crate::identity::Identity;
@@ -14,8 +16,11 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio_util::codec::{Framed, FramedParts};
 use tokio_util::sync::CancellationToken;
 
+type CountedConnection = Framed<CountedStream, FrameCodec>;
+
 /// Maximum number of frames written before the socket is flushed.
 const MAX_FRAMES_PER_FLUSH: usize = 64;
 
@@ -61,10 +66,14 @@
             closed: CancellationToken::new(),
         });
         let link = Link { shared };
+        let conn = count_bytes(conn);
+        let (read_count, written_count) =
+            (conn.get_ref().read_count(), conn.get_ref().written_count());
         let (sink, stream) = conn.split();
         let closed = link.shared.closed.clone();
-        tokio::spawn(write(sink, frames, closed, cfg.clone()));
-        tokio::spawn(read(stream, incoming, link.clone(), cfg.silence_timeout()));
+        tokio::spawn(write(sink, written_count, frames, closed, cfg.clone()));
+        let silence = cfg.silence_timeout();
+        tokio::spawn(read(stream, read_count, incoming, link.clone(), silence));
         (link, rx)
     }
 
@@ -188,8 +197,17 @@
     }
 }
 
+fn count_bytes(conn: Connection) -> CountedConnection {
+    let parts = conn.into_parts();
+    let mut counted = FramedParts::new::<Frame>(CountedStream::new(parts.io), parts.codec);
+    counted.read_buf = parts.read_buf;
+    counted.write_buf = parts.write_buf;
+    Framed::from_parts(counted)
+}
+
 async fn write(
-    mut sink: SplitSink<Connection, Frame>,
+    mut sink: SplitSink<CountedConnection, Frame>,
+    written: ByteCount,
     mut frames: mpsc::Receiver<Frame>,
     closed: CancellationToken,
     cfg: LinkSettings,
@@ -209,13 +227,10 @@
         };
         // If a write makes no progress for the silence timeout, the peer has stopped reading.
         // Without this timeout, senders would wait forever for space in the queue.
-        let written = timeout(
-            cfg.silence_timeout(),
-            write_batch(&mut sink, &mut frames, frame),
-        );
-        match written.await {
-            Ok(Ok(())) => {}
-            Ok(Err(_)) | Err(_) => break,
+        let batch = write_batch(&mut sink, &mut frames, frame);
+        match written.wait(cfg.silence_timeout(), batch).await {
+            Some(Ok(())) => {}
+            Some(Err(_)) | None => break,
         }
     }
     closed.cancel();
@@ -225,7 +240,7 @@
 
 /// Writes `frame` and the frames queued behind it, then flushes once.
 async fn write_batch(
-    sink: &mut SplitSink<Connection, Frame>,
+    sink: &mut SplitSink<CountedConnection, Frame>,
     frames: &mut mpsc::Receiver<Frame>,
     frame: Frame,
 ) -> Result<()> {
@@ -246,7 +261,8 @@
 }
 
 async fn read(
-    mut stream: SplitStream<Connection>,
+    mut stream: SplitStream<CountedConnection>,
+    count: ByteCount,
     incoming: mpsc::Sender<Incoming>,
     link: Link,
     silence_timeout: Duration,
@@ -257,9 +273,9 @@
         // are the only indication.
         let next = tokio::select! {
             () = link.closed() => break,
-            next = timeout(silence_timeout, stream.next()) => next,
+            next = count.wait(silence_timeout, stream.next()) => next,
         };
-        let Ok(Some(Ok(frame))) = next else { break };
+        let Some(Some(Ok(frame))) = next else { break };
         if !dispatch(frame, &incoming, &link).await {
             break;
         }
--- a/crates/wire/tests/link.rs
+++ b/crates/wire/tests/link.rs
@@ -234,3 +234,49 @@
         .rng(Gen::from_size_and_seed(300, 11))
         .quickcheck(property as fn((Vec<u8>, u8)) -> bool);
 }
+
+/// Forwards what one connection to a listener receives, a little at a time.
+async fn forward_slowly(listener: TcpListener, target: std::net::SocketAddr) {
+    const PIECE_BYTES: usize = 32 << 10;
+    const PAUSE: Duration = Duration::from_millis(10);
+    let (from, _) = listener.accept().await.unwrap();
+    let to = TcpStream::connect(target).await.unwrap();
+    let (mut from_read, mut from_write) = from.into_split();
+    let (mut to_read, mut to_write) = to.into_split();
+    tokio::spawn(async move { tokio::io::copy(&mut to_read, &mut from_write).await });
+    let mut piece = vec![0; PIECE_BYTES];
+    while let Ok(read) = from_read.read(&mut piece).await
+        && read > 0
+        && to_write.write_all(&piece[..read]).await.is_ok()
+    {
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+/// Guards against a link that is closed as silent while a frame passes that takes longer than
+/// the silence timeout.
+#[tokio::test]
+async fn large_frame_on_thin_link() {
+    let listener = listen().await;
+    let address = listener.local_addr().unwrap();
+    let accepted = accept_one(listener, key());
+    let socket = TcpSocket::new_v4().unwrap();
+    // Otherwise the system takes the frame from the sender at once.
+    socket.set_recv_buffer_size(32 << 10).unwrap();
+    socket.bind((Ipv4Addr::LOCALHOST, 0).into()).unwrap();
+    let thin = socket.listen(1).unwrap();
+    let thin_address = thin.local_addr().unwrap();
+    tokio::spawn(forward_slowly(thin, address));
+    let (link, _rx) = wire::dial(thin_address, &entry_identity(), &key(), &test_settings())
+        .await
+        .unwrap();
+    let (_other, mut rx) = accepted.await.unwrap().unwrap();
+    let table = vec![b' '; 8 << 20];
+    let notes = Notes {
+        snapshot: table.into(),
+        ..Notes::default()
+    };
+    link.send(Body::Notes(notes.clone())).await.unwrap();
+    let received = timeout(TIMEOUT, rx.recv()).await.unwrap();
+    assert!(received.is_some_and(|incoming| incoming.body == Body::Notes(notes)));
+}
