Compress large entries and tables on links

While large configs changed, control's links were the bottleneck: a table of 4 MB was sent whole to five replicas and, from those, to 14 entries.

Log entries of 16 KiB and more go to other replicas in the LZ4 block format, each compressed once, and so do tables to entries. Replicas tell in each message, and entries in each report, that they understand it; others get the bytes as before. The line of a table that comes into force has its size.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -49,7 +49,7 @@
         let table = RouteTable {
             number,
             source,
-            digest: 0,
+            ..RouteTable::default()
         };
         let body = command::Body::RouteTable(table);
         let outcome = self
--- a/crates/control/src/codec.rs
+++ b/crates/control/src/codec.rs
@@ -8,25 +8,29 @@
 use store::Record;
 use wire::proto::quorum_message::Body;
 use wire::proto::{
-    Append, AppendReply, InstallSnapshot, Join, LogEntry, QuorumMessage, Replica, ReplicaSet,
-    SnapshotReply, StoredSnapshot, VoteReply, VoteRequest,
+    Append, AppendReply, Compressed, InstallSnapshot, Join, LogEntry, QuorumMessage, Replica,
+    ReplicaSet, SnapshotReply, StoredSnapshot, VoteReply, VoteRequest,
 };
 
 const COMMAND: u8 = 0;
 const NOOP: u8 = 1;
 const MEMBERS: u8 = 2;
 
-/// Encodes a message for the wire.
-pub(crate) fn encode(message: Message) -> QuorumMessage {
+/// Encodes a message for the wire, with the entries that `compress` returns compressed.
+pub(crate) fn encode(
+    message: Message,
+    compress: impl FnMut(&Entry) -> Option<Compressed>,
+) -> QuorumMessage {
     QuorumMessage {
         from: message.from.0,
         to: message.to.0,
         term: message.term,
-        body: Some(encode_body(message.body)),
+        knows_compressed: true,
+        body: Some(encode_body(message.body, compress)),
     }
 }
 
-fn encode_body(body: MessageBody) -> Body {
+fn encode_body(body: MessageBody, mut compress: impl FnMut(&Entry) -> Option<Compressed>) -> Body {
     match body {
         MessageBody::VoteRequest {
             pre_vote,
@@ -51,7 +55,10 @@
             previous_index,
             previous_term,
             commit,
-            entries: entries.iter().map(log_entry).collect(),
+            entries: entries
+                .iter()
+                .map(|entry| log_entry(entry, compress(entry)))
+                .collect(),
             round,
         }),
         MessageBody::AppendReply {
@@ -175,21 +182,31 @@
     })
 }
 
-fn log_entry(entry: &Entry) -> LogEntry {
+fn log_entry(entry: &Entry, compressed: Option<Compressed>) -> LogEntry {
     let (kind, data) = kind_and_data(&entry.body);
+    let data = match compressed {
+        Some(_) => Bytes::new(),
+        None => data,
+    };
     LogEntry {
         index: entry.index,
         term: entry.term,
         kind: u32::from(kind),
         data,
+        compressed,
     }
 }
 
 fn entry(entry: LogEntry) -> Result<Entry> {
+    let data = match &entry.compressed {
+        Some(compressed) => wire::decompress(compressed)
+            .map_err(|e| eyre!("entry {} of term {}: {e}", entry.index, entry.term))?,
+        None => entry.data,
+    };
     Ok(Entry {
         index: entry.index,
         term: entry.term,
-        body: entry_body(u8::try_from(entry.kind)?, entry.data)?,
+        body: entry_body(u8::try_from(entry.kind)?, data)?,
     })
 }
 
--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -24,9 +24,7 @@
 use tokio::time::{MissedTickBehavior, interval, sleep};
 use wire::proto::Presence::Ready;
 use wire::proto::frame::Body;
-use wire::proto::{
-    Evacuations, Quarantine, Report, Reported, RouteTable, Sighting, Sightings, SightingsTaken,
-};
+use wire::proto::{Evacuations, Quarantine, Report, Reported, Sighting, Sightings, SightingsTaken};
 use wire::{Link, addresses_digest, entrance_from_proto, sighting_from_proto, sighting_to_proto};
 
 /// Interval between two messages that tell entries and other replicas which targets
@@ -138,8 +136,8 @@
                     if changed.is_err() {
                         return;
                     }
-                    let newest = table.borrow_and_update().table.clone();
-                    self.send_table(newest).await;
+                    let newest = table.borrow_and_update().clone();
+                    self.send_table(&newest).await;
                 }
                 changed = evacuations.changed() => {
                     if changed.is_err() {
@@ -156,10 +154,10 @@
     /// Sends a new table to the entries to which this replica repeats the state of
     /// targets. The others have it from another replica, or else get it when they next
     /// report an older one.
-    async fn send_table(&self, newest: RouteTable) {
-        let body = Body::RouteTable(newest);
+    async fn send_table(&self, newest: &PublishedTable) {
         for entry in self.shared.entries.refreshed() {
-            send(&entry.link, body.clone()).await;
+            let table = newest.message(entry.table_form);
+            send(&entry.link, Body::RouteTable(table)).await;
         }
     }
 
@@ -171,7 +169,7 @@
         let now = Instant::now();
         let update = self.shared.entries.update(&report, link, &newest, now);
         if update.wants_table {
-            let table = newest.table;
+            let table = newest.message(update.entry.table_form);
             send(link, Body::RouteTable(table)).await;
         }
         let evacuations = self.shared.evacuations.borrow().clone();
--- a/crates/control/src/gossip/entry_links.rs
+++ b/crates/control/src/gossip/entry_links.rs
@@ -1,6 +1,6 @@
 //! The entries that report to a replica.
 
-use crate::published_table::PublishedTable;
+use crate::published_table::{PublishedTable, TableForm};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use wire::Link;
@@ -24,6 +24,8 @@
     pub(super) wants_refresh: bool,
     /// Whether the entry understands the short form of unchanged targets.
     pub(super) knows_alive: bool,
+    /// The form in which the entry is sent tables.
+    pub(super) table_form: TableForm,
     /// Whether the entry understands evacuations.
     knows_evacuations: bool,
     /// Version of the quarantine in force at the entry, if it understands it.
@@ -89,6 +91,11 @@
             link: link.clone(),
             wants_refresh: !report.changes_only,
             knows_alive: report.knows_alive,
+            table_form: if report.knows_compressed {
+                TableForm::Compressed
+            } else {
+                TableForm::Plain
+            },
             knows_evacuations: report.knows_evacuations,
             quarantine_version: report.knows_quarantine.then_some(report.quarantine_version),
             table,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,6 +12,7 @@
 mod codec;
 mod control;
 mod disk;
+mod entry_compressor;
 mod gossip;
 mod http;
 mod init;
--- a/crates/control/src/links.rs
+++ b/crates/control/src/links.rs
@@ -247,8 +247,9 @@
 pub(crate) fn quorum_msg(message: QuorumMessage, link: &Link) -> Option<Msg> {
     let peer = link.peer();
     let is_sender = peer.role == Role::Control && message.from == peer.incarnation;
+    let knows_compressed = message.knows_compressed;
     match codec::decode(message) {
-        Ok(message) if is_sender => Some(Msg::Peer(Box::new(message))),
+        Ok(message) if is_sender => Some(Msg::Peer(Box::new(message), knows_compressed)),
         Ok(_) => {
             log::warn!(
                 "ignored a message that {} sent under another identity",
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -1,16 +1,18 @@
 //! Links to the other replicas.
 
 use crate::codec;
+use crate::entry_compressor::EntryCompressor;
 use crate::leader_client::LeaderClient;
 use crate::links;
 use crate::replica::Msg;
 use crate::replicas::Replicas;
-use quorum::{DiskId, Members, Message};
+use quorum::{DiskId, Entry, Members, Message};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, watch};
 use tokio_util::task::AbortOnDropHandle;
+use wire::proto::QuorumMessage;
 use wire::proto::frame::Body;
 use wire::{ClusterKey, Identity, Incoming, Link, LinkSettings, Role};
 
@@ -31,12 +33,15 @@
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
     links: BTreeMap<(DiskId, Direction), PeerLink>,
+    /// Replicas that understand compressed entries.
+    compressing: BTreeSet<DiskId>,
+    compressor: EntryCompressor,
 }
 
 /// An open link.
 #[derive(Clone, Debug)]
 pub(crate) struct PeerLink {
-    tx: mpsc::Sender<Message>,
+    tx: mpsc::Sender<QuorumMessage>,
 }
 
 impl PeerLink {
@@ -45,8 +50,7 @@
         let (tx, mut messages) = mpsc::channel(LINK_QUEUE_LEN);
         let send = async move {
             while let Some(message) = messages.recv().await {
-                let body = Body::Quorum(codec::encode(message));
-                if link.send(body).await.is_err() {
+                if link.send(Body::Quorum(message)).await.is_err() {
                     break;
                 }
             }
@@ -68,19 +72,33 @@
             .retain(|(other, _), link| *other != id || !link.tx.is_closed());
     }
 
+    /// Records whether a replica understands compressed entries. Each of its messages tells,
+    /// as it may be started again in another version.
+    pub(crate) fn set_compression(&mut self, id: DiskId, knows_compressed: bool) {
+        if knows_compressed {
+            self.compressing.insert(id);
+        } else {
+            self.compressing.remove(&id);
+        }
+    }
+
     /// Sends a message over the link that this replica has opened. Only to a replica
     /// that is none of `members`, whose address is thus unknown, it goes over a link that
     /// the other one has opened.
-    pub(crate) fn send(&self, message: Message, members: &Members) {
+    pub(crate) fn send(&mut self, message: Message, members: &Members) {
         let mut link = self.open(message.to, Direction::Dialed);
         if link.is_none() && !members.contains(message.to) {
             link = self.open(message.to, Direction::Accepted);
         }
-        if let Some(link) = link {
-            // The queue is full or the link was just closed. The log protocol resends
-            // messages that are not answered.
-            let _ = link.tx.try_send(message);
-        }
+        let Some(tx) = link.map(|link| link.tx.clone()) else {
+            return;
+        };
+        let is_compressed = self.compressing.contains(&message.to);
+        let compressor = &mut self.compressor;
+        let compress = |entry: &Entry| is_compressed.then(|| compressor.compress(entry))?;
+        // The queue is full or the link was just closed. The log protocol resends
+        // messages that are not answered.
+        let _ = tx.try_send(codec::encode(message, compress));
     }
 
     /// Returns whether the link that this replica has opened to another one is open.
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -39,8 +39,8 @@
     Tick,
     /// Process the output of the log that the preceding messages produced.
     ProcessReady,
-    /// A message from another replica.
-    Peer(Box<Message>),
+    /// A message from another replica, and whether that understands compressed entries.
+    Peer(Box<Message>, bool),
     /// A link to another replica was opened, by it or by this one.
     PeerConnected(DiskId, Direction, PeerLink),
     /// A link to another replica was closed.
--- a/crates/control/src/replica/actor.rs
+++ b/crates/control/src/replica/actor.rs
@@ -166,7 +166,10 @@
         match msg {
             Msg::ProcessReady => {}
             Msg::Tick => self.tick(now),
-            Msg::Peer(message) => self.node.step(*message, now),
+            Msg::Peer(message, knows_compressed) => {
+                self.peers.set_compression(message.from, knows_compressed);
+                self.node.step(*message, now);
+            }
             Msg::PeerConnected(id, direction, link) => {
                 self.peers.insert(id, direction, link);
                 self.join_at = now;
--- a/crates/control/src/replica/output.rs
+++ b/crates/control/src/replica/output.rs
@@ -154,7 +154,7 @@
                 *published = PublishedTable::new(table);
                 let digest = published.digest();
                 log::info!(
-                    table = table.number, digest = digest.as_str();
+                    table = table.number, bytes = table.source.len(), digest = digest.as_str();
                     "route table in force on this replica"
                 );
                 self.metrics.set_route_table(table.number, digest);
--- a/crates/control/tests/replicas/leaders.rs
+++ b/crates/control/tests/replicas/leaders.rs
@@ -87,6 +87,7 @@
                 from,
                 to,
                 term,
+                knows_compressed: false,
                 body,
             };
             link.send(Body::Quorum(message)).await.unwrap();
@@ -99,6 +100,7 @@
             from,
             to,
             term,
+            knows_compressed: false,
             body,
         };
         link.send(Body::Quorum(forged)).await.unwrap();
@@ -122,7 +124,7 @@
         index,
         term,
         kind: 1,
-        data: bytes::Bytes::new(),
+        ..LogEntry::default()
     };
     let entries = (1..30).map(entry).collect();
     let append = Append {
@@ -227,7 +229,7 @@
     let table = RouteTable {
         number: 4,
         source: "a table".into(),
-        digest: 0,
+        ..RouteTable::default()
     };
     cluster
         .propose(command::Body::RouteTable(table.clone()))
@@ -312,7 +314,7 @@
     command::Body::RouteTable(RouteTable {
         number,
         source: source.into(),
-        digest: 0,
+        ..RouteTable::default()
     })
 }
 
--- a/crates/control/tests/replicas/main.rs
+++ b/crates/control/tests/replicas/main.rs
@@ -9,3 +9,4 @@
 mod operators;
 mod path;
 mod repair;
+mod tables;
--- a/crates/node/src/watcher.rs
+++ b/crates/node/src/watcher.rs
@@ -206,6 +206,7 @@
             overdue: state.overdue_targets(replica, Instant::now()),
             replicas_digest: state.replicas_digest(),
             knows_quarantine: true,
+            knows_compressed: true,
             quarantine_version: state.quarantine().borrow().version,
             limits: limits.clone(),
         });
--- a/crates/node/src/watcher_state.rs
+++ b/crates/node/src/watcher_state.rs
@@ -168,7 +168,17 @@
         if !is_replacement(lock(&self.table).as_ref()) {
             return;
         }
-        let table = match (self.decode)(&received.source) {
+        let source = match &received.compressed {
+            Some(compressed) => match wire::decompress(compressed) {
+                Ok(source) => source,
+                Err(e) => {
+                    log::error!(table = received.number; "cannot read the route table: {e}");
+                    return;
+                }
+            },
+            None => received.source.clone(),
+        };
+        let table = match (self.decode)(&source) {
             Ok(table) => Arc::new(table),
             Err(findings) => {
                 // Unexpected: control validated the table with the same function.
--- a/crates/node/tests/watcher.rs
+++ b/crates/node/tests/watcher.rs
@@ -54,7 +54,7 @@
     let tables = tables.map(|(number, source)| RouteTable {
         number,
         source: source.into(),
-        digest: 0,
+        ..RouteTable::default()
     });
     let (tx, mut reported) = mpsc::unbounded_channel();
     tokio::spawn(serve(listener, tables.to_vec(), tx));
--- a/crates/wire/src/gen/lovageramp.rs
+++ b/crates/wire/src/gen/lovageramp.rs
@@ -155,6 +155,9 @@
     pub to: u64,
     #[prost(uint64, tag = "3")]
     pub term: u64,
+    /// The sender understands `LogEntry.compressed`.
+    #[prost(bool, tag = "4")]
+    pub knows_compressed: bool,
     #[prost(oneof = "quorum_message::Body", tags = "10, 11, 12, 13, 14, 15, 16")]
     pub body: ::core::option::Option<quorum_message::Body>,
 }
@@ -206,6 +209,18 @@
     pub kind: u32,
     #[prost(bytes = "bytes", tag = "4")]
     pub data: ::prost::bytes::Bytes,
+    /// In place of `data`, to replicas that understand it; never on disk.
+    #[prost(message, optional, tag = "5")]
+    pub compressed: ::core::option::Option<Compressed>,
+}
+/// Bytes in the LZ4 block format, without a frame.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Compressed {
+    #[prost(bytes = "bytes", tag = "1")]
+    pub block: ::prost::bytes::Bytes,
+    /// Number of bytes before the compression.
+    #[prost(uint64, tag = "2")]
+    pub size: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Append {
@@ -333,6 +348,9 @@
     /// replicas of earlier versions.
     #[prost(fixed64, tag = "3")]
     pub digest: u64,
+    /// In place of `source`, to entries that understand it.
+    #[prost(message, optional, tag = "4")]
+    pub compressed: ::core::option::Option<Compressed>,
 }
 /// The result of submitting a route table: the number of the table now in force.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -405,6 +423,9 @@
     /// Limits in answers that the entry has received since its last report.
     #[prost(message, repeated, tag = "9")]
     pub limits: ::prost::alloc::vec::Vec<TargetLimit>,
+    /// The entry understands `RouteTable.compressed`.
+    #[prost(bool, tag = "10")]
+    pub knows_compressed: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Reported {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -50,6 +50,7 @@
 mod answer_assembler;
 mod answer_part;
 mod codec;
+mod compression;
 mod connect;
 mod convert;
 mod counted_stream;
@@ -76,6 +77,7 @@
 pub use crate::answer_assembler::AnswerAssembler;
 pub use crate::answer_part::{AnswerFailure, AnswerPart};
 pub use crate::codec::FrameCodec;
+pub use crate::compression::{MIN_COMPRESSED_SIZE, compress, decompress};
 pub use crate::connect::{accept, accept_on, dial};
 pub use crate::convert::{
     addresses_digest, entrance_from_proto, entrance_to_proto, sighting_from_proto,
