--- a/crates/quorum/tests/rules.rs
+++ b/crates/quorum/tests/rules.rs
@@ -329,6 +329,26 @@
     assert!(!fixture.node.is_leader());
 }
 
+/// Guards against a single replica that steps down because its process stood still for longer
+/// than an election timeout.
+#[test]
+fn tick_late_alone() {
+    let mut members = Members::default();
+    members.voters.insert(ME, Peer::new("1", ""));
+    let persisted = PersistedState {
+        snapshot: Some(Snapshot::initial(members)),
+        ..PersistedState::default()
+    };
+    let (cfg, now) = (Config::default(), Instant::now());
+    let node = Node::new(ME, cfg.clone(), 7, persisted, now);
+    let mut fixture = Fixture { node, now, cfg };
+    fixture.run(fixture.cfg.election_timeout * 2);
+    fixture.sync();
+    assert!(fixture.node.has_lease(fixture.now));
+    fixture.advance(fixture.cfg.election_timeout * 3);
+    assert!(fixture.node.has_lease(fixture.now));
+}
+
 /// A new replica answers the leader but holds no entries yet. If it became a
 /// voter now, a majority could depend on it long before it has caught up.
 #[test]
