Append no table that was overtaken while it waited

A table that came before a new leader appended commands was appended whole even if its number was not above that of the table in force by then. It changed nothing, but earlier versions that restart go by the last content under the highest number in their log. Read in the code; the tests of the replicas pass.

--- a/crates/control/src/replica/answer.rs
+++ b/crates/control/src/replica/answer.rs
@@ -123,9 +123,9 @@
         if let Err(answer) = self.check_accepts() {
             return self.refuse([reply], &answer);
         }
-        let in_force = self.state_machine.route_table().number;
-        let accepts = self.appends_tables(now);
-        let action = self.tables.add(table, reply, (in_force, accepts), now);
+        let appends = self.appends_tables(now);
+        let in_force = appends.then(|| self.state_machine.route_table().number);
+        let action = self.tables.add(table, reply, in_force, now);
         if let TableAction::Append(table, reply) = action {
             self.append_table(table, vec![reply], now);
         }
@@ -137,7 +137,8 @@
         if !self.appends_tables(now) {
             return false;
         }
-        let next = self.tables.take_next(self.applied);
+        let in_force = self.state_machine.route_table().number;
+        let next = self.tables.take_next(self.applied, in_force);
         let is_some = next.is_some();
         if let Some((table, replies)) = next {
             self.append_table(table, replies, now);
--- a/crates/control/src/replica/table_queue.rs
+++ b/crates/control/src/replica/table_queue.rs
@@ -30,26 +30,27 @@
 }
 
 impl TableQueue {
-    /// Decides about a proposed table. `in_force` is the number of the table in force, and
-    /// `accepts` whether the leader appends commands.
-    ///
-    /// A table whose number is not above that of an earlier one in the log changes nothing
-    /// wherever it is applied, so the log needs nothing of it. Earlier versions look for the
-    /// highest number in the log when they start, so it must not keep its number either.
+    /// Decides about a table that is proposed to a leader. `in_force` is the number of the
+    /// table in force if the leader appends commands, and `None` if it does not yet.
     pub(super) fn add(
         &mut self,
         table: RouteTable,
         reply: Reply,
-        (in_force, accepts): (u64, bool),
+        in_force: Option<u64>,
         now: Instant,
     ) -> TableAction {
-        let in_log = self.appended.map_or(0, |(number, _)| number);
-        if accepts && table.number <= in_log.max(in_force) {
-            return TableAction::Append(RouteTable::default(), reply);
-        }
-        if accepts && self.appended.is_none() && self.newest.is_none() {
-            return TableAction::Append(table, reply);
+        if let Some(in_force) = in_force {
+            let in_log = self.appended.map_or(in_force, |(number, _)| number);
+            let table = without_effect_removed(table, in_log);
+            if table.number == 0 || (self.appended.is_none() && self.newest.is_none()) {
+                return TableAction::Append(table, reply);
+            }
+            return self.enqueue(table, reply, now);
         }
+        self.enqueue(table, reply, now)
+    }
+
+    fn enqueue(&mut self, table: RouteTable, reply: Reply, now: Instant) -> TableAction {
         if self.newest.as_ref().is_none_or(|n| n.number < table.number) {
             self.newest = Some(table);
         }
@@ -62,14 +63,18 @@
         self.appended = Some((number, index));
     }
 
-    /// Records the index up to which entries were applied. Returns the table to append next,
-    /// with the replies to all that have waited.
-    pub(super) fn take_next(&mut self, applied: u64) -> Option<(RouteTable, Vec<Reply>)> {
+    /// Records the index up to which entries were applied, and the number of the table in
+    /// force then. Returns the table to append next, with the replies to all that have waited.
+    pub(super) fn take_next(
+        &mut self,
+        applied: u64,
+        in_force: u64,
+    ) -> Option<(RouteTable, Vec<Reply>)> {
         if self.appended.is_some_and(|(_, index)| applied < index) {
             return None;
         }
         self.appended = None;
-        let table = self.newest.take()?;
+        let table = without_effect_removed(self.newest.take()?, in_force);
         let waiting = std::mem::take(&mut self.waiting);
         Some((table, waiting.into_iter().map(|(_, reply)| reply).collect()))
     }
@@ -112,3 +117,17 @@
         }
     }
 }
+
+/// Returns the empty table in place of one whose number is not above that of an earlier one in
+/// the log.
+///
+/// It changes nothing wherever it is applied, so the log needs nothing of it. Earlier versions
+/// look for the highest number in the log when they start, so it must not keep its number
+/// either.
+fn without_effect_removed(table: RouteTable, in_log: u64) -> RouteTable {
+    if table.number > in_log {
+        table
+    } else {
+        RouteTable::default()
+    }
+}
