Refuse a table that is too long before it waits with others

Of the tables that wait, the one with the highest number is appended for all. If it exceeded the size of a command (4 MiB), all that waited with it were refused with it, though they could have been accepted. Found in reading the diff; the size is checked before a table may wait.

table_too_long_beside_others failed before: "left: [false, true, true, true], right: [false, false, true, false]".

--- a/crates/control/src/replica/answer.rs
+++ b/crates/control/src/replica/answer.rs
@@ -110,6 +110,10 @@
         {
             return reply.send(unknown_zone());
         }
+        if is_too_long(&command) {
+            let answer = unavailable_lasting("the command is too long", MayCommit::No);
+            return self.refuse([reply], &answer);
+        }
         if let Some(command::Body::RouteTable(table)) = command.body {
             return self.propose_table(table, reply, now);
         }
@@ -238,17 +242,12 @@
         now: Instant,
     ) -> Result<(u64, u64), Box<Body>> {
         let refuse = |reason: &str| Err(Box::new(unavailable(reason, MayCommit::No)));
-        let refuse_lasting =
-            |reason: &str| Err(Box::new(unavailable_lasting(reason, MayCommit::No)));
         self.check_accepts()?;
         let Some(clock) = self.accepting_clock() else {
             return refuse("the leader was elected just now");
         };
         command.now_ms = clock.now_ms(now);
         let data = command.encode_to_vec();
-        if data.len() > MAX_COMMAND_BYTES {
-            return refuse_lasting("the command is too long");
-        }
         let proposed = self.node.propose(data.into(), now);
         proposed.or_else(|e| refuse(&e.to_string()))
     }
@@ -307,6 +306,16 @@
     }
 }
 
+/// Whether a command is too long, whatever its time. It must not wait with others, as all that
+/// wait share one answer.
+fn is_too_long(command: &Command) -> bool {
+    let latest = Command {
+        now_ms: u64::MAX,
+        ..command.clone()
+    };
+    latest.encoded_len() > MAX_COMMAND_BYTES
+}
+
 /// Answer to an order for an availability zone that the settings don't list.
 fn unknown_zone() -> Body {
     Body::Outcome(Outcome {
--- a/crates/control/tests/replicas/disks.rs
+++ b/crates/control/tests/replicas/disks.rs
@@ -282,11 +282,8 @@
     assert!(grown < LARGE_TABLE_BYTES as u64, "{grown}");
 }
 
-/// Guards against a log that grows with each of many tables proposed while one is not
-/// committed yet, because followers are slow.
-#[tokio::test(flavor = "multi_thread")]
-async fn large_tables_at_once() {
-    const TABLES: u64 = 40;
+/// Starts three replicas whose syncs are slow.
+async fn start_slow_disks() -> Cluster {
     let mut cluster = Cluster::prepare(3).await;
     control::init(&cluster.settings("r1")).unwrap();
     for name in cluster.names() {
@@ -301,6 +298,15 @@
         cluster.start_replica_with(&name, ops).await;
     }
     cluster.wait_repaired().await;
+    cluster
+}
+
+/// Guards against a log that grows with each of many tables proposed while one is not
+/// committed yet, because followers are slow.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_tables_at_once() {
+    const TABLES: u64 = 40;
+    let cluster = start_slow_disks().await;
     let leader = cluster.leader().await;
     let before = folder_bytes(&cluster, &leader);
     let link = cluster.dial(&leader).await;
@@ -321,3 +327,24 @@
     let grown = folder_bytes(&cluster, &leader) - before;
     assert!(grown < TABLES / 4 * LARGE_TABLE_BYTES as u64, "{grown}");
 }
+
+/// Guards against tables that are refused because one that waits with them is too long.
+#[tokio::test(flavor = "multi_thread")]
+async fn table_too_long_beside_others() {
+    let cluster = start_slow_disks().await;
+    let link = cluster.dial(&cluster.leader().await).await;
+    let too_long = command::Body::RouteTable(RouteTable {
+        number: 4,
+        source: vec![b' '; 4 << 20].into(),
+        ..RouteTable::default()
+    });
+    let tables = [large_table(1), large_table(2), too_long, large_table(3)];
+    let proposed = tables.map(|table| propose_to(&link, table));
+    let outcomes = futures_util::future::join_all(proposed).await;
+    let is_lasting = |outcome: &Option<outcome::Body>| match outcome {
+        Some(outcome::Body::Unavailable(refused)) => refused.lasting,
+        _ => false,
+    };
+    let refused: Vec<bool> = outcomes.iter().map(is_lasting).collect();
+    assert_eq!(refused, [false, false, true, false], "{outcomes:?}");
+}
