Log who sends evacuation orders, which zones are in force and stalls

The logs could not tell a late order from an entry that never had it: an entry's line names no zones, and no line names an order's caller, the replica that proposed it, or a process that stood still.

No decision changes.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -18,7 +18,7 @@
 use ractor::{Actor, ActorRef};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use store::{Disk, Ops};
 use tokio::runtime::Handle;
 use tokio::sync::{Mutex, oneshot, watch};
@@ -143,7 +143,8 @@
         );
         tasks.spawn(http);
         let tick_interval = settings.timing.heartbeat_interval / TICKS_PER_HEARTBEAT;
-        let ticks = send_ticks(tick_interval, replica.clone());
+        let max_gap = settings.timing.election_timeout;
+        let ticks = send_ticks(tick_interval, max_gap, replica.clone());
         tasks.spawn_on(until_stopped(stop.clone(), ticks), &log_runtime);
         tokio::spawn(signal_stopped(
             actor,
@@ -344,11 +345,19 @@
     }
 }
 
-async fn send_ticks(tick_interval: Duration, replica: ActorRef<Msg>) {
+async fn send_ticks(tick_interval: Duration, max_gap: Duration, replica: ActorRef<Msg>) {
     let mut ticks = interval(tick_interval);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut previous = Instant::now();
     loop {
         ticks.tick().await;
+        let now = Instant::now();
+        let gap = now.saturating_duration_since(previous);
+        previous = now;
+        if gap >= max_gap {
+            let gap_ms = u64::try_from(gap.as_millis()).unwrap_or(u64::MAX);
+            log::warn!(gap_ms; "this process stood still");
+        }
         if replica.cast(Msg::Tick).is_err() {
             return;
         }
--- a/crates/control/src/replica/answer.rs
+++ b/crates/control/src/replica/answer.rs
@@ -117,6 +117,14 @@
         if let Some(command::Body::RouteTable(table)) = command.body {
             return self.propose_table(table, reply, now);
         }
+        if let Some(command::Body::Evacuate(order)) = &command.body {
+            let (zone, active) = (order.zone.as_str(), order.active);
+            let number = self.state_machine.evacuations().number;
+            log::info!(
+                zone, active, number, proposer = reply.requester();
+                "evacuation order proposed"
+            );
+        }
         match self.append_command(command, now) {
             Ok(position) => self.commands.insert(position, vec![reply], now),
             Err(answer) => self.refuse([reply], &answer),
--- a/crates/control/src/reply.rs
+++ b/crates/control/src/reply.rs
@@ -20,6 +20,14 @@
 }
 
 impl Reply {
+    /// Name of the process that waits for the reply; empty for this one.
+    pub(crate) fn requester(&self) -> &str {
+        match self {
+            Reply::Remote(link, _) => &link.peer().name,
+            Reply::Local(_) => "",
+        }
+    }
+
     /// Sends the reply. The requester may no longer be there.
     pub(crate) fn send(self, body: Body) {
         match self {
--- a/crates/node/src/watcher_state.rs
+++ b/crates/node/src/watcher_state.rs
@@ -316,10 +316,11 @@
     /// Applies evacuations if they are newer than those in force.
     pub(crate) fn apply_evacuations(&self, received: Evacuations, now: Instant) {
         let number = received.number;
+        let zones = received.zones.join(",");
         if !lock(&self.evacuations).replace(number, received.zones, now) {
             return;
         }
-        log::info!(number = number; "evacuations in force");
+        log::info!(number = number, zones = zones.as_str(); "evacuations in force");
         self.update_own_report(|report| report.evacuations = report.evacuations.max(number));
         self.notify_changed();
     }
