Carry out evacuation orders only for callers that still wait

Callers saw requests served by a zone whose evacuation was acknowledged: a replica that stood still read an order to finish an earlier evacuation after another replica had confirmed that order and a newer evacuation.

Cause: an order about a zone has no version, so nothing tells a copy that waited in a socket, for a leader or on a link from one that was sent just now. A configuration and a release note have numbers and are safe.

An order that would change anything is now given against the number of the evacuations. The leader refuses an order whose number is not the newest, and lets one wait while another is not committed, so no later delay matters either: not in a body that is being read, not in retries without a leader, not on a link. An order that changes nothing is confirmed at once. On our own API the number is sent as If-Match; lovageramp reads it first. An order without it is taken as before, as earlier replicas send such ones.

Weighed: refusing what is read after the process stood still, or from a closed connection, only makes the window smaller; data that the network held back and callers that keep their connection open remain.

--- a/crates/admin/src/operator_routes.rs
+++ b/crates/admin/src/operator_routes.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use hyper::body::Incoming;
+use hyper::header::IF_MATCH;
 use hyper::{HeaderMap, Method, Request, StatusCode};
 use serde_json::{Value, json};
 use wire::proto::{
@@ -125,8 +126,10 @@
                 self.json_document(query::Body::Evacuations(EvacuationQuery {}))
                     .await
             }
-            (&Method::PUT, ["evacuations", zone]) => self.evacuate(zone, true).await,
-            (&Method::DELETE, ["evacuations", zone]) => self.evacuate(zone, false).await,
+            (&Method::PUT, ["evacuations", zone]) => self.evacuate(zone, true, &head.headers).await,
+            (&Method::DELETE, ["evacuations", zone]) => {
+                self.evacuate(zone, false, &head.headers).await
+            }
             (&Method::GET, ["quarantine"]) => self.quarantine().await,
             (&Method::DELETE, ["quarantine", fingerprint]) => self.pardon(fingerprint).await,
             (&Method::GET, ["ledger"]) => {
@@ -164,10 +167,16 @@
         outcomes::drain((self.propose)(command).await, target)
     }
 
-    async fn evacuate(&self, zone: &str, active: bool) -> Result<Response, Problem> {
+    async fn evacuate(
+        &self,
+        zone: &str,
+        active: bool,
+        headers: &HeaderMap,
+    ) -> Result<Response, Problem> {
         let command = command::Body::Evacuate(Evacuate {
             zone: zone.to_owned(),
             active,
+            seen: read_if_match(headers)?,
         });
         outcomes::evacuate((self.propose)(command).await, zone)
     }
@@ -277,6 +286,20 @@
     )
 }
 
+/// Reads the number that `If-Match` names, if there is one (RFC 9110, section 13.1.1).
+fn read_if_match(headers: &HeaderMap) -> Result<Option<u64>, Problem> {
+    let Some(value) = headers.get(IF_MATCH) else {
+        return Ok(None);
+    };
+    let quoted = value.to_str().ok().and_then(|value| {
+        let value = value.strip_prefix('"')?.strip_suffix('"')?;
+        value.parse().ok()
+    });
+    let detail = "expected a quoted number in If-Match";
+    let number = quoted.ok_or_else(|| Problem::new(StatusCode::BAD_REQUEST, detail))?;
+    Ok(Some(number))
+}
+
 fn read_draining(json: &[u8]) -> Result<bool, Problem> {
     let malformed = |detail: String| Problem::new(StatusCode::BAD_REQUEST, detail);
     let body: Value = serde_json::from_slice(json)
--- a/crates/admin/src/outcomes.rs
+++ b/crates/admin/src/outcomes.rs
@@ -35,6 +35,10 @@
 
 pub(crate) fn evacuate(outcome: Outcome, zone: &str) -> Result<Response, Problem> {
     match outcome.body {
+        Some(outcome::Body::Evacuation(answer)) if answer.outdated => {
+            let detail = "the evacuations have changed since; read them again".to_owned();
+            Err(Problem::new(StatusCode::PRECONDITION_FAILED, detail))
+        }
         Some(outcome::Body::Evacuation(accepted)) if accepted.known => {
             let zones = accepted.evacuations.unwrap_or_default().zones;
             let answer = json!({"zone": zone, "evacuated": zones});
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -4,8 +4,12 @@
 use bytes::Bytes;
 use eyre::{Result, bail};
 use member::{EntryReport, TargetReport};
+use serde::Deserialize;
+use std::collections::BTreeSet;
 use std::time::Duration;
-use wire::proto::{Evacuate, RouteTable, RouteTableQuery, command, outcome, query, query_reply};
+use wire::proto::{
+    Evacuate, EvacuationQuery, RouteTable, RouteTableQuery, command, outcome, query, query_reply,
+};
 
 /// Timeout for committing a table. Operators ask another replica after about a
 /// second, so waiting longer is of no use to them.
@@ -33,12 +37,24 @@
 pub enum EvacuateOutcome {
     /// The order was committed, or was carried out before.
     Accepted,
+    /// The order would change the evacuations that have this number. It is carried out if
+    /// its caller confirms it by sending it again with the number.
+    Unconfirmed(u64),
     /// The settings don't list the availability zone.
     UnknownZone,
     /// It is not known whether the order was or will be committed.
     Unknown,
 }
 
+/// Evacuations as a leader reports them.
+#[derive(Deserialize)]
+struct Known {
+    /// None from a leader of an earlier version.
+    #[serde(default)]
+    number: Option<u64>,
+    evacuated: BTreeSet<String>,
+}
+
 impl Control {
     /// Commits a route table and waits, for a limited time, until it is in force on
     /// all entries. The table must already be validated; its bytes are returned
@@ -75,19 +91,43 @@
     /// requests, and running ones end in peace. Waits, for a limited time, until the
     /// order is in force on all entries.
     ///
+    /// An order that changes anything is carried out only if `seen` is the number of the
+    /// newest evacuations. A call may have waited in a socket for any time, while its caller
+    /// has given up and sent this order and later ones to another replica; a number that
+    /// the caller has sent back shows that it still waited when the evacuations had it.
+    ///
     /// The call is idempotent and may be repeated after any outcome, at any replica.
-    pub async fn evacuate(&self, zone: &str, active: bool) -> EvacuateOutcome {
+    pub async fn evacuate(&self, zone: &str, active: bool, seen: Option<u64>) -> EvacuateOutcome {
+        let seen = match seen {
+            Some(seen) => Some(seen),
+            None => match self.known_evacuations().await {
+                Ok(Known { number, evacuated }) => match number {
+                    Some(number) if evacuated.contains(zone) != active => {
+                        return EvacuateOutcome::Unconfirmed(number);
+                    }
+                    number => number,
+                },
+                Err(e) => {
+                    log::warn!(zone = zone; "evacuation order not accepted: {e}");
+                    return EvacuateOutcome::Unknown;
+                }
+            },
+        };
         let body = command::Body::Evacuate(Evacuate {
             zone: zone.to_owned(),
             active,
+            seen,
         });
         let outcome = self
             .leader_client()
             .propose_with_timeout(body, COMMIT_TIMEOUT)
             .await;
         match outcome.body {
-            Some(outcome::Body::Evacuation(accepted)) if accepted.known => {
-                let number = accepted.evacuations.map_or(0, |e| e.number);
+            Some(outcome::Body::Evacuation(answer)) if answer.known => {
+                let number = answer.evacuations.map_or(0, |e| e.number);
+                if answer.outdated {
+                    return EvacuateOutcome::Unconfirmed(number);
+                }
                 self.gossip().wait_evacuations_in_force(number).await;
                 log::info!(zone = zone, active = active, number = number; "evacuation order accepted");
                 EvacuateOutcome::Accepted
@@ -104,6 +144,19 @@
         }
     }
 
+    /// Reads the newest evacuations.
+    async fn known_evacuations(&self) -> Result<Known> {
+        let body = query::Body::Evacuations(EvacuationQuery {});
+        let reply = self
+            .leader_client()
+            .query_with_timeout(body, READ_TIMEOUT)
+            .await?;
+        match reply.body {
+            Some(query_reply::Body::Json(json)) => Ok(serde_json::from_slice(&json)?),
+            _ => bail!("unexpected answer"),
+        }
+    }
+
     /// Returns the newest route table, or `None` if none was ever accepted.
     ///
     /// # Errors
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -25,6 +25,7 @@
     route_table: Family<[(&'static str, String); 1], Gauge>,
     pub(crate) commands: Counter,
     pub(crate) refused_commands: Counter,
+    pub(crate) outdated_orders: Counter,
     pub(crate) renewals: Counter,
     pub(crate) renewal_messages: Counter,
     pub(crate) links_refused: Counter,
@@ -88,6 +89,11 @@
                 "Commands not taken",
                 &self.refused_commands,
             ),
+            (
+                "outdated_orders",
+                "Evacuation orders refused because the evacuations had changed since",
+                &self.outdated_orders,
+            ),
             ("renewals", "Renewals answered as leader", &self.renewals),
             (
                 "renewal_messages",
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -99,6 +99,8 @@
     join_at: Instant,
     /// When to log next what a new cluster waits for.
     report_waiting_at: Instant,
+    /// Index of the last evacuation order that this leader has appended; 0 if none.
+    last_evacuation: u64,
     /// Term in which this leader proposed the ledger limits of its settings.
     limits_proposed_in_term: Option<u64>,
     metrics: Metrics,
--- a/crates/control/src/replica/actor.rs
+++ b/crates/control/src/replica/actor.rs
@@ -146,6 +146,7 @@
             saving: None,
             join_at: now,
             report_waiting_at: now + forming::LOG_INTERVAL,
+            last_evacuation: 0,
             limits_proposed_in_term: None,
             processing_scheduled: false,
             failed: None,
--- a/crates/control/src/replica/answer.rs
+++ b/crates/control/src/replica/answer.rs
@@ -15,8 +15,9 @@
 use wire::proto::query::Body as Question;
 use wire::proto::query_reply::Body as Answer;
 use wire::proto::{
-    Command, EvacuationOutcome, FetchNotes, LedgerLimits, NotLeader, Outcome, Query, QueryReply,
-    Renew, RenewBatch, Renewed, RenewedBatch, RouteTable, RouteTableQuery, command, outcome,
+    Command, Evacuate, EvacuationOutcome, Evacuations, FetchNotes, LedgerLimits, NotLeader,
+    Outcome, Query, QueryReply, Renew, RenewBatch, Renewed, RenewedBatch, RouteTable,
+    RouteTableQuery, command, outcome,
 };
 
 /// Maximum size of a command, so that a single one cannot block the log.
@@ -105,10 +106,8 @@
         if !self.node.is_leader() {
             return reply.send(self.not_leader());
         }
-        if let Some(command::Body::Evacuate(order)) = &command.body
-            && !self.settings.may_have_zone(&order.zone)
-        {
-            return reply.send(unknown_zone());
+        if let Some(command::Body::Evacuate(order)) = command.body {
+            return self.propose_evacuation(order, reply, now);
         }
         if is_too_long(&command) {
             let answer = unavailable_lasting("the command is too long", MayCommit::No);
@@ -117,20 +116,55 @@
         if let Some(command::Body::RouteTable(table)) = command.body {
             return self.propose_table(table, reply, now);
         }
-        if let Some(command::Body::Evacuate(order)) = &command.body {
-            let (zone, active) = (order.zone.as_str(), order.active);
-            let number = self.state_machine.evacuations().number;
-            log::info!(
-                zone, active, number, proposer = reply.requester();
-                "evacuation order proposed"
-            );
-        }
         match self.append_command(command, now) {
             Ok(position) => self.commands.insert(position, vec![reply], now),
             Err(answer) => self.refuse([reply], &answer),
         }
     }
 
+    /// Appends an evacuation order, unless the evacuations that it was given against have
+    /// changed: it may have waited in the socket of a process that stood still, while
+    /// another replica carried out the order and later ones.
+    fn propose_evacuation(&mut self, order: Evacuate, reply: Reply, now: Instant) {
+        if !self.settings.may_have_zone(&order.zone) {
+            return reply.send(evacuation_outcome(EvacuationOutcome::default()));
+        }
+        let (zone, active, seen) = (order.zone.clone(), order.active, order.seen);
+        let evacuations = self.state_machine.evacuations();
+        let number = evacuations.number;
+        if seen.is_some() {
+            if self.last_evacuation > self.applied {
+                let reason = "an earlier evacuation order is not committed yet";
+                return self.refuse([reply], &unavailable(reason, MayCommit::No));
+            }
+            // A leader that does not accept commands yet may lack earlier orders.
+            if self.accepting_clock().is_some() && self.state_machine.is_outdated(&order) {
+                log::warn!(
+                    zone = zone.as_str(), active, seen, number, proposer = reply.requester();
+                    "evacuation order refused: the evacuations have changed since it was given"
+                );
+                self.metrics.outdated_orders.inc();
+                return reply.send(evacuation_outcome(EvacuationOutcome {
+                    known: true,
+                    evacuations: Some(evacuations),
+                    outdated: true,
+                }));
+            }
+        }
+        let body = Some(command::Body::Evacuate(order));
+        match self.append_command(Command { now_ms: 0, body }, now) {
+            Ok(position) => {
+                log::info!(
+                    zone = zone.as_str(), active, seen, number, proposer = reply.requester();
+                    "evacuation order proposed"
+                );
+                self.last_evacuation = position.0;
+                self.commands.insert(position, vec![reply], now);
+            }
+            Err(answer) => self.refuse([reply], &answer),
+        }
+    }
+
     fn propose_table(&mut self, table: RouteTable, reply: Reply, now: Instant) {
         if let Err(answer) = self.check_accepts() {
             return self.refuse([reply], &answer);
@@ -297,8 +331,9 @@
                 Answer::Record(record.unwrap_or_default())
             }
             Question::Evacuations(_) => {
-                let zones = &self.state_machine.withdrawn().zones;
-                Answer::Json(json!({ "evacuated": zones }).to_string().into())
+                let Evacuations { number, zones } = self.state_machine.evacuations();
+                let json = json!({ "number": number, "evacuated": zones });
+                Answer::Json(json.to_string().into())
             }
             Question::Ledger(_) => Answer::Json(self.state_machine.unproved().to_string().into()),
             Question::Map(q) => Answer::Map(self.state_machine.map(&q.group)),
@@ -324,10 +359,9 @@
     latest.encoded_len() > MAX_COMMAND_BYTES
 }
 
-/// Answer to an order for an availability zone that the settings don't list.
-fn unknown_zone() -> Body {
+fn evacuation_outcome(outcome: EvacuationOutcome) -> Body {
     Body::Outcome(Outcome {
         index: 0,
-        body: Some(outcome::Body::Evacuation(EvacuationOutcome::default())),
+        body: Some(outcome::Body::Evacuation(outcome)),
     })
 }
--- a/crates/control/src/replica/output.rs
+++ b/crates/control/src/replica/output.rs
@@ -224,6 +224,7 @@
             self.node_leases = Some(NodeLeases::new(term, length, now).with_max_lease(max, now));
             let last = self.node.status(now).last_index;
             self.lag_tracker = Some(LagTracker::new(last, self.settings.timing.max_lag, now));
+            self.last_evacuation = 0;
             self.clock = None;
         }
         if self.clock.is_none() && self.node.has_applied_in_term() {
--- a/crates/control/src/state_machine/evacuations.rs
+++ b/crates/control/src/state_machine/evacuations.rs
@@ -16,16 +16,37 @@
         EvacuationOutcome {
             known: true,
             evacuations: Some(self.evacuations()),
+            outdated: false,
         }
     }
 
+    /// Whether an order would change other evacuations than those that it was given against.
+    ///
+    /// ```
+    /// use wire::proto::Evacuate;
+    ///
+    /// let machine = control::StateMachine::default();
+    /// let order = Evacuate { zone: "celje".into(), active: true, seen: Some(3) };
+    /// assert!(machine.is_outdated(&order));
+    /// let repeated = Evacuate { active: false, ..order };
+    /// assert!(!machine.is_outdated(&repeated));
+    /// ```
+    #[must_use]
+    pub fn is_outdated(&self, order: &Evacuate) -> bool {
+        let changes = self.withdrawn.zones.contains(&order.zone) != order.active;
+        changes
+            && order
+                .seen
+                .is_some_and(|seen| seen != self.evacuation_changes)
+    }
+
     /// Returns the zones that are evacuated, numbered by how often they have changed.
     ///
     /// ```
     /// use wire::proto::{Command, Evacuate, command::Body};
     ///
     /// let mut machine = control::StateMachine::default();
-    /// let order = Evacuate { zone: "celje".into(), active: true };
+    /// let order = Evacuate { zone: "celje".into(), active: true, seen: None };
     /// for _ in 0..2 {
     ///     machine.apply(Command { now_ms: 0, body: Some(Body::Evacuate(order.clone())) });
     /// }
--- a/crates/control/tests/replicas/http.rs
+++ b/crates/control/tests/replicas/http.rs
@@ -59,6 +59,29 @@
     assert_eq!(status["leads"], false);
 }
 
+/// Guards against an order that arrives late and takes back a newer evacuation: `If-Match`
+/// names the evacuations that it was given against.
+#[tokio::test(flavor = "multi_thread")]
+async fn evacuate_if_match() {
+    let cluster = Cluster::start(3).await;
+    cluster.submit_up_to(1).await;
+    let host = cluster.control(&cluster.names()[0]).http_address();
+    let send = |method: &str, condition: &str| {
+        let line = format!("{method} /v1/operator/evacuations/celje");
+        let token = format!("{TOKEN}\r\nif-match: {condition}");
+        async move { send_request(host, &line, &token, "").await.unwrap().0 }
+    };
+    assert_eq!(send("PUT", "\"0\"").await, 200);
+    assert_eq!(send("DELETE", "\"0\"").await, 412);
+    assert_eq!(send("DELETE", "0").await, 400);
+    let (_, read) = send_request(host, "GET /v1/operator/evacuations", TOKEN, "")
+        .await
+        .unwrap();
+    let read: Value = serde_json::from_str(&read).unwrap();
+    assert_eq!(read, json!({"number": 1, "evacuated": ["celje"]}));
+    assert_eq!(send("DELETE", "\"1\"").await, 200);
+}
+
 /// Health, readiness and metrics need no token, operators' pages do. A replica without a
 /// leader reports that it is not ready.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/control/tests/replicas/leaders.rs
+++ b/crates/control/tests/replicas/leaders.rs
@@ -275,6 +275,7 @@
         command::Body::Evacuate(Evacuate {
             zone: "celje".to_owned(),
             active: true,
+            seen: None,
         }),
         command::Body::Drain(Drain {
             target: "desk-01".to_owned(),
--- a/crates/control/tests/replicas/operators.rs
+++ b/crates/control/tests/replicas/operators.rs
@@ -1,9 +1,10 @@
 //! Concurrent operators, and operators whose answers are lost.
 
 use crate::cluster::{Cluster, note_command, propose_to};
+use control::EvacuateOutcome;
 use serde_json::{Value, json};
 use wire::proto::note_outcome::Kind;
-use wire::proto::outcome;
+use wire::proto::{Evacuate, command, outcome};
 
 fn note_with(number: u64, model: &str) -> Value {
     json!({"number": number, "added": [{"kind": "model", "name": model, "versions": ["1"]}]})
@@ -86,3 +87,73 @@
     assert!(!refused.maybe);
     cluster.submit_up_to(1).await;
 }
+
+async fn evacuate(
+    cluster: &Cluster,
+    replica: &str,
+    active: bool,
+    seen: Option<u64>,
+) -> EvacuateOutcome {
+    let control = cluster.control(replica);
+    control.evacuate("celje", active, seen).await
+}
+
+/// Guards against an evacuation that an order given before it takes back, at any replica and
+/// however late: it is carried out only for a caller that has seen the newest state.
+#[tokio::test(flavor = "multi_thread")]
+async fn evacuate_outdated_order() {
+    let cluster = Cluster::start(3).await;
+    cluster.submit_up_to(1).await;
+    let mut number = 0;
+    for name in cluster.names() {
+        for active in [true, false, true] {
+            let asked = evacuate(&cluster, &name, active, None).await;
+            assert_eq!(asked, EvacuateOutcome::Unconfirmed(number));
+            for _ in 0..2 {
+                let done = evacuate(&cluster, &name, active, Some(number)).await;
+                assert_eq!(done, EvacuateOutcome::Accepted);
+            }
+            number += 1;
+        }
+        for seen in 0..number {
+            let late = evacuate(&cluster, &name, false, Some(seen)).await;
+            assert_eq!(late, EvacuateOutcome::Unconfirmed(number));
+        }
+        let held = evacuate(&cluster, &name, true, None).await;
+        assert_eq!(held, EvacuateOutcome::Accepted);
+        let done = evacuate(&cluster, &name, false, Some(number)).await;
+        assert_eq!(done, EvacuateOutcome::Accepted);
+        number += 1;
+    }
+}
+
+/// Guards against orders that are given against one state and both carried out, as the
+/// second comes before the first is applied.
+#[tokio::test(flavor = "multi_thread")]
+async fn evacuate_concurrent_orders() {
+    let cluster = Cluster::start(3).await;
+    cluster.submit_up_to(1).await;
+    let link = cluster.dial(&cluster.leader().await).await;
+    let order = |zone: usize| {
+        command::Body::Evacuate(Evacuate {
+            zone: format!("zone-{zone}"),
+            active: true,
+            seen: Some(0),
+        })
+    };
+    let sent = (0..8).map(|zone| {
+        let (link, body) = (link.clone(), order(zone));
+        tokio::spawn(async move { propose_to(&link, body).await })
+    });
+    let mut carried_out = 0;
+    for answer in sent.collect::<Vec<_>>() {
+        match answer.await.unwrap() {
+            Some(outcome::Body::Evacuation(outcome)) => {
+                carried_out += usize::from(!outcome.outdated);
+            }
+            Some(outcome::Body::Unavailable(refused)) => assert!(!refused.maybe),
+            other => panic!("{other:?}"),
+        }
+    }
+    assert_eq!(carried_out, 1);
+}
--- a/crates/lovageramp/src/client/evacuation.rs
+++ b/crates/lovageramp/src/client/evacuation.rs
@@ -5,7 +5,7 @@
 use serde_json::Value;
 
 use super::host_response::{HostResponse, render};
-use super::http::request;
+use super::http::{if_match, request, request_if};
 use super::{Access, EvacuationCommand, Failure, Format};
 
 const EVACUATIONS: &str = "/v1/operator/evacuations";
@@ -26,14 +26,19 @@
     }
 }
 
+/// Sends an order together with the number of the evacuations that it was given against, so
+/// that a copy that arrives late does not undo a newer order.
 async fn send(
     access: &Access,
     method: Method,
     zone: &str,
     format: Format,
 ) -> Result<String, Failure> {
+    let known = request(access, Method::GET, EVACUATIONS, Bytes::new()).await?;
+    let known = known.into_body()?;
+    let condition = known["number"].as_u64().map(if_match);
     let path = format!("{EVACUATIONS}/{zone}");
-    let response = request(access, method, &path, Bytes::new()).await;
+    let response = request_if(access, method, &path, condition).await;
     let body = response.and_then(HostResponse::into_body)?;
     Ok(render(&body, format, describe))
 }
--- a/crates/lovageramp/src/client/http.rs
+++ b/crates/lovageramp/src/client/http.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use eyre::{WrapErr, eyre};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HOST};
+use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HOST, HeaderName, IF_MATCH};
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use serde_json::Value;
@@ -25,21 +25,49 @@
     StatusCode::GATEWAY_TIMEOUT,
 ];
 
+/// Header that makes a request conditional on the number of a state (RFC 9110, section
+/// 13.1.1).
+pub(super) fn if_match(number: u64) -> (HeaderName, String) {
+    (IF_MATCH, format!("\"{number}\""))
+}
+
 /// Sends a request to the hosts in order until one returns a final response.
 pub(super) async fn request(
     access: &Access,
     method: Method,
     path: &str,
     body: Bytes,
+) -> Result<HostResponse, Failure> {
+    send_in_order(access, method, path, body, None).await
+}
+
+/// Like [`request`], without a body and with the condition of [`if_match`], if there is one.
+pub(super) async fn request_if(
+    access: &Access,
+    method: Method,
+    path: &str,
+    condition: Option<(HeaderName, String)>,
+) -> Result<HostResponse, Failure> {
+    send_in_order(access, method, path, Bytes::new(), condition).await
+}
+
+async fn send_in_order(
+    access: &Access,
+    method: Method,
+    path: &str,
+    body: Bytes,
+    condition: Option<(HeaderName, String)>,
 ) -> Result<HostResponse, Failure> {
     let hosts = access.hosts()?;
     let token = access.token()?;
     let operator = access.operator();
     let mut failures = Vec::new();
     for host in hosts {
-        let req = Request::builder()
-            .method(&method)
-            .uri(path)
+        let mut req = Request::builder().method(&method).uri(path);
+        if let Some((name, value)) = &condition {
+            req = req.header(name, value);
+        }
+        let req = req
             .header(HOST, host.to_string())
             .header(AUTHORIZATION, format!("Bearer {token}"))
             .header(CONTENT_TYPE, "application/json")
--- a/crates/wire/src/gen/lovageramp.rs
+++ b/crates/wire/src/gen/lovageramp.rs
@@ -371,6 +371,10 @@
     pub zone: ::prost::alloc::string::String,
     #[prost(bool, tag = "2")]
     pub active: bool,
+    /// Number of the `Evacuations` that the order was given against. An order that would
+    /// change others has no effect. Without a number it is carried out in any case.
+    #[prost(uint64, optional, tag = "3")]
+    pub seen: ::core::option::Option<u64>,
 }
 /// The availability zones whose targets get no requests.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -387,8 +391,12 @@
     /// False if the settings of the leader don't name the zone.
     #[prost(bool, tag = "1")]
     pub known: bool,
+    /// The evacuations after the order.
     #[prost(message, optional, tag = "2")]
     pub evacuations: ::core::option::Option<Evacuations>,
+    /// The order has had no effect, as it was given against earlier evacuations.
+    #[prost(bool, tag = "3")]
+    pub outdated: bool,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct EvacuationQuery {}
