Let a server return whose address another row claims only once

Here a check-in that names the address of a sound server, started no earlier, took that server out for good: its row was marked as gone with the largest sequence number, so its own check-ins, one each second, were all taken for late ones. Callers got 503 for two minutes and longer.

The row keeps its sequence number, and a later process holds its address only while it goes on checking in (three check-ins may be lost) or if it has left. So a claim that is made once lasts some three seconds; a late check-in of a crashed server still can't take the address back from the one that follows it, nor after that one has left.

A writer that repeats its claim each second still keeps the server out.

--- a/crates/member/src/report_store.rs
+++ b/crates/member/src/report_store.rs
@@ -11,10 +11,18 @@
 /// links that were interrupted, are some tens of seconds.
 const DEPARTED_RETENTION: Duration = Duration::from_mins(2);
 
+/// Sequence number of the departure of a target.
+const DEPARTED: u64 = u64::MAX;
+
 /// Delay with which a report may say that a target is still cold without the target
 /// having turned cold again: two check-ins.
 const COLD_REPORT_DELAY: Duration = Duration::from_secs(2);
 
+/// Silence after which a target no longer keeps others from its address: three check-ins that
+/// were lost. Its report may have been another writer's, and the address that of a target
+/// which goes on checking in.
+const ADDRESS_CLAIM: Duration = Duration::from_secs(3);
+
 /// Soft state of each replica and entry: the latest report of each target and
 /// each entry.
 ///
@@ -79,7 +87,7 @@
                 return ReportEffect::Refreshed;
             }
         }
-        if self.is_superseded(&report) {
+        if self.is_superseded(&report, now) {
             return ReportEffect::Stale;
         }
         if report.presence != Presence::Gone {
@@ -191,7 +199,7 @@
         }
         row.report.started_ms = started_ms.unwrap_or(row.report.started_ms);
         // No earlier report of this incarnation may supersede its departure.
-        row.report.sequence = u64::MAX;
+        row.report.sequence = DEPARTED;
         row.report.presence = Presence::Gone;
         row.received_at = now;
         Some(row.report.clone())
@@ -316,20 +324,22 @@
             .retain(|_, row| silence(row.received_at) < max_silence);
     }
 
-    /// Whether a later process uses the address. A report that an interrupted link
-    /// delayed may arrive after its sender has crashed and its address was assigned
-    /// to another service, and requests would go to the wrong service.
-    fn is_superseded(&self, report: &TargetReport) -> bool {
-        let mut others = self.targets.values().map(|row| &row.report);
-        others.any(|other| {
+    /// Whether a later process uses the address, or did until it left. A report that an
+    /// interrupted link delayed may arrive after its sender has crashed and its address was
+    /// assigned to another service, and requests would go to the wrong service.
+    fn is_superseded(&self, report: &TargetReport, now: Instant) -> bool {
+        let mut others = self.targets.values();
+        others.any(|row| {
+            let other = &row.report;
             other.address == report.address
                 && other.id != report.id
-                && other.presence != Presence::Gone
                 && other.started_ms > report.started_ms
+                && row.claims_address(now)
         })
     }
 
-    /// Marks earlier processes at the address as gone.
+    /// Marks earlier processes at the address as gone. They return with their next reports
+    /// if this one falls silent.
     fn mark_replaced(&mut self, report: &TargetReport) {
         for row in self.targets.values_mut() {
             let other = &mut row.report;
@@ -338,13 +348,22 @@
                 && other.started_ms <= report.started_ms
             {
                 other.presence = Presence::Gone;
-                other.sequence = u64::MAX;
             }
         }
     }
 }
 
 impl TargetRow {
+    /// Whether earlier processes at the target's address have ended.
+    fn claims_address(&self, now: Instant) -> bool {
+        match self.report.presence {
+            Presence::Gone => self.report.sequence == DEPARTED,
+            Presence::Ready | Presence::Draining => {
+                now.saturating_duration_since(self.received_at) < ADDRESS_CLAIM
+            }
+        }
+    }
+
     /// Whether the target is cold for longer than its earlier reports said.
     fn turns_cold(&self, report: &TargetReport, now: Instant) -> bool {
         now + report.cold > self.cold_until + COLD_REPORT_DELAY && !report.cold.is_zero()
--- a/crates/member/tests/board.rs
+++ b/crates/member/tests/board.rs
@@ -86,6 +86,42 @@
     assert_eq!(presence(&store, "new"), Some(Presence::Ready));
 }
 
+/// Guards against the report of another writer that takes a sound target's address and keeps
+/// the target out of use although it goes on reporting.
+#[test]
+fn record_target_address_claimed_once() {
+    let second = Duration::from_secs(1);
+    for claim_started in [5, 9, u64::MAX] {
+        let now = Instant::now();
+        let mut store = ReportStore::default();
+        store.record_target(report("sound", "127.0.0.1:1", 5, 1), now);
+        store.record_target(report("claim", "127.0.0.1:1", claim_started, 1), now);
+        assert_eq!(presence(&store, "sound"), Some(Presence::Gone));
+        for turn in 1..=4_u32 {
+            let sequence = u64::from(turn) + 1;
+            let sound = report("sound", "127.0.0.1:1", 5, sequence);
+            store.record_target(sound, now + second * turn);
+        }
+        assert_eq!(presence(&store, "sound"), Some(Presence::Ready));
+    }
+}
+
+/// Guards against a delayed report of a crashed target after the one that took its address
+/// has left.
+#[test]
+fn record_target_late_after_successor_left() {
+    let now = Instant::now();
+    let mut store = ReportStore::default();
+    store.record_target(report("old", "127.0.0.1:1", 5, 1), now);
+    store.record_target(report("new", "127.0.0.1:1", 9, 1), now);
+    store.record_departure("new", None, now);
+    let later = now + Duration::from_mins(1);
+    assert_eq!(
+        store.record_target(report("old", "127.0.0.1:1", 5, 2), later),
+        ReportEffect::Stale
+    );
+}
+
 /// Guards against a target that has left returning through an earlier report that
 /// arrives late: its process has ended.
 #[test]
