Answer requests that still run when an entry ends

Other operators report that in a planned stop of an entry, requests that came late in the grace were passed on and cut at its end with no answer.

Here an entry takes requests for 0.3 of the grace and closes what is left at 0.95 of it; a caller whose request still runs then saw its connection closed, which does not tell it anything.

Shortly before that, a request whose response has not begun is abandoned and answered: with 502 if it may have run, with 503 if it was not sent. Streams that have begun still end broken off, and can be resumed at another entry. The grace and when an entry stops taking requests stay as they are.

--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -16,6 +16,7 @@
 use node::Watcher;
 use route::{Features, Priority, TargetKey};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 use table::{ClientAccount, RequestKind, Route};
 use tokio::time::timeout;
@@ -70,6 +71,8 @@
     has_waited: bool,
     /// Reason of the last failed attempt after which the request may have run.
     ambiguous_reason: Option<Reason>,
+    /// Whether the request may have run by now.
+    may_have_run: Arc<AtomicBool>,
 }
 
 impl Dispatch {
@@ -78,6 +81,7 @@
         deadline: Instant,
         proxy: &Proxy,
         req: ProxyRequest,
+        may_have_run: Arc<AtomicBool>,
     ) -> Dispatch {
         let RequestClass {
             account,
@@ -112,6 +116,7 @@
             predicted_wait: Duration::ZERO,
             has_waited: false,
             ambiguous_reason: None,
+            may_have_run,
         }
     }
 
@@ -121,6 +126,8 @@
         self.crash_reports.record_arrival(&self.features);
         let mut failed = None;
         loop {
+            let may_have_run = self.ambiguous_reason.is_some();
+            self.may_have_run.store(may_have_run, Ordering::Relaxed);
             if self.time_left().is_zero() {
                 return self.give_up(failed, Reason::Expired);
             }
@@ -129,6 +136,7 @@
                 Ok(permit) => permit,
                 Err(reason) => return self.give_up(failed, reason),
             };
+            self.may_have_run.store(true, Ordering::Relaxed);
             match self.attempt(permit, last_event_id).await {
                 AttemptOutcome::Answered(head, permit) => {
                     if head.status.is_success() && self.is_stream() && head.has_events() {
--- a/crates/direct/src/proxy.rs
+++ b/crates/direct/src/proxy.rs
@@ -14,6 +14,7 @@
 use prometheus_client::registry::Registry;
 use route::RetryLimits;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 use table::{Access, ClientAccount, Route, Table};
 use tokio::time::timeout;
@@ -109,11 +110,39 @@
     ///
     /// A [`Refusal`] that says whether the request ran.
     pub async fn forward(&self, req: ProxyRequest) -> Result<TargetResponse, Refusal> {
+        self.forward_until(req, std::future::pending()).await
+    }
+
+    /// Like [`Proxy::forward`], until this entry ends: a request whose response has not
+    /// begun when `ending` resolves is abandoned.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] that says whether the request ran.
+    pub async fn forward_until(
+        &self,
+        req: ProxyRequest,
+        ending: impl Future<Output = ()>,
+    ) -> Result<TargetResponse, Refusal> {
         self.metrics.open_requests.inc();
         let _open = OpenRequest(&self.metrics);
         let arrived = req.arrived;
+        let id = req.id.clone();
+        let may_have_run = Arc::new(AtomicBool::new(false));
         let mut service = String::new();
-        let result = self.dispatch(req, &mut service).await;
+        let result = tokio::select! {
+            biased;
+            result = self.dispatch(req, &mut service, Arc::clone(&may_have_run)) => result,
+            () = ending => {
+                let reason = if may_have_run.load(Ordering::Relaxed) {
+                    Reason::Lost
+                } else {
+                    Reason::ShuttingDown
+                };
+                log::warn!(request = id.as_str(); "abandoned at the end of the shutdown: {reason}");
+                Err(Refusal::new(reason))
+            }
+        };
         match &result {
             Ok(response) => {
                 self.metrics
@@ -133,6 +162,7 @@
         &self,
         req: ProxyRequest,
         chosen: &mut String,
+        may_have_run: Arc<AtomicBool>,
     ) -> Result<TargetResponse, Refusal> {
         let table = self.route_table(&req).await?;
         let route = table.route(&req.host, req.path_only());
@@ -151,7 +181,7 @@
             route,
             urgency,
         };
-        let dispatch = Dispatch::new(&class, req.arrived + timeout, self, req);
+        let dispatch = Dispatch::new(&class, req.arrived + timeout, self, req, may_have_run);
         dispatch.run().await
     }
 
--- a/crates/direct/src/refusal.rs
+++ b/crates/direct/src/refusal.rs
@@ -26,6 +26,8 @@
     TimedOut,
     /// The deadline passed before the request was sent to any target.
     Expired,
+    /// This entry ends before the request was sent to any target.
+    ShuttingDown,
 }
 
 impl Reason {
@@ -49,6 +51,7 @@
             Reason::Lost => "the target's answer is lost",
             Reason::TimedOut => "no answer in time",
             Reason::Expired => "the time was over before it could be sent",
+            Reason::ShuttingDown => "this entry is shutting down",
         })
     }
 }
