--- a/crates/member/tests/board.rs
+++ b/crates/member/tests/board.rs
@@ -1,6 +1,8 @@
 //! State of a report store after reports arrived late, repeatedly or out of order.
 
-use member::{AliveEffect, OverdueTargets, Presence, ReportEffect, ReportStore, TargetReport};
+use member::{
+    AliveEffect, EntryReport, OverdueTargets, Presence, ReportEffect, ReportStore, TargetReport,
+};
 use std::time::{Duration, Instant};
 
 fn report(id: &str, address: &str, started_ms: u64, sequence: u64) -> TargetReport {
@@ -138,6 +140,31 @@
     );
 }
 
+/// Guards against the report of an entry's earlier state, or of its earlier process, that
+/// arrives late: callers would be sent to an entry that has closed.
+#[test]
+fn record_entry_late_report() {
+    let now = Instant::now();
+    let mut store = ReportStore::default();
+    let report = |incarnation, sequence, open| EntryReport {
+        name: "entry-1".to_owned(),
+        incarnation,
+        sequence,
+        zone: "celje".to_owned(),
+        region: "r".to_owned(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        open,
+        table: 0,
+        table_digest: None,
+        evacuations: 0,
+    };
+    let closed = report(7, 5, false);
+    assert_eq!(store.record_entry(closed, now), ReportEffect::Changed);
+    for late in [report(7, 4, true), report(6, 90, true)] {
+        assert_eq!(store.record_entry(late, now), ReportEffect::Stale);
+    }
+}
+
 #[test]
 fn remove_silent_targets() {
     let now = Instant::now();
