Show that a late order undoes a newer drain

Operators see a drained target get work again: a follower that stood still reads an order to undo an earlier drain after the leader confirmed that order and a newer drain, and the leader carries it out.

The cause is that of the undone evacuations: a drain has no place in time. Found by going through the table of orders in durable-state.md.

--- a/crates/lovageramp/tests/processes/main.rs
+++ b/crates/lovageramp/tests/processes/main.rs
@@ -18,6 +18,7 @@
 mod durable_lag;
 mod durable_zones;
 mod export;
+mod late_orders;
 mod leaving;
 mod leaving_cut_off;
 mod ledger;
