Copy request bodies out of the read buffer as they arrive

What callers saw: eight callers that sent a body in chunks of one byte and stopped one short of its end made an entry with 40 MB, and a control replica with 48 MB, run out of memory and end.

Cause: read_body collected a Bytes for each chunk. It costs 32 bytes beside its content, and keeps the part of hyper's read buffer alive that it was cut from, with the framing of the chunk.

Change: the body is copied into one buffer, which grows with it. The copy of small bodies at the end is not needed any more.

--- a/crates/admin/src/body.rs
+++ b/crates/admin/src/body.rs
@@ -1,11 +1,12 @@
 //! Request and response bodies.
 
 use std::convert::Infallible;
+use std::pin::pin;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Buf, Bytes};
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::StatusCode;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 
@@ -77,33 +78,47 @@
     B: hyper::body::Body,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let length = body.size_hint().lower();
-    if usize::try_from(length).map_or(true, |length| length > max_bytes) {
+    let announced = body.size_hint().lower();
+    if usize::try_from(announced).map_or(true, |announced| announced > max_bytes) {
         return Err(too_large(max_bytes));
     }
-    let read = Limited::new(body, max_bytes).collect();
-    match tokio::time::timeout(timeout, read).await {
-        Ok(Ok(collected)) => Ok(compact(collected.to_bytes())),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large(max_bytes)),
-        Ok(Err(error)) => {
-            let detail = format!("the body broke off: {error}");
-            Err(Problem::new(StatusCode::BAD_REQUEST, detail))
+    let Ok(read) = tokio::time::timeout(timeout, collect(body, max_bytes)).await else {
+        let detail = format!("the body did not arrive within {} ms", timeout.as_millis());
+        return Err(Problem::new(StatusCode::REQUEST_TIMEOUT, detail));
+    };
+    read
+}
+
+/// Copies a body as it arrives. A frame is a part of the connection's much larger read
+/// buffer, which is freed only when the last of its frames is dropped.
+async fn collect<B>(body: B, max_bytes: usize) -> Result<Bytes, Problem>
+where
+    B: hyper::body::Body,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let mut body = pin!(body);
+    let mut collected = Vec::new();
+    while let Some(frame) = body.as_mut().frame().await {
+        let frame = frame.map_err(|error| broken_off(error.into().as_ref()))?;
+        let Ok(mut data) = frame.into_data() else {
+            continue;
+        };
+        if data.remaining() > max_bytes - collected.len() {
+            return Err(too_large(max_bytes));
         }
-        Err(_) => {
-            let detail = format!("the body did not arrive within {} ms", timeout.as_millis());
-            Err(Problem::new(StatusCode::REQUEST_TIMEOUT, detail))
+        while data.has_remaining() {
+            let chunk = data.chunk();
+            collected.extend_from_slice(chunk);
+            let copied = chunk.len();
+            data.advance(copied);
         }
     }
+    Ok(collected.into())
 }
 
-/// Copies a small body into its own allocation. Otherwise it would keep the
-/// connection's much larger read buffer alive until the request is answered.
-fn compact(body: Bytes) -> Bytes {
-    const MAX_COPIED_BYTES: usize = 4 << 10;
-    if body.len() > MAX_COPIED_BYTES {
-        return body;
-    }
-    Bytes::copy_from_slice(&body)
+fn broken_off(error: &dyn std::error::Error) -> Problem {
+    let detail = format!("the body broke off: {error}");
+    Problem::new(StatusCode::BAD_REQUEST, detail)
 }
 
 fn too_large(max_bytes: usize) -> Problem {
