Bound request heads by the limit of the config

What callers saw: 900 callers that sent empty lines or a request line without end ended an entry with 96 MB; 900 that stopped in a header of 400 KB made it hold 153 MB.

Cause: max_header_bytes of the config was read and never used. hyper's own bound of 400 KB a connection applied, to its read buffer for bodies too.

Change: the head and the read buffer of a connection are bounded by the limit in force when it is accepted, with 8 KiB more for the request line; more is 431.

--- a/crates/admin/src/server.rs
+++ b/crates/admin/src/server.rs
@@ -235,6 +235,8 @@
         // The stream has the time limits; this one makes the server read on when a response
         // has been sent, and thereby start them.
         builder.header_read_timeout(limits.idle_timeout + limits.head_timeout);
+        builder.max_header_size(limits.head_buffer_bytes());
+        builder.max_buf_size(limits.head_buffer_bytes());
         builder.half_close(half_close == HalfClose::KeepServing);
         let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
         let ended = tokio::select! {
--- a/crates/admin/tests/server.rs
+++ b/crates/admin/tests/server.rs
@@ -153,6 +153,25 @@
     assert!(read_to_end(&mut stream).await.ends_with("whole"));
 }
 
+/// Guards against heads over the limit that are handled.
+#[tokio::test]
+async fn head_over_limit_rejected() {
+    let cfg = ServerSettings::default();
+    let (address, ..) = start(cfg, |_req| async { Response::new(full("whole")) }).await;
+    for (bytes, status) in [(16_000, "200"), (32_000, "431")] {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        let filler = "y".repeat(bytes);
+        let head =
+            format!("GET / HTTP/1.1\r\nhost: x\r\nconnection: close\r\nx-filler: {filler}\r\n\r\n");
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let response = read_to_end(&mut stream).await;
+        assert!(
+            response.starts_with(&format!("HTTP/1.1 {status}")),
+            "{response}"
+        );
+    }
+}
+
 #[tokio::test]
 async fn stop_finishes_request_in_progress() {
     // A daemon is stopped while it handles a request. The caller must get the complete
