Bound the receive buffers of callers' connections

What callers saw: nothing; a host does. Bytes that arrived and were not read count as memory of a process, and the kernel lets a receive buffer grow to several megabytes.

Cause: no size was set, so that not reading bounded nothing.

Change: 32 KiB, of which the kernel makes 64 KiB.

No test changes its verdict: the bounds held with the kernel's default buffers as well.

--- a/crates/admin/src/server.rs
+++ b/crates/admin/src/server.rs
@@ -22,6 +22,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::caller::{CallerConnection, Callers};
+use crate::connection_limits::RECEIVE_BUFFER_BYTES;
 use crate::linger::{ConnectionState, LingeringStream};
 use crate::served_body::ServedBody;
 use crate::timed_stream::TimedStream;
@@ -94,6 +95,9 @@
     H: Fn(hyper::Request<RequestBody>) -> F + Clone + Send + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
+    if let Err(error) = SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES) {
+        log::warn!("can't set the size of receive buffers: {error}");
+    }
     let tracker = TaskTracker::new();
     let callers = Callers::new(cfg.intake_limits());
     while let Some(accepted) = stop.run_until_cancelled(listener.accept()).await {
