Close connections that do not advance when descriptors run out

What callers saw: 200 connections that sent nothing, half a head or half a body kept ordinary callers out of an entry with 64 descriptors.

Cause: a failed accept was only tried again. The limit on connections says nothing of the descriptors that a process really has.

Change: if an accept fails for lack of a descriptor, a quarter of the connections are closed, those that do not advance first, and so many fewer are admitted for a minute. That leaves descriptors for connections to targets.

--- a/crates/admin/src/server.rs
+++ b/crates/admin/src/server.rs
@@ -105,6 +105,9 @@
             Ok(accepted) => accepted,
             Err(error) => {
                 log::warn!("can't accept a connection: {error}");
+                if is_out_of_descriptors(&error) {
+                    callers.on_descriptors_exhausted();
+                }
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             }
