Give operators of a replica a quarter of its memory

What operators would have seen: on a host with 48 MB or less, a release note of the allowed size of 1 MiB had three quarters of 3 MB to share with all connections of the port. Operators of the platform have a quarter of the memory already; the port of the replica itself had the sixteenth of pages without bodies.

--- a/crates/control/src/http.rs
+++ b/crates/control/src/http.rs
@@ -5,11 +5,15 @@
 use crate::metrics::Metrics;
 use admin::{
     MonitoringRoutes, OperatorRoutes, OperatorToken, Problem, Registry, RequestBody, Response,
-    ServerSettings,
+    ServerSettings, available_memory,
 };
 use std::sync::Arc;
 use tokio_util::sync::CancellationToken;
 
+/// Part of the memory that operators may make a replica hold. The rest is for the durable
+/// state and what is on the way to other replicas.
+const OPERATORS_MEMORY_PART: usize = 4;
+
 /// Serves requests until `stop` is cancelled.
 pub(crate) async fn serve(
     listener: HttpListener,
@@ -42,7 +46,10 @@
         let (operators, pages) = (operators.clone(), pages.clone());
         async move { answer(req, &operators, &pages).await }
     };
-    let cfg = ServerSettings::default();
+    let cfg = ServerSettings {
+        max_bytes: available_memory() / OPERATORS_MEMORY_PART,
+        ..ServerSettings::default()
+    };
     match listener {
         HttpListener::Bound(listener) => admin::serve(listener, cfg, stop, handler).await,
         HttpListener::WhenFree(address) => {
--- a/crates/intake/tests/intake.rs
+++ b/crates/intake/tests/intake.rs
@@ -185,9 +185,8 @@
                     }
                 }
                 (1, Some((key, body))) => {
-                    if intake.reserve(*key, amount.into(), now) == Decision::Granted(()) {
-                        *body += usize::from(amount);
-                    }
+                    let granted = intake.reserve(*key, amount.into(), now);
+                    *body += usize::from(amount) * usize::from(granted == Decision::Granted(()));
                 }
                 (2, Some((key, _))) => intake.on_read(*key, now),
                 (3, Some((key, _))) => {
