--- a/crates/admin/src/request_body.rs
+++ b/crates/admin/src/request_body.rs
@@ -156,6 +156,7 @@
 }
 
 fn no_room(_: NoRoom) -> Problem {
+    log::info!("rejected a request: no memory for its body");
     let detail = "there is no memory for the body";
     let mut problem = Problem::new(StatusCode::SERVICE_UNAVAILABLE, detail);
     problem.retry_after = Some(RETRY_AFTER);
--- a/crates/admin/src/server.rs
+++ b/crates/admin/src/server.rs
@@ -249,7 +249,7 @@
         let ended = tokio::select! {
             biased;
             () = caller.evicted() => {
-                log::debug!("closed connection from {peer} to make room");
+                log::info!("closed connection from {peer} to make room");
                 return;
             }
             ended = connection.as_mut() => ended,
