Show each function of intake by an example

Read as a newcomer: the table's file has the name of its type, the order in which connections make room is one function in place of two copies, the timer of a connection is set up in one place. Nothing that callers see changes.

--- a/crates/admin/src/timed_stream.rs
+++ b/crates/admin/src/timed_stream.rs
@@ -5,7 +5,6 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
-use std::time::Instant;
 
 use intake::Timeouts;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -19,7 +18,7 @@
     stream: LingeringStream,
     connection: Arc<CallerConnection>,
     timeouts: Timeouts,
-    timer: Option<(Instant, Pin<Box<Sleep>>)>,
+    timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl TimedStream {
@@ -41,18 +40,14 @@
         let Some(deadline) = self.connection.deadline(&self.timeouts) else {
             return Poll::Pending;
         };
-        match &mut self.timer {
-            Some((armed, timer)) if *armed != deadline => {
-                timer.as_mut().reset(deadline.into());
-                *armed = deadline;
-            }
-            Some(_) => {}
-            None => self.timer = Some((deadline, Box::pin(sleep_until(deadline.into())))),
-        }
-        match &mut self.timer {
-            Some((_, timer)) => timer.as_mut().poll(cx),
-            None => Poll::Pending,
+        let deadline = tokio::time::Instant::from_std(deadline);
+        let timer = self
+            .timer
+            .get_or_insert_with(|| Box::pin(sleep_until(deadline)));
+        if timer.deadline() != deadline {
+            timer.as_mut().reset(deadline);
         }
+        timer.as_mut().poll(cx)
     }
 }
 
--- a/crates/intake/src/table.rs
+++ b/crates/intake/src/intake.rs
@@ -32,6 +32,13 @@
 
 impl<T: Clone> Intake<T> {
     /// Creates an intake without connections.
+    ///
+    /// ```
+    /// use intake::{Intake, Limits};
+    ///
+    /// let intake = Intake::<()>::new(Limits { connections: 8, bytes: 1_000 });
+    /// assert_eq!(intake.connections(), 0);
+    /// ```
     #[must_use]
     pub fn new(limits: Limits) -> Intake<T> {
         Intake {
@@ -43,6 +50,15 @@
     }
 
     /// Number of connections, including those that are being closed.
+    ///
+    /// ```
+    /// use intake::{Intake, Limits};
+    /// use std::time::Instant;
+    ///
+    /// let mut intake = Intake::new(Limits { connections: 8, bytes: 1_000 });
+    /// intake.open((), 100, Instant::now());
+    /// assert_eq!(intake.connections(), 1);
+    /// ```
     #[must_use]
     pub fn connections(&self) -> usize {
         self.connections.len()
@@ -68,6 +84,17 @@
     ///
     /// Against callers that open connections and hold them, connections make room that do
     /// not advance: first those without any successful request, then the longest idle.
+    ///
+    /// ```
+    /// use intake::{Decision, Intake, Limits, Phase};
+    /// use std::time::Instant;
+    ///
+    /// let mut intake = Intake::new(Limits { connections: 1, bytes: 1_000 });
+    /// let now = Instant::now();
+    /// let Decision::Granted(key) = intake.open("busy", 100, now) else { panic!() };
+    /// assert!(intake.enter(key, Phase::Running, now));
+    /// assert_eq!(intake.open("new", 100, now), Decision::Refused);
+    /// ```
     pub fn open(
         &mut self,
         handle: T,
@@ -77,10 +104,7 @@
         let connections = (self.connections.len() + 1).saturating_sub(self.max_connections(now));
         let bytes = (self.bytes + own_bytes).saturating_sub(self.limits.bytes);
         if connections > 0 || bytes > 0 {
-            let order = |_: ConnectionKey, connection: &Connection<T>| {
-                Some((connection.standing(now), connection.advanced))
-            };
-            return self.make_room(connections, bytes, order);
+            return self.make_room(connections, bytes, by_standing(now));
         }
         self.bytes += own_bytes;
         Decision::Granted(self.connections.insert(Connection {
@@ -104,6 +128,23 @@
     /// Against callers that hold unfinished bodies, those that do not advance make room:
     /// first the ones that hold most for longest, then idle connections. Bodies that
     /// advance are never closed; the request that asks is refused instead.
+    ///
+    /// ```
+    /// use intake::{Decision, Intake, Limits, Phase};
+    /// use std::time::{Duration, Instant};
+    ///
+    /// let mut intake = Intake::new(Limits { connections: 8, bytes: 1_000 });
+    /// let now = Instant::now();
+    /// let Decision::Granted(first) = intake.open("first", 100, now) else { panic!() };
+    /// assert!(intake.enter(first, Phase::Body, now));
+    /// assert_eq!(intake.reserve(first, 700, now), Decision::Granted(()));
+    ///
+    /// let Decision::Granted(second) = intake.open("second", 100, now) else { panic!() };
+    /// assert!(intake.enter(second, Phase::Body, now));
+    /// assert_eq!(intake.reserve(second, 500, now), Decision::Refused);
+    /// let later = now + Duration::from_secs(1);
+    /// assert_eq!(intake.reserve(second, 500, later), Decision::Wait(vec!["first"]));
+    /// ```
     pub fn reserve(&mut self, key: ConnectionKey, bytes: usize, now: Instant) -> Decision<(), T> {
         let Some(connection) = self.connections.get(key).filter(|c| !c.closing) else {
             return Decision::Refused;
@@ -139,6 +180,18 @@
     }
 
     /// Returns bytes of a request body. The connection may be closed already.
+    ///
+    /// ```
+    /// use intake::{Decision, Intake, Limits};
+    /// use std::time::Instant;
+    ///
+    /// let mut intake = Intake::new(Limits { connections: 8, bytes: 1_000 });
+    /// let now = Instant::now();
+    /// let Decision::Granted(key) = intake.open((), 100, now) else { panic!() };
+    /// intake.reserve(key, 700, now);
+    /// intake.release(key, 700);
+    /// assert_eq!(intake.bytes(), 100);
+    /// ```
     pub fn release(&mut self, key: ConnectionKey, bytes: usize) {
         self.bytes = self.bytes.saturating_sub(bytes);
         if let Some(connection) = self.connections.get_mut(key) {
@@ -146,7 +199,18 @@
         }
     }
 
-    /// Removes a connection that has ended.
+    /// Removes a connection that has ended. Bytes of its request bodies stay charged until
+    /// they are released.
+    ///
+    /// ```
+    /// use intake::{Decision, Intake, Limits};
+    /// use std::time::Instant;
+    ///
+    /// let mut intake = Intake::new(Limits { connections: 8, bytes: 1_000 });
+    /// let Decision::Granted(key) = intake.open((), 100, Instant::now()) else { panic!() };
+    /// intake.close(key);
+    /// assert_eq!((intake.connections(), intake.bytes()), (0, 0));
+    /// ```
     pub fn close(&mut self, key: ConnectionKey) {
         if let Some(connection) = self.connections.remove(key) {
             self.bytes = self.bytes.saturating_sub(connection.own_bytes);
@@ -155,23 +219,46 @@
 
     /// Lowers the limit on connections for a while after the process has run out of
     /// descriptors. Returns the handles of the connections to close.
+    ///
+    /// ```
+    /// use intake::{Intake, Limits};
+    /// use std::time::Instant;
+    ///
+    /// let mut intake = Intake::new(Limits { connections: 8, bytes: 1_000 });
+    /// let now = Instant::now();
+    /// for handle in 0..4 {
+    ///     intake.open(handle, 100, now);
+    /// }
+    /// assert_eq!(intake.on_descriptors_exhausted(now).len(), 1);
+    /// ```
     pub fn on_descriptors_exhausted(&mut self, now: Instant) -> Vec<T> {
         let (kept, of) = KEPT_PARTS;
         let lowered = (self.connections.len() * kept / of).max(1);
         self.shortage = Some((lowered, now + SHORTAGE_TIME));
         let excess = self.connections.len().saturating_sub(lowered);
         let mut closed = Vec::new();
-        let order = |_: ConnectionKey, connection: &Connection<T>| {
-            Some((connection.standing(now), connection.advanced))
-        };
         for _ in self.closing_count()..excess {
-            let Some(key) = self.first(&order) else { break };
+            let Some(key) = self.first(&by_standing(now)) else {
+                break;
+            };
             closed.extend(self.begin_close(key));
         }
         closed
     }
 
-    /// Records that bytes have arrived on a connection.
+    /// Records that bytes have arrived on a connection. The first ones begin a request head.
+    ///
+    /// ```
+    /// use intake::{Decision, Intake, Limits, Timeouts};
+    /// use std::time::{Duration, Instant};
+    ///
+    /// let timeouts = Timeouts { idle: Duration::from_secs(15), head: Duration::from_secs(3) };
+    /// let mut intake = Intake::new(Limits { connections: 8, bytes: 1_000 });
+    /// let now = Instant::now();
+    /// let Decision::Granted(key) = intake.open((), 100, now) else { panic!() };
+    /// intake.on_read(key, now);
+    /// assert_eq!(intake.deadline(key, &timeouts), Some(now + timeouts.head));
+    /// ```
     pub fn on_read(&mut self, key: ConnectionKey, now: Instant) {
         if let Some(connection) = self.connections.get_mut(key)
             && connection.phase == Phase::Idle
@@ -183,6 +270,16 @@
 
     /// Changes the phase of a connection. Returns false if the connection is being closed
     /// to make room; its request must not be handled then.
+    ///
+    /// ```
+    /// use intake::{Decision, Intake, Limits, Phase};
+    /// use std::time::Instant;
+    ///
+    /// let mut intake = Intake::new(Limits { connections: 8, bytes: 1_000 });
+    /// let now = Instant::now();
+    /// let Decision::Granted(key) = intake.open((), 100, now) else { panic!() };
+    /// assert!(intake.enter(key, Phase::Running, now));
+    /// ```
     #[must_use]
     pub fn enter(&mut self, key: ConnectionKey, phase: Phase, now: Instant) -> bool {
         match self.connections.get_mut(key) {
@@ -195,7 +292,20 @@
         }
     }
 
-    /// Records that a request of a connection was successful.
+    /// Records that a request of a connection was successful. Others make room before it.
+    ///
+    /// ```
+    /// use intake::{Decision, Intake, Limits};
+    /// use std::time::{Duration, Instant};
+    ///
+    /// let mut intake = Intake::new(Limits { connections: 2, bytes: 1_000 });
+    /// let now = Instant::now();
+    /// let Decision::Granted(key) = intake.open("served", 100, now) else { panic!() };
+    /// intake.mark_served(key);
+    /// intake.open("silent", 100, now);
+    /// let later = now + Duration::from_secs(1);
+    /// assert_eq!(intake.open("new", 100, later), Decision::Wait(vec!["silent"]));
+    /// ```
     pub fn mark_served(&mut self, key: ConnectionKey) {
         if let Some(connection) = self.connections.get_mut(key) {
             connection.served = true;
@@ -203,6 +313,17 @@
     }
 
     /// When a connection exceeds a time limit of its phase.
+    ///
+    /// ```
+    /// use intake::{Decision, Intake, Limits, Timeouts};
+    /// use std::time::{Duration, Instant};
+    ///
+    /// let timeouts = Timeouts { idle: Duration::from_secs(15), head: Duration::from_secs(3) };
+    /// let mut intake = Intake::new(Limits { connections: 8, bytes: 1_000 });
+    /// let now = Instant::now();
+    /// let Decision::Granted(key) = intake.open((), 100, now) else { panic!() };
+    /// assert_eq!(intake.deadline(key, &timeouts), Some(now + timeouts.idle));
+    /// ```
     #[must_use]
     pub fn deadline(&self, key: ConnectionKey, timeouts: &Timeouts) -> Option<Instant> {
         self.connections.get(key)?.deadline(timeouts)
@@ -252,3 +373,10 @@
         self.connections.values().filter(|c| c.closing).count()
     }
 }
+
+/// Orders connections by standing, then by the time since they advanced.
+fn by_standing<T>(
+    now: Instant,
+) -> impl Fn(ConnectionKey, &Connection<T>) -> Option<(Standing, Instant)> {
+    move |_, connection| Some((connection.standing(now), connection.advanced))
+}
--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -26,10 +26,10 @@
 
 mod connection;
 mod decision;
+mod intake;
 mod limits;
-mod table;
 
 pub use connection::{ConnectionKey, Phase};
 pub use decision::Decision;
+pub use intake::Intake;
 pub use limits::{Limits, Timeouts};
-pub use table::Intake;
