Count what the limits on callers close and refuse

What operators saw: a log line told of a connection or body that found no room; nothing told of a head over the limit, and nothing could be counted or alarmed on.

Change: lovageramp_callers_closed_total and lovageramp_callers_refused_total, by reason, on the metrics page of each daemon, and a line of log for heads that are too large or late. The counters are those of the process, as a process has one metrics page and several ports. No decision changes.

Measured: limits_are_counted of admin, which checks four of the six counters (not descriptors and refused connections).

--- a/crates/admin/src/caller.rs
+++ b/crates/admin/src/caller.rs
@@ -8,6 +8,8 @@
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
+use crate::caller_metrics::{CloseReason, count_closed};
+
 /// Maximum time until a connection that is closed to make room is noticed to be gone.
 const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -60,6 +62,7 @@
         let evicted = self.intake().on_descriptors_exhausted(Instant::now());
         if !evicted.is_empty() {
             log::warn!("closing {} connections to free descriptors", evicted.len());
+            count_closed(CloseReason::Descriptors, evicted.len());
         }
         evict(&evicted);
     }
@@ -72,7 +75,12 @@
             match ask() {
                 Decision::Granted(granted) => return Ok(granted),
                 Decision::Refused => return Err(NoRoom),
-                Decision::Wait(evicted) => evict(&evicted),
+                Decision::Wait(evicted) => {
+                    if !evicted.is_empty() {
+                        count_closed(CloseReason::Room, evicted.len());
+                    }
+                    evict(&evicted);
+                }
             }
             let _ = timeout(ROOM_CHECK_INTERVAL, self.released.notified()).await;
         }
@@ -114,6 +122,11 @@
         self.callers.intake().mark_served(self.key);
     }
 
+    /// Whether a request head is being received.
+    pub(crate) fn is_receiving_head(&self) -> bool {
+        self.callers.intake().phase(self.key) == Some(Phase::Head)
+    }
+
     /// When the connection exceeds a time limit of its phase.
     pub(crate) fn deadline(&self, timeouts: &Timeouts) -> Option<Instant> {
         self.callers.intake().deadline(self.key, timeouts)
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -19,6 +19,7 @@
 
 mod body;
 mod caller;
+mod caller_metrics;
 mod connection_limits;
 mod hex;
 mod hop;
--- a/crates/admin/src/monitoring_routes.rs
+++ b/crates/admin/src/monitoring_routes.rs
@@ -4,10 +4,10 @@
 
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, StatusCode};
-use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::text::{encode, encode_registry};
 use prometheus_client::registry::Registry;
 
-use crate::{Problem, Response, full, json};
+use crate::{Problem, Response, caller_metrics, full, json};
 
 const OPENMETRICS_CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
@@ -76,7 +76,9 @@
 
     fn metrics(&self) -> Response {
         let mut text = String::new();
-        if encode(&mut text, &self.registry).is_err() {
+        let encoded = encode_registry(&mut text, caller_metrics::registry())
+            .and_then(|()| encode(&mut text, &self.registry));
+        if encoded.is_err() {
             let status = StatusCode::INTERNAL_SERVER_ERROR;
             return Problem::new(status, "a metric can't be encoded").into_response();
         }
--- a/crates/admin/src/request_body.rs
+++ b/crates/admin/src/request_body.rs
@@ -13,6 +13,7 @@
 
 use crate::Problem;
 use crate::caller::{BodyCharge, CallerConnection, NoRoom};
+use crate::caller_metrics::{Refused, count_refused};
 
 /// Growth of the buffer of a large body.
 const GROWTH_BYTES: usize = 64 << 10;
@@ -157,6 +158,7 @@
 
 fn no_room(_: NoRoom) -> Problem {
     log::info!("rejected a request: no memory for its body");
+    count_refused(Refused::Body);
     let detail = "there is no memory for the body";
     let mut problem = Problem::new(StatusCode::SERVICE_UNAVAILABLE, detail);
     problem.retry_after = Some(RETRY_AFTER);
--- a/crates/admin/src/server.rs
+++ b/crates/admin/src/server.rs
@@ -22,6 +22,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::caller::{CallerConnection, Callers};
+use crate::caller_metrics::{CloseReason, Refused, count_closed, count_refused};
 use crate::connection_limits::RECEIVE_BUFFER_BYTES;
 use crate::linger::{ConnectionState, LingeringStream};
 use crate::served_body::ServedBody;
@@ -261,8 +262,13 @@
                 }
             }
         };
-        if let Err(error) = ended {
-            log::debug!("connection from {peer} failed: {error}");
+        match ended {
+            Err(error) if error.is_parse_too_large() => {
+                log::info!("closed connection from {peer}: request head too large");
+                count_closed(CloseReason::HeadSize, 1);
+            }
+            Err(error) => log::debug!("connection from {peer} failed: {error}"),
+            Ok(()) => {}
         }
     }
 }
@@ -318,6 +324,7 @@
 /// connection is closed without one.
 fn reject_connection(stream: &TcpStream, peer: SocketAddr) {
     log::warn!("rejected connection from {peer}: too many connections");
+    count_refused(Refused::Connection);
     if let Err(error) = stream.try_write(TOO_MANY_CONNECTIONS) {
         log::debug!("can't send 503 to {peer}: {error}");
     }
--- a/crates/admin/src/timed_stream.rs
+++ b/crates/admin/src/timed_stream.rs
@@ -11,6 +11,7 @@
 use tokio::time::{Sleep, sleep_until};
 
 use crate::caller::CallerConnection;
+use crate::caller_metrics::{CloseReason, count_closed};
 use crate::linger::LingeringStream;
 
 /// A connection whose reads fail once it is idle, or sends a request head, for too long.
@@ -68,6 +69,10 @@
             Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
             Poll::Pending => {
                 ready!(self.poll_deadline(cx));
+                if self.connection.is_receiving_head() {
+                    log::info!("closed a connection: request head not complete in time");
+                    count_closed(CloseReason::HeadTimeout, 1);
+                }
                 Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
             }
         }
--- a/crates/admin/tests/server.rs
+++ b/crates/admin/tests/server.rs
@@ -5,7 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use admin::{Body, ConnectionLimits, RequestBody, Response, ServerSettings, full, serve};
+use admin::{
+    Body, ConnectionLimits, MonitoringRoutes, Registry, RequestBody, Response, ServerSettings,
+    full, serve,
+};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::channel::{Channel, Sender};
@@ -137,6 +140,68 @@
     }
 }
 
+/// Value of a counter on the metrics page.
+fn counter(line: &str) -> u64 {
+    let routes = MonitoringRoutes::new(Arc::new(Registry::default()), || Ok(()));
+    let page = routes.answer(&admin::Method::GET, "/metrics").unwrap();
+    let body = page.into_body().collect();
+    let body = futures_util::FutureExt::now_or_never(body)
+        .unwrap()
+        .unwrap();
+    let page = String::from_utf8(body.to_bytes().to_vec()).unwrap();
+    let value = page.lines().find_map(|l| l.strip_prefix(line));
+    value.map_or(0, |value| value.trim().parse().unwrap())
+}
+
+/// Guards against limits that refuse or close callers without a trace for operators.
+#[tokio::test]
+async fn limits_are_counted() {
+    let cfg = ServerSettings {
+        max_connections: 1,
+        max_bytes: 300_000,
+        connection: ConnectionLimits {
+            head_timeout: Duration::from_millis(100),
+            ..ConnectionLimits::default()
+        },
+        ..ServerSettings::default()
+    };
+    let handler = |req: Request<RequestBody>| async {
+        let read = req.into_body().read(1 << 20, TEST_TIMEOUT).await;
+        read.map_or_else(admin::Problem::into_response, |_| Response::new(full("")))
+    };
+    let (address, ..) = start(cfg, handler).await;
+    let body = "x".repeat(1 << 20);
+    let length = body.len();
+    let requests = [
+        (
+            "closed_total{reason=\"head_timeout\"}",
+            "GET / HT".to_owned(),
+        ),
+        ("closed_total{reason=\"head_size\"}", format!("GET /{body}")),
+        (
+            "refused_total{kind=\"body\"}",
+            format!("POST / HTTP/1.1\r\nhost: x\r\ncontent-length: {length}\r\n\r\n{body}"),
+        ),
+    ];
+    for (name, request) in requests {
+        let line = format!("lovageramp_callers_{name} ");
+        let before = counter(&line);
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        // The server may close the connection before it has read everything.
+        let _ = stream.write_all(request.as_bytes()).await;
+        read_to_end(&mut stream).await;
+        assert!(counter(&line) > before, "{line}");
+    }
+    let line = "lovageramp_callers_closed_total{reason=\"room\"} ";
+    let before = counter(line);
+    let _idle = TcpStream::connect(address).await.unwrap();
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(GET).await.unwrap();
+    let mut first = [0; 12];
+    stream.read_exact(&mut first).await.unwrap();
+    assert!(counter(line) > before);
+}
+
 /// Guards against a kept connection that stays open although it is not used.
 #[tokio::test]
 async fn idle_connection_times_out() {
--- a/crates/intake/src/intake.rs
+++ b/crates/intake/src/intake.rs
@@ -292,6 +292,21 @@
         }
     }
 
+    /// What a connection is doing.
+    ///
+    /// ```
+    /// use intake::{Decision, Intake, Limits, Phase};
+    /// use std::time::Instant;
+    ///
+    /// let mut intake = Intake::new(Limits { connections: 8, bytes: 1_000 });
+    /// let Decision::Granted(key) = intake.open((), 100, Instant::now()) else { panic!() };
+    /// assert_eq!(intake.phase(key), Some(Phase::Idle));
+    /// ```
+    #[must_use]
+    pub fn phase(&self, key: ConnectionKey) -> Option<Phase> {
+        Some(self.connections.get(key)?.phase)
+    }
+
     /// Records that a request of a connection was successful. Others make room before it.
     ///
     /// ```
