--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -122,7 +122,7 @@
                             continue
                         return
                 await self.answer(request, writer)
-        except (ConnectionError, asyncio.IncompleteReadError, OSError):
+        except (ConnectionError, asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
