review: two disks lost before the first election

Seen: with six core machines, of which two may be lost, two of the three first voters lose their disks 0.3 s after the first start; no config is ever acknowledged or read.

At fault: the one first voter that is left counts the others as lost only if a leader had waited for it (quorum/src/node/quorums.rs, record_lost_disk).

--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -132,7 +132,7 @@
             "listen": {
                 key: self.address(key) for key in ("front", "ready", "control", "directory")
             },
-            "fault_tolerance": {"machines": 1, "zones": 0, "regions": 0},
+            "fault_tolerance": {"machines": self.fleet.losses, "zones": 0, "regions": 0},
             "bounds": BOUNDS,
             **self.extra,
         }
@@ -184,8 +184,8 @@
 class Fleet:
     """The machines of a case."""
 
-    def __init__(self, record, zones=("oberpfalz", "allgaeu", "franken")):
-        self.record, self.zones = record, list(zones)
+    def __init__(self, record, zones=("oberpfalz", "allgaeu", "franken"), losses=1):
+        self.record, self.zones, self.losses = record, list(zones), losses
         self.folder = tempfile.mkdtemp(prefix="lovageramp-review-")
         self.machines = []
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as f:
@@ -289,6 +289,8 @@
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
     record = Record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # A script that is ended from outside ends its processes, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record(f"disruption {'on' if trouble else 'off'}")
     try:
         broken = main(record, trouble)
