--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -116,8 +116,8 @@
     def address(self, what):
         return f"{self.ip}:{self.fleet.ports[what]}"
 
-    def start(self, bootstrap, seeds):
-        """Starts the process with newly rendered settings."""
+    def render(self, bootstrap, seeds):
+        """Writes the settings file; returns the entry of the role in the deploy file."""
         values = {
             "node": self.name,
             "zone": self.zone,
@@ -146,6 +146,11 @@
             os.makedirs(self.data, exist_ok=True)
         with open(self.settings, "w", encoding="utf-8") as f:
             f.write(text)
+        return role
+
+    def start(self, bootstrap, seeds):
+        """Starts the process with newly rendered settings."""
+        role = self.render(bootstrap, seeds)
         command = role["run"].replace("/etc/lovageramp/local.toml", self.settings).split()
         command[0] = os.path.join(ROOT, command[0])
         if not os.path.exists(command[0]):
