Let agents follow the replicas of control

Cause: an agent knew control from its settings at the start and from leaders that other replicas had named to it, nine at most and none forgotten. Once these were gone it could neither renew nor commit the decision that releases its held group.

The coordinating agent repeats 'expert map switch is waiting' in phase 'deciding'; no agent discovers a replica after the start; the entry reaches each new one within a second.

Change: renewals carry the digest of the replicas that a node knows, and the leader names all of them if they differ, also through a relay. Links follow that list and the seeds in the settings, which an agent now reads again while it runs. Follower::spawn_from_seeds is replaced by ControlAddresses in the settings of a follower.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -6,7 +6,7 @@
 
 use eyre::WrapErr;
 use hyper::StatusCode;
-use node::{Follower, FollowerSettings};
+use node::{ControlAddresses, Follower, FollowerSettings};
 use ractor::{Actor, ActorRef, call};
 use tokio::sync::{Semaphore, broadcast, watch};
 use tokio::time::sleep;
@@ -170,7 +170,7 @@
         target: None,
     };
     let settings = FollowerSettings {
-        controls: cfg.controls.clone(),
+        controls: ControlAddresses::All(cfg.controls.clone()),
         renew_interval: cfg.timing.renew_interval,
         key: key.clone(),
         link: link.clone(),
--- a/crates/agent/src/rank_agent.rs
+++ b/crates/agent/src/rank_agent.rs
@@ -6,9 +6,10 @@
 
 use expert::{MoveCost, SwitchCriteria, SwitchTiming};
 use member::{SpeedReportSchedule, TargetSpeed};
-use node::{DecodeRouteTable, Follower, FollowerSettings};
+use node::{ControlAddresses, DecodeRouteTable, Follower, FollowerSettings};
 use note::{Group, Weights};
 use table::{Experts, Table};
+use tokio::sync::watch;
 use tokio::time::sleep;
 use wire::proto::NodeInfo;
 use wire::{ClusterKey, Identity, LinkSettings, Role};
@@ -90,8 +91,8 @@
     pub service: String,
     /// Address on which links of other agents are accepted.
     pub links: SocketAddr,
-    /// Link addresses of a few control replicas.
-    pub controls: Vec<SocketAddr>,
+    /// Current link addresses of a few control replicas.
+    pub seeds: watch::Receiver<Vec<SocketAddr>>,
     /// The cluster key.
     pub key: ClusterKey,
     /// Settings of links.
@@ -159,12 +160,12 @@
         ..NodeInfo::default()
     };
     let settings = FollowerSettings {
-        controls: cfg.controls.clone(),
+        controls: ControlAddresses::Seeds(cfg.seeds.clone()),
         renew_interval: RENEW_INTERVAL,
         key: cfg.key.clone(),
         link: cfg.link.clone(),
     };
-    Follower::spawn_from_seeds(me.clone(), info, settings)
+    Follower::spawn(me.clone(), info, settings)
 }
 
 /// Waits until the engine reports its rank.
--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -25,7 +25,7 @@
 use wire::proto::Presence::Ready;
 use wire::proto::frame::Body;
 use wire::proto::{Evacuations, Quarantine, Report, Reported, Sighting, Sightings, SightingsTaken};
-use wire::{Link, addresses_digest, entrance_from_proto, sighting_from_proto, sighting_to_proto};
+use wire::{Link, entrance_from_proto, sighting_from_proto, sighting_to_proto};
 
 /// Interval between two messages that tell entries and other replicas which targets
 /// have checked in again. Targets check in about once a second, so a shorter interval
@@ -212,12 +212,13 @@
         if !overdue.is_empty() {
             send(link, targets_message(overdue)).await;
         }
-        let addresses = self.shared.replicas.borrow().addresses.clone();
-        let all = addresses.iter().copied().collect();
-        let is_known = report.replicas_digest == addresses_digest(&all);
-        let unknown = addresses.iter().filter(|_| !is_known);
+        let unknown = self
+            .shared
+            .replicas
+            .borrow()
+            .unless_known(report.replicas_digest);
         let reported = Reported {
-            replicas: unknown.map(ToString::to_string).collect(),
+            replicas: unknown,
             zone: self.shared.zone.clone(),
             zone_entries,
             entries: self.entry_count(),
--- a/crates/control/src/replica/answer.rs
+++ b/crates/control/src/replica/answer.rs
@@ -83,6 +83,7 @@
             note: self.state_machine.history().catalogue().number(),
             withdrawn: self.state_machine.withdrawn(),
             quarantine_version: quarantine.version,
+            replicas: &self.replicas.borrow(),
             is_direct,
         };
         let mut renewed = context.renew(node_leases, batch, now);
--- a/crates/control/src/replica/renewal_context.rs
+++ b/crates/control/src/replica/renewal_context.rs
@@ -1,6 +1,7 @@
 //! Renewal of leases in batches.
 
 use crate::node_leases::NodeLeases;
+use crate::replicas::Replicas;
 use crate::withdrawn::Withdrawn;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -16,6 +17,8 @@
     pub(super) withdrawn: &'a Withdrawn,
     /// Version of the quarantine.
     pub(super) quarantine_version: u64,
+    /// The replicas of the cluster.
+    pub(super) replicas: &'a Replicas,
     /// Whether the renewal came from the node itself.
     pub(super) is_direct: bool,
 }
@@ -64,6 +67,7 @@
                 shared_view: position,
                 parts,
                 shared_quarantine: renew.quarantine_version != self.quarantine_version,
+                replicas: self.unknown_replicas(&renew),
                 ..self.renewed(node_leases, lease, interval)
             });
         }
@@ -80,6 +84,14 @@
         }
     }
 
+    /// Addresses of all replicas if the node follows them and knows others.
+    fn unknown_replicas(&self, renew: &Renew) -> Vec<String> {
+        match renew.replicas_digest {
+            Some(digest) => self.replicas.unless_known(digest),
+            None => Vec::new(),
+        }
+    }
+
     /// Role and name of the sender of a renewal that came from the node itself. If its zone
     /// is large, it is to have its view from a relay.
     ///
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -9,7 +9,7 @@
     available_memory,
 };
 use eyre::WrapErr;
-use node::{Follower, FollowerSettings};
+use node::{ControlAddresses, Follower, FollowerSettings};
 use ractor::{Actor, ActorRef};
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -57,7 +57,7 @@
         };
         let info = info(&settings, &identity, http);
         let follower = FollowerSettings {
-            controls: settings.controls.clone(),
+            controls: ControlAddresses::All(settings.controls.clone()),
             renew_interval: settings.timing.renew,
             key: key.clone(),
             link: link.clone(),
--- a/crates/entry/tests/entry/subsets.rs
+++ b/crates/entry/tests/entry/subsets.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use node::{Follower, FollowerSettings};
+use node::{ControlAddresses, Follower, FollowerSettings};
 use route::{Subset, SubsetSettings, ZonedNode};
 use serde_json::json;
 use wire::proto::frame::Body;
@@ -53,7 +53,7 @@
         ..NodeInfo::default()
     };
     let cfg = FollowerSettings {
-        controls: vec![cluster.control.link_address()],
+        controls: ControlAddresses::All(vec![cluster.control.link_address()]),
         renew_interval: Duration::from_millis(200),
         key: cluster.key(),
         link: LinkSettings::default(),
--- a/crates/entry/tests/entry/support/stub.rs
+++ b/crates/entry/tests/entry/support/stub.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use node::{Follower, FollowerSettings};
+use node::{ControlAddresses, Follower, FollowerSettings};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use wire::proto::frame::Body;
@@ -80,7 +80,7 @@
             ..LinkSettings::default()
         };
         let settings = FollowerSettings {
-            controls: vec![cluster.control.link_address()],
+            controls: ControlAddresses::All(vec![cluster.control.link_address()]),
             renew_interval: Duration::from_millis(200),
             key: cluster.key(),
             link: link.clone(),
--- a/crates/lovageramp/benches/capacity.rs
+++ b/crates/lovageramp/benches/capacity.rs
@@ -15,7 +15,7 @@
 #[path = "../tests/processes/support/mod.rs"]
 mod support;
 
-use node::{Follower, FollowerSettings};
+use node::{ControlAddresses, Follower, FollowerSettings};
 use serde_json::json;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -224,7 +224,7 @@
         target,
     };
     let cfg = FollowerSettings {
-        controls,
+        controls: ControlAddresses::All(controls),
         renew_interval: RENEW_INTERVAL,
         key: key(),
         link: LinkSettings::default(),
--- a/crates/node/src/control_links.rs
+++ b/crates/node/src/control_links.rs
@@ -1,11 +1,12 @@
 //! The links to the control replicas and the name of the leader.
 
+use crate::replica_addresses::ReplicaAddresses;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::{Notify, watch};
-use wire::Link;
+use wire::{Link, addresses_digest};
 
 /// The open links to control replicas and the last known leader.
 ///
@@ -16,14 +17,12 @@
     state: Mutex<State>,
     link_added: Notify,
     wanted: watch::Sender<bool>,
-    /// Addresses of replicas that are not in the settings, as named by other replicas.
-    discovered: watch::Sender<BTreeSet<SocketAddr>>,
+    /// Whether replicas name each other, as the settings do not name all of them.
+    follows_members: bool,
+    /// Addresses that replicas have named.
+    named: watch::Sender<ReplicaAddresses>,
 }
 
-/// Maximum number of replicas that are dialled in addition to those in the settings: the
-/// maximum size of a cluster.
-const MAX_DISCOVERED: usize = 9;
-
 #[derive(Default)]
 struct State {
     links: BTreeMap<SocketAddr, Link>,
@@ -58,18 +57,17 @@
     }
 }
 
-impl Default for ControlLinks {
-    fn default() -> Self {
+impl ControlLinks {
+    pub(crate) fn new(follows_members: bool) -> Self {
         ControlLinks {
             state: Mutex::default(),
             link_added: Notify::new(),
             wanted: watch::Sender::new(true),
-            discovered: watch::Sender::default(),
+            follows_members,
+            named: watch::Sender::default(),
         }
     }
-}
 
-impl ControlLinks {
     /// Subscribes to whether the links should be open.
     pub(crate) fn wanted(&self) -> watch::Receiver<bool> {
         self.wanted.subscribe()
@@ -106,13 +104,44 @@
         self.link_added.notify_waiters();
     }
 
-    pub(crate) fn remove(&self, address: SocketAddr) {
-        self.state().links.remove(&address);
+    /// Closes a link and removes it, unless it has been replaced.
+    pub(crate) fn remove(&self, address: SocketAddr, link: &Link) {
+        link.close();
+        let mut state = self.state();
+        if state.links.get(&address).is_some_and(|l| l.is_same(link)) {
+            state.links.remove(&address);
+        }
+    }
+
+    /// Subscribes to the addresses that replicas have named.
+    pub(crate) fn named(&self) -> watch::Receiver<ReplicaAddresses> {
+        self.named.subscribe()
     }
 
-    /// Subscribes to the addresses of replicas that are not in the settings.
-    pub(crate) fn discovered(&self) -> watch::Receiver<BTreeSet<SocketAddr>> {
-        self.discovered.subscribe()
+    /// Digest of the replicas that a leader has named; `None` if they are not followed.
+    pub(crate) fn members_digest(&self) -> Option<u64> {
+        let digest = || addresses_digest(self.named.borrow().members());
+        self.follows_members.then(digest)
+    }
+
+    /// Applies the replicas that a leader names in its answer to a renewal, or none if it
+    /// need not name them.
+    ///
+    /// Without them a node would lose control once the replicas in its settings are
+    /// replaced, and its group would wait for a decision for good.
+    pub(crate) fn update_members(&self, replicas: &[String]) {
+        if !self.follows_members {
+            return;
+        }
+        let members: BTreeSet<SocketAddr> =
+            replicas.iter().filter_map(|a| a.parse().ok()).collect();
+        self.named.send_if_modified(|named| {
+            let has_changed = named.update_members(members);
+            if has_changed {
+                log::info!(replicas:? = named.members(); "control replicas have changed");
+            }
+            has_changed
+        });
     }
 
     /// Adds the address of the leader unless there is a link to it, possibly at another
@@ -125,8 +154,7 @@
         let Ok(address) = address.parse() else {
             return;
         };
-        if self.discovered.receiver_count() == 0 {
-            // The settings name all replicas.
+        if !self.follows_members {
             return;
         }
         let state = self.state();
@@ -135,8 +163,8 @@
         if linked {
             return;
         }
-        self.discovered.send_if_modified(|discovered| {
-            let is_new = discovered.len() < MAX_DISCOVERED && discovered.insert(address);
+        self.named.send_if_modified(|named| {
+            let is_new = named.add_leader(address);
             if is_new {
                 log::info!(replica = leader, address:display = address; "discovered a leader that is not in the settings");
             }
--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -3,19 +3,20 @@
 use crate::leader_call::{Unanswered, call_leader, notify_any_replica, pause_before_retry};
 use crate::renewal_relay;
 use crate::renewer::{Renewer, renew};
+use crate::replica_addresses::ControlAddresses;
 use crate::route_tables::table_of_any_replica;
 use crate::settings::FollowerSettings;
 use crate::shared::{QuotaShares, Shared};
 use member::TargetSpeed;
 use note::Catalogue;
 use ractor::ActorRuntime;
-use std::collections::BTreeSet;
-use std::future::Future;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::DropGuard;
+use tokio_util::task::AbortOnDropHandle;
 use wire::proto::frame::Body;
 use wire::proto::{
     AccountUse, Announcement, Command, MemberView, NodeInfo, Outcome, Propose, Quarantine, Query,
@@ -44,10 +45,12 @@
     pub fn spawn(me: Identity, info: NodeInfo, cfg: FollowerSettings) -> Follower {
         let shared = Arc::new(Shared::new(me, info, cfg));
         let stop = shared.stop.clone();
-        for address in shared.cfg.controls.clone() {
-            let linking = maintain_link(Arc::clone(&shared), address);
-            tokio::spawn(stop.clone().run_until_cancelled_owned(linking));
-        }
+        let seeds = match shared.cfg.controls.clone() {
+            ControlAddresses::All(all) => watch::Sender::new(all).subscribe(),
+            ControlAddresses::Seeds(seeds) => seeds,
+        };
+        let linking = maintain_links(Arc::clone(&shared), seeds);
+        tokio::spawn(stop.clone().run_until_cancelled_owned(linking));
         match ActorRuntime::spawn_instant(None, Renewer, Arc::clone(&shared)) {
             Ok((renewer, _)) => {
                 let stopped = stop.clone();
@@ -64,21 +67,6 @@
         }
     }
 
-    /// Like [`Follower::spawn`], for settings that name only some of the replicas: a
-    /// leader that is not among them is dialled at the address that replicas advertise.
-    ///
-    /// If the settings name all replicas, use [`Follower::spawn`], which dials only the
-    /// addresses in the settings: advertised ones may lead over another path.
-    #[must_use]
-    pub fn spawn_from_seeds(me: Identity, info: NodeInfo, cfg: FollowerSettings) -> Follower {
-        let follower = Follower::spawn(me, info, cfg);
-        let shared = &follower.shared;
-        let linking =
-            maintain_discovered_links(Arc::clone(shared), shared.control_links.discovered());
-        tokio::spawn(shared.stop.clone().run_until_cancelled_owned(linking));
-        follower
-    }
-
     /// Everything that the release note in use at this node offers.
     #[must_use]
     pub fn catalogue(&self) -> Arc<Catalogue> {
@@ -270,26 +258,32 @@
     }
 }
 
-/// Maintains links to discovered replicas that are not in the settings.
-async fn maintain_discovered_links(
-    shared: Arc<Shared>,
-    mut discovered: watch::Receiver<BTreeSet<SocketAddr>>,
-) {
-    let mut dialled: BTreeSet<SocketAddr> = shared.cfg.controls.iter().copied().collect();
+/// Maintains links to the replicas in the settings and to those that replicas name.
+async fn maintain_links(shared: Arc<Shared>, mut seeds: watch::Receiver<Vec<SocketAddr>>) {
+    let mut links: BTreeMap<SocketAddr, AbortOnDropHandle<()>> = BTreeMap::new();
+    let mut named = shared.control_links.named();
     loop {
-        let all = discovered.borrow_and_update().clone();
-        for address in all {
-            if dialled.insert(address) {
-                let linking = maintain_link(Arc::clone(&shared), address);
-                tokio::spawn(shared.stop.clone().run_until_cancelled_owned(linking));
-            }
+        let mut wanted: BTreeSet<SocketAddr> = seeds.borrow_and_update().iter().copied().collect();
+        wanted.extend(named.borrow_and_update().all());
+        links.retain(|address, _| wanted.contains(address));
+        for address in wanted {
+            let spawn = || spawn_link(&shared, address);
+            links.entry(address).or_insert_with(spawn);
         }
-        if discovered.changed().await.is_err() {
-            return;
+        tokio::select! {
+            // The settings may no longer be read.
+            Ok(()) = seeds.changed() => {}
+            Ok(()) = named.changed() => {}
+            else => return std::future::pending().await,
         }
     }
 }
 
+fn spawn_link(shared: &Arc<Shared>, address: SocketAddr) -> AbortOnDropHandle<()> {
+    let linking = maintain_link(Arc::clone(shared), address);
+    AbortOnDropHandle::new(tokio::spawn(linking))
+}
+
 async fn maintain_link(shared: Arc<Shared>, address: SocketAddr) {
     let mut wanted = shared.control_links.wanted();
     while wanted.wait_for(|wanted| *wanted).await.is_ok() {
@@ -309,19 +303,40 @@
     }
 }
 
-fn serve(
+async fn serve(
     shared: Arc<Shared>,
     address: SocketAddr,
     link: Link,
     mut rx: mpsc::Receiver<Incoming>,
-) -> impl Future<Output = ()> {
-    shared.control_links.add(address, link);
-    async move {
-        while let Some(incoming) = rx.recv().await {
-            if shared.handle_hint(&incoming.body) {
-                shared.renewal_relay.forward_hint(&incoming.body);
-            }
+) {
+    let _open = OpenLink::new(Arc::clone(&shared), address, link);
+    while let Some(incoming) = rx.recv().await {
+        if shared.handle_hint(&incoming.body) {
+            shared.renewal_relay.forward_hint(&incoming.body);
         }
-        shared.control_links.remove(address);
+    }
+}
+
+/// Registers a link until dropped, also if its task is aborted.
+struct OpenLink {
+    shared: Arc<Shared>,
+    address: SocketAddr,
+    link: Link,
+}
+
+impl OpenLink {
+    fn new(shared: Arc<Shared>, address: SocketAddr, link: Link) -> OpenLink {
+        shared.control_links.add(address, link.clone());
+        OpenLink {
+            shared,
+            address,
+            link,
+        }
+    }
+}
+
+impl Drop for OpenLink {
+    fn drop(&mut self) {
+        self.shared.control_links.remove(self.address, &self.link);
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,7 @@
 mod relay_link;
 mod renewal_relay;
 mod renewer;
+mod replica_addresses;
 mod route_tables;
 mod seeds;
 mod settings;
@@ -32,6 +33,7 @@
 
 pub use crate::follower::Follower;
 pub use crate::lease::Lease;
+pub use crate::replica_addresses::ControlAddresses;
 pub use crate::seeds::follow_seeds;
 pub use crate::settings::FollowerSettings;
 pub use crate::shared::QuotaShares;
--- a/crates/node/src/renewer.rs
+++ b/crates/node/src/renewer.rs
@@ -114,6 +114,7 @@
     let Some(renewed) = renewed else {
         return;
     };
+    shared.control_links.update_members(&renewed.replicas);
     let granted_term = (renewed.lease_ms > 0).then_some(renewed.term);
     shared.set_granted_term(granted_term, sequence);
     if granted_term.is_some() {
@@ -184,6 +185,7 @@
         sequence,
         uses: shared.account_usage(Instant::now()),
         takes_relay: false,
+        replicas_digest: shared.control_links.members_digest(),
     }
 }
 
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -4,6 +4,7 @@
 use crate::lease::Lease;
 use crate::relay_link::{Relay, RelayLink};
 use crate::renewal_relay::RenewalRelay;
+use crate::replica_addresses::ControlAddresses;
 use crate::route_tables::RouteTableCache;
 use crate::settings::FollowerSettings;
 use crate::view::merge_view;
@@ -93,7 +94,7 @@
         };
         Shared {
             me,
-            control_links: ControlLinks::default(),
+            control_links: ControlLinks::new(matches!(cfg.controls, ControlAddresses::Seeds(_))),
             cfg,
             renew_early: Notify::new(),
             renewed: watch::Sender::new(0),
--- a/crates/node/tests/follower.rs
+++ b/crates/node/tests/follower.rs
@@ -1,11 +1,12 @@
 //! A follower with stubs of control replicas.
 
-use node::{Follower, FollowerSettings};
+use node::{ControlAddresses, Follower, FollowerSettings};
 use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use wire::proto::frame::Body;
 use wire::proto::{
     MemberView, NodeInfo, NotLeader, Notes, Outcome, Renewed, Unavailable, command, outcome,
@@ -51,13 +52,17 @@
 }
 
 fn follow(controls: Vec<SocketAddr>) -> Follower {
-    follow_with(Follower::spawn, controls)
+    follow_with(ControlAddresses::All(controls))
 }
 
-fn follow_with(
-    spawn: fn(Identity, NodeInfo, FollowerSettings) -> Follower,
-    controls: Vec<SocketAddr>,
-) -> Follower {
+/// Follows replicas of which the settings name some; the sender changes the settings.
+fn follow_seeds(seeds: Vec<SocketAddr>) -> (Follower, watch::Sender<Vec<SocketAddr>>) {
+    let seeds = watch::Sender::new(seeds);
+    let follower = follow_with(ControlAddresses::Seeds(seeds.subscribe()));
+    (follower, seeds)
+}
+
+fn follow_with(controls: ControlAddresses) -> Follower {
     let cfg = FollowerSettings {
         controls,
         renew_interval: Duration::from_millis(100),
@@ -65,7 +70,7 @@
         link: LinkSettings::default(),
     };
     let me = Identity::new(Role::Entry, "entry-1", 1);
-    spawn(me, node_info("entry-1"), cfg)
+    Follower::spawn(me, node_info("entry-1"), cfg)
 }
 
 fn node_info(name: &str) -> NodeInfo {
@@ -208,11 +213,57 @@
         }))
     });
     let named = start_replica("control-1", non_leader).await;
-    let follower = follow_with(Follower::spawn_from_seeds, vec![named]);
+    let (follower, _seeds) = follow_seeds(vec![named]);
     let outcome = follower.propose(drain(), MAX_WAIT).await;
     assert_eq!(outcome.index, 8);
 }
 
+/// Guards against a node that loses control, and holds its group, once the replicas in its
+/// settings have been replaced one by one.
+#[tokio::test]
+async fn renew_replicas_replaced() {
+    const REPLACEMENTS: usize = 12;
+    let last_renewed = Arc::new(Mutex::new(false));
+    let is_renewed = Arc::clone(&last_renewed);
+    let last = answers(move |body| match body {
+        Body::Renew(_) => {
+            *is_renewed.lock().unwrap() = true;
+            Some(Body::Renewed(renewed(1, 0)))
+        }
+        _ => None,
+    });
+    let mut address = start_replica("control-last", last).await;
+    for _ in 0..REPLACEMENTS {
+        // Leads until a node knows its successor, and is gone then.
+        let mut successor = Some(address.to_string());
+        let leader = answers(move |body| match body {
+            Body::Renew(_) => {
+                let mut renewed = renewed(1, 0);
+                renewed.replicas = vec![successor.take()?];
+                Some(Body::Renewed(renewed))
+            }
+            _ => None,
+        });
+        address = start_replica("control", leader).await;
+    }
+    let (_follower, _seeds) = follow_seeds(vec![address]);
+    until(|| async { *last_renewed.lock().unwrap() }).await;
+}
+
+/// Guards against a node that does not reach control again before its process is restarted,
+/// if all replicas were replaced while it was cut off.
+#[tokio::test]
+async fn renew_seeds_changed() {
+    let control = answers(|body| match body {
+        Body::Renew(_) => Some(Body::Renewed(renewed(1, 0))),
+        _ => None,
+    });
+    let gone = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+    let (follower, seeds) = follow_seeds(vec![gone]);
+    seeds.send_replace(vec![start_replica("control-1", control).await]);
+    until(|| async { follower.leased(Instant::now()) }).await;
+}
+
 fn drain() -> command::Body {
     command::Body::Drain(wire::proto::Drain {
         target: "t".to_owned(),
--- a/crates/node/tests/relay/zone.rs
+++ b/crates/node/tests/relay/zone.rs
@@ -1,7 +1,7 @@
 //! A zone of many nodes with one control replica.
 
 use fake::Relay;
-use node::{Follower, FollowerSettings};
+use node::{ControlAddresses, Follower, FollowerSettings};
 use serde_json::json;
 use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -177,7 +177,7 @@
             ..NodeInfo::default()
         };
         let cfg = FollowerSettings {
-            controls: vec![proxy.address],
+            controls: ControlAddresses::All(vec![proxy.address]),
             renew_interval: RENEW,
             key: key(),
             link: LinkSettings::default(),
--- a/crates/wire/src/gen/lovageramp.rs
+++ b/crates/wire/src/gen/lovageramp.rs
@@ -641,6 +641,10 @@
     /// The node renews through the relay that a reply names. Not set once that has failed.
     #[prost(bool, tag = "10")]
     pub takes_relay: bool,
+    /// Digest of the link addresses of the replicas that the node knows; set if it follows
+    /// the members of the replicated log.
+    #[prost(fixed64, optional, tag = "11")]
+    pub replicas_digest: ::core::option::Option<u64>,
 }
 /// A node whose state is still the one for which the leader of `term` granted a lease.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -711,6 +715,9 @@
     /// from which to get the view.
     #[prost(message, optional, tag = "11")]
     pub relay: ::core::option::Option<RenewalRelay>,
+    /// Link addresses of all replicas; none if the node knows them or does not follow them.
+    #[prost(string, repeated, tag = "12")]
+    pub replicas: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RenewalRelay {
