Make a caught-up successor a standby voter

Cause: the successor stayed a learner until the removed voter had been silent for 4 s, so one of three voters was left. A removed host stops counting once its successor has had catch_up_s, which may be before it is removed; a farewell or a shorter silence is too late for a disk that is lost 0.3 s after SIGKILL.

Change: beside three voters or more, one caught-up learner becomes a standby voter while all voters answer. A silent voter beside a standby is removed after lost_after.

Ruled out as too late or unsafe: telling at SIGTERM, a shorter silence, a drop of the standby by the old majority.

--- a/crates/quorum/src/config.rs
+++ b/crates/quorum/src/config.rs
@@ -50,7 +50,8 @@
 /// replacement, losing another voter could lose the majority.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct VoterReplacement {
-    /// Desired number of voters. Further replicas remain learners.
+    /// Desired number of voters. One further replica is a standby voter if there are at
+    /// least three; the others remain learners.
     pub voters: usize,
     /// Time without a message after which a voter counts as lost.
     pub lost_after: Duration,
--- a/crates/quorum/src/members.rs
+++ b/crates/quorum/src/members.rs
@@ -106,6 +106,16 @@
         self.count_voters(is_counted) >= self.majority()
     }
 
+    /// Returns the smallest number of voters that, without those whose disks are lost, has
+    /// one in common with every majority.
+    ///
+    /// A majority may have included the lost disks. Of an even number of voters half are
+    /// enough, as long as at least one disk is lost: two halves would have no voter in
+    /// common otherwise.
+    pub(crate) fn majority_without_lost(&self) -> usize {
+        self.voters.len() - self.majority() + 1
+    }
+
     /// Returns the number of voters for which `is_counted` returns true.
     pub(crate) fn count_voters(&self, is_counted: impl Fn(DiskId) -> bool) -> usize {
         self.voters.keys().filter(|id| is_counted(**id)).count()
--- a/crates/quorum/src/node.rs
+++ b/crates/quorum/src/node.rs
@@ -57,6 +57,8 @@
     first_command: Option<u64>,
     /// Voters of a new cluster on whose hosts another disk is in use.
     lost_disks: BTreeSet<DiskId>,
+    /// Voters on whose hosts another disk is in use.
+    replaced_disks: BTreeSet<DiskId>,
     /// When this replica last answered a leader, was elected or led with a quorum;
     /// `None` after a restart.
     included_at: Option<Instant>,
@@ -143,6 +145,7 @@
             snapshot,
             first_command,
             lost_disks: BTreeSet::new(),
+            replaced_disks: BTreeSet::new(),
             included_at: None,
             needs_majority: true,
             synced_index: last,
@@ -203,8 +206,10 @@
             return;
         }
         self.lost_disks.remove(&message.from);
+        self.replaced_disks.remove(&message.from);
         if let MessageBody::Join { id, peer } = message.body {
             self.record_lost_disk(id, &peer, now);
+            self.record_replaced_disk(id, &peer, now);
             return self.handle_join(message.from, id, peer, now);
         }
         if !self.check_term(&message, now) {
--- a/crates/quorum/src/node/election.rs
+++ b/crates/quorum/src/node/election.rs
@@ -186,6 +186,7 @@
         }
         let members = self.members();
         let is_elected = members.is_majority(is_granted)
+            || self.is_standby_quorum(members, is_granted)
             || !self.needs_majority && self.is_quorum(members, is_granted);
         if is_elected {
             self.become_leader(now);
@@ -209,6 +210,7 @@
             elected_at: now,
             members_changed_at: now,
             noop_index: next,
+            rounds_before_loss: 0,
             pending_reads: Vec::new(),
             commit_at_heartbeat: self.commit_index,
             commit_at_previous_heartbeat: self.commit_index,
--- a/crates/quorum/src/node/membership.rs
+++ b/crates/quorum/src/node/membership.rs
@@ -5,6 +5,10 @@
 use crate::{DiskId, EntryBody, Members, MessageBody, Peer};
 use std::time::Instant;
 
+/// Smallest number of voters of which one may be lost. Fewer would lose their majority more
+/// easily with a standby.
+const MIN_VOTERS_FOR_LOSSES: usize = 3;
+
 impl Node {
     /// Processes a join request: the leader adds the replica as a learner, and
     /// another replica forwards the request. The new replica may know no address
@@ -85,6 +89,9 @@
         if !self.can_change_membership(now) {
             return;
         }
+        if let Some(next) = self.without_lost_voter(now) {
+            return self.change_members(&next, now);
+        }
         let learners: Vec<DiskId> = self.members().learners.keys().copied().collect();
         for id in learners {
             if !self.has_caught_up(id, now) {
@@ -114,7 +121,7 @@
                 return None;
             }
             next.voters.remove(&former);
-        } else if self.has_all_voters() {
+        } else if self.has_all_voters() && !self.accepts_standby(now) {
             let lost = self.lost_voter(now)?;
             next.voters.remove(&lost);
         } else {
@@ -129,6 +136,34 @@
         desired.is_some_and(|desired| self.members().voters.len() >= desired)
     }
 
+    /// Returns whether a caught-up learner becomes a standby voter: one more than desired.
+    ///
+    /// A host that is replaced on purpose stops without notice once its successor has caught
+    /// up, and a disk may be lost right after that. A successor that still were a learner
+    /// would not count, and too few voters would be left; see [`Node::is_quorum`].
+    fn accepts_standby(&self, now: Instant) -> bool {
+        let voters = &self.members().voters;
+        let desired = self.cfg.voter_replacement.map(|policy| policy.voters);
+        desired.is_some_and(|desired| desired >= MIN_VOTERS_FOR_LOSSES && voters.len() == desired)
+            && voters.keys().all(|id| self.is_active(*id, now))
+    }
+
+    /// Returns the members without a voter that counts as lost, if there is a standby.
+    fn without_lost_voter(&self, now: Instant) -> Option<Members> {
+        if !self.has_standby() {
+            return None;
+        }
+        let mut next = self.members().clone();
+        next.voters.remove(&self.lost_voter(now)?);
+        self.has_live_quorum(&next, now).then_some(next)
+    }
+
+    /// Returns whether there are more voters than desired.
+    pub(super) fn has_standby(&self) -> bool {
+        let desired = self.cfg.voter_replacement.map(|policy| policy.voters);
+        desired.is_some_and(|desired| self.members().voters.len() > desired)
+    }
+
     /// Returns a voter that has been silent for so long that it counts as lost.
     fn lost_voter(&self, now: Instant) -> Option<DiskId> {
         let Role::Leader(leader) = &self.role else {
--- a/crates/quorum/src/node/quorums.rs
+++ b/crates/quorum/src/node/quorums.rs
@@ -87,15 +87,62 @@
         }
     }
 
+    /// Records that the disk of a voter is lost if another disk is in use on its host.
+    ///
+    /// A quorum without that voter must consist of answers to requests that were sent after
+    /// this is known: an earlier answer may be that of a disk that is lost by now.
+    pub(super) fn record_replaced_disk(&mut self, id: DiskId, peer: &Peer, now: Instant) {
+        let Some(former) = self.members().former_voter(id, peer) else {
+            return;
+        };
+        if former == self.id || !self.replaced_disks.insert(former) {
+            return;
+        }
+        match &mut self.role {
+            Role::Leader(leader) => leader.rounds_before_loss = leader.round,
+            Role::PreCandidate(_) | Role::Candidate(_) => {
+                self.become_follower(self.hard_state.term, now);
+                self.election_deadline = now;
+            }
+            Role::Follower => {}
+        }
+    }
+
     /// Returns whether the voters for which `is_counted` returns true are a
     /// quorum: a majority or, in a new cluster that has fewer voters than desired,
-    /// all whose disks are not lost.
+    /// all whose disks are not lost. With a standby voter, fewer than a majority are enough
+    /// if a disk is known to be lost.
     ///
     /// The first voters of a cluster may lose more disks than a majority
     /// tolerates before others have joined. Nothing has been acknowledged by
     /// then, or this replica would hold it; see [`Node::needs_all_answers`].
     pub(super) fn is_quorum(&self, members: &Members, is_counted: impl Fn(DiskId) -> bool) -> bool {
-        members.is_majority(&is_counted) || self.is_reduced_quorum(members, is_counted)
+        members.is_majority(&is_counted)
+            || self.is_standby_quorum(members, &is_counted)
+            || self.is_reduced_quorum(members, is_counted)
+    }
+
+    pub(super) fn is_standby_quorum(
+        &self,
+        members: &Members,
+        is_counted: impl Fn(DiskId) -> bool,
+    ) -> bool {
+        let is_lost = |id: DiskId| self.replaced_disks.contains(&id);
+        if !self.has_standby() || members.count_voters(is_lost) == 0 {
+            return false;
+        }
+        let is_counted = |id| is_counted(id) && !is_lost(id) && self.answers_after_loss(id);
+        members.count_voters(is_counted) >= members.majority_without_lost()
+    }
+
+    /// Returns whether the answers of a voter are to requests that were sent after the latest
+    /// loss of a disk was known. The votes of a candidate are; see
+    /// [`Node::record_replaced_disk`].
+    fn answers_after_loss(&self, id: DiskId) -> bool {
+        match &self.role {
+            Role::Leader(leader) => leader.answered_round(self.id, id) > leader.rounds_before_loss,
+            _ => true,
+        }
     }
 
     fn is_reduced_quorum(&self, members: &Members, is_counted: impl Fn(DiskId) -> bool) -> bool {
@@ -118,7 +165,7 @@
     ) -> Option<u64> {
         const REDUCED_QUORUM_TERMS: u64 = 1 << 20;
         let members = self.members();
-        if members.is_majority(&is_counted) {
+        if members.is_majority(&is_counted) || self.is_standby_quorum(members, &is_counted) {
             return Some(1);
         }
         let lost_after = self.cfg.voter_replacement?.lost_after;
