Confirm departures once they are on a majority of disks

Cause: a departure, or a check-in that says draining, was confirmed from memory. The file with the known targets was written up to a second later and left out those that are gone, so that killed replicas restored the server as ready.

Change: it is confirmed once the files of a majority of replicas hold it, synced. The files include targets that are gone and are written when silent ones are forgotten. A replica tells another one to which a link is opened which targets take no more work, as that one may have been down.

--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -8,7 +8,7 @@
 mod target_changes;
 mod verdicts;
 
-use self::cache_writer::CacheWriter;
+use self::cache_writer::{CacheWriter, cached_rows};
 use self::entry_links::EntryLinks;
 use self::refresh::Heard;
 use self::verdicts::SettledVerdicts;
@@ -92,7 +92,10 @@
         let mut board = ReportStore::default();
         let now = Instant::now();
         for cached in cache.read().into_iter().filter_map(sighting_from_proto) {
-            log::info!(target_id = cached.id.as_str(); "target restored from the cache file");
+            log::info!(
+                target_id = cached.id.as_str(), presence:? = cached.presence;
+                "target restored from the cache file"
+            );
             board.record_target(cached, now);
         }
         let shared = Shared {
@@ -132,6 +135,7 @@
             tokio::select! {
                 _ = refresh.tick() => self.refresh().await,
                 () = self.shared.has_changed.notified() => self.pass_on_changes().await,
+                () = self.shared.replica_links.opened() => self.greet_replicas().await,
                 changed = table.changed() => {
                     if changed.is_err() {
                         return;
@@ -241,8 +245,11 @@
     /// entries. That a target accepts work is forwarded only to the entries to which this
     /// replica repeats the state of targets; the others learn it from the replica at which
     /// the target has checked in.
+    ///
+    /// That a target takes no more work is confirmed once it is on the disk of this replica.
     pub(crate) async fn handle_sightings(&self, received: Sightings, call: u64, link: &Link) {
         let now = Instant::now();
+        let names_leaving = received.targets.iter().any(|row| row.presence() != Ready);
         let mut changed = Vec::new();
         for target in received.targets.into_iter().filter_map(sighting_from_proto) {
             match self.board().record_target(target.clone(), now) {
@@ -285,7 +292,22 @@
             });
             send_all(&self.shared.entries.all(), &speeds).await;
         }
-        reply(link, call, Body::SightingsTaken(SightingsTaken {})).await;
+        if !names_leaving {
+            return reply(link, call, Body::SightingsTaken(SightingsTaken {})).await;
+        }
+        // A slow disk must not delay the messages that follow.
+        let (gossip, link) = (self.clone(), link.clone());
+        tokio::spawn(async move {
+            if call != 0 && gossip.persist_targets().await {
+                reply(&link, call, Body::SightingsTaken(SightingsTaken {})).await;
+            }
+        });
+    }
+
+    /// Waits until the targets are on the disk of this replica. Returns whether they are.
+    async fn persist_targets(&self) -> bool {
+        let rows = || cached_rows(&self.board());
+        self.shared.cache.persist(rows).await
     }
 
     /// Sends entries and other replicas the targets that have begun to accept work. When
--- a/crates/control/src/gossip/refresh.rs
+++ b/crates/control/src/gossip/refresh.rs
@@ -2,6 +2,7 @@
 
 use super::cache_writer::cached_rows;
 use super::{Gossip, TARGET_EXPIRY, lock, send, send_all, targets_message};
+use member::Presence;
 use std::collections::BTreeSet;
 use std::time::Instant;
 use wire::proto::Presence::Ready;
@@ -56,7 +57,11 @@
 
     fn remove_silent(&self) {
         let mut board = self.board();
+        let before = board.targets().count();
         board.remove_silent(TARGET_EXPIRY, Instant::now());
+        if board.targets().count() < before {
+            self.shared.cache.mark_dirty();
+        }
         lock(&self.shared.limits).retain(|id| board.target(id).is_some());
     }
 
@@ -82,6 +87,21 @@
         }
     }
 
+    /// Sends a replica to which a link was opened the targets that take no more work. It
+    /// may have restored an earlier state of them from its file.
+    pub(super) async fn greet_replicas(&self) {
+        let leaving = {
+            let board = self.board();
+            let targets = board.targets().map(|(target, _)| target);
+            let leaving = targets.filter(|target| target.presence != Presence::Ready);
+            leaving.map(sighting_to_proto).collect()
+        };
+        let message = targets_message(leaving);
+        for link in self.shared.replica_links.take_new() {
+            send(&link, message.clone()).await;
+        }
+    }
+
     /// The latest reports of these targets.
     pub(super) fn rows(&self, ids: &BTreeSet<String>) -> Vec<Sighting> {
         let now = Instant::now();
--- a/crates/control/src/gossip/target_changes.rs
+++ b/crates/control/src/gossip/target_changes.rs
@@ -4,12 +4,12 @@
 use futures_util::future::join_all;
 use member::{Presence, ReportEffect, TargetReport};
 use std::time::Instant;
+use tokio::time::timeout;
 use wire::{Link, sighting_to_proto};
 
 impl Gossip {
-    /// Records a target's check-in. Returns `false` if it must not be acknowledged:
-    /// neither all entries connected here nor a majority of replicas have confirmed
-    /// that the target takes no more work.
+    /// Records a target's check-in. Returns `false` if it must not be acknowledged: that
+    /// the target takes no more work is not on the disks of a majority of replicas.
     pub(crate) async fn update_target(&self, target: TargetReport) -> bool {
         let heard = self.board().record_target(target.clone(), Instant::now());
         match heard {
@@ -63,8 +63,11 @@
         );
     }
 
-    /// Sends the state of a target to entries and replicas. Returns whether all entries
-    /// connected here, or a majority of replicas, have confirmed it.
+    /// Sends the state of a target to entries and replicas. Returns whether it is on the
+    /// disks of a majority of replicas.
+    ///
+    /// In memory alone it could be lost: all processes may be killed at once, and an earlier
+    /// state be restored from their files.
     async fn disseminate(&self, target: &TargetReport) -> bool {
         let update = targets_message(vec![sighting_to_proto(target)]);
         let entries = self.shared.entries.all();
@@ -73,23 +76,23 @@
             let update = update.clone();
             async move { link.call(update, CONFIRM_TIMEOUT).await.is_ok() }
         };
-        let by_entries = async {
-            let confirmed = join_all(entries.iter().cloned().map(confirm)).await;
-            !confirmed.is_empty() && confirmed.iter().all(|confirmed| *confirmed)
-        };
-        let by_replicas = async {
-            let confirmed = join_all(replicas.into_iter().map(confirm)).await;
-            confirmed.iter().filter(|confirmed| **confirmed).count() + 1
-        };
+        let by_entries = join_all(entries.into_iter().map(confirm));
+        let by_replicas = join_all(replicas.into_iter().map(confirm));
+        let here = timeout(CONFIRM_TIMEOUT, self.persist_targets());
+        let (_, by_replicas, here) = tokio::join!(by_entries, by_replicas, here);
+        let here = here.unwrap_or(false);
+        let replicas = by_replicas
+            .into_iter()
+            .filter(|confirmed| *confirmed)
+            .count();
+        let replicas = replicas + usize::from(here);
         let majority = self.shared.replicas.borrow().majority();
-        let (all_entries, replicas) = tokio::join!(by_entries, by_replicas);
-        let confirmed = all_entries || replicas >= majority;
-        if !confirmed && target.presence != Presence::Ready {
+        if replicas < majority {
             log::warn!(
                 target_id = target.id.as_str(), replicas = replicas, majority = majority;
                 "state of a target not acknowledged: not confirmed by enough processes"
             );
         }
-        confirmed
+        replicas >= majority
     }
 }
--- a/crates/control/src/leader_client.rs
+++ b/crates/control/src/leader_client.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, sleep, timeout};
 use wire::Link;
 use wire::proto::command::Body as CommandBody;
@@ -45,12 +45,27 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ReplicaLinks {
     links: Arc<Mutex<BTreeMap<String, Link>>>,
+    /// Links that were opened since they were last taken.
+    new: Arc<Mutex<Vec<Link>>>,
+    opened: Arc<Notify>,
 }
 
 impl ReplicaLinks {
     pub(crate) fn insert(&self, link: Link) {
         let name = link.peer().name.clone();
+        lock(&self.new).push(link.clone());
         self.links().insert(name, link);
+        self.opened.notify_one();
+    }
+
+    /// Waits until a link is opened.
+    pub(crate) async fn opened(&self) {
+        self.opened.notified().await;
+    }
+
+    /// Takes the links that were opened since the last call.
+    pub(crate) fn take_new(&self) -> Vec<Link> {
+        std::mem::take(&mut *lock(&self.new))
     }
 
     /// Removes the link to a replica, unless it was replaced by one that is open.
@@ -72,12 +87,16 @@
     }
 
     fn links(&self) -> MutexGuard<'_, BTreeMap<String, Link>> {
-        // Code that holds the lock cannot leave the map inconsistent, so poisoning is
-        // ignored.
-        self.links.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.links)
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    // Code that holds these locks cannot leave the data inconsistent, so poisoning is
+    // ignored.
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 impl LeaderClient {
     /// Commits an operator's command. Such commands are idempotent, so a command is
     /// sent again if its answer is lost.
--- a/crates/control/src/target_cache.rs
+++ b/crates/control/src/target_cache.rs
@@ -14,8 +14,8 @@
 ///
 /// If all processes are lost at once, entries know no target until each target has
 /// checked in again, and refuse every caller for a second or two. This file closes
-/// that gap. Its contents may be out of date, which is harmless: a target that is gone
-/// does not answer, and another one at its address declines the request.
+/// that gap. It may lack the latest check-ins, but not that a target takes no more work:
+/// that is confirmed to the target once it is in the files of a majority of replicas.
 #[derive(Clone, Debug)]
 pub(crate) struct TargetCache {
     path: PathBuf,
