Take a status that no answer has as a broken answer

Callers got 101, 600 and 999 of a server in trouble as answers, on routes of all kinds and through agents; 000, as reported of other systems, ended in 502 already.

Cause: the HTTP client reads each status from 100 on, and 101 ends the exchange. RFC 9110 defines statuses up to 599, and 101 only in reply to a request for another protocol, which no server is sent.

Change: a head with another status than 200 to 599 is a broken answer, in outlet, through which both paths go. Callers get 502; a request that may be repeated is tried again.

--- a/crates/agent/tests/nonsense.rs
+++ b/crates/agent/tests/nonsense.rs
@@ -89,6 +89,33 @@
     }
 }
 
+/// Guards against a status that no answer has, of a target in trouble, being passed on as one.
+#[tokio::test(flavor = "multi_thread")]
+async fn target_client_status_of_no_answer() {
+    let answer = Arc::new(Mutex::new(Vec::new()));
+    let target = garbage_target(Arc::clone(&answer)).await;
+    let second = Duration::from_secs(1);
+    let cfg = ClientSettings {
+        connect_timeout: second,
+        head_timeout: second,
+        progress_timeout: second,
+        request_timeout: second,
+    };
+    for kind in [TargetKind::Engine, TargetKind::Service] {
+        let client = TargetClient::new(target, kind, cfg.clone());
+        for status in ["000", "099", "101", "600", "999"] {
+            *answer.lock().unwrap() =
+                format!("HTTP/1.1 {status} Odd\r\ncontent-length: 2\r\n\r\nhi").into_bytes();
+            let call = Call {
+                method: "POST".into(),
+                path: "/lots".into(),
+                ..Call::default()
+            };
+            assert!(client.call(&call, || ()).await.is_err(), "{status}");
+        }
+    }
+}
+
 fn arbitrary_bytes(random: &mut Gen) -> bytes::Bytes {
     // Sometimes an id of the right length.
     match u8::arbitrary(random) % 3 {
--- a/crates/outlet/src/client.rs
+++ b/crates/outlet/src/client.rs
@@ -84,7 +84,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if no response begins within `within`. The request may have run.
+    /// Fails if no response begins within `within`, or one with a status that no final
+    /// response has. The request may have run.
     pub async fn send(
         &mut self,
         req: Request<Full<Bytes>>,
@@ -124,10 +125,15 @@
             }
         };
         match sent {
-            Ok(Ok(response)) => {
+            Ok(Ok(response)) if is_final(response.status()) => {
                 self.set_close_mode(CloseMode::Graceful);
                 Ok(response)
             }
+            Ok(Ok(response)) => {
+                let status = response.status().as_u16();
+                let failure = Failure::Broken(format!("status {status} of no final response"));
+                Err(SendError::Failed(failure))
+            }
             Ok(Err(mut e)) => Err(match e.take_message() {
                 Some(req) => SendError::Unwritten(Box::new(req)),
                 None => SendError::Failed(Failure::Broken(e.error().to_string())),
@@ -177,6 +183,12 @@
     }
 }
 
+/// Whether a final response to these requests may have this status: the others are undefined
+/// (RFC 9110, section 15), or switch to a protocol that no request offers (section 15.2.2).
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 async fn connect(address: SocketAddr, cfg: &ClientSettings) -> io::Result<Connection> {
     let stream = TcpStream::connect(address).await?;
     set_socket_options(&stream, cfg)?;
