Ask the former voters too while a standby's change is not committed

Reading the rule for a standby voter again: an acknowledged entry could be lost. With four voters the leader removes one that is silent; the entry of that change, and what follows, may be held by two of the three new voters only. If one of these then loses its disk while the standby is cut off, the removed voter, back again, and the standby are half of the old voters and elect a leader that lacks it. Not seen with processes.

Change: until a change of the voters to or from a set with a standby is committed, a quorum of the voters before it is needed too, for votes, rounds and commits; candidates ask both.

elect_cut_off_while_voter_removed failed before: 'entry 6 differs at c', a command of term 1 against a no-op of term 2. All tests of quorum pass, the schedules too.

--- a/crates/quorum/src/node/election.rs
+++ b/crates/quorum/src/node/election.rs
@@ -4,7 +4,7 @@
 use crate::leader::Leader;
 use crate::progress::Progress;
 use crate::{DiskId, EntryBody, Message, MessageBody};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
 impl Node {
@@ -113,7 +113,10 @@
             last_index: self.log.last_index(),
             last_term: self.log.last_term(),
         };
-        let voters: Vec<DiskId> = self.members().voters.keys().copied().collect();
+        let mut voters: BTreeSet<DiskId> = self.members().voters.keys().copied().collect();
+        if let Some(previous) = self.members_before_change() {
+            voters.extend(previous.voters.keys());
+        }
         for to in voters {
             if to != self.id {
                 self.send_in_term(to, term, body.clone());
@@ -184,10 +187,8 @@
             }
             return;
         }
-        let members = self.members();
-        let is_elected = members.is_majority(is_granted)
-            || self.is_standby_quorum(members, is_granted)
-            || !self.needs_majority && self.is_quorum(members, is_granted);
+        let is_elected = self.is_regular_quorum(is_granted)
+            || !self.needs_majority && self.is_quorum(is_granted);
         if is_elected {
             self.become_leader(now);
         }
--- a/crates/quorum/src/node/membership.rs
+++ b/crates/quorum/src/node/membership.rs
@@ -140,7 +140,7 @@
     ///
     /// A host that is replaced on purpose stops without notice once its successor has caught
     /// up, and a disk may be lost right after that. A successor that still were a learner
-    /// would not count, and too few voters would be left; see [`Node::is_quorum`].
+    /// would not count, and too few voters would be left; see [`Node::is_regular_quorum`].
     fn accepts_standby(&self, now: Instant) -> bool {
         let voters = &self.members().voters;
         let desired = self.cfg.voter_replacement.map(|policy| policy.voters);
@@ -150,7 +150,7 @@
 
     /// Returns the members without a voter that counts as lost, if there is a standby.
     fn without_lost_voter(&self, now: Instant) -> Option<Members> {
-        if !self.has_standby() {
+        if !self.has_standby(self.members()) {
             return None;
         }
         let mut next = self.members().clone();
@@ -158,12 +158,6 @@
         self.has_live_quorum(&next, now).then_some(next)
     }
 
-    /// Returns whether there are more voters than desired.
-    pub(super) fn has_standby(&self) -> bool {
-        let desired = self.cfg.voter_replacement.map(|policy| policy.voters);
-        desired.is_some_and(|desired| self.members().voters.len() > desired)
-    }
-
     /// Returns a voter that has been silent for so long that it counts as lost.
     fn lost_voter(&self, now: Instant) -> Option<DiskId> {
         let Role::Leader(leader) = &self.role else {
@@ -176,7 +170,8 @@
     /// Returns whether a quorum of these members is live. A change that its new
     /// quorum cannot commit would stop the cluster.
     fn has_live_quorum(&self, members: &Members, now: Instant) -> bool {
-        self.is_quorum(members, |id| self.is_active(id, now))
+        let is_active = |id| self.is_active(id, now);
+        members.is_majority(is_active) || self.is_reduced_quorum(members, is_active)
     }
 
     fn is_active(&self, id: DiskId, now: Instant) -> bool {
--- a/crates/quorum/src/node/quorums.rs
+++ b/crates/quorum/src/node/quorums.rs
@@ -108,27 +108,53 @@
         }
     }
 
-    /// Returns whether the voters for which `is_counted` returns true are a
-    /// quorum: a majority or, in a new cluster that has fewer voters than desired,
-    /// all whose disks are not lost. With a standby voter, fewer than a majority are enough
-    /// if a disk is known to be lost.
+    /// Returns whether the voters for which `is_counted` returns true are a quorum of the
+    /// members in force: a regular one or, in a new cluster that has fewer voters than
+    /// desired, all whose disks are not lost.
     ///
     /// The first voters of a cluster may lose more disks than a majority
     /// tolerates before others have joined. Nothing has been acknowledged by
     /// then, or this replica would hold it; see [`Node::needs_all_answers`].
-    pub(super) fn is_quorum(&self, members: &Members, is_counted: impl Fn(DiskId) -> bool) -> bool {
-        members.is_majority(&is_counted)
-            || self.is_standby_quorum(members, &is_counted)
-            || self.is_reduced_quorum(members, is_counted)
+    pub(super) fn is_quorum(&self, is_counted: impl Fn(DiskId) -> bool) -> bool {
+        self.is_regular_quorum(&is_counted) || self.is_reduced_quorum(self.members(), is_counted)
     }
 
-    pub(super) fn is_standby_quorum(
-        &self,
-        members: &Members,
-        is_counted: impl Fn(DiskId) -> bool,
-    ) -> bool {
+    /// Returns whether these voters are a majority. With a standby voter, fewer are enough if
+    /// a disk is known to be lost.
+    ///
+    /// Such a quorum need not have a voter in common with a majority after the next change of
+    /// the voters. Until a change to or from voters with a standby is committed, a quorum of
+    /// the voters before it is needed as well.
+    pub(super) fn is_regular_quorum(&self, is_counted: impl Fn(DiskId) -> bool) -> bool {
+        let members = self.members();
+        let is_majority = members.is_majority(&is_counted);
+        match self.members_before_change() {
+            None => is_majority || self.is_standby_quorum(members, is_counted),
+            Some(previous) if self.has_standby(previous) || self.has_standby(members) => {
+                let was_majority = previous.is_majority(&is_counted);
+                is_majority && (was_majority || self.is_standby_quorum(previous, is_counted))
+            }
+            Some(_) => is_majority,
+        }
+    }
+
+    /// Returns the members before a change of the voters that is not committed, if there is
+    /// one.
+    pub(super) fn members_before_change(&self) -> Option<&Members> {
+        let (_, previous) = self.membership_history.iter().rev().nth(1)?;
+        let is_same = previous.voters.keys().eq(self.members().voters.keys());
+        (!is_same && !self.membership_committed()).then_some(previous)
+    }
+
+    /// Returns whether these members have more voters than desired.
+    pub(super) fn has_standby(&self, members: &Members) -> bool {
+        let desired = self.cfg.voter_replacement.map(|policy| policy.voters);
+        desired.is_some_and(|desired| members.voters.len() > desired)
+    }
+
+    fn is_standby_quorum(&self, members: &Members, is_counted: impl Fn(DiskId) -> bool) -> bool {
         let is_lost = |id: DiskId| self.replaced_disks.contains(&id);
-        if !self.has_standby() || members.count_voters(is_lost) == 0 {
+        if !self.has_standby(members) || members.count_voters(is_lost) == 0 {
             return false;
         }
         let is_counted = |id| is_counted(id) && !is_lost(id) && self.answers_after_loss(id);
@@ -145,7 +171,11 @@
         }
     }
 
-    fn is_reduced_quorum(&self, members: &Members, is_counted: impl Fn(DiskId) -> bool) -> bool {
+    pub(super) fn is_reduced_quorum(
+        &self,
+        members: &Members,
+        is_counted: impl Fn(DiskId) -> bool,
+    ) -> bool {
         let counted = members.count_voters(&is_counted);
         let desired = self.cfg.voter_replacement.map_or(0, |policy| policy.voters);
         let may_be_reduced = self.first_command.is_none() && members.voters.len() < desired;
@@ -164,13 +194,13 @@
         now: Instant,
     ) -> Option<u64> {
         const REDUCED_QUORUM_TERMS: u64 = 1 << 20;
-        let members = self.members();
-        if members.is_majority(&is_counted) || self.is_standby_quorum(members, &is_counted) {
+        if self.is_regular_quorum(&is_counted) {
             return Some(1);
         }
         let lost_after = self.cfg.voter_replacement?.lost_after;
         let silence = now.saturating_duration_since(self.leader_heard_at);
-        let is_allowed = silence >= lost_after && self.is_reduced_quorum(members, is_counted);
+        let is_allowed =
+            silence >= lost_after && self.is_reduced_quorum(self.members(), is_counted);
         is_allowed.then_some(REDUCED_QUORUM_TERMS)
     }
 
@@ -180,7 +210,7 @@
         let mut values: Vec<T> = members.voters.keys().map(|id| value(*id)).collect();
         values.sort_unstable();
         let mut highest_first = values.into_iter().rev();
-        highest_first.find(|reached| self.is_quorum(members, |id| value(id) >= *reached))
+        highest_first.find(|reached| self.is_quorum(|id| value(id) >= *reached))
     }
 
     /// Returns the index of the last entry that may be committed: one that a quorum
--- a/crates/quorum/tests/forming.rs
+++ b/crates/quorum/tests/forming.rs
@@ -19,6 +19,8 @@
 
 /// Time after which a new host no longer counts as lost.
 const CATCH_UP: Duration = Duration::from_secs(4);
+/// Time without a message after which a voter counts as lost.
+const LOST_AFTER: Duration = Duration::from_secs(4);
 /// Time between two losses that is too short for an election.
 const SHORTLY: Duration = Duration::from_millis(300);
 
@@ -104,7 +106,7 @@
             let cfg = Config {
                 voter_replacement: Some(VoterReplacement {
                     voters,
-                    lost_after: Duration::from_secs(4),
+                    lost_after: LOST_AFTER,
                 }),
                 heartbeat_interval: Duration::from_millis(80),
                 election_timeout: Duration::from_millis(500),
@@ -511,3 +513,38 @@
         }
     }
 }
+
+/// Guards against entries that are lost if the standby is cut off just when a lost voter is
+/// removed: the removed voter and the standby must not form a quorum of their own.
+#[test]
+fn elect_cut_off_while_voter_removed() {
+    const STEPS: u32 = 160;
+    for step in 0..STEPS {
+        for lost in [2, 3] {
+            let mut cluster = cluster_with_successor(3);
+            cluster.commit();
+            cluster.stop([1]);
+            cluster.run(LOST_AFTER - SHORTLY + STEP * step);
+            let kept = 5 - lost;
+            cluster.cut(&[lost, kept], &[1, 4]);
+            cluster.run(STEP * 20);
+            for leader in cluster.leaders() {
+                cluster.propose(leader);
+            }
+            cluster.run(STEP * 5);
+            cluster.cut(&[kept], &[lost + 10]);
+            cluster.lose_disk(lost, lost + 10);
+            cluster.start([1]);
+            for _ in 0..6 {
+                cluster.run(Duration::from_secs(1));
+                for leader in cluster.leaders() {
+                    cluster.propose(leader);
+                }
+            }
+            cluster.cuts.clear();
+            cluster.run(RECOVERY);
+            cluster.commit();
+            cluster.check_same_entries();
+        }
+    }
+}
