--- a/crates/quorum/tests/forming.rs
+++ b/crates/quorum/tests/forming.rs
@@ -524,7 +524,7 @@
             let mut cluster = cluster_with_successor(3);
             cluster.commit();
             cluster.stop([1]);
-            cluster.run(LOST_AFTER - SHORTLY + STEP * step);
+            cluster.run(LOST_AFTER.saturating_sub(SHORTLY) + STEP * step);
             let kept = 5 - lost;
             cluster.cut(&[lost, kept], &[1, 4]);
             cluster.run(STEP * 20);
