Replace a silent voter before the next host may be lost

With the hosts of control replaced one after another, control could stop for good: nothing is read or acknowledged any more.

Cause: a voter that is gone was removed 4 s after it was last heard, and a leader elected since counts from its election. Its successor no longer counts as lost catch_up_s, 4 s, after its start, and the next host may be lost then.

Change: a caught-up replica takes the place of a voter that has been silent for half of that time, 2 s, which still is the longest pause of a host that is expected to recover by itself. While a cluster forms, voters count as lost after 4 s as before.

--- a/crates/quorum/src/config.rs
+++ b/crates/quorum/src/config.rs
@@ -53,7 +53,8 @@
     /// Desired number of voters. One further replica is a standby voter if there are at
     /// least three; the others remain learners.
     pub voters: usize,
-    /// Time without a message after which a voter counts as lost.
+    /// Time without a message after which a voter counts as lost. A caught-up replica takes
+    /// the place of a voter after half of it.
     pub lost_after: Duration,
 }
 
@@ -63,6 +64,14 @@
     pub(crate) fn min_copies(&self) -> usize {
         self.voters / 2 + 1
     }
+
+    /// Time without a message after which a caught-up replica takes the place of a voter.
+    ///
+    /// With the election of a leader before it, this must be over by the time at which the
+    /// new replica no longer counts as lost: the next host may be lost then.
+    pub(crate) fn replaced_after(&self) -> Duration {
+        self.lost_after / 2
+    }
 }
 
 /// Duration of a leader lease, in percent of the election timeout. The margin
--- a/crates/quorum/src/node/membership.rs
+++ b/crates/quorum/src/node/membership.rs
@@ -83,13 +83,13 @@
     }
 
     /// Takes the next step towards the desired voters: removes the former disk
-    /// of a caught-up learner or a lost voter, then promotes the learner to
+    /// of a caught-up learner or a silent voter, then promotes the learner to
     /// voter.
     pub(super) fn advance_membership(&mut self, now: Instant) {
         if !self.can_change_membership(now) {
             return;
         }
-        if let Some(next) = self.without_lost_voter(now) {
+        if let Some(next) = self.without_silent_voter(now) {
             return self.change_members(&next, now);
         }
         let learners: Vec<DiskId> = self.members().learners.keys().copied().collect();
@@ -122,8 +122,7 @@
             }
             next.voters.remove(&former);
         } else if self.has_all_voters() && !self.accepts_standby(now) {
-            let lost = self.lost_voter(now)?;
-            next.voters.remove(&lost);
+            next.voters.remove(&self.silent_voter(now)?);
         } else {
             let peer = next.learners.remove(&id)?;
             next.voters.insert(id, peer);
@@ -148,23 +147,25 @@
             && voters.keys().all(|id| self.is_active(*id, now))
     }
 
-    /// Returns the members without a voter that counts as lost, if there is a standby.
-    fn without_lost_voter(&self, now: Instant) -> Option<Members> {
+    /// Returns the members without a silent voter, if there is a standby.
+    fn without_silent_voter(&self, now: Instant) -> Option<Members> {
         if !self.has_standby(self.members()) {
             return None;
         }
         let mut next = self.members().clone();
-        next.voters.remove(&self.lost_voter(now)?);
+        next.voters.remove(&self.silent_voter(now)?);
         self.has_live_quorum(&next, now).then_some(next)
     }
 
-    /// Returns a voter that has been silent for so long that it counts as lost.
-    fn lost_voter(&self, now: Instant) -> Option<DiskId> {
+    /// Returns a voter that has been silent for so long that a caught-up replica takes its
+    /// place.
+    fn silent_voter(&self, now: Instant) -> Option<DiskId> {
         let Role::Leader(leader) = &self.role else {
             return None;
         };
-        let mut voters = self.members().voters.keys();
-        voters.find(|id| self.is_silent(leader, **id, now)).copied()
+        let replaced_after = self.cfg.voter_replacement?.replaced_after();
+        let is_silent = |id: &&DiskId| self.silence(leader, **id, now) >= replaced_after;
+        self.members().voters.keys().find(is_silent).copied()
     }
 
     /// Returns whether a quorum of these members is live. A change that its new
--- a/crates/quorum/src/node/quorums.rs
+++ b/crates/quorum/src/node/quorums.rs
@@ -3,7 +3,7 @@
 use super::{Node, Role};
 use crate::leader::Leader;
 use crate::{DiskId, EntryBody, Members, Peer, VoterReplacement};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 impl Node {
     /// Returns whether this leader accepts commands.
@@ -248,13 +248,18 @@
     }
 
     /// Returns whether a voter has been silent for so long that it counts as lost.
-    pub(super) fn is_silent(&self, leader: &Leader, id: DiskId, now: Instant) -> bool {
-        let Some(policy) = self.cfg.voter_replacement.filter(|_| id != self.id) else {
-            return false;
-        };
+    fn is_silent(&self, leader: &Leader, id: DiskId, now: Instant) -> bool {
+        let policy = self.cfg.voter_replacement;
+        policy.is_some_and(|policy| self.silence(leader, id, now) >= policy.lost_after)
+    }
+
+    /// Returns the time without a message from a voter.
+    pub(super) fn silence(&self, leader: &Leader, id: DiskId, now: Instant) -> Duration {
+        if id == self.id {
+            return Duration::ZERO;
+        }
         let last_heard = leader.peers.get(&id).and_then(|peer| peer.last_heard);
-        let since = last_heard.unwrap_or(leader.elected_at);
-        now.saturating_duration_since(since) >= policy.lost_after
+        now.saturating_duration_since(last_heard.unwrap_or(leader.elected_at))
     }
 
     /// Records the index of an entry that is appended if it is the first command.
--- a/crates/quorum/tests/forming.rs
+++ b/crates/quorum/tests/forming.rs
@@ -487,6 +487,33 @@
     }
 }
 
+/// Guards against a cluster that stops for good if hosts are replaced one after another, each
+/// as soon as the previous successor no longer counts as lost.
+#[test]
+fn commit_voters_replaced_in_turn() {
+    for replace_leader in [true, false] {
+        let mut cluster = Cluster::new(3);
+        cluster.add_voters(&FIRST);
+        cluster.start(1..=3);
+        cluster.commit();
+        let mut hosts = vec![1, 2, 3];
+        for (successor, name) in [(4, "d"), (5, "e"), (6, "f")] {
+            let leaders = cluster.leaders();
+            assert_eq!(leaders.len(), 1, "leaders before {name}: {leaders:?}");
+            let is_next = |id: &u64| leaders.contains(id) == replace_leader;
+            let gone = hosts.iter().position(is_next).unwrap();
+            cluster.stop([hosts.remove(gone)]);
+            cluster.run(SHORTLY);
+            cluster.add_blank(&[(successor, name)]);
+            cluster.start([successor]);
+            hosts.push(successor);
+            cluster.run(CATCH_UP);
+        }
+        cluster.commit();
+        cluster.check_same_entries();
+    }
+}
+
 /// Guards against two leaders if the half of the voters that has noticed a lost disk is cut
 /// off from the other half.
 #[test]
