Report a replacement once the others know of it

Control stopped for good when its leader was killed right after it reported that a host had been replaced: maps::switch_after_controls_replaced waited 65 s for a leader.

Cause: a voter that doesn't know that the removal of another is committed needs the votes of the voters before it too, and one of these is gone. The leader reported the repair as complete, and that a loss is tolerated, when it had appended the removal; the others learned with a later heartbeat that it is committed. By the logs the leader was killed 13 ms after its report.

Change: the leader sends a heartbeat as soon as a change of the members is committed, and a voter that has not answered a later round counts as behind.

elect_leader_lost_after_voter_removed fails without the reported rounds: 'no command committed in 15s'.

--- a/crates/control/src/replica/status.rs
+++ b/crates/control/src/replica/status.rs
@@ -100,7 +100,8 @@
             .lag_tracker
             .as_ref()
             .map_or(status.commit_index, LagTracker::required_index);
-        match (row.active && connected, row.voter, matched >= required) {
+        let is_current = matched >= required && row.informed;
+        match (row.active && connected, row.voter, is_current) {
             (false, ..) => "silent",
             (true, false, false) => "catching up",
             (true, false, true) => "to be made a voter",
--- a/crates/quorum/src/leader.rs
+++ b/crates/quorum/src/leader.rs
@@ -27,6 +27,8 @@
     pub(crate) last_confirmed: Option<(u64, Instant)>,
     /// Rounds up to this one started before the latest loss of a voter's disk was known.
     pub(crate) rounds_before_loss: u64,
+    /// Rounds up to this one started before the latest membership change was committed.
+    pub(crate) rounds_before_members: u64,
     pub(crate) next_heartbeat: Instant,
     pub(crate) last_tick: Instant,
     /// Time since a majority has confirmed a round, as far as this leader was running.
--- a/crates/quorum/src/node/election.rs
+++ b/crates/quorum/src/node/election.rs
@@ -212,6 +212,7 @@
             members_changed_at: now,
             noop_index: next,
             rounds_before_loss: 0,
+            rounds_before_members: 0,
             pending_reads: Vec::new(),
             commit_at_heartbeat: self.commit_index,
             commit_at_previous_heartbeat: self.commit_index,
--- a/crates/quorum/src/node/inspect.rs
+++ b/crates/quorum/src/node/inspect.rs
@@ -221,11 +221,15 @@
                 voter: members.voters.contains_key(&id),
                 match_index: None,
                 active: id == self.id,
+                informed: false,
             };
             if let Role::Leader(leader) = &self.role {
                 let match_index = leader.peers.get(&id).map(|p| p.match_index);
                 row.match_index = match_index.or((id == self.id).then_some(self.synced_index));
                 row.active |= leader.is_active(id, now, self.cfg.election_timeout);
+                row.informed = self.membership_committed()
+                    && row.match_index >= self.members_changed_at()
+                    && leader.answered_round(self.id, id) > leader.rounds_before_members;
             }
             rows.push(row);
         }
--- a/crates/quorum/src/node/membership.rs
+++ b/crates/quorum/src/node/membership.rs
@@ -78,8 +78,14 @@
     }
 
     pub(super) fn membership_committed(&self) -> bool {
+        let changed_at = self.members_changed_at();
+        changed_at.is_none_or(|changed_at| changed_at <= self.commit_index)
+    }
+
+    /// Returns the index of the latest membership change.
+    pub(super) fn members_changed_at(&self) -> Option<u64> {
         let newest = self.membership_history.last();
-        newest.is_none_or(|(changed_at, _)| *changed_at <= self.commit_index)
+        newest.map(|(changed_at, _)| *changed_at)
     }
 
     /// Takes the next step towards the desired voters: removes the former disk
--- a/crates/quorum/src/node/output.rs
+++ b/crates/quorum/src/node/output.rs
@@ -230,12 +230,19 @@
         };
         if index > self.commit_index && self.log.term_at(index) == Some(self.hard_state.term) {
             let first_in_term = !self.has_committed_in_term();
+            let is_change_committed = self.membership_committed();
             self.commit_index = index;
             self.trim_membership_history();
-            if let Role::Leader(leader) = &mut self.role
-                && first_in_term
-            {
-                leader.members_changed_at = now;
+            let commits_change = !is_change_committed && self.membership_committed();
+            if let Role::Leader(leader) = &mut self.role {
+                if first_in_term {
+                    leader.members_changed_at = now;
+                }
+                if commits_change {
+                    // Until they are told, the others may need the votes of removed voters.
+                    leader.rounds_before_members = leader.round;
+                    leader.next_heartbeat = now;
+                }
             }
         }
     }
--- a/crates/quorum/src/status.rs
+++ b/crates/quorum/src/status.rs
@@ -37,4 +37,8 @@
     pub match_index: Option<u64>,
     /// Whether the member has answered within the election timeout.
     pub active: bool,
+    /// Whether the member is known to hold the latest membership change and to know that it is
+    /// committed; false unless this replica leads. A voter that does not know it may need the
+    /// votes of removed voters.
+    pub informed: bool,
 }
--- a/crates/quorum/tests/forming.rs
+++ b/crates/quorum/tests/forming.rs
@@ -4,7 +4,7 @@
 
 use quorum::{
     Config, DiskId, Entry, HardState, Members, Message, MessageBody, Node, Peer, PersistedState,
-    Snapshot, VoterReplacement,
+    ReplicaStatus, Snapshot, VoterReplacement,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -202,6 +202,14 @@
             .map(|(index, _)| index)
     }
 
+    /// Whether a leader reports that a voter is removed and that all others know it.
+    fn reports_removed(&mut self, leader: u64, removed: u64) -> bool {
+        let now = self.now;
+        let status = self.host(leader).node.as_ref().unwrap().status(now);
+        let is_informed = |row: &ReplicaStatus| row.id != DiskId(removed) && row.informed;
+        status.replicas.iter().all(is_informed)
+    }
+
     /// Waits until the only leader has committed a new command; returns the time.
     fn commit(&mut self) -> Duration {
         let begin = self.now;
@@ -514,6 +522,28 @@
     }
 }
 
+/// Guards against a cluster that stops for good if the leader is lost right after it reports
+/// that a host was replaced: the others must know by then that the change is committed.
+#[test]
+fn elect_leader_lost_after_voter_removed() {
+    for gone in 1..=4 {
+        let mut cluster = cluster_with_successor(3);
+        cluster.commit();
+        if cluster.leaders() == [gone] {
+            continue;
+        }
+        cluster.stop([gone]);
+        let leader = cluster.leaders()[0];
+        while !cluster.reports_removed(leader, gone) {
+            cluster.advance();
+        }
+        cluster.stop([leader]);
+        cluster.messages.clear();
+        cluster.commit();
+        cluster.check_same_entries();
+    }
+}
+
 /// Guards against two leaders if the half of the voters that has noticed a lost disk is cut
 /// off from the other half.
 #[test]
